--- /dev/null
+++ b/core/hash.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "core/request.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace foxtailtally {
+
+/** Stable 64-bit hash, equal on all instances and versions. */
+std::uint64_t stableHash(std::string_view data, std::uint64_t seed = 0);
+
+/** Weight of @p candidate for @p key in rendezvous hashing; the highest weight wins. */
+std::uint64_t rendezvousWeight(std::string_view key, std::string_view candidate);
+
+/** 128-bit keyed-free digest (BLAKE2b) of @p data. */
+Fingerprint fingerprintOf(std::string_view data);
+
+} // namespace foxtailtally
--- /dev/null
+++ b/core/lock.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <pthread.h>
+
+namespace foxtailtally {
+
+/** Holds a POSIX mutex for the scope. */
+class Lock
+{
+public:
+    explicit Lock(pthread_mutex_t &mutex)
+        : mutex(mutex)
+    {
+        pthread_mutex_lock(&this->mutex);
+    }
+    ~Lock() { pthread_mutex_unlock(&this->mutex); }
+    Lock(const Lock &) = delete;
+    Lock &operator=(const Lock &) = delete;
+
+private:
+    pthread_mutex_t &mutex;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/core/request.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "core/ids.h"
+
+#include <absl/time/time.h>
+#include <array>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace foxtailtally {
+
+/** Request class; a lower value is more urgent. Values are part of the wire format. */
+enum class RequestClass : std::uint8_t {
+    Urgent = 0,
+    Normal = 1,
+    Batch = 2,
+};
+
+constexpr std::size_t kRequestClassCount = 3;
+
+std::string_view requestClassName(RequestClass requestClass);
+
+/** 128-bit hash of customer, model and prompt. Equal requests have equal fingerprints. */
+using Fingerprint = std::array<std::uint8_t, 16>;
+
+/** All that routing and admission need to know of a request; holds no prompt text. */
+struct RequestProfile
+{
+    RequestId id;
+    CustomerId customer;
+    ModelId model;
+    AdapterId adapter;
+    RequestClass requestClass = RequestClass::Normal;
+    std::int64_t promptTokens = 0;
+    std::int64_t maxNewTokens = 0;
+    /** Time by which the whole answer must have been produced. */
+    absl::Time deadline = absl::InfiniteFuture();
+    /** Chained hashes of the prompt's leading blocks of kPrefixBlockTokens tokens, longest last. */
+    std::vector<std::uint64_t> prefixBlocks;
+    Fingerprint fingerprint {};
+    /** Backend servers that died while running a request with this fingerprint. */
+    std::uint32_t deathsSeen = 0;
+
+    /** Tokens of engine memory the request needs when it has produced its whole answer. */
+    std::int64_t memoryTokens() const { return this->promptTokens + this->maxNewTokens; }
+};
+
+/** Tokens in one block of the prefix cache. */
+constexpr std::int64_t kPrefixBlockTokens = 256;
+
+/** Prompts longer than this are scheduled as long. */
+constexpr std::int64_t kLongPromptTokens = 32768;
+
+} // namespace foxtailtally
--- /dev/null
+++ b/standins/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,47 @@
+#include "core/settings.h"
+
+#include <gtest/gtest.h>
+
+namespace foxtailtally {
+
+namespace {
+
+const std::vector<SettingSpec> kSchema = {
+    {"instance", "id", SettingKind::Text, "", 0, 0, true, ""},
+    {"limits", "grace", SettingKind::Duration, "5 s", 1, 60, false, ""},
+    {"limits", "body", SettingKind::Bytes, "8 MiB", 1024, 67108864, false, ""},
+    {"limits", "streams", SettingKind::Count, "100", 1, 1000, false, ""},
+};
+
+} // namespace
+
+TEST(SettingsTest, ReadsValuesWithUnitsAndDefaults)
+{
+    std::vector<SettingsProblem> problems;
+    const auto settings = Settings::parse("[instance]\nid = a\n[limits]\ngrace = 1500 ms\n",
+                                          "t.ini", kSchema, problems);
+    ASSERT_TRUE(settings.ok());
+    EXPECT_EQ(settings->text("instance", "id"), "a");
+    EXPECT_EQ(settings->duration("limits", "grace"), absl::Milliseconds(1500));
+    EXPECT_EQ(settings->bytes("limits", "body"), 8 * 1024 * 1024);
+    EXPECT_EQ(settings->count("limits", "streams"), 100);
+}
+
+// Guards against a process that starts with a file of which only the first fault is reported.
+TEST(SettingsTest, ReportsEveryProblemWithFileSectionKeyAndRange)
+{
+    std::vector<SettingsProblem> problems;
+    const auto settings =
+        Settings::parse("[limits]\ngrace = 5\nbody = 1 B\nstreams = many\ncolour = red\n", "t.ini",
+                        kSchema, problems);
+    EXPECT_EQ(settings.error(), Error::SettingsInvalid);
+    ASSERT_EQ(problems.size(), 5U);
+    EXPECT_EQ(problems[0].describe(),
+              "t.ini: [limits] grace: number or unit missing or unknown, allowed: 1 s to 60 s");
+    EXPECT_EQ(problems[1].kind, SettingsProblem::Kind::OutOfRange);
+    EXPECT_EQ(problems[2].kind, SettingsProblem::Kind::BadValue);
+    EXPECT_EQ(problems[3].kind, SettingsProblem::Kind::UnknownKey);
+    EXPECT_EQ(problems[4].kind, SettingsProblem::Kind::Missing);
+}
+
+} // namespace foxtailtally
