--- /dev/null
+++ b/peers/http/http_exchange.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "peers/http/http_server.h"
+
+#include <absl/time/time.h>
+#include <atomic>
+#include <microhttpd.h>
+#include <pthread.h>
+
+namespace foxtailtally {
+
+/**
+ * State of one request between libmicrohttpd's threads and the threads that answer it. While no
+ * answer or no data is ready the connection is suspended; respond() and write() resume it.
+ */
+class MicrohttpdExchange final : public HttpExchange,
+                                 public HttpBodyWriter,
+                                 public std::enable_shared_from_this<MicrohttpdExchange>
+{
+public:
+    enum class Phase { Receiving, Waiting, Answering, Completed };
+
+    MicrohttpdExchange(MHD_Connection *connection, int socket, absl::Time startedAt);
+    ~MicrohttpdExchange() override;
+    MicrohttpdExchange(const MicrohttpdExchange &) = delete;
+    MicrohttpdExchange &operator=(const MicrohttpdExchange &) = delete;
+
+    // HttpExchange
+    const HttpRequest &request() const override { return this->received; }
+    std::string takeBody() override;
+    void respond(HttpResponse response) override;
+    std::shared_ptr<HttpBodyWriter> startStream(HttpResponse head) override;
+    void setDisconnectHandler(std::function<void()> handler) override;
+    void setDrainHandler(std::function<void()> handler) override;
+
+    // HttpBodyWriter
+    bool write(std::string_view data) override;
+    void close() override;
+    void abort() override;
+    std::size_t pending() const override;
+    bool isReaderGone() const override;
+
+    // Called by the server.
+    HttpRequest &mutableRequest() { return this->received; }
+    absl::Time startTime() const { return this->startedAt; }
+    /** Marks the request as handed to the handler. */
+    void setWaiting();
+    bool isReceiving() const;
+    /** Queues the answer on the connection, or suspends the connection until there is one. */
+    MHD_Result continueAnswer();
+    /** The connection ended; @p complete tells whether the whole answer was sent. */
+    void onCompleted(bool complete);
+    /** Detects that the peer of a suspended connection has gone, which libmicrohttpd does not
+     * watch. */
+    void probeDisconnect();
+    /** Sends @p rawResponse past libmicrohttpd and shuts the connection down. */
+    void rejectRaw(std::string_view rawResponse);
+
+    std::size_t accountedBytes = 0;
+
+private:
+    static ssize_t readBody(void *self, std::uint64_t position, char *buffer, std::size_t size);
+    static void releaseBody(void *self);
+
+    ssize_t fillBuffer(char *buffer, std::size_t size);
+    MHD_Result queueAnswer();
+    void resumeLocked();
+    void notifyDisconnect();
+
+    MHD_Connection *connection;
+    int socket;
+    absl::Time startedAt;
+    HttpRequest received;
+
+    mutable pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
+    Phase phase = Phase::Receiving;
+    bool suspended = false;
+    bool answerReady = false;
+    bool answerQueued = false;
+    bool streaming = false;
+    bool closed = false;
+    bool aborted = false;
+    bool readerGone = false;
+    HttpResponse answer;
+    std::string queue;
+    std::size_t queueOffset = 0;
+    std::function<void()> disconnectHandler;
+    std::function<void()> drainHandler;
+};
+
+} // namespace foxtailtally
