--- /dev/null
+++ b/peers/instance/messages.h
@@ -0,0 +1,207 @@
+#pragma once
+
+#include "core/reservation.h"
+
+#include <absl/time/time.h>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/** Messages that instances exchange over TCP. Times are durations, since clocks are not compared.
+ */
+namespace foxtailtally {
+
+/** Kind of a message on the wire. */
+enum class MessageKind : std::uint8_t {
+    Gossip = 1,
+    Loan = 2,
+    LoanReply = 3,
+    ReserveRequest = 10,
+    ReserveReply = 11,
+    ReserveCancel = 12,
+    PermitRelease = 13,
+    PermitReport = 14,
+    DocumentPull = 20,
+    DocumentBody = 21,
+    ClaimForward = 30,
+    ClaimReply = 31,
+    OutcomeForward = 32,
+    NoteReply = 33,
+};
+
+/** Asks the owner of a group for a permit. */
+struct ReserveRequestMessage
+{
+    GroupId group;
+    RequestProfile profile;
+    /** Remaining time to the deadline when the message was sent. */
+    absl::Duration remaining;
+};
+
+struct ReserveReplyMessage
+{
+    bool granted = false;
+    Grant grant;
+    /** Address and id of each server of the grant, in the same order. */
+    std::vector<std::string> addresses;
+    Refusal refusal;
+    GroupSummary summary;
+};
+
+/** Withdraws a waiting reservation whose caller has gone. */
+struct ReserveCancelMessage
+{
+    GroupId group;
+    RequestId request;
+};
+
+struct PermitReleaseMessage
+{
+    GroupId group;
+    PermitRelease release;
+};
+
+/** Permits of one owner that the sender still uses. */
+struct PermitReportMessage
+{
+    GroupId group;
+    std::vector<PermitId> permits;
+};
+
+/** Asks for a document when gossip showed a higher number. */
+struct DocumentPullMessage
+{
+    std::uint8_t kind = 0;
+};
+
+struct DocumentBodyMessage
+{
+    std::uint8_t kind = 0;
+    std::uint64_t number = 0;
+    std::string body;
+};
+
+/** Asks the keeper of a claim shard for the right to run an action. */
+struct ClaimForwardMessage
+{
+    std::string key;
+    Fingerprint bodyFingerprint {};
+    bool serviceChecksFence = false;
+    absl::Duration remaining;
+};
+
+struct ClaimReplyMessage
+{
+    bool granted = false;
+    bool replay = false;
+    std::uint32_t attempt = 0;
+    std::uint64_t fence = 0;
+    std::string answer;
+    Refusal refusal;
+};
+
+struct OutcomeForwardMessage
+{
+    std::string key;
+    std::uint32_t attempt = 0;
+    bool known = false;
+    std::string answer;
+};
+
+template <typename Archive>
+void serialize(Archive &archive, RequestProfile &profile)
+{
+    archive(profile.id, profile.customer, profile.model, profile.adapter, profile.requestClass,
+            profile.promptTokens, profile.maxNewTokens, profile.prefixBlocks, profile.fingerprint,
+            profile.deathsSeen);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, Refusal &refusal)
+{
+    archive(refusal.reason, refusal.notRun, refusal.retryAfter);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, Grant &grant)
+{
+    archive(grant.request, grant.permit, grant.servers, grant.startBy);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, PermitRelease &release)
+{
+    archive(release.permit, release.outcome, release.timeToFirstToken, release.newTokens);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, GroupSummary &summary)
+{
+    archive(summary.group, summary.domain, summary.model, summary.owner, summary.ownerIncarnation,
+            summary.sequence, summary.startDelay, summary.freeTokens, summary.capacityTokens,
+            summary.outstandingTokens, summary.running, summary.queued, summary.servers,
+            summary.prefillRate, summary.accepting);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ReserveRequestMessage &message)
+{
+    archive(message.group, message.profile, message.remaining);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ReserveReplyMessage &message)
+{
+    archive(message.granted, message.grant, message.addresses, message.refusal, message.summary);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ReserveCancelMessage &message)
+{
+    archive(message.group, message.request);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, PermitReleaseMessage &message)
+{
+    archive(message.group, message.release);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, PermitReportMessage &message)
+{
+    archive(message.group, message.permits);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, DocumentPullMessage &message)
+{
+    archive(message.kind);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, DocumentBodyMessage &message)
+{
+    archive(message.kind, message.number, message.body);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ClaimForwardMessage &message)
+{
+    archive(message.key, message.bodyFingerprint, message.serviceChecksFence, message.remaining);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, ClaimReplyMessage &message)
+{
+    archive(message.granted, message.replay, message.attempt, message.fence, message.answer,
+            message.refusal);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, OutcomeForwardMessage &message)
+{
+    archive(message.key, message.attempt, message.known, message.answer);
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/peers/instance/stream_connection.cpp
@@ -0,0 +1,135 @@
+#include "peers/instance/stream_connection.h"
+
+#include "peers/instance/envelope.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace foxtailtally {
+
+namespace {
+
+/** A peer that leaves this much unread is treated as lost. */
+constexpr std::size_t kMaxQueuedBytes = std::size_t {8} << 20;
+constexpr std::size_t kReadChunkBytes = 65536;
+constexpr std::size_t kLengthBytes = sizeof(std::uint32_t);
+
+bool wouldBlock(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+} // namespace
+
+bool parseAddress(const std::string &address, sockaddr_in &result)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return false;
+    const unsigned long port = std::strtoul(address.c_str() + colon + 1, nullptr, 10);
+    result = {};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(static_cast<std::uint16_t>(port));
+    return port > 0 && port <= UINT16_MAX
+        && inet_pton(AF_INET, address.substr(0, colon).c_str(), &result.sin_addr) == 1;
+}
+
+StreamConnection::StreamConnection(int socket, bool connecting)
+    : socket(socket)
+    , connecting(connecting)
+{ }
+
+StreamConnection::~StreamConnection()
+{
+    ::close(this->socket);
+}
+
+Result<int> StreamConnection::connectTo(const std::string &address)
+{
+    sockaddr_in target {};
+    if (!parseAddress(address, target))
+        return Error::ConnectionFailed;
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (socket < 0)
+        return Error::ConnectionFailed;
+    const int on = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const int result =
+        ::connect(socket, reinterpret_cast<const sockaddr *>(&target), sizeof target);
+    if (result < 0 && errno != EINPROGRESS) {
+        ::close(socket);
+        return Error::ConnectionFailed;
+    }
+    return socket;
+}
+
+bool StreamConnection::wantsWrite() const
+{
+    return this->connecting || this->outputOffset < this->output.size();
+}
+
+std::error_code StreamConnection::queueFrame(std::string_view frame)
+{
+    if (this->output.size() - this->outputOffset + frame.size() > kMaxQueuedBytes)
+        return Error::MessageTooLarge;
+    const auto length = static_cast<std::uint32_t>(frame.size());
+    std::array<char, kLengthBytes> prefix {};
+    std::memcpy(prefix.data(), &length, kLengthBytes);
+    this->output.append(prefix.data(), prefix.size());
+    this->output.append(frame);
+    return {};
+}
+
+std::error_code StreamConnection::flush()
+{
+    if (this->connecting) {
+        int failure = 0;
+        socklen_t size = sizeof failure;
+        ::getsockopt(this->socket, SOL_SOCKET, SO_ERROR, &failure, &size);
+        if (failure != 0)
+            return Error::ConnectionFailed;
+        this->connecting = false;
+    }
+    while (this->outputOffset < this->output.size()) {
+        const ssize_t sent = ::send(this->socket, this->output.data() + this->outputOffset,
+                                    this->output.size() - this->outputOffset, MSG_NOSIGNAL);
+        if (sent < 0)
+            return wouldBlock(errno) ? std::error_code() : make_error_code(Error::ConnectionLost);
+        this->outputOffset += static_cast<std::size_t>(sent);
+    }
+    this->output.clear();
+    this->outputOffset = 0;
+    return {};
+}
+
+std::error_code
+StreamConnection::receive(const std::function<void(std::string_view frame)> &onFrame)
+{
+    std::array<char, kReadChunkBytes> chunk;
+    const ssize_t received = ::recv(this->socket, chunk.data(), chunk.size(), 0);
+    if (received == 0)
+        return Error::ConnectionLost;
+    if (received < 0)
+        return wouldBlock(errno) ? std::error_code() : make_error_code(Error::ConnectionLost);
+    this->input.append(chunk.data(), static_cast<std::size_t>(received));
+    std::size_t position = 0;
+    while (this->input.size() - position >= kLengthBytes) {
+        std::uint32_t length = 0;
+        std::memcpy(&length, this->input.data() + position, kLengthBytes);
+        if (length > kMaxFrameBytes)
+            return Error::MessageTooLarge;
+        if (this->input.size() - position - kLengthBytes < length)
+            break;
+        onFrame(std::string_view(this->input).substr(position + kLengthBytes, length));
+        position += kLengthBytes + length;
+    }
+    this->input.erase(0, position);
+    return {};
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/peers/instance/stream_connection.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "core/result.h"
+
+#include <cstdint>
+#include <functional>
+#include <netinet/in.h>
+#include <string>
+#include <string_view>
+
+namespace foxtailtally {
+
+/** One non-blocking TCP connection that carries frames with a 32-bit length prefix. */
+class StreamConnection
+{
+public:
+    /** Takes over @p socket. @p connecting is true until the first writable event. */
+    StreamConnection(int socket, bool connecting);
+    ~StreamConnection();
+    StreamConnection(const StreamConnection &) = delete;
+    StreamConnection &operator=(const StreamConnection &) = delete;
+
+    /** Starts a connection to "ip:port". */
+    static Result<int> connectTo(const std::string &address);
+
+    int descriptor() const { return this->socket; }
+    bool wantsWrite() const;
+
+    /** Queues a frame. Error: MessageTooLarge when the peer does not take its data. */
+    std::error_code queueFrame(std::string_view frame);
+    /** Sends what the socket takes. Error: ConnectionFailed or ConnectionLost. */
+    std::error_code flush();
+    /** Reads what is there and calls @p onFrame for each whole frame. */
+    std::error_code receive(const std::function<void(std::string_view frame)> &onFrame);
+
+private:
+    int socket;
+    bool connecting;
+    std::string output;
+    std::size_t outputOffset = 0;
+    std::string input;
+};
+
+/** Parses "ip:port". */
+bool parseAddress(const std::string &address, sockaddr_in &result);
+
+} // namespace foxtailtally
