Implement the HTTP client and the engine model

libcurl repeats a request when a reused connection closes without an answer. An action must not run twice, so every method but GET is sent at most once: the callback before each sending aborts the second one. The same callback tells ConnectionFailed (nothing can have been sent) from the other errors.

The engine model runs in virtual time and does no I/O.

--- /dev/null
+++ b/peers/http/http_client.cpp
@@ -0,0 +1,330 @@
+#include "peers/http/http_client.h"
+
+#include "core/lock.h"
+#include "core/thread.h"
+#include "peers/http/http_transfer.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <atomic>
+
+namespace foxtailtally {
+
+namespace {
+
+constexpr std::size_t kMaxReplyBytes = std::size_t {16} << 20;
+constexpr long kConnectionsPerThread = 256;
+constexpr long kConnectionsPerHandle = 16;
+/** Handles kept for blocking calls; more are closed after use. */
+constexpr std::size_t kKeptHandles = 64;
+/** Longest wait of a thread without work; commands end the wait early. */
+constexpr int kPollMilliseconds = 1000;
+
+void initializeCurl()
+{
+    static const CURLcode kResult = curl_global_init(CURL_GLOBAL_DEFAULT);
+    (void)kResult;
+}
+
+/** Keeps the reply of a blocking call. */
+class ReplyCollector final : public HttpStreamListener
+{
+public:
+    void onStatus(int status) override { this->reply.status = status; }
+    void onData(std::string_view data) override
+    {
+        if (this->reply.body.size() + data.size() > kMaxReplyBytes) {
+            this->isTooLarge = true;
+            return;
+        }
+        this->reply.body.append(data);
+    }
+    void onDone(std::error_code /*error*/) override { }
+
+    HttpReply reply;
+    bool isTooLarge = false;
+};
+
+/** Serves streamed calls on one thread. */
+class Worker
+{
+public:
+    explicit Worker(int number)
+        : multi(curl_multi_init())
+    {
+        curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kConnectionsPerThread);
+        this->thread = Thread(absl::StrCat("http-client-", number), [this] { this->run(); });
+    }
+    ~Worker()
+    {
+        {
+            const Lock lock(this->mutex);
+            this->isStopping = true;
+        }
+        curl_multi_wakeup(this->multi);
+        this->thread.join();
+        curl_multi_cleanup(this->multi);
+    }
+    Worker(const Worker &) = delete;
+    Worker &operator=(const Worker &) = delete;
+
+    void start(HttpCallId id, std::shared_ptr<HttpTransfer> transfer)
+    {
+        {
+            const Lock lock(this->mutex);
+            this->known[id] = std::move(transfer);
+            this->changed.push_back(id);
+        }
+        curl_multi_wakeup(this->multi);
+    }
+
+    /** Applies @p change to the flags of a running call and wakes the thread. */
+    template <typename F>
+    void change(HttpCallId id, F change)
+    {
+        {
+            const Lock lock(this->mutex);
+            const auto found = this->known.find(id);
+            if (found == this->known.end()) {
+                return;
+            }
+            change(*found->second);
+            this->changed.push_back(id);
+        }
+        curl_multi_wakeup(this->multi);
+    }
+
+private:
+    struct Running
+    {
+        CurlEasy easy;
+        std::shared_ptr<HttpTransfer> transfer;
+    };
+
+    void run()
+    {
+        while (true) {
+            std::vector<std::pair<HttpCallId, std::shared_ptr<HttpTransfer>>> work;
+            {
+                const Lock lock(this->mutex);
+                if (this->isStopping) {
+                    break;
+                }
+                for (const HttpCallId id : this->changed) {
+                    const auto found = this->known.find(id);
+                    if (found != this->known.end()) {
+                        work.emplace_back(id, found->second);
+                    }
+                }
+                this->changed.clear();
+            }
+            for (const auto &[id, transfer] : work) {
+                this->apply(id, transfer);
+            }
+            int active = 0;
+            curl_multi_perform(this->multi, &active);
+            this->finishCompleted();
+            curl_multi_poll(this->multi, nullptr, 0, kPollMilliseconds, nullptr);
+        }
+        this->cancelAll();
+    }
+
+    void apply(HttpCallId id, const std::shared_ptr<HttpTransfer> &transfer)
+    {
+        if (transfer->isCancelled.load(std::memory_order_acquire)) {
+            this->finish(id, Error::RequestCancelled);
+            return;
+        }
+        const auto found = this->running.find(id);
+        if (found == this->running.end()) {
+            this->begin(id, transfer);
+            return;
+        }
+        const bool pause = transfer->isPaused.load(std::memory_order_acquire);
+        curl_easy_pause(found->second.easy.get(), pause ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+    }
+
+    void begin(HttpCallId id, const std::shared_ptr<HttpTransfer> &transfer)
+    {
+        CurlEasy easy(curl_easy_init());
+        if (easy == nullptr) {
+            this->finish(id, Error::ConnectionFailed);
+            return;
+        }
+        transfer->configure(easy.get());
+        curl_easy_setopt(easy.get(), CURLOPT_PRIVATE, transfer.get());
+        CURL *handle = easy.get();
+        this->running[id] = {std::move(easy), transfer};
+        if (curl_multi_add_handle(this->multi, handle) != CURLM_OK) {
+            this->finish(id, Error::ConnectionFailed);
+        }
+    }
+
+    void finishCompleted()
+    {
+        int left = 0;
+        while (CURLMsg *message = curl_multi_info_read(this->multi, &left)) {
+            if (message->msg != CURLMSG_DONE) {
+                continue;
+            }
+            const CURLcode code = message->data.result;
+            void *context = nullptr;
+            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &context);
+            const auto *transfer = static_cast<const HttpTransfer *>(context);
+            this->finish(transfer->id(), transfer->errorFor(code));
+        }
+    }
+
+    void finish(HttpCallId id, std::error_code error)
+    {
+        std::shared_ptr<HttpTransfer> transfer;
+        {
+            const Lock lock(this->mutex);
+            const auto found = this->known.find(id);
+            if (found == this->known.end()) {
+                return;
+            }
+            transfer = std::move(found->second);
+            this->known.erase(found);
+        }
+        const auto found = this->running.find(id);
+        if (found != this->running.end()) {
+            if (!error) {
+                transfer->reportStatus();
+            }
+            curl_multi_remove_handle(this->multi, found->second.easy.get());
+            this->running.erase(found);
+        }
+        transfer->listener().onDone(error);
+    }
+
+    void cancelAll()
+    {
+        std::vector<HttpCallId> ids;
+        {
+            const Lock lock(this->mutex);
+            for (const auto &[id, transfer] : this->known) {
+                ids.push_back(id);
+            }
+        }
+        for (const HttpCallId id : ids) {
+            this->finish(id, Error::RequestCancelled);
+        }
+    }
+
+    CURLM *multi;
+    pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
+    absl::flat_hash_map<HttpCallId, std::shared_ptr<HttpTransfer>> known;
+    /** Calls that were started or whose flags changed since the thread last looked. */
+    std::vector<HttpCallId> changed;
+    bool isStopping = false;
+    /** Used by the thread only. */
+    absl::flat_hash_map<HttpCallId, Running> running;
+    Thread thread;
+};
+
+} // namespace
+
+class HttpClient::Implementation
+{
+public:
+    explicit Implementation(int threads)
+    {
+        initializeCurl();
+        for (int i = 0; i < std::max(threads, 1); ++i) {
+            this->workers.push_back(std::make_unique<Worker>(i));
+        }
+    }
+
+    Worker &workerOf(HttpCallId id) { return *this->workers[id % this->workers.size()]; }
+    HttpCallId nextId() { return this->lastId.fetch_add(1, std::memory_order_relaxed) + 1; }
+
+    CurlEasy takeHandle()
+    {
+        {
+            const Lock lock(this->mutex);
+            if (!this->handles.empty()) {
+                CurlEasy handle = std::move(this->handles.back());
+                this->handles.pop_back();
+                return handle;
+            }
+        }
+        return CurlEasy(curl_easy_init());
+    }
+
+    void returnHandle(CurlEasy handle)
+    {
+        // A reset keeps the connections of the handle.
+        curl_easy_reset(handle.get());
+        const Lock lock(this->mutex);
+        if (this->handles.size() < kKeptHandles) {
+            this->handles.push_back(std::move(handle));
+        }
+    }
+
+private:
+    std::vector<std::unique_ptr<Worker>> workers;
+    std::atomic<HttpCallId> lastId {0};
+    pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
+    std::vector<CurlEasy> handles;
+};
+
+HttpClient::HttpClient(int threads)
+    : implementation(std::make_unique<Implementation>(threads))
+{ }
+
+HttpClient::~HttpClient() = default;
+
+Result<HttpReply> HttpClient::perform(const HttpCall &call)
+{
+    CurlEasy handle = this->implementation->takeHandle();
+    if (handle == nullptr) {
+        return Error::ConnectionFailed;
+    }
+    const auto collector = std::make_shared<ReplyCollector>();
+    HttpTransfer transfer(0, call, collector);
+    transfer.configure(handle.get());
+    curl_easy_setopt(handle.get(), CURLOPT_MAXCONNECTS, kConnectionsPerHandle);
+    const std::error_code error = transfer.errorFor(curl_easy_perform(handle.get()));
+    if (!error) {
+        transfer.reportStatus();
+    }
+    this->implementation->returnHandle(std::move(handle));
+    if (error) {
+        return error;
+    }
+    if (collector->isTooLarge) {
+        return Error::ProtocolViolation;
+    }
+    collector->reply.retryAfterSeconds = transfer.retryAfterSeconds();
+    return std::move(collector->reply);
+}
+
+HttpCallId HttpClient::start(const HttpCall &call, std::shared_ptr<HttpStreamListener> listener)
+{
+    const HttpCallId id = this->implementation->nextId();
+    auto transfer = std::make_shared<HttpTransfer>(id, call, std::move(listener));
+    this->implementation->workerOf(id).start(id, std::move(transfer));
+    return id;
+}
+
+void HttpClient::cancel(HttpCallId call)
+{
+    this->implementation->workerOf(call).change(
+        call, [](HttpTransfer &transfer) { transfer.isCancelled.store(true); });
+}
+
+void HttpClient::pause(HttpCallId call)
+{
+    this->implementation->workerOf(call).change(
+        call, [](HttpTransfer &transfer) { transfer.isPaused.store(true); });
+}
+
+void HttpClient::resume(HttpCallId call)
+{
+    this->implementation->workerOf(call).change(
+        call, [](HttpTransfer &transfer) { transfer.isPaused.store(false); });
+}
+
+} // namespace foxtailtally
--- a/peers/http/http_client.h
+++ b/peers/http/http_client.h
@@ -45,7 +45,8 @@
     virtual void onData(std::string_view data) = 0;
     /**
      * Called exactly once. @p error is zero when the reply ended as HTTP demands, otherwise
-     * ConnectionFailed (nothing was sent), ConnectionLost, Timeout or RequestCancelled.
+     * ConnectionFailed (nothing was sent), ConnectionLost, Timeout, ProtocolViolation (not HTTP, or
+     * a header or body over its limit) or RequestCancelled.
      */
     virtual void onDone(std::error_code error) = 0;
 };
@@ -63,7 +64,11 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /** Runs @p call to its end on the calling thread. Keeps connections for reuse. */
+    /**
+     * Runs @p call to its end on the calling thread and keeps the connection for reuse. Errors are
+     * those of HttpStreamListener::onDone(). A call with a method other than GET is sent at most
+     * once.
+     */
     Result<HttpReply> perform(const HttpCall &call);
 
     /** Starts @p call; the listener is kept until onDone() has returned. */
--- /dev/null
+++ b/peers/http/http_transfer.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "peers/http/http_client.h"
+
+#include <atomic>
+#include <curl/curl.h>
+#include <memory>
+
+namespace foxtailtally {
+
+struct CurlEasyDeleter
+{
+    void operator()(CURL *handle) const { curl_easy_cleanup(handle); }
+};
+struct CurlListDeleter
+{
+    void operator()(curl_slist *list) const { curl_slist_free_all(list); }
+};
+using CurlEasy = std::unique_ptr<CURL, CurlEasyDeleter>;
+
+/** One call on a libcurl handle: its options, callbacks and the meaning of its result. */
+class HttpTransfer
+{
+public:
+    HttpTransfer(HttpCallId id, HttpCall call, std::shared_ptr<HttpStreamListener> listener);
+    ~HttpTransfer();
+    HttpTransfer(const HttpTransfer &) = delete;
+    HttpTransfer &operator=(const HttpTransfer &) = delete;
+
+    /** Sets all options of @p handle, which must not outlive this object. */
+    void configure(CURL *handle);
+    /** Error for the result that libcurl gave for the configured handle. */
+    std::error_code errorFor(CURLcode code) const;
+    HttpCallId id() const { return this->number; }
+    int retryAfterSeconds() const { return this->retryAfter; }
+
+    /** While set, arriving data is left in the connection. */
+    std::atomic<bool> isPaused {false};
+    /** Once set, arriving data is dropped. */
+    std::atomic<bool> isCancelled {false};
+
+    HttpStreamListener &listener() { return *this->target; }
+    void reportStatus();
+
+private:
+    static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *context);
+    static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *context);
+    static int onRequest(void *context, char *remoteAddress, char *localAddress, int remotePort,
+                         int localPort);
+
+    HttpCallId number;
+    HttpCall call;
+    std::shared_ptr<HttpStreamListener> target;
+    std::unique_ptr<curl_slist, CurlListDeleter> headers;
+    CURL *easy = nullptr;
+    std::size_t headerBytes = 0;
+    int retryAfter = 0;
+    bool isStatusReported = false;
+    bool isLimitExceeded = false;
+    /** Set when a connection was about to take the first byte of the request. */
+    bool maySend = false;
+};
+
+} // namespace foxtailtally
--- a/standins/lib/engine_model.h
+++ b/standins/lib/engine_model.h
@@ -213,9 +213,10 @@
 
     void takeSnapshots(absl::Time until);
     void expireHolds(absl::Time now);
-    std::error_code addHold(absl::btree_map<std::string, EngineHold> &holds,
-                            const EngineHold &hold);
-    bool freeHold(absl::btree_map<std::string, EngineHold> &holds, const std::string &id);
+    std::error_code addHold(absl::btree_map<std::string, EngineHold> &holds, const EngineHold &hold,
+                            absl::Time now);
+    bool freeHold(absl::btree_map<std::string, EngineHold> &holds, const std::string &id,
+                  absl::Time now);
     void setHeld(std::int64_t tokens, absl::Time now);
     void startStep(absl::Time now, std::vector<EngineAction> &actions);
     void endStep(std::vector<EngineAction> &actions);
@@ -249,6 +250,7 @@
     std::uint64_t highestFence = 0;
     absl::flat_hash_map<std::string, std::string> versions;
     std::deque<Snapshot> snapshots;
+    absl::Time nextSnapshotAt;
     std::uint64_t reportSequence = 0;
 };
 
--- a/standins/lib/prefix_cache.h
+++ b/standins/lib/prefix_cache.h
@@ -36,9 +36,10 @@
     void forget();
 
     std::int64_t blocks() const { return static_cast<std::int64_t>(this->index.size()); }
-    std::uint64_t lastSequence() const { return this->sequence; }
     /** Sequence of the oldest event that is still kept; 0 when there is none. */
     std::uint64_t firstSequence() const;
+    /** Sequence of the newest kept event that is visible at @p now; 0 when there is none. */
+    std::uint64_t lastVisible(absl::Time now) const;
     /** Kept events above @p after that are visible at @p now. */
     std::vector<CacheEvent> events(std::uint64_t after, absl::Time now) const;
 
@@ -49,6 +50,8 @@
         absl::Time visibleAt;
     };
 
+    /** Marks @p blocks as used; all must be cached. */
+    void touch(std::span<const std::uint64_t> blocks);
     void log(bool isStored, std::uint64_t block, absl::Time now, Random &random);
 
     absl::Duration eventDelay;
