--- /dev/null
+++ b/servers/routing/deadline_aware_policy.cpp
@@ -0,0 +1,82 @@
+#include "servers/routing/deadline_aware_policy.h"
+
+#include "servers/routing/candidate_ranking.h"
+
+#include <algorithm>
+
+namespace foxtailtally {
+
+namespace {
+
+/** Random groups compared per request. */
+constexpr std::size_t kSample = 8;
+/** A group above this multiple of the mean load gets no preference for its cache. */
+constexpr double kPreferenceLoadLimit = 1.25;
+/** Added for a group of another failure domain: a round trip at 1.5 ms one-way latency. */
+constexpr double kRemoteSeconds = 0.003;
+/** Summaries arrive every second; an older one says that the owner may have failed. */
+constexpr absl::Duration kSummaryStaleAfter = absl::Seconds(5);
+/** Ranks stale groups after all others without excluding them. */
+constexpr double kStaleSeconds = 3600;
+/**
+ * Groups whose predicted times differ by less than this count as equal and are chosen at random:
+ * summaries are up to a second old and predictions are not exact.
+ */
+constexpr double kTieSeconds = 0.020;
+constexpr double kTieRatio = 0.1;
+
+double predictedSeconds(const RoutingCandidate &candidate, const RequestProfile &request,
+                        double cachedTokens, absl::Time now)
+{
+    const auto requestClass = static_cast<std::size_t>(request.requestClass);
+    const double uncached = std::max(0.0, static_cast<double>(request.promptTokens) - cachedTokens);
+    double seconds = candidate.startDelaySeconds[requestClass] + uncached / candidate.prefillRate;
+    if (candidate.isRemote)
+        seconds += kRemoteSeconds;
+    if (now - candidate.receivedAt > kSummaryStaleAfter)
+        seconds += kStaleSeconds;
+    return seconds;
+}
+
+} // namespace
+
+RankedGroups DeadlineAwarePolicy::rank(const RoutingView &view, const RequestProfile &request,
+                                       absl::Time now, Random &random) const
+{
+    const RoutingCandidates &candidates = view.candidates(request.model);
+    const std::size_t count = candidates.list.size();
+    CandidateRanking ranking;
+    const auto consider = [&](std::size_t index, double cachedTokens) {
+        const RoutingCandidate &candidate = candidates.list[index];
+        if (!canHold(candidate, request))
+            return;
+        const double seconds = predictedSeconds(candidate, request, cachedTokens, now);
+        const double tie = kTieSeconds + kTieRatio * seconds;
+        ranking.offer(static_cast<std::uint32_t>(index), seconds + tie * random.uniform());
+    };
+    if (count <= kSample) {
+        for (std::size_t index = 0; index < count; ++index)
+            consider(index, 0);
+    } else {
+        for (std::size_t i = 0; i < kSample; ++i)
+            consider(random.below(count), 0);
+    }
+    for (const CandidateHit &hit : view.prefixHits(candidates, request.prefixBlocks, now)) {
+        const RoutingCandidate &candidate = candidates.list[hit.candidate];
+        const bool isOverloaded =
+            candidate.tokensPerServer > kPreferenceLoadLimit * candidates.meanTokensPerServer
+            || candidate.requestsPerServer
+                > kPreferenceLoadLimit * candidates.meanRequestsPerServer;
+        // An overloaded group is not added to the sample either: that alone would raise its part.
+        if (!isOverloaded)
+            consider(hit.candidate, static_cast<double>(hit.blocks) * kPrefixBlockTokens);
+    }
+    // Few groups can hold the longest contexts, so a sample may miss all of them.
+    if (ranking.size() == 0) {
+        for (std::size_t index = 0; index < count; ++index)
+            consider(index, 0);
+    }
+    return ranking.groups(view, candidates);
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/routing/least_requests_policy.cpp
@@ -0,0 +1,14 @@
+#include "servers/routing/least_requests_policy.h"
+
+#include "servers/routing/candidate_ranking.h"
+
+namespace foxtailtally {
+
+RankedGroups LeastRequestsPolicy::rank(const RoutingView &view, const RequestProfile &request,
+                                       absl::Time, Random &random) const
+{
+    return rankAll(view, request, random,
+                   [](const RoutingCandidate &candidate) { return candidate.requestsPerServer; });
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/routing/prefix_index.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "core/ids.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/inlined_vector.h>
+#include <absl/time/time.h>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <span>
+#include <vector>
+
+namespace foxtailtally {
+
+/** A group that is known to cache the leading part of a prompt. */
+struct PrefixHit
+{
+    /** Number of the group inside the index; see PrefixIndex::groups(). */
+    std::uint32_t slot = 0;
+    /** Leading blocks of the prompt that the group caches, as far as the index knows. */
+    std::size_t blocks = 0;
+};
+
+using PrefixHits = absl::InlinedVector<PrefixHit, 8>;
+
+/**
+ * Bounded map from the hash of a prompt's leading blocks to the groups that cache them, fed by
+ * cache hints. Hints may be late, lost or wrong, so an entry expires unless it is reported again.
+ * The oldest block is dropped when the map is full.
+ */
+class PrefixIndex
+{
+public:
+    /** Groups kept per block; a hint for a further group replaces the one that expires first. */
+    static constexpr std::size_t kHoldersPerBlock = 4;
+    /** Groups that the index can number. */
+    static constexpr std::size_t kMaxGroups = 4096;
+
+    /** @p capacity in blocks, @p lifetime of a hint that is not repeated. */
+    explicit PrefixIndex(std::size_t capacity = 65536, absl::Duration lifetime = absl::Seconds(60));
+
+    void onStored(const GroupId &group, std::uint64_t block, absl::Time now);
+    void onEvicted(const GroupId &group, std::uint64_t block);
+    /** Forgets everything cached by @p group, for example when it has turned cold. */
+    void onGroupLost(const GroupId &group);
+
+    /**
+     * Groups that cache a leading part of @p blocks (chained hashes, longest last). The depth of
+     * the first hit is exact where a group caches every block above the deepest one; that of
+     * further groups is a lower bound of at least half their depth.
+     */
+    PrefixHits lookup(std::span<const std::uint64_t> blocks, absl::Time now) const;
+
+    std::span<const GroupId> groups() const { return this->names; }
+    std::size_t size() const { return this->entries.size(); }
+
+private:
+    struct Holder
+    {
+        std::uint32_t slot = 0;
+        absl::Time expires;
+    };
+    using Holders = absl::InlinedVector<Holder, 2>;
+    struct Entry
+    {
+        Holders holders;
+        /** Tells the entry of a block from an earlier one that was dropped and added again. */
+        std::uint64_t generation = 0;
+    };
+    struct Arrival
+    {
+        std::uint64_t block = 0;
+        std::uint64_t generation = 0;
+    };
+
+    bool isKnown(std::uint64_t block, absl::Time now) const;
+    void collect(std::uint64_t block, std::size_t depth, absl::Time now, PrefixHits &hits) const;
+    void dropOldest();
+
+    std::size_t capacity;
+    absl::Duration lifetime;
+    std::uint64_t nextGeneration = 0;
+    absl::flat_hash_map<std::uint64_t, Entry> entries;
+    std::deque<Arrival> arrivals;
+    std::vector<GroupId> names;
+    absl::flat_hash_map<GroupId, std::uint32_t> slots;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/routing/routing_view_builder.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "servers/routing/routing_view.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+#include <memory>
+
+namespace foxtailtally {
+
+/**
+ * Collects what an instance learns of groups and builds snapshots of it. Used by one control
+ * thread. A summary older than the known one is ignored.
+ */
+class RoutingViewBuilder
+{
+public:
+    /** Groups of other domains are ranked with the extra latency of a remote call. */
+    RoutingViewBuilder &setLocalDomain(FailureDomainId domain);
+    RoutingViewBuilder &setSummary(const GroupSummary &summary, absl::Time now);
+    RoutingViewBuilder &setDomainOut(const FailureDomainId &domain, bool isOut);
+    RoutingViewBuilder &setGroupDraining(const GroupId &group, bool isDraining);
+    RoutingViewBuilder &removeGroup(const GroupId &group);
+    /** The index must not change while a view holds it. */
+    RoutingViewBuilder &setPrefixes(std::shared_ptr<const PrefixIndex> index);
+
+    std::unique_ptr<const RoutingView> build() const;
+
+private:
+    static bool isNewer(const GroupSummary &next, const GroupSummary &known);
+    void addCandidate(RoutingView &view, std::uint32_t index) const;
+
+    FailureDomainId localDomain;
+    absl::btree_map<GroupId, RoutingGroup> known;
+    absl::btree_set<FailureDomainId> domainsOut;
+    absl::btree_set<GroupId> draining;
+    std::shared_ptr<const PrefixIndex> prefixes;
+};
+
+} // namespace foxtailtally
