Add admission of one server group and quarantine of requests

GroupAdmission decides which request of a group runs on which server and when. Permit numbers carry a tag of owner and incarnation in their upper half, because a release names only the number and may reach a later owner of the group.

Not yet covered by tests.

--- /dev/null
+++ b/servers/admission/admission_policy.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "core/backend_server.h"
+#include "core/ids.h"
+#include "core/reservation.h"
+
+#include <absl/time/time.h>
+#include <cstdint>
+#include <span>
+#include <variant>
+#include <vector>
+
+namespace foxtailtally {
+
+/** An entry instance asks the owner of a group for the right to run one request. */
+struct ReserveRequest
+{
+    RequestProfile profile;
+    InstanceId from;
+    Incarnation fromIncarnation = 0;
+};
+
+/** A permit that an entry instance still uses, as listed in its report. */
+struct HeldPermit
+{
+    PermitId permit = 0;
+    std::vector<BackendServerId> servers;
+    /** Prompt and maximum new tokens of the request, over all its servers. */
+    std::int64_t tokens = 0;
+    bool isLong = false;
+    bool isSuspect = false;
+    absl::Time deadline = absl::InfiniteFuture();
+};
+
+/** All permits on one group's servers that an entry instance holds; sent every 5 s. */
+struct PermitReport
+{
+    InstanceId from;
+    Incarnation fromIncarnation = 0;
+    std::vector<HeldPermit> held;
+};
+
+/** What the shares leave this owner of one backend server. */
+struct UsableUnits
+{
+    BackendServerId server;
+    /** Part of the server's cold limit, in concurrent requests. */
+    std::int64_t coldUnits = 0;
+    /** Part of the server's memory, in tokens. */
+    std::int64_t memoryTokens = 0;
+};
+
+/** Answer to one reservation: it may run. */
+struct GrantAction
+{
+    InstanceId to;
+    Grant grant;
+};
+
+/** Answer to one reservation: it may not run. */
+struct RefuseAction
+{
+    InstanceId to;
+    RequestId request;
+    Refusal refusal;
+};
+
+using AdmissionAction = std::variant<GrantAction, RefuseAction>;
+using AdmissionActions = std::vector<AdmissionAction>;
+
+/**
+ * Decides for one server group which requests may run on which backend server, and when. Each
+ * reservation gets exactly one answer, at once or from a later call, unless it is withdrawn or its
+ * entry instance dies. The caller sets limits that have just expired before it makes any other call
+ * with the same @p now.
+ */
+class AdmissionPolicy
+{
+public:
+    AdmissionPolicy() = default;
+    AdmissionPolicy(const AdmissionPolicy &) = delete;
+    AdmissionPolicy &operator=(const AdmissionPolicy &) = delete;
+    virtual ~AdmissionPolicy() = default;
+
+    virtual AdmissionActions reserve(const ReserveRequest &request, absl::Time now) = 0;
+    /** Forgets a waiting reservation whose caller is gone; it gets no answer. */
+    virtual AdmissionActions withdraw(const RequestId &request, absl::Time now) = 0;
+    /**
+     * Ends a permit; unknown permits are ignored. The entry instance releases after the engine has
+     * ended the request or confirmed its cancellation.
+     */
+    virtual AdmissionActions release(const PermitRelease &release, absl::Time now) = 0;
+    virtual AdmissionActions onPermitReport(const PermitReport &report, absl::Time now) = 0;
+
+    /** The group's servers as the platform lists them; missing ones are treated as lost. */
+    virtual AdmissionActions setServers(std::span<const BackendServer> servers, absl::Time now) = 0;
+    /** Usable units by server; servers that are not named have none. May fall below the use. */
+    virtual AdmissionActions setLimits(std::span<const UsableUnits> limits, absl::Time now) = 0;
+    /** A report of a newer incarnation ends all that ran on the older one. */
+    virtual AdmissionActions onLoadReport(const LoadReport &report, absl::Time now) = 0;
+    /** The server gets nothing until a load report taken after @p now arrives. */
+    virtual AdmissionActions onServerLost(const BackendServerId &server, absl::Time now) = 0;
+    /** Incarnations of @p instance up to @p incarnation are gone. */
+    virtual AdmissionActions onInstanceDead(const InstanceId &instance, Incarnation incarnation,
+                                            absl::Time now) = 0;
+
+    /** Refuses everything that waits and all later reservations with @p reason, not run. */
+    virtual AdmissionActions stop(RefusalReason reason, absl::Time now) = 0;
+    /** Accepts reservations again, for a group that returns to service. */
+    virtual void resume() = 0;
+
+    /** Does what has become due; call it at nextTick() at the latest. */
+    virtual AdmissionActions onTick(absl::Time now) = 0;
+    /** Time at which something becomes due without an event; infinite when nothing waits. */
+    virtual absl::Time nextTick() const = 0;
+
+    virtual GroupSummary summary(absl::Time now) = 0;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/admission/cold_start_ramp.cpp
@@ -0,0 +1,75 @@
+#include "servers/admission/cold_start_ramp.h"
+
+#include <algorithm>
+
+namespace foxtailtally {
+
+namespace {
+
+// A cache that never held more blocks than this says nothing about the server when it shrinks.
+constexpr std::int64_t kMeaningfulBlocks = 64;
+// The cache is considered lost below this fraction (1 / n) of its peak.
+constexpr std::int64_t kLostCacheFraction = 20;
+// Single slow first tokens occur on warm servers; hysteresis keeps the limit from collapsing on
+// them. Each normal first token takes one slow one back.
+constexpr std::int32_t kSlowFirstTokens = 3;
+
+} // namespace
+
+ColdStartRamp::ColdStartRamp(std::int64_t coldLimit, std::int64_t warmLimit)
+    : cold(std::max<std::int64_t>(coldLimit, 0))
+    , warm(std::max(coldLimit, warmLimit))
+    , current(cold)
+{ }
+
+void ColdStartRamp::setLimits(std::int64_t coldLimit, std::int64_t warmLimit)
+{
+    this->cold = std::max<std::int64_t>(coldLimit, 0);
+    this->warm = std::max(this->cold, warmLimit);
+    this->current = std::clamp(this->current, this->cold, this->warm);
+}
+
+void ColdStartRamp::reset()
+{
+    this->current = this->cold;
+    this->peakBlocks = 0;
+    this->slowStreak = 0;
+    this->isEngineWarm = false;
+    this->hasReport = false;
+}
+
+void ColdStartRamp::onReport(const LoadReport &report)
+{
+    const bool hasLostCache = this->peakBlocks >= kMeaningfulBlocks
+        && report.cachedBlocks < this->peakBlocks / kLostCacheFraction;
+    if (hasLostCache || (this->isEngineWarm && !report.warm)) {
+        this->reset();
+    } else if (!this->hasReport && report.warm) {
+        // A new owner of a busy warm server starts from what the engine is seen to bear.
+        this->current = std::clamp(report.running, this->cold, this->warm);
+    }
+    this->hasReport = true;
+    this->isEngineWarm = report.warm;
+    this->peakBlocks = std::max(this->peakBlocks, report.cachedBlocks);
+}
+
+void ColdStartRamp::onSuccess(bool hasSlowFirstToken, std::int64_t inUse)
+{
+    if (hasSlowFirstToken) {
+        if (++this->slowStreak >= kSlowFirstTokens) {
+            this->current = this->cold;
+            this->slowStreak = 0;
+        }
+        return;
+    }
+    this->slowStreak = std::max(this->slowStreak - 1, 0);
+    if (this->isEngineWarm && inUse * 2 >= this->current)
+        this->current = std::min(this->current + 1, this->warm);
+}
+
+std::int64_t ColdStartRamp::limit() const
+{
+    return this->isEngineWarm ? this->current : this->cold;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/admission/group_admission.cpp
@@ -0,0 +1,440 @@
+#include "servers/admission/group_admission.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace foxtailtally {
+
+namespace {
+
+// Deadlines are at most this long; a later one would let a request wait without bound.
+constexpr absl::Duration kLongestDeadline = absl::Minutes(5);
+// A request at the front of its lane may be passed by smaller ones for this long.
+constexpr absl::Duration kPassedByTerm = absl::Seconds(2);
+constexpr absl::Duration kBlockedHoldTerm = absl::Seconds(10);
+// Waiting requests are looked at again after this time even when no event arrives.
+constexpr absl::Duration kRecheckInterval = absl::Milliseconds(250);
+// Latest start times of waiting requests follow new measurements after this time.
+constexpr absl::Duration kEstimateInterval = absl::Seconds(1);
+constexpr absl::Duration kMinimumRetryAfter = absl::Milliseconds(100);
+constexpr absl::Duration kMaximumRetryAfter = absl::Minutes(1);
+// The platform's list and the load reports need about this long to show a new server.
+constexpr absl::Duration kNoServerRetryAfter = absl::Seconds(5);
+constexpr absl::Duration kLeavingRetryAfter = absl::Seconds(1);
+constexpr absl::Duration kQuarantineRetryAfter = absl::Hours(1);
+// A second server death quarantines a request.
+constexpr std::uint32_t kQuarantineDeaths = 2;
+
+constexpr WaitLane kLanes[] = {WaitLane::Short, WaitLane::Suspect, WaitLane::Long,
+                               WaitLane::Spanning};
+
+absl::Duration boundedRetry(absl::Duration duration)
+{
+    return std::clamp(duration, kMinimumRetryAfter, kMaximumRetryAfter);
+}
+
+RefuseAction refusalOf(const ReserveRequest &request, RefusalReason reason,
+                       absl::Duration retryAfter)
+{
+    // The owner refuses only what it has not granted, so no server has run any of it.
+    return {request.from, request.profile.id, {reason, true, retryAfter}};
+}
+
+} // namespace
+
+GroupAdmission::GroupAdmission(AdmissionOptions options)
+    : servers(std::move(options))
+    , queue(this->servers.options().maxWaitingPerClass)
+{ }
+
+std::optional<Refusal> GroupAdmission::refuseAtOnce(const RequestProfile &profile,
+                                                    absl::Time now) const
+{
+    const auto refuse = [](RefusalReason reason, absl::Duration retryAfter) {
+        return Refusal {reason, true, retryAfter};
+    };
+    if (this->stopReason != RefusalReason::None)
+        return refuse(this->stopReason, kLeavingRetryAfter);
+    if (profile.model != this->servers.options().model)
+        return refuse(RefusalReason::UnknownModel, absl::ZeroDuration());
+    if (profile.deathsSeen >= kQuarantineDeaths)
+        return refuse(RefusalReason::Quarantined, kQuarantineRetryAfter);
+    if (this->servers.slots().empty())
+        return refuse(RefusalReason::NoServer, kNoServerRetryAfter);
+    if (profile.memoryTokens() > this->servers.totalMemory())
+        return refuse(RefusalReason::MemoryUnavailable, absl::ZeroDuration());
+    const absl::Time latestStart = this->latestStartOf(profile);
+    if (latestStart <= now)
+        return refuse(RefusalReason::DeadlineUnreachable, absl::ZeroDuration());
+    if (this->servers.isTakingOver(now) && latestStart <= this->servers.options().readyAt) {
+        return refuse(RefusalReason::TakeoverInProgress,
+                      boundedRetry(this->servers.options().readyAt - now));
+    }
+    return std::nullopt;
+}
+
+std::optional<Refusal> GroupAdmission::refuseByPrediction(const RequestProfile &profile,
+                                                          absl::Time now) const
+{
+    const std::int64_t tokens = this->queue.tokensAhead(profile.requestClass, profile.deadline);
+    absl::Duration delay = this->servers.delays().delay(tokens, this->servers.usedTokens());
+    absl::Duration backlog = absl::InfiniteDuration();
+    for (const auto &[id, slot] : this->servers.slots()) {
+        if (slot->isUsable())
+            backlog = std::min(backlog, slot->predictor.backlog(profile.requestClass, now));
+    }
+    if (backlog < absl::InfiniteDuration())
+        delay = std::max(delay, backlog);
+    const absl::Duration excess = now + delay - this->latestStartOf(profile);
+    if (excess <= absl::ZeroDuration())
+        return std::nullopt;
+    return Refusal {RefusalReason::DeadlineUnreachable, true, boundedRetry(excess)};
+}
+
+absl::Time GroupAdmission::latestStartOf(const RequestProfile &profile) const
+{
+    return profile.deadline - this->servers.serviceAlone(profile);
+}
+
+bool GroupAdmission::isSpanning(const RequestProfile &profile) const
+{
+    const std::int64_t limit = this->servers.largestLimit();
+    return profile.memoryTokens() > (limit > 0 ? limit : this->servers.largestMemory());
+}
+
+WaitLane GroupAdmission::laneOf(const RequestProfile &profile) const
+{
+    if (profile.memoryTokens() > this->servers.largestMemory())
+        return WaitLane::Spanning;
+    if (profile.deathsSeen > 0)
+        return WaitLane::Suspect;
+    return profile.promptTokens > kLongPromptTokens ? WaitLane::Long : WaitLane::Short;
+}
+
+AdmissionActions GroupAdmission::reserve(const ReserveRequest &request, absl::Time now)
+{
+    // The entry instance asks again when its connection broke; the first request has no receiver.
+    this->take(request.profile.id);
+    WaitingRequest waiting;
+    waiting.request = request;
+    RequestProfile &profile = waiting.request.profile;
+    profile.deadline = std::min(profile.deadline, now + kLongestDeadline);
+    AdmissionActions actions;
+    if (const std::optional<Refusal> refusal = this->refuseAtOnce(profile, now)) {
+        actions.emplace_back(RefuseAction {request.from, profile.id, *refusal});
+        return actions;
+    }
+    waiting.lane = this->laneOf(profile);
+    waiting.receivedAt = now;
+    waiting.latestStart = this->latestStartOf(profile);
+    const RequestProfile kept = profile;
+    if (!this->queue.push(std::move(waiting))) {
+        const std::int64_t ahead = this->queue.tokensAhead(kept.requestClass, kept.deadline);
+        const absl::Duration delay =
+            this->servers.delays().delay(ahead, this->servers.usedTokens());
+        actions.emplace_back(refusalOf(request, RefusalReason::QueueFull, boundedRetry(delay)));
+        return actions;
+    }
+    actions = this->dispatch(now);
+    if (!this->queue.contains(kept.id) || this->servers.isTakingOver(now))
+        return actions;
+    if (const std::optional<Refusal> refusal = this->refuseByPrediction(kept, now)) {
+        this->take(kept.id);
+        actions.emplace_back(RefuseAction {request.from, kept.id, *refusal});
+    }
+    return actions;
+}
+
+AdmissionActions GroupAdmission::withdraw(const RequestId &request, absl::Time now)
+{
+    this->take(request);
+    return this->dispatch(now);
+}
+
+AdmissionActions GroupAdmission::release(const PermitRelease &release, absl::Time now)
+{
+    this->servers.release(release, now);
+    return this->dispatch(now);
+}
+
+AdmissionActions GroupAdmission::onPermitReport(const PermitReport &report, absl::Time now)
+{
+    this->servers.onPermitReport(report, now);
+    return this->dispatch(now);
+}
+
+AdmissionActions GroupAdmission::setServers(std::span<const BackendServer> list, absl::Time now)
+{
+    this->servers.setServers(list, now);
+    AdmissionActions actions;
+    if (this->servers.slots().empty())
+        this->refuseAll(RefusalReason::NoServer, kNoServerRetryAfter, actions, now);
+    AdmissionActions others = this->dispatch(now);
+    std::move(others.begin(), others.end(), std::back_inserter(actions));
+    return actions;
+}
+
+AdmissionActions GroupAdmission::setLimits(std::span<const UsableUnits> limits, absl::Time now)
+{
+    this->servers.setLimits(limits);
+    return this->dispatch(now);
+}
+
+AdmissionActions GroupAdmission::onLoadReport(const LoadReport &report, absl::Time now)
+{
+    this->servers.onLoadReport(report, now);
+    return this->dispatch(now);
+}
+
+AdmissionActions GroupAdmission::onServerLost(const BackendServerId &server, absl::Time now)
+{
+    this->servers.onServerLost(server, now);
+    return this->dispatch(now);
+}
+
+AdmissionActions GroupAdmission::onInstanceDead(const InstanceId &instance, Incarnation incarnation,
+                                                absl::Time now)
+{
+    for (const RequestId &request : this->queue.requestsOf(instance, incarnation))
+        this->take(request);
+    this->servers.onInstanceDead(instance, incarnation, now);
+    return this->dispatch(now);
+}
+
+AdmissionActions GroupAdmission::stop(RefusalReason reason, absl::Time now)
+{
+    this->stopReason = reason;
+    AdmissionActions actions;
+    this->refuseAll(reason, kLeavingRetryAfter, actions, now);
+    return actions;
+}
+
+AdmissionActions GroupAdmission::onTick(absl::Time now)
+{
+    return this->dispatch(now);
+}
+
+absl::Time GroupAdmission::nextTick() const
+{
+    if (this->queue.size() == 0)
+        return this->planner.gatherEnd();
+    return std::min(this->queue.earliestLatestStart(), this->lastDispatch + kRecheckInterval);
+}
+
+std::optional<WaitingRequest> GroupAdmission::take(const RequestId &request)
+{
+    this->planner.stop(request, this->servers.slots());
+    if (this->blockedHold && this->blockedHold->request == request) {
+        const auto slot = this->servers.slots().find(this->blockedHold->server);
+        if (slot != this->servers.slots().end())
+            slot->second->ledger.dropHold(request);
+        this->blockedHold.reset();
+    }
+    return this->queue.remove(request);
+}
+
+bool GroupAdmission::isOpenTo(const ServerSlot &slot, const RequestProfile &profile) const
+{
+    if (!slot.isUsable())
+        return false;
+    // Two suspects on one server could not be told apart when it dies. Requests of an earlier owner
+    // that no entry instance has reported yet may be suspects, too.
+    if (profile.deathsSeen > 0
+        && (slot.ledger.hasSuspect() || slot.ledger.unexplainedRequests() > 0))
+        return false;
+    return profile.promptTokens <= kLongPromptTokens
+        || LongContextPlanner::mayRunLong(this->servers.slots(), slot);
+}
+
+bool GroupAdmission::fits(const ServerSlot &slot, const RequestProfile &profile) const
+{
+    const bool isLong = profile.promptTokens > kLongPromptTokens;
+    return slot.hasFreeUnit()
+        && slot.ledger.freeTokensFor(profile.id, isLong) >= profile.memoryTokens()
+        && this->isOpenTo(slot, profile);
+}
+
+std::vector<ServerSlot *> GroupAdmission::placeOnOne(const RequestProfile &profile,
+                                                     absl::Time now) const
+{
+    const bool isLong = profile.promptTokens > kLongPromptTokens;
+    ServerSlot *best = nullptr;
+    std::pair<bool, absl::Duration> bestRank;
+    for (const auto &[id, slot] : this->servers.slots()) {
+        if (!this->fits(*slot, profile))
+            continue;
+        const absl::Duration end =
+            slot->predictor.predict(profile, slot->ledger.requests(), now).end;
+        if (now + end > profile.deadline)
+            continue;
+        // Short prompts avoid servers with a long prefill, long prompts keep to servers with one.
+        const bool isAvoided =
+            isLong ? !slot->ledger.hasLong() : slot->predictor.hasLongPrefill(now);
+        const std::pair<bool, absl::Duration> rank {isAvoided, end};
+        if (best == nullptr || rank < bestRank) {
+            best = slot.get();
+            bestRank = rank;
+        }
+    }
+    return best == nullptr ? std::vector<ServerSlot *> {} : std::vector<ServerSlot *> {best};
+}
+
+std::vector<ServerSlot *> GroupAdmission::place(const RequestProfile &profile, absl::Time now) const
+{
+    if (!this->isSpanning(profile))
+        return this->placeOnOne(profile, now);
+    if (this->servers.spanningCount() > 0)
+        return {};
+    return LongContextPlanner::plan(profile, this->servers.slots());
+}
+
+bool GroupAdmission::grantNext(AdmissionActions &actions, absl::Time now)
+{
+    for (const RequestClass requestClass : this->queue.classOrder()) {
+        std::vector<WaitingRequest *> fronts;
+        for (const WaitLane lane : kLanes) {
+            if (WaitingRequest *front = this->queue.front(requestClass, lane))
+                fronts.push_back(front);
+        }
+        std::stable_sort(fronts.begin(), fronts.end(),
+                         [](const WaitingRequest *a, const WaitingRequest *b) {
+                             return a->request.profile.deadline < b->request.profile.deadline;
+                         });
+        for (WaitingRequest *front : fronts) {
+            const std::vector<ServerSlot *> chosen = this->place(front->request.profile, now);
+            if (chosen.empty()) {
+                front->blockedSince = std::min(front->blockedSince, now);
+                continue;
+            }
+            const std::optional<WaitingRequest> taken = this->take(front->request.profile.id);
+            this->queue.charge(requestClass, taken->request.profile.memoryTokens());
+            actions.emplace_back(
+                this->servers.grant(taken->request, chosen, taken->receivedAt, now));
+            return true;
+        }
+    }
+    return false;
+}
+
+AdmissionActions GroupAdmission::dispatch(absl::Time now)
+{
+    AdmissionActions actions;
+    this->lastDispatch = now;
+    this->servers.expireHolds(now);
+    this->planner.onTick(this->servers.slots(), now);
+    if (this->queue.size() == 0)
+        return actions;
+    this->refuseUnreachable(actions, now);
+    if (this->servers.isTakingOver(now))
+        return actions;
+    while (this->grantNext(actions, now)) { }
+    this->updateHolds(now);
+    return actions;
+}
+
+void GroupAdmission::refuseUnreachable(AdmissionActions &actions, absl::Time now)
+{
+    if (now >= this->lastEstimate + kEstimateInterval) {
+        this->lastEstimate = now;
+        for (const RequestId &id : this->queue.all())
+            this->queue.setLatestStart(id,
+                                       this->latestStartOf(this->queue.find(id)->request.profile));
+    }
+    for (const RequestId &id : this->queue.unreachable(now)) {
+        const absl::Time latestStart = this->latestStartOf(this->queue.find(id)->request.profile);
+        if (latestStart > now) {
+            this->queue.setLatestStart(id, latestStart);
+            continue;
+        }
+        const std::optional<WaitingRequest> taken = this->take(id);
+        const RequestProfile &profile = taken->request.profile;
+        const bool isTakingOver = this->servers.isTakingOver(now);
+        const std::int64_t ahead = this->queue.tokensAhead(profile.requestClass, profile.deadline);
+        const absl::Duration retryAfter = isTakingOver
+            ? this->servers.options().readyAt - now
+            : this->servers.delays().delay(ahead + profile.memoryTokens(),
+                                           this->servers.usedTokens());
+        actions.emplace_back(refusalOf(taken->request,
+                                       isTakingOver ? RefusalReason::TakeoverInProgress
+                                                    : RefusalReason::DeadlineUnreachable,
+                                       boundedRetry(retryAfter)));
+    }
+}
+
+void GroupAdmission::refuseAll(RefusalReason reason, absl::Duration retryAfter,
+                               AdmissionActions &actions, absl::Time now)
+{
+    for (const RequestId &id : this->queue.all()) {
+        const std::optional<WaitingRequest> taken = this->take(id);
+        actions.emplace_back(refusalOf(taken->request, reason, retryAfter));
+    }
+    this->lastDispatch = now;
+}
+
+void GroupAdmission::updateHolds(absl::Time now)
+{
+    if (this->blockedHold && this->blockedHold->endsAt <= now)
+        this->blockedHold.reset();
+    const std::vector<RequestClass> order = this->queue.classOrder();
+    for (const RequestClass requestClass : order) {
+        const WaitingRequest *spanning = this->queue.front(requestClass, WaitLane::Spanning);
+        if (spanning != nullptr && this->servers.spanningCount() == 0)
+            this->planner.gather(spanning->request, this->servers.slots(), now);
+    }
+    if (this->blockedHold || order.empty())
+        return;
+    // Only the class with the least weighted service may keep memory from the others.
+    const WaitingRequest *first = nullptr;
+    for (const WaitLane lane : {WaitLane::Short, WaitLane::Suspect, WaitLane::Long}) {
+        const WaitingRequest *front = this->queue.front(order.front(), lane);
+        if (front != nullptr && front->blockedSince + kPassedByTerm <= now
+            && (first == nullptr
+                || front->request.profile.deadline < first->request.profile.deadline))
+            first = front;
+    }
+    if (first != nullptr && !this->isSpanning(first->request.profile))
+        this->holdForBlocked(*first, now);
+}
+
+void GroupAdmission::holdForBlocked(const WaitingRequest &waiting, absl::Time now)
+{
+    const RequestProfile &profile = waiting.request.profile;
+    const bool isLong = profile.promptTokens > kLongPromptTokens;
+    ServerSlot *best = nullptr;
+    for (const auto &[id, slot] : this->servers.slots()) {
+        if (!this->isOpenTo(*slot, profile) || slot->ledger.limit() < profile.memoryTokens())
+            continue;
+        const std::int64_t free = slot->ledger.freeTokensFor(profile.id, isLong);
+        // With enough free memory it waits for something that a hold cannot give.
+        if (free >= profile.memoryTokens())
+            return;
+        if (best == nullptr || free > best->ledger.freeTokensFor(profile.id, isLong))
+            best = slot.get();
+    }
+    if (best == nullptr)
+        return;
+    // In a group of one server the hold would stop all short requests while a long one waits.
+    const HoldKind kind =
+        isLong && this->servers.slots().size() < 2 ? HoldKind::AgainstLong : HoldKind::AgainstAll;
+    this->blockedHold = {profile.id, best->server.id, now + kBlockedHoldTerm};
+    best->ledger.setHold({profile.id, waiting.request.from, profile.memoryTokens(),
+                          this->blockedHold->endsAt, kind});
+}
+
+GroupSummary GroupAdmission::summary(absl::Time now)
+{
+    GroupSummary summary = this->servers.summary(now);
+    summary.queued = static_cast<std::int32_t>(this->queue.size());
+    summary.outstandingTokens += this->queue.promptTokens();
+    for (std::size_t i = 0; i < kRequestClassCount; ++i) {
+        const std::int64_t ahead =
+            this->queue.tokensAhead(static_cast<RequestClass>(i), absl::InfiniteFuture());
+        summary.startDelay[i] = std::max(
+            summary.startDelay[i], this->servers.delays().delay(ahead, this->servers.usedTokens()));
+    }
+    summary.accepting = this->stopReason == RefusalReason::None && summary.servers > 0
+        && !this->servers.isTakingOver(now);
+    return summary;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/admission/group_admission.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "servers/admission/admission_policy.h"
+#include "servers/admission/group_servers.h"
+#include "servers/admission/long_context_planner.h"
+#include "servers/admission/wait_queue.h"
+
+#include <absl/time/time.h>
+#include <optional>
+#include <vector>
+
+namespace foxtailtally {
+
+/**
+ * Admission with prediction: requests wait in classes by deadline, start on the server that is
+ * predicted to finish them first, and are refused at once when their deadline cannot be met. Long
+ * prompts leave most servers to short ones.
+ */
+class GroupAdmission : public AdmissionPolicy
+{
+public:
+    explicit GroupAdmission(AdmissionOptions options);
+
+    AdmissionActions reserve(const ReserveRequest &request, absl::Time now) override;
+    AdmissionActions withdraw(const RequestId &request, absl::Time now) override;
+    AdmissionActions release(const PermitRelease &release, absl::Time now) override;
+    AdmissionActions onPermitReport(const PermitReport &report, absl::Time now) override;
+    AdmissionActions setServers(std::span<const BackendServer> servers, absl::Time now) override;
+    AdmissionActions setLimits(std::span<const UsableUnits> limits, absl::Time now) override;
+    AdmissionActions onLoadReport(const LoadReport &report, absl::Time now) override;
+    AdmissionActions onServerLost(const BackendServerId &server, absl::Time now) override;
+    AdmissionActions onInstanceDead(const InstanceId &instance, Incarnation incarnation,
+                                    absl::Time now) override;
+    AdmissionActions stop(RefusalReason reason, absl::Time now) override;
+    void resume() override { this->stopReason = RefusalReason::None; }
+    AdmissionActions onTick(absl::Time now) override;
+    absl::Time nextTick() const override;
+    GroupSummary summary(absl::Time now) override;
+
+    const GroupServers &groupServers() const { return this->servers; }
+
+private:
+    /** A hold on one server for a request that would otherwise be passed by smaller ones. */
+    struct BlockedHold
+    {
+        RequestId request;
+        BackendServerId server;
+        absl::Time endsAt;
+    };
+
+    /** Refusal that is certain before the request has waited. */
+    std::optional<Refusal> refuseAtOnce(const RequestProfile &profile, absl::Time now) const;
+    std::optional<Refusal> refuseByPrediction(const RequestProfile &profile, absl::Time now) const;
+    WaitLane laneOf(const RequestProfile &profile) const;
+    bool isSpanning(const RequestProfile &profile) const;
+
+    bool fits(const ServerSlot &slot, const RequestProfile &profile) const;
+    /** False when a server never takes the request while its present requests run. */
+    bool isOpenTo(const ServerSlot &slot, const RequestProfile &profile) const;
+    std::vector<ServerSlot *> place(const RequestProfile &profile, absl::Time now) const;
+    std::vector<ServerSlot *> placeOnOne(const RequestProfile &profile, absl::Time now) const;
+
+    /** Grants what fits, refuses what has become unreachable and updates the holds. */
+    AdmissionActions dispatch(absl::Time now);
+    bool grantNext(AdmissionActions &actions, absl::Time now);
+    void refuseUnreachable(AdmissionActions &actions, absl::Time now);
+    void refuseAll(RefusalReason reason, absl::Duration retryAfter, AdmissionActions &actions,
+                   absl::Time now);
+    void updateHolds(absl::Time now);
+    void holdForBlocked(const WaitingRequest &waiting, absl::Time now);
+    /** Takes a request out of the queue with all that is held for it. */
+    std::optional<WaitingRequest> take(const RequestId &request);
+    absl::Time latestStartOf(const RequestProfile &profile) const;
+
+    GroupServers servers;
+    WaitQueue queue;
+    LongContextPlanner planner;
+    std::optional<BlockedHold> blockedHold;
+    RefusalReason stopReason = RefusalReason::None;
+    absl::Time lastDispatch = absl::InfinitePast();
+    absl::Time lastEstimate = absl::InfinitePast();
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/admission/group_servers.cpp
@@ -0,0 +1,379 @@
+#include "servers/admission/group_servers.h"
+
+#include "core/hash.h"
+#include "servers/admission/long_context_planner.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <utility>
+
+namespace foxtailtally {
+
+namespace {
+
+// A permit missing from an entry instance's report may be on its way there; this covers the
+// start-by time and the delay of grant and report on their connection.
+constexpr absl::Duration kPermitReportGrace = absl::Seconds(3);
+// Time after its deadline in which an entry instance must have cancelled and released a request.
+constexpr absl::Duration kPermitExpiryGrace = absl::Seconds(30);
+// Reports are at most this late; permits granted after a restart that is first seen in a report
+// may already run on the new incarnation.
+constexpr absl::Duration kReportLagBound = absl::Seconds(3);
+
+// The upper half of a permit number identifies owner and incarnation, so that a permit of an
+// earlier owner, released to this one, cannot be taken for a permit of this one.
+std::uint64_t ownerTagOf(const AdmissionOptions &options)
+{
+    const std::string name = absl::StrCat(options.owner.str(), "/", options.ownerIncarnation);
+    return stableHash(name) >> 32;
+}
+
+} // namespace
+
+GroupServers::GroupServers(AdmissionOptions options)
+    : settings(std::move(options))
+    , ownerTag(ownerTagOf(settings))
+{ }
+
+ServerSlot *GroupServers::find(const BackendServerId &server) const
+{
+    const auto found = this->serverSlots.find(server);
+    return found == this->serverSlots.end() ? nullptr : found->second.get();
+}
+
+void GroupServers::setServers(std::span<const BackendServer> servers, absl::Time now)
+{
+    absl::flat_hash_set<BackendServerId> listed;
+    const StartPredictor initial(this->settings.initialPrefillRate,
+                                 this->settings.initialTokenTime);
+    for (const BackendServer &server : servers) {
+        listed.insert(server.id);
+        ServerSlot *slot = this->find(server.id);
+        if (slot == nullptr) {
+            this->serverSlots.emplace(
+                server.id, std::make_unique<ServerSlot>(server, initial, this->settings.readyAt));
+            continue;
+        }
+        slot->server = server;
+        slot->ramp.setLimits(server.coldLimit, server.warmLimit);
+    }
+    std::vector<BackendServerId> gone;
+    for (const auto &[id, slot] : this->serverSlots) {
+        if (!listed.contains(id))
+            gone.push_back(id);
+    }
+    for (const BackendServerId &id : gone) {
+        this->endPermits(PermitEnd::Orphaned, now, [&](const Permit &permit) {
+            return std::find(permit.servers.begin(), permit.servers.end(), id)
+                != permit.servers.end();
+        });
+        this->serverSlots.erase(id);
+    }
+}
+
+void GroupServers::setLimits(std::span<const UsableUnits> limits)
+{
+    for (const auto &[id, slot] : this->serverSlots) {
+        slot->coldUnits = 0;
+        slot->ledger.setLimit(0);
+    }
+    for (const UsableUnits &units : limits) {
+        ServerSlot *slot = this->find(units.server);
+        if (slot == nullptr)
+            continue;
+        slot->coldUnits = units.coldUnits;
+        slot->ledger.setLimit(units.memoryTokens);
+    }
+}
+
+void GroupServers::onLoadReport(const LoadReport &report, absl::Time now)
+{
+    ServerSlot *slot = this->find(report.server);
+    if (slot == nullptr || report.incarnation < slot->incarnation)
+        return;
+    if (report.incarnation == slot->incarnation && report.sequence <= slot->sequence)
+        return;
+    if (report.incarnation > slot->incarnation) {
+        if (slot->incarnation != 0)
+            this->restart(*slot, report, now);
+        slot->incarnation = report.incarnation;
+    }
+    slot->sequence = report.sequence;
+    slot->ledger.onReport(report, now);
+    slot->ramp.onReport(report);
+    if (slot->ledger.requests() == 0)
+        slot->predictor.clearBacklog();
+    if (now - report.age >= slot->reportNeededFrom)
+        slot->hasReport = true;
+}
+
+void GroupServers::restart(ServerSlot &slot, const LoadReport &report, absl::Time now)
+{
+    slot.ledger.dropBefore(now - report.age - kReportLagBound);
+    slot.ramp.reset();
+    slot.predictor.clearBacklog();
+    std::vector<PermitId> ended;
+    for (const auto &[id, permit] : this->permits) {
+        const bool isMember =
+            std::find(permit.servers.begin(), permit.servers.end(), slot.server.id)
+            != permit.servers.end();
+        // A context loses its part on this server, however recent it is.
+        if (isMember && (permit.servers.size() > 1 || !slot.ledger.contains(id)))
+            ended.push_back(id);
+    }
+    for (const PermitId id : ended) {
+        slot.ledger.remove(id, now);
+        this->endPermit(this->permits.find(id), PermitEnd::Orphaned, now);
+    }
+}
+
+void GroupServers::onServerLost(const BackendServerId &server, absl::Time now)
+{
+    ServerSlot *slot = this->find(server);
+    if (slot == nullptr)
+        return;
+    slot->hasReport = false;
+    slot->reportNeededFrom = std::max(slot->reportNeededFrom, now);
+    // Permits on this server alone are released by their entry instances, which see their streams
+    // break; of a context on several servers the other parts are freed here.
+    this->endPermits(PermitEnd::Orphaned, now, [&](const Permit &permit) {
+        return permit.servers.size() > 1
+            && std::find(permit.servers.begin(), permit.servers.end(), server)
+            != permit.servers.end();
+    });
+}
+
+void GroupServers::onInstanceDead(const InstanceId &instance, Incarnation incarnation,
+                                  absl::Time now)
+{
+    this->endPermits(PermitEnd::Orphaned, now, [&](const Permit &permit) {
+        return permit.holder == instance && permit.holderIncarnation <= incarnation;
+    });
+    for (const auto &[id, slot] : this->serverSlots)
+        slot->ledger.dropHoldsOf(instance);
+}
+
+void GroupServers::onPermitReport(const PermitReport &report, absl::Time now)
+{
+    absl::flat_hash_set<PermitId> held;
+    for (const HeldPermit &permit : report.held)
+        held.insert(permit.permit);
+    std::vector<PermitId> ended;
+    for (const auto &[id, permit] : this->permits) {
+        if (permit.holder == report.from && permit.holderIncarnation == report.fromIncarnation
+            && !held.contains(id) && permit.grantedAt + kPermitReportGrace < now)
+            ended.push_back(id);
+    }
+    for (const PermitId id : ended)
+        this->endPermit(this->permits.find(id), PermitEnd::Freed, now);
+    for (const HeldPermit &permit : report.held) {
+        if (!this->isOwn(permit.permit) && !this->permits.contains(permit.permit))
+            this->adopt(report, permit, now);
+    }
+}
+
+void GroupServers::adopt(const PermitReport &report, const HeldPermit &held, absl::Time now)
+{
+    const std::int64_t part = contextPart(held.tokens, held.servers.size());
+    bool isKnown = false;
+    for (const BackendServerId &server : held.servers) {
+        ServerSlot *slot = this->find(server);
+        if (slot == nullptr)
+            continue;
+        isKnown = true;
+        slot->ledger.adopt(held.permit,
+                           {report.from, part, now, held.deadline + kPermitExpiryGrace, held.isLong,
+                            held.isSuspect});
+    }
+    if (!isKnown)
+        return;
+    Permit permit;
+    permit.holder = report.from;
+    permit.holderIncarnation = report.fromIncarnation;
+    permit.servers = held.servers;
+    permit.tokens = held.tokens;
+    permit.grantedAt = now;
+    permit.isAdopted = true;
+    this->spanning += permit.servers.size() > 1 ? 1 : 0;
+    this->permits.emplace(held.permit, std::move(permit));
+}
+
+void GroupServers::endPermit(Permits::iterator permit, PermitEnd how, absl::Time now)
+{
+    for (const BackendServerId &server : permit->second.servers) {
+        ServerSlot *slot = this->find(server);
+        if (slot == nullptr)
+            continue;
+        if (how == PermitEnd::Freed)
+            slot->ledger.remove(permit->first, now);
+        else
+            slot->ledger.orphan(permit->first, now);
+        if (slot->ledger.requests() == 0)
+            slot->predictor.clearBacklog();
+    }
+    this->spanning -= permit->second.servers.size() > 1 ? 1 : 0;
+    this->permits.erase(permit);
+}
+
+template <typename Predicate>
+void GroupServers::endPermits(PermitEnd how, absl::Time now, Predicate shouldEnd)
+{
+    std::vector<PermitId> ended;
+    for (const auto &[id, permit] : this->permits) {
+        if (shouldEnd(permit))
+            ended.push_back(id);
+    }
+    for (const PermitId id : ended)
+        this->endPermit(this->permits.find(id), how, now);
+}
+
+void GroupServers::release(const PermitRelease &release, absl::Time now)
+{
+    const auto found = this->permits.find(release.permit);
+    if (found == this->permits.end())
+        return;
+    if (release.outcome == PermitOutcome::Finished && !found->second.isAdopted)
+        this->learn(found->second, release, now);
+    this->endPermit(found, PermitEnd::Freed, now);
+}
+
+void GroupServers::learn(const Permit &permit, const PermitRelease &release, absl::Time now)
+{
+    this->estimator.recordPermit(permit.tokens, now - permit.grantedAt, true);
+    ServerSlot *slot = this->find(permit.servers.front());
+    if (slot == nullptr)
+        return;
+    const bool isSlow =
+        slot->predictor.isSlow(permit.predictedFirstToken, release.timeToFirstToken);
+    slot->ramp.onSuccess(isSlow, slot->ledger.requests());
+    slot->predictor.recordFirstToken(permit.tokensAhead + permit.promptTokens,
+                                     release.timeToFirstToken);
+    slot->predictor.recordDecode(
+        release.newTokens, now - permit.grantedAt - release.timeToFirstToken, permit.concurrent);
+    slot->predictor.recordLength(release.newTokens, permit.maxNewTokens);
+}
+
+void GroupServers::expireHolds(absl::Time now)
+{
+    for (const auto &[id, slot] : this->serverSlots)
+        slot->ledger.expireHolds(now);
+}
+
+GrantAction GroupServers::grant(const ReserveRequest &request,
+                                const std::vector<ServerSlot *> &servers, absl::Time receivedAt,
+                                absl::Time now)
+{
+    const RequestProfile &profile = request.profile;
+    const PermitId id = (this->ownerTag << kCounterBits) | ++this->lastCounter;
+    Permit permit;
+    permit.holder = request.from;
+    permit.holderIncarnation = request.fromIncarnation;
+    permit.tokens = profile.memoryTokens();
+    permit.promptTokens = profile.promptTokens;
+    permit.maxNewTokens = profile.maxNewTokens;
+    permit.grantedAt = now;
+    ServerSlot &first = *servers.front();
+    permit.concurrent = first.ledger.requests();
+    const StartPredictor::Prediction predicted =
+        first.predictor.predict(profile, permit.concurrent, now);
+    permit.predictedFirstToken = predicted.firstToken;
+    permit.tokensAhead = static_cast<std::int64_t>(
+        absl::ToDoubleSeconds(first.predictor.backlog(profile.requestClass, now))
+        * first.predictor.prefillRate());
+    this->estimator.recordPermit(permit.tokens, predicted.end, false);
+
+    const std::int64_t part = contextPart(permit.tokens, servers.size());
+    for (ServerSlot *slot : servers) {
+        permit.servers.push_back(slot->server.id);
+        slot->ledger.dropHold(profile.id);
+        slot->ledger.add(id,
+                         {request.from, part, now, profile.deadline + kPermitExpiryGrace,
+                          profile.promptTokens > kLongPromptTokens, profile.deathsSeen > 0});
+    }
+    first.predictor.addPrompt(profile, now);
+
+    GrantAction action {request.from, {profile.id, id, permit.servers, kStartBy}};
+    // The entry instance counts from its request, which it sent before it was received here.
+    action.grant.startBy = now - receivedAt + kStartBy;
+    this->spanning += servers.size() > 1 ? 1 : 0;
+    this->permits.emplace(id, std::move(permit));
+    return action;
+}
+
+std::int64_t GroupServers::largestLimit() const
+{
+    std::int64_t largest = 0;
+    for (const auto &[id, slot] : this->serverSlots) {
+        if (slot->isUsable())
+            largest = std::max(largest, slot->ledger.limit());
+    }
+    return largest;
+}
+
+std::int64_t GroupServers::largestMemory() const
+{
+    std::int64_t largest = 0;
+    for (const auto &[id, slot] : this->serverSlots)
+        largest = std::max(largest, slot->server.memoryTokens);
+    return largest;
+}
+
+std::int64_t GroupServers::totalMemory() const
+{
+    std::int64_t total = 0;
+    for (const auto &[id, slot] : this->serverSlots)
+        total += slot->server.leaving ? 0 : slot->server.memoryTokens;
+    return total;
+}
+
+std::int64_t GroupServers::usedTokens() const
+{
+    std::int64_t used = 0;
+    for (const auto &[id, slot] : this->serverSlots)
+        used += slot->ledger.usedTokens();
+    return used;
+}
+
+absl::Duration GroupServers::serviceAlone(const RequestProfile &profile) const
+{
+    absl::Duration shortest = absl::InfiniteDuration();
+    for (const auto &[id, slot] : this->serverSlots)
+        shortest = std::min(shortest, slot->predictor.predictAlone(profile).end);
+    return shortest;
+}
+
+GroupSummary GroupServers::summary(absl::Time now)
+{
+    GroupSummary summary;
+    summary.group = this->settings.group;
+    summary.domain = this->settings.domain;
+    summary.model = this->settings.model;
+    summary.owner = this->settings.owner;
+    summary.ownerIncarnation = this->settings.ownerIncarnation;
+    summary.sequence = ++this->summarySequence;
+    summary.startDelay.fill(absl::InfiniteDuration());
+    summary.capacityTokens = this->totalMemory();
+    summary.running = static_cast<std::int32_t>(this->permits.size());
+    double rates = 0;
+    for (const auto &[id, slot] : this->serverSlots) {
+        if (!slot->isUsable())
+            continue;
+        ++summary.servers;
+        rates += slot->predictor.prefillRate();
+        summary.freeTokens +=
+            std::max<std::int64_t>(slot->ledger.limit() - slot->ledger.usedTokens(), 0);
+        const absl::Duration backlog = slot->predictor.backlog(RequestClass::Batch, now);
+        summary.outstandingTokens += static_cast<std::int64_t>(absl::ToDoubleSeconds(backlog)
+                                                               * slot->predictor.prefillRate());
+        for (std::size_t i = 0; i < kRequestClassCount; ++i) {
+            const auto requestClass = static_cast<RequestClass>(i);
+            summary.startDelay[i] =
+                std::min(summary.startDelay[i], slot->predictor.backlog(requestClass, now));
+        }
+    }
+    summary.prefillRate = summary.servers == 0 ? 0 : rates / summary.servers;
+    return summary;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/admission/group_servers.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "core/reservation.h"
+#include "servers/admission/admission_options.h"
+#include "servers/admission/admission_policy.h"
+#include "servers/admission/queue_delay_estimator.h"
+#include "servers/admission/server_slot.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace foxtailtally {
+
+/** The entry instance must have sent a granted request this long after the grant. */
+constexpr absl::Duration kStartBy = absl::Seconds(1);
+
+/**
+ * The servers of one group with their permits: keeps ledgers, ramps and predictors up to date from
+ * grants, releases and reports. Shared by all admission policies; decides nothing about order.
+ */
+class GroupServers
+{
+public:
+    explicit GroupServers(AdmissionOptions options);
+
+    void setServers(std::span<const BackendServer> servers, absl::Time now);
+    void setLimits(std::span<const UsableUnits> limits);
+    void onLoadReport(const LoadReport &report, absl::Time now);
+    void onServerLost(const BackendServerId &server, absl::Time now);
+    void onInstanceDead(const InstanceId &instance, Incarnation incarnation, absl::Time now);
+    void onPermitReport(const PermitReport &report, absl::Time now);
+    void release(const PermitRelease &release, absl::Time now);
+    void expireHolds(absl::Time now);
+
+    /** Records a permit for @p request on @p servers, the memory in equal parts. */
+    GrantAction grant(const ReserveRequest &request, const std::vector<ServerSlot *> &servers,
+                      absl::Time receivedAt, absl::Time now);
+
+    /** True when nothing may be granted, because an earlier owner's permits are not yet counted. */
+    bool isTakingOver(absl::Time now) const { return now < this->settings.readyAt; }
+    const AdmissionOptions &options() const { return this->settings; }
+    const ServerSlots &slots() const { return this->serverSlots; }
+    std::size_t permitCount() const { return this->permits.size(); }
+    std::size_t spanningCount() const { return this->spanning; }
+    const QueueDelayEstimator &delays() const { return this->estimator; }
+
+    /** Largest usable memory of one server that takes work, in tokens. */
+    std::int64_t largestLimit() const;
+    /** Largest memory of one server as listed, in tokens. */
+    std::int64_t largestMemory() const;
+    /** Memory of all servers as listed, in tokens. */
+    std::int64_t totalMemory() const;
+    std::int64_t usedTokens() const;
+    /** Shortest predicted time to the last token on an idle server of the group. */
+    absl::Duration serviceAlone(const RequestProfile &profile) const;
+
+    /** Fills in everything of a summary that depends on servers only. */
+    GroupSummary summary(absl::Time now);
+
+private:
+    struct Permit
+    {
+        InstanceId holder;
+        Incarnation holderIncarnation = 0;
+        std::vector<BackendServerId> servers;
+        std::int64_t tokens = 0;
+        std::int64_t promptTokens = 0;
+        std::int64_t maxNewTokens = 0;
+        absl::Time grantedAt;
+        absl::Duration predictedFirstToken;
+        std::int64_t tokensAhead = 0;
+        std::int64_t concurrent = 0;
+        bool isAdopted = false;
+    };
+    enum class PermitEnd {
+        Freed,
+        /** Engines may still run the request. */
+        Orphaned,
+    };
+    using Permits = absl::flat_hash_map<PermitId, Permit>;
+
+    ServerSlot *find(const BackendServerId &server) const;
+    void endPermit(Permits::iterator permit, PermitEnd how, absl::Time now);
+    /** Ends permits for which @p shouldEnd holds. */
+    template <typename Predicate>
+    void endPermits(PermitEnd how, absl::Time now, Predicate shouldEnd);
+    void learn(const Permit &permit, const PermitRelease &release, absl::Time now);
+    void restart(ServerSlot &slot, const LoadReport &report, absl::Time now);
+    void adopt(const PermitReport &report, const HeldPermit &held, absl::Time now);
+    bool isOwn(PermitId permit) const { return (permit >> kCounterBits) == this->ownerTag; }
+
+    static constexpr int kCounterBits = 32;
+
+    AdmissionOptions settings;
+    ServerSlots serverSlots;
+    Permits permits;
+    QueueDelayEstimator estimator;
+    std::size_t spanning = 0;
+    std::uint64_t ownerTag;
+    std::uint64_t lastCounter = 0;
+    std::uint64_t summarySequence = 0;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/admission/queue_delay_estimator.cpp
@@ -0,0 +1,37 @@
+#include "servers/admission/queue_delay_estimator.h"
+
+namespace foxtailtally {
+
+namespace {
+
+// Each new permit takes this part of the weight from the older ones, which makes the mean follow
+// the last hundred permits or so.
+constexpr double kDecay = 0.99;
+
+} // namespace
+
+void QueueDelayEstimator::recordPermit(std::int64_t tokens, absl::Duration duration,
+                                       bool isMeasured)
+{
+    if (this->hasMeasurement && !isMeasured)
+        return;
+    if (isMeasured && !this->hasMeasurement) {
+        this->hasMeasurement = true;
+        this->weightedSeconds = 0;
+        this->weight = 0;
+    }
+    const auto size = static_cast<double>(tokens);
+    this->weightedSeconds = this->weightedSeconds * kDecay + absl::ToDoubleSeconds(duration) * size;
+    this->weight = this->weight * kDecay + size;
+}
+
+absl::Duration QueueDelayEstimator::delay(std::int64_t tokens, std::int64_t grantedTokens) const
+{
+    if (grantedTokens <= 0 || this->weight <= 0)
+        return absl::ZeroDuration();
+    const double meanSeconds = this->weightedSeconds / this->weight;
+    return absl::Seconds(meanSeconds * static_cast<double>(tokens)
+                         / static_cast<double>(grantedTokens));
+}
+
+} // namespace foxtailtally
