--- a/core/error.cpp
+++ b/core/error.cpp
@@ -59,6 +59,10 @@
         return "server_overloaded";
     case Error::ServerLost:
         return "server_lost";
+    case Error::ModelNotLoaded:
+        return "model_not_loaded";
+    case Error::ReservationUnknown:
+        return "reservation_unknown";
     case Error::MessageTruncated:
         return "message_truncated";
     case Error::MessageTooLarge:
--- a/core/error.h
+++ b/core/error.h
@@ -31,6 +31,8 @@
     FenceRejected,
     ServerOverloaded,
     ServerLost,
+    ModelNotLoaded,
+    ReservationUnknown,
     // Messages between instances.
     MessageTruncated,
     MessageTooLarge,
