--- /dev/null
+++ b/main/lib/command_line.cpp
@@ -0,0 +1,101 @@
+#include "main/lib/command_line.h"
+
+#include "core/log.h"
+#include "core/settings.h"
+#include "main/lib/entry_instance.h"
+#include "main/lib/settings_schema.h"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+#include <sodium.h>
+#include <string>
+
+namespace foxtailtally {
+
+namespace {
+
+constexpr int kExitFailed = 1;
+constexpr int kExitSettings = 2;
+
+Result<Settings> readSettings(const std::string &file)
+{
+    std::vector<SettingsProblem> problems;
+    Result<Settings> settings = Settings::load(file, serveSettingsSchema(), problems);
+    for (const SettingsProblem &problem : problems)
+        std::cerr << problem.describe() << '\n';
+    return settings;
+}
+
+LogLevel levelNamed(std::string_view name)
+{
+    if (name == "debug")
+        return LogLevel::Debug;
+    if (name == "warning")
+        return LogLevel::Warning;
+    return name == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
+int serve(const std::string &file)
+{
+    const Result<Settings> settings = readSettings(file);
+    if (!settings.ok())
+        return kExitSettings;
+    configureLog(levelNamed(settings->text("log", "level")), settings->text("log", "file"));
+    // Blocked before any thread starts, so that only the wait below receives the signals.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    EntryInstance instance(*settings);
+    if (const std::error_code error = instance.start()) {
+        std::cerr << "cannot start: " << errorName(error) << '\n';
+        return error == Error::SettingsInvalid ? kExitSettings : kExitFailed;
+    }
+    int received = 0;
+    sigwait(&signals, &received);
+    instance.stopGracefully();
+    return 0;
+}
+
+} // namespace
+
+int runCommandLine(int argc, char **argv)
+{
+    if (sodium_init() < 0)
+        return kExitFailed;
+    CLI::App app("foxtailtally: a serving layer for language-model prompts of very unlike lengths");
+    app.set_version_flag("--version", std::string(FOXTAILTALLY_VERSION));
+    app.require_subcommand(1);
+    int result = 0;
+
+    std::string settingsFile;
+    CLI::App *serveCommand = app.add_subcommand("serve", "Run an entry instance");
+    serveCommand->add_option("--settings", settingsFile, "INI file, see docs/settings.md")
+        ->required();
+    serveCommand->callback([&] { result = serve(settingsFile); });
+
+    CLI::App *check = app.add_subcommand("check-settings", "Check a settings file and exit");
+    bool describe = false;
+    check->add_option("--settings", settingsFile, "INI file to check");
+    check->add_flag("--describe", describe, "Print every key with unit, default and range");
+    check->callback([&] {
+        if (describe)
+            std::cout << describeSettings(serveSettingsSchema());
+        else
+            result = readSettings(settingsFile).ok() ? 0 : kExitSettings;
+    });
+
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError &error) {
+        const int code = app.exit(error);
+        return code == 0 ? 0 : kExitSettings;
+    }
+    return result;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/lib/entry_instance.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "core/settings.h"
+#include "main/lib/completion_service.h"
+#include "main/lib/control_plane.h"
+#include "peers/http/http_client.h"
+#include "peers/http/http_server.h"
+#include "peers/instance/instance_transport.h"
+#include "peers/operator/operator_access.h"
+#include "peers/platform/platform_client.h"
+
+#include <atomic>
+#include <memory>
+
+namespace foxtailtally {
+
+/** One process of `foxtailtally serve`: all parts and their order of start and stop. */
+class EntryInstance
+{
+public:
+    explicit EntryInstance(Settings settings);
+    ~EntryInstance();
+    EntryInstance(const EntryInstance &) = delete;
+    EntryInstance &operator=(const EntryInstance &) = delete;
+
+    /** Errors: SettingsInvalid, ConnectionFailed (an address cannot be bound). */
+    std::error_code start();
+    /** Graceful shutdown: returns when no request is running or the limit has passed. */
+    void stopGracefully();
+
+    std::uint16_t callerPort() const { return this->callerServer->port(); }
+    std::uint16_t adminPort() const { return this->adminServer->port(); }
+
+private:
+    std::error_code startTransport();
+    std::error_code startServers();
+    void makeCompletions();
+    void handleCaller(const std::shared_ptr<HttpExchange> &exchange);
+    void handleOperator(const std::shared_ptr<HttpExchange> &exchange);
+    HttpResponse readiness() const;
+    HttpResponse status() const;
+
+    Settings settings;
+    Metrics metrics;
+    std::atomic<bool> stopping {false};
+    Incarnation incarnation = 0;
+    PeerDirectory peers;
+    OperatorAccess operatorAccess;
+    std::unique_ptr<RoutingPolicy> routingPolicy;
+    std::shared_ptr<HttpClient> http;
+    std::unique_ptr<PlatformClient> platform;
+    std::unique_ptr<EngineClient> engines;
+    std::unique_ptr<ControlPlane> control;
+    std::unique_ptr<InstanceTransport> transport;
+    std::unique_ptr<CompletionService> completions;
+    std::unique_ptr<HttpServer> callerServer;
+    std::unique_ptr<HttpServer> adminServer;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/lib/reservation_port.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/request.h"
+#include "core/reservation.h"
+#include "servers/session/request_session.h"
+
+#include <functional>
+
+namespace foxtailtally {
+
+/** How request handling reaches the owners of server groups. Thread-safe. */
+class ReservationPort
+{
+public:
+    /** Called once, on any thread; an unreachable owner gives an error. */
+    using Callback = std::function<void(const Result<ReserveReply> &reply)>;
+
+    virtual ~ReservationPort() = default;
+    virtual void reserve(const GroupId &group, const RequestProfile &profile,
+                         Callback callback) = 0;
+    virtual void cancelReserve(const GroupId &group, const RequestId &request) = 0;
+    virtual void release(const GroupId &group, const PermitRelease &release) = 0;
+    /** A server broke the stream of a request with @p fingerprint. */
+    virtual void reportSuspect(const BackendServerId &server, const Fingerprint &fingerprint) = 0;
+};
+
+} // namespace foxtailtally
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -1,4 +1,6 @@
-int main()
+#include "main/lib/command_line.h"
+
+int main(int argc, char **argv)
 {
-    return 0;
+    return foxtailtally::runCommandLine(argc, argv);
 }
--- a/peers/instance/messages.h
+++ b/peers/instance/messages.h
@@ -64,8 +64,24 @@
 /** Permits of one owner that the sender still uses. */
 struct PermitReportMessage
 {
+    struct Held
+    {
+        PermitId permit = 0;
+        std::vector<BackendServerId> servers;
+        std::int64_t tokens = 0;
+        bool isLong = false;
+        bool isSuspect = false;
+        absl::Duration remaining;
+    };
+
     GroupId group;
-    std::vector<PermitId> permits;
+    std::vector<Held> permits;
+};
+
+/** What an owner tells other instances about its groups. */
+struct SummariesMessage
+{
+    std::vector<GroupSummary> summaries;
 };
 
 /** Asks for a document when gossip showed a higher number. */
@@ -167,6 +183,18 @@
     archive(message.group, message.release);
 }
 
+template <typename Archive>
+void serialize(Archive &archive, SummariesMessage &message)
+{
+    archive(message.summaries);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, PermitReportMessage::Held &held)
+{
+    archive(held.permit, held.servers, held.tokens, held.isLong, held.isSuspect, held.remaining);
+}
+
 template <typename Archive>
 void serialize(Archive &archive, PermitReportMessage &message)
 {
