Add release notes, out-of-service lists, rosters and their spread

Documents are parsed with typed problems at JSON pointers, and a change set is applied onto the state in force. A document is held when it arrives and put in force only after another seed peer has confirmed, in answer to a later question, that it holds it too.

Cause: with the startup gate alone, an instance that alone knew the newest number, restarted and could not reach the platform returned to an older one. Ruled out: putting a document in force on arrival (the property finds the fall, see CheckerSeesDocumentInForceWithoutAnotherHolder); counting answers of peers that are starting themselves (CheckerSeesGateThatCountsStartingPeers).

--- /dev/null
+++ b/servers/configuration/json_reader.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "servers/configuration/document_problem.h"
+
+#include <absl/time/time.h>
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtailtally {
+
+/**
+ * Reads the members of one JSON object and reports every fault with its JSON pointer. A member that
+ * is faulty reads as an empty value.
+ */
+class JsonReader
+{
+public:
+    JsonReader(const nlohmann::json &value, std::string path, DocumentProblems &problems);
+
+    /** Identifier of 1 to 128 letters, digits, '.', '_' or '-'. */
+    std::string id(std::string_view name);
+    /** Text of @p minimum to 256 bytes. */
+    std::string text(std::string_view name, std::size_t minimum = 1);
+    std::vector<std::string> ids(std::string_view name);
+    std::vector<std::string> texts(std::string_view name);
+    std::uint64_t integer(std::string_view name, std::uint64_t minimum, std::uint64_t maximum);
+    bool flag(std::string_view name);
+    /** Wall time in milliseconds since 1970. */
+    absl::Time time(std::string_view name);
+
+    bool has(std::string_view name) const;
+    /** Calls @p use with a reader of the object @p name. */
+    void object(std::string_view name, const std::function<void(JsonReader &)> &use);
+    /** Calls @p use with a reader of each object in the array @p name. */
+    void objects(std::string_view name, const std::function<void(JsonReader &)> &use);
+
+    void report(DocumentProblem::Kind kind, std::string_view name, std::string_view allowed);
+    /** Reports members that nothing has asked for. */
+    void rejectUnknownMembers();
+
+private:
+    const nlohmann::json *member(std::string_view name);
+    const nlohmann::json *array(std::string_view name);
+    std::vector<std::string> strings(std::string_view name, bool identifiers);
+
+    const nlohmann::json &value;
+    std::string path;
+    DocumentProblems &problems;
+    std::vector<std::string> asked;
+};
+
+/** True when @p text is a valid identifier. */
+bool isIdentifier(std::string_view text);
+
+/** @p value without spaces and with sorted members: equal values give equal bytes. */
+std::string canonicalText(const nlohmann::json &value);
+
+std::uint64_t unixMillis(absl::Time time);
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/configuration/out_list.cpp
@@ -0,0 +1,124 @@
+#include "servers/configuration/out_list.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace foxtailtally {
+
+namespace {
+
+bool contains(const std::vector<OutList::Entry> &entries, std::string_view id)
+{
+    return std::any_of(entries.begin(), entries.end(),
+                       [id](const OutList::Entry &entry) { return entry.id == id; });
+}
+
+std::vector<OutList::Entry> readEntries(JsonReader &reader, std::string_view name)
+{
+    std::vector<OutList::Entry> entries;
+    reader.objects(name, [&entries](JsonReader &item) {
+        OutList::Entry entry;
+        entry.id = item.id("id");
+        entry.author = item.text("author");
+        entry.time = item.time("time_ms");
+        if (contains(entries, entry.id))
+            item.report(DocumentProblem::Kind::DuplicateId, "id", "an id used once");
+        entries.push_back(std::move(entry));
+    });
+    return entries;
+}
+
+nlohmann::json entriesToJson(const std::vector<OutList::Entry> &entries)
+{
+    auto list = nlohmann::json::array();
+    for (const OutList::Entry &entry : entries)
+        list.push_back(
+            {{"id", entry.id}, {"author", entry.author}, {"time_ms", unixMillis(entry.time)}});
+    return list;
+}
+
+void setOut(std::vector<OutList::Entry> &entries, const std::string &id, bool isOut,
+            const std::string &author, absl::Time wallNow)
+{
+    if (!isOut) {
+        std::erase_if(entries, [&id](const OutList::Entry &entry) { return entry.id == id; });
+        return;
+    }
+    if (contains(entries, id))
+        return;
+    entries.push_back({id, author, wallNow});
+    std::sort(
+        entries.begin(), entries.end(),
+        [](const OutList::Entry &left, const OutList::Entry &right) { return left.id < right.id; });
+}
+
+OutList successor(const OutList &previous, const Publication &publication, absl::Time wallNow)
+{
+    OutList next = previous;
+    next.number = previous.number + 1;
+    next.author = publication.author;
+    next.time = wallNow;
+    next.history = previous.history.with({next.number, publication.author, publication.id});
+    return next;
+}
+
+} // namespace
+
+Result<OutList> OutList::parse(std::string_view text, DocumentProblems &problems)
+{
+    const std::size_t before = problems.size();
+    const auto value = nlohmann::json::parse(text, nullptr, false);
+    if (value.is_discarded()) {
+        problems.push_back({DocumentProblem::Kind::Syntax, "", "JSON"});
+        return Error::DocumentInvalid;
+    }
+    JsonReader reader(value, "", problems);
+    OutList list;
+    list.number = reader.integer("number", 1, std::numeric_limits<std::int64_t>::max());
+    list.author = reader.text("author");
+    list.time = reader.time("time_ms");
+    list.failureDomains = readEntries(reader, "failure_domains");
+    list.instances = readEntries(reader, "instances");
+    list.history = PublicationHistory::read(reader);
+    if (problems.size() > before)
+        return Error::DocumentInvalid;
+    return list;
+}
+
+std::string OutList::serialize() const
+{
+    return canonicalText({{"number", this->number},
+                          {"author", this->author},
+                          {"time_ms", unixMillis(this->time)},
+                          {"failure_domains", entriesToJson(this->failureDomains)},
+                          {"instances", entriesToJson(this->instances)},
+                          {"history", this->history.toJson()}});
+}
+
+bool OutList::isOut(const FailureDomainId &domain) const
+{
+    return contains(this->failureDomains, domain.str());
+}
+
+bool OutList::isOut(const InstanceId &instance) const
+{
+    return contains(this->instances, instance.str());
+}
+
+OutList OutList::withDomain(const FailureDomainId &domain, bool isOut,
+                            const Publication &publication, absl::Time wallNow) const
+{
+    OutList next = successor(*this, publication, wallNow);
+    setOut(next.failureDomains, domain.str(), isOut, publication.author, wallNow);
+    return next;
+}
+
+OutList OutList::withInstance(const InstanceId &instance, bool isOut,
+                              const Publication &publication, absl::Time wallNow) const
+{
+    OutList next = successor(*this, publication, wallNow);
+    setOut(next.instances, instance.str(), isOut, publication.author, wallNow);
+    return next;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/configuration/out_list.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/result.h"
+#include "servers/configuration/publication.h"
+
+#include <absl/time/time.h>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtailtally {
+
+/** Numbered list of the failure domains and instances that operators took out of service. */
+struct OutList
+{
+    struct Entry
+    {
+        std::string id;
+        std::string author;
+        /** Wall time of the order. */
+        absl::Time time;
+        bool operator==(const Entry &) const = default;
+    };
+
+    std::uint64_t number = 0;
+    std::string author;
+    absl::Time time;
+    std::vector<Entry> failureDomains;
+    std::vector<Entry> instances;
+    PublicationHistory history;
+
+    /** Error: DocumentInvalid, with every fault in @p problems. */
+    static Result<OutList> parse(std::string_view text, DocumentProblems &problems);
+    std::string serialize() const;
+
+    bool isOut(const FailureDomainId &domain) const;
+    bool isOut(const InstanceId &instance) const;
+
+    /**
+     * The list that follows this one with @p domain taken out (@p isOut) or returned to service.
+     * Taking out what is out already keeps the first author and time.
+     */
+    OutList withDomain(const FailureDomainId &domain, bool isOut, const Publication &publication,
+                       absl::Time wallNow) const;
+    /** Same for one instance. */
+    OutList withInstance(const InstanceId &instance, bool isOut, const Publication &publication,
+                         absl::Time wallNow) const;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/configuration/publication.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "servers/configuration/json_reader.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace foxtailtally {
+
+/**
+ * Names one attempt to publish a document. The id is unique, so that a publisher whose answer was
+ * lost can tell its own document from an equal one of another operator.
+ */
+struct Publication
+{
+    std::uint64_t number = 0;
+    std::string author;
+    /** Unique id, such as "<instance>-<incarnation>-<count>". */
+    std::string id;
+
+    bool operator==(const Publication &) const = default;
+};
+
+/** Recent publications of one document, newest first. */
+struct PublicationHistory
+{
+    /** A lost answer is settled within seconds; changes are minutes apart (420 a day). */
+    static constexpr std::size_t kMaxLength = 16;
+
+    std::vector<Publication> entries;
+
+    static PublicationHistory read(JsonReader &reader);
+    nlohmann::json toJson() const;
+    /** The history after @p next, shortened to kMaxLength. */
+    PublicationHistory with(Publication next) const;
+    /** The publication that took @p number, or null when it is too old. */
+    const Publication *find(std::uint64_t number) const;
+    bool operator==(const PublicationHistory &) const = default;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/configuration/spread_settings.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/result.h"
+
+#include <absl/time/time.h>
+#include <vector>
+
+namespace foxtailtally {
+
+/** Settings of one instance's part in spreading documents. */
+struct SpreadSettings
+{
+    InstanceId self;
+    FailureDomainId domain;
+    /** The other instances of the domain in the settings' seed list. */
+    std::vector<InstanceId> seedPeers;
+    /** Pulls under way at once; bounds the memory for bodies of up to 1 MB. */
+    int maxPulls = 2;
+    /** Time after which a pull without an answer has failed. */
+    absl::Duration pullTimeout = absl::Seconds(1);
+    /** Pause after the first failure; doubles up to @ref longestBackoff. */
+    absl::Duration firstBackoff = absl::Milliseconds(200);
+    absl::Duration longestBackoff = absl::Seconds(5);
+    /** Time that the platform may hold a watch. Each open watch counts as one call. */
+    absl::Duration watchTime = absl::Seconds(30);
+};
+
+/** Builds settings and checks their bounds. */
+class SpreadSettingsBuilder
+{
+public:
+    SpreadSettingsBuilder &setSelf(InstanceId self);
+    SpreadSettingsBuilder &setDomain(FailureDomainId domain);
+    /** The own id in @p seeds is left out. */
+    SpreadSettingsBuilder &setSeedPeers(std::vector<InstanceId> seeds);
+    SpreadSettingsBuilder &setMaxPulls(int maxPulls);
+    SpreadSettingsBuilder &setPullTimeout(absl::Duration timeout);
+    SpreadSettingsBuilder &setBackoff(absl::Duration first, absl::Duration longest);
+    SpreadSettingsBuilder &setWatchTime(absl::Duration time);
+
+    /** Error: SettingsInvalid. */
+    Result<SpreadSettings> build() const;
+
+private:
+    SpreadSettings settings;
+};
+
+} // namespace foxtailtally
