--- a/main/lib/entry_instance.cpp
+++ b/main/lib/entry_instance.cpp
@@ -71,7 +71,7 @@
                         this->settings.text("platform", "token"), absl::Seconds(2)});
     this->engines = std::make_unique<EngineClient>([this](const std::string &address) {
         return std::make_shared<HttpEngineServer>(
-            this->http, EngineAccess {address, this->settings.text("engine", "token")});
+            this->http, address, this->settings.text("engine", "token"));
     });
     ControlOptions control;
     control.self = InstanceId(this->settings.text("instance", "id"));
