--- a/main/lib/completion_run.cpp
+++ b/main/lib/completion_run.cpp
@@ -1,6 +1,7 @@
 #include "main/lib/completion_run.h"
 
 #include "core/clock.h"
+#include "core/hash.h"
 #include "core/log.h"
 
 #include <nlohmann/json.hpp>
--- a/main/lib/entry_instance.cpp
+++ b/main/lib/entry_instance.cpp
@@ -70,8 +70,8 @@
         PlatformAccess {this->settings.text("platform", "url"),
                         this->settings.text("platform", "token"), absl::Seconds(2)});
     this->engines = std::make_unique<EngineClient>([this](const std::string &address) {
-        return std::make_shared<HttpEngineServer>(
-            this->http, address, this->settings.text("engine", "token"));
+        return std::make_shared<HttpEngineServer>(this->http, address,
+                                                  this->settings.text("engine", "token"));
     });
     ControlOptions control;
     control.self = InstanceId(this->settings.text("instance", "id"));
--- a/main/lib/reservation_port.h
+++ b/main/lib/reservation_port.h
@@ -2,6 +2,7 @@
 
 #include "core/request.h"
 #include "core/reservation.h"
+#include "core/result.h"
 #include "servers/session/request_session.h"
 
 #include <functional>
--- a/servers/configuration/change_set.cpp
+++ b/servers/configuration/change_set.cpp
@@ -8,14 +8,14 @@
 namespace {
 
 /** Reads the sections that an operator's object names; a section may be absent. */
-ReleaseState readSections(JsonReader &reader)
+ReleaseState readSections(DocumentReader &reader)
 {
     ReleaseState state;
     const auto section = [&reader](auto &entries) {
         using Entry = typename std::decay_t<decltype(entries)>::value_type;
         if (!reader.has(Entry::kSection))
             return;
-        reader.objects(Entry::kSection, [&entries](JsonReader &item) {
+        reader.objects(Entry::kSection, [&entries](DocumentReader &item) {
             entries.push_back(Entry::read(item));
             item.rejectUnknownMembers();
         });
@@ -164,13 +164,14 @@
         problems.push_back({DocumentProblem::Kind::Syntax, "", "JSON"});
         return Error::DocumentInvalid;
     }
-    JsonReader reader(value, "", problems);
+    DocumentReader reader(value, "", problems);
     ChangeSet changes;
     changes.author = reader.text("author");
     if (reader.has("added"))
-        reader.object("added", [&](JsonReader &part) { changes.added = readSections(part); });
+        reader.object("added", [&](DocumentReader &part) { changes.added = readSections(part); });
     if (reader.has("changed"))
-        reader.object("changed", [&](JsonReader &part) { changes.changed = readSections(part); });
+        reader.object("changed",
+                      [&](DocumentReader &part) { changes.changed = readSections(part); });
     if (reader.has("withdrawn"))
         changes.withdrawn = reader.texts("withdrawn");
     reader.rejectUnknownMembers();
--- a/servers/configuration/json_reader.cpp
+++ b/servers/configuration/document_reader.cpp
@@ -1,4 +1,4 @@
-#include "servers/configuration/json_reader.h"
+#include "servers/configuration/document_reader.h"
 
 #include <algorithm>
 #include <limits>
@@ -16,7 +16,8 @@
 
 } // namespace
 
-JsonReader::JsonReader(const nlohmann::json &value, std::string path, DocumentProblems &problems)
+DocumentReader::DocumentReader(const nlohmann::json &value, std::string path,
+                               DocumentProblems &problems)
     : value(value)
     , path(std::move(path))
     , problems(problems)
@@ -25,7 +26,7 @@
         this->problems.push_back({DocumentProblem::Kind::WrongType, this->path, "an object"});
 }
 
-std::string JsonReader::id(std::string_view name)
+std::string DocumentReader::id(std::string_view name)
 {
     const nlohmann::json *found = this->member(name);
     if (found == nullptr)
@@ -37,7 +38,7 @@
     return found->get<std::string>();
 }
 
-std::string JsonReader::text(std::string_view name, std::size_t minimum)
+std::string DocumentReader::text(std::string_view name, std::size_t minimum)
 {
     const nlohmann::json *found = this->member(name);
     if (found == nullptr)
@@ -52,18 +53,18 @@
     return text;
 }
 
-std::vector<std::string> JsonReader::ids(std::string_view name)
+std::vector<std::string> DocumentReader::ids(std::string_view name)
 {
     return this->strings(name, true);
 }
 
-std::vector<std::string> JsonReader::texts(std::string_view name)
+std::vector<std::string> DocumentReader::texts(std::string_view name)
 {
     return this->strings(name, false);
 }
 
-std::uint64_t JsonReader::integer(std::string_view name, std::uint64_t minimum,
-                                  std::uint64_t maximum)
+std::uint64_t DocumentReader::integer(std::string_view name, std::uint64_t minimum,
+                                      std::uint64_t maximum)
 {
     const nlohmann::json *found = this->member(name);
     if (found == nullptr)
@@ -80,7 +81,7 @@
     return number;
 }
 
-bool JsonReader::flag(std::string_view name)
+bool DocumentReader::flag(std::string_view name)
 {
     const nlohmann::json *found = this->member(name);
     if (found == nullptr)
@@ -92,44 +93,46 @@
     return found->get<bool>();
 }
 
-absl::Time JsonReader::time(std::string_view name)
+absl::Time DocumentReader::time(std::string_view name)
 {
     return absl::FromUnixMillis(static_cast<std::int64_t>(this->integer(name, 0, kMaxUnixMillis)));
 }
 
-bool JsonReader::has(std::string_view name) const
+bool DocumentReader::has(std::string_view name) const
 {
     return this->value.is_object() && this->value.contains(std::string(name));
 }
 
-void JsonReader::object(std::string_view name, const std::function<void(JsonReader &)> &use)
+void DocumentReader::object(std::string_view name, const std::function<void(DocumentReader &)> &use)
 {
     const nlohmann::json *found = this->member(name);
     if (found == nullptr)
         return;
-    JsonReader reader(*found, this->path + "/" + std::string(name), this->problems);
+    DocumentReader reader(*found, this->path + "/" + std::string(name), this->problems);
     use(reader);
 }
 
-void JsonReader::objects(std::string_view name, const std::function<void(JsonReader &)> &use)
+void DocumentReader::objects(std::string_view name,
+                             const std::function<void(DocumentReader &)> &use)
 {
     const nlohmann::json *found = this->array(name);
     if (found == nullptr)
         return;
     for (std::size_t index = 0; index < found->size(); ++index) {
-        JsonReader reader((*found)[index],
-                          this->path + "/" + std::string(name) + "/" + std::to_string(index),
-                          this->problems);
+        DocumentReader reader((*found)[index],
+                              this->path + "/" + std::string(name) + "/" + std::to_string(index),
+                              this->problems);
         use(reader);
     }
 }
 
-void JsonReader::report(DocumentProblem::Kind kind, std::string_view name, std::string_view allowed)
+void DocumentReader::report(DocumentProblem::Kind kind, std::string_view name,
+                            std::string_view allowed)
 {
     this->problems.push_back({kind, this->path + "/" + std::string(name), std::string(allowed)});
 }
 
-void JsonReader::rejectUnknownMembers()
+void DocumentReader::rejectUnknownMembers()
 {
     if (!this->value.is_object())
         return;
@@ -138,7 +141,7 @@
             this->report(DocumentProblem::Kind::UnknownMember, item.key(), "");
 }
 
-const nlohmann::json *JsonReader::member(std::string_view name)
+const nlohmann::json *DocumentReader::member(std::string_view name)
 {
     this->asked.emplace_back(name);
     if (!this->value.is_object())
@@ -150,7 +153,7 @@
     return nullptr;
 }
 
-const nlohmann::json *JsonReader::array(std::string_view name)
+const nlohmann::json *DocumentReader::array(std::string_view name)
 {
     const nlohmann::json *found = this->member(name);
     if (found == nullptr || found->is_array())
@@ -159,7 +162,7 @@
     return nullptr;
 }
 
-std::vector<std::string> JsonReader::strings(std::string_view name, bool identifiers)
+std::vector<std::string> DocumentReader::strings(std::string_view name, bool identifiers)
 {
     std::vector<std::string> values;
     const nlohmann::json *found = this->array(name);
--- a/servers/configuration/json_reader.h
+++ b/servers/configuration/document_reader.h
@@ -16,10 +16,10 @@
  * Reads the members of one JSON object and reports every fault with its JSON pointer. A member that
  * is faulty reads as an empty value.
  */
-class JsonReader
+class DocumentReader
 {
 public:
-    JsonReader(const nlohmann::json &value, std::string path, DocumentProblems &problems);
+    DocumentReader(const nlohmann::json &value, std::string path, DocumentProblems &problems);
 
     /** Identifier of 1 to 128 letters, digits, '.', '_' or '-'. */
     std::string id(std::string_view name);
@@ -34,9 +34,9 @@
 
     bool has(std::string_view name) const;
     /** Calls @p use with a reader of the object @p name. */
-    void object(std::string_view name, const std::function<void(JsonReader &)> &use);
+    void object(std::string_view name, const std::function<void(DocumentReader &)> &use);
     /** Calls @p use with a reader of each object in the array @p name. */
-    void objects(std::string_view name, const std::function<void(JsonReader &)> &use);
+    void objects(std::string_view name, const std::function<void(DocumentReader &)> &use);
 
     void report(DocumentProblem::Kind kind, std::string_view name, std::string_view allowed);
     /** Reports members that nothing has asked for. */
--- a/servers/configuration/out_list.cpp
+++ b/servers/configuration/out_list.cpp
@@ -13,10 +13,10 @@
                        [id](const OutList::Entry &entry) { return entry.id == id; });
 }
 
-std::vector<OutList::Entry> readEntries(JsonReader &reader, std::string_view name)
+std::vector<OutList::Entry> readEntries(DocumentReader &reader, std::string_view name)
 {
     std::vector<OutList::Entry> entries;
-    reader.objects(name, [&entries](JsonReader &item) {
+    reader.objects(name, [&entries](DocumentReader &item) {
         OutList::Entry entry;
         entry.id = item.id("id");
         entry.author = item.text("author");
@@ -72,7 +72,7 @@
         problems.push_back({DocumentProblem::Kind::Syntax, "", "JSON"});
         return Error::DocumentInvalid;
     }
-    JsonReader reader(value, "", problems);
+    DocumentReader reader(value, "", problems);
     OutList list;
     list.number = reader.integer("number", 1, std::numeric_limits<std::int64_t>::max());
     list.author = reader.text("author");
--- a/servers/configuration/publication.cpp
+++ b/servers/configuration/publication.cpp
@@ -5,10 +5,10 @@
 
 namespace foxtailtally {
 
-PublicationHistory PublicationHistory::read(JsonReader &reader)
+PublicationHistory PublicationHistory::read(DocumentReader &reader)
 {
     PublicationHistory history;
-    reader.objects("history", [&history](JsonReader &item) {
+    reader.objects("history", [&history](DocumentReader &item) {
         Publication entry;
         entry.number = item.integer("number", 1, std::numeric_limits<std::int64_t>::max());
         entry.author = item.text("author");
--- a/servers/configuration/publication.h
+++ b/servers/configuration/publication.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "servers/configuration/json_reader.h"
+#include "servers/configuration/document_reader.h"
 
 #include <cstdint>
 #include <string>
@@ -30,7 +30,7 @@
 
     std::vector<Publication> entries;
 
-    static PublicationHistory read(JsonReader &reader);
+    static PublicationHistory read(DocumentReader &reader);
     nlohmann::json toJson() const;
     /** The history after @p next, shortened to kMaxLength. */
     PublicationHistory with(Publication next) const;
--- a/servers/configuration/publisher.cpp
+++ b/servers/configuration/publisher.cpp
@@ -135,7 +135,7 @@
 {
     const auto value = nlohmann::json::parse(body, nullptr, false);
     DocumentProblems problems;
-    JsonReader reader(value, "", problems);
+    DocumentReader reader(value, "", problems);
     PublicationHistory history = PublicationHistory::read(reader);
     return problems.empty() ? history : PublicationHistory {};
 }
--- a/servers/configuration/release_note.cpp
+++ b/servers/configuration/release_note.cpp
@@ -35,10 +35,10 @@
 }
 
 template <typename Entry>
-void readEntries(JsonReader &reader, std::vector<Entry> &entries)
+void readEntries(DocumentReader &reader, std::vector<Entry> &entries)
 {
     reader.objects(Entry::kSection,
-                   [&entries](JsonReader &item) { entries.push_back(Entry::read(item)); });
+                   [&entries](DocumentReader &item) { entries.push_back(Entry::read(item)); });
 }
 
 template <typename Entry>
@@ -90,7 +90,7 @@
 
 } // namespace
 
-ModelEntry ModelEntry::read(JsonReader &reader)
+ModelEntry ModelEntry::read(DocumentReader &reader)
 {
     ModelEntry entry;
     entry.id = ModelId(reader.id("id"));
@@ -112,7 +112,7 @@
     return value;
 }
 
-AdapterEntry AdapterEntry::read(JsonReader &reader)
+AdapterEntry AdapterEntry::read(DocumentReader &reader)
 {
     AdapterEntry entry;
     entry.id = AdapterId(reader.id("id"));
@@ -126,7 +126,7 @@
     return {{"id", this->id.str()}, {"model", this->model.str()}, {"version", this->version}};
 }
 
-CustomerEntry CustomerEntry::read(JsonReader &reader)
+CustomerEntry CustomerEntry::read(DocumentReader &reader)
 {
     CustomerEntry entry;
     entry.id = CustomerId(reader.id("id"));
@@ -153,18 +153,18 @@
             {"requests_per_second", this->requestsPerSecond}};
 }
 
-ServiceEntry ServiceEntry::read(JsonReader &reader)
+ServiceEntry ServiceEntry::read(DocumentReader &reader)
 {
     ServiceEntry entry;
     entry.name = reader.id("name");
     entry.checksFence = reader.flag("checks_fence");
-    reader.objects("calls", [&entry](JsonReader &item) {
-        ServiceCall call;
+    reader.objects("calls", [&entry](DocumentReader &item) {
+        ServiceCallEntry call;
         call.name = item.id("name");
         call.isRepeatable = item.flag("repeatable");
         const bool isKnown =
             std::any_of(entry.calls.begin(), entry.calls.end(),
-                        [&call](const ServiceCall &other) { return other.name == call.name; });
+                        [&call](const ServiceCallEntry &other) { return other.name == call.name; });
         if (isKnown)
             item.report(DocumentProblem::Kind::DuplicateId, "name", "a name used once");
         entry.calls.push_back(std::move(call));
@@ -175,12 +175,12 @@
 nlohmann::json ServiceEntry::toJson() const
 {
     auto list = nlohmann::json::array();
-    for (const ServiceCall &call : this->calls)
+    for (const ServiceCallEntry &call : this->calls)
         list.push_back({{"name", call.name}, {"repeatable", call.isRepeatable}});
     return {{"name", this->name}, {"checks_fence", this->checksFence}, {"calls", list}};
 }
 
-ReleaseState ReleaseState::read(JsonReader &reader)
+ReleaseState ReleaseState::read(DocumentReader &reader)
 {
     ReleaseState state;
     readEntries(reader, state.models);
@@ -251,7 +251,7 @@
         problems.push_back({DocumentProblem::Kind::Syntax, "", "JSON"});
     if (problems.size() > before)
         return Error::DocumentInvalid;
-    JsonReader reader(value, "", problems);
+    DocumentReader reader(value, "", problems);
     ReleaseNote note;
     note.number = reader.integer("number", 1, kMaxNumber);
     note.author = reader.text("author");
@@ -260,7 +260,8 @@
     note.changed = reader.texts("changed");
     note.withdrawn = reader.texts("withdrawn");
     note.history = PublicationHistory::read(reader);
-    reader.object("state", [&note](JsonReader &state) { note.state = ReleaseState::read(state); });
+    reader.object("state",
+                  [&note](DocumentReader &state) { note.state = ReleaseState::read(state); });
     note.state.validate("/state", problems);
     if (problems.size() > before)
         return Error::DocumentInvalid;
--- a/servers/configuration/release_note.h
+++ b/servers/configuration/release_note.h
@@ -3,7 +3,7 @@
 #include "core/ids.h"
 #include "core/result.h"
 #include "servers/configuration/document_problem.h"
-#include "servers/configuration/json_reader.h"
+#include "servers/configuration/document_reader.h"
 #include "servers/configuration/publication.h"
 
 #include <absl/time/time.h>
@@ -37,7 +37,7 @@
     absl::Time drainUntil = absl::InfiniteFuture();
 
     const std::string &key() const { return this->id.str(); }
-    static ModelEntry read(JsonReader &reader);
+    static ModelEntry read(DocumentReader &reader);
     nlohmann::json toJson() const;
     bool operator==(const ModelEntry &) const = default;
 };
@@ -51,7 +51,7 @@
     std::string version;
 
     const std::string &key() const { return this->id.str(); }
-    static AdapterEntry read(JsonReader &reader);
+    static AdapterEntry read(DocumentReader &reader);
     nlohmann::json toJson() const;
     bool operator==(const AdapterEntry &) const = default;
 };
@@ -69,17 +69,17 @@
     std::uint64_t requestsPerSecond = 0;
 
     const std::string &key() const { return this->id.str(); }
-    static CustomerEntry read(JsonReader &reader);
+    static CustomerEntry read(DocumentReader &reader);
     nlohmann::json toJson() const;
     bool operator==(const CustomerEntry &) const = default;
 };
 
-struct ServiceCall
+struct ServiceCallEntry
 {
     std::string name;
     /** A call that may be sent again after a lost answer. */
     bool isRepeatable = false;
-    bool operator==(const ServiceCall &) const = default;
+    bool operator==(const ServiceCallEntry &) const = default;
 };
 
 struct ServiceEntry
@@ -87,12 +87,12 @@
     static constexpr std::string_view kSection = "services";
 
     std::string name;
-    std::vector<ServiceCall> calls;
+    std::vector<ServiceCallEntry> calls;
     /** The service rejects actions that carry a fence lower than one it has seen. */
     bool checksFence = false;
 
     const std::string &key() const { return this->name; }
-    static ServiceEntry read(JsonReader &reader);
+    static ServiceEntry read(DocumentReader &reader);
     nlohmann::json toJson() const;
     bool operator==(const ServiceEntry &) const = default;
 };
@@ -105,7 +105,7 @@
     std::vector<CustomerEntry> customers;
     std::vector<ServiceEntry> services;
 
-    static ReleaseState read(JsonReader &reader);
+    static ReleaseState read(DocumentReader &reader);
     /** Reports duplicate and dangling identifiers under the JSON pointer @p path. */
     void validate(std::string_view path, DocumentProblems &problems) const;
     nlohmann::json toJson() const;
--- a/servers/configuration/roster_document.cpp
+++ b/servers/configuration/roster_document.cpp
@@ -12,12 +12,12 @@
         problems.push_back({DocumentProblem::Kind::Syntax, "", "JSON"});
         return Error::DocumentInvalid;
     }
-    JsonReader reader(value, "", problems);
+    DocumentReader reader(value, "", problems);
     RosterDocument roster;
     roster.number = reader.integer("number", 1, std::numeric_limits<std::int64_t>::max());
     roster.author = reader.text("author");
     roster.time = reader.time("time_ms");
-    reader.objects("members", [&roster](JsonReader &item) {
+    reader.objects("members", [&roster](DocumentReader &item) {
         Member member;
         member.id = InstanceId(item.id("id"));
         member.incarnation =
