--- a/main/lib/command_line.cpp
+++ b/main/lib/command_line.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "core/settings.h"
 #include "main/lib/entry_instance.h"
+#include "main/lib/operator_commands.h"
 #include "main/lib/settings_schema.h"
 
 #include <CLI/CLI.hpp>
@@ -89,6 +90,15 @@
             result = readSettings(settingsFile).ok() ? 0 : kExitSettings;
     });
 
+    app.add_subcommand("key-digest",
+                       "Print the digest of the API key on standard input, for release notes")
+        ->callback([] {
+            std::string key;
+            std::getline(std::cin, key);
+            std::cout << apiKeyDigest(key) << '\n';
+        });
+    addOperatorCommands(app, result);
+
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &error) {
--- a/main/lib/entry_instance.cpp
+++ b/main/lib/entry_instance.cpp
@@ -45,7 +45,11 @@
     // Servers first, so that nothing new arrives while the parts below go away.
     this->callerServer.reset();
     this->adminServer.reset();
+    this->operators.reset();
     this->completions.reset();
+    this->actions.reset();
+    if (this->claims != nullptr)
+        this->claims->stop();
     if (this->control != nullptr)
         this->control->stop();
     this->transport.reset();
@@ -88,6 +92,7 @@
         return error;
     this->control->start(*this->transport);
     this->makeCompletions();
+    this->makeActions();
     return this->startServers();
 }
 
@@ -117,9 +122,7 @@
     context.self = InstanceId(this->settings.text("instance", "id"));
     context.domain = FailureDomainId(this->settings.text("instance", "failure_domain"));
     context.incarnation = this->incarnation;
-    context.defaults.timeLimits = {this->settings.duration("deadlines", "urgent"),
-                                   this->settings.duration("deadlines", "normal"),
-                                   this->settings.duration("deadlines", "batch")};
+    context.defaults = this->defaults();
     context.session.bufferBytes =
         static_cast<std::size_t>(this->settings.bytes("limits", "stream_buffer"));
     context.session.maxPause = this->settings.duration("limits", "pause");
@@ -134,6 +137,38 @@
     this->completions = std::make_unique<CompletionService>(std::move(context), kRequestLoops);
 }
 
+CompletionDefaults EntryInstance::defaults() const
+{
+    CompletionDefaults values;
+    values.timeLimits = {this->settings.duration("deadlines", "urgent"),
+                         this->settings.duration("deadlines", "normal"),
+                         this->settings.duration("deadlines", "batch")};
+    return values;
+}
+
+void EntryInstance::makeActions()
+{
+    const InstanceId self(this->settings.text("instance", "id"));
+    this->claims = std::make_unique<ClaimCoordinator>(
+        self, this->incarnation,
+        static_cast<std::uint32_t>(this->settings.count("claims", "shards")), *this->platform);
+    this->services =
+        std::make_unique<ServiceClient>(this->http, this->settings.text("service", "token"));
+    ActionContext context;
+    context.self = self;
+    context.domain = FailureDomainId(this->settings.text("instance", "failure_domain"));
+    context.incarnation = this->incarnation;
+    context.defaults = this->defaults();
+    context.state = &this->control->state();
+    context.claims = this->claims.get();
+    context.services = this->services.get();
+    context.metrics = &this->metrics;
+    this->actions = std::make_unique<ActionService>(std::move(context));
+    this->publisher = std::make_unique<DocumentPublisher>(
+        self.str() + "-" + std::to_string(this->incarnation), *this->platform);
+    this->operators = std::make_unique<OperatorService>(*this->publisher);
+}
+
 std::error_code EntryInstance::startServers()
 {
     HttpServerOptions options;
@@ -193,6 +228,8 @@
         return exchange->respond(this->readiness());
     if (request.method == "POST" && request.path == "/v1/chat/completions")
         return this->completions->handle(exchange);
+    if (request.method == "POST" && request.path.starts_with("/v1/services/"))
+        return this->actions->handle(exchange);
     exchange->respond(notFound());
 }
 
@@ -214,6 +251,12 @@
     }
     if (request.path == "/admin/v1/status")
         return exchange->respond(this->status());
+    if (request.path == "/admin/v1/notes/current")
+        return exchange->respond(this->currentNote());
+    if (request.path == "/admin/v1/notes/history")
+        return exchange->respond(this->noteHistory());
+    if (this->operators->handle(exchange))
+        return;
     exchange->respond(notFound());
 }
 
@@ -223,6 +266,20 @@
     return jsonResponse(ready ? 200 : 503, {{"ready", ready}});
 }
 
+HttpResponse EntryInstance::currentNote() const
+{
+    HttpResponse response;
+    response.body = this->control->state().read(
+        [](const ServingState &state) { return state.note.serialize(); });
+    return response;
+}
+
+HttpResponse EntryInstance::noteHistory() const
+{
+    return this->control->state().read(
+        [](const ServingState &state) { return jsonResponse(200, state.note.history.toJson()); });
+}
+
 HttpResponse EntryInstance::status() const
 {
     nlohmann::json groups = nlohmann::json::array();
--- a/main/lib/entry_instance.h
+++ b/main/lib/entry_instance.h
@@ -2,8 +2,12 @@
 
 #include "core/metrics.h"
 #include "core/settings.h"
+#include "main/lib/action_service.h"
+#include "main/lib/claim_coordinator.h"
 #include "main/lib/completion_service.h"
 #include "main/lib/control_plane.h"
+#include "main/lib/document_publisher.h"
+#include "main/lib/operator_service.h"
 #include "peers/http/http_client.h"
 #include "peers/http/http_server.h"
 #include "peers/instance/instance_transport.h"
@@ -36,10 +40,14 @@
     std::error_code startTransport();
     std::error_code startServers();
     void makeCompletions();
+    void makeActions();
+    CompletionDefaults defaults() const;
     void handleCaller(const std::shared_ptr<HttpExchange> &exchange);
     void handleOperator(const std::shared_ptr<HttpExchange> &exchange);
     HttpResponse readiness() const;
     HttpResponse status() const;
+    HttpResponse currentNote() const;
+    HttpResponse noteHistory() const;
 
     Settings settings;
     Metrics metrics;
@@ -53,7 +61,12 @@
     std::unique_ptr<EngineClient> engines;
     std::unique_ptr<ControlPlane> control;
     std::unique_ptr<InstanceTransport> transport;
+    std::unique_ptr<ClaimCoordinator> claims;
+    std::unique_ptr<ServiceClient> services;
+    std::unique_ptr<ActionService> actions;
     std::unique_ptr<CompletionService> completions;
+    std::unique_ptr<DocumentPublisher> publisher;
+    std::unique_ptr<OperatorService> operators;
     std::unique_ptr<HttpServer> callerServer;
     std::unique_ptr<HttpServer> adminServer;
 };
--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,89 @@
+# Functions for scripts that start a deployment of processes on the loopback address. Source it.
+
+binary=build/foxtailtally
+standin=build/foxtailtally-standin
+pids=()
+
+export FOXTAILTALLY_PLATFORM_TOKEN=platform-secret
+export FOXTAILTALLY_ENGINE_TOKEN=engine-secret
+export FOXTAILTALLY_SERVICE_TOKEN=service-secret
+export FOXTAILTALLY_OPERATOR_TOKEN=operator-secret
+
+# start NAME COMMAND...: runs a command in the background with its output in $out/NAME.log.
+start() {
+    local name=$1
+    shift
+    "$@" > "$out/$name.log" 2>&1 &
+    pids+=("$!")
+    declare -g "pid_${name//-/_}=$!"
+}
+
+# Ends the processes that this script has started.
+stop_all() {
+    for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+    pids=()
+}
+
+# wait_for URL SECONDS: waits until URL answers with status 200.
+wait_for() {
+    local tries=$(($2 * 10))
+    until curl -sf -o /dev/null --max-time 1 "$1"; do
+        tries=$((tries - 1))
+        [ "$tries" -gt 0 ] || { echo "no answer from $1" >&2; return 1; }
+        sleep 0.1
+    done
+}
+
+platform_call() {
+    curl -sf -o /dev/null -H "Authorization: Bearer $FOXTAILTALLY_PLATFORM_TOKEN" -H 'Content-Type: application/json' "$@"
+}
+
+# start_platform: the platform stand-in.
+start_platform() {
+    start platform "$standin" platform --port "$platform_port" --token-env FOXTAILTALLY_PLATFORM_TOKEN --list-lag-ms 500
+    local tries=50
+    until platform_call "$platform_url/v1/instances"; do
+        tries=$((tries - 1))
+        [ "$tries" -gt 0 ] || { echo "the platform stand-in does not answer" >&2; return 1; }
+        sleep 0.1
+    done
+}
+
+# start_engine ID DOMAIN GROUP PORT [OPTIONS...]
+start_engine() {
+    local id=$1 domain=$2 group=$3 port=$4
+    shift 4
+    FOXTAILTALLY_STANDIN_TOKEN=$FOXTAILTALLY_ENGINE_TOKEN \
+        start "$id" "$standin" engine --id "$id" --domain "$domain" --group "$group" --port "$port" \
+        --model "$model" --platform "$platform_url" --token-env FOXTAILTALLY_STANDIN_TOKEN "$@"
+}
+
+# settings_for ID DOMAIN CALLER_PORT ADMIN_PORT PEER_PORT SEEDS: prints the settings of an entry instance.
+settings_for() {
+    cat << END
+[instance]
+id = $1
+failure_domain = $2
+caller_port = $3
+admin_port = $4
+peer_port = $5
+[peers]
+seeds = $6
+key = peers-secret
+[platform]
+url = $platform_url
+token = $FOXTAILTALLY_PLATFORM_TOKEN
+[engine]
+token = $FOXTAILTALLY_ENGINE_TOKEN
+[service]
+token = $FOXTAILTALLY_SERVICE_TOKEN
+[operator]
+token = $FOXTAILTALLY_OPERATOR_TOKEN
+END
+}
+
+# register_entry ID DOMAIN CALLER_PORT INCARNATION: adds an entry instance to the platform's list.
+register_entry() {
+    platform_call -X PUT "$platform_url/v1/instances/$1" -d "{\"id\":\"$1\",\"kind\":\"entry\",\"domain\":\"$2\",\"address\":\"127.0.0.1:$3\",\"state\":\"live\",\"incarnation\":$4}"
+}
--- /dev/null
+++ b/servers/session/action_session.cpp
@@ -0,0 +1,179 @@
+#include "servers/session/action_session.h"
+
+#include <utility>
+
+namespace foxtailtally {
+
+namespace {
+
+/** Dispatches of one repeatable call, the first included. */
+constexpr int kMaxDispatches = 3;
+/** The final answer is sent this long before the deadline, so that it arrives within it. */
+constexpr absl::Duration kAnswerMargin = absl::Milliseconds(30);
+constexpr absl::Duration kDefaultRetryAfter = absl::Seconds(1);
+
+} // namespace
+
+ActionSession::ActionSession(ActionProfile profile)
+    : action(std::move(profile))
+{ }
+
+ActionSessionActions ActionSession::start(absl::Time /*now*/)
+{
+    ActionSessionActions actions;
+    if (this->action.isRepeatable) {
+        this->dispatch(actions);
+        return actions;
+    }
+    this->phase = Phase::Claiming;
+    actions.emplace_back(SendClaim {});
+    return actions;
+}
+
+ActionSessionActions ActionSession::onClaimGranted(const ActionClaim &granted, absl::Time now)
+{
+    ActionSessionActions actions;
+    const bool mayDispatch = this->phase == Phase::Claiming && !this->isTimeUp(now);
+    if (!mayDispatch) {
+        actions.emplace_back(RecordOutcome {granted, ActionOutcome::NotRun, ""});
+        if (this->phase == Phase::Claiming)
+            this->refuse(RefusalReason::TimedOut, true, kDefaultRetryAfter, actions);
+        return actions;
+    }
+    this->claim = granted;
+    this->dispatch(actions);
+    return actions;
+}
+
+ActionSessionActions ActionSession::onClaimRefused(const Refusal &refusal, absl::Time /*now*/)
+{
+    ActionSessionActions actions;
+    if (this->phase == Phase::Claiming)
+        this->refuse(refusal.reason, refusal.notRun, refusal.retryAfter, actions);
+    return actions;
+}
+
+ActionSessionActions ActionSession::onClaimReplay(const std::string &text, bool isAnswerKept,
+                                                  absl::Time /*now*/)
+{
+    ActionSessionActions actions;
+    if (this->phase != Phase::Claiming)
+        return actions;
+    if (isAnswerKept)
+        this->answer(text, true, actions);
+    else
+        this->refuse(RefusalReason::OutcomeUnknown, false, absl::ZeroDuration(), actions);
+    return actions;
+}
+
+ActionSessionActions ActionSession::onCallDone(const CallEnd &end, absl::Time now)
+{
+    ActionSessionActions actions;
+    this->inFlight = false;
+    if (this->action.isRepeatable)
+        this->onRepeatableEnd(end, actions, now);
+    else
+        this->onActionEnd(end, actions);
+    return actions;
+}
+
+ActionSessionActions ActionSession::onRecorded(bool isSuperseded, absl::Time /*now*/)
+{
+    ActionSessionActions actions;
+    if (this->phase != Phase::Recording)
+        return actions;
+    if (isSuperseded)
+        this->refuse(RefusalReason::OutcomeUnknown, false, kDefaultRetryAfter, actions);
+    else
+        this->answer(std::move(this->result), false, actions);
+    return actions;
+}
+
+ActionSessionActions ActionSession::onTick(absl::Time now)
+{
+    ActionSessionActions actions;
+    if (this->phase == Phase::Idle || this->phase == Phase::Finished || !this->isTimeUp(now))
+        return actions;
+    const bool isAction = !this->action.isRepeatable;
+    if (isAction && this->phase == Phase::Calling) {
+        actions.emplace_back(RecordOutcome {this->claim, ActionOutcome::Unknown, ""});
+        this->refuse(RefusalReason::OutcomeUnknown, false, kDefaultRetryAfter, actions);
+        return actions;
+    }
+    if (this->phase == Phase::Recording) {
+        this->refuse(RefusalReason::OutcomeUnknown, false, kDefaultRetryAfter, actions);
+        return actions;
+    }
+    const bool notRun = !this->inFlight && !this->mayHaveRun;
+    this->refuse(RefusalReason::TimedOut, notRun, kDefaultRetryAfter, actions);
+    return actions;
+}
+
+void ActionSession::dispatch(ActionSessionActions &actions)
+{
+    this->phase = Phase::Calling;
+    this->inFlight = true;
+    this->dispatched += 1;
+    actions.emplace_back(DispatchCall {this->dispatched, this->claim.fence});
+}
+
+void ActionSession::onActionEnd(const CallEnd &end, ActionSessionActions &actions)
+{
+    const bool isLate = this->phase == Phase::Finished;
+    if (!end.error) {
+        // A late answer is recorded too, so that a repetition of the key gets it.
+        actions.emplace_back(RecordOutcome {this->claim, ActionOutcome::Done, end.answer});
+        if (isLate)
+            return;
+        if (!this->action.checksFence)
+            return this->answer(end.answer, false, actions);
+        this->result = end.answer;
+        this->phase = Phase::Recording;
+        return;
+    }
+    if (isLate)
+        return;
+    if (end.mayHaveRun || end.error == Error::FenceRejected) {
+        // A rejected fence means that a newer attempt exists, whose outcome is not known here.
+        actions.emplace_back(RecordOutcome {this->claim, ActionOutcome::Unknown, ""});
+        return this->refuse(RefusalReason::OutcomeUnknown, false, kDefaultRetryAfter, actions);
+    }
+    actions.emplace_back(RecordOutcome {this->claim, ActionOutcome::NotRun, ""});
+    this->refuse(RefusalReason::NoServer, true, kDefaultRetryAfter, actions);
+}
+
+void ActionSession::onRepeatableEnd(const CallEnd &end, ActionSessionActions &actions,
+                                    absl::Time now)
+{
+    if (this->phase == Phase::Finished)
+        return;
+    if (!end.error)
+        return this->answer(end.answer, false, actions);
+    this->mayHaveRun = this->mayHaveRun || end.mayHaveRun;
+    const bool mayRepeat = this->dispatched < kMaxDispatches && !this->isTimeUp(now);
+    if (mayRepeat)
+        return this->dispatch(actions);
+    this->refuse(RefusalReason::ServerLost, !this->mayHaveRun, kDefaultRetryAfter, actions);
+}
+
+bool ActionSession::isTimeUp(absl::Time now) const
+{
+    return now + kAnswerMargin >= this->action.deadline;
+}
+
+void ActionSession::answer(std::string text, bool isReplayed, ActionSessionActions &actions)
+{
+    this->phase = Phase::Finished;
+    this->answered = true;
+    actions.emplace_back(AnswerAction {std::move(text), isReplayed});
+}
+
+void ActionSession::refuse(RefusalReason reason, bool notRun, absl::Duration retryAfter,
+                           ActionSessionActions &actions)
+{
+    this->phase = Phase::Finished;
+    this->answered = true;
+    actions.emplace_back(RefuseCall {{reason, notRun, retryAfter}});
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/session/action_session.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "core/error.h"
+#include "core/ids.h"
+#include "core/refusal.h"
+#include "core/request.h"
+
+#include <absl/time/time.h>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace foxtailtally {
+
+/** A call to a plain service as one caller asked for it. */
+struct ActionProfile
+{
+    RequestId id;
+    CustomerId customer;
+    std::string service;
+    std::string call;
+    /** Idempotency key; only for calls that are not repeatable. */
+    std::string key;
+    Fingerprint bodyFingerprint {};
+    bool isRepeatable = false;
+    bool checksFence = false;
+    absl::Time deadline = absl::InfiniteFuture();
+};
+
+/** Right to run an action once, as the claim log gave it. */
+struct ActionClaim
+{
+    Fingerprint key {};
+    std::uint64_t attempt = 0;
+    std::uint64_t fence = 0;
+};
+
+enum class ActionOutcome : std::uint8_t {
+    Done,
+    Unknown,
+    NotRun,
+};
+
+/** Ask the claim shard of the key. */
+struct SendClaim
+{ };
+
+/** Send the call to the service; the answer comes with onCallDone(). */
+struct DispatchCall
+{
+    /** Counts the dispatches of repeatable calls, from 1. */
+    int number = 1;
+    std::uint64_t fence = 0;
+};
+
+/** Record how the claimed attempt ended. */
+struct RecordOutcome
+{
+    ActionClaim claim;
+    ActionOutcome outcome = ActionOutcome::Done;
+    std::string answer;
+};
+
+struct AnswerAction
+{
+    std::string answer;
+    /** The answer of an earlier request with the same key. */
+    bool isReplayed = false;
+};
+
+struct RefuseCall
+{
+    Refusal refusal;
+};
+
+/** How one dispatch ended. */
+struct CallEnd
+{
+    std::error_code error;
+    /** False only when the service cannot have run the call. */
+    bool mayHaveRun = true;
+    std::string answer;
+};
+
+using ActionSessionAction =
+    std::variant<SendClaim, DispatchCall, RecordOutcome, AnswerAction, RefuseCall>;
+using ActionSessionActions = std::vector<ActionSessionAction>;
+
+/**
+ * Decides what happens to one call to a plain service. An action that must not be repeated is
+ * dispatched at most once, only after its claim is committed, and never after its deadline. Exactly
+ * one final answer; notRun is said only when nothing can have run.
+ */
+class ActionSession
+{
+public:
+    explicit ActionSession(ActionProfile profile);
+
+    ActionSessionActions start(absl::Time now);
+    ActionSessionActions onClaimGranted(const ActionClaim &claim, absl::Time now);
+    ActionSessionActions onClaimRefused(const Refusal &refusal, absl::Time now);
+    ActionSessionActions onClaimReplay(const std::string &answer, bool isAnswerKept,
+                                       absl::Time now);
+    ActionSessionActions onCallDone(const CallEnd &end, absl::Time now);
+    /** The outcome is in the claim log. */
+    ActionSessionActions onRecorded(bool isSuperseded, absl::Time now);
+    ActionSessionActions onTick(absl::Time now);
+
+    bool isAnswered() const { return this->answered; }
+    /** Nothing more will come of this session. */
+    bool isOver() const { return this->answered && !this->inFlight; }
+    const ActionProfile &profile() const { return this->action; }
+
+private:
+    enum class Phase { Idle, Claiming, Calling, Recording, Finished };
+
+    bool isTimeUp(absl::Time now) const;
+    void dispatch(ActionSessionActions &actions);
+    void onActionEnd(const CallEnd &end, ActionSessionActions &actions);
+    void onRepeatableEnd(const CallEnd &end, ActionSessionActions &actions, absl::Time now);
+    void answer(std::string text, bool isReplayed, ActionSessionActions &actions);
+    void refuse(RefusalReason reason, bool notRun, absl::Duration retryAfter,
+                ActionSessionActions &actions);
+
+    ActionProfile action;
+    Phase phase = Phase::Idle;
+    ActionClaim claim;
+    std::string result;
+    int dispatched = 0;
+    bool mayHaveRun = false;
+    bool inFlight = false;
+    bool answered = false;
+};
+
+} // namespace foxtailtally
