Add claim shards with group commit and read-back

Keys with an outcome in the batch are now left for the next one.

Ruled out: deleting old segments. An instance paused for longer than the retention could create a segment below the active one with "must not exist", where no other instance looks for its claims. A reused object has a new version, so such a write fails.

--- /dev/null
+++ b/servers/claims/claim_keys.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/request.h"
+
+#include <absl/time/time.h>
+#include <absl/types/span.h>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace foxtailtally {
+
+/** A key older than this is refused. */
+constexpr absl::Duration kMaxKeyAge = absl::Minutes(10);
+/** A key further in the future than this is refused; allows for wrong clocks of callers. */
+constexpr absl::Duration kMaxKeyLead = absl::Minutes(1);
+/**
+ * Time for which a claim is kept. Keys are accepted for at most kMaxKeyAge + kMaxKeyLead after
+ * they are first accepted, so instances' clocks may differ by up to 4 minutes.
+ */
+constexpr absl::Duration kClaimRetention = absl::Minutes(15);
+
+/** Date of a key "<unix seconds>-<text>", or none when it has another form. */
+std::optional<absl::Time> keyDate(std::string_view key);
+
+enum class KeyDateCheck {
+    Accepted,
+    /** The key has no date, so no instance can have accepted it. */
+    Malformed,
+    Expired,
+    InFuture,
+};
+
+KeyDateCheck checkKeyDate(std::string_view key, absl::Time wallNow);
+
+/** Digest of a customer's key; equal keys of different customers have different digests. */
+Fingerprint claimKeyDigest(const CustomerId &customer, std::string_view key);
+
+/** Shard of a key; @p shardCount must be the same at all instances and above 0. */
+std::uint32_t shardOf(const Fingerprint &key, std::uint32_t shardCount);
+
+/** Instance that collects the claims of @p shard; an empty id when none is live. */
+InstanceId keeperOf(std::uint32_t shard, absl::Span<const InstanceId> live);
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/claims/claim_settings.cpp
@@ -0,0 +1,61 @@
+#include "servers/claims/claim_settings.h"
+
+namespace foxtailtally {
+
+ClaimSettingsBuilder &ClaimSettingsBuilder::setShard(std::uint32_t shard)
+{
+    this->settings.shard = shard;
+    return *this;
+}
+
+ClaimSettingsBuilder &ClaimSettingsBuilder::setSelf(InstanceId self, Incarnation incarnation)
+{
+    this->settings.self = std::move(self);
+    this->settings.incarnation = incarnation;
+    return *this;
+}
+
+ClaimSettingsBuilder &ClaimSettingsBuilder::setWindow(absl::Duration window)
+{
+    this->settings.window = window;
+    return *this;
+}
+
+ClaimSettingsBuilder &ClaimSettingsBuilder::setMaxWaiting(std::size_t maxWaiting)
+{
+    this->settings.maxWaiting = maxWaiting;
+    return *this;
+}
+
+ClaimSettingsBuilder &ClaimSettingsBuilder::setPollTime(absl::Duration pollTime)
+{
+    this->settings.pollTime = pollTime;
+    return *this;
+}
+
+ClaimSettingsBuilder &ClaimSettingsBuilder::setDeadlineMargin(absl::Duration margin)
+{
+    this->settings.deadlineMargin = margin;
+    return *this;
+}
+
+ClaimSettingsBuilder &ClaimSettingsBuilder::setBackoff(absl::Duration first, absl::Duration longest)
+{
+    this->settings.firstBackoff = first;
+    this->settings.longestBackoff = longest;
+    return *this;
+}
+
+Result<ClaimSettings> ClaimSettingsBuilder::build() const
+{
+    const ClaimSettings &built = this->settings;
+    const absl::Duration zero = absl::ZeroDuration();
+    const bool isValid = !built.self.isEmpty() && built.window >= zero && built.maxWaiting > 0
+        && built.pollTime > zero && built.deadlineMargin >= zero && built.firstBackoff > zero
+        && built.longestBackoff >= built.firstBackoff;
+    if (!isValid)
+        return Error::SettingsInvalid;
+    return built;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/claims/claim_shard.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "servers/claims/claim_log.h"
+#include "servers/claims/claim_settings.h"
+#include "servers/claims/claim_types.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <deque>
+#include <optional>
+#include <string>
+
+namespace foxtailtally {
+
+/**
+ * One instance's view of one claim shard. Any instance may claim; the conditional update of the
+ * active segment decides. A claim is granted only after its record is known to be in the log.
+ *
+ * One store call is under way at a time. A write without an answer is read back: when the read
+ * shows the old version, the write may still take effect, so it is repeated with the same condition
+ * until the store's answer is definite. When the store does not answer at all, waiting requests
+ * are refused as not run, and their attempts are recorded as not run once the store is back.
+ */
+class ClaimShard
+{
+public:
+    explicit ClaimShard(ClaimSettings settings);
+
+    ClaimActions claim(ClaimRequest request, absl::Time now);
+    /** Records how an attempt ended. Any instance may record it, not only the one that granted. */
+    ClaimActions onOutcome(const OutcomeReport &report, absl::Time now);
+    /** A lost or late answer must be reported as StoreOutcome::Lost. */
+    ClaimActions onStoreReply(const StoreReply &reply, absl::Time now);
+    ClaimActions onTick(absl::Time now);
+    /** Latest time for the next onTick(); InfiniteFuture when there is nothing to wait for. */
+    absl::Time nextTickAt() const;
+
+    std::size_t waitingCount() const { return this->waiters.size(); }
+    bool isStoreReachable() const { return this->phase != Phase::Down; }
+
+private:
+    enum class Phase {
+        Unloaded,
+        Listing,
+        Idle,
+        Writing,
+        /** Reading the written slot after a lost answer. */
+        ReadingBack,
+        /** Reading the active slot, and those after it, after a conflict or for a poll. */
+        Refreshing,
+        /** The store does not answer. */
+        Down,
+    };
+
+    struct Waiter
+    {
+        ClaimRequest request;
+        Fingerprint key {};
+        /** Attempt in the write under way; 0 when there is none. */
+        std::uint64_t attempt = 0;
+    };
+
+    struct Outcome
+    {
+        ClaimRecord record;
+        std::uint64_t attempt = 0;
+        /** The log was read after the report arrived. */
+        bool isRefreshed = false;
+    };
+
+    struct Batch
+    {
+        ClaimSegment segment;
+        std::uint64_t baseVersion = 0;
+        /** Attempt and fence by waiter. */
+        std::vector<std::pair<std::uint64_t, ClaimRecord>> claims;
+        std::vector<Outcome> outcomes;
+        int lostAnswers = 0;
+    };
+
+    using WaiterMap = absl::btree_map<std::uint64_t, Waiter>;
+
+    // Requests.
+    std::optional<Refusal> checkKey(const ClaimRequest &request, absl::Time now) const;
+    /** Answers the waiter if the log decides; true when it has been answered. */
+    bool answerFromLog(const Waiter &waiter, absl::Time now, ClaimActions &actions);
+    /** The waiter's key may be claimed now. */
+    bool isClaimable(const Waiter &waiter, absl::Time now) const;
+    bool isAttemptOver(const ClaimEntry &entry, absl::Time now) const;
+    void refuse(const Waiter &waiter, RefusalReason reason, bool notRun, absl::Duration retryAfter,
+                ClaimActions &actions) const;
+    void expireWaiters(absl::Time now, ClaimActions &actions);
+    void resolve(absl::Time now, ClaimActions &actions);
+
+    // Store.
+    void step(absl::Time now, ClaimActions &actions);
+    bool needsStore() const;
+    /** A reported claim may be missing from the own copy of the log. */
+    bool isBehindOutcomes();
+    void load(ClaimActions &actions);
+    void refresh(ClaimActions &actions);
+    void flush(absl::Time now, ClaimActions &actions);
+    bool addOutcomes(Batch &batch, absl::Time now, ClaimActions &actions);
+    bool addClaims(Batch &batch, absl::Time now);
+    void write(ClaimActions &actions);
+    void onListReply(const StoreReply &reply, absl::Time now, ClaimActions &actions);
+    void onWriteReply(const StoreReply &reply, absl::Time now, ClaimActions &actions);
+    void onReadReply(const StoreReply &reply, absl::Time now, ClaimActions &actions);
+    /** Ends a batch whose records are in the log. */
+    void commit(absl::Time now, ClaimActions &actions);
+    /** Returns the contents of a batch that is not in the log. */
+    void withdrawBatch();
+    void goDown(absl::Time now, ClaimActions &actions);
+    void goIdle();
+    bool isBatchInLog() const;
+    void freeAbandoned(absl::Time now);
+
+    std::string slotKey(std::uint64_t slot) const;
+    absl::Time wall(absl::Time now) const { return now + this->wallOffset; }
+    std::uint64_t nextAttempt();
+
+    ClaimSettings settings;
+    std::string holder;
+    ClaimLog log;
+    Phase phase = Phase::Unloaded;
+    std::uint64_t lastToken = 0;
+    std::uint64_t readSlot = 0;
+    std::uint64_t lastWaiter = 0;
+    std::uint64_t attemptCount = 0;
+    WaiterMap waiters;
+    std::deque<Outcome> outcomes;
+    std::optional<Batch> batch;
+    /** Attempts of refused requests that may be, or may come to be, in the log. */
+    absl::flat_hash_set<std::uint64_t> abandoned;
+    /** A write without an answer may still take effect until the slot has another version. */
+    bool needsBarrier = false;
+    int failures = 0;
+    absl::Time flushAt = absl::InfiniteFuture();
+    absl::Time pollAt = absl::InfiniteFuture();
+    absl::Time probeAt = absl::InfinitePast();
+    /** Wall clock minus the clock of `now`, from the last request or report. */
+    absl::Duration wallOffset = absl::ZeroDuration();
+};
+
+} // namespace foxtailtally
