--- /dev/null
+++ b/load/experiment/engine_fleet.cpp
@@ -0,0 +1,118 @@
+#include "load/experiment/engine_fleet.h"
+
+#include "load/experiment/engine_timing.h"
+
+#include <utility>
+
+namespace foxtailtally {
+
+namespace {
+
+/** Virtual time before the start of an experiment in which the engines become warm. */
+constexpr absl::Duration kWarmUpTime = absl::Minutes(1);
+
+} // namespace
+
+EngineFleet::EngineFleet(std::vector<BackendServer> servers, const EngineOptions &options,
+                         EventLoop &loop, Listener listener)
+    : facts(std::move(servers))
+    , loop(loop)
+    , listener(std::move(listener))
+    , scheduled(this->facts.size(), absl::InfiniteFuture())
+    , heldDown(this->facts.size(), false)
+{
+    for (std::size_t i = 0; i < this->facts.size(); ++i) {
+        EngineOptions own = options;
+        own.seed = options.seed + i;
+        const absl::Time begin = loop.now() - kWarmUpTime;
+        this->engines.push_back(std::make_unique<EngineModel>(this->facts[i].id, 1, own, begin));
+        warmUp(*this->engines.back(), own, begin);
+        this->indexes[this->facts[i].id] = i;
+    }
+}
+
+EngineSubmitResult EngineFleet::submit(std::size_t server, const EngineRequest &request)
+{
+    this->advance(server);
+    std::vector<EngineAction> actions;
+    const EngineSubmitResult result =
+        this->engines[server]->submit(request, this->loop.now(), actions);
+    this->deliver(server, actions);
+    this->schedule(server);
+    return result;
+}
+
+void EngineFleet::cancel(std::size_t server, const RequestId &request)
+{
+    this->advance(server);
+    this->engines[server]->cancel(request, this->loop.now());
+}
+
+std::error_code EngineFleet::reserve(std::size_t server, const EngineHold &hold)
+{
+    this->advance(server);
+    return this->engines[server]->reserve(hold, this->loop.now());
+}
+
+void EngineFleet::freeReservation(std::size_t server, const std::string &id)
+{
+    this->advance(server);
+    this->engines[server]->freeReservation(id, this->loop.now());
+}
+
+void EngineFleet::kill(std::size_t server, bool untilRestart)
+{
+    this->heldDown[server] = untilRestart;
+    std::vector<EngineAction> actions;
+    this->engines[server]->kill(this->loop.now(), actions);
+    this->deliver(server, actions);
+}
+
+void EngineFleet::restart(std::size_t server)
+{
+    this->heldDown[server] = false;
+    this->engines[server]->restart(this->loop.now());
+}
+
+void EngineFleet::turnCold(std::size_t server)
+{
+    this->advance(server);
+    this->engines[server]->turnCold(this->loop.now());
+}
+
+void EngineFleet::advance(std::size_t server)
+{
+    std::vector<EngineAction> actions;
+    this->engines[server]->advance(this->loop.now(), actions);
+    this->deliver(server, actions);
+}
+
+void EngineFleet::deliver(std::size_t server, const std::vector<EngineAction> &actions)
+{
+    for (const EngineAction &action : actions) {
+        if (std::holds_alternative<EngineDied>(action)) {
+            this->loop.after(kRestartDelay, [this, server]() {
+                if (!this->heldDown[server])
+                    this->engines[server]->restart(this->loop.now());
+            });
+        }
+        this->listener(server, action);
+    }
+}
+
+void EngineFleet::schedule(std::size_t server)
+{
+    const absl::Time next = this->engines[server]->nextEventAt();
+    if (next == absl::InfiniteFuture() || this->scheduled[server] == next)
+        return;
+    this->scheduled[server] = next;
+    this->loop.at(next, [this, server, next]() {
+        if (this->scheduled[server] != next)
+            return;
+        this->scheduled[server] = absl::InfiniteFuture();
+        this->advance(server);
+        this->schedule(server);
+    });
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/load/experiment/engine_fleet.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "core/backend_server.h"
+#include "load/experiment/event_loop.h"
+#include "standins/lib/engine_model.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace foxtailtally {
+
+/** Engine models of one experiment, advanced by the event loop. */
+class EngineFleet
+{
+public:
+    /** Receives what happened on an engine at the loop's present time. */
+    using Listener = std::function<void(std::size_t server, const EngineAction &action)>;
+
+    /** Servers start warm. A dead server is started again, cold, after kRestartDelay. */
+    EngineFleet(std::vector<BackendServer> servers, const EngineOptions &options, EventLoop &loop,
+                Listener listener);
+
+    /** Time until the platform has replaced a dead server. */
+    static constexpr absl::Duration kRestartDelay = absl::Seconds(30);
+
+    const std::vector<BackendServer> &servers() const { return this->facts; }
+    std::size_t indexOf(const BackendServerId &server) const { return this->indexes.at(server); }
+    EngineModel &engine(std::size_t server) { return *this->engines[server]; }
+
+    EngineSubmitResult submit(std::size_t server, const EngineRequest &request);
+    void cancel(std::size_t server, const RequestId &request);
+    std::error_code reserve(std::size_t server, const EngineHold &hold);
+    void freeReservation(std::size_t server, const std::string &id);
+    /** Kills the engine; it stays dead until restart() when @p untilRestart is set. */
+    void kill(std::size_t server, bool untilRestart);
+    void restart(std::size_t server);
+    void turnCold(std::size_t server);
+
+private:
+    void advance(std::size_t server);
+    void deliver(std::size_t server, const std::vector<EngineAction> &actions);
+    void schedule(std::size_t server);
+
+    std::vector<BackendServer> facts;
+    EventLoop &loop;
+    Listener listener;
+    std::vector<std::unique_ptr<EngineModel>> engines;
+    std::vector<absl::Time> scheduled;
+    std::vector<bool> heldDown;
+    absl::flat_hash_map<BackendServerId, std::size_t> indexes;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/load/experiment/simulation.cpp
@@ -0,0 +1,505 @@
+#include "load/experiment/simulation.h"
+
+#include "load/experiment/simulation_state.h"
+#include "servers/routing/policy_registry.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace foxtailtally {
+
+namespace {
+
+constexpr absl::Duration kGossipInterval = absl::Seconds(1);
+/** Gossip within a domain and between domains reaches the entry instances this much later. */
+constexpr absl::Duration kGossipLag = absl::Milliseconds(500);
+constexpr absl::Duration kRemoteGossipLag = absl::Milliseconds(1500);
+constexpr absl::Duration kLoadPollInterval = absl::Milliseconds(250);
+constexpr absl::Duration kTickInterval = absl::Milliseconds(20);
+/** Latency between an instance and a server or instance of its own domain. */
+constexpr absl::Duration kLocalLatency = absl::Microseconds(100);
+/** Time after which an entry instance gives up on an owner that does not respond. */
+constexpr absl::Duration kOwnerTimeout = absl::Milliseconds(500);
+/** The load balancer or the caller turns to another entry instance after this time. */
+constexpr absl::Duration kEntryTimeout = absl::Seconds(1);
+/** Retries after a broken stream, from design section 8. */
+constexpr int kMaxRetries = 2;
+/** Requests still running at the end of the trace get this long, above the longest deadline. */
+constexpr absl::Duration kDrainTime = absl::Seconds(310);
+
+} // namespace
+
+Simulation::Simulation(const SimulationInput &input, const PolicyPair &policy)
+    : input(input)
+    , policy(makeRoutingPolicy(policy.routing))
+    , admissionName(policy.admission)
+    , random(input.options.seed)
+    , loop(input.start)
+    , fleet(this->makeServers(), input.engineOptions, this->loop,
+            [this](std::size_t server, const EngineAction &action) {
+                this->onEngineAction(server, action);
+            })
+    , flows(input.trace.size())
+    , eventSequence(static_cast<std::size_t>(input.deployment.servers()), 0)
+{
+    this->result.policy = policy.name();
+    this->result.records.resize(input.trace.size());
+    for (const BackendServer &server : this->fleet.servers()) {
+        const auto [place, isNew] = this->groupIndex.try_emplace(server.group, this->groups.size());
+        if (isNew)
+            this->groups.emplace_back().domain =
+                static_cast<int>(place->second) % input.deployment.domains;
+        this->groups[place->second].servers.push_back(server);
+    }
+    for (Group &group : this->groups)
+        group.owner = makeAdmissionModel(this->admissionName, group.servers, this->loop.now());
+    for (int i = 0; i < input.deployment.entryInstances; ++i) {
+        Entry &entry = this->entries.emplace_back();
+        entry.domain = i % input.deployment.domains;
+        entry.builder.setLocalDomain(domainName(entry.domain));
+        for (Group &group : this->groups)
+            entry.builder.setSummary(group.owner->summary(this->loop.now()), this->loop.now());
+        entry.view = entry.builder.build();
+    }
+    for (std::size_t i = 0; i < this->flows.size(); ++i) {
+        Flow &flow = this->flows[i];
+        flow.profile = input.trace[i].profile;
+        flow.profile.deadline = input.start + input.trace[i].sendAt + input.trace[i].deadline;
+    }
+}
+
+Simulation::~Simulation() = default;
+
+std::vector<BackendServer> Simulation::makeServers() const
+{
+    std::vector<BackendServer> servers;
+    const EngineOptions &options = this->input.engineOptions;
+    for (std::size_t group = 0; group < this->input.deployment.groupServers.size(); ++group) {
+        for (int i = 0; i < this->input.deployment.groupServers[group]; ++i) {
+            BackendServer &server = servers.emplace_back();
+            server.id = BackendServerId(absl::StrCat("server-", servers.size() - 1));
+            server.group = GroupId(absl::StrCat("group-", group));
+            server.domain = domainName(static_cast<int>(group) % this->input.deployment.domains);
+            server.model = ModelId(std::string(this->input.deployment.model));
+            server.memoryTokens = options.memoryTokens;
+            server.coldLimit = options.coldLimit;
+            server.warmLimit = options.warmLimit;
+        }
+    }
+    return servers;
+}
+
+PolicyResult Simulation::run()
+{
+    this->startPeriodicWork();
+    this->scheduleFaults();
+    for (std::size_t i = 0; i < this->flows.size(); ++i) {
+        const absl::Time sendAt = this->input.start + this->input.trace[i].sendAt;
+        this->loop.at(sendAt, [this, i]() { this->arrive(i); });
+        this->loop.at(this->flows[i].profile.deadline, [this, i]() { this->onDeadline(i); });
+    }
+    this->loop.runUntil(this->input.start + this->input.options.length + kDrainTime);
+    return std::move(this->result);
+}
+
+void Simulation::startPeriodicWork()
+{
+    for (std::size_t server = 0; server < this->fleet.servers().size(); ++server)
+        this->loop.after(kLoadPollInterval * this->random.uniform(),
+                         [this, server]() { this->pollLoad(server); });
+    for (std::size_t group = 0; group < this->groups.size(); ++group) {
+        this->loop.after(kGossipInterval * this->random.uniform(),
+                         [this, group]() { this->gossip(group); });
+        this->loop.after(kTickInterval, [this, group]() { this->tick(group); });
+    }
+    this->loop.after(kGossipInterval, [this]() { this->learnPrefixes(); });
+}
+
+void Simulation::gossip(std::size_t group)
+{
+    this->loop.after(kGossipInterval, [this, group]() { this->gossip(group); });
+    const Group &source = this->groups[group];
+    if (source.isLost)
+        return;
+    const GroupSummary summary = source.owner->summary(this->loop.now());
+    for (Entry &entry : this->entries) {
+        const absl::Duration lag = entry.domain == source.domain ? kGossipLag : kRemoteGossipLag;
+        this->loop.after(lag,
+                         [this, &entry, summary]() { entry.learn(summary, this->loop.now()); });
+    }
+}
+
+void Simulation::learnPrefixes()
+{
+    this->loop.after(kGossipInterval, [this]() { this->learnPrefixes(); });
+    for (std::size_t server = 0; server < this->eventSequence.size(); ++server) {
+        const GroupId &group = this->fleet.servers()[server].group;
+        const EngineEvents events =
+            this->fleet.engine(server).events(this->eventSequence[server], this->loop.now());
+        for (const CacheEvent &event : events.events) {
+            this->eventSequence[server] = event.sequence;
+            if (event.isStored)
+                this->prefixes.onStored(group, event.block, this->loop.now());
+            else
+                this->prefixes.onEvicted(group, event.block);
+        }
+    }
+    const auto snapshot = std::make_shared<const PrefixIndex>(this->prefixes);
+    for (Entry &entry : this->entries) {
+        entry.builder.setPrefixes(snapshot);
+        entry.view = entry.builder.build();
+    }
+}
+
+void Simulation::pollLoad(std::size_t server)
+{
+    this->loop.after(kLoadPollInterval, [this, server]() { this->pollLoad(server); });
+    const std::size_t group = this->groupIndex.at(this->fleet.servers()[server].group);
+    EngineModel &engine = this->fleet.engine(server);
+    if (this->groups[group].isLost || !engine.isAlive())
+        return;
+    const LoadReport report = engine.load(this->loop.now());
+    this->perform(group, this->groups[group].owner->onLoadReport(report, this->loop.now()));
+}
+
+void Simulation::tick(std::size_t group)
+{
+    this->loop.after(kTickInterval, [this, group]() { this->tick(group); });
+    if (!this->groups[group].isLost)
+        this->perform(group, this->groups[group].owner->onTick(this->loop.now()));
+}
+
+absl::Duration Simulation::latency(int from, int to) const
+{
+    return from == to ? kLocalLatency : this->input.deployment.interDomainLatency;
+}
+
+std::size_t Simulation::pickEntry()
+{
+    return this->random.below(this->entries.size());
+}
+
+void Simulation::arrive(std::size_t request)
+{
+    Flow &flow = this->flows[request];
+    if (flow.isDone)
+        return;
+    const std::size_t entry = this->pickEntry();
+    if (this->entries[entry].isLost) {
+        this->loop.after(kEntryTimeout, [this, request]() { this->arrive(request); });
+        return;
+    }
+    flow.entry = entry;
+    this->loop.after(this->input.deployment.clientLatency,
+                     [this, request]() { this->route(request); });
+}
+
+void Simulation::route(std::size_t request)
+{
+    Flow &flow = this->flows[request];
+    if (flow.isDone)
+        return;
+    flow.ranked = this->policy->rank(*this->entries[flow.entry].view, flow.profile,
+                                     this->loop.now(), this->random);
+    flow.nextRanked = 0;
+    flow.lastReason = RefusalReason::NoServer;
+    this->tryNextGroup(request);
+}
+
+void Simulation::tryNextGroup(std::size_t request)
+{
+    Flow &flow = this->flows[request];
+    if (flow.isDone)
+        return;
+    if (flow.nextRanked >= flow.ranked.size()) {
+        this->finish(request, flow.hasRun ? RequestOutcome::Failed : RequestOutcome::Refused,
+                     flow.lastReason);
+        return;
+    }
+    const std::size_t group = this->groupIndex.at(flow.ranked[flow.nextRanked++]);
+    const absl::Duration delay =
+        this->latency(this->entries[flow.entry].domain, this->groups[group].domain);
+    const int attempt = ++flow.attempt;
+    this->loop.after(delay, [this, request, group, attempt]() {
+        if (!this->flows[request].isDone && this->flows[request].attempt == attempt)
+            this->reserve(request, group);
+    });
+}
+
+void Simulation::reserve(std::size_t request, std::size_t group)
+{
+    Flow &flow = this->flows[request];
+    if (this->groups[group].isLost) {
+        const int attempt = flow.attempt;
+        this->loop.after(kOwnerTimeout, [this, request, group, attempt]() {
+            if (!this->flows[request].isDone && this->flows[request].attempt == attempt)
+                this->onUnreachable(request, group);
+        });
+        return;
+    }
+    flow.group = group;
+    flow.isWaiting = true;
+    RequestProfile profile = flow.profile;
+    // Each attempt has its own id, so that the response to an old one is not taken for a new one.
+    profile.id = RequestId(absl::StrCat(flow.profile.id.str(), "#", flow.attempt));
+    this->flowIndex[profile.id] = request;
+    flow.attemptId = profile.id;
+    if (this->groups[group].isOut) {
+        this->onRefused(request, group, {RefusalReason::DomainOut, true, absl::Seconds(1)});
+        return;
+    }
+    this->perform(group, this->groups[group].owner->reserve(profile, this->loop.now()));
+}
+
+void Simulation::onUnreachable(std::size_t request, std::size_t group)
+{
+    Flow &flow = this->flows[request];
+    Entry &entry = this->entries[flow.entry];
+    // The group stays out of this entry instance's view until it hears of it again.
+    entry.builder.removeGroup(this->groups[group].servers.front().group);
+    entry.view = entry.builder.build();
+    flow.lastReason = RefusalReason::ServerLost;
+    this->tryNextGroup(request);
+}
+
+void Simulation::perform(std::size_t group, const AdmissionActions &actions)
+{
+    for (const AdmissionAction &action : actions) {
+        const auto *grant = std::get_if<Grant>(&action);
+        const auto *refused = std::get_if<ReservationRefused>(&action);
+        const RequestId &id = grant != nullptr ? grant->request : refused->request;
+        const auto found = this->flowIndex.find(id);
+        if (found == this->flowIndex.end())
+            continue;
+        const std::size_t request = found->second;
+        const Flow &flow = this->flows[request];
+        const absl::Duration delay =
+            this->latency(this->groups[group].domain, this->entries[flow.entry].domain);
+        const GroupSummary summary = this->groups[group].owner->summary(this->loop.now());
+        this->loop.after(delay, [this, request, group, action, id, summary]() {
+            Flow &target = this->flows[request];
+            this->entries[target.entry].learn(summary, this->loop.now());
+            const bool isCurrent = !target.isDone && target.isWaiting && target.attemptId == id;
+            if (const auto *granted = std::get_if<Grant>(&action)) {
+                if (isCurrent)
+                    this->onGranted(request, group, *granted);
+                else
+                    this->perform(
+                        group,
+                        this->groups[group].owner->release(
+                            {granted->permit, PermitOutcome::NotStarted, {}, 0}, this->loop.now()));
+            } else if (isCurrent) {
+                this->onRefused(request, group, std::get<ReservationRefused>(action).refusal);
+            }
+        });
+    }
+}
+
+void Simulation::onRefused(std::size_t request, std::size_t /*group*/, const Refusal &refusal)
+{
+    Flow &flow = this->flows[request];
+    flow.isWaiting = false;
+    flow.lastReason = refusal.reason;
+    this->tryNextGroup(request);
+}
+
+void Simulation::onGranted(std::size_t request, std::size_t group, const Grant &grant)
+{
+    Flow &flow = this->flows[request];
+    flow.isWaiting = false;
+    flow.permit = grant.permit;
+    flow.permitGroup = group;
+    flow.servers.clear();
+    for (const BackendServerId &server : grant.servers)
+        flow.servers.push_back(this->fleet.indexOf(server));
+    flow.hasRun = true;
+    const absl::Duration delay =
+        this->latency(this->entries[flow.entry].domain, this->groups[group].domain);
+    const int attempt = flow.attempt;
+    this->loop.after(delay, [this, request, attempt]() {
+        if (!this->flows[request].isDone && this->flows[request].attempt == attempt)
+            this->startOnEngine(request);
+    });
+}
+
+void Simulation::startOnEngine(std::size_t request)
+{
+    Flow &flow = this->flows[request];
+    if (!this->reserveParts(flow)) {
+        this->onBroken(request, PermitOutcome::ServerRefused);
+        return;
+    }
+    EngineRequest engineRequest;
+    engineRequest.id = flow.attemptId;
+    engineRequest.promptTokens = flow.profile.promptTokens;
+    engineRequest.maxNewTokens = flow.profile.maxNewTokens;
+    engineRequest.prefixBlocks = flow.profile.prefixBlocks;
+    engineRequest.reservedElsewhere = flow.reservedElsewhere;
+    if (this->groups[flow.permitGroup].owner->usesPriorities())
+        engineRequest.priority = flow.profile.requestClass;
+    flow.startedAt = this->loop.now();
+    const int attempt = flow.attempt;
+    const EngineSubmitResult submitted = this->fleet.submit(flow.servers.front(), engineRequest);
+    // A death on submission has already ended the attempt.
+    const bool isCurrent = !flow.isDone && flow.attempt == attempt && flow.permit != 0;
+    if (submitted != EngineSubmitResult::Accepted && isCurrent)
+        this->onBroken(request,
+                       submitted == EngineSubmitResult::Dead ? PermitOutcome::ServerLost
+                                                             : PermitOutcome::ServerRefused);
+}
+
+bool Simulation::reserveParts(Flow &flow)
+{
+    flow.reservedElsewhere = 0;
+    std::int64_t rest = flow.profile.memoryTokens() - this->input.engineOptions.memoryTokens;
+    for (std::size_t i = 1; i < flow.servers.size() && rest > 0; ++i) {
+        EngineModel &engine = this->fleet.engine(flow.servers[i]);
+        const std::int64_t part =
+            std::min(rest, this->input.engineOptions.memoryTokens - engine.heldTokens());
+        const EngineHold hold {flow.attemptId.str(), "entry", part, flow.profile.deadline};
+        if (part <= 0 || this->fleet.reserve(flow.servers[i], hold)) {
+            this->freeParts(flow);
+            return false;
+        }
+        rest -= part;
+        flow.reservedElsewhere += part;
+    }
+    if (rest > 0)
+        this->freeParts(flow);
+    return rest <= 0;
+}
+
+void Simulation::freeParts(Flow &flow)
+{
+    for (std::size_t i = 1; i < flow.servers.size(); ++i)
+        this->fleet.freeReservation(flow.servers[i], flow.attemptId.str());
+}
+
+void Simulation::onEngineAction(std::size_t server, const EngineAction &action)
+{
+    const BackendServerId &id = this->fleet.servers()[server].id;
+    const auto flowOf = [this](const RequestId &request) { return this->flowIndex.at(request); };
+    if (const auto *token = std::get_if<TokenProduced>(&action)) {
+        this->onFirstToken(flowOf(token->request));
+    } else if (const auto *finished = std::get_if<RequestFinished>(&action)) {
+        this->onFinished(flowOf(finished->request));
+    } else if (const auto *aborted = std::get_if<RequestAborted>(&action)) {
+        this->onBroken(flowOf(aborted->request), PermitOutcome::ServerLost);
+    } else if (const auto *died = std::get_if<EngineDied>(&action)) {
+        static constexpr const char *kCauses[] = {"cold_overload", "memory_exceeded",
+                                                  "poisonous_prompt", "killed"};
+        ++this->result.engineDeaths[kCauses[static_cast<int>(died->cause)]];
+        this->result.coldOverloads += died->cause == EngineDeathCause::ColdOverload ? 1 : 0;
+        const std::size_t group = this->groupIndex.at(this->fleet.servers()[server].group);
+        if (!this->groups[group].isLost)
+            this->perform(group, this->groups[group].owner->onServerLost(id, this->loop.now()));
+        for (const RequestId &request : died->requests)
+            this->onBroken(flowOf(request), PermitOutcome::ServerLost);
+    }
+}
+
+void Simulation::onFirstToken(std::size_t request)
+{
+    Flow &flow = this->flows[request];
+    if (flow.isDone || flow.firstTokenAt != absl::InfiniteFuture())
+        return;
+    const int from = this->groups[flow.permitGroup].domain;
+    flow.firstTokenAt = this->loop.now() + this->latency(from, this->entries[flow.entry].domain)
+        + this->input.deployment.clientLatency;
+}
+
+void Simulation::onFinished(std::size_t request)
+{
+    Flow &flow = this->flows[request];
+    if (flow.isDone || flow.permit == 0)
+        return;
+    const int from = this->groups[flow.permitGroup].domain;
+    const absl::Duration delay = this->latency(from, this->entries[flow.entry].domain);
+    this->release(flow, PermitOutcome::Finished);
+    this->loop.after(delay + this->input.deployment.clientLatency, [this, request]() {
+        if (!this->flows[request].isDone)
+            this->finish(request, RequestOutcome::Ok, RefusalReason::None);
+    });
+}
+
+void Simulation::onBroken(std::size_t request, PermitOutcome outcome)
+{
+    Flow &flow = this->flows[request];
+    if (flow.isDone || flow.permit == 0)
+        return;
+    this->release(flow, outcome);
+    if (flow.retries >= kMaxRetries) {
+        this->finish(request, RequestOutcome::Failed, RefusalReason::ServerLost);
+        return;
+    }
+    ++flow.retries;
+    const int attempt = flow.attempt;
+    const absl::Duration delay =
+        this->latency(this->groups[flow.permitGroup].domain, this->entries[flow.entry].domain);
+    this->loop.after(delay, [this, request, attempt]() {
+        if (this->flows[request].attempt == attempt)
+            this->route(request);
+    });
+}
+
+void Simulation::onDeadline(std::size_t request)
+{
+    Flow &flow = this->flows[request];
+    if (flow.isDone)
+        return;
+    if (flow.isWaiting && !this->groups[flow.group].isLost)
+        this->perform(flow.group,
+                      this->groups[flow.group].owner->cancel(flow.attemptId, this->loop.now()));
+    if (flow.permit != 0) {
+        this->fleet.cancel(flow.servers.front(), flow.attemptId);
+        // Advancing the engine may have completed the request at this very moment.
+        if (flow.permit != 0)
+            this->release(flow, PermitOutcome::Cancelled);
+    }
+    if (!flow.isDone)
+        this->finish(request, flow.hasRun ? RequestOutcome::Late : RequestOutcome::Refused,
+                     RefusalReason::TimedOut);
+}
+
+void Simulation::release(Flow &flow, PermitOutcome outcome)
+{
+    this->freeParts(flow);
+    PermitRelease release {flow.permit, outcome, absl::ZeroDuration(), 0};
+    flow.permit = 0;
+    if (flow.firstTokenAt != absl::InfiniteFuture() && flow.retries == 0) {
+        release.timeToFirstToken = flow.firstTokenAt - flow.startedAt;
+        release.newTokens = outcome == PermitOutcome::Finished ? flow.profile.maxNewTokens : 0;
+    }
+    const std::size_t group = flow.permitGroup;
+    const std::uint64_t life = this->groups[group].ownerLife;
+    const absl::Duration delay =
+        this->latency(this->entries[flow.entry].domain, this->groups[group].domain);
+    this->loop.after(delay, [this, group, life, release]() {
+        Group &target = this->groups[group];
+        if (!target.isLost && target.ownerLife == life)
+            this->perform(group, target.owner->release(release, this->loop.now()));
+    });
+}
+
+void Simulation::finish(std::size_t request, RequestOutcome outcome, RefusalReason reason)
+{
+    Flow &flow = this->flows[request];
+    flow.isDone = true;
+    flow.isWaiting = false;
+    const TracedRequest &traced = this->input.trace[request];
+    RequestRecord &record = this->result.records[request];
+    record = this->input.idle[request];
+    record.sentAt = traced.sendAt;
+    record.endedAt = this->loop.now() - this->input.start;
+    record.requestClass = flow.profile.requestClass;
+    record.promptTokens = flow.profile.promptTokens;
+    record.newTokens = flow.profile.maxNewTokens;
+    record.outcome = outcome;
+    record.reason = reason;
+    if (flow.firstTokenAt != absl::InfiniteFuture())
+        record.timeToFirstToken = flow.firstTokenAt - (this->input.start + traced.sendAt);
+    if (outcome == RequestOutcome::Ok)
+        record.total = record.endedAt - record.sentAt;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/load/experiment/simulation.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "core/random.h"
+#include "load/experiment/admission_model.h"
+#include "load/experiment/engine_fleet.h"
+#include "load/experiment/event_loop.h"
+#include "load/experiment/experiment_options.h"
+#include "load/experiment/experiment_result.h"
+#include "servers/routing/routing_policy.h"
+#include "servers/routing/routing_view_builder.h"
+
+#include <memory>
+#include <span>
+#include <vector>
+
+namespace foxtailtally {
+
+/** What all policies of an experiment have in common. */
+struct SimulationInput
+{
+    const ExperimentOptions &options;
+    const Deployment &deployment;
+    EngineOptions engineOptions;
+    std::span<const TracedRequest> trace;
+    /** Time from the start of the trace; results have the same base. */
+    absl::Time start;
+    /** Time to first token and total time on an idle engine, for each request of the trace. */
+    std::span<const RequestRecord> idle;
+};
+
+/**
+ * Runs one trace in virtual time through the real routing and admission code: callers, entry
+ * instances with lagging views, owners of groups, and engines. Messages take the deployment's
+ * latencies.
+ */
+class Simulation
+{
+public:
+    Simulation(const SimulationInput &input, const PolicyPair &policy);
+    ~Simulation();
+    Simulation(const Simulation &) = delete;
+    Simulation &operator=(const Simulation &) = delete;
+
+    PolicyResult run();
+
+private:
+    struct Entry;
+    struct Group;
+    struct Flow;
+
+    // Set-up and periodic work.
+    std::vector<BackendServer> makeServers() const;
+    void startPeriodicWork();
+    void gossip(std::size_t group);
+    void learnPrefixes();
+    void pollLoad(std::size_t server);
+    void tick(std::size_t group);
+
+    // The way of a request.
+    void arrive(std::size_t request);
+    void route(std::size_t request);
+    void tryNextGroup(std::size_t request);
+    void reserve(std::size_t request, std::size_t group);
+    void onUnreachable(std::size_t request, std::size_t group);
+    void perform(std::size_t group, const AdmissionActions &actions);
+    void onRefused(std::size_t request, std::size_t group, const Refusal &refusal);
+    void onGranted(std::size_t request, std::size_t group, const Grant &grant);
+    void startOnEngine(std::size_t request);
+    bool reserveParts(Flow &flow);
+    void freeParts(Flow &flow);
+    void onEngineAction(std::size_t server, const EngineAction &action);
+    void onFirstToken(std::size_t request);
+    void onFinished(std::size_t request);
+    void onBroken(std::size_t request, PermitOutcome outcome);
+    void onDeadline(std::size_t request);
+    void release(Flow &flow, PermitOutcome outcome);
+    void finish(std::size_t request, RequestOutcome outcome, RefusalReason reason);
+
+    // Faults.
+    void scheduleFaults();
+    void loseDomain(int domain);
+    void returnDomain(int domain);
+    void setDomainOut(int domain, bool isOut);
+
+    absl::Duration latency(int from, int to) const;
+    int domainOf(std::size_t server) const;
+    std::size_t pickEntry();
+
+    const SimulationInput &input;
+    std::unique_ptr<RoutingPolicy> policy;
+    std::string admissionName;
+    Random random;
+    EventLoop loop;
+    EngineFleet fleet;
+    std::vector<Entry> entries;
+    std::vector<Group> groups;
+    std::vector<Flow> flows;
+    absl::flat_hash_map<GroupId, std::size_t> groupIndex;
+    absl::flat_hash_map<RequestId, std::size_t> flowIndex;
+    std::vector<std::uint64_t> eventSequence;
+    PrefixIndex prefixes;
+    PolicyResult result;
+};
+
+/** Runs every policy of @p options on the same trace. */
+ExperimentResult runPolicies(const ExperimentOptions &options);
+
+} // namespace foxtailtally
--- /dev/null
+++ b/load/experiment/simulation_faults.cpp
@@ -0,0 +1,110 @@
+#include "load/experiment/simulation.h"
+#include "load/experiment/simulation_state.h"
+
+namespace foxtailtally {
+
+namespace {
+
+/** Operators' orders and new rosters are in force everywhere within this time. */
+constexpr absl::Duration kConfigurationSpread = absl::Seconds(3);
+/** A new owner waits for the old loans to expire and for a load report, design section 4. */
+constexpr absl::Duration kTakeoverDelay = absl::Seconds(11);
+
+} // namespace
+
+void Simulation::scheduleFaults()
+{
+    for (const ExperimentFault &fault : this->input.options.faults) {
+        const absl::Time begin = this->input.start + fault.begin;
+        const absl::Time end = this->input.start + fault.end;
+        const int target = fault.target;
+        const auto server = static_cast<std::size_t>(target);
+        switch (fault.kind) {
+        case FaultKind::DomainLost:
+            this->loop.at(begin, [this, target]() { this->loseDomain(target); });
+            this->loop.at(end, [this, target]() { this->returnDomain(target); });
+            break;
+        case FaultKind::DomainOut:
+            this->loop.at(begin, [this, target]() { this->setDomainOut(target, true); });
+            this->loop.at(end, [this, target]() { this->setDomainOut(target, false); });
+            break;
+        case FaultKind::ServerLost:
+            this->loop.at(begin, [this, server]() { this->fleet.kill(server, true); });
+            this->loop.at(end, [this, server]() { this->fleet.restart(server); });
+            break;
+        case FaultKind::ServerCold:
+            this->loop.at(begin, [this, server]() { this->fleet.turnCold(server); });
+            break;
+        }
+    }
+}
+
+void Simulation::loseDomain(int domain)
+{
+    for (Group &group : this->groups)
+        group.isLost = group.isLost || group.domain == domain;
+    for (Entry &entry : this->entries)
+        entry.isLost = entry.isLost || entry.domain == domain;
+    for (std::size_t i = 0; i < this->flows.size(); ++i) {
+        Flow &flow = this->flows[i];
+        const bool isOnEntry =
+            !flow.isDone && (flow.attempt > 0) && this->entries[flow.entry].domain == domain;
+        if (isOnEntry) {
+            // The caller's connection breaks. Engines of other domains notice and cancel, and the
+            // caller sends again through another instance.
+            if (flow.permit != 0) {
+                this->fleet.cancel(flow.servers.front(), flow.attemptId);
+                this->release(flow, PermitOutcome::Cancelled);
+            }
+            flow.isWaiting = false;
+            ++flow.attempt;
+            this->arrive(i);
+        } else if (!flow.isDone && flow.isWaiting && this->groups[flow.group].domain == domain) {
+            flow.isWaiting = false;
+            flow.lastReason = RefusalReason::ServerLost;
+            this->tryNextGroup(i);
+        }
+    }
+    for (std::size_t server = 0; server < this->fleet.servers().size(); ++server) {
+        if (this->fleet.servers()[server].domain == domainName(domain))
+            this->fleet.kill(server, true);
+    }
+}
+
+void Simulation::returnDomain(int domain)
+{
+    for (std::size_t server = 0; server < this->fleet.servers().size(); ++server) {
+        if (this->fleet.servers()[server].domain == domainName(domain))
+            this->fleet.restart(server);
+    }
+    for (Entry &entry : this->entries) {
+        if (entry.domain == domain)
+            entry.isLost = false;
+    }
+    this->loop.after(kTakeoverDelay, [this, domain]() {
+        for (Group &group : this->groups) {
+            if (group.domain != domain)
+                continue;
+            group.isLost = false;
+            ++group.ownerLife;
+            group.owner = makeAdmissionModel(this->admissionName, group.servers, this->loop.now());
+        }
+    });
+}
+
+void Simulation::setDomainOut(int domain, bool isOut)
+{
+    for (Group &group : this->groups) {
+        if (group.domain == domain)
+            this->loop.after(kConfigurationSpread * this->random.uniform(),
+                             [&group, isOut]() { group.isOut = isOut; });
+    }
+    for (Entry &entry : this->entries) {
+        this->loop.after(kConfigurationSpread * this->random.uniform(), [&entry, domain, isOut]() {
+            entry.builder.setDomainOut(domainName(domain), isOut);
+            entry.view = entry.builder.build();
+        });
+    }
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/load/experiment/simulation_state.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "load/experiment/simulation.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace foxtailtally {
+
+inline FailureDomainId domainName(int domain)
+{
+    return FailureDomainId(absl::StrCat("domain-", domain));
+}
+
+/** An entry instance with its own view of the groups. */
+struct Simulation::Entry
+{
+    int domain = 0;
+    bool isLost = false;
+    RoutingViewBuilder builder;
+    std::unique_ptr<const RoutingView> view;
+
+    void learn(const GroupSummary &summary, absl::Time now)
+    {
+        if (this->isLost)
+            return;
+        this->builder.setSummary(summary, now);
+        this->view = this->builder.build();
+    }
+};
+
+/** A server group and its owner, which runs in the group's domain. */
+struct Simulation::Group
+{
+    int domain = 0;
+    bool isLost = false;
+    /** Operators have taken the domain out and the order has reached the owner. */
+    bool isOut = false;
+    /** Tells permits of this owner from those of an earlier one. */
+    std::uint64_t ownerLife = 1;
+    std::vector<BackendServer> servers;
+    std::unique_ptr<AdmissionModel> owner;
+};
+
+/** State of one request at its entry instance. */
+struct Simulation::Flow
+{
+    RequestProfile profile;
+    std::size_t entry = 0;
+    RankedGroups ranked;
+    std::size_t nextRanked = 0;
+    /** Rises with each reservation; responses to earlier ones are ignored. */
+    int attempt = 0;
+    RequestId attemptId;
+    std::size_t group = 0;
+    bool isWaiting = false;
+    /** Zero when no permit is held. */
+    PermitId permit = 0;
+    std::size_t permitGroup = 0;
+    std::vector<std::size_t> servers;
+    std::int64_t reservedElsewhere = 0;
+    bool hasRun = false;
+    int retries = 0;
+    absl::Time startedAt;
+    absl::Time firstTokenAt = absl::InfiniteFuture();
+    RefusalReason lastReason = RefusalReason::NoServer;
+    bool isDone = false;
+};
+
+} // namespace foxtailtally
