--- /dev/null
+++ b/load/experiment/admission_registry.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "servers/admission/admission_policy.h"
+
+#include <memory>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace foxtailtally {
+
+/** The system's own admission. */
+constexpr std::string_view kGroupAdmission = "group";
+/** The baseline, which also gives engines no priorities. */
+constexpr std::string_view kFifoAdmission = "fifo";
+
+/** Names accepted by makeAdmission(). */
+std::span<const std::string_view> admissionNames();
+
+/**
+ * Owner of the group of @p servers, which is not empty, with all their units; null for an unknown
+ * name. @p life is the owner's incarnation; it grants nothing before @p readyAt.
+ */
+std::unique_ptr<AdmissionPolicy> makeAdmission(std::string_view name,
+                                               std::span<const BackendServer> servers,
+                                               Incarnation life, absl::Time readyAt,
+                                               absl::Time now);
+
+} // namespace foxtailtally
--- a/load/experiment/experiment_options.cpp
+++ b/load/experiment/experiment_options.cpp
@@ -1,7 +1,7 @@
 #include "load/experiment/experiment_options.h"
 
 #include "core/text.h"
-#include "load/experiment/admission_model.h"
+#include "load/experiment/admission_registry.h"
 #include "servers/routing/policy_registry.h"
 
 #include <absl/strings/numbers.h>
@@ -62,7 +62,7 @@
     const std::vector<std::string> parts = absl::StrSplit(text, '/');
     if (parts.size() != 2 || makeRoutingPolicy(parts[0]) == nullptr)
         return std::nullopt;
-    const auto names = admissionModelNames();
+    const auto names = admissionNames();
     if (std::find(names.begin(), names.end(), parts[1]) == names.end())
         return std::nullopt;
     return PolicyPair {parts[0], parts[1]};
@@ -74,7 +74,7 @@
     for (const std::string_view name : routingPolicyNames())
         absl::StrAppend(&text, asAbsl(name), ", ");
     absl::StrAppend(&text, "and admission");
-    for (const std::string_view name : admissionModelNames())
+    for (const std::string_view name : admissionNames())
         absl::StrAppend(&text, " ", asAbsl(name));
     return text;
 }
@@ -134,7 +134,7 @@
          "length of the trace in virtual time"},
         {kSection, "shape", SettingKind::Text, "steady", 0, 0, false, "steady or surge"},
         {kSection, "policies", SettingKind::List,
-         "deadline_aware/fifo,random/fifo,round_robin/fifo,least_requests/fifo,least_tokens/fifo,"
+         "deadline_aware/group,random/fifo,round_robin/fifo,least_requests/fifo,least_tokens/fifo,"
          "power_of_two/fifo",
          0, 0, false, "routing/admission pairs, the system's own first"},
         {kSection, "faults", SettingKind::List, "", 0, 0, false, "kind:number:begin:end"},
--- a/load/experiment/experiment_result.h
+++ b/load/experiment/experiment_result.h
@@ -36,6 +36,8 @@
     std::int64_t newTokens = 0;
     RequestOutcome outcome = RequestOutcome::Refused;
     RefusalReason reason = RefusalReason::None;
+    /** Time from sending to the grant of the last permit. */
+    absl::Duration grantedAfter;
     absl::Duration timeToFirstToken;
     absl::Duration total;
     absl::Duration idleTimeToFirstToken;
--- a/load/experiment/simulation.cpp
+++ b/load/experiment/simulation.cpp
@@ -1,6 +1,7 @@
 #include "load/experiment/simulation.h"
 
 #include "load/experiment/simulation_state.h"
+#include "servers/admission/long_context_planner.h"
 #include "servers/routing/policy_registry.h"
 
 #include <absl/strings/str_cat.h>
@@ -15,7 +16,6 @@
 constexpr absl::Duration kGossipLag = absl::Milliseconds(500);
 constexpr absl::Duration kRemoteGossipLag = absl::Milliseconds(1500);
 constexpr absl::Duration kLoadPollInterval = absl::Milliseconds(250);
-constexpr absl::Duration kTickInterval = absl::Milliseconds(20);
 /** Latency between an instance and a server or instance of its own domain. */
 constexpr absl::Duration kLocalLatency = absl::Microseconds(100);
 /** Time after which an entry instance gives up on an owner that does not respond. */
@@ -24,6 +24,8 @@
 constexpr absl::Duration kEntryTimeout = absl::Seconds(1);
 /** Retries after a broken stream, from design section 8. */
 constexpr int kMaxRetries = 2;
+/** The owners have load reports and the entry instances summaries when the trace starts. */
+constexpr absl::Duration kSettleTime = absl::Seconds(5);
 /** Requests still running at the end of the trace get this long, above the longest deadline. */
 constexpr absl::Duration kDrainTime = absl::Seconds(310);
 
@@ -34,7 +36,7 @@
     , policy(makeRoutingPolicy(policy.routing))
     , admissionName(policy.admission)
     , random(input.options.seed)
-    , loop(input.start)
+    , loop(input.start - kSettleTime)
     , fleet(this->makeServers(), input.engineOptions, this->loop,
             [this](std::size_t server, const EngineAction &action) {
                 this->onEngineAction(server, action);
@@ -52,7 +54,8 @@
         this->groups[place->second].servers.push_back(server);
     }
     for (Group &group : this->groups)
-        group.owner = makeAdmissionModel(this->admissionName, group.servers, this->loop.now());
+        group.owner = makeAdmission(this->admissionName, group.servers, group.ownerLife,
+                                    absl::InfinitePast(), this->loop.now());
     for (int i = 0; i < input.deployment.entryInstances; ++i) {
         Entry &entry = this->entries.emplace_back();
         entry.domain = i % input.deployment.domains;
@@ -110,7 +113,6 @@
     for (std::size_t group = 0; group < this->groups.size(); ++group) {
         this->loop.after(kGossipInterval * this->random.uniform(),
                          [this, group]() { this->gossip(group); });
-        this->loop.after(kTickInterval, [this, group]() { this->tick(group); });
     }
     this->loop.after(kGossipInterval, [this]() { this->learnPrefixes(); });
 }
@@ -162,11 +164,21 @@
     this->perform(group, this->groups[group].owner->onLoadReport(report, this->loop.now()));
 }
 
-void Simulation::tick(std::size_t group)
+void Simulation::scheduleTick(std::size_t group)
 {
-    this->loop.after(kTickInterval, [this, group]() { this->tick(group); });
-    if (!this->groups[group].isLost)
-        this->perform(group, this->groups[group].owner->onTick(this->loop.now()));
+    Group &target = this->groups[group];
+    const absl::Time next = target.owner->nextTick();
+    if (next == absl::InfiniteFuture() || target.tickAt <= next)
+        return;
+    target.tickAt = next;
+    this->loop.at(next, [this, group, next]() {
+        Group &due = this->groups[group];
+        if (due.tickAt != next)
+            return;
+        due.tickAt = absl::InfiniteFuture();
+        if (!due.isLost)
+            this->perform(group, due.owner->onTick(this->loop.now()));
+    });
 }
 
 absl::Duration Simulation::latency(int from, int to) const
@@ -220,6 +232,7 @@
     const absl::Duration delay =
         this->latency(this->entries[flow.entry].domain, this->groups[group].domain);
     const int attempt = ++flow.attempt;
+    flow.reservedAt = this->loop.now();
     this->loop.after(delay, [this, request, group, attempt]() {
         if (!this->flows[request].isDone && this->flows[request].attempt == attempt)
             this->reserve(request, group);
@@ -244,11 +257,8 @@
     profile.id = RequestId(absl::StrCat(flow.profile.id.str(), "#", flow.attempt));
     this->flowIndex[profile.id] = request;
     flow.attemptId = profile.id;
-    if (this->groups[group].isOut) {
-        this->onRefused(request, group, {RefusalReason::DomainOut, true, absl::Seconds(1)});
-        return;
-    }
-    this->perform(group, this->groups[group].owner->reserve(profile, this->loop.now()));
+    const ReserveRequest reservation {profile, InstanceId(absl::StrCat("entry-", flow.entry)), 1};
+    this->perform(group, this->groups[group].owner->reserve(reservation, this->loop.now()));
 }
 
 void Simulation::onUnreachable(std::size_t request, std::size_t group)
@@ -264,37 +274,40 @@
 
 void Simulation::perform(std::size_t group, const AdmissionActions &actions)
 {
+    this->scheduleTick(group);
     for (const AdmissionAction &action : actions) {
-        const auto *grant = std::get_if<Grant>(&action);
-        const auto *refused = std::get_if<ReservationRefused>(&action);
-        const RequestId &id = grant != nullptr ? grant->request : refused->request;
-        const auto found = this->flowIndex.find(id);
-        if (found == this->flowIndex.end())
-            continue;
-        const std::size_t request = found->second;
-        const Flow &flow = this->flows[request];
-        const absl::Duration delay =
-            this->latency(this->groups[group].domain, this->entries[flow.entry].domain);
+        const auto *grant = std::get_if<GrantAction>(&action);
+        const RequestId &id =
+            grant != nullptr ? grant->grant.request : std::get<RefuseAction>(action).request;
+        const std::size_t request = this->flowIndex.at(id);
+        const absl::Duration delay = this->latency(
+            this->groups[group].domain, this->entries[this->flows[request].entry].domain);
         const GroupSummary summary = this->groups[group].owner->summary(this->loop.now());
         this->loop.after(delay, [this, request, group, action, id, summary]() {
-            Flow &target = this->flows[request];
-            this->entries[target.entry].learn(summary, this->loop.now());
-            const bool isCurrent = !target.isDone && target.isWaiting && target.attemptId == id;
-            if (const auto *granted = std::get_if<Grant>(&action)) {
+            Flow &flow = this->flows[request];
+            this->entries[flow.entry].learn(summary, this->loop.now());
+            const bool isCurrent = !flow.isDone && flow.isWaiting && flow.attemptId == id;
+            if (const auto *granted = std::get_if<GrantAction>(&action)) {
                 if (isCurrent)
-                    this->onGranted(request, group, *granted);
+                    this->onGranted(request, group, granted->grant);
                 else
-                    this->perform(
-                        group,
-                        this->groups[group].owner->release(
-                            {granted->permit, PermitOutcome::NotStarted, {}, 0}, this->loop.now()));
+                    this->returnPermit(group, granted->grant.permit);
             } else if (isCurrent) {
-                this->onRefused(request, group, std::get<ReservationRefused>(action).refusal);
+                this->onRefused(request, group, std::get<RefuseAction>(action).refusal);
             }
         });
     }
 }
 
+void Simulation::returnPermit(std::size_t group, PermitId permit)
+{
+    if (!this->groups[group].isLost)
+        this->perform(
+            group,
+            this->groups[group].owner->release(
+                {permit, PermitOutcome::NotStarted, absl::ZeroDuration(), 0}, this->loop.now()));
+}
+
 void Simulation::onRefused(std::size_t request, std::size_t /*group*/, const Refusal &refusal)
 {
     Flow &flow = this->flows[request];
@@ -312,7 +325,15 @@
     flow.servers.clear();
     for (const BackendServerId &server : grant.servers)
         flow.servers.push_back(this->fleet.indexOf(server));
+    if (this->loop.now() - flow.reservedAt > grant.startBy) {
+        this->returnPermit(group, grant.permit);
+        flow.permit = 0;
+        flow.lastReason = RefusalReason::TimedOut;
+        this->tryNextGroup(request);
+        return;
+    }
     flow.hasRun = true;
+    flow.grantedAt = this->loop.now();
     const absl::Duration delay =
         this->latency(this->entries[flow.entry].domain, this->groups[group].domain);
     const int attempt = flow.attempt;
@@ -335,7 +356,7 @@
     engineRequest.maxNewTokens = flow.profile.maxNewTokens;
     engineRequest.prefixBlocks = flow.profile.prefixBlocks;
     engineRequest.reservedElsewhere = flow.reservedElsewhere;
-    if (this->groups[flow.permitGroup].owner->usesPriorities())
+    if (this->admissionName == kGroupAdmission)
         engineRequest.priority = flow.profile.requestClass;
     flow.startedAt = this->loop.now();
     const int attempt = flow.attempt;
@@ -351,22 +372,17 @@
 bool Simulation::reserveParts(Flow &flow)
 {
     flow.reservedElsewhere = 0;
-    std::int64_t rest = flow.profile.memoryTokens() - this->input.engineOptions.memoryTokens;
-    for (std::size_t i = 1; i < flow.servers.size() && rest > 0; ++i) {
-        EngineModel &engine = this->fleet.engine(flow.servers[i]);
-        const std::int64_t part =
-            std::min(rest, this->input.engineOptions.memoryTokens - engine.heldTokens());
+    const std::int64_t part =
+        contextPart(flow.profile.memoryTokens(), flow.servers.size());
+    for (std::size_t i = 1; i < flow.servers.size(); ++i) {
         const EngineHold hold {flow.attemptId.str(), "entry", part, flow.profile.deadline};
-        if (part <= 0 || this->fleet.reserve(flow.servers[i], hold)) {
+        if (this->fleet.reserve(flow.servers[i], hold)) {
             this->freeParts(flow);
             return false;
         }
-        rest -= part;
         flow.reservedElsewhere += part;
     }
-    if (rest > 0)
-        this->freeParts(flow);
-    return rest <= 0;
+    return true;
 }
 
 void Simulation::freeParts(Flow &flow)
@@ -401,7 +417,7 @@
 void Simulation::onFirstToken(std::size_t request)
 {
     Flow &flow = this->flows[request];
-    if (flow.isDone || flow.firstTokenAt != absl::InfiniteFuture())
+    if (flow.isDone || flow.permit == 0)
         return;
     const int from = this->groups[flow.permitGroup].domain;
     flow.firstTokenAt = this->loop.now() + this->latency(from, this->entries[flow.entry].domain)
@@ -449,7 +465,7 @@
         return;
     if (flow.isWaiting && !this->groups[flow.group].isLost)
         this->perform(flow.group,
-                      this->groups[flow.group].owner->cancel(flow.attemptId, this->loop.now()));
+                      this->groups[flow.group].owner->withdraw(flow.attemptId, this->loop.now()));
     if (flow.permit != 0) {
         this->fleet.cancel(flow.servers.front(), flow.attemptId);
         // Advancing the engine may have completed the request at this very moment.
@@ -496,6 +512,8 @@
     record.newTokens = flow.profile.maxNewTokens;
     record.outcome = outcome;
     record.reason = reason;
+    if (flow.hasRun)
+        record.grantedAfter = flow.grantedAt - (this->input.start + traced.sendAt);
     if (flow.firstTokenAt != absl::InfiniteFuture())
         record.timeToFirstToken = flow.firstTokenAt - (this->input.start + traced.sendAt);
     if (outcome == RequestOutcome::Ok)
--- a/load/experiment/simulation.h
+++ b/load/experiment/simulation.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/random.h"
-#include "load/experiment/admission_model.h"
+#include "load/experiment/admission_registry.h"
 #include "load/experiment/engine_fleet.h"
 #include "load/experiment/event_loop.h"
 #include "load/experiment/experiment_options.h"
@@ -54,7 +54,7 @@
     void gossip(std::size_t group);
     void learnPrefixes();
     void pollLoad(std::size_t server);
-    void tick(std::size_t group);
+    void scheduleTick(std::size_t group);
 
     // The way of a request.
     void arrive(std::size_t request);
@@ -65,6 +65,8 @@
     void perform(std::size_t group, const AdmissionActions &actions);
     void onRefused(std::size_t request, std::size_t group, const Refusal &refusal);
     void onGranted(std::size_t request, std::size_t group, const Grant &grant);
+    /** Gives back a permit that came for a reservation the entry instance has given up. */
+    void returnPermit(std::size_t group, PermitId permit);
     void startOnEngine(std::size_t request);
     bool reserveParts(Flow &flow);
     void freeParts(Flow &flow);
@@ -81,6 +83,7 @@
     void loseDomain(int domain);
     void returnDomain(int domain);
     void setDomainOut(int domain, bool isOut);
+    void setGroupOut(std::size_t group, bool isOut);
 
     absl::Duration latency(int from, int to) const;
     int domainOf(std::size_t server) const;
--- a/load/experiment/simulation_faults.cpp
+++ b/load/experiment/simulation_faults.cpp
@@ -87,17 +87,29 @@
                 continue;
             group.isLost = false;
             ++group.ownerLife;
-            group.owner = makeAdmissionModel(this->admissionName, group.servers, this->loop.now());
+            group.owner = makeAdmission(this->admissionName, group.servers, group.ownerLife,
+                                        absl::InfinitePast(), this->loop.now());
         }
     });
 }
 
+void Simulation::setGroupOut(std::size_t group, bool isOut)
+{
+    Group &target = this->groups[group];
+    if (target.isLost)
+        return;
+    if (isOut)
+        this->perform(group, target.owner->stop(RefusalReason::DomainOut, this->loop.now()));
+    else
+        target.owner->resume();
+}
+
 void Simulation::setDomainOut(int domain, bool isOut)
 {
-    for (Group &group : this->groups) {
-        if (group.domain == domain)
+    for (std::size_t group = 0; group < this->groups.size(); ++group) {
+        if (this->groups[group].domain == domain)
             this->loop.after(kConfigurationSpread * this->random.uniform(),
-                             [&group, isOut]() { group.isOut = isOut; });
+                             [this, group, isOut]() { this->setGroupOut(group, isOut); });
     }
     for (Entry &entry : this->entries) {
         this->loop.after(kConfigurationSpread * this->random.uniform(), [&entry, domain, isOut]() {
--- a/load/experiment/simulation_state.h
+++ b/load/experiment/simulation_state.h
@@ -33,12 +33,12 @@
 {
     int domain = 0;
     bool isLost = false;
-    /** Operators have taken the domain out and the order has reached the owner. */
-    bool isOut = false;
     /** Tells permits of this owner from those of an earlier one. */
     std::uint64_t ownerLife = 1;
     std::vector<BackendServer> servers;
-    std::unique_ptr<AdmissionModel> owner;
+    std::unique_ptr<AdmissionPolicy> owner;
+    /** Time of the next scheduled onTick(). */
+    absl::Time tickAt = absl::InfiniteFuture();
 };
 
 /** State of one request at its entry instance. */
@@ -60,7 +60,11 @@
     std::int64_t reservedElsewhere = 0;
     bool hasRun = false;
     int retries = 0;
+    absl::Time reservedAt;
+    absl::Time grantedAt = absl::InfinitePast();
     absl::Time startedAt;
+    /** Time from sending to the engine to the first token, of the present attempt. */
+    absl::Duration engineTimeToFirstToken;
     absl::Time firstTokenAt = absl::InfiniteFuture();
     RefusalReason lastReason = RefusalReason::NoServer;
     bool isDone = false;
