Serve requests end to end through separate processes

An instance reports ready only once a release note is in force and a group takes requests; before that the balancer sent callers to instances that could only refuse.

inih splits lines of 200 bytes without notice and changed the seed list; such lines are now reported and lists may go on in indented lines.

--- a/core/log.cpp
+++ b/core/log.cpp
@@ -1,5 +1,8 @@
 #include "core/log.h"
 
+#include "core/clock.h"
+
+#include <absl/time/time.h>
 #include <atomic>
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
@@ -35,8 +38,7 @@
     minimumLevel.store(minimum);
     el::Configurations configuration;
     configuration.setToDefault();
-    configuration.setGlobally(el::ConfigurationType::Format,
-                              R"({"time":"%datetime{%Y-%M-%dT%H:%m:%s.%g%z}",%msg})");
+    configuration.setGlobally(el::ConfigurationType::Format, "%msg");
     const bool toFile = !file.empty();
     configuration.setGlobally(el::ConfigurationType::ToFile, toFile ? "true" : "false");
     configuration.setGlobally(el::ConfigurationType::ToStandardOutput, toFile ? "false" : "true");
@@ -49,12 +51,12 @@
 {
     if (level < minimumLevel.load(std::memory_order_relaxed))
         return;
-    nlohmann::json head = {{"level", levelName(level)}, {"event", event}};
+    const std::string time =
+        absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", Clock::wallNow(), absl::UTCTimeZone());
+    nlohmann::json line = {{"time", time}, {"level", levelName(level)}, {"event", event}};
     if (fields.is_object())
-        head.update(fields);
-    const std::string object = head.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    // The format of the logger adds the time and the outer braces.
-    LOG(INFO) << object.substr(1, object.size() - 2);
+        line.update(fields);
+    LOG(INFO) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 void logEvent(LogLevel level, std::string_view event)
--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -97,6 +97,21 @@
     return number >= spec.minimum && number <= spec.maximum;
 }
 
+/** inih splits longer lines without notice, which would change a value. */
+constexpr std::size_t kMaxLineBytes = 198;
+
+/** Number of the first line that is too long for the parser, or 0. */
+int firstLongLine(const std::string &text)
+{
+    int number = 0;
+    for (absl::string_view line : absl::StrSplit(text, '\n')) {
+        number += 1;
+        if (line.size() > kMaxLineBytes)
+            return number;
+    }
+    return 0;
+}
+
 struct RawEntry
 {
     std::string section;
@@ -150,6 +165,9 @@
         return absl::StrCat(where, ": cannot be read");
     case Kind::Syntax:
         return absl::StrCat(where, ": not in INI syntax, line ", this->allowed);
+    case Kind::LineTooLong:
+        return absl::StrCat(where, ": line ", this->allowed, " is longer than ", kMaxLineBytes,
+                            " bytes; lists may go on in indented lines");
     case Kind::UnknownKey:
         return absl::StrCat(where, ": unknown key");
     case Kind::Missing:
@@ -183,6 +201,9 @@
 {
     const std::size_t problemsBefore = problems.size();
     std::vector<RawEntry> entries;
+    const int longLine = firstLongLine(text);
+    if (longLine != 0)
+        problems.push_back({ProblemKind::LineTooLong, name, "", "", absl::StrCat(longLine)});
     const int badLine = ini_parse_string(text.c_str(), collectEntry, &entries);
     if (badLine != 0)
         problems.push_back({ProblemKind::Syntax, name, "", "", absl::StrCat(badLine)});
@@ -200,7 +221,11 @@
             problems.push_back({problem, name, entry.section, entry.key, allowedValues(*spec)});
             continue;
         }
-        settings.values[joinKey(entry.section, entry.key)] = std::move(value);
+        Value &stored = settings.values[joinKey(entry.section, entry.key)];
+        // Indented lines continue a list; the parser reports each with the same key.
+        const bool continues = spec->kind == SettingKind::List && !stored.text.empty();
+        stored.text = continues ? absl::StrCat(stored.text, ",", value.text) : value.text;
+        stored.number = value.number;
     }
     for (const SettingSpec &spec : schema) {
         const std::string key = joinKey(spec.section, spec.key);
--- a/core/settings.h
+++ b/core/settings.h
@@ -38,7 +38,16 @@
 /** One fault of a settings file, with all that is needed to mend it. */
 struct SettingsProblem
 {
-    enum class Kind { Unreadable, Syntax, UnknownKey, Missing, BadValue, BadUnit, OutOfRange };
+    enum class Kind {
+        Unreadable,
+        Syntax,
+        LineTooLong,
+        UnknownKey,
+        Missing,
+        BadValue,
+        BadUnit,
+        OutOfRange
+    };
 
     Kind kind = Kind::Syntax;
     std::string file;
--- a/main/lib/control_plane.cpp
+++ b/main/lib/control_plane.cpp
@@ -458,9 +458,13 @@
 
 void ControlPlane::publishView()
 {
-    this->routingView.publish(this->viewBuilder.build());
-    const bool hasNote = this->current.note.number > 0;
-    this->ready.store(hasNote && !this->leaving.load());
+    std::unique_ptr<const RoutingView> next = this->viewBuilder.build();
+    const auto groups = next->groups();
+    const bool canServe = this->current.note.number > 0
+        && std::any_of(groups.begin(), groups.end(),
+                       [](const RoutingGroup &group) { return group.mayTakeRequests(); });
+    this->routingView.publish(std::move(next));
+    this->ready.store(canServe && !this->leaving.load());
 }
 
 } // namespace foxtailtally
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -5,8 +5,9 @@
 pids=()
 
 export FOXTAILTALLY_PLATFORM_TOKEN=platform-secret
-export FOXTAILTALLY_ENGINE_TOKEN=engine-secret
-export FOXTAILTALLY_SERVICE_TOKEN=service-secret
+# The stand-ins use one token for their callers and for the platform.
+export FOXTAILTALLY_ENGINE_TOKEN=$FOXTAILTALLY_PLATFORM_TOKEN
+export FOXTAILTALLY_SERVICE_TOKEN=$FOXTAILTALLY_PLATFORM_TOKEN
 export FOXTAILTALLY_OPERATOR_TOKEN=operator-secret
 
 # start NAME COMMAND...: runs a command in the background with its output in $out/NAME.log.
@@ -69,7 +70,8 @@
 admin_port = $4
 peer_port = $5
 [peers]
-seeds = $6
+seeds =
+$(tr ',' '\n' <<< "$6" | sed 's/^ */  /')
 key = peers-secret
 [platform]
 url = $platform_url
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -44,4 +44,21 @@
     EXPECT_EQ(problems[4].kind, SettingsProblem::Kind::Missing);
 }
 
+// Guards against a list that loses entries because the parser splits lines of 200 bytes.
+TEST(SettingsTest, ListsGoOnInIndentedLinesAndLongLinesAreReported)
+{
+    const std::vector<SettingSpec> schema = {
+        {"peers", "seeds", SettingKind::List, "", 0, 0, false, ""}};
+    std::vector<SettingsProblem> problems;
+    const auto settings =
+        Settings::parse("[peers]\nseeds = a, b\n  c\n", "t.ini", schema, problems);
+    ASSERT_TRUE(settings.ok());
+    EXPECT_EQ(settings->list("peers", "seeds"), (std::vector<std::string> {"a", "b", "c"}));
+    const auto tooLong = Settings::parse("[peers]\nseeds = " + std::string(200, 'a') + "\n",
+                                         "t.ini", schema, problems);
+    EXPECT_EQ(tooLong.error(), Error::SettingsInvalid);
+    ASSERT_FALSE(problems.empty());
+    EXPECT_EQ(problems.front().kind, SettingsProblem::Kind::LineTooLong);
+}
+
 } // namespace foxtailtally
