--- /dev/null
+++ b/standins/lib/instance_list.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "peers/platform/platform_types.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/time/time.h>
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtailtally {
+
+/** The platform's list of instances, whose readers see it as it was some time ago. */
+class InstanceList
+{
+public:
+    explicit InstanceList(absl::Duration lag);
+
+    void setLag(absl::Duration newLag) { this->lag = newLag; }
+    void put(const InstanceEntry &entry, absl::Time now);
+    bool remove(std::string_view id, absl::Time now);
+    bool setLeaving(std::string_view id, bool leaving, absl::Time now);
+    /** Entries as they were one lag before @p now, in the order of their ids. */
+    std::vector<InstanceEntry> visible(absl::Time now);
+
+private:
+    using Entries = absl::btree_map<std::string, std::shared_ptr<const InstanceEntry>>;
+    struct State
+    {
+        absl::Time since;
+        Entries entries;
+    };
+
+    /** Copy of the current entries that takes effect at @p now. */
+    Entries &change(absl::Time now);
+
+    absl::Duration lag;
+    /** States in time order; the last one is current. */
+    std::deque<State> states;
+};
+
+} // namespace foxtailtally
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -1,4 +1,6 @@
-int main()
+#include "standins/lib/standin_program.h"
+
+int main(int argc, char **argv)
 {
-    return 0;
+    return foxtailtally::runStandinProgram(argc, argv);
 }
