--- a/servers/admission/group_servers.cpp
+++ b/servers/admission/group_servers.cpp
@@ -17,10 +17,6 @@
 constexpr absl::Duration kPermitReportGrace = absl::Seconds(3);
 // Time after its deadline in which an entry instance must have cancelled and released a request.
 constexpr absl::Duration kPermitExpiryGrace = absl::Seconds(30);
-// Reports are at most this late; permits granted after a restart that is first seen in a report
-// may already run on the new incarnation.
-constexpr absl::Duration kReportLagBound = absl::Seconds(3);
-
 // The upper half of a permit number identifies owner and incarnation, so that a permit of an
 // earlier owner, released to this one, cannot be taken for a permit of this one.
 std::uint64_t ownerTagOf(const AdmissionOptions &options)
@@ -96,7 +92,7 @@
         return;
     if (report.incarnation > slot->incarnation) {
         if (slot->incarnation != 0)
-            this->restart(*slot, report, now);
+            this->restart(*slot, now - report.age);
         slot->incarnation = report.incarnation;
     }
     slot->sequence = report.sequence;
@@ -108,24 +104,17 @@
         slot->hasReport = true;
 }
 
-void GroupServers::restart(ServerSlot &slot, const LoadReport &report, absl::Time now)
+void GroupServers::restart(ServerSlot &slot, absl::Time reportTakenAt)
 {
-    slot.ledger.dropBefore(now - report.age - kReportLagBound);
+    slot.ledger.onRestart();
     slot.ramp.reset();
-    slot.predictor.clearBacklog();
-    std::vector<PermitId> ended;
-    for (const auto &[id, permit] : this->permits) {
-        const bool isMember =
-            std::find(permit.servers.begin(), permit.servers.end(), slot.server.id)
+    // A request granted shortly before the restart may run on the new incarnation, so its permit
+    // is kept as an orphan until a report shows that it does not.
+    this->endPermits(PermitEnd::Orphaned, reportTakenAt, [&](const Permit &permit) {
+        return std::find(permit.servers.begin(), permit.servers.end(), slot.server.id)
             != permit.servers.end();
-        // A context loses its part on this server, however recent it is.
-        if (isMember && (permit.servers.size() > 1 || !slot.ledger.contains(id)))
-            ended.push_back(id);
-    }
-    for (const PermitId id : ended) {
-        slot.ledger.remove(id, now);
-        this->endPermit(this->permits.find(id), PermitEnd::Orphaned, now);
-    }
+    });
+    slot.predictor.clearBacklog();
 }
 
 void GroupServers::onServerLost(const BackendServerId &server, absl::Time now)
@@ -182,9 +171,9 @@
         if (slot == nullptr)
             continue;
         isKnown = true;
-        slot->ledger.adopt(held.permit,
-                           {report.from, part, now, held.deadline + kPermitExpiryGrace, held.isLong,
-                            held.isSuspect});
+        slot->ledger.add(held.permit,
+                         {report.from, part, now, held.deadline + kPermitExpiryGrace, held.isLong,
+                          held.isSuspect, server != held.servers.front()});
     }
     if (!isKnown)
         return;
@@ -199,16 +188,16 @@
     this->permits.emplace(held.permit, std::move(permit));
 }
 
-void GroupServers::endPermit(Permits::iterator permit, PermitEnd how, absl::Time now)
+void GroupServers::endPermit(Permits::iterator permit, PermitEnd how, absl::Time at)
 {
     for (const BackendServerId &server : permit->second.servers) {
         ServerSlot *slot = this->find(server);
         if (slot == nullptr)
             continue;
         if (how == PermitEnd::Freed)
-            slot->ledger.remove(permit->first, now);
+            slot->ledger.remove(permit->first, at);
         else
-            slot->ledger.orphan(permit->first, now);
+            slot->ledger.orphan(permit->first, at);
         if (slot->ledger.requests() == 0)
             slot->predictor.clearBacklog();
     }
@@ -217,7 +206,7 @@
 }
 
 template <typename Predicate>
-void GroupServers::endPermits(PermitEnd how, absl::Time now, Predicate shouldEnd)
+void GroupServers::endPermits(PermitEnd how, absl::Time at, Predicate shouldEnd)
 {
     std::vector<PermitId> ended;
     for (const auto &[id, permit] : this->permits) {
@@ -225,14 +214,18 @@
             ended.push_back(id);
     }
     for (const PermitId id : ended)
-        this->endPermit(this->permits.find(id), how, now);
+        this->endPermit(this->permits.find(id), how, at);
 }
 
 void GroupServers::release(const PermitRelease &release, absl::Time now)
 {
     const auto found = this->permits.find(release.permit);
-    if (found == this->permits.end())
+    if (found == this->permits.end()) {
+        // The user of an orphan was thought to be gone, or its server restarted.
+        for (const auto &[id, slot] : this->serverSlots)
+            slot->ledger.remove(release.permit, now);
         return;
+    }
     if (release.outcome == PermitOutcome::Finished && !found->second.isAdopted)
         this->learn(found->second, release, now);
     this->endPermit(found, PermitEnd::Freed, now);
@@ -289,7 +282,8 @@
         slot->ledger.dropHold(profile.id);
         slot->ledger.add(id,
                          {request.from, part, now, profile.deadline + kPermitExpiryGrace,
-                          profile.promptTokens > kLongPromptTokens, profile.deathsSeen > 0});
+                          profile.promptTokens > kLongPromptTokens, profile.deathsSeen > 0,
+                          slot != servers.front()});
     }
     first.predictor.addPrompt(profile, now);
 
--- a/servers/admission/group_servers.h
+++ b/servers/admission/group_servers.h
@@ -83,12 +83,13 @@
     using Permits = absl::flat_hash_map<PermitId, Permit>;
 
     ServerSlot *find(const BackendServerId &server) const;
-    void endPermit(Permits::iterator permit, PermitEnd how, absl::Time now);
+    /** @p at is the time of the release or of the last moment in which the permit was used. */
+    void endPermit(Permits::iterator permit, PermitEnd how, absl::Time at);
     /** Ends permits for which @p shouldEnd holds. */
     template <typename Predicate>
-    void endPermits(PermitEnd how, absl::Time now, Predicate shouldEnd);
+    void endPermits(PermitEnd how, absl::Time at, Predicate shouldEnd);
     void learn(const Permit &permit, const PermitRelease &release, absl::Time now);
-    void restart(ServerSlot &slot, const LoadReport &report, absl::Time now);
+    void restart(ServerSlot &slot, absl::Time reportTakenAt);
     void adopt(const PermitReport &report, const HeldPermit &held, absl::Time now);
     bool isOwn(PermitId permit) const { return (permit >> kCounterBits) == this->ownerTag; }
 
--- a/servers/admission/memory_ledger.cpp
+++ b/servers/admission/memory_ledger.cpp
@@ -21,6 +21,7 @@
 void MemoryLedger::count(const LedgerEntry &entry, int sign)
 {
     this->entryTokens += sign * entry.tokens;
+    this->entryRequests += entry.isPart ? 0 : sign;
     this->suspects += entry.isSuspect ? sign : 0;
     this->longOnes += entry.isLong ? sign : 0;
 }
@@ -32,48 +33,37 @@
         this->count(place->second, 1);
 }
 
-void MemoryLedger::adopt(PermitId key, const LedgerEntry &entry)
-{
-    if (this->permits.contains(key))
-        return;
-    this->unexplainedTokens = std::max<std::int64_t>(this->unexplainedTokens - entry.tokens, 0);
-    this->unexplainedCount = std::max<std::int64_t>(this->unexplainedCount - 1, 0);
-    this->add(key, entry);
-}
-
 bool MemoryLedger::remove(PermitId key, absl::Time now)
 {
     const auto found = this->permits.find(key);
-    if (found == this->permits.end())
+    if (found != this->permits.end()) {
+        this->count(found->second, -1);
+        this->recentlyEnded.push_back({now, found->second.tokens});
+        this->permits.erase(found);
+        return true;
+    }
+    const auto orphan = std::find_if(this->orphans.begin(), this->orphans.end(),
+                                     [&](const Orphan &item) { return item.permit == key; });
+    if (orphan == this->orphans.end())
         return false;
-    this->count(found->second, -1);
-    this->recentlyEnded.push_back({now, found->second.tokens});
-    this->permits.erase(found);
+    this->count(orphan->entry, -1);
+    this->recentlyEnded.push_back({now, orphan->entry.tokens});
+    this->orphans.erase(orphan);
     return true;
 }
 
-bool MemoryLedger::orphan(PermitId key, absl::Time now)
+bool MemoryLedger::orphan(PermitId key, absl::Time since)
 {
     const auto found = this->permits.find(key);
     if (found == this->permits.end())
         return false;
-    this->orphans.push_back({std::move(found->second), now});
+    this->orphans.push_back({key, std::move(found->second), since});
     this->permits.erase(found);
     return true;
 }
 
-void MemoryLedger::dropBefore(absl::Time started)
+void MemoryLedger::onRestart()
 {
-    for (const Orphan &orphan : this->orphans)
-        this->count(orphan.entry, -1);
-    this->orphans.clear();
-    absl::erase_if(this->permits, [&](const auto &item) {
-        if (item.second.grantedAt >= started)
-            return false;
-        this->count(item.second, -1);
-        return true;
-    });
-    this->recentlyEnded.clear();
     this->pending = {};
     this->unexplainedTokens = 0;
     this->unexplainedCount = 0;
@@ -81,16 +71,25 @@
 
 void MemoryLedger::onReport(const LoadReport &report, absl::Time now)
 {
-    const absl::Time takenAt = now - report.age;
     while (!this->recentlyEnded.empty() && this->recentlyEnded.front().at < now - kEndedMemory)
         this->recentlyEnded.pop_front();
-    if (this->pending.isValid && now - this->pending.takenAt >= kReleaseSettle) {
-        this->freeOrphans(this->pending, now);
+    this->orphanExpired(now);
+    if (this->pending.isValid && now - this->pending.receivedAt >= kReleaseSettle) {
+        this->settle(this->pending, now);
         this->pending.isValid = false;
     }
-    if (!this->pending.isValid)
-        this->pending = {takenAt, report.running + report.queued, report.heldTokens, true};
+    const PendingReport latest {now - report.age, now, report.running + report.queued,
+                                report.heldTokens, true};
+    this->raiseUnexplained(latest);
+    // An empty engine cannot be misread, so it needs no settling.
+    if (latest.requests == 0 && latest.heldTokens == 0)
+        this->settle(latest, now);
+    else if (!this->pending.isValid)
+        this->pending = latest;
+}
 
+void MemoryLedger::orphanExpired(absl::Time now)
+{
     std::vector<PermitId> expired;
     for (const auto &[key, entry] : this->permits) {
         if (entry.expiry <= now)
@@ -98,55 +97,79 @@
     }
     for (const PermitId key : expired)
         this->orphan(key, now);
-    this->updateUnexplained(report, takenAt);
 }
 
-void MemoryLedger::updateUnexplained(const LoadReport &report, absl::Time takenAt)
+void MemoryLedger::raiseUnexplained(const PendingReport &report)
 {
-    std::int64_t explainedTokens = this->entryTokens;
-    auto explainedCount = static_cast<std::int64_t>(this->permits.size() + this->orphans.size());
+    std::int64_t tokens = this->entryTokens;
+    std::int64_t requests = this->entryRequests;
     for (const Ended &ended : this->recentlyEnded) {
-        if (ended.at < takenAt)
+        if (ended.at < report.takenAt)
             continue;
-        explainedTokens += ended.tokens;
-        ++explainedCount;
+        tokens += ended.tokens;
+        ++requests;
     }
-    this->unexplainedTokens = std::max<std::int64_t>(report.heldTokens - explainedTokens, 0);
-    this->unexplainedCount =
-        std::max<std::int64_t>(report.running + report.queued - explainedCount, 0);
+    this->unexplainedTokens = std::max(this->unexplainedTokens, report.heldTokens - tokens);
+    this->unexplainedCount = std::max(this->unexplainedCount, report.requests - requests);
 }
 
-void MemoryLedger::freeOrphans(const PendingReport &report, absl::Time now)
+MemoryLedger::Usage MemoryLedger::certainAt(absl::Time takenAt) const
 {
-    if (this->orphans.empty())
-        return;
-    // Requests that were on the engine for certain; the others in the report may be orphans.
-    std::int64_t certain = 0;
+    Usage certain;
     for (const auto &[key, entry] : this->permits) {
-        if (entry.grantedAt + kStartSettle <= report.takenAt)
-            ++certain;
+        if (entry.grantedAt + kStartSettle > takenAt)
+            continue;
+        certain.requests += entry.isPart ? 0 : 1;
+        certain.tokens += entry.tokens;
     }
+    return certain;
+}
+
+void MemoryLedger::settle(const PendingReport &report, absl::Time now)
+{
+    if (this->orphans.empty() && this->unexplainedCount == 0 && this->unexplainedTokens == 0)
+        return;
     const bool isEmpty = report.requests == 0 && report.heldTokens == 0;
-    // Late in the life of an orphan, permits that were on their way may explain the report too:
-    // a server that always starts short requests would otherwise never free its orphans.
-    const auto all = static_cast<std::int64_t>(this->permits.size());
+    const Usage certain = isEmpty ? Usage {} : this->certainAt(report.takenAt);
+    const Usage possible {std::max<std::int64_t>(report.requests - certain.requests, 0),
+                          std::max<std::int64_t>(report.heldTokens - certain.tokens, 0)};
+    this->unexplainedCount = std::min(this->unexplainedCount, possible.requests);
+    this->unexplainedTokens = std::min(this->unexplainedTokens, possible.tokens);
+    this->freeOrphans(report, possible, now);
+}
+
+void MemoryLedger::freeOrphans(const PendingReport &report, const Usage &possible, absl::Time now)
+{
+    // An orphan may still start within the start-by time when only its server was lost.
     const auto firstNewer =
-        std::partition(this->orphans.begin(), this->orphans.end(),
-                       [&](const Orphan &orphan) { return orphan.since <= report.takenAt; });
-    const std::int64_t newer = this->orphans.end() - firstNewer;
-    const std::int64_t possible =
-        isEmpty ? 0 : std::max<std::int64_t>(report.requests - certain, 0);
-    std::int64_t toFree = (firstNewer - this->orphans.begin()) - possible;
+        std::partition(this->orphans.begin(), this->orphans.end(), [&](const Orphan &orphan) {
+            return orphan.since <= report.takenAt
+                && orphan.entry.grantedAt + kStartSettle <= report.takenAt;
+        });
     // The report does not name requests, so the largest orphans and suspects are freed last.
     std::sort(this->orphans.begin(), firstNewer, [](const Orphan &a, const Orphan &b) {
         return std::tuple(a.entry.isSuspect, a.entry.isLong, a.entry.tokens)
             < std::tuple(b.entry.isSuspect, b.entry.isLong, b.entry.tokens);
     });
+    // On a server that always starts short requests, some are always uncertain. Long after its
+    // deadline an orphan is freed when all permits together can explain the report.
+    std::int64_t known = 0;
+    for (const auto &[key, entry] : this->permits)
+        known += entry.isPart ? 0 : 1;
+    known += std::count_if(firstNewer, this->orphans.end(),
+                           [](const Orphan &orphan) { return !orphan.entry.isPart; });
+    std::int64_t toFree = std::count_if(this->orphans.begin(), firstNewer,
+                                        [](const Orphan &orphan) { return !orphan.entry.isPart; })
+        - possible.requests;
     std::vector<Orphan> kept;
     for (auto orphan = this->orphans.begin(); orphan != this->orphans.end(); ++orphan) {
-        const bool isOverdue =
-            orphan < firstNewer && orphan->entry.expiry <= now && report.requests <= all + newer;
-        if (orphan < firstNewer && (toFree-- > 0 || isOverdue))
+        bool isGone = report.requests <= known && orphan->entry.expiry <= now;
+        // Parts of contexts are memory without a request.
+        if (orphan->entry.isPart)
+            isGone = isGone || possible.tokens < orphan->entry.tokens;
+        else
+            isGone = isGone || toFree-- > 0;
+        if (orphan < firstNewer && isGone)
             this->count(orphan->entry, -1);
         else
             kept.push_back(std::move(*orphan));
@@ -192,8 +215,7 @@
 
 std::int64_t MemoryLedger::requests() const
 {
-    return static_cast<std::int64_t>(this->permits.size() + this->orphans.size())
-        + this->unexplainedCount;
+    return this->entryRequests + this->unexplainedCount;
 }
 
 } // namespace foxtailtally
--- a/servers/admission/memory_ledger.h
+++ b/servers/admission/memory_ledger.h
@@ -22,6 +22,8 @@
     absl::Time expiry = absl::InfiniteFuture();
     bool isLong = false;
     bool isSuspect = false;
+    /** Holds a part of a context whose request runs on another server. */
+    bool isPart = false;
 };
 
 /** Which other requests a hold keeps away. */
@@ -44,8 +46,13 @@
 /**
  * Memory of one backend server: permits, orphans (permits whose user is gone), holds for waiting
  * requests, and what the engine reports without a permit that explains it. A permit that ends
- * normally is freed at once. An orphan is freed only when load reports show that the engine no
- * longer runs it.
+ * normally is freed at once. Orphans and unexplained use are freed only when load reports show that
+ * the engine no longer has them.
+ *
+ * Reports give sums and do not name requests. A permit that may not have reached the engine when
+ * the report was taken, or may have ended by then, is therefore not set off against them, because
+ * it could hide an orphan. The engine's held tokens count the prompt and the allowed new tokens of
+ * each request that runs or queues there.
  */
 class MemoryLedger
 {
@@ -54,14 +61,12 @@
     std::int64_t limit() const { return this->limitTokens; }
 
     void add(PermitId key, const LedgerEntry &entry);
-    /** As add(), for a permit that load reports may already have shown as unexplained. */
-    void adopt(PermitId key, const LedgerEntry &entry);
-    /** Frees the memory of an ended permit; false when it is unknown. */
+    /** Frees the memory of a permit or orphan that has ended; false when it is unknown. */
     bool remove(PermitId key, absl::Time now);
-    /** Keeps the memory of a permit that has lost its user until reports show it gone. */
-    bool orphan(PermitId key, absl::Time now);
-    /** The engine restarted: drops what was granted before @p started and all orphans. */
-    void dropBefore(absl::Time started);
+    /** Keeps the memory of a permit whose use ended at @p since until reports show it gone. */
+    bool orphan(PermitId key, absl::Time since);
+    /** The engine restarted; what it reports from now on is compared with the permits anew. */
+    void onRestart();
 
     /** Reports of one incarnation must be passed in the order of their sequence. */
     void onReport(const LoadReport &report, absl::Time now);
@@ -79,6 +84,7 @@
     std::int64_t freeTokensFor(const RequestId &request, bool isLong) const;
     /** Requests that are taken to be on the server. */
     std::int64_t requests() const;
+    /** Requests on the engine that no permit explains. */
     std::int64_t unexplainedRequests() const { return this->unexplainedCount; }
     bool hasSuspect() const { return this->suspects > 0; }
     bool hasLong() const { return this->longOnes > 0; }
@@ -88,6 +94,7 @@
 private:
     struct Orphan
     {
+        PermitId permit = 0;
         LedgerEntry entry;
         absl::Time since;
     };
@@ -99,15 +106,30 @@
     /** A report that waits until releases that were under way when it was taken have arrived. */
     struct PendingReport
     {
+        /** The earliest time at which the report can have been taken. */
         absl::Time takenAt;
+        absl::Time receivedAt;
         std::int64_t requests = 0;
         std::int64_t heldTokens = 0;
         bool isValid = false;
     };
+    /** A number of requests with the memory they hold. */
+    struct Usage
+    {
+        std::int64_t requests = 0;
+        std::int64_t tokens = 0;
+    };
 
     void count(const LedgerEntry &entry, int sign);
-    void updateUnexplained(const LoadReport &report, absl::Time takenAt);
-    void freeOrphans(const PendingReport &report, absl::Time now);
+    void orphanExpired(absl::Time now);
+    /** Use by permits that were on the engine for certain when a report was taken. */
+    Usage certainAt(absl::Time takenAt) const;
+    /** Raises the unexplained use to what no permit, however recent, can explain. */
+    void raiseUnexplained(const PendingReport &report);
+    /** Lowers the unexplained use and frees orphans as far as the report rules them out. */
+    void settle(const PendingReport &report, absl::Time now);
+    /** @p possible is the use that permits do not explain for certain. */
+    void freeOrphans(const PendingReport &report, const Usage &possible, absl::Time now);
 
     absl::flat_hash_map<PermitId, LedgerEntry> permits;
     std::vector<Orphan> orphans;
@@ -117,6 +139,7 @@
     std::int64_t limitTokens = 0;
     /** Of permits and orphans. */
     std::int64_t entryTokens = 0;
+    std::int64_t entryRequests = 0;
     std::int64_t suspects = 0;
     std::int64_t longOnes = 0;
     std::int64_t unexplainedTokens = 0;
