--- a/load/experiment/run_policies.cpp
+++ b/load/experiment/run_policies.cpp
@@ -41,7 +41,10 @@
     traceOptions.shape = options.shape;
     traceOptions.withActions = false;
     traceOptions.seed = options.seed;
-    const std::vector<TracedRequest> trace = generateTrace(traceOptions);
+    std::vector<TracedRequest> trace = generateTrace(traceOptions);
+    std::erase_if(trace, [&](const TracedRequest &request) {
+        return request.profile.promptTokens > options.largestPrompt;
+    });
     std::vector<RequestRecord> idle(trace.size());
     const absl::Duration network = 2 * deployment.clientLatency;
     for (std::size_t i = 0; i < trace.size(); ++i) {
