--- a/load/experiment/admission_registry.h
+++ b/load/experiment/admission_registry.h
@@ -10,9 +10,9 @@
 namespace foxtailtally {
 
 /** The system's own admission. */
-constexpr std::string_view kGroupAdmission = "group";
+constexpr std::string_view kGroupAdmission = "predictive";
 /** The baseline, which also gives engines no priorities. */
-constexpr std::string_view kFifoAdmission = "fifo";
+constexpr std::string_view kFifoAdmission = "first_in_first_out";
 
 /** Names accepted by makeAdmission(). */
 std::span<const std::string_view> admissionNames();
--- a/load/experiment/engine_fleet.cpp
+++ b/load/experiment/engine_fleet.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 EngineFleet::EngineFleet(std::vector<BackendServer> servers, const EngineOptions &options,
-                         EventLoop &loop, Listener listener)
+                         VirtualLoop &loop, Listener listener)
     : facts(std::move(servers))
     , loop(loop)
     , listener(std::move(listener))
--- a/load/experiment/experiment_options.cpp
+++ b/load/experiment/experiment_options.cpp
@@ -93,6 +93,7 @@
     options.load = settings.ratio(kSection, "load");
     options.length = settings.duration(kSection, "length");
     options.seed = static_cast<std::uint64_t>(settings.count(kSection, "seed"));
+    options.largestPrompt = settings.count(kSection, "largest_prompt");
     const std::string &shape = settings.text(kSection, "shape");
     options.shape = shape == "surge" ? RateShape::Surge : RateShape::Steady;
     if (shape != "surge" && shape != "steady")
@@ -134,9 +135,12 @@
          "length of the trace in virtual time"},
         {kSection, "shape", SettingKind::Text, "steady", 0, 0, false, "steady or surge"},
         {kSection, "policies", SettingKind::List,
-         "deadline_aware/group,random/fifo,round_robin/fifo,least_requests/fifo,least_tokens/fifo,"
-         "power_of_two/fifo",
+         "deadline_aware/predictive,random/first_in_first_out,round_robin/first_in_first_out,"
+         "least_requests/first_in_first_out,least_tokens/first_in_first_out,"
+         "power_of_two/first_in_first_out",
          0, 0, false, "routing/admission pairs, the system's own first"},
+        {kSection, "largest_prompt", SettingKind::Count, "1000000", 1000, 1000000, false,
+         "prompt tokens; requests with longer prompts are left out of the trace"},
         {kSection, "faults", SettingKind::List, "", 0, 0, false, "kind:number:begin:end"},
         {kSection, "seed", SettingKind::Count, "1", 0, 1e15, false, "seed of trace and policies"},
     };
--- a/load/experiment/experiment_options.h
+++ b/load/experiment/experiment_options.h
@@ -49,6 +49,8 @@
     double load = 0.8;
     absl::Duration length = absl::Minutes(10);
     RateShape shape = RateShape::Steady;
+    /** Requests with more prompt tokens are left out of the trace. */
+    std::int64_t largestPrompt = 1000000;
     std::vector<PolicyPair> policies;
     std::vector<ExperimentFault> faults;
     std::uint64_t seed = 1;
--- a/load/experiment/simulation.cpp
+++ b/load/experiment/simulation.cpp
@@ -372,8 +372,7 @@
 bool Simulation::reserveParts(Flow &flow)
 {
     flow.reservedElsewhere = 0;
-    const std::int64_t part =
-        contextPart(flow.profile.memoryTokens(), flow.servers.size());
+    const std::int64_t part = contextPart(flow.profile.memoryTokens(), flow.servers.size());
     for (std::size_t i = 1; i < flow.servers.size(); ++i) {
         const EngineHold hold {flow.attemptId.str(), "entry", part, flow.profile.deadline};
         if (this->fleet.reserve(flow.servers[i], hold)) {
--- a/load/experiment/simulation.h
+++ b/load/experiment/simulation.h
@@ -3,9 +3,9 @@
 #include "core/random.h"
 #include "load/experiment/admission_registry.h"
 #include "load/experiment/engine_fleet.h"
-#include "load/experiment/event_loop.h"
 #include "load/experiment/experiment_options.h"
 #include "load/experiment/experiment_result.h"
+#include "load/experiment/virtual_loop.h"
 #include "servers/routing/routing_policy.h"
 #include "servers/routing/routing_view_builder.h"
 
@@ -93,7 +93,7 @@
     std::unique_ptr<RoutingPolicy> policy;
     std::string admissionName;
     Random random;
-    EventLoop loop;
+    VirtualLoop loop;
     EngineFleet fleet;
     std::vector<Entry> entries;
     std::vector<Group> groups;
--- a/load/experiment/event_loop.h
+++ b/load/experiment/virtual_loop.h
@@ -10,10 +10,10 @@
 
 /** Runs callbacks in order of virtual time; callbacks at the same time run in order of insertion.
  */
-class EventLoop
+class VirtualLoop
 {
 public:
-    explicit EventLoop(absl::Time start)
+    explicit VirtualLoop(absl::Time start)
         : current(start)
     { }
 
