--- a/main/lib/command_line.cpp
+++ b/main/lib/command_line.cpp
@@ -5,6 +5,7 @@
 #include "main/lib/entry_instance.h"
 #include "main/lib/operator_commands.h"
 #include "main/lib/settings_schema.h"
+#include "main/lib/tool_commands.h"
 
 #include <CLI/CLI.hpp>
 #include <csignal>
@@ -98,6 +99,7 @@
             std::cout << apiKeyDigest(key) << '\n';
         });
     addOperatorCommands(app, result);
+    addToolCommands(app, result);
 
     try {
         app.parse(argc, argv);
--- a/main/lib/completion_run.cpp
+++ b/main/lib/completion_run.cpp
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/hash.h"
 #include "core/log.h"
+#include "servers/admission/long_context_planner.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -122,10 +123,36 @@
 
 void CompletionRun::on(const StartEngine &action)
 {
+    Engine &engine = this->engines[action.attempt];
+    engine.server = this->service.context.engines->at(action.addresses.front());
+    if (action.addresses.size() == 1)
+        return this->startCompletion(action);
+    const RequestProfile &profile = this->session.profile();
+    const std::size_t servers = action.addresses.size();
+    engine.hold = std::make_shared<LongContextHold>(
+        this->service.holds, *this->service.context.engines, this->attemptName(action.attempt),
+        this->service.context.self,
+        std::vector<std::string>(action.addresses.begin() + 1, action.addresses.end()),
+        contextPart(profile.memoryTokens(), servers));
+    engine.hold->reserve([self = shared_from_this(), action](std::error_code error) {
+        self->loop.post([self, action, error] {
+            if (!error)
+                return self->startCompletion(action);
+            // Nothing has been sent to the engine that would run the request.
+            self->apply(
+                self->session.onEngineDone(action.attempt, Error::ServerOverloaded, Clock::now()));
+        });
+    });
+}
+
+void CompletionRun::startCompletion(const StartEngine &action)
+{
+    Engine &engine = this->engines[action.attempt];
+    if (engine.isCancelled)
+        return;
     const RequestProfile &profile = this->session.profile();
     CompletionRequest request;
-    // Each attempt has its own name, since an engine may still hold the one before.
-    request.id = RequestId(profile.id.str() + "." + std::to_string(action.attempt));
+    request.id = RequestId(this->attemptName(action.attempt));
     request.model = profile.model;
     request.adapter = profile.adapter;
     request.prompt = this->call.prompt;
@@ -133,42 +160,53 @@
     request.priority = profile.requestClass;
     request.resumeOffset = action.resumeOffset;
     request.timeout = profile.deadline - Clock::now();
-    Engine &engine = this->engines[action.attempt];
-    engine.server = this->service.context.engines->at(action.addresses.front());
+    if (engine.hold != nullptr)
+        request.reservation = engine.hold->id();
     engine.completion = engine.server->startCompletion(
         request, std::make_shared<Listener>(shared_from_this(), action.attempt));
+    engine.isStarted = true;
+}
+
+std::string CompletionRun::attemptName(std::uint64_t attempt) const
+{
+    // Each attempt has its own name, since an engine may still hold the one before.
+    return this->session.profile().id.str() + "." + std::to_string(attempt);
 }
 
 void CompletionRun::on(const CancelEngine &action)
 {
-    const Engine &engine = this->engines[action.attempt];
-    if (engine.server != nullptr)
+    Engine &engine = this->engines[action.attempt];
+    engine.isCancelled = true;
+    if (engine.isStarted)
         engine.server->cancel(engine.completion);
 }
 
 void CompletionRun::on(const PauseEngine &action)
 {
     const Engine &engine = this->engines[action.attempt];
-    if (engine.server != nullptr)
+    if (engine.isStarted)
         engine.server->pause(engine.completion);
 }
 
 void CompletionRun::on(const ResumeEngine &action)
 {
     const Engine &engine = this->engines[action.attempt];
-    if (engine.server != nullptr)
+    if (engine.isStarted)
         engine.server->resume(engine.completion);
 }
 
 void CompletionRun::on(const ReleasePermit &action)
 {
+    for (auto &[attempt, engine] : this->engines) {
+        if (engine.hold != nullptr)
+            std::exchange(engine.hold, nullptr)->release();
+    }
     this->service.context.reservations->release(action.group, action.release);
 }
 
 void CompletionRun::on(const ReportSuspect &action)
 {
-    this->service.context.reservations->reportSuspect(action.server,
-                                                      this->session.profile().fingerprint);
+    this->service.context.reservations->reportSuspect(action, this->session.profile().fingerprint);
 }
 
 void CompletionRun::on(const SendToken &action)
--- a/main/lib/completion_run.h
+++ b/main/lib/completion_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "main/lib/completion_service.h"
+#include "main/lib/long_context_hold.h"
 #include "peers/caller/caller_replies.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -41,6 +42,8 @@
     void on(const RefuseRequest &action);
     void on(const FailAnswer &action);
 
+    void startCompletion(const StartEngine &action);
+    std::string attemptName(std::uint64_t attempt) const;
     void startStream();
     void updateBuffered();
     void finish(std::string_view outcome, RefusalReason reason);
@@ -49,6 +52,9 @@
     {
         std::shared_ptr<EngineServer> server;
         CompletionId completion = 0;
+        std::shared_ptr<LongContextHold> hold;
+        bool isStarted = false;
+        bool isCancelled = false;
     };
 
     CompletionService &service;
--- a/main/lib/completion_service.cpp
+++ b/main/lib/completion_service.cpp
@@ -5,6 +5,7 @@
 #include "main/lib/completion_run.h"
 #include "peers/caller/caller_replies.h"
 #include "peers/engine/prompt_blocks.h"
+#include "servers/quarantine/quarantine.h"
 
 #include <utility>
 
@@ -98,6 +99,10 @@
     profile.prefixBlocks = prefixBlocksOf(call.model, call.adapter, call.prompt, kRoutedBlocks);
     profile.fingerprint =
         fingerprintOf(profile.customer.str() + '\n' + call.model.str() + '\n' + call.prompt);
+    profile.deathsSeen = this->context.reservations->deathsSeen(profile.fingerprint);
+    if (profile.deathsSeen >= kQuarantineDeaths)
+        return exchange->respond(
+            refusalResponse({RefusalReason::Quarantined, true, kQuarantineTerm}));
     this->open.fetch_add(1);
     auto run = std::make_shared<CompletionRun>(*this, worker.loop, exchange, std::move(call),
                                                std::move(profile));
--- a/main/lib/completion_service.h
+++ b/main/lib/completion_service.h
@@ -61,6 +61,7 @@
     void tick(Worker &worker);
 
     CompletionContext context;
+    EventLoop holds {"long-contexts"};
     std::vector<std::unique_ptr<Worker>> workers;
     std::atomic<std::uint64_t> nextRequest {1};
     std::atomic<std::size_t> open {0};
--- a/main/lib/control_plane.cpp
+++ b/main/lib/control_plane.cpp
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/hash.h"
 #include "core/log.h"
+#include "peers/instance/membership_wire.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -13,14 +14,49 @@
 namespace {
 
 constexpr absl::Duration kTickPeriod = absl::Milliseconds(20);
+constexpr absl::Duration kMembershipPeriod = absl::Milliseconds(100);
+constexpr absl::Duration kRosterPeriod = absl::Seconds(1);
+constexpr absl::Duration kListPullPeriod = absl::Seconds(2);
 constexpr absl::Duration kSummaryPeriod = absl::Milliseconds(500);
 constexpr absl::Duration kPermitReportPeriod = absl::Seconds(5);
-constexpr absl::Duration kNoteWatch = absl::Seconds(20);
-constexpr absl::Duration kNoteRetry = absl::Milliseconds(500);
+constexpr absl::Duration kPullTimeout = absl::Seconds(1);
 /** Time beyond the caller's deadline after which an owner's answer is of no use. */
 constexpr absl::Duration kReplyMargin = absl::Milliseconds(50);
 constexpr std::size_t kPollLoops = 4;
-constexpr std::size_t kSummariesPerDatagram = 6;
+/** Instances of a domain that read the platform's list. */
+constexpr std::size_t kWatchers = 2;
+
+MemberUpdate selfUpdate(const ControlOptions &options)
+{
+    MemberUpdate self;
+    self.instance = options.self;
+    self.domain = options.domain;
+    self.address = options.address;
+    self.incarnation = options.incarnation;
+    return self;
+}
+
+OwnershipOptions ownershipOptions(const ControlOptions &options)
+{
+    OwnershipOptions ownership;
+    ownership.self = {options.self, options.incarnation};
+    ownership.domain = options.domain;
+    ownership.admissionPolicy = options.admissionPolicy;
+    ownership.timing.reportLag = options.reportLag;
+    return ownership;
+}
+
+SpreadSettings spreadSettings(const ControlOptions &options)
+{
+    SpreadSettings settings;
+    settings.self = options.self;
+    settings.domain = options.domain;
+    for (const PeerEntry &peer : options.peers.entries()) {
+        if (peer.domain == options.domain && peer.id != options.self)
+            settings.seedPeers.push_back(peer.id);
+    }
+    return settings;
+}
 
 } // namespace
 
@@ -32,6 +68,9 @@
     , metrics(metrics)
     , routingView(std::make_unique<RoutingView>())
     , servingState(std::make_unique<ServingState>())
+    , membership(selfUpdate(this->options), this->options.incarnation)
+    , ownership(ownershipOptions(this->options),
+                [this](const ShareAction &action) { this->sendShares(action); })
 {
     this->viewBuilder.setLocalDomain(this->options.domain);
 }
@@ -45,15 +84,28 @@
 {
     this->transport = &instanceTransport;
     this->loop = std::make_unique<EventLoop>("control");
-    this->platformLoop = std::make_unique<EventLoop>("platform");
-    this->noteLoop = std::make_unique<EventLoop>("note-watch");
     for (std::size_t i = 0; i < kPollLoops; ++i)
         this->pollers.push_back(std::make_unique<EventLoop>("engine-poll"));
-    this->platformLoop->post([this] { this->readInstanceList(); });
-    this->platformLoop->every(this->options.platformPoll, [this] { this->readInstanceList(); });
-    this->noteLoop->post([this] { this->readNote(); });
-    this->loop->every(this->options.enginePoll, [this] { this->pollEngines(); });
+    this->rosterWriter = std::make_unique<RosterWriter>(
+        this->options.self, this->options.incarnation, this->options.domain, this->platform);
+    this->spread = std::make_unique<DocumentSpread>(
+        spreadSettings(this->options), *this->loop, this->platform, *this,
+        [this](const Document &document) { this->onDocument(document); });
+    this->platformList = std::make_unique<PlatformList>(
+        this->platform, this->options.platformPoll, [this](const InstanceListSnapshot &list) {
+            this->loop->post([this, list] { this->onInstanceList(list); });
+        });
+    this->loop->post([this] {
+        std::vector<KnownInstance> known;
+        for (const PeerEntry &peer : this->options.peers.entries())
+            known.push_back({peer.id, peer.domain, peer.address});
+        this->carryOut(this->membership.addKnown(known, Clock::now()));
+    });
     this->loop->every(kTickPeriod, [this] { this->onTick(); });
+    this->loop->every(kMembershipPeriod, [this] { this->onMembershipTick(); });
+    this->loop->every(kRosterPeriod, [this] { this->updateRoster(); });
+    this->loop->every(kListPullPeriod, [this] { this->pullInstanceList(); });
+    this->loop->every(this->options.enginePoll, [this] { this->pollEngines(); });
 }
 
 void ControlPlane::stop()
@@ -62,156 +114,162 @@
         return;
     for (const std::unique_ptr<EventLoop> &poller : this->pollers)
         poller->stop();
-    this->platformLoop->stop();
-    this->noteLoop->stop();
+    this->platformList->stop();
+    this->rosterWriter->stop();
+    this->spread->stop();
     this->loop->stop();
 }
 
 void ControlPlane::leave()
 {
     this->leaving.store(true);
+    this->ready.store(false);
     this->loop->post([this] {
-        for (const auto &[id, group] : this->owned)
-            group->answer(group->admission().stop(RefusalReason::Leaving, Clock::now()));
+        const absl::Time now = Clock::now();
+        this->ownership.leave(now);
+        this->carryOut(this->membership.leave(now));
         this->nextSummaries = absl::InfinitePast();
     });
 }
 
-void ControlPlane::readInstanceList()
+void ControlPlane::onInstanceList(const InstanceListSnapshot &list)
 {
-    const Result<std::vector<InstanceEntry>> list = this->platform.instances();
-    if (!list.ok()) {
-        logEvent(LogLevel::Warning, "instance_list_unreadable",
-                 {{"error", errorName(list.error())}});
-        return;
-    }
-    this->loop->post([this, entriesRead = *list] { this->onInstanceList(entriesRead); });
-}
-
-void ControlPlane::readNote()
-{
-    const auto object = this->platform.watch("notes/current", this->noteVersion, kNoteWatch);
-    if (object.ok() && object->has_value()) {
-        const StoredObject stored = **object;
-        this->noteVersion = stored.version;
-        DocumentProblems problems;
-        Result<ReleaseNote> note = ReleaseNote::parse(stored.value, problems);
-        if (note.ok()) {
-            this->loop->post([this, accepted = std::move(*note)] {
-                if (accepted.number <= this->current.note.number)
-                    return;
-                this->current.note = accepted;
-                this->current.indexCustomers();
-                this->servingState.publish(std::make_unique<ServingState>(this->current));
-                logEvent(LogLevel::Info, "release_note_in_force", {{"number", accepted.number}});
-            });
-        }
+    const absl::Time now = Clock::now();
+    const bool isChanged = list.digest != this->instanceList.digest;
+    this->instanceList = list;
+    std::vector<ListedInstance> listed;
+    std::vector<InstanceId> listedIds;
+    for (const InstanceEntry &entry : list.entries) {
+        if (entry.kind != InstanceKind::Entry || entry.domain != this->options.domain)
+            continue;
+        listedIds.emplace_back(entry.id);
     }
-    const absl::Duration pause = object.ok() ? absl::ZeroDuration() : kNoteRetry;
-    this->noteLoop->postAt(Clock::now() + pause, [this] { this->readNote(); });
-}
-
-void ControlPlane::onInstanceList(const std::vector<InstanceEntry> &list)
-{
-    this->entries.clear();
-    this->domainGroups.clear();
+    for (const RosterMember &member : this->domainMembers(list.entries))
+        listed.push_back({member.instance, member.incarnation, false});
+    this->rosterWriter->onInstanceList(listed, now);
+    this->ownership.onInstanceList(this->domainMembers(list.entries), now);
+    this->spread->plan().onInstanceList(listedIds, list.requestedAt);
+    if (!isChanged)
+        return;
+    DomainGroups groups;
     this->current.services.clear();
-    for (const InstanceEntry &entry : list) {
-        if (entry.kind == InstanceKind::Entry)
-            this->entries.push_back(entry);
-        else if (entry.kind == InstanceKind::Service && !entry.isLeaving)
+    for (const InstanceEntry &entry : list.entries) {
+        if (entry.kind == InstanceKind::Service && !entry.isLeaving)
             this->current.services[entry.service].push_back(entry);
-        else if (entry.kind == InstanceKind::Engine && entry.domain == this->options.domain)
-            this->domainGroups[entry.group].push_back(entry.backendServer());
+        if (entry.kind == InstanceKind::Engine && entry.domain == this->options.domain)
+            groups[entry.group].push_back(entry.backendServer());
     }
     this->servingState.publish(std::make_unique<ServingState>(this->current));
-    this->updateOwnership(Clock::now());
+    this->ownership.setGroups(std::move(groups), now);
 }
 
-InstanceId ControlPlane::ownerOf(const GroupId &group) const
+std::vector<RosterMember> ControlPlane::domainMembers(const std::vector<InstanceEntry> &list) const
 {
-    const auto summary = this->summaryOwners.find(group);
-    if (summary != this->summaryOwners.end() && !this->domainGroups.contains(group))
-        return summary->second;
-    InstanceId best;
-    std::uint64_t bestWeight = 0;
-    for (const InstanceEntry &entry : this->entries) {
-        if (entry.isLeaving || entry.domain != this->options.domain)
+    // The platform numbers the lives of instances in its own way, so the incarnation is the one
+    // that the process itself announces. The platform never runs two processes of one name.
+    std::vector<RosterMember> members;
+    for (const InstanceEntry &entry : list) {
+        if (entry.kind != InstanceKind::Entry || entry.domain != this->options.domain)
+            continue;
+        const InstanceId id(entry.id);
+        if (id == this->options.self) {
+            members.push_back({id, this->options.incarnation});
             continue;
-        const std::uint64_t weight = rendezvousWeight(group.str(), entry.id);
-        if (best.isEmpty() || weight > bestWeight) {
-            best = InstanceId(entry.id);
-            bestWeight = weight;
         }
+        const MemberTable::Member *member = this->membership.members().find(id);
+        Incarnation incarnation = member == nullptr ? 0 : member->update.incarnation;
+        for (const RosterDocument::Member &known : this->roster.members) {
+            if (known.id == id)
+                incarnation = std::max(incarnation, known.incarnation);
+        }
+        if (incarnation != 0)
+            members.push_back({id, incarnation});
     }
-    return best;
+    std::sort(members.begin(), members.end());
+    return members;
 }
 
-void ControlPlane::updateOwnership(absl::Time now)
+void ControlPlane::onDocument(const Document &document)
 {
-    for (const auto &[group, servers] : this->domainGroups) {
-        const bool mine = this->ownerOf(group) == this->options.self;
-        const auto found = this->owned.find(group);
-        if (!mine && found != this->owned.end()) {
-            found->second->failWaiting();
-            this->owned.erase(found);
-        }
-        if (!mine)
-            continue;
-        if (found == this->owned.end()) {
-            const Result<AdmissionOptions> admission =
-                AdmissionOptionsBuilder()
-                    .setGroup(group, this->options.domain, servers.front().model)
-                    .setOwner(this->options.self, this->options.incarnation)
-                    .build();
-            if (!admission.ok())
-                continue;
-            this->owned[group] = std::make_unique<OwnedGroup>(
-                makeAdmissionPolicy(this->options.admissionPolicy, *admission), servers);
-        }
-        OwnedGroup &own = *this->owned[group];
-        own.setServers(servers);
-        std::vector<UsableUnits> limits;
-        for (const BackendServer &server : servers)
-            limits.push_back({server.id, server.coldLimit, server.memoryTokens});
-        own.answer(own.admission().setServers(servers, now));
-        own.answer(own.admission().setLimits(limits, now));
+    DocumentProblems problems;
+    const absl::Time now = Clock::now();
+    this->carryOut(this->membership.setDocument(static_cast<GossipDocument>(indexOf(document.kind)),
+                                                document.number, now));
+    switch (document.kind) {
+    case DocumentKind::ReleaseNote: {
+        const Result<ReleaseNote> note = ReleaseNote::parse(document.body, problems);
+        if (!note.ok())
+            return;
+        this->current.note = *note;
+        this->current.indexCustomers();
+        this->servingState.publish(std::make_unique<ServingState>(this->current));
+        return;
+    }
+    case DocumentKind::OutList: {
+        const Result<OutList> list = OutList::parse(document.body, problems);
+        if (list.ok())
+            this->onOutList(*list);
+        return;
+    }
+    case DocumentKind::Roster: {
+        const Result<RosterDocument> parsed = RosterDocument::parse(document.body, problems);
+        if (!parsed.ok())
+            return;
+        this->roster = *parsed;
+        this->ownership.setRoster(toShareRoster(*parsed, this->options.domain), now);
+        return;
+    }
     }
 }
 
+void ControlPlane::onOutList(const OutList &list)
+{
+    for (const OutList::Entry &domain : this->current.outList.failureDomains)
+        this->viewBuilder.setDomainOut(FailureDomainId(domain.id), false);
+    for (const OutList::Entry &domain : list.failureDomains)
+        this->viewBuilder.setDomainOut(FailureDomainId(domain.id), true);
+    this->current.outList = list;
+    this->servingState.publish(std::make_unique<ServingState>(this->current));
+    this->isOwnDomainOut = list.isOut(this->options.domain);
+    // Shares that were returned come back only with a new process; see docs/operators.md.
+    if (list.isOut(this->options.self) && !this->leaving.load())
+        this->leave();
+    this->ownership.setOutOfService(this->isOwnDomainOut, Clock::now());
+    this->publishView();
+}
+
+InstanceId ControlPlane::ownerOf(const GroupId &group) const
+{
+    if (this->ownership.isOfDomain(group))
+        return this->ownership.ownerOf(group);
+    const auto summary = this->summaryOwners.find(group);
+    return summary == this->summaryOwners.end() ? InstanceId() : summary->second;
+}
+
 std::string ControlPlane::addressOf(const InstanceId &instance) const
 {
-    const PeerEntry *peer = this->options.peers.find(instance);
-    return peer == nullptr ? std::string() : peer->address;
+    const MemberTable::Member *member = this->membership.members().find(instance);
+    return member == nullptr ? std::string() : member->update.address;
 }
 
 void ControlPlane::pollEngines()
 {
-    for (const auto &[group, own] : this->owned) {
+    for (const auto &[group, own] : this->ownership.owned()) {
         for (const BackendServer &server : own->servers()) {
             EventLoop &poller = *this->pollers[stableHash(server.id.str()) % this->pollers.size()];
             poller.post([this, group = group, id = server.id, address = server.address] {
                 const Result<LoadReport> report = this->engines.at(address)->load();
-                this->loop->post([this, group, id, report] { this->onReport(group, id, report); });
+                this->loop->post([this, group, id, report] {
+                    if (report.ok())
+                        this->ownership.onLoadReport(group, *report, Clock::now());
+                    else if (report.error() == Error::ConnectionFailed)
+                        this->ownership.onServerLost(group, id, Clock::now());
+                });
             });
         }
     }
 }
 
-void ControlPlane::onReport(const GroupId &group, const BackendServerId &server,
-                            const Result<LoadReport> &report)
-{
-    const auto found = this->owned.find(group);
-    if (found == this->owned.end())
-        return;
-    OwnedGroup &own = *found->second;
-    const absl::Time now = Clock::now();
-    if (report.ok())
-        own.answer(own.admission().onLoadReport(*report, now));
-    else if (report.error() == Error::ConnectionFailed)
-        own.answer(own.admission().onServerLost(server, now));
-}
-
 void ControlPlane::reserve(const GroupId &group, const RequestProfile &profile, Callback callback)
 {
     this->loop->post([this, group, profile, callback = std::move(callback)] {
@@ -223,27 +281,13 @@
             callback(reply);
         };
         if (owner == this->options.self)
-            this->reserveHere(group, {profile, this->options.self, this->options.incarnation},
-                              recording);
+            this->ownership.reserve(group, {profile, this->options.self, this->options.incarnation},
+                                    recording, Clock::now());
         else
             this->reserveRemote(owner, group, profile, recording);
     });
 }
 
-void ControlPlane::reserveHere(const GroupId &group, const ReserveRequest &request,
-                               Callback callback)
-{
-    const auto found = this->owned.find(group);
-    if (found == this->owned.end()) {
-        ReserveReply reply;
-        reply.refusal = {RefusalReason::NotOwner, true, absl::Milliseconds(500)};
-        return callback(reply);
-    }
-    OwnedGroup &own = *found->second;
-    own.addWaiting(request.profile.id, std::move(callback));
-    own.answer(own.admission().reserve(request, Clock::now()));
-}
-
 void ControlPlane::reserveRemote(const InstanceId &owner, const GroupId &group,
                                  const RequestProfile &profile, Callback callback)
 {
@@ -260,8 +304,12 @@
                 const auto message = unpackMessage<ReserveReplyMessage>(envelope->payload);
                 reply = message.error();
                 if (message.ok())
-                    reply = ReserveReply {
-                        {}, message->granted, message->grant, message->addresses, message->refusal};
+                    reply = ReserveReply {{},
+                                          message->granted,
+                                          message->grant,
+                                          message->addresses,
+                                          message->incarnations,
+                                          message->refusal};
             }
             this->loop->post([callback, reply] { callback(reply); });
         });
@@ -284,16 +332,10 @@
 {
     this->loop->post([this, group, request] {
         const InstanceId owner = this->ownerOf(group);
-        if (owner != this->options.self) {
-            this->transport->send(this->addressOf(owner), MessageKind::ReserveCancel,
-                                  packMessage(ReserveCancelMessage {group, request}));
-            return;
-        }
-        const auto found = this->owned.find(group);
-        if (found == this->owned.end())
-            return;
-        found->second->dropWaiting(request);
-        found->second->answer(found->second->admission().withdraw(request, Clock::now()));
+        if (owner == this->options.self)
+            return this->ownership.withdraw(group, request, Clock::now());
+        this->transport->send(this->addressOf(owner), MessageKind::ReserveCancel,
+                              packMessage(ReserveCancelMessage {group, request}));
     });
 }
 
@@ -305,20 +347,92 @@
             return;
         const InstanceId owner = permit->second.owner;
         this->permits.erase(permit);
-        if (owner != this->options.self) {
-            this->transport->send(this->addressOf(owner), MessageKind::PermitRelease,
-                                  packMessage(PermitReleaseMessage {group, release}));
+        if (owner == this->options.self)
+            return this->ownership.release(group, release, Clock::now());
+        this->transport->send(this->addressOf(owner), MessageKind::PermitRelease,
+                              packMessage(PermitReleaseMessage {group, release}));
+    });
+}
+
+void ControlPlane::reportSuspect(const ReportSuspect &suspect, const Fingerprint &fingerprint)
+{
+    EventLoop &poller = *this->pollers[stableHash(suspect.server.str()) % this->pollers.size()];
+    poller.post([this, suspect, fingerprint] {
+        // Only a server that is gone or has restarted counts as dead; a cut connection does not.
+        const Result<LoadReport> report = this->engines.at(suspect.address)->load();
+        const bool isDead = report.ok() ? report->incarnation != suspect.incarnation
+                                        : report.error() == Error::ConnectionFailed;
+        logEvent(LogLevel::Warning, "stream_broken",
+                 {{"server", suspect.server.str()}, {"server_died", isDead}});
+        if (!isDead)
             return;
-        }
-        const auto found = this->owned.find(group);
-        if (found != this->owned.end())
-            found->second->answer(found->second->admission().release(release, Clock::now()));
+        this->loop->post([this, suspect, fingerprint] {
+            const absl::Time now = Clock::now();
+            for (const VerdictEntry &verdict : this->suspects.onServerDeath(
+                     suspect.server, suspect.incarnation, fingerprint, now))
+                this->membership.addVerdict(verdict, now);
+        });
     });
 }
 
-void ControlPlane::reportSuspect(const BackendServerId &server, const Fingerprint & /*fingerprint*/)
+std::uint32_t ControlPlane::deathsSeen(const Fingerprint &fingerprint) const
 {
-    logEvent(LogLevel::Warning, "stream_broken", {{"server", server.str()}});
+    return this->suspects.deathsSeen(fingerprint, Clock::now());
+}
+
+void ControlPlane::pull(const PullDocument &request, Answer answer)
+{
+    const DocumentPullMessage message {static_cast<std::uint8_t>(request.kind), request.held,
+                                       request.wantsBody};
+    this->transport->call(
+        this->addressOf(request.to), MessageKind::DocumentPull, packMessage(message), kPullTimeout,
+        [this, kind = request.kind, answer = std::move(answer)](const Result<Envelope> &envelope) {
+            Result<DocumentAnswer> result = envelope.error();
+            if (envelope.ok()) {
+                const auto body = unpackMessage<DocumentBodyMessage>(envelope->payload);
+                result = body.error();
+                if (body.ok()) {
+                    DocumentAnswer parsed {kind, body->number, body->isSettled, std::nullopt};
+                    if (!body->body.empty())
+                        parsed.document = Document::make(kind, body->number, body->body);
+                    result = std::move(parsed);
+                }
+            }
+            this->loop->post([answer, result] { answer(result); });
+        });
+}
+
+void ControlPlane::pullInstanceList()
+{
+    const bool isWatcher = this->membership.ranked().isSelfAmong(kWatchers);
+    this->platformList->setWatching(isWatcher);
+    if (isWatcher)
+        return;
+    const std::vector<InstanceId> watchers =
+        this->membership.ranked().lowest(this->options.domain, kWatchers);
+    if (watchers.empty())
+        return;
+    // Spread over the watchers; either has the same list within the platform's lag.
+    const InstanceId &watcher = watchers[stableHash(this->options.self.str()) % watchers.size()];
+    this->transport->call(
+        this->addressOf(watcher), MessageKind::InstanceListPull,
+        packMessage(InstanceListPullMessage {this->instanceList.digest}), kPullTimeout,
+        [this, requestedAt = Clock::now()](const Result<Envelope> &envelope) {
+            if (!envelope.ok())
+                return;
+            auto body = unpackMessage<InstanceListBodyMessage>(envelope->payload);
+            if (!body.ok())
+                return;
+            this->loop->post([this, requestedAt, text = std::move(body->body)] {
+                if (text.empty()) {
+                    this->instanceList.requestedAt = requestedAt;
+                    return this->onInstanceList(InstanceListSnapshot(this->instanceList));
+                }
+                const Result<InstanceListSnapshot> list = parseInstanceList(text, requestedAt);
+                if (list.ok())
+                    this->onInstanceList(*list);
+            });
+        });
 }
 
 void ControlPlane::onMessage(const Envelope &message, const InstanceTransport::Reply &reply)
@@ -330,41 +444,46 @@
 {
     const absl::Time now = Clock::now();
     switch (message.kind) {
+    case MessageKind::Gossip:
+        return this->handleGossip(message, now);
+    case MessageKind::LoanRequest: {
+        const auto request = unpackMessage<LoanRequest>(message.payload);
+        if (request.ok())
+            this->ownership.onLoanRequest(*request, now);
+        return;
+    }
+    case MessageKind::LoanOffer: {
+        const auto offer = unpackMessage<LoanOffer>(message.payload);
+        if (offer.ok())
+            this->ownership.onLoanOffer(*offer, now);
+        return;
+    }
     case MessageKind::ReserveRequest:
         return this->handleReserve(message, reply);
-    case MessageKind::Gossip:
-        return this->handleGossip(message);
     case MessageKind::ReserveCancel: {
         const auto cancel = unpackMessage<ReserveCancelMessage>(message.payload);
-        if (!cancel.ok())
-            return;
-        const auto found = this->owned.find(cancel->group);
-        if (found == this->owned.end())
-            return;
-        found->second->dropWaiting(cancel->request);
-        return found->second->answer(found->second->admission().withdraw(cancel->request, now));
+        if (cancel.ok())
+            this->ownership.withdraw(cancel->group, cancel->request, now);
+        return;
     }
     case MessageKind::PermitRelease: {
         const auto release = unpackMessage<PermitReleaseMessage>(message.payload);
-        if (!release.ok())
-            return;
-        const auto found = this->owned.find(release->group);
-        if (found != this->owned.end())
-            found->second->answer(found->second->admission().release(release->release, now));
+        if (release.ok())
+            this->ownership.release(release->group, release->release, now);
         return;
     }
-    case MessageKind::PermitReport: {
-        const auto report = unpackMessage<PermitReportMessage>(message.payload);
-        if (!report.ok())
+    case MessageKind::PermitReport:
+        return this->handlePermitReport(message, now);
+    case MessageKind::DocumentPull:
+        return this->handleDocumentPull(message, reply);
+    case MessageKind::InstanceListPull: {
+        const auto request = unpackMessage<InstanceListPullMessage>(message.payload);
+        if (!request.ok() || !reply)
             return;
-        const auto found = this->owned.find(report->group);
-        if (found == this->owned.end())
-            return;
-        PermitReport held {message.sender, message.incarnation, {}};
-        for (const PermitReportMessage::Held &entry : report->permits)
-            held.held.push_back({entry.permit, entry.servers, entry.tokens, entry.isLong,
-                                 entry.isSuspect, now + entry.remaining});
-        return found->second->answer(found->second->admission().onPermitReport(held, now));
+        InstanceListBodyMessage body {this->instanceList.digest, ""};
+        if (request->digest != this->instanceList.digest)
+            body.body = this->instanceList.text;
+        return reply(MessageKind::InstanceListBody, packMessage(body));
     }
     default:
         return;
@@ -376,42 +495,112 @@
     auto request = unpackMessage<ReserveRequestMessage>(message.payload);
     if (!request.ok() || !reply)
         return;
-    request->profile.deadline = Clock::now() + request->remaining;
-    this->reserveHere(
+    const absl::Time now = Clock::now();
+    request->profile.deadline = now + request->remaining;
+    this->ownership.reserve(
         request->group, {request->profile, message.sender, message.incarnation},
         [reply](const Result<ReserveReply> &result) {
             ReserveReplyMessage answer;
-            if (result.ok()) {
-                answer.granted = result->granted;
-                answer.grant = result->grant;
-                answer.addresses = result->addresses;
-                answer.refusal = result->refusal;
-            } else {
+            if (result.ok())
+                answer = {result->granted, result->grant, result->addresses, result->incarnations,
+                          result->refusal};
+            else
                 answer.refusal = {RefusalReason::NotOwner, true, absl::Milliseconds(500)};
-            }
             reply(MessageKind::ReserveReply, packMessage(answer));
-        });
+        },
+        now);
 }
 
-void ControlPlane::handleGossip(const Envelope &message)
+void ControlPlane::handlePermitReport(const Envelope &message, absl::Time now)
 {
-    const auto summaries = unpackMessage<SummariesMessage>(message.payload);
-    if (!summaries.ok())
+    const auto report = unpackMessage<PermitReportMessage>(message.payload);
+    if (!report.ok())
+        return;
+    PermitReport held {message.sender, message.incarnation, {}};
+    for (const PermitReportMessage::Held &entry : report->permits)
+        held.held.push_back({entry.permit, entry.servers, entry.tokens, entry.isLong,
+                             entry.isSuspect, now + entry.remaining});
+    this->ownership.onPermitReport(report->group, held, now);
+}
+
+void ControlPlane::handleDocumentPull(const Envelope &message,
+                                      const InstanceTransport::Reply &reply)
+{
+    const auto request = unpackMessage<DocumentPullMessage>(message.payload);
+    if (!request.ok() || !reply || request->kind >= kDocumentKindCount)
+        return;
+    const DocumentAnswer answer =
+        this->spread->plan().answerPull(message.sender, static_cast<DocumentKind>(request->kind),
+                                        request->held, request->wantsBody);
+    DocumentBodyMessage body;
+    body.kind = request->kind;
+    body.number = answer.number;
+    body.isSettled = answer.isSettled;
+    if (answer.document.has_value())
+        body.body = answer.document->body;
+    reply(MessageKind::DocumentBody, packMessage(body));
+}
+
+void ControlPlane::handleGossip(const Envelope &message, absl::Time now)
+{
+    const auto datagram = unpackMessage<MembershipDatagram>(message.payload);
+    if (!datagram.ok())
+        return;
+    const Result<MembershipActions> actions = this->membership.onDatagram(datagram->message, now);
+    if (!actions.ok()) {
+        this->metrics
+            .counter("foxtailtally_peer_messages_dropped_total",
+                     {{"error", errorName(actions.error())}})
+            .add();
         return;
-    for (const GroupSummary &summary : summaries->summaries) {
-        this->viewBuilder.setSummary(summary, Clock::now());
-        this->summaryOwners[summary.group] = summary.owner;
     }
+    this->spread->plan().onGossip(message.sender, datagram->documents);
+    this->carryOut(*actions);
+}
+
+void ControlPlane::carryOut(const MembershipActions &actions)
+{
+    const absl::Time now = Clock::now();
+    for (const MembershipAction &action : actions) {
+        if (const auto *send = std::get_if<SendMembership>(&action)) {
+            const MembershipDatagram datagram {send->message, this->spread->plan().gossip()};
+            this->transport->sendDatagram(send->address, MessageKind::Gossip,
+                                          packMessage(datagram));
+        } else if (const auto *changed = std::get_if<PeerChanged>(&action)) {
+            const MemberUpdate &member = changed->member;
+            const RosterMember peer {member.instance, member.incarnation};
+            logEvent(LogLevel::Info, "peer_changed",
+                     {{"peer", member.instance.str()}, {"state", peerStateName(member.state)}});
+            if (member.domain == this->options.domain)
+                this->ownership.onPeerState(peer, member.state, now);
+            this->ownership.onPeerSettled(peer, member.settledRoster, now);
+            if (member.state == PeerState::Dead)
+                this->ownership.onInstanceDead(peer, now);
+            this->updateSpreadPeers();
+        } else if (const auto *verdict = std::get_if<VerdictReceived>(&action)) {
+            this->suspects.onVerdict(verdict->verdict, now);
+        }
+    }
+}
+
+void ControlPlane::sendShares(const ShareAction &action)
+{
+    if (const auto *request = std::get_if<SendLoanRequest>(&action))
+        this->transport->sendDatagram(this->addressOf(request->to), MessageKind::LoanRequest,
+                                      packMessage(request->request));
+    else if (const auto *offer = std::get_if<SendLoanOffer>(&action))
+        this->transport->sendDatagram(this->addressOf(offer->to), MessageKind::LoanOffer,
+                                      packMessage(offer->offer));
 }
 
 void ControlPlane::onTick()
 {
     const absl::Time now = Clock::now();
-    for (const auto &[id, group] : this->owned)
-        group->answer(group->admission().onTick(now));
+    this->ownership.onTick(now);
+    this->spread->onTick(now);
     if (now >= this->nextSummaries) {
         this->nextSummaries = now + kSummaryPeriod;
-        this->sendSummaries(now);
+        this->updateSummaries(now);
         this->publishView();
     }
     if (now >= this->nextReports) {
@@ -420,22 +609,48 @@
     }
 }
 
-void ControlPlane::sendSummaries(absl::Time now)
+void ControlPlane::onMembershipTick()
 {
-    std::vector<GroupSummary> summaries;
-    for (const auto &[id, group] : this->owned) {
+    const absl::Time now = Clock::now();
+    this->membership.setSettledRoster(this->ownership.settledVersion());
+    this->carryOut(this->membership.onTick(now));
+    this->suspects.onTick(now);
+}
+
+void ControlPlane::updateSpreadPeers()
+{
+    std::vector<InstanceId> live {this->options.self};
+    for (const auto &[id, member] : this->membership.members().members()) {
+        if (member.update.domain == this->options.domain && isServing(member.update.state))
+            live.push_back(id);
+    }
+    this->spread->plan().setLive(live);
+}
+
+void ControlPlane::updateRoster()
+{
+    this->updateSpreadPeers();
+    if (!this->spread->plan().isSettled() || !this->membership.ranked().isSelfAmong(1))
+        return;
+    const absl::Time now = Clock::now();
+    this->rosterWriter->update(
+        this->roster,
+        [this, now](const RosterMember &member, std::uint64_t version) {
+            return this->ownership.isPast(member, version, now);
+        },
+        now, Clock::wallNow());
+}
+
+void ControlPlane::updateSummaries(absl::Time now)
+{
+    for (const auto &[id, group] : this->ownership.owned()) {
         GroupSummary summary = group->admission().summary(now);
-        summary.accepting = summary.accepting && !this->leaving.load();
-        this->viewBuilder.setSummary(summary, now);
-        summaries.push_back(std::move(summary));
+        summary.accepting = summary.accepting && !this->leaving.load() && !this->isOwnDomainOut;
+        this->membership.setSummary(summary, now);
     }
-    for (std::size_t first = 0; first < summaries.size(); first += kSummariesPerDatagram) {
-        SummariesMessage message;
-        const std::size_t last = std::min(summaries.size(), first + kSummariesPerDatagram);
-        message.summaries.assign(summaries.begin() + static_cast<std::ptrdiff_t>(first),
-                                 summaries.begin() + static_cast<std::ptrdiff_t>(last));
-        for (const PeerEntry &peer : this->options.peers.entries())
-            this->transport->sendDatagram(peer.address, MessageKind::Gossip, packMessage(message));
+    for (const GroupSummary &summary : this->membership.summaries(now)) {
+        this->viewBuilder.setSummary(summary, now);
+        this->summaryOwners[summary.group] = summary.owner;
     }
 }
 
@@ -460,7 +675,7 @@
 {
     std::unique_ptr<const RoutingView> next = this->viewBuilder.build();
     const auto groups = next->groups();
-    const bool canServe = this->current.note.number > 0
+    const bool canServe = this->current.note.number > 0 && this->spread->plan().isReady()
         && std::any_of(groups.begin(), groups.end(),
                        [](const RoutingGroup &group) { return group.mayTakeRequests(); });
     this->routingView.publish(std::move(next));
--- a/main/lib/control_plane.h
+++ b/main/lib/control_plane.h
@@ -3,17 +3,20 @@
 #include "core/event_loop.h"
 #include "core/metrics.h"
 #include "core/rcu_pointer.h"
-#include "main/lib/owned_group.h"
+#include "main/lib/document_spread.h"
+#include "main/lib/group_ownership.h"
 #include "main/lib/peer_directory.h"
+#include "main/lib/platform_list.h"
 #include "main/lib/reservation_port.h"
+#include "main/lib/roster_writer.h"
 #include "main/lib/serving_state.h"
+#include "main/lib/suspect_tracker.h"
 #include "peers/engine/engine_client.h"
 #include "peers/instance/instance_transport.h"
-#include "peers/platform/platform_client.h"
+#include "servers/membership/membership.h"
 #include "servers/routing/routing_view_builder.h"
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
 #include <atomic>
 #include <memory>
 #include <string>
@@ -26,6 +29,8 @@
     InstanceId self;
     FailureDomainId domain;
     Incarnation incarnation = 0;
+    /** "ip:port" at which other instances reach this one. */
+    std::string address;
     PeerDirectory peers;
     std::string admissionPolicy;
     absl::Duration platformPoll = absl::Seconds(1);
@@ -38,7 +43,7 @@
  * grants permits, what it tells the others and what it knows of them. All decisions run on one
  * loop; requests read snapshots through RCU.
  */
-class ControlPlane final : public ReservationPort
+class ControlPlane final : public ReservationPort, public DocumentPeers
 {
 public:
     ControlPlane(ControlOptions options, PlatformClient &platform, EngineClient &engines,
@@ -53,19 +58,23 @@
     void stop();
     /** Handler of the transport. */
     void onMessage(const Envelope &message, const InstanceTransport::Reply &reply);
-    /** Refuses further reservations for owned groups; running permits go on. */
+    /** Refuses further reservations for owned groups and returns loans; running permits go on. */
     void leave();
 
     const RcuPointer<RoutingView> &view() const { return this->routingView; }
     const RcuPointer<ServingState> &state() const { return this->servingState; }
-    /** The release note and the first routing view are there. */
+    /** A release note is in force and some group takes requests. */
     bool isReady() const { return this->ready.load(); }
 
     // ReservationPort
     void reserve(const GroupId &group, const RequestProfile &profile, Callback callback) override;
     void cancelReserve(const GroupId &group, const RequestId &request) override;
     void release(const GroupId &group, const PermitRelease &release) override;
-    void reportSuspect(const BackendServerId &server, const Fingerprint &fingerprint) override;
+    void reportSuspect(const ReportSuspect &suspect, const Fingerprint &fingerprint) override;
+    std::uint32_t deathsSeen(const Fingerprint &fingerprint) const override;
+
+    // DocumentPeers
+    void pull(const PullDocument &request, Answer answer) override;
 
 private:
     struct Permit
@@ -75,29 +84,33 @@
         HeldPermit held;
     };
 
-    void readInstanceList();
-    void readNote();
-    void onInstanceList(const std::vector<InstanceEntry> &list);
-    void updateOwnership(absl::Time now);
+    void onInstanceList(const InstanceListSnapshot &list);
+    void onDocument(const Document &document);
+    void onOutList(const OutList &list);
+    std::vector<RosterMember> domainMembers(const std::vector<InstanceEntry> &list) const;
     InstanceId ownerOf(const GroupId &group) const;
     std::string addressOf(const InstanceId &instance) const;
 
     void pollEngines();
-    void onReport(const GroupId &group, const BackendServerId &server,
-                  const Result<LoadReport> &report);
-
-    void reserveHere(const GroupId &group, const ReserveRequest &request, Callback callback);
+    void pullInstanceList();
     void reserveRemote(const InstanceId &owner, const GroupId &group, const RequestProfile &profile,
                        Callback callback);
     void recordPermit(const InstanceId &owner, const GroupId &group, const RequestProfile &profile,
                       const Grant &grant);
-    void carryOut(OwnedGroup &group, const AdmissionActions &actions);
 
     void handle(const Envelope &message, const InstanceTransport::Reply &reply);
     void handleReserve(const Envelope &message, const InstanceTransport::Reply &reply);
-    void handleGossip(const Envelope &message);
+    void handlePermitReport(const Envelope &message, absl::Time now);
+    void handleDocumentPull(const Envelope &message, const InstanceTransport::Reply &reply);
+    void handleGossip(const Envelope &message, absl::Time now);
+    void carryOut(const MembershipActions &actions);
+    void sendShares(const ShareAction &action);
+
     void onTick();
-    void sendSummaries(absl::Time now);
+    void onMembershipTick();
+    void updateSpreadPeers();
+    void updateRoster();
+    void updateSummaries(absl::Time now);
     void sendPermitReports();
     void publishView();
 
@@ -111,22 +124,25 @@
     RcuPointer<ServingState> servingState;
     std::atomic<bool> ready {false};
     std::atomic<bool> leaving {false};
+    SuspectTracker suspects;
 
     // The rest belongs to the control loop.
     RoutingViewBuilder viewBuilder;
     ServingState current;
-    std::uint64_t noteVersion = 0;
-    std::vector<InstanceEntry> entries;
-    absl::flat_hash_map<GroupId, std::vector<BackendServer>> domainGroups;
+    RosterDocument roster;
+    InstanceListSnapshot instanceList;
+    Membership membership;
+    GroupOwnership ownership;
     absl::flat_hash_map<GroupId, InstanceId> summaryOwners;
-    absl::flat_hash_map<GroupId, std::unique_ptr<OwnedGroup>> owned;
     absl::flat_hash_map<PermitId, Permit> permits;
+    bool isOwnDomainOut = false;
     absl::Time nextSummaries = absl::InfinitePast();
     absl::Time nextReports = absl::InfinitePast();
 
     std::vector<std::unique_ptr<EventLoop>> pollers;
-    std::unique_ptr<EventLoop> platformLoop;
-    std::unique_ptr<EventLoop> noteLoop;
+    std::unique_ptr<RosterWriter> rosterWriter;
+    std::unique_ptr<DocumentSpread> spread;
+    std::unique_ptr<PlatformList> platformList;
     std::unique_ptr<EventLoop> loop;
 };
 
--- a/main/lib/entry_instance.cpp
+++ b/main/lib/entry_instance.cpp
@@ -81,6 +81,8 @@
     control.self = InstanceId(this->settings.text("instance", "id"));
     control.domain = FailureDomainId(this->settings.text("instance", "failure_domain"));
     control.incarnation = this->incarnation;
+    control.address = this->settings.text("instance", "address") + ":"
+        + std::to_string(this->settings.count("instance", "peer_port"));
     control.peers = this->peers;
     control.admissionPolicy = this->settings.text("admission", "policy");
     control.platformPoll = this->settings.duration("platform", "poll");
--- /dev/null
+++ b/main/lib/group_ownership.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "main/lib/owned_group.h"
+#include "servers/shares/share_ledger.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace foxtailtally {
+
+/** The server groups of one domain by id. */
+using DomainGroups = absl::flat_hash_map<GroupId, std::vector<BackendServer>>;
+
+struct OwnershipOptions
+{
+    RosterMember self;
+    FailureDomainId domain;
+    std::string admissionPolicy;
+    ShareTiming timing;
+};
+
+/**
+ * Which server groups this instance owns and how much of each server it may use: joins the share
+ * ledger with the admission of each owned group. Used by the control loop only.
+ */
+class GroupOwnership
+{
+public:
+    /** Sends what the share ledger asks for to another instance. */
+    using SendShares = std::function<void(const ShareAction &action)>;
+
+    GroupOwnership(OwnershipOptions options, SendShares send);
+
+    void setGroups(DomainGroups groups, absl::Time now);
+    void setRoster(Roster roster, absl::Time now);
+    void onPeerState(const RosterMember &peer, PeerState state, absl::Time now);
+    void onPeerSettled(const RosterMember &peer, std::uint64_t version, absl::Time now);
+    void onInstanceList(std::span<const RosterMember> listed, absl::Time now);
+    void onLoanRequest(const LoanRequest &request, absl::Time now);
+    void onLoanOffer(const LoanOffer &offer, absl::Time now);
+    void onTick(absl::Time now);
+    /** Refuses all reservations while the domain is out of service; running work ends. */
+    void setOutOfService(bool isOut, absl::Time now);
+    /** Refuses what waits, returns all loans and stops owning groups. */
+    void leave(absl::Time now);
+
+    /** Null when this instance does not own @p group. */
+    OwnedGroup *find(const GroupId &group);
+    const absl::flat_hash_map<GroupId, std::unique_ptr<OwnedGroup>> &owned() const
+    {
+        return this->ownedGroups;
+    }
+    /** Owner of a group of the own domain by the roster and the live peers; empty when unknown. */
+    InstanceId ownerOf(const GroupId &group) const;
+    bool isOfDomain(const GroupId &group) const { return this->groups.contains(group); }
+
+    // Calls of the owned groups' admission; each keeps the ledger informed of what is in use.
+    void reserve(const GroupId &group, const ReserveRequest &request,
+                 ReservationPort::Callback callback, absl::Time now);
+    void withdraw(const GroupId &group, const RequestId &request, absl::Time now);
+    void release(const GroupId &group, const PermitRelease &release, absl::Time now);
+    void onPermitReport(const GroupId &group, const PermitReport &report, absl::Time now);
+    void onLoadReport(const GroupId &group, const LoadReport &report, absl::Time now);
+    void onServerLost(const GroupId &group, const BackendServerId &server, absl::Time now);
+    void onInstanceDead(const RosterMember &instance, absl::Time now);
+
+    const Roster &roster() const { return this->currentRoster; }
+    std::uint64_t settledVersion() const { return this->ledger.settledVersion(); }
+    bool isPast(const RosterMember &member, std::uint64_t version, absl::Time now) const
+    {
+        return this->ledger.isPast(member, version, now);
+    }
+
+private:
+    void send(const ShareActions &actions);
+    /** Takes up and gives up groups as the ledger says, and sets the limits of the owned ones. */
+    void refresh(absl::Time now);
+    void takeUp(const GroupId &group, const std::vector<BackendServer> &servers, absl::Time now);
+    void giveUp(const GroupId &group, absl::Time now);
+    void updateLimits(const GroupId &group, OwnedGroup &own, absl::Time now);
+    void reportUse(const GroupId &group, OwnedGroup &own);
+    template <typename Call>
+    void withGroup(const GroupId &group, Call &&call);
+
+    OwnershipOptions options;
+    SendShares sendShares;
+    ShareLedger ledger;
+    Roster currentRoster;
+    DomainGroups groups;
+    absl::flat_hash_map<InstanceId, RosterMember> livePeers;
+    absl::flat_hash_map<GroupId, std::unique_ptr<OwnedGroup>> ownedGroups;
+    bool leaving = false;
+    bool isOut = false;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/lib/long_context_hold.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/event_loop.h"
+#include "peers/engine/engine_client.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace foxtailtally {
+
+/**
+ * Memory at the further engines of a context that is served by several: reserved at all or none,
+ * renewed while the request runs and freed at its end. The calls block, so they run on @p loop,
+ * which must outlive all holds.
+ */
+class LongContextHold : public std::enable_shared_from_this<LongContextHold>
+{
+public:
+    using Ready = std::function<void(std::error_code error)>;
+
+    LongContextHold(EventLoop &loop, EngineClient &engines, std::string id, InstanceId owner,
+                    std::vector<std::string> addresses, std::int64_t tokensEach);
+
+    const std::string &id() const { return this->name; }
+    /** Calls @p ready on the loop once all engines have reserved or one has refused. */
+    void reserve(Ready ready);
+    void release();
+
+private:
+    std::error_code reserveAll();
+    void renewLater();
+
+    EventLoop &loop;
+    EngineClient &engines;
+    std::string name;
+    InstanceId owner;
+    std::vector<std::string> addresses;
+    std::int64_t tokensEach;
+    bool released = false;
+};
+
+} // namespace foxtailtally
--- a/main/lib/owned_group.cpp
+++ b/main/lib/owned_group.cpp
@@ -2,6 +2,7 @@
 
 #include "servers/admission/fifo_admission.h"
 #include "servers/admission/group_admission.h"
+#include "servers/admission/group_servers.h"
 
 #include <utility>
 
@@ -49,6 +50,9 @@
             if (server.id == id)
                 reply.addresses.push_back(server.address);
         }
+        const auto slot = this->policy->groupServers().slots().find(id);
+        reply.incarnations.push_back(
+            slot == this->policy->groupServers().slots().end() ? 0 : slot->second->incarnation);
     }
     const ReservationPort::Callback callback = this->takeWaiting(action.grant.request);
     if (callback)
--- a/main/lib/reservation_port.h
+++ b/main/lib/reservation_port.h
@@ -22,7 +22,9 @@
     virtual void cancelReserve(const GroupId &group, const RequestId &request) = 0;
     virtual void release(const GroupId &group, const PermitRelease &release) = 0;
     /** A server broke the stream of a request with @p fingerprint. */
-    virtual void reportSuspect(const BackendServerId &server, const Fingerprint &fingerprint) = 0;
+    virtual void reportSuspect(const ReportSuspect &suspect, const Fingerprint &fingerprint) = 0;
+    /** Server deaths that count against @p fingerprint; see kQuarantineDeaths. */
+    virtual std::uint32_t deathsSeen(const Fingerprint &fingerprint) const = 0;
 };
 
 } // namespace foxtailtally
--- /dev/null
+++ b/main/lib/suspect_tracker.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "servers/membership/gossip_messages.h"
+#include "servers/quarantine/quarantine.h"
+
+#include <pthread.h>
+#include <vector>
+
+namespace foxtailtally {
+
+/** The quarantine table of an instance, with its form on the wire. Thread-safe. */
+class SuspectTracker
+{
+public:
+    SuspectTracker() = default;
+    ~SuspectTracker();
+    SuspectTracker(const SuspectTracker &) = delete;
+    SuspectTracker &operator=(const SuspectTracker &) = delete;
+
+    /** Records a confirmed death; returns the verdicts to spread. */
+    std::vector<VerdictEntry> onServerDeath(const BackendServerId &server, Incarnation incarnation,
+                                            const Fingerprint &fingerprint, absl::Time now);
+    void onVerdict(const VerdictEntry &verdict, absl::Time now);
+    std::uint32_t deathsSeen(const Fingerprint &fingerprint, absl::Time now) const;
+    void onTick(absl::Time now);
+
+private:
+    mutable pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
+    Quarantine quarantine;
+};
+
+} // namespace foxtailtally
--- a/peers/instance/messages.h
+++ b/peers/instance/messages.h
@@ -14,8 +14,8 @@
 /** Kind of a message on the wire. */
 enum class MessageKind : std::uint8_t {
     Gossip = 1,
-    Loan = 2,
-    LoanReply = 3,
+    LoanRequest = 2,
+    LoanOffer = 3,
     ReserveRequest = 10,
     ReserveReply = 11,
     ReserveCancel = 12,
@@ -26,7 +26,8 @@
     ClaimForward = 30,
     ClaimReply = 31,
     OutcomeForward = 32,
-    NoteReply = 33,
+    InstanceListPull = 40,
+    InstanceListBody = 41,
 };
 
 /** Asks the owner of a group for a permit. */
@@ -44,8 +45,8 @@
     Grant grant;
     /** Address and id of each server of the grant, in the same order. */
     std::vector<std::string> addresses;
+    std::vector<Incarnation> incarnations;
     Refusal refusal;
-    GroupSummary summary;
 };
 
 /** Withdraws a waiting reservation whose caller has gone. */
@@ -88,12 +89,31 @@
 struct DocumentPullMessage
 {
     std::uint8_t kind = 0;
+    /** Number that the sender holds. */
+    std::uint64_t held = 0;
+    bool wantsBody = false;
 };
 
 struct DocumentBodyMessage
 {
     std::uint8_t kind = 0;
+    /** Number that the answering instance holds. */
     std::uint64_t number = 0;
+    bool isSettled = false;
+    /** Empty when the body was not wanted or not newer. */
+    std::string body;
+};
+
+/** Asks a watcher for the platform's instance list unless it still has @ref digest. */
+struct InstanceListPullMessage
+{
+    std::uint64_t digest = 0;
+};
+
+struct InstanceListBodyMessage
+{
+    std::uint64_t digest = 0;
+    /** JSON as the platform sends it; empty when the digest is unchanged. */
     std::string body;
 };
 
@@ -168,7 +188,8 @@
 template <typename Archive>
 void serialize(Archive &archive, ReserveReplyMessage &message)
 {
-    archive(message.granted, message.grant, message.addresses, message.refusal, message.summary);
+    archive(message.granted, message.grant, message.addresses, message.incarnations,
+            message.refusal);
 }
 
 template <typename Archive>
@@ -204,13 +225,25 @@
 template <typename Archive>
 void serialize(Archive &archive, DocumentPullMessage &message)
 {
-    archive(message.kind);
+    archive(message.kind, message.held, message.wantsBody);
 }
 
 template <typename Archive>
 void serialize(Archive &archive, DocumentBodyMessage &message)
 {
-    archive(message.kind, message.number, message.body);
+    archive(message.kind, message.number, message.isSettled, message.body);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, InstanceListPullMessage &message)
+{
+    archive(message.digest);
+}
+
+template <typename Archive>
+void serialize(Archive &archive, InstanceListBodyMessage &message)
+{
+    archive(message.digest, message.body);
 }
 
 template <typename Archive>
--- a/servers/admission/admission_policy.h
+++ b/servers/admission/admission_policy.h
@@ -68,6 +68,8 @@
 using AdmissionAction = std::variant<GrantAction, RefuseAction>;
 using AdmissionActions = std::vector<AdmissionAction>;
 
+class GroupServers;
+
 /**
  * Decides for one server group which requests may run on which backend server, and when. Each
  * reservation gets exactly one answer, at once or from a later call, unless it is withdrawn or its
@@ -115,6 +117,8 @@
     virtual absl::Time nextTick() const = 0;
 
     virtual GroupSummary summary(absl::Time now) = 0;
+    /** The group's servers with their permits. */
+    virtual const GroupServers &groupServers() const = 0;
 };
 
 } // namespace foxtailtally
--- a/servers/admission/fifo_admission.h
+++ b/servers/admission/fifo_admission.h
@@ -34,7 +34,7 @@
     absl::Time nextTick() const override;
     GroupSummary summary(absl::Time now) override;
 
-    const GroupServers &groupServers() const { return this->servers; }
+    const GroupServers &groupServers() const override { return this->servers; }
 
 private:
     struct Waiting
--- a/servers/admission/group_admission.h
+++ b/servers/admission/group_admission.h
@@ -37,7 +37,7 @@
     absl::Time nextTick() const override;
     GroupSummary summary(absl::Time now) override;
 
-    const GroupServers &groupServers() const { return this->servers; }
+    const GroupServers &groupServers() const override { return this->servers; }
 
 private:
     /** A hold on one server for a request that would otherwise be passed by smaller ones. */
--- a/servers/configuration/roster_document.h
+++ b/servers/configuration/roster_document.h
@@ -27,6 +27,15 @@
     absl::Time time;
     /** Sorted by id. */
     std::vector<Member> members;
+    /** Members of an earlier roster by which some process may still act. */
+    struct Unsettled
+    {
+        std::uint64_t number = 0;
+        std::vector<Member> members;
+        bool operator==(const Unsettled &) const = default;
+    };
+    /** Oldest first. */
+    std::vector<Unsettled> unsettled;
     PublicationHistory history;
 
     /** Error: DocumentInvalid, with every fault in @p problems. */
--- a/servers/session/request_session.cpp
+++ b/servers/session/request_session.cpp
@@ -10,6 +10,9 @@
 /** Come-back time when no owner named one. */
 constexpr absl::Duration kDefaultRetryAfter = absl::Seconds(1);
 
+/** Servers that one request may lose before it is given up. */
+constexpr std::uint32_t kMaxLostServers = 2;
+
 bool isFinal(RefusalReason reason)
 {
     return reason == RefusalReason::Quarantined || reason == RefusalReason::UnknownModel
@@ -63,6 +66,8 @@
         this->reserveNext(actions, now);
         return actions;
     }
+    this->serverAddress = reply.addresses.empty() ? std::string() : reply.addresses.front();
+    this->serverIncarnation = reply.incarnations.empty() ? 0 : reply.incarnations.front();
     this->phase = Phase::Streaming;
     this->attempt += 1;
     this->starts += 1;
@@ -132,7 +137,8 @@
         return actions;
     }
     if (!this->grant.servers.empty())
-        actions.emplace_back(ReportSuspect {this->grant.servers.front()});
+        actions.emplace_back(ReportSuspect {this->grant.servers.front(), this->serverAddress,
+                                            this->serverIncarnation});
     this->request.deathsSeen += 1;
     this->releasePermit(actions, PermitOutcome::ServerLost, now);
     this->retryAfterLoss(actions, now);
@@ -230,7 +236,10 @@
 
 void RequestSession::retryAfterLoss(SessionActions &actions, absl::Time now)
 {
-    if (this->starts >= this->options.maxStarts)
+    // A request that has lost two servers may be what kills them.
+    const bool mayStartAgain =
+        this->starts < this->options.maxStarts && this->request.deathsSeen < kMaxLostServers;
+    if (!mayStartAgain)
         return this->giveUp(actions, RefusalReason::ServerLost, kDefaultRetryAfter);
     this->restartCandidates();
     this->reserveNext(actions, now);
--- a/servers/session/request_session.h
+++ b/servers/session/request_session.h
@@ -78,6 +78,9 @@
 struct ReportSuspect
 {
     BackendServerId server;
+    std::string address;
+    /** Incarnation that the server had when the permit was granted. */
+    Incarnation incarnation = 0;
 };
 
 struct SendToken
@@ -115,7 +118,9 @@
     GroupId group;
     bool granted = false;
     Grant grant;
+    /** Address and incarnation of each server of the grant, in the same order. */
     std::vector<std::string> addresses;
+    std::vector<Incarnation> incarnations;
     Refusal refusal;
 };
 
@@ -180,6 +185,8 @@
 
     std::uint64_t attempt = 0;
     Grant grant;
+    std::string serverAddress;
+    Incarnation serverIncarnation = 0;
     absl::Time startedAt;
     absl::Duration timeToFirstToken = absl::ZeroDuration();
     std::int64_t nextOffset = 0;
--- a/tests/faulty_admission.h
+++ b/tests/faulty_admission.h
@@ -111,6 +111,7 @@
         return actions;
     }
     absl::Time nextTick() const override { return this->inner.nextTick(); }
+    const GroupServers &groupServers() const override { return this->inner.groupServers(); }
     GroupSummary summary(absl::Time now) override { return this->inner.summary(now); }
 
 private:
