Keep contexts that gather memory from delaying short requests

A property that compares the answers to short requests with and without a waiting context found three ways in which the context changed them: its class saved up credit while only the context waited, the class that may hold memory for a blocked request was the one of the context, and its tokens counted as ahead of requests that pass it. Long requests in a group of one server may now hold memory after 30 s of being passed, as they would never fit under a steady load otherwise.

--- a/servers/admission/group_admission.cpp
+++ b/servers/admission/group_admission.cpp
@@ -11,6 +11,8 @@
 constexpr absl::Duration kLongestDeadline = absl::Minutes(5);
 // A request at the front of its lane may be passed by smaller ones for this long.
 constexpr absl::Duration kPassedByTerm = absl::Seconds(2);
+// In a group of one server a hold for a long request stops all short ones, so it waits longer.
+constexpr absl::Duration kLongPassedByTerm = absl::Seconds(30);
 constexpr absl::Duration kBlockedHoldTerm = absl::Seconds(10);
 // Waiting requests are looked at again after this time even when no event arrives.
 constexpr absl::Duration kRecheckInterval = absl::Milliseconds(250);
@@ -76,7 +78,8 @@
 std::optional<Refusal> GroupAdmission::refuseByPrediction(const RequestProfile &profile,
                                                           absl::Time now) const
 {
-    const std::int64_t tokens = this->queue.tokensAhead(profile.requestClass, profile.deadline);
+    const std::int64_t tokens =
+        this->queue.tokensAhead(profile.requestClass, this->laneOf(profile), profile.deadline);
     absl::Duration delay = this->servers.delays().delay(tokens, this->servers.usedTokens());
     absl::Duration backlog = absl::InfiniteDuration();
     for (const auto &[id, slot] : this->servers.slots()) {
@@ -129,7 +132,8 @@
     waiting.latestStart = this->latestStartOf(profile);
     const RequestProfile kept = profile;
     if (!this->queue.push(std::move(waiting))) {
-        const std::int64_t ahead = this->queue.tokensAhead(kept.requestClass, kept.deadline);
+        const std::int64_t ahead =
+            this->queue.tokensAhead(kept.requestClass, this->laneOf(kept), kept.deadline);
         const absl::Duration delay =
             this->servers.delays().delay(ahead, this->servers.usedTokens());
         actions.emplace_back(refusalOf(request, RefusalReason::QueueFull, boundedRetry(delay)));
@@ -334,8 +338,11 @@
 
 void GroupAdmission::refuseUnreachable(AdmissionActions &actions, absl::Time now)
 {
-    if (now >= this->lastEstimate + kEstimateInterval) {
-        this->lastEstimate = now;
+    // At whole intervals, so that the time does not depend on what else has been waiting.
+    const absl::Time interval =
+        absl::UnixEpoch() + absl::Floor(now - absl::UnixEpoch(), kEstimateInterval);
+    if (interval > this->lastEstimate) {
+        this->lastEstimate = interval;
         for (const RequestId &id : this->queue.all())
             this->queue.setLatestStart(id,
                                        this->latestStartOf(this->queue.find(id)->request.profile));
@@ -349,7 +356,8 @@
         const std::optional<WaitingRequest> taken = this->take(id);
         const RequestProfile &profile = taken->request.profile;
         const bool isTakingOver = this->servers.isTakingOver(now);
-        const std::int64_t ahead = this->queue.tokensAhead(profile.requestClass, profile.deadline);
+        const std::int64_t ahead =
+            this->queue.tokensAhead(profile.requestClass, this->laneOf(profile), profile.deadline);
         const absl::Duration retryAfter = isTakingOver
             ? this->servers.options().readyAt - now
             : this->servers.delays().delay(ahead + profile.memoryTokens(),
@@ -373,29 +381,40 @@
 
 void GroupAdmission::updateHolds(absl::Time now)
 {
-    if (this->blockedHold && this->blockedHold->endsAt <= now)
+    if (this->blockedHold && this->blockedHold->endsAt <= now) {
+        this->queue.setBlockedSince(this->blockedHold->request, now);
         this->blockedHold.reset();
+    }
     const std::vector<RequestClass> order = this->queue.classOrder();
     for (const RequestClass requestClass : order) {
         const WaitingRequest *spanning = this->queue.front(requestClass, WaitLane::Spanning);
         if (spanning != nullptr && this->servers.spanningCount() == 0)
             this->planner.gather(spanning->request, this->servers.slots(), now);
     }
-    if (this->blockedHold || order.empty())
-        return;
     // Only the class with the least weighted service may keep memory from the others.
+    const auto owed = std::find_if(order.begin(), order.end(), [&](RequestClass requestClass) {
+        return this->queue.sizeOnOneServer(requestClass) > 0;
+    });
+    if (this->blockedHold || owed == order.end())
+        return;
     const WaitingRequest *first = nullptr;
     for (const WaitLane lane : {WaitLane::Short, WaitLane::Suspect, WaitLane::Long}) {
-        const WaitingRequest *front = this->queue.front(order.front(), lane);
-        if (front != nullptr && front->blockedSince + kPassedByTerm <= now
-            && (first == nullptr
-                || front->request.profile.deadline < first->request.profile.deadline))
+        const WaitingRequest *front = this->queue.front(*owed, lane);
+        if (front == nullptr || front->blockedSince + this->passedByTerm(front->request) > now)
+            continue;
+        if (first == nullptr || front->request.profile.deadline < first->request.profile.deadline)
             first = front;
     }
     if (first != nullptr && !this->isSpanning(first->request.profile))
         this->holdForBlocked(*first, now);
 }
 
+absl::Duration GroupAdmission::passedByTerm(const ReserveRequest &request) const
+{
+    const bool isLong = request.profile.promptTokens > kLongPromptTokens;
+    return isLong && this->servers.slots().size() < 2 ? kLongPassedByTerm : kPassedByTerm;
+}
+
 void GroupAdmission::holdForBlocked(const WaitingRequest &waiting, absl::Time now)
 {
     const RequestProfile &profile = waiting.request.profile;
@@ -413,12 +432,9 @@
     }
     if (best == nullptr)
         return;
-    // In a group of one server the hold would stop all short requests while a long one waits.
-    const HoldKind kind =
-        isLong && this->servers.slots().size() < 2 ? HoldKind::AgainstLong : HoldKind::AgainstAll;
     this->blockedHold = {profile.id, best->server.id, now + kBlockedHoldTerm};
     best->ledger.setHold({profile.id, waiting.request.from, profile.memoryTokens(),
-                          this->blockedHold->endsAt, kind});
+                          this->blockedHold->endsAt, HoldKind::AgainstAll});
 }
 
 GroupSummary GroupAdmission::summary(absl::Time now)
@@ -427,8 +443,8 @@
     summary.queued = static_cast<std::int32_t>(this->queue.size());
     summary.outstandingTokens += this->queue.promptTokens();
     for (std::size_t i = 0; i < kRequestClassCount; ++i) {
-        const std::int64_t ahead =
-            this->queue.tokensAhead(static_cast<RequestClass>(i), absl::InfiniteFuture());
+        const std::int64_t ahead = this->queue.tokensAhead(static_cast<RequestClass>(i),
+                                                           WaitLane::Short, absl::InfiniteFuture());
         summary.startDelay[i] = std::max(
             summary.startDelay[i], this->servers.delays().delay(ahead, this->servers.usedTokens()));
     }
--- a/servers/admission/group_admission.h
+++ b/servers/admission/group_admission.h
@@ -67,6 +67,8 @@
     void refuseAll(RefusalReason reason, absl::Duration retryAfter, AdmissionActions &actions,
                    absl::Time now);
     void updateHolds(absl::Time now);
+    /** How long smaller requests may pass a blocked one. */
+    absl::Duration passedByTerm(const ReserveRequest &request) const;
     void holdForBlocked(const WaitingRequest &waiting, absl::Time now);
     /** Takes a request out of the queue with all that is held for it. */
     std::optional<WaitingRequest> take(const RequestId &request);
--- a/servers/admission/wait_queue.cpp
+++ b/servers/admission/wait_queue.cpp
@@ -32,7 +32,8 @@
     ClassQueue &queue = this->queueOf(profile.requestClass);
     if (queue.size >= this->maxPerClass || this->requests.contains(profile.id))
         return false;
-    if (queue.size == 0)
+    const bool isSpanning = waiting.lane == WaitLane::Spanning;
+    if (queue.sizeOnOneServer == 0 && !isSpanning)
         queue.service = std::max(queue.service, this->reference);
     waiting.order = this->nextOrder++;
     auto owned = std::make_unique<WaitingRequest>(std::move(waiting));
@@ -40,7 +41,8 @@
     const RequestProfile &kept = entry->request.profile;
     queue.lanes[static_cast<std::size_t>(entry->lane)].emplace(kept.deadline, entry->order, entry);
     ++queue.size;
-    queue.tokens += kept.memoryTokens();
+    queue.sizeOnOneServer += isSpanning ? 0 : 1;
+    queue.tokensOnOneServer += isSpanning ? 0 : kept.memoryTokens();
     this->waitingPromptTokens += kept.promptTokens;
     this->byLatestStart.emplace(entry->latestStart, entry->order, entry);
     this->requests.emplace(kept.id, std::move(owned));
@@ -58,7 +60,9 @@
     queue.lanes[static_cast<std::size_t>(entry->lane)].erase(
         {profile.deadline, entry->order, entry});
     --queue.size;
-    queue.tokens -= profile.memoryTokens();
+    const bool isSpanning = entry->lane == WaitLane::Spanning;
+    queue.sizeOnOneServer -= isSpanning ? 0 : 1;
+    queue.tokensOnOneServer -= isSpanning ? 0 : profile.memoryTokens();
     this->waitingPromptTokens -= profile.promptTokens;
     this->byLatestStart.erase({entry->latestStart, entry->order, entry});
     WaitingRequest taken = std::move(*entry);
@@ -92,11 +96,14 @@
     queue.service += static_cast<double>(tokens) / weightOf(requestClass);
 }
 
-std::int64_t WaitQueue::tokensAhead(RequestClass requestClass, absl::Time deadline) const
+std::int64_t WaitQueue::tokensAhead(RequestClass requestClass, WaitLane lane,
+                                    absl::Time deadline) const
 {
     std::int64_t own = 0;
-    for (const auto &lane : this->queueOf(requestClass).lanes) {
-        for (const auto &[time, order, entry] : lane) {
+    for (std::size_t i = 0; i < kWaitLaneCount; ++i) {
+        if (static_cast<WaitLane>(i) == WaitLane::Spanning && lane != WaitLane::Spanning)
+            continue;
+        for (const auto &[time, order, entry] : this->queueOf(requestClass).lanes[i]) {
             if (time > deadline)
                 break;
             own += entry->request.profile.memoryTokens();
@@ -108,7 +115,7 @@
         if (other == requestClass)
             continue;
         const double share = static_cast<double>(own) * weightOf(other) / weightOf(requestClass);
-        ahead += std::min(this->classes[i].tokens, static_cast<std::int64_t>(share));
+        ahead += std::min(this->classes[i].tokensOnOneServer, static_cast<std::int64_t>(share));
     }
     return ahead;
 }
@@ -161,15 +168,22 @@
     this->byLatestStart.emplace(latestStart, entry->order, entry);
 }
 
+void WaitQueue::setBlockedSince(const RequestId &request, absl::Time since)
+{
+    const auto found = this->requests.find(request);
+    if (found != this->requests.end())
+        found->second->blockedSince = since;
+}
+
 const WaitingRequest *WaitQueue::find(const RequestId &request) const
 {
     const auto found = this->requests.find(request);
     return found == this->requests.end() ? nullptr : found->second.get();
 }
 
-std::size_t WaitQueue::size(RequestClass requestClass) const
+std::size_t WaitQueue::sizeOnOneServer(RequestClass requestClass) const
 {
-    return this->queueOf(requestClass).size;
+    return this->queueOf(requestClass).sizeOnOneServer;
 }
 
 } // namespace foxtailtally
--- a/servers/admission/wait_queue.h
+++ b/servers/admission/wait_queue.h
@@ -43,8 +43,10 @@
 
 /**
  * Waiting reservations by class, lane and deadline. Classes share the granted tokens 8:4:1 for
- * urgent, normal and batch requests; a class without waiting requests saves up no credit. Within
- * a lane the earliest deadline is first.
+ * urgent, normal and batch requests; a class without waiting requests saves up no credit, nor does
+ * one in which only contexts larger than a server wait. Otherwise such a context, which can wait
+ * for long, would later let the short requests of its class pass those of the others. Within a lane
+ * the earliest deadline is first.
  */
 class WaitQueue
 {
@@ -66,8 +68,11 @@
     /** Accounts @p tokens as granted to @p requestClass. */
     void charge(RequestClass requestClass, std::int64_t tokens);
 
-    /** Tokens that will be granted before a new request of this class and deadline. */
-    std::int64_t tokensAhead(RequestClass requestClass, absl::Time deadline) const;
+    /**
+     * Tokens that will be granted before a request of this class, lane and deadline. Contexts
+     * larger than one server are ahead of each other only, as all others pass them.
+     */
+    std::int64_t tokensAhead(RequestClass requestClass, WaitLane lane, absl::Time deadline) const;
     std::int64_t promptTokens() const { return this->waitingPromptTokens; }
 
     /** Earliest latest-start time of all, or infinite. */
@@ -77,10 +82,13 @@
     std::vector<RequestId> all() const;
     /** Sets the latest start of a waiting request from newer measurements. */
     void setLatestStart(const RequestId &request, absl::Time latestStart);
+    /** Lets smaller requests pass a blocked one again. */
+    void setBlockedSince(const RequestId &request, absl::Time since);
     const WaitingRequest *find(const RequestId &request) const;
 
     std::size_t size() const { return this->requests.size(); }
-    std::size_t size(RequestClass requestClass) const;
+    /** Waiting requests of a class that need one server. */
+    std::size_t sizeOnOneServer(RequestClass requestClass) const;
 
 private:
     using TimeKey = std::tuple<absl::Time, std::uint64_t, WaitingRequest *>;
@@ -88,7 +96,10 @@
     {
         std::array<absl::btree_set<TimeKey>, kWaitLaneCount> lanes;
         std::size_t size = 0;
-        std::int64_t tokens = 0;
+        /** Requests outside the spanning lane. */
+        std::size_t sizeOnOneServer = 0;
+        /** Of the requests that need one server. */
+        std::int64_t tokensOnOneServer = 0;
         /** Granted tokens divided by the class's weight. */
         double service = 0;
     };
--- a/tests/admission_model.cpp
+++ b/tests/admission_model.cpp
@@ -87,8 +87,10 @@
 {
     const absl::Time end = this->clock + duration;
     while (true) {
-        const absl::Time tick =
-            std::max(this->policy->nextTick(), this->clock + absl::Milliseconds(1));
+        const absl::Duration interval = this->options.tickInterval;
+        const absl::Time tick = interval > absl::ZeroDuration()
+            ? absl::UnixEpoch() + absl::Floor(this->clock - absl::UnixEpoch(), interval) + interval
+            : std::max(this->policy->nextTick(), this->clock + absl::Milliseconds(1));
         const absl::Time event =
             this->events.empty() ? absl::InfiniteFuture() : this->events.begin()->first;
         if (std::min(tick, event) > end)
--- a/tests/admission_model.h
+++ b/tests/admission_model.h
@@ -26,6 +26,8 @@
     int earlierRequests = 0;
     /** Time between two load reports of one engine. */
     absl::Duration reportInterval = absl::Seconds(1);
+    /** Time between two ticks; zero for ticks when the policy asks for them. */
+    absl::Duration tickInterval = absl::ZeroDuration();
 };
 
 /** How one request of the model went. */
