Add membership and gossip between instances

The two lowest-ranked live instances of each domain gossip with two of every other.

A new document number is told to three peers at once. Waiting for the gossip interval was ruled out: two epidemics one after the other, first in the own and then in another domain, would need most of the 11 s.

--- /dev/null
+++ b/servers/membership/gossip_messages.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/request.h"
+#include "core/reservation.h"
+#include "servers/membership/peer_state.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace foxtailtally {
+
+/** Largest packed gossip message in bytes; fits one datagram on every usual network. */
+constexpr std::size_t kMaxGossipBytes = 1200;
+/** Largest content of a verdict in bytes. */
+constexpr std::size_t kMaxVerdictBytes = 64;
+
+/** What one instance knows of another. */
+struct MemberUpdate
+{
+    InstanceId instance;
+    FailureDomainId domain;
+    /** "ip:port" for messages between instances. */
+    std::string address;
+    Incarnation incarnation = 0;
+    /** Raised by the instance itself to refute a suspicion or to announce its leaving. */
+    std::uint32_t refutation = 0;
+    PeerState state = PeerState::Alive;
+    /** Roster version below which the instance holds and lends no shares. */
+    std::uint64_t settledRoster = 0;
+
+    bool operator==(const MemberUpdate &) const = default;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->instance, this->domain, this->address, this->incarnation, this->refutation,
+                this->state, this->settledRoster);
+    }
+};
+
+/** Kinds of numbered documents. Values are part of the wire format. */
+enum class DocumentKind : std::uint8_t {
+    ReleaseNote = 0,
+    OutOfService = 1,
+    /** Roster of the sender's domain. */
+    Roster = 2,
+};
+
+constexpr std::size_t kDocumentKindCount = 3;
+
+/** Highest number of each kind of document in force at the sender. */
+struct DocumentNumbers
+{
+    std::array<std::uint64_t, kDocumentKindCount> numbers {};
+
+    std::uint64_t &operator[](DocumentKind kind)
+    {
+        return this->numbers[static_cast<std::size_t>(kind)];
+    }
+    std::uint64_t operator[](DocumentKind kind) const
+    {
+        return this->numbers[static_cast<std::size_t>(kind)];
+    }
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        for (std::uint64_t &number : this->numbers)
+            archive(number);
+    }
+};
+
+/** A group summary and its age when the message is sent. */
+struct SummaryEntry
+{
+    GroupSummary summary;
+    std::uint32_t ageMs = 0;
+};
+
+/** A quarantine verdict, which only the quarantine module interprets. */
+struct VerdictEntry
+{
+    Fingerprint key {};
+    std::string content;
+    std::uint32_t remainingMs = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        for (std::uint8_t &byte : this->key)
+            archive(byte);
+        archive(this->content, this->remainingMs);
+    }
+};
+
+/** Selected knowledge of the sender. */
+struct GossipMessage
+{
+    MemberUpdate sender;
+    DocumentNumbers documents;
+    /** The receiver answers with a gossip message. */
+    bool isReplyWanted = false;
+    std::vector<MemberUpdate> members;
+    std::vector<SummaryEntry> summaries;
+    std::vector<VerdictEntry> verdicts;
+};
+
+/** Asks the receiver, or through it another instance, for a ProbeAck. */
+struct Probe
+{
+    MemberUpdate sender;
+    DocumentNumbers documents;
+    std::uint64_t number = 0;
+    /** Empty: the receiver itself. Otherwise the receiver probes this instance for the sender. */
+    InstanceId target;
+    /** What the sender holds of the receiver when that is not alive, for refutation. */
+    std::vector<MemberUpdate> doubts;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->sender, this->documents, this->number, this->target, this->doubts);
+    }
+};
+
+/** Answer to a Probe; relayed when the probe was indirect. */
+struct ProbeAck
+{
+    MemberUpdate sender;
+    DocumentNumbers documents;
+    std::uint64_t number = 0;
+    /** The instance that answered; differs from the sender when relayed. */
+    MemberUpdate answering;
+    std::vector<MemberUpdate> doubts;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->sender, this->documents, this->number, this->answering, this->doubts);
+    }
+};
+
+using MembershipMessage = std::variant<GossipMessage, Probe, ProbeAck>;
+
+/**
+ * Upper estimates of packed sizes in bytes, for fixed-width numbers and 4-byte lengths. The
+ * envelope (format version and authentication tag) is counted with each message.
+ */
+std::size_t packedSize(const MemberUpdate &update);
+std::size_t packedSize(const SummaryEntry &entry);
+std::size_t packedSize(const VerdictEntry &entry);
+std::size_t packedSize(const MembershipMessage &message);
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/membership/membership.cpp
@@ -0,0 +1,336 @@
+#include "servers/membership/membership.h"
+
+#include <algorithm>
+#include <bit>
+#include <tuple>
+#include <utility>
+
+namespace foxtailtally {
+
+namespace {
+
+/** Time after the start during which each contact is asked for its knowledge. */
+constexpr absl::Duration kJoinTime = absl::Seconds(10);
+/** Time after which an unanswered indirect probe is forgotten. */
+constexpr absl::Duration kRelayTime = absl::Seconds(5);
+/** Time after which a remote instance that does not answer is passed over. */
+constexpr absl::Duration kRemoteTimeout = absl::Seconds(5);
+/** Time after which a remote instance that was passed over is tried again. */
+constexpr absl::Duration kRemoteRetry = absl::Seconds(30);
+/** Time for which a dead instance is remembered. */
+constexpr absl::Duration kDeadMemory = absl::Hours(1);
+/** One in this many rounds also tries an instance that is held dead or was never heard. */
+constexpr std::uint64_t kAbsentTrialRounds = 3;
+/** Relay numbers have the top bit set, so that they never equal a probe's own number. */
+constexpr std::uint64_t kRelayBit = 1ULL << 63;
+
+/** Largest parts of one gossip message in packed bytes. */
+constexpr std::size_t kMemberBytes = 400;
+constexpr std::size_t kVerdictBytes = 200;
+/** Room kept for the rotation over all members, so that a lost update is repaired. */
+constexpr std::size_t kRotationBytes = 150;
+
+} // namespace
+
+Membership::Membership(const MemberUpdate &self, std::uint64_t seed)
+    : random(seed)
+    , table([&] {
+        MemberUpdate update = self;
+        update.state = PeerState::Alive;
+        update.refutation = 0;
+        return update;
+    }())
+    , detector(this->table, this->random)
+    , relayNumber(kRelayBit)
+{ }
+
+MembershipActions Membership::addKnown(std::span<const KnownInstance> instances, absl::Time now)
+{
+    if (this->joinsUntil == absl::InfinitePast())
+        this->joinsUntil = now + kJoinTime;
+    this->table.addKnown(instances, now);
+    return {};
+}
+
+Result<MembershipActions> Membership::onDatagram(const MembershipMessage &message, absl::Time now)
+{
+    const MemberUpdate &sender =
+        std::visit([](const auto &m) -> const MemberUpdate & { return m.sender; }, message);
+    if (sender.instance.isEmpty() || sender.instance == this->self().instance)
+        return Error::MessageMalformed;
+    const MemberTable::Member *known = this->table.find(sender.instance);
+    if (known != nullptr && known->isConfirmed && sender.incarnation < known->update.incarnation)
+        return Error::MessageStaleIncarnation;
+    MembershipActions actions;
+    this->mergeMember(sender, now, actions);
+    this->table.noteHeard(sender.instance, now);
+    const DocumentNumbers &numbers =
+        std::visit([](const auto &m) -> const DocumentNumbers & { return m.documents; }, message);
+    this->mergeDocuments(sender, numbers, actions);
+    std::visit([&](const auto &m) { this->handle(m, now, actions); }, message);
+    return actions;
+}
+
+void Membership::mergeMember(const MemberUpdate &update, absl::Time now, MembershipActions &actions)
+{
+    if (!update.instance.isEmpty() && this->table.merge(update, now))
+        actions.emplace_back(PeerChanged {this->table.find(update.instance)->update});
+}
+
+void Membership::mergeDocuments(const MemberUpdate &sender, const DocumentNumbers &numbers,
+                                MembershipActions &actions)
+{
+    for (std::size_t i = 0; i < kDocumentKindCount; ++i) {
+        const auto kind = static_cast<DocumentKind>(i);
+        if (kind == DocumentKind::Roster && sender.domain != this->self().domain)
+            continue;
+        // The holder of the document keeps asking until setDocument(), so a lost answer to the
+        // first announcement does no harm.
+        if (numbers[kind] > this->documents[kind])
+            actions.emplace_back(DocumentAdvanced {kind, numbers[kind], sender.instance});
+    }
+}
+
+void Membership::handle(const GossipMessage &gossip, absl::Time now, MembershipActions &actions)
+{
+    for (const MemberUpdate &update : gossip.members)
+        this->mergeMember(update, now, actions);
+    for (const SummaryEntry &entry : gossip.summaries)
+        this->rumours.merge(entry, now);
+    for (const VerdictEntry &entry : gossip.verdicts)
+        if (this->rumours.merge(entry, now))
+            actions.emplace_back(VerdictReceived {entry});
+    if (gossip.isReplyWanted)
+        this->gossipTo(gossip.sender.instance, false, now, actions);
+    else if (gossip.sender.domain != this->self().domain)
+        // Tells a bridge of another domain that this instance can be reached.
+        this->sendTo(gossip.sender.instance,
+                     ProbeAck {this->self(), this->documents, 0, this->self(), {}}, now, actions);
+}
+
+void Membership::handle(const Probe &probe, absl::Time now, MembershipActions &actions)
+{
+    for (const MemberUpdate &doubt : probe.doubts)
+        this->mergeMember(doubt, now, actions);
+    const InstanceId &sender = probe.sender.instance;
+    if (probe.target.isEmpty() || probe.target == this->self().instance) {
+        this->sendTo(sender,
+                     ProbeAck {this->self(), this->documents, probe.number, this->self(),
+                               this->doubtsAbout(sender)},
+                     now, actions);
+        return;
+    }
+    const std::uint64_t number = ++this->relayNumber;
+    this->relays[number] = {sender, probe.number, now};
+    this->probe({probe.target, {}, number}, now, actions);
+}
+
+void Membership::handle(const ProbeAck &ack, absl::Time now, MembershipActions &actions)
+{
+    for (const MemberUpdate &doubt : ack.doubts)
+        this->mergeMember(doubt, now, actions);
+    this->mergeMember(ack.answering, now, actions);
+    const auto relay = this->relays.find(ack.number);
+    if (relay == this->relays.end()) {
+        this->detector.onAck(ack.number);
+        return;
+    }
+    const Relay back = relay->second;
+    this->relays.erase(relay);
+    this->sendTo(back.requester,
+                 ProbeAck {this->self(), this->documents, back.number, ack.sender,
+                           this->doubtsAbout(back.requester)},
+                 now, actions);
+}
+
+std::vector<MemberUpdate> Membership::doubtsAbout(const InstanceId &instance) const
+{
+    const MemberTable::Member *member = this->table.find(instance);
+    const bool isDoubted = member != nullptr && member->isConfirmed
+        && (member->update.state == PeerState::Suspect || member->update.state == PeerState::Dead);
+    return isDoubted ? std::vector<MemberUpdate> {member->update} : std::vector<MemberUpdate> {};
+}
+
+void Membership::probe(const FailureDetector::Order &order, absl::Time now,
+                       MembershipActions &actions)
+{
+    this->sendTo(order.to,
+                 Probe {this->self(), this->documents, order.number, order.target,
+                        this->doubtsAbout(order.to)},
+                 now, actions);
+}
+
+void Membership::sendTo(const InstanceId &to, MembershipMessage message, absl::Time now,
+                        MembershipActions &actions)
+{
+    const MemberTable::Member *member = this->table.find(to);
+    if (member == nullptr)
+        return;
+    this->table.noteContacted(to, now);
+    actions.emplace_back(SendMembership {to, member->update.address, std::move(message)});
+}
+
+std::uint32_t Membership::transmissionLimit() const
+{
+    // A rumour told 3 log2(n) times by everyone who has it reaches all but a vanishing part.
+    return 3 * static_cast<std::uint32_t>(std::bit_width(this->table.size() + 1));
+}
+
+void Membership::gossipTo(const InstanceId &to, bool isReplyWanted, absl::Time now,
+                          MembershipActions &actions)
+{
+    const MemberTable::Member *receiver = this->table.find(to);
+    if (receiver == nullptr)
+        return;
+    GossipMessage gossip;
+    gossip.sender = this->self();
+    gossip.documents = this->documents;
+    gossip.isReplyWanted = isReplyWanted;
+    gossip.members = this->doubtsAbout(to);
+    if (receiver->update.domain != this->self().domain)
+        // The receiver's domain learns who bridges from here.
+        for (const InstanceId &id : this->ranked().lowest(this->self().domain, kBridgesPerDomain))
+            if (const MemberTable::Member *bridge = this->table.find(id))
+                gossip.members.push_back(bridge->update);
+    std::size_t room = kMaxGossipBytes - packedSize(MembershipMessage(gossip));
+    std::size_t memberRoom = std::min(room, kMemberBytes);
+    const auto add = [&](const MemberTable::Member &member, std::size_t &limit) {
+        const std::size_t size = packedSize(member.update);
+        if (size > limit || size > room)
+            return false;
+        limit -= size;
+        room -= size;
+        gossip.members.push_back(member.update);
+        this->table.noteTransmitted(member.update.instance);
+        return true;
+    };
+    for (const MemberTable::Member *member : this->table.freshUpdates(this->transmissionLimit()))
+        if (!add(*member, memberRoom))
+            break;
+    gossip.verdicts =
+        this->rumours.takeVerdicts(std::min(room, kVerdictBytes), this->transmissionLimit(), now);
+    for (const VerdictEntry &verdict : gossip.verdicts)
+        room -= packedSize(verdict);
+    const std::size_t kept = std::min(room, kRotationBytes);
+    gossip.summaries = this->rumours.takeSummaries(room - kept, this->transmissionLimit(), now);
+    for (const SummaryEntry &entry : gossip.summaries)
+        room -= packedSize(entry);
+    // A joining instance needs all members, others only a slow repair.
+    std::size_t rotationRoom = isReplyWanted || receiver->changedAt + kJoinTime > now
+        ? room
+        : std::min(room, kRotationBytes);
+    for (const MemberTable::Member *member : this->table.nextInRotation(rotationRoom / 32))
+        if (!add(*member, rotationRoom))
+            break;
+    this->sendTo(to, std::move(gossip), now, actions);
+}
+
+std::vector<InstanceId> Membership::bridgeTargets(absl::Time now) const
+{
+    using Key = std::tuple<int, absl::Time, InstanceId>;
+    absl::btree_map<FailureDomainId, std::vector<Key>> byDomain;
+    for (const auto &[id, member] : this->table.members()) {
+        if (member.update.domain == this->self().domain)
+            continue;
+        const bool isSilent = now >= member.unansweredSince + kRemoteTimeout
+            && now < member.contactedAt + kRemoteRetry;
+        if (!isSilent && isServing(member.update.state))
+            byDomain[member.update.domain].emplace_back(0, absl::InfinitePast(), id);
+        else if (!isSilent && !member.isConfirmed)
+            byDomain[member.update.domain].emplace_back(1, absl::InfinitePast(), id);
+        else
+            byDomain[member.update.domain].emplace_back(2, member.contactedAt, id);
+    }
+    std::vector<InstanceId> targets;
+    for (auto &[domain, keys] : byDomain) {
+        const std::size_t count = std::min(kBridgesPerDomain, keys.size());
+        std::partial_sort(keys.begin(), keys.begin() + static_cast<std::ptrdiff_t>(count),
+                          keys.end());
+        for (std::size_t i = 0; i < count; ++i)
+            targets.push_back(std::get<2>(keys[i]));
+    }
+    return targets;
+}
+
+void Membership::gossipRound(absl::Time now, MembershipActions &actions)
+{
+    const bool isJoining = now < this->joinsUntil;
+    std::vector<InstanceId> peers = this->table.randomPeers(kGossipFanout, {}, this->random);
+    if (peers.size() < kGossipFanout || this->random.below(kAbsentTrialRounds) == 0)
+        for (InstanceId &absent : this->table.randomAbsent(1, this->random))
+            peers.push_back(std::move(absent));
+    for (const InstanceId &peer : peers) {
+        const MemberTable::Member *member = this->table.find(peer);
+        const bool isAbsent = member->update.state == PeerState::Dead;
+        this->gossipTo(peer, isJoining || isAbsent, now, actions);
+    }
+}
+
+MembershipActions Membership::onTick(absl::Time now)
+{
+    MembershipActions actions;
+    std::vector<InstanceId> changed;
+    for (const FailureDetector::Order &order : this->detector.onTick(now, changed))
+        this->probe(order, now, actions);
+    for (const InstanceId &id : changed) {
+        const MemberUpdate &update = this->table.find(id)->update;
+        actions.emplace_back(PeerChanged {update});
+        // The suspected instance can refute at once.
+        if (update.state == PeerState::Suspect)
+            this->gossipTo(id, true, now, actions);
+    }
+    if (now >= this->nextGossipAt) {
+        this->nextGossipAt = now + kGossipInterval;
+        this->rumours.expire(now);
+        this->table.forgetDead(now - kDeadMemory);
+        absl::erase_if(this->relays,
+                       [&](const auto &entry) { return entry.second.at + kRelayTime < now; });
+        this->gossipRound(now, actions);
+    }
+    if (now >= this->nextBridgeAt && this->ranked().isSelfAmong(kBridgesPerDomain)) {
+        this->nextBridgeAt = now + kBridgeInterval;
+        for (const InstanceId &target : this->bridgeTargets(now))
+            this->gossipTo(target, false, now, actions);
+    }
+    return actions;
+}
+
+MembershipActions Membership::leave(absl::Time now)
+{
+    MembershipActions actions;
+    this->table.announceLeaving();
+    for (const InstanceId &peer : this->table.randomPeers(kDocumentFanout, {}, this->random))
+        this->gossipTo(peer, false, now, actions);
+    return actions;
+}
+
+MembershipActions Membership::setDocument(DocumentKind kind, std::uint64_t number, absl::Time now)
+{
+    MembershipActions actions;
+    if (number <= this->documents[kind])
+        return actions;
+    this->documents[kind] = number;
+    for (const InstanceId &peer : this->table.randomPeers(kDocumentFanout, {}, this->random))
+        this->gossipTo(peer, false, now, actions);
+    if (kind != DocumentKind::Roster && this->ranked().isSelfAmong(kBridgesPerDomain))
+        for (const InstanceId &target : this->bridgeTargets(now))
+            this->gossipTo(target, false, now, actions);
+    return actions;
+}
+
+void Membership::setSummary(const GroupSummary &summary, absl::Time now)
+{
+    this->rumours.setSummary(summary, now);
+}
+
+void Membership::addVerdict(const VerdictEntry &verdict, absl::Time now)
+{
+    this->rumours.addVerdict(verdict, now);
+}
+
+void Membership::setSettledRoster(std::uint64_t version)
+{
+    this->table.setSettledRoster(version);
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/membership/membership.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "core/random.h"
+#include "core/result.h"
+#include "servers/membership/failure_detector.h"
+#include "servers/membership/gossip_messages.h"
+#include "servers/membership/member_table.h"
+#include "servers/membership/ranked_instances.h"
+#include "servers/membership/rumour_table.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+#include <span>
+#include <variant>
+#include <vector>
+
+namespace foxtailtally {
+
+/** Interval between gossip messages to peers of the domain. */
+constexpr absl::Duration kGossipInterval = absl::Seconds(1);
+/** Peers that receive a gossip message in each interval. */
+constexpr std::size_t kGossipFanout = 2;
+/** Interval between gossip messages to other domains. */
+constexpr absl::Duration kBridgeInterval = absl::Seconds(2);
+/** Instances of a domain that gossip with other domains, and receivers in each of these. */
+constexpr std::size_t kBridgesPerDomain = 2;
+/** Peers told at once of a new document number; the intervals reach those that this misses. */
+constexpr std::size_t kDocumentFanout = 3;
+
+/** Send @p message to the instance @p to at @p address ("ip:port"). */
+struct SendMembership
+{
+    InstanceId to;
+    std::string address;
+    MembershipMessage message;
+};
+
+/** The instance @p from has a higher number of a document in force than this one. */
+struct DocumentAdvanced
+{
+    DocumentKind kind = DocumentKind::ReleaseNote;
+    std::uint64_t number = 0;
+    InstanceId from;
+};
+
+/** A quarantine verdict that was not known. */
+struct VerdictReceived
+{
+    VerdictEntry verdict;
+};
+
+using MembershipAction =
+    std::variant<SendMembership, PeerChanged, DocumentAdvanced, VerdictReceived>;
+using MembershipActions = std::vector<MembershipAction>;
+
+/**
+ * Which instances are live, and the numbers, summaries and verdicts that spread among them.
+ *
+ * Within a domain: probes every second, indirect probes before suspicion, suspicion before death,
+ * and gossip to two peers a second. Between domains: the two lowest-ranked live instances of each
+ * domain gossip with two of every other. Messages of an earlier incarnation are rejected.
+ */
+class Membership
+{
+public:
+    /** @p self names this process; its state and refutation number are ignored. */
+    Membership(const MemberUpdate &self, std::uint64_t seed);
+    Membership(const Membership &) = delete;
+    Membership &operator=(const Membership &) = delete;
+
+    /** Instances of the settings' seed list or the platform's list. */
+    MembershipActions addKnown(std::span<const KnownInstance> instances, absl::Time now);
+    /**
+     * Error::MessageStaleIncarnation for a sender whose later incarnation is known,
+     * Error::MessageMalformed for a message without a sender or that claims to be from this one.
+     */
+    Result<MembershipActions> onDatagram(const MembershipMessage &message, absl::Time now);
+    /** Call every 100 ms. */
+    MembershipActions onTick(absl::Time now);
+    /** Announces that this process shuts down gracefully. */
+    MembershipActions leave(absl::Time now);
+
+    /** A document with a higher number is in force at this instance. */
+    MembershipActions setDocument(DocumentKind kind, std::uint64_t number, absl::Time now);
+    void setSummary(const GroupSummary &summary, absl::Time now);
+    void addVerdict(const VerdictEntry &verdict, absl::Time now);
+    /** ShareLedger::settledVersion(). */
+    void setSettledRoster(std::uint64_t version);
+
+    const MemberUpdate &self() const { return this->table.self(); }
+    const MemberTable &members() const { return this->table; }
+    RankedInstances ranked() const { return RankedInstances(this->table); }
+    std::vector<GroupSummary> summaries(absl::Time now) const
+    {
+        return this->rumours.summaries(now);
+    }
+    std::vector<VerdictEntry> verdicts(absl::Time now) const { return this->rumours.verdicts(now); }
+
+private:
+    struct Relay
+    {
+        InstanceId requester;
+        std::uint64_t number = 0;
+        absl::Time at;
+    };
+
+    void handle(const GossipMessage &gossip, absl::Time now, MembershipActions &actions);
+    void handle(const Probe &probe, absl::Time now, MembershipActions &actions);
+    void handle(const ProbeAck &ack, absl::Time now, MembershipActions &actions);
+    void mergeMember(const MemberUpdate &update, absl::Time now, MembershipActions &actions);
+    void mergeDocuments(const MemberUpdate &sender, const DocumentNumbers &numbers,
+                        MembershipActions &actions);
+    void probe(const FailureDetector::Order &order, absl::Time now, MembershipActions &actions);
+    void gossipTo(const InstanceId &to, bool isReplyWanted, absl::Time now,
+                  MembershipActions &actions);
+    void sendTo(const InstanceId &to, MembershipMessage message, absl::Time now,
+                MembershipActions &actions);
+    void gossipRound(absl::Time now, MembershipActions &actions);
+    std::vector<InstanceId> bridgeTargets(absl::Time now) const;
+    std::vector<MemberUpdate> doubtsAbout(const InstanceId &instance) const;
+    std::uint32_t transmissionLimit() const;
+
+    Random random;
+    MemberTable table;
+    FailureDetector detector;
+    RumourTable rumours;
+    DocumentNumbers documents;
+    absl::flat_hash_map<std::uint64_t, Relay> relays;
+    std::uint64_t relayNumber;
+    absl::Time joinsUntil = absl::InfinitePast();
+    absl::Time nextGossipAt = absl::InfinitePast();
+    absl::Time nextBridgeAt = absl::InfinitePast();
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/membership/rumour_table.cpp
@@ -0,0 +1,150 @@
+#include "servers/membership/rumour_table.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace foxtailtally {
+
+namespace {
+
+std::uint32_t wholeMs(absl::Duration duration)
+{
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(absl::ToInt64Milliseconds(duration), 0, UINT32_MAX));
+}
+
+} // namespace
+
+void RumourTable::setSummary(const GroupSummary &summary, absl::Time now)
+{
+    Summary &held = this->summaryByGroup[summary.group];
+    held = {summary, now, true, 0, held.lastSend};
+}
+
+void RumourTable::addVerdict(const VerdictEntry &verdict, absl::Time now)
+{
+    this->merge(verdict, now);
+}
+
+bool RumourTable::merge(const SummaryEntry &entry, absl::Time now)
+{
+    const absl::Time takenAt = now - absl::Milliseconds(entry.ageMs);
+    if (takenAt + kSummaryLifetime <= now)
+        return false;
+    const auto [held, isNew] = this->summaryByGroup.try_emplace(entry.summary.group);
+    const GroupSummary &known = held->second.summary;
+    const bool isSameOwner = known.owner == entry.summary.owner
+        && known.ownerIncarnation == entry.summary.ownerIncarnation;
+    // Sequences of different owners cannot be compared; the age is exact to the time on the way.
+    const bool isNewer = isNew
+        || (isSameOwner ? entry.summary.sequence > known.sequence : takenAt > held->second.takenAt);
+    if (isNewer)
+        held->second = {entry.summary, takenAt, false, 0, held->second.lastSend};
+    return isNewer;
+}
+
+bool RumourTable::merge(const VerdictEntry &entry, absl::Time now)
+{
+    if (entry.content.size() > kMaxVerdictBytes || entry.remainingMs == 0)
+        return false;
+    const absl::Time expiresAt = now + absl::Milliseconds(entry.remainingMs);
+    const auto [held, isNew] = this->verdictByKey.try_emplace(entry.key);
+    Verdict &verdict = held->second;
+    // A copy that went another way differs a little in its remaining time.
+    const bool isNewer = isNew
+        || (verdict.content != entry.content && expiresAt > verdict.expiresAt)
+        || expiresAt > verdict.expiresAt + absl::Seconds(60);
+    if (!isNewer)
+        return false;
+    verdict = {entry.content, expiresAt, 0};
+    if (this->verdictByKey.size() > kMaxVerdicts) {
+        const auto first =
+            std::min_element(this->verdictByKey.begin(), this->verdictByKey.end(),
+                             [](const auto &left, const auto &right) {
+                                 return left.second.expiresAt < right.second.expiresAt;
+                             });
+        this->verdictByKey.erase(first);
+    }
+    return true;
+}
+
+void RumourTable::expire(absl::Time now)
+{
+    absl::erase_if(this->summaryByGroup, [&](const auto &entry) {
+        return entry.second.takenAt + kSummaryLifetime <= now;
+    });
+    absl::erase_if(this->verdictByKey,
+                   [&](const auto &entry) { return entry.second.expiresAt <= now; });
+}
+
+std::vector<SummaryEntry> RumourTable::takeSummaries(std::size_t bytes, std::uint32_t limit,
+                                                     absl::Time now)
+{
+    std::vector<Summary *> candidates;
+    for (auto &[group, held] : this->summaryByGroup)
+        if (held.isOwn || held.transmissions < limit)
+            candidates.push_back(&held);
+    std::sort(candidates.begin(), candidates.end(), [](const Summary *left, const Summary *right) {
+        if (left->isOwn != right->isOwn)
+            return left->isOwn;
+        return std::tie(left->transmissions, left->lastSend)
+            < std::tie(right->transmissions, right->lastSend);
+    });
+    std::vector<SummaryEntry> taken;
+    for (Summary *held : candidates) {
+        SummaryEntry packed {held->summary, wholeMs(now - held->takenAt)};
+        const std::size_t size = packedSize(packed);
+        if (size > bytes)
+            break;
+        bytes -= size;
+        ++held->transmissions;
+        held->lastSend = ++this->sends;
+        taken.push_back(std::move(packed));
+    }
+    return taken;
+}
+
+std::vector<VerdictEntry> RumourTable::takeVerdicts(std::size_t bytes, std::uint32_t limit,
+                                                    absl::Time now)
+{
+    std::vector<VerdictEntry> taken;
+    std::vector<std::pair<const Fingerprint, Verdict> *> candidates;
+    for (auto &entry : this->verdictByKey)
+        if (entry.second.transmissions < limit)
+            candidates.push_back(&entry);
+    std::stable_sort(candidates.begin(), candidates.end(), [](const auto *left, const auto *right) {
+        return left->second.transmissions < right->second.transmissions;
+    });
+    for (auto *entry : candidates) {
+        VerdictEntry packed {entry->first, entry->second.content,
+                             wholeMs(entry->second.expiresAt - now)};
+        const std::size_t size = packedSize(packed);
+        if (size > bytes)
+            break;
+        bytes -= size;
+        ++entry->second.transmissions;
+        taken.push_back(std::move(packed));
+    }
+    return taken;
+}
+
+std::vector<GroupSummary> RumourTable::summaries(absl::Time now) const
+{
+    std::vector<GroupSummary> all;
+    for (const auto &[group, held] : this->summaryByGroup)
+        if (held.takenAt + kSummaryLifetime > now)
+            all.push_back(held.summary);
+    return all;
+}
+
+std::vector<VerdictEntry> RumourTable::verdicts(absl::Time now) const
+{
+    std::vector<VerdictEntry> all;
+    for (const auto &[key, held] : this->verdictByKey)
+        if (held.expiresAt > now)
+            all.push_back({key, held.content, wholeMs(held.expiresAt - now)});
+    return all;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/membership/rumour_table.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "servers/membership/gossip_messages.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/time/time.h>
+#include <cstddef>
+#include <vector>
+
+namespace foxtailtally {
+
+/** Most verdicts kept; the ones that expire first are dropped. */
+constexpr std::size_t kMaxVerdicts = 1024;
+/** Age at which a group summary is dropped. */
+constexpr absl::Duration kSummaryLifetime = absl::Seconds(30);
+
+/** Group summaries and verdicts that spread by gossip, with the number of times each was sent. */
+class RumourTable
+{
+public:
+    /** Sets a summary of a group that this instance owns. */
+    void setSummary(const GroupSummary &summary, absl::Time now);
+    void addVerdict(const VerdictEntry &verdict, absl::Time now);
+    /** Returns whether @p entry was newer than what was held. */
+    bool merge(const SummaryEntry &entry, absl::Time now);
+    bool merge(const VerdictEntry &entry, absl::Time now);
+    void expire(absl::Time now);
+
+    /**
+     * Own summaries, then those whose present version was sent fewer than @p limit times, the
+     * least sent first, up to @p bytes packed. Among equals the group sent longest ago is first;
+     * summaries change about as often as messages are sent, so a fixed order would starve some.
+     */
+    std::vector<SummaryEntry> takeSummaries(std::size_t bytes, std::uint32_t limit, absl::Time now);
+    /** Least sent verdicts first, without those sent @p limit times. */
+    std::vector<VerdictEntry> takeVerdicts(std::size_t bytes, std::uint32_t limit, absl::Time now);
+
+    /** All summaries that are not older than kSummaryLifetime. */
+    std::vector<GroupSummary> summaries(absl::Time now) const;
+    std::vector<VerdictEntry> verdicts(absl::Time now) const;
+
+private:
+    struct Summary
+    {
+        GroupSummary summary;
+        absl::Time takenAt;
+        bool isOwn = false;
+        std::uint32_t transmissions = 0;
+        /** Number of the last send of this group; lower is longer ago. */
+        std::uint64_t lastSend = 0;
+    };
+    struct Verdict
+    {
+        std::string content;
+        absl::Time expiresAt;
+        std::uint32_t transmissions = 0;
+    };
+
+    std::uint64_t sends = 0;
+    absl::btree_map<GroupId, Summary> summaryByGroup;
+    absl::btree_map<Fingerprint, Verdict> verdictByKey;
+};
+
+} // namespace foxtailtally
