--- a/benchmarks/membership_benchmark.cpp
+++ b/benchmarks/membership_benchmark.cpp
@@ -88,9 +88,9 @@
     double total = 0;
     for (auto step : state) {
         const absl::Time start = model.time;
-        model.setDocument(model.nodes.size() - 1, DocumentKind::ReleaseNote, ++number);
+        model.setDocument(model.nodes.size() - 1, GossipDocument::ReleaseNote, ++number);
         const auto isMissing = [&](const MembershipModel::Node &node) {
-            return node.documents[DocumentKind::ReleaseNote] < number;
+            return node.documents[GossipDocument::ReleaseNote] < number;
         };
         while (std::any_of(model.nodes.begin(), model.nodes.end(), isMissing))
             model.advance(absl::Milliseconds(10));
--- a/servers/membership/gossip_messages.cpp
+++ b/servers/membership/gossip_messages.cpp
@@ -7,7 +7,7 @@
 constexpr std::size_t kLengthBytes = 4;
 /** Format version, message type, sender check and a 32-byte authentication tag. */
 constexpr std::size_t kEnvelopeBytes = 48;
-constexpr std::size_t kDocumentBytes = 8 * kDocumentKindCount;
+constexpr std::size_t kDocumentBytes = 8 * kGossipDocumentCount;
 
 std::size_t textSize(std::size_t length)
 {
--- a/servers/membership/gossip_messages.h
+++ b/servers/membership/gossip_messages.h
@@ -43,25 +43,25 @@
 };
 
 /** Kinds of numbered documents. Values are part of the wire format. */
-enum class DocumentKind : std::uint8_t {
+enum class GossipDocument : std::uint8_t {
     ReleaseNote = 0,
     OutOfService = 1,
     /** Roster of the sender's domain. */
     Roster = 2,
 };
 
-constexpr std::size_t kDocumentKindCount = 3;
+constexpr std::size_t kGossipDocumentCount = 3;
 
 /** Highest number of each kind of document in force at the sender. */
-struct DocumentNumbers
+struct GossipDocumentNumbers
 {
-    std::array<std::uint64_t, kDocumentKindCount> numbers {};
+    std::array<std::uint64_t, kGossipDocumentCount> numbers {};
 
-    std::uint64_t &operator[](DocumentKind kind)
+    std::uint64_t &operator[](GossipDocument kind)
     {
         return this->numbers[static_cast<std::size_t>(kind)];
     }
-    std::uint64_t operator[](DocumentKind kind) const
+    std::uint64_t operator[](GossipDocument kind) const
     {
         return this->numbers[static_cast<std::size_t>(kind)];
     }
@@ -101,7 +101,7 @@
 struct GossipMessage
 {
     MemberUpdate sender;
-    DocumentNumbers documents;
+    GossipDocumentNumbers documents;
     /** The receiver answers with a gossip message. */
     bool isReplyWanted = false;
     std::vector<MemberUpdate> members;
@@ -113,7 +113,7 @@
 struct Probe
 {
     MemberUpdate sender;
-    DocumentNumbers documents;
+    GossipDocumentNumbers documents;
     std::uint64_t number = 0;
     /** Empty: the receiver itself. Otherwise the receiver probes this instance for the sender. */
     InstanceId target;
@@ -131,7 +131,7 @@
 struct ProbeAck
 {
     MemberUpdate sender;
-    DocumentNumbers documents;
+    GossipDocumentNumbers documents;
     std::uint64_t number = 0;
     /** The instance that answered; differs from the sender when relayed. */
     MemberUpdate answering;
--- a/servers/membership/membership.cpp
+++ b/servers/membership/membership.cpp
@@ -64,8 +64,8 @@
     MembershipActions actions;
     this->mergeMember(sender, now, actions);
     this->table.noteHeard(sender.instance, now);
-    const DocumentNumbers &numbers =
-        std::visit([](const auto &m) -> const DocumentNumbers & { return m.documents; }, message);
+    const GossipDocumentNumbers &numbers = std::visit(
+        [](const auto &m) -> const GossipDocumentNumbers & { return m.documents; }, message);
     this->mergeDocuments(sender, numbers, actions);
     std::visit([&](const auto &m) { this->handle(m, now, actions); }, message);
     return actions;
@@ -77,12 +77,12 @@
         actions.emplace_back(PeerChanged {this->table.find(update.instance)->update});
 }
 
-void Membership::mergeDocuments(const MemberUpdate &sender, const DocumentNumbers &numbers,
+void Membership::mergeDocuments(const MemberUpdate &sender, const GossipDocumentNumbers &numbers,
                                 MembershipActions &actions)
 {
-    for (std::size_t i = 0; i < kDocumentKindCount; ++i) {
-        const auto kind = static_cast<DocumentKind>(i);
-        if (kind == DocumentKind::Roster && sender.domain != this->self().domain)
+    for (std::size_t i = 0; i < kGossipDocumentCount; ++i) {
+        const auto kind = static_cast<GossipDocument>(i);
+        if (kind == GossipDocument::Roster && sender.domain != this->self().domain)
             continue;
         // The holder of the document keeps asking until setDocument(), so a lost answer to the
         // first announcement does no harm.
@@ -304,7 +304,7 @@
     return actions;
 }
 
-MembershipActions Membership::setDocument(DocumentKind kind, std::uint64_t number, absl::Time now)
+MembershipActions Membership::setDocument(GossipDocument kind, std::uint64_t number, absl::Time now)
 {
     MembershipActions actions;
     if (number <= this->documents[kind])
@@ -312,7 +312,7 @@
     this->documents[kind] = number;
     for (const InstanceId &peer : this->table.randomPeers(kDocumentFanout, {}, this->random))
         this->gossipTo(peer, false, now, actions);
-    if (kind != DocumentKind::Roster && this->ranked().isSelfAmong(kBridgesPerDomain))
+    if (kind != GossipDocument::Roster && this->ranked().isSelfAmong(kBridgesPerDomain))
         for (const InstanceId &target : this->bridgeTargets(now))
             this->gossipTo(target, false, now, actions);
     return actions;
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -38,7 +38,7 @@
 /** The instance @p from has a higher number of a document in force than this one. */
 struct DocumentAdvanced
 {
-    DocumentKind kind = DocumentKind::ReleaseNote;
+    GossipDocument kind = GossipDocument::ReleaseNote;
     std::uint64_t number = 0;
     InstanceId from;
 };
@@ -81,7 +81,7 @@
     MembershipActions leave(absl::Time now);
 
     /** A document with a higher number is in force at this instance. */
-    MembershipActions setDocument(DocumentKind kind, std::uint64_t number, absl::Time now);
+    MembershipActions setDocument(GossipDocument kind, std::uint64_t number, absl::Time now);
     void setSummary(const GroupSummary &summary, absl::Time now);
     void addVerdict(const VerdictEntry &verdict, absl::Time now);
     /** ShareLedger::settledVersion(). */
@@ -108,7 +108,7 @@
     void handle(const Probe &probe, absl::Time now, MembershipActions &actions);
     void handle(const ProbeAck &ack, absl::Time now, MembershipActions &actions);
     void mergeMember(const MemberUpdate &update, absl::Time now, MembershipActions &actions);
-    void mergeDocuments(const MemberUpdate &sender, const DocumentNumbers &numbers,
+    void mergeDocuments(const MemberUpdate &sender, const GossipDocumentNumbers &numbers,
                         MembershipActions &actions);
     void probe(const FailureDetector::Order &order, absl::Time now, MembershipActions &actions);
     void gossipTo(const InstanceId &to, bool isReplyWanted, absl::Time now,
@@ -124,7 +124,7 @@
     MemberTable table;
     FailureDetector detector;
     RumourTable rumours;
-    DocumentNumbers documents;
+    GossipDocumentNumbers documents;
     absl::flat_hash_map<std::uint64_t, Relay> relays;
     std::uint64_t relayNumber;
     absl::Time joinsUntil = absl::InfinitePast();
--- a/tests/membership_model.h
+++ b/tests/membership_model.h
@@ -24,7 +24,7 @@
         MemberUpdate self;
         std::unique_ptr<Membership> membership;
         absl::Time pausedUntil;
-        DocumentNumbers documents;
+        GossipDocumentNumbers documents;
         std::uint64_t bytesSent = 0;
         std::uint64_t bytesReceived = 0;
         std::size_t largest = 0;
@@ -71,7 +71,7 @@
         this->time = until;
     }
 
-    void setDocument(std::size_t index, DocumentKind kind, std::uint64_t number)
+    void setDocument(std::size_t index, GossipDocument kind, std::uint64_t number)
     {
         Node &node = this->nodes[index];
         if (number <= node.documents[kind])
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -134,14 +134,14 @@
     summary.group = GroupId("group-1");
     summary.owner = model.nodes[0].self.instance;
     model.nodes[0].membership->addVerdict({Fingerprint {1}, std::string(64, 'v'), 60000}, start);
-    model.setDocument(59, DocumentKind::ReleaseNote, 42);
+    model.setDocument(59, GossipDocument::ReleaseNote, 42);
     for (std::uint64_t second = 0; second < 11; ++second) {
         summary.sequence = second;
         model.nodes[0].membership->setSummary(summary, model.time);
         model.advance(absl::Seconds(1));
     }
     for (const auto &node : model.nodes)
-        EXPECT_EQ(node.documents[DocumentKind::ReleaseNote], 42) << node.self.instance;
+        EXPECT_EQ(node.documents[GossipDocument::ReleaseNote], 42) << node.self.instance;
     model.advance(absl::Seconds(9));
     for (const auto &node : model.nodes) {
         EXPECT_EQ(node.membership->summaries(model.time).size(), 1U) << node.self.instance;
