--- a/main/lib/entry_instance.cpp
+++ b/main/lib/entry_instance.cpp
@@ -108,7 +108,7 @@
     options.secret = this->settings.text("peers", "key");
     auto started = InstanceTransport::start(
         options,
-        [this](const Envelope &message, InstanceTransport::Reply reply) {
+        [this](const Envelope &message, const InstanceTransport::Reply &reply) {
             this->control->onMessage(message, reply);
         },
         this->metrics);
--- a/main/lib/operator_commands.cpp
+++ b/main/lib/operator_commands.cpp
@@ -95,7 +95,9 @@
         addCommand(
             *group, order, text, "id",
             [path, order](const OperatorOptions &options) {
-                return callInstance(options, "POST", path + options.argument + "/" + order, "");
+                return callInstance(
+                    options, "POST",
+                    std::string(path).append(options.argument).append("/").append(order), "");
             },
             exitCode);
     }
--- a/main/lib/roster_writer.cpp
+++ b/main/lib/roster_writer.cpp
@@ -13,6 +13,7 @@
 std::vector<RosterMember> toMembers(const std::vector<RosterDocument::Member> &members)
 {
     std::vector<RosterMember> result;
+    result.reserve(members.size());
     for (const RosterDocument::Member &member : members)
         result.push_back({member.id, member.incarnation});
     return result;
@@ -21,6 +22,7 @@
 std::vector<RosterDocument::Member> fromMembers(const std::vector<RosterMember> &members)
 {
     std::vector<RosterDocument::Member> result;
+    result.reserve(members.size());
     for (const RosterMember &member : members)
         result.push_back({member.instance, member.incarnation});
     return result;
