Keep requests of a lost server apart until suspects are known

A suspect could be placed on a server where another copy of the request that killed its server had been granted before the death. The owner now takes all that ran on a lost server for suspects at the first release or load report that shows the loss, and follows the reports of the instance's quarantine table. Quarantining by the owner's own view was ruled out: a lost connection is not a death.

Deaths of one server within 5 s count once, as instances may know different incarnations of it.

--- a/servers/admission/admission_policy.h
+++ b/servers/admission/admission_policy.h
@@ -29,6 +29,7 @@
     std::int64_t tokens = 0;
     bool isLong = false;
     bool isSuspect = false;
+    Fingerprint fingerprint {};
     absl::Time deadline = absl::InfiniteFuture();
 };
 
@@ -104,6 +105,13 @@
     virtual AdmissionActions onInstanceDead(const InstanceId &instance, Incarnation incarnation,
                                             absl::Time now) = 0;
 
+    /**
+     * @p deaths server deaths with this request are known to the instance's Quarantine. Its running
+     * and waiting requests are then treated as suspects, or refused when they are quarantined.
+     */
+    virtual AdmissionActions onSuspect(const Fingerprint &fingerprint, std::uint32_t deaths,
+                                       absl::Time now) = 0;
+
     /** Refuses everything that waits and all later reservations with @p reason, not run. */
     virtual AdmissionActions stop(RefusalReason reason, absl::Time now) = 0;
     /** Accepts reservations again, for a group that returns to service. */
--- a/servers/admission/fifo_admission.cpp
+++ b/servers/admission/fifo_admission.cpp
@@ -98,6 +98,13 @@
     return this->dispatch(now);
 }
 
+AdmissionActions FifoAdmission::onSuspect(const Fingerprint &fingerprint, std::uint32_t deaths,
+                                          absl::Time now)
+{
+    this->servers.onSuspect(fingerprint, deaths, now);
+    return this->dispatch(now);
+}
+
 AdmissionActions FifoAdmission::stop(RefusalReason reason, absl::Time)
 {
     this->stopReason = reason;
@@ -123,18 +130,19 @@
     return next;
 }
 
-std::vector<ServerSlot *> FifoAdmission::place(const RequestProfile &profile) const
+std::vector<ServerSlot *> FifoAdmission::place(const RequestProfile &profile, absl::Time now) const
 {
+    const bool isSuspect = this->servers.deathsOf(profile, now) > 0;
     if (profile.memoryTokens() > this->servers.largestLimit()) {
         return this->servers.spanningCount() > 0
             ? std::vector<ServerSlot *> {}
-            : LongContextPlanner::plan(profile, this->servers.slots());
+            : LongContextPlanner::plan(profile, isSuspect, this->servers.slots());
     }
     ServerSlot *best = nullptr;
     std::int64_t bestFree = profile.memoryTokens() - 1;
     for (const auto &[id, slot] : this->servers.slots()) {
         const bool isOpen = slot->isUsable() && slot->hasFreeUnit()
-            && (profile.deathsSeen == 0
+            && (!isSuspect
                 || (!slot->ledger.hasSuspect() && slot->ledger.unexplainedRequests() == 0));
         const std::int64_t free = slot->ledger.freeTokensFor(profile.id, false);
         if (isOpen && free > bestFree) {
@@ -157,7 +165,7 @@
     });
     while (!this->queue.empty() && this->isReady) {
         const Waiting &first = this->queue.front();
-        const std::vector<ServerSlot *> chosen = this->place(first.request.profile);
+        const std::vector<ServerSlot *> chosen = this->place(first.request.profile, now);
         if (chosen.empty())
             break;
         actions.emplace_back(this->servers.grant(first.request, chosen, first.receivedAt, now));
--- a/servers/admission/fifo_admission.h
+++ b/servers/admission/fifo_admission.h
@@ -28,6 +28,8 @@
     AdmissionActions onServerLost(const BackendServerId &server, absl::Time now) override;
     AdmissionActions onInstanceDead(const InstanceId &instance, Incarnation incarnation,
                                     absl::Time now) override;
+    AdmissionActions onSuspect(const Fingerprint &fingerprint, std::uint32_t deaths,
+                               absl::Time now) override;
     AdmissionActions stop(RefusalReason reason, absl::Time now) override;
     void resume() override { this->stopReason = RefusalReason::None; }
     AdmissionActions onTick(absl::Time now) override;
@@ -43,7 +45,7 @@
         absl::Time receivedAt;
     };
 
-    std::vector<ServerSlot *> place(const RequestProfile &profile) const;
+    std::vector<ServerSlot *> place(const RequestProfile &profile, absl::Time now) const;
     AdmissionActions dispatch(absl::Time now);
 
     GroupServers servers;
--- a/servers/admission/group_admission.cpp
+++ b/servers/admission/group_admission.cpp
@@ -1,5 +1,7 @@
 #include "servers/admission/group_admission.h"
 
+#include "servers/quarantine/quarantine.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -23,9 +25,6 @@
 // The platform's list and the load reports need about this long to show a new server.
 constexpr absl::Duration kNoServerRetryAfter = absl::Seconds(5);
 constexpr absl::Duration kLeavingRetryAfter = absl::Seconds(1);
-constexpr absl::Duration kQuarantineRetryAfter = absl::Hours(1);
-// A second server death quarantines a request.
-constexpr std::uint32_t kQuarantineDeaths = 2;
 
 constexpr WaitLane kLanes[] = {WaitLane::Short, WaitLane::Suspect, WaitLane::Long,
                                WaitLane::Spanning};
@@ -59,8 +58,8 @@
         return refuse(this->stopReason, kLeavingRetryAfter);
     if (profile.model != this->servers.options().model)
         return refuse(RefusalReason::UnknownModel, absl::ZeroDuration());
-    if (profile.deathsSeen >= kQuarantineDeaths)
-        return refuse(RefusalReason::Quarantined, kQuarantineRetryAfter);
+    if (this->servers.deathsOf(profile, now) >= kQuarantineDeaths)
+        return refuse(RefusalReason::Quarantined, kQuarantineTerm);
     if (this->servers.slots().empty())
         return refuse(RefusalReason::NoServer, kNoServerRetryAfter);
     if (profile.memoryTokens() > this->servers.totalMemory())
@@ -79,7 +78,7 @@
                                                           absl::Time now) const
 {
     const std::int64_t tokens =
-        this->queue.tokensAhead(profile.requestClass, this->laneOf(profile), profile.deadline);
+        this->queue.tokensAhead(profile.requestClass, this->laneOf(profile, now), profile.deadline);
     absl::Duration delay = this->servers.delays().delay(tokens, this->servers.usedTokens());
     absl::Duration backlog = absl::InfiniteDuration();
     for (const auto &[id, slot] : this->servers.slots()) {
@@ -105,11 +104,11 @@
     return profile.memoryTokens() > (limit > 0 ? limit : this->servers.largestMemory());
 }
 
-WaitLane GroupAdmission::laneOf(const RequestProfile &profile) const
+WaitLane GroupAdmission::laneOf(const RequestProfile &profile, absl::Time now) const
 {
     if (profile.memoryTokens() > this->servers.largestMemory())
         return WaitLane::Spanning;
-    if (profile.deathsSeen > 0)
+    if (this->servers.deathsOf(profile, now) > 0)
         return WaitLane::Suspect;
     return profile.promptTokens > kLongPromptTokens ? WaitLane::Long : WaitLane::Short;
 }
@@ -127,13 +126,13 @@
         actions.emplace_back(RefuseAction {request.from, profile.id, *refusal});
         return actions;
     }
-    waiting.lane = this->laneOf(profile);
+    waiting.lane = this->laneOf(profile, now);
     waiting.receivedAt = now;
     waiting.latestStart = this->latestStartOf(profile);
     const RequestProfile kept = profile;
     if (!this->queue.push(std::move(waiting))) {
         const std::int64_t ahead =
-            this->queue.tokensAhead(kept.requestClass, this->laneOf(kept), kept.deadline);
+            this->queue.tokensAhead(kept.requestClass, this->laneOf(kept, now), kept.deadline);
         const absl::Duration delay =
             this->servers.delays().delay(ahead, this->servers.usedTokens());
         actions.emplace_back(refusalOf(request, RefusalReason::QueueFull, boundedRetry(delay)));
@@ -205,6 +204,25 @@
     return this->dispatch(now);
 }
 
+AdmissionActions GroupAdmission::onSuspect(const Fingerprint &fingerprint, std::uint32_t deaths,
+                                           absl::Time now)
+{
+    this->servers.onSuspect(fingerprint, deaths, now);
+    AdmissionActions actions;
+    if (deaths >= kQuarantineDeaths) {
+        for (const RequestId &id : this->queue.all()) {
+            if (this->queue.find(id)->request.profile.fingerprint != fingerprint)
+                continue;
+            const std::optional<WaitingRequest> taken = this->take(id);
+            actions.emplace_back(
+                refusalOf(taken->request, RefusalReason::Quarantined, kQuarantineTerm));
+        }
+    }
+    AdmissionActions others = this->dispatch(now);
+    std::move(others.begin(), others.end(), std::back_inserter(actions));
+    return actions;
+}
+
 AdmissionActions GroupAdmission::stop(RefusalReason reason, absl::Time now)
 {
     this->stopReason = reason;
@@ -237,25 +255,27 @@
     return this->queue.remove(request);
 }
 
-bool GroupAdmission::isOpenTo(const ServerSlot &slot, const RequestProfile &profile) const
+bool GroupAdmission::isOpenTo(const ServerSlot &slot, const RequestProfile &profile,
+                              absl::Time now) const
 {
     if (!slot.isUsable())
         return false;
     // Two suspects on one server could not be told apart when it dies. Requests of an earlier owner
     // that no entry instance has reported yet may be suspects, too.
-    if (profile.deathsSeen > 0
+    if (this->servers.deathsOf(profile, now) > 0
         && (slot.ledger.hasSuspect() || slot.ledger.unexplainedRequests() > 0))
         return false;
     return profile.promptTokens <= kLongPromptTokens
         || LongContextPlanner::mayRunLong(this->servers.slots(), slot);
 }
 
-bool GroupAdmission::fits(const ServerSlot &slot, const RequestProfile &profile) const
+bool GroupAdmission::fits(const ServerSlot &slot, const RequestProfile &profile,
+                          absl::Time now) const
 {
     const bool isLong = profile.promptTokens > kLongPromptTokens;
     return slot.hasFreeUnit()
         && slot.ledger.freeTokensFor(profile.id, isLong) >= profile.memoryTokens()
-        && this->isOpenTo(slot, profile);
+        && this->isOpenTo(slot, profile, now);
 }
 
 std::vector<ServerSlot *> GroupAdmission::placeOnOne(const RequestProfile &profile,
@@ -265,7 +285,7 @@
     ServerSlot *best = nullptr;
     std::pair<bool, absl::Duration> bestRank;
     for (const auto &[id, slot] : this->servers.slots()) {
-        if (!this->fits(*slot, profile))
+        if (!this->fits(*slot, profile, now))
             continue;
         const absl::Duration end =
             slot->predictor.predict(profile, slot->ledger.requests(), now).end;
@@ -289,7 +309,8 @@
         return this->placeOnOne(profile, now);
     if (this->servers.spanningCount() > 0)
         return {};
-    return LongContextPlanner::plan(profile, this->servers.slots());
+    return LongContextPlanner::plan(profile, this->servers.deathsOf(profile, now) > 0,
+                                    this->servers.slots());
 }
 
 bool GroupAdmission::grantNext(AdmissionActions &actions, absl::Time now)
@@ -356,8 +377,8 @@
         const std::optional<WaitingRequest> taken = this->take(id);
         const RequestProfile &profile = taken->request.profile;
         const bool isTakingOver = this->servers.isTakingOver(now);
-        const std::int64_t ahead =
-            this->queue.tokensAhead(profile.requestClass, this->laneOf(profile), profile.deadline);
+        const std::int64_t ahead = this->queue.tokensAhead(
+            profile.requestClass, this->laneOf(profile, now), profile.deadline);
         const absl::Duration retryAfter = isTakingOver
             ? this->servers.options().readyAt - now
             : this->servers.delays().delay(ahead + profile.memoryTokens(),
@@ -421,7 +442,7 @@
     const bool isLong = profile.promptTokens > kLongPromptTokens;
     ServerSlot *best = nullptr;
     for (const auto &[id, slot] : this->servers.slots()) {
-        if (!this->isOpenTo(*slot, profile) || slot->ledger.limit() < profile.memoryTokens())
+        if (!this->isOpenTo(*slot, profile, now) || slot->ledger.limit() < profile.memoryTokens())
             continue;
         const std::int64_t free = slot->ledger.freeTokensFor(profile.id, isLong);
         // With enough free memory it waits for something that a hold cannot give.
--- a/servers/admission/group_admission.h
+++ b/servers/admission/group_admission.h
@@ -31,6 +31,8 @@
     AdmissionActions onServerLost(const BackendServerId &server, absl::Time now) override;
     AdmissionActions onInstanceDead(const InstanceId &instance, Incarnation incarnation,
                                     absl::Time now) override;
+    AdmissionActions onSuspect(const Fingerprint &fingerprint, std::uint32_t deaths,
+                               absl::Time now) override;
     AdmissionActions stop(RefusalReason reason, absl::Time now) override;
     void resume() override { this->stopReason = RefusalReason::None; }
     AdmissionActions onTick(absl::Time now) override;
@@ -51,12 +53,12 @@
     /** Refusal that is certain before the request has waited. */
     std::optional<Refusal> refuseAtOnce(const RequestProfile &profile, absl::Time now) const;
     std::optional<Refusal> refuseByPrediction(const RequestProfile &profile, absl::Time now) const;
-    WaitLane laneOf(const RequestProfile &profile) const;
+    WaitLane laneOf(const RequestProfile &profile, absl::Time now) const;
     bool isSpanning(const RequestProfile &profile) const;
 
-    bool fits(const ServerSlot &slot, const RequestProfile &profile) const;
+    bool fits(const ServerSlot &slot, const RequestProfile &profile, absl::Time now) const;
     /** False when a server never takes the request while its present requests run. */
-    bool isOpenTo(const ServerSlot &slot, const RequestProfile &profile) const;
+    bool isOpenTo(const ServerSlot &slot, const RequestProfile &profile, absl::Time now) const;
     std::vector<ServerSlot *> place(const RequestProfile &profile, absl::Time now) const;
     std::vector<ServerSlot *> placeOnOne(const RequestProfile &profile, absl::Time now) const;
 
--- a/servers/admission/group_servers.cpp
+++ b/servers/admission/group_servers.cpp
@@ -92,7 +92,7 @@
         return;
     if (report.incarnation > slot->incarnation) {
         if (slot->incarnation != 0)
-            this->restart(*slot, now - report.age);
+            this->restart(*slot, now - report.age, now);
         slot->incarnation = report.incarnation;
     }
     slot->sequence = report.sequence;
@@ -104,8 +104,30 @@
         slot->hasReport = true;
 }
 
-void GroupServers::restart(ServerSlot &slot, absl::Time reportTakenAt)
+void GroupServers::onSuspect(const Fingerprint &fingerprint, std::uint32_t deaths, absl::Time now)
 {
+    this->suspects.onReport(fingerprint, deaths, now);
+    if (deaths > 0)
+        this->markSuspect(fingerprint);
+}
+
+void GroupServers::markSuspect(const Fingerprint &fingerprint)
+{
+    for (const auto &[id, slot] : this->serverSlots)
+        slot->ledger.markSuspect(fingerprint);
+}
+
+void GroupServers::suspectAllOn(const ServerSlot &slot, absl::Time now)
+{
+    for (const Fingerprint &fingerprint : slot.ledger.fingerprints()) {
+        this->suspects.onServerLost(fingerprint, now);
+        this->markSuspect(fingerprint);
+    }
+}
+
+void GroupServers::restart(ServerSlot &slot, absl::Time reportTakenAt, absl::Time now)
+{
+    this->suspectAllOn(slot, now);
     slot.ledger.onRestart();
     slot.ramp.reset();
     // A request granted shortly before the restart may run on the new incarnation, so its permit
@@ -173,7 +195,7 @@
         isKnown = true;
         slot->ledger.add(held.permit,
                          {report.from, part, now, held.deadline + kPermitExpiryGrace, held.isLong,
-                          held.isSuspect, server != held.servers.front()});
+                          held.isSuspect, server != held.servers.front(), held.fingerprint});
     }
     if (!isKnown)
         return;
@@ -183,6 +205,7 @@
     permit.servers = held.servers;
     permit.tokens = held.tokens;
     permit.grantedAt = now;
+    permit.fingerprint = held.fingerprint;
     permit.isAdopted = true;
     this->spanning += permit.servers.size() > 1 ? 1 : 0;
     this->permits.emplace(held.permit, std::move(permit));
@@ -226,8 +249,16 @@
             slot->ledger.remove(release.permit, now);
         return;
     }
-    if (release.outcome == PermitOutcome::Finished && !found->second.isAdopted)
+    if (release.outcome == PermitOutcome::Finished && !found->second.isAdopted) {
+        this->suspects.onFinished(found->second.fingerprint);
         this->learn(found->second, release, now);
+    }
+    if (release.outcome == PermitOutcome::ServerLost) {
+        for (const BackendServerId &server : found->second.servers) {
+            if (const ServerSlot *slot = this->find(server))
+                this->suspectAllOn(*slot, now);
+        }
+    }
     this->endPermit(found, PermitEnd::Freed, now);
 }
 
@@ -266,6 +297,7 @@
     permit.promptTokens = profile.promptTokens;
     permit.maxNewTokens = profile.maxNewTokens;
     permit.grantedAt = now;
+    permit.fingerprint = profile.fingerprint;
     ServerSlot &first = *servers.front();
     permit.concurrent = first.ledger.requests();
     const StartPredictor::Prediction predicted =
@@ -282,8 +314,9 @@
         slot->ledger.dropHold(profile.id);
         slot->ledger.add(id,
                          {request.from, part, now, profile.deadline + kPermitExpiryGrace,
-                          profile.promptTokens > kLongPromptTokens, profile.deathsSeen > 0,
-                          slot != servers.front()});
+                          profile.promptTokens > kLongPromptTokens,
+                          this->deathsOf(profile, now) > 0, slot != servers.front(),
+                          profile.fingerprint});
     }
     first.predictor.addPrompt(profile, now);
 
--- a/servers/admission/group_servers.h
+++ b/servers/admission/group_servers.h
@@ -5,6 +5,7 @@
 #include "servers/admission/admission_policy.h"
 #include "servers/admission/queue_delay_estimator.h"
 #include "servers/admission/server_slot.h"
+#include "servers/admission/suspect_table.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -33,6 +34,12 @@
     void onInstanceDead(const InstanceId &instance, Incarnation incarnation, absl::Time now);
     void onPermitReport(const PermitReport &report, absl::Time now);
     void release(const PermitRelease &release, absl::Time now);
+    void onSuspect(const Fingerprint &fingerprint, std::uint32_t deaths, absl::Time now);
+    /** Server deaths to be assumed for a request. */
+    std::uint32_t deathsOf(const RequestProfile &profile, absl::Time now) const
+    {
+        return this->suspects.deathsOf(profile, now);
+    }
     void expireHolds(absl::Time now);
 
     /** Records a permit for @p request on @p servers, the memory in equal parts. */
@@ -73,6 +80,7 @@
         absl::Duration predictedFirstToken;
         std::int64_t tokensAhead = 0;
         std::int64_t concurrent = 0;
+        Fingerprint fingerprint {};
         bool isAdopted = false;
     };
     enum class PermitEnd {
@@ -89,7 +97,10 @@
     template <typename Predicate>
     void endPermits(PermitEnd how, absl::Time at, Predicate shouldEnd);
     void learn(const Permit &permit, const PermitRelease &release, absl::Time now);
-    void restart(ServerSlot &slot, absl::Time reportTakenAt);
+    void restart(ServerSlot &slot, absl::Time reportTakenAt, absl::Time now);
+    /** Takes all that runs on a lost server for suspects. */
+    void suspectAllOn(const ServerSlot &slot, absl::Time now);
+    void markSuspect(const Fingerprint &fingerprint);
     void adopt(const PermitReport &report, const HeldPermit &held, absl::Time now);
     bool isOwn(PermitId permit) const { return (permit >> kCounterBits) == this->ownerTag; }
 
@@ -99,6 +110,7 @@
     ServerSlots serverSlots;
     Permits permits;
     QueueDelayEstimator estimator;
+    SuspectTable suspects;
     std::size_t spanning = 0;
     std::uint64_t ownerTag;
     std::uint64_t lastCounter = 0;
--- a/servers/admission/long_context_planner.cpp
+++ b/servers/admission/long_context_planner.cpp
@@ -11,11 +11,10 @@
 constexpr absl::Duration kGatherTerm = absl::Seconds(10);
 constexpr std::int64_t kLongServerDivisor = 3;
 
-bool isOpenTo(const ServerSlot &slot, const RequestProfile &profile)
+bool isOpen(const ServerSlot &slot, bool isSuspect)
 {
     return slot.isUsable() && slot.hasFreeUnit()
-        && (profile.deathsSeen == 0
-            || (!slot.ledger.hasSuspect() && slot.ledger.unexplainedRequests() == 0));
+        && (!isSuspect || (!slot.ledger.hasSuspect() && slot.ledger.unexplainedRequests() == 0));
 }
 
 /** Orders by free memory for @p profile, most first; equal servers by id. */
@@ -46,12 +45,12 @@
     return withLong < std::max<std::int64_t>(count / kLongServerDivisor, 1);
 }
 
-std::vector<ServerSlot *> LongContextPlanner::plan(const RequestProfile &profile,
+std::vector<ServerSlot *> LongContextPlanner::plan(const RequestProfile &profile, bool isSuspect,
                                                    const ServerSlots &slots)
 {
     std::vector<ServerSlot *> open;
     for (const auto &[id, slot] : slots) {
-        if (isOpenTo(*slot, profile))
+        if (isOpen(*slot, isSuspect))
             open.push_back(slot.get());
     }
     sortByFree(open, profile);
--- a/servers/admission/long_context_planner.h
+++ b/servers/admission/long_context_planner.h
@@ -29,7 +29,8 @@
      * Servers that can run the whole context now, the one for the prompt first, or none. The caller
      * makes sure that no other context on several servers is running.
      */
-    static std::vector<ServerSlot *> plan(const RequestProfile &profile, const ServerSlots &slots);
+    static std::vector<ServerSlot *> plan(const RequestProfile &profile, bool isSuspect,
+                                          const ServerSlots &slots);
 
     /** Starts to gather for @p request unless another gather is under way or it had its turn. */
     void gather(const ReserveRequest &request, const ServerSlots &slots, absl::Time now);
--- a/servers/admission/memory_ledger.cpp
+++ b/servers/admission/memory_ledger.cpp
@@ -62,6 +62,30 @@
     return true;
 }
 
+void MemoryLedger::markSuspect(const Fingerprint &fingerprint)
+{
+    const auto mark = [&](LedgerEntry &entry) {
+        if (entry.fingerprint != fingerprint || entry.isSuspect)
+            return;
+        entry.isSuspect = true;
+        ++this->suspects;
+    };
+    for (auto &[key, entry] : this->permits)
+        mark(entry);
+    for (Orphan &orphan : this->orphans)
+        mark(orphan.entry);
+}
+
+std::vector<Fingerprint> MemoryLedger::fingerprints() const
+{
+    std::vector<Fingerprint> all;
+    for (const auto &[key, entry] : this->permits)
+        all.push_back(entry.fingerprint);
+    for (const Orphan &orphan : this->orphans)
+        all.push_back(orphan.entry.fingerprint);
+    return all;
+}
+
 void MemoryLedger::onRestart()
 {
     this->pending = {};
--- a/servers/admission/memory_ledger.h
+++ b/servers/admission/memory_ledger.h
@@ -24,6 +24,7 @@
     bool isSuspect = false;
     /** Holds a part of a context whose request runs on another server. */
     bool isPart = false;
+    Fingerprint fingerprint {};
 };
 
 /** Which other requests a hold keeps away. */
@@ -68,6 +69,11 @@
     /** The engine restarted; what it reports from now on is compared with the permits anew. */
     void onRestart();
 
+    /** Takes all permits and orphans with this fingerprint for suspects. */
+    void markSuspect(const Fingerprint &fingerprint);
+    /** Fingerprints of all permits and orphans. */
+    std::vector<Fingerprint> fingerprints() const;
+
     /** Reports of one incarnation must be passed in the order of their sequence. */
     void onReport(const LoadReport &report, absl::Time now);
 
--- a/servers/quarantine/quarantine.cpp
+++ b/servers/quarantine/quarantine.cpp
@@ -70,7 +70,8 @@
 {
     auto victim = this->entries.begin();
     const auto rank = [](const Deaths &deaths) {
-        return std::tuple(deaths.size() >= kQuarantineDeaths, deaths.front().diedAt);
+        return std::tuple(separate(deaths, absl::InfinitePast()).size() >= kQuarantineDeaths,
+                          deaths.front().diedAt);
     };
     for (auto entry = this->entries.begin(); entry != this->entries.end(); ++entry) {
         if (rank(entry->second) < rank(victim->second))
@@ -79,14 +80,30 @@
     this->entries.erase(victim);
 }
 
+std::vector<absl::Time> Quarantine::separate(const Deaths &deaths, absl::Time now)
+{
+    std::vector<absl::Time> times;
+    for (std::size_t i = 0; i < deaths.size(); ++i) {
+        if (!isCurrent(deaths[i].diedAt, now))
+            continue;
+        const bool isSame =
+            std::any_of(deaths.begin(), deaths.begin() + static_cast<std::ptrdiff_t>(i),
+                        [&](const Death &newer) {
+                            return newer.server == deaths[i].server
+                                && newer.diedAt - deaths[i].diedAt < kSameDeathWindow;
+                        });
+        if (!isSame)
+            times.push_back(deaths[i].diedAt);
+    }
+    return times;
+}
+
 std::uint32_t Quarantine::deathsSeen(const Fingerprint &fingerprint, absl::Time now) const
 {
     const auto found = this->entries.find(fingerprint);
-    if (found == this->entries.end())
-        return 0;
-    return static_cast<std::uint32_t>(
-        std::count_if(found->second.begin(), found->second.end(),
-                      [&](const Death &death) { return isCurrent(death.diedAt, now); }));
+    return found == this->entries.end()
+        ? 0
+        : static_cast<std::uint32_t>(separate(found->second, now).size());
 }
 
 QuarantineState Quarantine::check(const Fingerprint &fingerprint, absl::Time now) const
@@ -102,8 +119,8 @@
     if (this->check(fingerprint, now) != QuarantineState::Quarantined)
         return absl::ZeroDuration();
     // The quarantine ends when only one death still counts.
-    const Deaths &deaths = this->entries.find(fingerprint)->second;
-    return deaths[kQuarantineDeaths - 1].diedAt + kQuarantineTerm - now;
+    const std::vector<absl::Time> times = separate(this->entries.find(fingerprint)->second, now);
+    return times[kQuarantineDeaths - 1] + kQuarantineTerm - now;
 }
 
 std::vector<SuspectReport> Quarantine::reports(absl::Time now) const
--- a/servers/quarantine/quarantine.h
+++ b/servers/quarantine/quarantine.h
@@ -19,6 +19,9 @@
 /** Time for which a death counts, and for which a quarantined request is refused. */
 constexpr absl::Duration kQuarantineTerm = absl::Hours(1);
 
+/** A server needs longer than this to restart and to be given the request again. */
+constexpr absl::Duration kSameDeathWindow = absl::Seconds(5);
+
 /** One death of a backend server while a request with this fingerprint ran on it. */
 struct SuspectReport
 {
@@ -40,7 +43,8 @@
  * Requests that were running when a backend server died. What an instance knows is a set of deaths
  * (fingerprint, server, incarnation); instances merge their sets, so order and repetition of
  * reports do not matter. Two deaths of different server incarnations quarantine a fingerprint. A
- * death is forgotten an hour after it happened.
+ * death is forgotten an hour after it happened. Instances may know different incarnations of a
+ * server at the time of one death, so deaths of one server within kSameDeathWindow count once.
  *
  * The table is bounded by kMaxFingerprints. When it is full, the suspect with the oldest death is
  * dropped first; quarantined fingerprints are dropped only when there are no suspects left, the
@@ -50,7 +54,7 @@
 {
 public:
     static constexpr std::size_t kMaxFingerprints = 4096;
-    static constexpr std::size_t kMaxDeaths = 4;
+    static constexpr std::size_t kMaxDeaths = 8;
 
     explicit Quarantine(std::size_t maxFingerprints = kMaxFingerprints)
         : maxFingerprints(maxFingerprints)
@@ -90,6 +94,8 @@
     /** Newest death first; of equal times by server and incarnation. */
     using Deaths = std::vector<Death>;
 
+    /** Times of the deaths that count separately, the newest first. */
+    static std::vector<absl::Time> separate(const Deaths &deaths, absl::Time now);
     static bool isNewer(const Death &a, const Death &b);
     void dropOne();
 
--- a/tests/admission_model.cpp
+++ b/tests/admission_model.cpp
@@ -1,5 +1,7 @@
 #include "tests/admission_model.h"
 
+#include "core/hash.h"
+
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 
@@ -145,6 +147,7 @@
     profile.maxNewTokens = newTokens;
     profile.deadline = this->clock + deadline;
     profile.deathsSeen = isSuspect ? 1 : 0;
+    profile.fingerprint = fingerprintOf(profile.id.str());
     record.request.from = instanceName(instance);
     record.request.fromIncarnation = this->instances[static_cast<std::size_t>(instance)];
     record.sentAt = this->clock;
--- a/tests/faulty_admission.h
+++ b/tests/faulty_admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/hash.h"
 #include "servers/admission/group_admission.h"
 
 namespace foxtailtally {
@@ -37,8 +38,10 @@
     AdmissionActions reserve(const ReserveRequest &request, absl::Time now) override
     {
         ReserveRequest changed = request;
-        if (this->fault == AdmissionFault::IgnoresSuspects)
+        if (this->fault == AdmissionFault::IgnoresSuspects) {
             changed.profile.deathsSeen = 0;
+            changed.profile.fingerprint = fingerprintOf(std::to_string(++this->reservations));
+        }
         if (this->fault == AdmissionFault::StarvesBatch
             && request.profile.requestClass == RequestClass::Batch) {
             this->held.push_back(request);
@@ -95,6 +98,11 @@
         actions.insert(actions.end(), more.begin(), more.end());
         return this->alter(actions);
     }
+    AdmissionActions onSuspect(const Fingerprint &fingerprint, std::uint32_t deaths,
+                               absl::Time now) override
+    {
+        return this->alter(this->inner.onSuspect(fingerprint, deaths, now));
+    }
     AdmissionActions stop(RefusalReason reason, absl::Time now) override
     {
         return this->alter(this->inner.stop(reason, now));
@@ -129,6 +137,7 @@
     AdmissionFault fault;
     GroupAdmission inner;
     std::vector<ReserveRequest> held;
+    int reservations = 0;
 };
 
 } // namespace foxtailtally
