--- a/tests/admission_model.cpp
+++ b/tests/admission_model.cpp
@@ -379,7 +379,7 @@
         const bool isHeld = run->second.instance == instance && run->second.incarnation == dead;
         if (isHeld && run->second.isStarted) {
             // The engine notices the closed connection a little later.
-            this->after(this->delay(2500),
+            this->after(this->options.cancelDelay * this->random.uniform(),
                         [this, permit = run->first] { this->runs.erase(permit); });
         }
         run = isHeld && !run->second.isStarted ? this->runs.erase(run) : std::next(run);
--- a/tests/admission_model.h
+++ b/tests/admission_model.h
@@ -26,6 +26,8 @@
     int earlierRequests = 0;
     /** Time between two load reports of one engine. */
     absl::Duration reportInterval = absl::Seconds(1);
+    /** Longest time in which an engine notices that an entry instance is gone. */
+    absl::Duration cancelDelay = absl::Seconds(6);
     /** Time between two ticks; zero for ticks when the policy asks for them. */
     absl::Duration tickInterval = absl::ZeroDuration();
 };
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -43,9 +43,10 @@
     AdmissionModelOptions options;
     options.servers = 1;
     options.coldLimit = options.warmLimit;
+    options.cancelDelay = absl::Seconds(20);
     AdmissionModel model(factory, options, seed);
     model.advance(absl::Seconds(3));
-    for (int i = 0; i < 30; ++i) {
+    for (int i = 0; i < 60; ++i) {
         model.reserve(RequestClass::Normal, 25000, 400, absl::Minutes(2));
         if (i == 10)
             model.advance(absl::Seconds(2));
