--- a/servers/configuration/spread_plan.cpp
+++ b/servers/configuration/spread_plan.cpp
@@ -63,13 +63,16 @@
             return;
         }
         state.watch.failures = 0;
+        state.watch.isAnswered = true;
         this->reachesPlatform = true;
-        // An absent object is asked for again after a pause, since the answer comes at once.
-        state.watch.nextAt = reply.outcome == WatchReply::Outcome::NotFound
-            ? now + this->settings.longestBackoff
-            : now;
-        if (reply.outcome == WatchReply::Outcome::NotFound)
+        state.watch.nextAt = now;
+        // Objects that exist have versions above 0, so a watch from 0 that ends is on an absent
+        // one.
+        if (reply.outcome != WatchReply::Outcome::Changed && state.watch.version == 0)
             this->gate.onPlatformAnswer(kind, 0);
+        // This answer comes at once, so the next question waits.
+        if (reply.outcome == WatchReply::Outcome::NotFound)
+            state.watch.nextAt = now + this->settings.longestBackoff;
         if (reply.outcome != WatchReply::Outcome::Changed)
             return;
         state.watch.version = reply.version;
@@ -196,7 +199,7 @@
 {
     Watch &watch = this->state(kind).watch;
     // A starting instance reads each object once, whatever its rank.
-    const bool isNeeded = this->isWatcher() || (!this->settled && watch.version == 0);
+    const bool isNeeded = this->isWatcher() || (!this->settled && !watch.isAnswered);
     if (!isNeeded || watch.token != 0 || now < watch.nextAt)
         return;
     watch.token = ++this->lastToken;
@@ -205,7 +208,7 @@
     watch.nextAt = now + this->settings.firstBackoff * random.uniform();
     actions.emplace_back(
         WatchDocument {watch.token, kind, documentKey(kind, this->settings.domain), watch.version,
-                       watch.version == 0 ? absl::ZeroDuration() : this->settings.watchTime});
+                       watch.isAnswered ? this->settings.watchTime : absl::ZeroDuration()});
 }
 
 void SpreadPlan::askSeeds(DocumentKind kind, absl::Time now, Actions &actions)
--- a/servers/configuration/spread_plan.h
+++ b/servers/configuration/spread_plan.h
@@ -24,7 +24,7 @@
     bool isSettled = false;
 };
 
-/** Waits on the platform for a version above @ref version, or reads at once when it is 0. */
+/** Waits on the platform for a version above @ref version for @ref timeout, which may be zero. */
 struct WatchDocument
 {
     std::uint64_t token = 0;
@@ -115,6 +115,8 @@
     {
         std::uint64_t token = 0;
         std::uint64_t version = 0;
+        /** The platform has answered in this life; the first question must not be held. */
+        bool isAnswered = false;
         absl::Time nextAt = absl::InfinitePast();
         absl::Time expiresAt = absl::InfiniteFuture();
         int failures = 0;
