Check the operators' page and damaged documents

The examples of docs/release-notes.md are parsed by a test, and damaged texts must be reported or valid.

--- a/tests/claim_log_test.cpp
+++ b/tests/claim_log_test.cpp
@@ -118,6 +118,16 @@
         ++fence;
     RecordProperty("bytesPerClaim",
                    static_cast<int>(full.serialize().size() / full.records().size()));
+    ClaimRecord outcome;
+    outcome.kind = ClaimRecord::Kind::Done;
+    outcome.fence = 100'000;
+    outcome.at = kStart;
+    outcome.answer = std::string(400, 'a');
+    outcome.isAnswerKept = true;
+    ClaimSegment answers(0, 1);
+    while (answers.tryAppend(outcome)) { }
+    RecordProperty("bytesPerOutcomeOf400",
+                   static_cast<int>(answers.serialize().size() / answers.records().size()));
     EXPECT_LE(full.serialize().size(), kMaxSegmentBytes);
     EXPECT_GT(full.records().size(), 400U);
     EXPECT_FALSE(ClaimSegment::parse(full.serialize().substr(0, 1000)).ok());
--- a/tests/release_note_test.cpp
+++ b/tests/release_note_test.cpp
@@ -4,7 +4,9 @@
 #include "servers/configuration/out_list.h"
 
 #include <absl/strings/str_cat.h>
+#include <fstream>
 #include <gtest/gtest.h>
+#include <iterator>
 #include <map>
 #include <rapidcheck.h>
 #include <set>
@@ -174,6 +176,48 @@
     }));
 }
 
+// Guards against a page for operators whose examples the program refuses.
+TEST(ReleaseNoteTest, DocumentedExamplesAreValid)
+{
+    std::ifstream file(FOXTAILTALLY_SOURCE_DIR "/docs/release-notes.md");
+    const std::string page {std::istreambuf_iterator<char>(file), {}};
+    std::vector<std::string> examples;
+    const std::string fence = "```json\n";
+    for (std::size_t at = page.find(fence); at != std::string::npos;
+         at = page.find(fence, at + fence.size()))
+        examples.push_back(
+            page.substr(at + fence.size(), page.find("\n```", at) - at - fence.size()));
+    ASSERT_EQ(examples.size(), 2U);
+    DocumentProblems problems;
+    EXPECT_TRUE(ChangeSet::parse(examples[0], problems).ok());
+    EXPECT_TRUE(OutList::parse(examples[1], problems).ok());
+    EXPECT_TRUE(problems.empty());
+}
+
+// Guards against a crash or a silent failure on a damaged document.
+TEST(ReleaseNoteTest, DamagedTextIsReportedOrValid)
+{
+    EXPECT_TRUE(rc::check("damage", [] {
+        ReleaseNote note;
+        note.number = 1;
+        note.author = "operator";
+        note.state.models.push_back(model(1));
+        note.state.customers.push_back(customer(1, {ModelId("model-1")}));
+        note.state.services.push_back({"ledger", {{"approve", false}}, true});
+        std::string text = note.serialize();
+        const auto damage = *rc::gen::arbitrary<std::vector<std::pair<std::uint32_t, char>>>();
+        for (const auto &[place, value] : damage)
+            text[place % text.size()] = value;
+        DocumentProblems problems;
+        const auto parsed = ReleaseNote::parse(text, problems);
+        RC_ASSERT(parsed.ok() == problems.empty());
+        if (parsed.ok())
+            RC_ASSERT(ReleaseNote::parse(parsed->serialize(), problems).ok());
+        (void)OutList::parse(text, problems);
+        (void)ChangeSet::parse(text, problems);
+    }));
+}
+
 // Guards against typing errors in an operator's text that would be ignored.
 TEST(ReleaseNoteTest, ChangeSetRejectsUnknownMembers)
 {
