Test the engine model, the clients and the stand-ins

The account of the engine model found that a reservation that expires at the moment it is made was held until the next call; such a reservation is now rejected.

--- a/standins/lib/engine_model.h
+++ b/standins/lib/engine_model.h
@@ -148,7 +148,10 @@
     /** End of the current step; InfiniteFuture when the engine has nothing to do or is dead. */
     absl::Time nextEventAt() const;
 
-    /** Makes or renews a reservation; ServerOverloaded when the memory does not suffice. */
+    /**
+     * Makes or renews a reservation; ServerOverloaded when the memory does not suffice,
+     * RequestMalformed when it would expire at once.
+     */
     std::error_code reserve(const EngineHold &hold, absl::Time now);
     bool freeReservation(const std::string &id, absl::Time now);
     std::vector<EngineHold> reservations(absl::Time now);
--- a/standins/lib/engine_model_holds.cpp
+++ b/standins/lib/engine_model_holds.cpp
@@ -32,7 +32,7 @@
     if (!this->alive) {
         return Error::ServerLost;
     }
-    if (hold.tokens < 0) {
+    if (hold.tokens < 0 || hold.expires <= now) {
         return Error::RequestMalformed;
     }
     const auto old = holds.find(hold.id);
--- a/standins/lib/prefix_cache.h
+++ b/standins/lib/prefix_cache.h
@@ -36,6 +36,8 @@
     void forget();
 
     std::int64_t blocks() const { return static_cast<std::int64_t>(this->index.size()); }
+    /** Sequence of the newest event, whether it was lost or not. */
+    std::uint64_t sequenceUsed() const { return this->sequence; }
     /** Sequence of the oldest event that is still kept; 0 when there is none. */
     std::uint64_t firstSequence() const;
     /** Sequence of the newest kept event that is visible at @p now; 0 when there is none. */
--- /dev/null
+++ b/tests/http_client_test.cpp
@@ -0,0 +1,221 @@
+#include "core/lock.h"
+#include "core/thread.h"
+#include "peers/http/http_client.h"
+#include "peers/http/http_server.h"
+#include "standins/lib/tcp_socket.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <array>
+#include <atomic>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace foxtailtally {
+
+namespace {
+
+/** Waits for @p condition; the limit only ends a test that would hang. */
+template <typename F>
+bool eventually(F condition)
+{
+    for (int i = 0; i < 6000; ++i) {
+        if (condition()) {
+            return true;
+        }
+        absl::SleepFor(absl::Milliseconds(5));
+    }
+    return false;
+}
+
+class Recorder final : public HttpStreamListener
+{
+public:
+    explicit Recorder(std::function<void()> onFirstData = nullptr)
+        : onFirstData(std::move(onFirstData))
+    { }
+    void onStatus(int value) override { this->status = value; }
+    void onData(std::string_view data) override
+    {
+        if (this->bytes.fetch_add(data.size()) == 0 && this->onFirstData) {
+            this->onFirstData();
+        }
+    }
+    void onDone(std::error_code value) override
+    {
+        this->error = value;
+        ++this->ends;
+    }
+
+    std::atomic<int> status {0};
+    std::atomic<std::size_t> bytes {0};
+    std::atomic<int> ends {0};
+    std::error_code error;
+
+private:
+    std::function<void()> onFirstData;
+};
+
+/**
+ * Answers the first request of each connection with @p answer and closes the connection when a
+ * second one arrives. Counts the requests.
+ */
+class ClosingServer
+{
+public:
+    explicit ClosingServer(std::string answer)
+        : answer(std::move(answer))
+        , listener(TcpSocket::listen("127.0.0.1", 0).value())
+        , thread("closing", [this] { this->run(); })
+    { }
+    ~ClosingServer()
+    {
+        this->isStopping = true;
+        this->thread.join();
+    }
+
+    std::string url() const
+    {
+        return absl::StrCat("http://127.0.0.1:", this->listener.localPort(), "/");
+    }
+    std::atomic<int> requests {0};
+
+private:
+    void run()
+    {
+        std::vector<std::pair<TcpSocket, bool>> open;
+        while (!this->isStopping) {
+            if (TcpSocket client = this->listener.accept(); client.isOpen()) {
+                open.emplace_back(std::move(client), false);
+            }
+            std::erase_if(open, [this](auto &entry) {
+                std::array<char, 65536> block {};
+                const ssize_t count = ::recv(entry.first.get(), block.data(), block.size(), 0);
+                if (count <= 0) {
+                    return count == 0;
+                }
+                ++this->requests;
+                if (entry.second) {
+                    return true;
+                }
+                entry.second = true;
+                ::send(entry.first.get(), this->answer.data(), this->answer.size(), MSG_NOSIGNAL);
+                return false;
+            });
+            absl::SleepFor(absl::Milliseconds(1));
+        }
+    }
+
+    std::string answer;
+    TcpSocket listener;
+    std::atomic<bool> isStopping {false};
+    Thread thread;
+};
+
+HttpCall callTo(const std::string &url, const std::string &method)
+{
+    HttpCall call;
+    call.url = url;
+    call.method = method;
+    call.timeout = absl::Seconds(30);
+    return call;
+}
+
+constexpr const char *kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+// Guards against an action that libcurl silently sends twice when a kept connection breaks. The
+// GET shows that the server does see a repeated request.
+TEST(HttpClientTest, OnlyGetIsRepeatedOnABrokenKeptConnection)
+{
+    ClosingServer server(kAnswer);
+    HttpClient client(1);
+    ASSERT_TRUE(client.perform(callTo(server.url(), "POST")).ok());
+    EXPECT_EQ(client.perform(callTo(server.url(), "POST")).error(), Error::ConnectionLost);
+    EXPECT_EQ(server.requests, 2);
+    ASSERT_TRUE(client.perform(callTo(server.url(), "GET")).ok());
+    EXPECT_TRUE(client.perform(callTo(server.url(), "GET")).ok());
+    EXPECT_EQ(server.requests, 5);
+}
+
+TEST(HttpClientTest, ErrorsTellWhetherTheRequestMayHaveBeenSent)
+{
+    HttpClient client(1);
+    std::string unused;
+    {
+        const ClosingServer closed(kAnswer);
+        unused = closed.url();
+    }
+    EXPECT_EQ(client.perform(callTo(unused, "POST")).error(), Error::ConnectionFailed);
+    const ClosingServer garbage("no http at all\r\n\r\n");
+    EXPECT_FALSE(client.perform(callTo(garbage.url(), "POST")).ok());
+    EXPECT_NE(client.perform(callTo(garbage.url(), "POST")).error(), Error::ConnectionFailed);
+    const ClosingServer silent("");
+    HttpCall call = callTo(silent.url(), "POST");
+    call.timeout = absl::Milliseconds(100);
+    EXPECT_EQ(client.perform(call).error(), Error::Timeout);
+    const ClosingServer large(
+        absl::StrCat("HTTP/1.1 200 OK\r\nX: ", std::string(90000, 'x'), "\r\n\r\n"));
+    EXPECT_EQ(client.perform(callTo(large.url(), "POST")).error(), Error::ProtocolViolation);
+    const ClosingServer redirect("HTTP/1.1 302 Found\r\nLocation: /else\r\nRetry-After: 7\r\n"
+                                 "Content-Length: 0\r\n\r\n");
+    const Result<HttpReply> reply = client.perform(callTo(redirect.url(), "GET"));
+    ASSERT_TRUE(reply.ok());
+    EXPECT_EQ(reply->status, 302);
+    EXPECT_EQ(reply->retryAfterSeconds, 7);
+    EXPECT_EQ(redirect.requests, 1);
+}
+
+// Guards against data that is delivered while paused, lost by a pause, or after a cancel.
+TEST(HttpClientTest, PauseHoldsTheStreamAndCancelEndsItOnce)
+{
+    constexpr std::size_t kBlock = std::size_t {1} << 20;
+    constexpr std::size_t kBlocks = 16;
+    std::atomic<bool> isWritten {false};
+    std::atomic<bool> isGone {false};
+    auto server = HttpServer::start({}, [&](const std::shared_ptr<HttpExchange> &exchange) {
+        const bool endless = exchange->request().path == "/endless";
+        exchange->setDisconnectHandler([&] { isGone = true; });
+        const auto writer = exchange->startStream({});
+        for (std::size_t i = 0; i < kBlocks; ++i) {
+            writer->write(std::string(kBlock, 'x'));
+        }
+        if (!endless) {
+            writer->close();
+        }
+        isWritten = true;
+    });
+    ASSERT_TRUE(server.ok());
+    const std::string url = absl::StrCat("http://127.0.0.1:", (*server)->port());
+    HttpClient client(2);
+    std::atomic<HttpCallId> id {0};
+    const auto paused = std::make_shared<Recorder>([&] {
+        eventually([&] { return id.load() != 0; });
+        client.pause(id);
+    });
+    id = client.start(callTo(url + "/whole", "POST"), paused);
+    ASSERT_TRUE(eventually([&] { return paused->bytes > 0 && isWritten; }));
+    absl::SleepFor(absl::Milliseconds(50));
+    const std::size_t before = paused->bytes;
+    EXPECT_LT(before, kBlock);
+    absl::SleepFor(absl::Milliseconds(50));
+    EXPECT_EQ(paused->bytes, before);
+    client.resume(id);
+    ASSERT_TRUE(eventually([&] { return paused->ends > 0; }));
+    EXPECT_FALSE(paused->error);
+    EXPECT_EQ(paused->bytes, kBlock * kBlocks);
+    EXPECT_EQ(paused->status, 200);
+
+    const auto cancelled = std::make_shared<Recorder>();
+    const HttpCallId endless = client.start(callTo(url + "/endless", "POST"), cancelled);
+    ASSERT_TRUE(eventually([&] { return cancelled->bytes == kBlock * kBlocks; }));
+    client.cancel(endless);
+    client.cancel(endless);
+    ASSERT_TRUE(eventually([&] { return cancelled->ends > 0 && isGone; }));
+    EXPECT_EQ(cancelled->error, Error::RequestCancelled);
+    EXPECT_EQ(cancelled->ends, 1);
+}
+
+} // namespace foxtailtally
