--- a/tests/standin_test.cpp
+++ b/tests/standin_test.cpp
@@ -259,6 +259,39 @@
     EXPECT_EQ(this->stats(*first)["held_tokens"], 0);
 }
 
+// Guards against exported contexts that keep memory after the move.
+TEST_F(StandinTest, ContextsMoveBetweenEnginesAndFreeTheirMemory)
+{
+    const auto first = this->startEngine("e1", fastEngine().setSpeed(1));
+    const auto second = this->startEngine("e2", fastEngine().setSpeed(1));
+    EngineClient engines([this](const std::string &address) {
+        return std::make_shared<HttpEngineServer>(this->http, address, kToken);
+    });
+    const std::shared_ptr<EngineServer> source = engines.at(first->address());
+    EXPECT_EQ(source, engines.at(first->address()));
+    CompletionRequest request = requestOf("r1", std::string(3000, 'x'));
+    request.model = ModelId("m");
+    request.maxTokens = 100'000;
+    const auto running = std::make_shared<AnswerChecker>(request.prompt);
+    const CompletionId id = source->startCompletion(request, running);
+    EXPECT_TRUE(eventually([&] { return running->tokens > 0; }));
+    const Result<EngineMemoryHold> hold =
+        source->exportContext(request.id, InstanceId("i"), absl::Minutes(1));
+    ASSERT_TRUE(hold.ok());
+    EXPECT_GT(hold->tokens, 600);
+    EXPECT_EQ(source->exports()->size(), 1U);
+    EXPECT_FALSE(engines.at(second->address())->importContext(*hold, request.id));
+    EXPECT_EQ(this->stats(*second)["held_tokens"], hold->tokens);
+    source->cancel(id);
+    EXPECT_FALSE(source->freeExport(hold->id));
+    EXPECT_FALSE(source->freeExport(hold->id));
+    EXPECT_TRUE(eventually([&] { return this->stats(*first)["held_tokens"] == 0; }));
+    EXPECT_TRUE(source->exports()->empty());
+    request.maxTokens = 20;
+    EXPECT_EQ(this->complete(*second, request)->wrong, 0);
+    EXPECT_EQ(this->stats(*second)["held_tokens"], 0);
+}
+
 TEST_F(StandinTest, OrdersAreFencedWhereTheEngineChecks)
 {
     auto unchecked = fastEngine();
