Add the burn report and tests of workload, experiments, generator and burn

Experiments end when all requests have ended; waiting for the longest deadline made a run of 40 s take 400 ms instead of 30 ms for 15 s.

The burn report treats counters that vanish as zero: a restarted instance has none until the first request of their kind has ended.

--- a/load/commands.h
+++ b/load/commands.h
@@ -47,7 +47,10 @@
     /** Base URLs of the instances' operator interfaces; read at the given interval. */
     std::vector<std::string> instances;
     std::string token;
-    /** Length of the observation and time between two reads, in seconds. */
+    /**
+     * Length of the observation and time between two reads, in seconds. Without an observation the
+     * report covers the time since the instances were started.
+     */
     double seconds = 300;
     double interval = 10;
     /** Part of the requests that must be neither late nor failed. */
--- a/load/experiment/admission_registry.h
+++ b/load/experiment/admission_registry.h
@@ -2,6 +2,7 @@
 
 #include "servers/admission/admission_policy.h"
 
+#include <functional>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -26,4 +27,9 @@
                                                Incarnation life, absl::Time readyAt,
                                                absl::Time now);
 
+/** Signature of makeAdmission(). */
+using AdmissionFactory = std::function<std::unique_ptr<AdmissionPolicy>(
+    std::string_view name, std::span<const BackendServer> servers, Incarnation life,
+    absl::Time readyAt, absl::Time now)>;
+
 } // namespace foxtailtally
--- a/load/experiment/engine_fleet.cpp
+++ b/load/experiment/engine_fleet.cpp
@@ -20,6 +20,7 @@
     , listener(std::move(listener))
     , scheduled(this->facts.size(), absl::InfiniteFuture())
     , heldDown(this->facts.size(), false)
+    , coldTurns(this->facts.size(), absl::InfinitePast())
 {
     for (std::size_t i = 0; i < this->facts.size(); ++i) {
         EngineOptions own = options;
@@ -78,6 +79,7 @@
 {
     this->advance(server);
     this->engines[server]->turnCold(this->loop.now());
+    this->coldTurns[server] = this->loop.now();
 }
 
 void EngineFleet::advance(std::size_t server)
--- a/load/experiment/engine_fleet.h
+++ b/load/experiment/engine_fleet.h
@@ -37,6 +37,8 @@
     void kill(std::size_t server, bool untilRestart);
     void restart(std::size_t server);
     void turnCold(std::size_t server);
+    /** Time of the last turnCold() of the server; a restart does not count. */
+    absl::Time turnedColdAt(std::size_t server) const { return this->coldTurns[server]; }
 
 private:
     void advance(std::size_t server);
@@ -49,6 +51,7 @@
     std::vector<std::unique_ptr<EngineModel>> engines;
     std::vector<absl::Time> scheduled;
     std::vector<bool> heldDown;
+    std::vector<absl::Time> coldTurns;
     absl::flat_hash_map<BackendServerId, std::size_t> indexes;
 };
 
--- a/load/experiment/experiment_result.cpp
+++ b/load/experiment/experiment_result.cpp
@@ -70,6 +70,7 @@
             {"late", policy.count(RequestOutcome::Late)},
             {"failed", policy.count(RequestOutcome::Failed)},
             {"cold_overloads", policy.coldOverloads},
+            {"unnoticed_cold_overloads", policy.unnoticedColdOverloads},
             {"engine_deaths", policy.engineDeaths},
             {"refusals", policy.refusals()},
             {"time_to_first_token_seconds", std::move(bands)},
--- a/load/experiment/experiment_result.h
+++ b/load/experiment/experiment_result.h
@@ -81,8 +81,10 @@
     std::vector<RequestRecord> records;
     /** Engine deaths by cause. */
     absl::btree_map<std::string, int> engineDeaths;
-    /** Engine deaths within the interval in which a cold server is protected (goal 0). */
+    /** Cold servers that died of too many requests (goal 0). */
     int coldOverloads = 0;
+    /** Same within a second of turning cold without notice, before any load report can show it. */
+    int unnoticedColdOverloads = 0;
 
     std::int64_t count(RequestOutcome outcome) const;
     absl::btree_map<std::string, std::int64_t> refusals() const;
--- a/load/experiment/run_policies.cpp
+++ b/load/experiment/run_policies.cpp
@@ -18,25 +18,12 @@
 
 } // namespace
 
-ExperimentResult runPolicies(const ExperimentOptions &options)
+std::vector<TracedRequest> experimentTrace(const ExperimentOptions &options,
+                                           double capacityPerSecond)
 {
-    const Deployment &deployment = *findDeployment(options.deploymentName);
-    EngineOptions engineOptions;
-    engineOptions.reportsEveryToken = false;
-    engineOptions.seed = options.seed;
-    ExperimentResult result;
-    result.title = options.title;
-    result.deployment = options.deploymentName;
-    result.load = options.load;
-    result.length = options.length;
-    result.seed = options.seed;
-    result.capacityPerSecond = capacityPerSecond(deployment, engineOptions);
-    for (const ExperimentFault &fault : options.faults)
-        result.faults.push_back(describe(fault));
-
     TraceOptions traceOptions;
-    traceOptions.deployment = &deployment;
-    traceOptions.requestsPerSecond = options.load * result.capacityPerSecond;
+    traceOptions.deployment = findDeployment(options.deploymentName);
+    traceOptions.requestsPerSecond = options.load * capacityPerSecond;
     traceOptions.length = options.length;
     traceOptions.shape = options.shape;
     traceOptions.withActions = false;
@@ -45,6 +32,13 @@
     std::erase_if(trace, [&](const TracedRequest &request) {
         return request.profile.promptTokens > options.largestPrompt;
     });
+    return trace;
+}
+
+std::vector<RequestRecord> idleRecords(std::span<const TracedRequest> trace,
+                                       const Deployment &deployment,
+                                       const EngineOptions &engineOptions)
+{
     std::vector<RequestRecord> idle(trace.size());
     const absl::Duration network = 2 * deployment.clientLatency;
     for (std::size_t i = 0; i < trace.size(); ++i) {
@@ -52,6 +46,27 @@
         idle[i].idleTimeToFirstToken = times.timeToFirstToken + network;
         idle[i].idleTotal = times.total + network;
     }
+    return idle;
+}
+
+ExperimentResult runPolicies(const ExperimentOptions &options)
+{
+    const Deployment &deployment = *findDeployment(options.deploymentName);
+    EngineOptions engineOptions;
+    engineOptions.reportsEveryToken = false;
+    engineOptions.seed = options.seed;
+    ExperimentResult result;
+    result.title = options.title;
+    result.deployment = options.deploymentName;
+    result.load = options.load;
+    result.length = options.length;
+    result.seed = options.seed;
+    result.capacityPerSecond = capacityPerSecond(deployment, engineOptions);
+    for (const ExperimentFault &fault : options.faults)
+        result.faults.push_back(describe(fault));
+
+    const std::vector<TracedRequest> trace = experimentTrace(options, result.capacityPerSecond);
+    const std::vector<RequestRecord> idle = idleRecords(trace, deployment, engineOptions);
     const SimulationInput input {
         options, deployment, engineOptions, trace, absl::FromUnixSeconds(1'700'000'000), idle};
     for (const PolicyPair &policy : options.policies)
--- a/load/experiment/simulation.h
+++ b/load/experiment/simulation.h
@@ -26,6 +26,8 @@
     absl::Time start;
     /** Time to first token and total time on an idle engine, for each request of the trace. */
     std::span<const RequestRecord> idle;
+    /** Makes the owners of groups. */
+    AdmissionFactory makeOwner = makeAdmission;
 };
 
 /**
@@ -98,6 +100,8 @@
     std::vector<Entry> entries;
     std::vector<Group> groups;
     std::vector<Flow> flows;
+    /** Requests that have not ended. */
+    std::size_t open = 0;
     absl::flat_hash_map<GroupId, std::size_t> groupIndex;
     absl::flat_hash_map<RequestId, std::size_t> flowIndex;
     std::vector<std::uint64_t> eventSequence;
@@ -105,6 +109,15 @@
     PolicyResult result;
 };
 
+/** Trace of @p options for a deployment of the given capacity. */
+std::vector<TracedRequest> experimentTrace(const ExperimentOptions &options,
+                                           double capacityPerSecond);
+
+/** Idle times of each request of @p trace; see SimulationInput. */
+std::vector<RequestRecord> idleRecords(std::span<const TracedRequest> trace,
+                                       const Deployment &deployment,
+                                       const EngineOptions &engineOptions);
+
 /** Runs every policy of @p options on the same trace. */
 ExperimentResult runPolicies(const ExperimentOptions &options);
 
--- a/load/experiment/simulation_faults.cpp
+++ b/load/experiment/simulation_faults.cpp
@@ -87,8 +87,8 @@
                 continue;
             group.isLost = false;
             ++group.ownerLife;
-            group.owner = makeAdmission(this->admissionName, group.servers, group.ownerLife,
-                                        absl::InfinitePast(), this->loop.now());
+            group.owner = this->input.makeOwner(this->admissionName, group.servers, group.ownerLife,
+                                                absl::InfinitePast(), this->loop.now());
         }
     });
 }
--- /dev/null
+++ b/load/report/prometheus_text.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <absl/container/btree_map.h>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtailtally {
+
+/** One line of the Prometheus text exposition format. */
+struct MetricSample
+{
+    std::string name;
+    absl::btree_map<std::string, std::string> labels;
+    double value = 0;
+
+    /** Value of label @p label, or empty. */
+    std::string label(const std::string &label) const;
+};
+
+/** Samples of @p text; comments and malformed lines are left out. */
+std::vector<MetricSample> parsePrometheusText(std::string_view text);
+
+} // namespace foxtailtally
--- a/load/report/svg_chart.cpp
+++ b/load/report/svg_chart.cpp
@@ -150,7 +150,7 @@
                     textAt((kLeft + kWidth - kRight) / 2, kHeight - 8, "middle", options.xLabel));
     for (std::size_t i = 0; i < series.size(); ++i) {
         const double x = kLeft + static_cast<double>(i % 4) * kLegendColumn;
-        const double y = kHeight + static_cast<double>(i / 4) * kLegendRow;
+        const double y = kHeight + std::floor(static_cast<double>(i) / 4) * kLegendRow;
         absl::StrAppendFormat(
             &svg, "<rect x=\"%.1f\" y=\"%.1f\" width=\"12\" height=\"12\" fill=\"%s\"/>\n", x, y,
             colour(i));
