--- a/main/lib/control_plane.cpp
+++ b/main/lib/control_plane.cpp
@@ -324,6 +324,7 @@
     held.tokens = profile.memoryTokens();
     held.isLong = profile.promptTokens > kLongPromptTokens;
     held.isSuspect = profile.deathsSeen > 0;
+    held.fingerprint = profile.fingerprint;
     held.deadline = profile.deadline;
     this->permits[grant.permit] = {owner, group, std::move(held)};
 }
@@ -371,6 +372,8 @@
             for (const VerdictEntry &verdict : this->suspects.onServerDeath(
                      suspect.server, suspect.incarnation, fingerprint, now))
                 this->membership.addVerdict(verdict, now);
+            this->ownership.onSuspect(fingerprint, this->suspects.deathsSeen(fingerprint, now),
+                                      now);
         });
     });
 }
@@ -519,7 +522,7 @@
     PermitReport held {message.sender, message.incarnation, {}};
     for (const PermitReportMessage::Held &entry : report->permits)
         held.held.push_back({entry.permit, entry.servers, entry.tokens, entry.isLong,
-                             entry.isSuspect, now + entry.remaining});
+                             entry.isSuspect, entry.fingerprint, now + entry.remaining});
     this->ownership.onPermitReport(report->group, held, now);
 }
 
@@ -578,7 +581,10 @@
                 this->ownership.onInstanceDead(peer, now);
             this->updateSpreadPeers();
         } else if (const auto *verdict = std::get_if<VerdictReceived>(&action)) {
-            this->suspects.onVerdict(verdict->verdict, now);
+            const auto fingerprint = this->suspects.onVerdict(verdict->verdict, now);
+            if (fingerprint.has_value())
+                this->ownership.onSuspect(*fingerprint,
+                                          this->suspects.deathsSeen(*fingerprint, now), now);
         }
     }
 }
@@ -664,7 +670,8 @@
         PermitReportMessage &report = reports[{permit.owner, permit.group}];
         report.group = permit.group;
         report.permits.push_back({id, permit.held.servers, permit.held.tokens, permit.held.isLong,
-                                  permit.held.isSuspect, permit.held.deadline - now});
+                                  permit.held.isSuspect, permit.held.fingerprint,
+                                  permit.held.deadline - now});
     }
     for (const auto &[target, report] : reports)
         this->transport->send(this->addressOf(target.first), MessageKind::PermitReport,
--- a/main/lib/group_ownership.cpp
+++ b/main/lib/group_ownership.cpp
@@ -202,6 +202,12 @@
                     [&](AdmissionPolicy &policy) { return policy.onServerLost(server, now); });
 }
 
+void GroupOwnership::onSuspect(const Fingerprint &fingerprint, std::uint32_t deaths, absl::Time now)
+{
+    for (const auto &[id, own] : this->ownedGroups)
+        own->answer(own->admission().onSuspect(fingerprint, deaths, now));
+}
+
 void GroupOwnership::onInstanceDead(const RosterMember &instance, absl::Time now)
 {
     for (const auto &[id, own] : this->ownedGroups)
--- a/main/lib/group_ownership.h
+++ b/main/lib/group_ownership.h
@@ -65,6 +65,7 @@
     void onPermitReport(const GroupId &group, const PermitReport &report, absl::Time now);
     void onLoadReport(const GroupId &group, const LoadReport &report, absl::Time now);
     void onServerLost(const GroupId &group, const BackendServerId &server, absl::Time now);
+    void onSuspect(const Fingerprint &fingerprint, std::uint32_t deaths, absl::Time now);
     void onInstanceDead(const RosterMember &instance, absl::Time now);
 
     const Roster &roster() const { return this->currentRoster; }
--- a/main/lib/suspect_tracker.cpp
+++ b/main/lib/suspect_tracker.cpp
@@ -64,11 +64,11 @@
     return verdicts;
 }
 
-void SuspectTracker::onVerdict(const VerdictEntry &verdict, absl::Time now)
+std::optional<Fingerprint> SuspectTracker::onVerdict(const VerdictEntry &verdict, absl::Time now)
 {
     const Result<VerdictContent> content = unpackMessage<VerdictContent>(verdict.content);
     if (!content.ok())
-        return;
+        return std::nullopt;
     SuspectReport report;
     report.fingerprint = content->fingerprint;
     report.server = idOfHash(content->serverHash);
@@ -76,6 +76,7 @@
     report.diedAt = now + absl::Milliseconds(verdict.remainingMs) - kQuarantineTerm;
     const Lock lock(this->mutex);
     this->quarantine.onVerdict(report, now);
+    return report.fingerprint;
 }
 
 std::uint32_t SuspectTracker::deathsSeen(const Fingerprint &fingerprint, absl::Time now) const
--- a/main/lib/suspect_tracker.h
+++ b/main/lib/suspect_tracker.h
@@ -3,6 +3,7 @@
 #include "servers/membership/gossip_messages.h"
 #include "servers/quarantine/quarantine.h"
 
+#include <optional>
 #include <pthread.h>
 #include <vector>
 
@@ -20,7 +21,8 @@
     /** Records a confirmed death; returns the verdicts to spread. */
     std::vector<VerdictEntry> onServerDeath(const BackendServerId &server, Incarnation incarnation,
                                             const Fingerprint &fingerprint, absl::Time now);
-    void onVerdict(const VerdictEntry &verdict, absl::Time now);
+    /** Merges a verdict; the fingerprint that it is about, or none for a malformed one. */
+    std::optional<Fingerprint> onVerdict(const VerdictEntry &verdict, absl::Time now);
     std::uint32_t deathsSeen(const Fingerprint &fingerprint, absl::Time now) const;
     void onTick(absl::Time now);
 
--- a/peers/instance/messages.h
+++ b/peers/instance/messages.h
@@ -72,6 +72,7 @@
         std::int64_t tokens = 0;
         bool isLong = false;
         bool isSuspect = false;
+        Fingerprint fingerprint {};
         absl::Duration remaining;
     };
 
@@ -213,7 +214,8 @@
 template <typename Archive>
 void serialize(Archive &archive, PermitReportMessage::Held &held)
 {
-    archive(held.permit, held.servers, held.tokens, held.isLong, held.isSuspect, held.remaining);
+    archive(held.permit, held.servers, held.tokens, held.isLong, held.isSuspect, held.fingerprint,
+            held.remaining);
 }
 
 template <typename Archive>
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -89,3 +89,76 @@
 register_entry() {
     platform_call -X PUT "$platform_url/v1/instances/$1" -d "{\"id\":\"$1\",\"kind\":\"entry\",\"domain\":\"$2\",\"address\":\"127.0.0.1:$3\",\"state\":\"live\",\"incarnation\":$4}"
 }
+
+# start_himrekha: the Himrekha deployment in small, from port $base on: 3 failure domains, 6 entry
+# instances, 15 engines, 3 plain services, platform and balancer; then publishes the first release
+# note. Sets domains, admins, entry_ids, balancer_url, platform_url and tokens (options of load).
+start_himrekha() {
+    model=plough
+    platform_port=$base
+    platform_url=http://127.0.0.1:$platform_port
+    balancer_url=http://127.0.0.1:$((base + 1))
+    domains=(west-hills-1 west-hills-2 west-hills-3)
+    entry_ids=()
+    start_platform
+    port=$((base + 100))
+    for domain in "${domains[@]}"; do
+        for n in 1 2 3 4 5; do
+            group=$domain-g$(((n + 2) / 3))
+            start_engine "$domain-engine-$n" "$domain" "$group" "$port" --speed 4 --memory-tokens 400000
+            port=$((port + 1))
+        done
+        FOXTAILTALLY_STANDIN_TOKEN=$FOXTAILTALLY_SERVICE_TOKEN \
+            start "$domain-crews" "$standin" service --id "$domain-crews" --domain "$domain" --service crews \
+            --checks-fence --port "$port" --platform "$platform_url" --token-env FOXTAILTALLY_STANDIN_TOKEN
+        port=$((port + 1))
+    done
+
+    seeds=""
+    i=0
+    for domain in "${domains[@]}"; do
+        for n in 1 2; do
+            seeds+="${seeds:+, }$domain-entry-$n@$domain@127.0.0.1:$((base + 300 + i))"
+            i=$((i + 1))
+        done
+    done
+    i=0
+    backends=()
+    admins=()
+    for domain in "${domains[@]}"; do
+        for n in 1 2; do
+            id=$domain-entry-$n
+            others=$(tr ',' '\n' <<< "$seeds" | sed 's/^ *//' | grep -v "^$id@" | paste -sd, -)
+            settings_for "$id" "$domain" $((base + 400 + i)) $((base + 500 + i)) $((base + 300 + i)) "$others" > "$out/$id.ini"
+            start "$id" "$binary" serve --settings "$out/$id.ini"
+            register_entry "$id" "$domain" $((base + 400 + i)) "$(date +%s%6N)"
+            backends+=(--backend "127.0.0.1:$((base + 400 + i))")
+            entry_ids+=("$id")
+            admins+=("http://127.0.0.1:$((base + 500 + i))")
+            i=$((i + 1))
+        done
+    done
+    start balancer "$standin" balancer --port $((base + 1)) "${backends[@]}"
+
+    wait_for "${admins[0]}/health/live" 10
+    customers=""
+    tokens=()
+    for n in 0 1 2 3 4 5 6 7 8 9; do
+        digest=$(printf 'depot-key-%s' "$n" | "$binary" key-digest)
+        customers+="${customers:+,}{\"id\": \"customer-$n\", \"key_digest\": \"$digest\",
+          \"failure_domains\": [\"west-hills-1\", \"west-hills-2\", \"west-hills-3\"], \"models\": [\"$model\"],
+          \"tokens_per_second\": 10000000, \"requests_per_second\": 10000}"
+        tokens+=(--customer-token "customer-$n=depot-key-$n")
+    done
+    cat > "$out/change-set.json" << END
+{"author": "demo",
+ "added": {
+  "models": [{"id": "$model", "versions": ["1"], "weights": "$model"}],
+  "customers": [$customers],
+  "services": [{"name": "crews", "checks_fence": true,
+        "calls": [{"name": "assign", "repeatable": false}, {"name": "lookup", "repeatable": true}]}]}}
+END
+    echo "publishing the first release note"
+    "$binary" note publish --admin "${admins[0]}" --operator demo "$out/change-set.json"
+    for admin in "${admins[@]}"; do wait_for "$admin/health/ready" 30; done
+}
