Report refused documents and unreadable claim segments

SpreadPlan keeps what DocumentStore refused for the caller's logs, and ClaimShard tells why it refuses claims. Before, a second body with a held number and a damaged segment left no trace.

--- a/servers/claims/claim_shard.cpp
+++ b/servers/claims/claim_shard.cpp
@@ -124,6 +124,11 @@
     return next;
 }
 
+std::error_code ClaimShard::storeError() const
+{
+    return this->phase == Phase::Down ? make_error_code(this->downReason) : std::error_code();
+}
+
 std::optional<Refusal> ClaimShard::checkKey(const ClaimRequest &request, absl::Time now) const
 {
     const KeyDateCheck check = checkKeyDate(request.key, this->wall(now));
@@ -376,16 +381,15 @@
 void ClaimShard::onListReply(const StoreReply &reply, absl::Time now, ClaimActions &actions)
 {
     if (reply.outcome != StoreOutcome::Ok) {
-        this->goDown(now, actions);
+        this->goDown(Error::StoreUnavailable, now, actions);
         return;
     }
     for (const StoreItem &item : reply.items) {
         std::uint64_t slot = 0;
         const std::string digits = item.key.substr(this->slotKey(0).size() - kSlotDigits);
-        // A segment that cannot be read may hold any claim, so nothing can be granted.
         if (!absl::SimpleAtoi(digits, &slot) || slot >= kSegmentSlots
             || this->log.addListed(slot, item.version, item.value)) {
-            this->goDown(now, actions);
+            this->goDown(Error::DocumentInvalid, now, actions);
             return;
         }
     }
@@ -417,7 +421,7 @@
     case StoreOutcome::Lost:
         this->needsBarrier = true;
         if (++this->batch->lostAnswers >= kMaxLostAnswers) {
-            this->goDown(now, actions);
+            this->goDown(Error::StoreUnavailable, now, actions);
             return;
         }
         this->phase = Phase::ReadingBack;
@@ -425,7 +429,7 @@
         actions.emplace_back(StoreRead {++this->lastToken, this->slotKey(this->readSlot)});
         return;
     case StoreOutcome::Unavailable:
-        this->goDown(now, actions);
+        this->goDown(Error::StoreUnavailable, now, actions);
         return;
     }
 }
@@ -433,7 +437,7 @@
 void ClaimShard::onReadReply(const StoreReply &reply, absl::Time now, ClaimActions &actions)
 {
     if (reply.outcome != StoreOutcome::Ok && reply.outcome != StoreOutcome::NotFound) {
-        this->goDown(now, actions);
+        this->goDown(Error::StoreUnavailable, now, actions);
         return;
     }
     const bool isUnchanged = this->batch
@@ -452,7 +456,7 @@
         ? Result<ClaimLog::Absorbed>(this->log.absorbAbsent(this->readSlot))
         : this->log.absorb(this->readSlot, reply.version, reply.value);
     if (!absorbed.ok()) {
-        this->goDown(now, actions);
+        this->goDown(Error::DocumentInvalid, now, actions);
         return;
     }
     if (*absorbed == ClaimLog::Absorbed::Outdated) {
@@ -518,9 +522,10 @@
     this->batch.reset();
 }
 
-void ClaimShard::goDown(absl::Time now, ClaimActions &actions)
+void ClaimShard::goDown(Error reason, absl::Time now, ClaimActions &actions)
 {
     this->phase = Phase::Down;
+    this->downReason = reason;
     const int doublings = std::min(this->failures++, kMaxDoublings);
     this->probeAt = now
         + std::min(this->settings.longestBackoff,
--- a/servers/claims/claim_shard.h
+++ b/servers/claims/claim_shard.h
@@ -36,7 +36,11 @@
     absl::Time nextTickAt() const;
 
     std::size_t waitingCount() const { return this->waiters.size(); }
-    bool isStoreReachable() const { return this->phase != Phase::Down; }
+    /**
+     * Why claims are refused at present, or no error: StoreUnavailable, or DocumentInvalid when a
+     * segment object cannot be read. That one may hold any claim, so nothing can be granted.
+     */
+    std::error_code storeError() const;
 
 private:
     enum class Phase {
@@ -110,7 +114,7 @@
     void commit(absl::Time now, ClaimActions &actions);
     /** Returns the contents of a batch that is not in the log. */
     void withdrawBatch();
-    void goDown(absl::Time now, ClaimActions &actions);
+    void goDown(Error reason, absl::Time now, ClaimActions &actions);
     void goIdle();
     bool isBatchInLog() const;
     void freeAbandoned(absl::Time now);
@@ -135,6 +139,7 @@
     /** A write without an answer may still take effect until the slot has another version. */
     bool needsBarrier = false;
     int failures = 0;
+    Error downReason = Error::Ok;
     absl::Time flushAt = absl::InfiniteFuture();
     absl::Time pollAt = absl::InfiniteFuture();
     absl::Time probeAt = absl::InfinitePast();
--- a/servers/configuration/spread_plan.cpp
+++ b/servers/configuration/spread_plan.cpp
@@ -1,6 +1,7 @@
 #include "servers/configuration/spread_plan.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace foxtailtally {
 
@@ -15,6 +16,8 @@
 /** Time added to a watch's time before it counts as failed. */
 constexpr absl::Duration kWatchMargin = absl::Seconds(5);
 constexpr int kMaxDoublings = 10;
+/** Faults kept between two calls of takeFaults(). */
+constexpr std::size_t kMaxFaults = 16;
 
 } // namespace
 
@@ -78,8 +81,10 @@
         state.watch.version = reply.version;
         DocumentProblems problems;
         auto document = parseDocument(kind, reply.body, problems);
-        if (!document.ok())
+        if (!document.ok()) {
+            this->noteFault(kind, 0, document.error());
             return;
+        }
         this->gate.onPlatformAnswer(kind, document->number);
         this->take(std::move(document).value(), now);
         return;
@@ -151,6 +156,11 @@
     return actions;
 }
 
+std::vector<DocumentFault> SpreadPlan::takeFaults()
+{
+    return std::exchange(this->faults, {});
+}
+
 DocumentGossip SpreadPlan::gossip() const
 {
     return {this->store.heldNumbers(), this->reachesPlatform, this->settled};
@@ -280,12 +290,21 @@
 void SpreadPlan::take(Document document, absl::Time now)
 {
     const DocumentKind kind = document.kind;
+    const std::uint64_t number = document.number;
     const auto offered = this->store.offer(std::move(document));
     if (offered.ok() && *offered == DocumentStore::OfferOutcome::Held)
         this->state(kind).heldSince = now;
+    if (!offered.ok())
+        this->noteFault(kind, number, offered.error());
     this->settle();
 }
 
+void SpreadPlan::noteFault(DocumentKind kind, std::uint64_t number, std::error_code error)
+{
+    if (this->faults.size() < kMaxFaults)
+        this->faults.push_back({kind, number, error});
+}
+
 void SpreadPlan::settle()
 {
     if (this->settled || !this->gate.isOpenFor(this->store.heldNumbers()))
--- a/servers/configuration/spread_plan.h
+++ b/servers/configuration/spread_plan.h
@@ -9,6 +9,7 @@
 #include <absl/types/span.h>
 #include <optional>
 #include <string>
+#include <system_error>
 #include <variant>
 #include <vector>
 
@@ -67,6 +68,16 @@
     std::optional<Document> document;
 };
 
+/** A document that was not taken, for logs and metrics. */
+struct DocumentFault
+{
+    DocumentKind kind = DocumentKind::ReleaseNote;
+    /** 0 when the body could not be read. */
+    std::uint64_t number = 0;
+    /** DocumentInvalid, or DocumentConflict for a second body with a held number. */
+    std::error_code error;
+};
+
 /**
  * Decides how one instance obtains documents and when it puts them in force.
  *
@@ -97,6 +108,9 @@
 
     std::vector<SpreadAction> onTick(absl::Time now, Random &random);
 
+    /** Documents refused since the last call. */
+    std::vector<DocumentFault> takeFaults();
+
     DocumentGossip gossip() const;
     /** The startup gate has opened, and every document it required is in force. */
     bool isReady() const;
@@ -154,6 +168,7 @@
     void failPull(std::uint64_t token, absl::Time now);
     void failWatch(KindState &kind, absl::Time now);
     void take(Document document, absl::Time now);
+    void noteFault(DocumentKind kind, std::uint64_t number, std::error_code error);
     void settle();
     void confirmAlone(DocumentKind kind);
     std::optional<InstanceId> choosePeer(DocumentKind kind, std::uint64_t atLeast, bool seedsOnly,
@@ -173,6 +188,7 @@
     std::array<KindState, kDocumentKindCount> kinds;
     std::uint64_t lastToken = 0;
     absl::btree_map<std::uint64_t, Pull> pulls;
+    std::vector<DocumentFault> faults;
 };
 
 } // namespace foxtailtally
--- a/tests/claim_log_test.cpp
+++ b/tests/claim_log_test.cpp
@@ -183,6 +183,33 @@
     EXPECT_EQ(bench.grants.size(), 2U);
 }
 
+// Guards against a log that misses the last claims of a segment which another instance continued
+// and sealed between two pages of the list, and against grants beside an unreadable segment.
+TEST(ClaimLogTest, RejectsListsThatChangedWhileRead)
+{
+    ClaimLog log;
+    ClaimSegment first(0, 1);
+    ASSERT_TRUE(first.tryAppend(claimOf(1)));
+    const ClaimSegment second(1, 5);
+    EXPECT_FALSE(log.addListed(0, 1, first.serialize()));
+    EXPECT_FALSE(log.addListed(1, 2, second.serialize()));
+    EXPECT_FALSE(log.finishLoading());
+    log.reset();
+    first.seal();
+    EXPECT_FALSE(log.addListed(0, 1, first.serialize()));
+    EXPECT_FALSE(log.addListed(1, 2, second.serialize()));
+    EXPECT_TRUE(log.finishLoading());
+    EXPECT_EQ(log.draft().nextFence(), 5U);
+    EXPECT_EQ(log.addListed(2, 3, "{}"), Error::DocumentInvalid);
+
+    Bench bench;
+    bench.store.objects["claims/0/0003"] = {1, "{}"};
+    bench.claim("first", bench.dated("a"));
+    bench.run(absl::Seconds(1));
+    EXPECT_EQ(bench.refusal("first").reason, RefusalReason::StoreUnavailable);
+    EXPECT_EQ(bench.shard.storeError(), Error::DocumentInvalid);
+}
+
 // Guards against a log that grows without bound, reuses an object whose claims are still valid, or
 // lets fences fall when an object is reused.
 TEST(ClaimLogTest, ReusesSlotsAfterTheRetention)
--- a/tests/spread_test.cpp
+++ b/tests/spread_test.cpp
@@ -380,6 +380,36 @@
     EXPECT_FALSE(Fleet(3, 1, SpreadFault::None).getsReadyWithoutPlatform(0, true));
 }
 
+// Guards against two documents with one number, or a damaged one, that pass without a trace.
+TEST(SpreadTest, ReportsRefusedDocuments)
+{
+    const auto now = absl::FromUnixSeconds(1000);
+    Random random(1);
+    DocumentStore store;
+    SpreadPlan plan(SpreadSettingsBuilder()
+                        .setSelf(InstanceId("a"))
+                        .setDomain(FailureDomainId("north"))
+                        .build()
+                        .value(),
+                    store);
+    ReleaseNote other;
+    other.number = 3;
+    other.author = "another";
+    ASSERT_TRUE(store.offer(Document::make(DocumentKind::ReleaseNote, 3, other.serialize())).ok());
+    for (const SpreadAction &action : plan.onTick(now, random)) {
+        const auto &watch = std::get<WatchDocument>(action);
+        const bool isNote = watch.kind == DocumentKind::ReleaseNote;
+        plan.onWatchReply({watch.token, WatchReply::Outcome::Changed, 9, isNote ? noteBody(3) : ""},
+                          now);
+    }
+    const auto faults = plan.takeFaults();
+    ASSERT_EQ(faults.size(), 3U);
+    EXPECT_EQ(faults[0].error, Error::DocumentConflict);
+    EXPECT_EQ(faults[0].number, 3U);
+    EXPECT_EQ(faults[1].error, Error::DocumentInvalid);
+    EXPECT_TRUE(plan.takeFaults().empty());
+}
+
 // Shows that the checker above sees the faults it guards against.
 TEST(SpreadTest, CheckerSeesGateThatTakesTheFirstAnswer)
 {
