Let the quota model fill shares after one instance has borrowed

The model did not notice grants that never expire: tokens were spent as soon as they were borrowed. One instance now borrows the whole burst and rests before all spend.

--- a/tests/customer_quota_test.cpp
+++ b/tests/customer_quota_test.cpp
@@ -123,10 +123,8 @@
                                 [this, i, r = this->roster] { this->adopt(i, r); });
     }
 
-    void take(Node &node)
+    void take(Node &node, std::int64_t tokens)
     {
-        const auto tokens = static_cast<std::int64_t>(
-            1 + this->random.below(static_cast<std::uint64_t>(this->limit.burst / 16)));
         if (node.quota->tryTake(this->customer, tokens, this->clockOf(node)).reason
             != RefusalReason::None)
             return;
@@ -196,12 +194,30 @@
                 [this](const auto &m, std::uint64_t v) { return this->isPast(m, v); },
                 this->clockOf(node));
             this->send(node.quota->onTick(this->clockOf(node)));
-            // Demand comes and goes, at all instances together or in turn.
-            const std::int64_t phase = absl::ToUnixSeconds(this->time) / 4;
-            const bool isBusy =
-                this->isInTurn ? (phase + static_cast<std::int64_t>(i)) % 3 == 0 : phase % 4 != 0;
-            if (i < this->users && (isBusy || this->users == 1))
-                this->take(node);
+            if (i < this->users)
+                this->use(node, i);
+        }
+    }
+
+    /** Demand comes and goes: in turn, at all nodes together, or after one node has borrowed much.
+     */
+    void use(Node &node, std::size_t index)
+    {
+        const std::int64_t seconds = absl::ToUnixSeconds(this->time);
+        const auto small = static_cast<std::int64_t>(
+            1 + this->random.below(static_cast<std::uint64_t>(this->limit.burst / 16)));
+        if (this->users == 1) {
+            this->take(node, small);
+        } else if (this->pattern == 0) {
+            if ((seconds / 4 + static_cast<std::int64_t>(index)) % 3 == 0)
+                this->take(node, small);
+        } else if (this->pattern == 1) {
+            if (seconds / 4 % 4 != 0)
+                this->take(node, small);
+        } else if (seconds % 40 >= 32) {
+            this->take(node, small);
+        } else if (seconds % 40 < 4 && index == 0) {
+            this->take(node, static_cast<std::int64_t>(this->limit.burst));
         }
     }
 
@@ -217,7 +233,7 @@
     Roster roster;
     std::multimap<absl::Time, std::function<void()>> steps;
     bool isDisturbed = false;
-    bool isInTurn = this->random.below(2) == 0;
+    std::uint64_t pattern = this->random.below(3);
     /** Steps of 10 ms between disturbances. */
     std::uint64_t calmness = 100 + this->random.below(1000);
     std::size_t users = kNodes;
