--- a/servers/shares/loan_messages.h
+++ b/servers/shares/loan_messages.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "servers/shares/roster.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -139,4 +140,8 @@
     }
 };
 
+/** Upper estimates of packed sizes in bytes with the envelope, as for gossip messages. */
+std::size_t packedSize(const LoanRequest &request);
+std::size_t packedSize(const LoanOffer &offer);
+
 } // namespace foxtailtally
