Use later knowledge of own permits for earlier load reports

Under steady load no report is free of this process's own recent starts, so a gate that only looked at the newest report kept a part of the limit unused after a takeover. A report may now be noted again when the holders of permits have confirmed what ran at its time, and the lowest bound is kept for the same set of shares.

Taking the later of the two times with the lower bound was ruled out: a share that was not held when the first report came would be counted as covered (BoundIsNotExtendedToAShareThatWasNotHeld).

--- a/servers/shares/share_ledger.h
+++ b/servers/shares/share_ledger.h
@@ -74,7 +74,9 @@
     /**
      * Takes a load report of a server of @p group in. @p ownRunning counts permits of this process
      * that certainly ran when the report was taken: known to have started before, and to have run
-     * on after it. Zero is always safe.
+     * on after it. Zero is always safe, but a server that is never idle then keeps a part of its
+     * limit unused after a takeover. Call again for the same report, with its greater age, when the
+     * holders of permits have reported more.
      */
     void onLoadReport(const GroupId &group, const LoadReport &report, ServerUse ownRunning,
                       absl::Time now);
--- a/servers/shares/takeover_gate.cpp
+++ b/servers/shares/takeover_gate.cpp
@@ -31,6 +31,12 @@
             std::max(left.memoryTokens, right.memoryTokens)};
 }
 
+ServerUse smaller(ServerUse left, ServerUse right)
+{
+    return {std::min(left.requests, right.requests),
+            std::min(left.memoryTokens, right.memoryTokens)};
+}
+
 ServerUse sumOfUnits(ServerUse limit, std::span<const HeldShare *const> shares)
 {
     ServerUse sum;
@@ -44,18 +50,29 @@
 void TakeoverGate::onReport(ServerUse foreign, absl::Time takenAt, std::span<const HeldShare> held,
                             absl::Duration startBound)
 {
-    if (takenAt < this->reportTakenAt)
-        return;
-    this->reportTakenAt = takenAt;
-    this->reported = foreign;
+    const auto isCoveredBy = [&](const HeldShare &share, absl::Time time) {
+        return time >= share.acquiredAt + startBound;
+    };
     absl::flat_hash_set<std::uint64_t> still;
     const bool isEmpty = foreign.requests <= 0 && foreign.memoryTokens <= 0;
+    bool coversSame = true;
     for (const HeldShare &share : held) {
-        const bool isCovered = takenAt >= share.acquiredAt + startBound;
+        const bool isCovered = isCoveredBy(share, takenAt);
         if (this->isCleared(share) || (isEmpty && isCovered))
             still.insert(share.acquisition);
+        else if (isCovered != isCoveredBy(share, this->reportTakenAt))
+            coversSame = false;
     }
     this->cleared = std::move(still);
+    if (coversSame) {
+        // What earlier users run on the same shares only falls, so the lowest bound holds. The
+        // earlier time is kept, since the other report may not cover a share that is not held now.
+        this->reported = smaller(foreign, this->reported);
+        this->reportTakenAt = std::min(takenAt, this->reportTakenAt);
+    } else if (takenAt > this->reportTakenAt) {
+        this->reported = foreign;
+        this->reportTakenAt = takenAt;
+    }
 }
 
 TakeoverGate::Declared TakeoverGate::declaredUse(std::span<const HeldShare *const> pending,
--- a/servers/shares/takeover_gate.h
+++ b/servers/shares/takeover_gate.h
@@ -36,7 +36,7 @@
     /**
      * Takes note of a load report. @p foreign is the reported use without what is certainly this
      * process's own; @p takenAt is the earliest time at which the report can have been taken.
-     * @p held are the shares in use now.
+     * @p held are the shares in use now. A report may be noted again with a lower @p foreign.
      */
     void onReport(ServerUse foreign, absl::Time takenAt, std::span<const HeldShare> held,
                   absl::Duration startBound);
--- a/tests/share_ledger_test.cpp
+++ b/tests/share_ledger_test.cpp
@@ -64,6 +64,40 @@
         EXPECT_LT(ShareModel(seed, {}).plannedStop(), absl::Milliseconds(500)) << seed;
 }
 
+// Guards against a busy server whose limit is never used in full after a takeover.
+TEST(TakeoverGateTest, LaterKnowledgeOfOwnPermitsClearsAnEarlierReport)
+{
+    const absl::Time start = absl::FromUnixSeconds(100);
+    const std::vector<HeldShare> held {{2, start, 0, 1, nullptr}};
+    const BackendServerId server("s");
+    const absl::Duration bound = absl::Seconds(2);
+    TakeoverGate gate;
+    gate.onReport({3, 3}, start + absl::Seconds(1), held, bound);
+    EXPECT_EQ(gate.usable({8, 8}, held, server, bound).requests, 0);
+    gate.onReport({3, 3}, start + absl::Seconds(3), held, bound);
+    EXPECT_EQ(gate.usable({8, 8}, held, server, bound).requests, 5);
+    gate.onReport({7, 7}, start + absl::Seconds(9), held, bound);
+    EXPECT_EQ(gate.usable({8, 8}, held, server, bound).requests, 5);
+    gate.onReport({0, 0}, start + absl::Seconds(3), held, bound);
+    EXPECT_EQ(gate.usable({8, 8}, held, server, bound).requests, 8);
+}
+
+// Guards against a bound that is applied to a share which it does not cover.
+TEST(TakeoverGateTest, BoundIsNotExtendedToAShareThatWasNotHeld)
+{
+    const absl::Time start = absl::FromUnixSeconds(100);
+    const HeldShare first {2, start, 0, 2, nullptr};
+    const HeldShare later {4, start + absl::Seconds(10), 1, 2, nullptr};
+    const absl::Duration bound = absl::Seconds(2);
+    TakeoverGate gate;
+    gate.onReport({1, 1}, start + absl::Seconds(5), std::vector {first}, bound);
+    gate.onReport({4, 4}, start + absl::Seconds(13), std::vector {first}, bound);
+    const std::vector<HeldShare> both {first, later};
+    EXPECT_EQ(gate.usable({8, 8}, both, BackendServerId("s"), bound).requests, 3);
+    gate.onReport({4, 4}, start + absl::Seconds(14), both, bound);
+    EXPECT_EQ(gate.usable({8, 8}, both, BackendServerId("s"), bound).requests, 4);
+}
+
 // Guards against a property that cannot fail: each variant omits one safeguard.
 TEST(ShareLedgerTest, LenderThatReusesWithoutMarginIsCaught)
 {
