--- a/tests/share_ledger_test.cpp
+++ b/tests/share_ledger_test.cpp
@@ -98,6 +98,47 @@
     EXPECT_EQ(gate.usable({8, 8}, both, BackendServerId("s"), bound).requests, 4);
 }
 
+// Guards against a declaration of use that is passed on although its maker has borrowed again.
+TEST(ShareLenderTest, DeclarationEndsWhenTheShareIsLentAgain)
+{
+    const RosterMember self {InstanceId("a"), 1};
+    Roster roster;
+    roster.current = {1, {self, {InstanceId("b"), 1}, {InstanceId("c"), 1}}};
+    // A group of which this instance is the last holder.
+    GroupId group("g");
+    while (shareHolders(roster.current.members, group).back() != self)
+        group = GroupId(group.str() + "g");
+    const auto holders = shareHolders(roster.current.members, group);
+    ShareTopology topology(self, {});
+    topology.setGroups({{group, {}}});
+    ASSERT_FALSE(topology.adopt(roster));
+    for (const RosterMember &holder : holders)
+        topology.setPeerState(holder, PeerState::Alive);
+    ShareLender lender(topology);
+    lender.onTopologyChange();
+    const absl::Time now = absl::FromUnixSeconds(100);
+    std::int64_t sentAt = 0;
+    const auto ask = [&](const RosterMember &from, std::uint64_t acknowledged, bool isWanted,
+                         absl::Time at) {
+        LoanRequest request {from, 1, 1, ++sentAt, false, self.incarnation, acknowledged, {}, {}};
+        if (isWanted)
+            request.groups.push_back(group);
+        else
+            request.returns.push_back({group, {from, 1, {{BackendServerId("s"), {}}}}});
+        LoanOffer offer;
+        EXPECT_TRUE(lender.onRequest(request, at, offer));
+        return offer;
+    };
+    const LoanOffer first = ask(holders[0], 0, true, now);
+    ask(holders[0], first.sequence, false, now);
+    ASSERT_EQ(ask(holders[0], first.sequence, true, now).loans.size(), 1U);
+    topology.setPeerState(holders[0], PeerState::Dead);
+    EXPECT_TRUE(ask(holders[1], 0, true, now + absl::Seconds(7)).loans.empty());
+    const LoanOffer next = ask(holders[1], 0, true, now + absl::Seconds(8));
+    ASSERT_EQ(next.loans.size(), 1U);
+    EXPECT_FALSE(next.loans[0].statement.isKnown());
+}
+
 // Guards against a property that cannot fail: each variant omits one safeguard.
 TEST(ShareLedgerTest, LenderThatReusesWithoutMarginIsCaught)
 {
