--- a/tests/standin_test.cpp
+++ b/tests/standin_test.cpp
@@ -246,6 +246,7 @@
     EXPECT_EQ(exported.error(), Error::ServerOverloaded);
     firstServer.cancel(id);
     EXPECT_TRUE(eventually([&] { return this->stats(*first)["held_tokens"] == 0; }));
+    EXPECT_TRUE(eventually([&] { return running->isDone.load(); }));
     EXPECT_EQ(running->end.error, Error::RequestCancelled);
 
     request.id = RequestId("r2");
