Keep a stand-in's port fixed after its first start

The port was written again by the scheduler's thread at every restart while other threads may read it. Also drops an unused query of the balancer.

--- a/standins/lib/balancer_standin.h
+++ b/standins/lib/balancer_standin.h
@@ -38,8 +38,6 @@
     BalancerStandin &operator=(const BalancerStandin &) = delete;
 
     std::uint16_t port() const { return this->listener.localPort(); }
-    /** Whether some instance was ready when last asked. */
-    bool hasReadyBackend() { return !this->poller.pick().empty(); }
 
 private:
     /** One direction of a forwarded connection. */
--- a/standins/lib/standin.cpp
+++ b/standins/lib/standin.cpp
@@ -36,7 +36,9 @@
         return started.error();
     }
     this->server = std::move(*started);
-    this->listen.port = this->server->port();
+    if (this->listen.port == 0) {
+        this->listen.port = this->server->port();
+    }
     return {};
 }
 
