--- a/load/experiment/experiment_result.cpp
+++ b/load/experiment/experiment_result.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/** Time within which the remaining capacity must be in use after a fault, design section 2. */
+constexpr absl::Duration kFaultSettleTime = absl::Seconds(5);
+
 bool isShort(const RequestRecord &record)
 {
     return record.requestClass == RequestClass::Urgent && record.promptTokens <= kShortPromptTokens;
@@ -77,9 +80,43 @@
             {"short_slowdown", toJson(policy.shortSlowdown())},
             {"short_total_slowdown", toJson(policy.shortTotalSlowdown())},
             {"goodput_tokens_per_second", policy.goodput(kGoodputBucket, length)},
+            {"busy_engines_by_second", policy.busyEngines},
             {"mean_goodput_tokens_per_second", policy.meanGoodput(absl::ZeroDuration(), length)}};
 }
 
+/** Goodput, use of engines and slowdown before, during and after one fault. */
+std::string faultText(const ExperimentResult &result, absl::Duration begin, absl::Duration end)
+{
+    struct Window
+    {
+        const char *name;
+        absl::Duration begin;
+        absl::Duration end;
+    };
+    const absl::Duration settled = std::min(begin + kFaultSettleTime, end);
+    const Window windows[] = {{"before", absl::ZeroDuration(), begin},
+                              {"first 5 s", begin, settled},
+                              {"after 5 s", settled, end},
+                              {"afterwards", end, result.length}};
+    std::string text = absl::StrFormat("\n\nfault from %s to %s: tokens/s, busy engines, short "
+                                       "slowdown p50 p99\n",
+                                       absl::FormatDuration(begin), absl::FormatDuration(end));
+    for (const PolicyResult &policy : result.policies) {
+        absl::StrAppendFormat(&text, "%-34s", policy.policy);
+        for (const Window &window : windows) {
+            if (window.end <= window.begin)
+                continue;
+            const Quantiles slowdown = policy.shortSlowdown(window.begin, window.end);
+            absl::StrAppendFormat(&text, " | %s %.0f %.2f %.2f %.2f", window.name,
+                                  policy.meanGoodput(window.begin, window.end),
+                                  policy.meanBusy(window.begin, window.end), slowdown.p50,
+                                  slowdown.p99);
+        }
+        text += '\n';
+    }
+    return text;
+}
+
 std::string joinCounts(const absl::btree_map<std::string, std::int64_t> &counts)
 {
     std::string text;
@@ -180,6 +217,20 @@
     return tokens / absl::ToDoubleSeconds(end - begin);
 }
 
+double PolicyResult::meanBusy(absl::Duration begin, absl::Duration end) const
+{
+    double sum = 0;
+    int seconds = 0;
+    for (std::size_t i = 0; i < this->busyEngines.size(); ++i) {
+        const absl::Duration at = absl::Seconds(1) * static_cast<std::int64_t>(i);
+        if (at < begin || at >= end)
+            continue;
+        sum += this->busyEngines[i];
+        ++seconds;
+    }
+    return seconds > 0 ? sum / seconds : 0;
+}
+
 nlohmann::json toJson(const ExperimentResult &result)
 {
     nlohmann::json policies = nlohmann::json::array();
@@ -229,6 +280,8 @@
                                   quantiles.p99);
         }
     }
+    for (const auto &[begin, end] : result.faultTimes)
+        absl::StrAppend(&text, faultText(result, begin, end));
     absl::StrAppend(&text, "\n\nrefusals\n");
     for (const PolicyResult &policy : result.policies)
         absl::StrAppendFormat(&text, "%-34s %s\n", policy.policy, joinCounts(policy.refusals()));
--- a/load/experiment/experiment_result.h
+++ b/load/experiment/experiment_result.h
@@ -10,6 +10,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace foxtailtally {
@@ -86,6 +87,9 @@
     /** Same within a second of turning cold without notice, before any load report can show it. */
     int unnoticedColdOverloads = 0;
 
+    /** Part of the live engines that had work, by second of the trace. */
+    std::vector<double> busyEngines;
+
     std::int64_t count(RequestOutcome outcome) const;
     absl::btree_map<std::string, std::int64_t> refusals() const;
     /** Seconds, of requests whose first token arrived. */
@@ -101,6 +105,8 @@
     Quantiles shortSlowdown(absl::Duration begin, absl::Duration end) const;
     /** Tokens (prompt and new) a second of requests complete within their deadline, by end time. */
     std::vector<double> goodput(absl::Duration bucket, absl::Duration length) const;
+    /** Mean of busyEngines over [@p begin, @p end). */
+    double meanBusy(absl::Duration begin, absl::Duration end) const;
     /** Mean of goodput over [@p begin, @p end). */
     double meanGoodput(absl::Duration begin, absl::Duration end) const;
 };
@@ -115,6 +121,8 @@
     absl::Duration length;
     std::uint64_t seed = 0;
     std::vector<std::string> faults;
+    /** Begin and end of each fault. */
+    std::vector<std::pair<absl::Duration, absl::Duration>> faultTimes;
     std::vector<PolicyResult> policies;
 };
 
--- a/load/experiment/simulation.cpp
+++ b/load/experiment/simulation.cpp
@@ -15,6 +15,7 @@
 /** Gossip within a domain and between domains reaches the entry instances this much later. */
 constexpr absl::Duration kGossipLag = absl::Milliseconds(500);
 constexpr absl::Duration kRemoteGossipLag = absl::Milliseconds(1500);
+constexpr absl::Duration kEngineSampleInterval = absl::Milliseconds(100);
 constexpr absl::Duration kLoadPollInterval = absl::Milliseconds(250);
 /**
  * No report can show an owner earlier that a server has turned cold: the engines' report interval
@@ -111,6 +112,8 @@
     const absl::Time end = this->loop.now() + kDrainTime;
     while (this->open > 0 && this->loop.now() < end)
         this->loop.runUntil(this->loop.now() + absl::Seconds(1));
+    for (const auto &[live, busy] : this->engineSamples)
+        this->result.busyEngines.push_back(live > 0 ? static_cast<double>(busy) / live : 0);
     return std::move(this->result);
 }
 
@@ -124,6 +127,24 @@
                          [this, group]() { this->gossip(group); });
     }
     this->loop.after(kGossipInterval, [this]() { this->learnPrefixes(); });
+    this->loop.at(this->input.start, [this]() { this->sampleEngines(); });
+}
+
+void Simulation::sampleEngines()
+{
+    const absl::Duration elapsed = this->loop.now() - this->input.start;
+    if (elapsed >= this->input.options.length)
+        return;
+    this->loop.after(kEngineSampleInterval, [this]() { this->sampleEngines(); });
+    const auto second = static_cast<std::size_t>(absl::ToInt64Seconds(elapsed));
+    if (second >= this->engineSamples.size())
+        this->engineSamples.resize(second + 1);
+    auto &[live, busy] = this->engineSamples[second];
+    for (std::size_t server = 0; server < this->fleet.servers().size(); ++server) {
+        const EngineModel &engine = this->fleet.engine(server);
+        live += engine.isAlive() ? 1 : 0;
+        busy += engine.running() > 0 ? 1 : 0;
+    }
 }
 
 void Simulation::gossip(std::size_t group)
@@ -197,7 +218,12 @@
 
 std::size_t Simulation::pickEntry()
 {
-    return this->random.below(this->entries.size());
+    std::vector<std::size_t> balanced;
+    for (std::size_t i = 0; i < this->entries.size(); ++i) {
+        if (this->loop.now() < this->entries[i].balancedUntil)
+            balanced.push_back(i);
+    }
+    return balanced.empty() ? 0 : balanced[this->random.below(balanced.size())];
 }
 
 void Simulation::arrive(std::size_t request)
--- a/load/experiment/simulation.h
+++ b/load/experiment/simulation.h
@@ -56,6 +56,7 @@
     void gossip(std::size_t group);
     void learnPrefixes();
     void pollLoad(std::size_t server);
+    void sampleEngines();
     void scheduleTick(std::size_t group);
 
     // The way of a request.
@@ -106,6 +107,8 @@
     absl::flat_hash_map<RequestId, std::size_t> flowIndex;
     std::vector<std::uint64_t> eventSequence;
     PrefixIndex prefixes;
+    /** Samples of live and of busy engines by second of the trace. */
+    std::vector<std::pair<int, int>> engineSamples;
     PolicyResult result;
 };
 
--- a/load/experiment/simulation_state.h
+++ b/load/experiment/simulation_state.h
@@ -16,6 +16,8 @@
 {
     int domain = 0;
     bool isLost = false;
+    /** The load balancer sends it requests until this time after it was lost. */
+    absl::Time balancedUntil = absl::InfiniteFuture();
     RoutingViewBuilder builder;
     std::unique_ptr<const RoutingView> view;
 
