Keep prompts at the owner until a server has little left to prefill

Requests were granted as soon as memory allowed. A server now gets a prompt only with at most 250 ms of prefill ahead, which leaves the order to the owner. Predicted ends get 5% and 50 ms of room.

Next to a long prefill, normal and batch prompts leave half of the server to it, because engines would otherwise stop it under a steady flow.

--- a/servers/admission/group_admission.cpp
+++ b/servers/admission/group_admission.cpp
@@ -20,6 +20,11 @@
 constexpr absl::Duration kRecheckInterval = absl::Milliseconds(250);
 // Latest start times of waiting requests follow new measurements after this time.
 constexpr absl::Duration kEstimateInterval = absl::Seconds(1);
+// Prompts wait here rather than on a server, where more urgent ones that arrive later would pass
+// them and make their predicted end wrong. This much work keeps a server busy until the next grant.
+constexpr absl::Duration kMaxPrefillAhead = absl::Milliseconds(250);
+constexpr double kDeadlineMargin = 1.05;
+constexpr absl::Duration kDeadlineOffset = absl::Milliseconds(50);
 constexpr double kRetryMargin = 0.1;
 constexpr absl::Duration kMinimumRetryAfter = absl::Milliseconds(100);
 constexpr absl::Duration kMaximumRetryAfter = absl::Minutes(1);
@@ -30,6 +35,12 @@
 constexpr WaitLane kLanes[] = {WaitLane::Short, WaitLane::Suspect, WaitLane::Long,
                                WaitLane::Spanning};
 
+/** @p predicted with room for an error of the prediction, as the last moment is too late. */
+absl::Duration withMargin(absl::Duration predicted)
+{
+    return kDeadlineMargin * predicted + kDeadlineOffset;
+}
+
 absl::Duration boundedRetry(absl::Duration duration)
 {
     return std::clamp(duration, kMinimumRetryAfter, kMaximumRetryAfter);
@@ -99,7 +110,7 @@
 
 absl::Time GroupAdmission::latestStartOf(const RequestProfile &profile) const
 {
-    return profile.deadline - this->servers.serviceAlone(profile);
+    return profile.deadline - withMargin(this->servers.serviceAlone(profile));
 }
 
 bool GroupAdmission::isSpanning(const RequestProfile &profile) const
@@ -244,7 +255,17 @@
 {
     if (this->queue.size() == 0)
         return this->planner.gatherEnd();
-    return std::min(this->queue.earliestLatestStart(), this->lastDispatch + kRecheckInterval);
+    absl::Time next =
+        std::min(this->queue.earliestLatestStart(), this->lastDispatch + kRecheckInterval);
+    // A waiting request may be next when a server has little left to prefill.
+    for (const auto &[id, slot] : this->servers.slots()) {
+        for (const bool isLong : {false, true}) {
+            const absl::Time open = slot->predictor.prefilledBy(isLong) - kMaxPrefillAhead;
+            if (open > this->lastDispatch)
+                next = std::min(next, open);
+        }
+    }
+    return next;
 }
 
 std::optional<WaitingRequest> GroupAdmission::take(const RequestId &request)
@@ -277,7 +298,13 @@
                           absl::Time now) const
 {
     const bool isLong = profile.promptTokens > kLongPromptTokens;
-    return slot.hasFreeUnit()
+    const StartPredictor &predictor = slot.predictor;
+    // Urgent requests have the whole server even then.
+    const bool isBesideLong = !isLong && profile.requestClass != RequestClass::Urgent
+        && this->servers.slots().size() > 1 && predictor.hasLongPrefill(now);
+    const absl::Time openAt =
+        isBesideLong ? predictor.nextShortBesideLong() : predictor.prefilledBy(isLong);
+    return openAt <= now + kMaxPrefillAhead && slot.hasFreeUnit()
         && slot.ledger.freeTokensFor(profile.id, isLong) >= profile.memoryTokens()
         && this->isOpenTo(slot, profile, now);
 }
@@ -293,7 +320,7 @@
             continue;
         const absl::Duration end =
             slot->predictor.predict(profile, slot->ledger.requests(), now).end;
-        if (now + end > profile.deadline)
+        if (now + withMargin(end) > profile.deadline)
             continue;
         // Short prompts avoid servers with a long prefill, long prompts keep to servers with one.
         const bool isAvoided =
--- a/servers/admission/group_servers.cpp
+++ b/servers/admission/group_servers.cpp
@@ -253,6 +253,8 @@
         this->suspects.onFinished(found->second.fingerprint);
         this->learn(found->second, release, now);
     }
+    if (release.outcome == PermitOutcome::Cancelled && !found->second.isAdopted)
+        this->learnFromCancelled(found->second, release, now);
     if (release.outcome == PermitOutcome::ServerLost) {
         for (const BackendServerId &server : found->second.servers) {
             if (const ServerSlot *slot = this->find(server))
@@ -271,13 +273,27 @@
     const bool isSlow =
         slot->predictor.isSlow(permit.predictedFirstToken, release.timeToFirstToken);
     slot->ramp.onSuccess(isSlow, slot->ledger.requests());
-    slot->predictor.recordFirstToken(permit.tokensAhead + permit.promptTokens,
-                                     release.timeToFirstToken);
+    slot->predictor.recordFirstToken({permit.requestClass, permit.promptTokens, permit.tokensAhead,
+                                      permit.grantedAt, release.timeToFirstToken});
     slot->predictor.recordDecode(
         release.newTokens, now - permit.grantedAt - release.timeToFirstToken, permit.concurrent);
     slot->predictor.recordLength(release.newTokens, permit.maxNewTokens);
 }
 
+void GroupServers::learnFromCancelled(const Permit &permit, const PermitRelease &release,
+                                      absl::Time now)
+{
+    // Without these samples a class whose requests all reach their deadline would never be found to
+    // be slower than predicted.
+    const bool hasCome = release.timeToFirstToken > absl::ZeroDuration();
+    const absl::Duration elapsed = hasCome ? release.timeToFirstToken : now - permit.grantedAt;
+    ServerSlot *slot = this->find(permit.servers.front());
+    if (slot == nullptr || (!hasCome && elapsed < permit.predictedFirstToken))
+        return;
+    slot->predictor.recordFirstToken({permit.requestClass, permit.promptTokens, permit.tokensAhead,
+                                      permit.grantedAt, elapsed, hasCome});
+}
+
 void GroupServers::expireHolds(absl::Time now)
 {
     for (const auto &[id, slot] : this->serverSlots)
@@ -294,6 +310,7 @@
     permit.holder = request.from;
     permit.holderIncarnation = request.fromIncarnation;
     permit.tokens = profile.memoryTokens();
+    permit.requestClass = profile.requestClass;
     permit.promptTokens = profile.promptTokens;
     permit.maxNewTokens = profile.maxNewTokens;
     permit.grantedAt = now;
--- a/servers/admission/group_servers.h
+++ b/servers/admission/group_servers.h
@@ -74,6 +74,7 @@
         Incarnation holderIncarnation = 0;
         std::vector<BackendServerId> servers;
         std::int64_t tokens = 0;
+        RequestClass requestClass = RequestClass::Normal;
         std::int64_t promptTokens = 0;
         std::int64_t maxNewTokens = 0;
         absl::Time grantedAt;
@@ -97,6 +98,7 @@
     template <typename Predicate>
     void endPermits(PermitEnd how, absl::Time at, Predicate shouldEnd);
     void learn(const Permit &permit, const PermitRelease &release, absl::Time now);
+    void learnFromCancelled(const Permit &permit, const PermitRelease &release, absl::Time now);
     void restart(ServerSlot &slot, absl::Time reportTakenAt, absl::Time now);
     /** Takes all that runs on a lost server for suspects. */
     void suspectAllOn(const ServerSlot &slot, absl::Time now);
--- a/servers/admission/start_predictor.cpp
+++ b/servers/admission/start_predictor.cpp
@@ -16,6 +16,10 @@
 constexpr std::int64_t kMinimumDecodeSample = 4;
 // Until this many samples the initial rate may be far off, so no first token is called slow.
 constexpr std::int32_t kTrustedSamples = 8;
+// More than a server grants while one long prompt is prefilled.
+constexpr std::size_t kMaxRecentPrompts = 512;
+// A few extreme delays must not make the class look unreachable.
+constexpr double kMaxPassedFactor = 4;
 constexpr double kSlowFactor = 4;
 constexpr absl::Duration kSlowOffset = absl::Milliseconds(500);
 // A run of very short answers must not make the prediction ignore the allowed length.
@@ -43,6 +47,12 @@
     , secondsPerNewToken(absl::ToDoubleSeconds(tokenTime))
 {
     this->prefilledAt.fill(absl::InfinitePast());
+    this->passedFactor.fill(1);
+}
+
+std::size_t StartPredictor::kindOf(RequestClass requestClass, std::int64_t promptTokens)
+{
+    return promptTokens > kLongPromptTokens ? kRequestClassCount : indexOf(requestClass);
 }
 
 absl::Duration StartPredictor::prefillTime(std::int64_t tokens) const
@@ -65,13 +75,15 @@
                                                    std::int64_t concurrent, absl::Time now) const
 {
     const absl::Duration firstToken =
-        this->backlog(profile.requestClass, now) + this->prefillTime(profile.promptTokens);
+        (this->backlog(profile.requestClass, now) + this->prefillTime(profile.promptTokens))
+        * this->passedFactor[kindOf(profile.requestClass, profile.promptTokens)];
     return {firstToken, firstToken + this->decodeTime(profile.maxNewTokens, concurrent)};
 }
 
 StartPredictor::Prediction StartPredictor::predictAlone(const RequestProfile &profile) const
 {
-    const absl::Duration firstToken = this->prefillTime(profile.promptTokens);
+    const absl::Duration firstToken = this->prefillTime(profile.promptTokens)
+        * this->passedFactor[kindOf(profile.requestClass, profile.promptTokens)];
     return {firstToken, firstToken + this->decodeTime(profile.maxNewTokens, 0)};
 }
 
@@ -83,22 +95,44 @@
     const absl::Time firstToken = this->prefilledAt[indexOf(profile.requestClass)];
     if (profile.promptTokens > kLongPromptTokens)
         this->longPrefillUntil = std::max(this->longPrefillUntil, firstToken);
+    if (profile.promptTokens <= kLongPromptTokens) {
+        this->shortPrefillUntil = std::max(this->shortPrefillUntil, now) + own;
+        this->shortPacedUntil = std::max(this->shortPacedUntil, now) + 2 * own;
+    }
+    this->recentPrompts.push_back({now, profile.requestClass, profile.promptTokens});
+    if (this->recentPrompts.size() > kMaxRecentPrompts)
+        this->recentPrompts.pop_front();
     return firstToken;
 }
 
 void StartPredictor::clearBacklog()
 {
     this->prefilledAt.fill(absl::InfinitePast());
+    this->shortPrefillUntil = absl::InfinitePast();
+    this->shortPacedUntil = absl::InfinitePast();
     this->longPrefillUntil = absl::InfinitePast();
 }
 
-void StartPredictor::recordFirstToken(std::int64_t tokens, absl::Duration elapsed)
+void StartPredictor::recordFirstToken(const FirstToken &sample)
 {
-    if (tokens < kMinimumPrefillSample || elapsed <= absl::ZeroDuration())
+    const std::int64_t known = sample.promptTokens + sample.tokensAhead;
+    if (known < kMinimumPrefillSample || sample.elapsed <= absl::ZeroDuration())
         return;
-    average(this->secondsPerPromptToken,
-            absl::ToDoubleSeconds(elapsed) / static_cast<double>(tokens));
-    ++this->firstTokenSamples;
+    std::int64_t passed = 0;
+    for (auto prompt = this->recentPrompts.rbegin();
+         prompt != this->recentPrompts.rend() && prompt->at >= sample.grantedAt; ++prompt) {
+        if (prompt->requestClass < sample.requestClass
+            && prompt->at < sample.grantedAt + sample.elapsed)
+            passed += prompt->tokens;
+    }
+    const double seconds = absl::ToDoubleSeconds(sample.elapsed);
+    if (sample.hasCome) {
+        average(this->secondsPerPromptToken, seconds / static_cast<double>(known + passed));
+        ++this->firstTokenSamples;
+    }
+    const double expected = this->secondsPerPromptToken * static_cast<double>(known);
+    average(this->passedFactor[kindOf(sample.requestClass, sample.promptTokens)],
+            std::clamp(seconds / expected, 1.0, kMaxPassedFactor));
 }
 
 void StartPredictor::recordDecode(std::int64_t newTokens, absl::Duration elapsed,
