--- a/tests/faulty_admission.h
+++ b/tests/faulty_admission.h
@@ -16,12 +16,18 @@
     IgnoresSuspects,
     /** Takes every server for warm. */
     IgnoresCold,
-    /** Takes over without waiting and without counting what the engines already run. */
+    /** Takes over without counting what the engines already run. */
     IgnoresEarlierOwner,
+    /** Takes over without waiting. */
+    IgnoresReadyAt,
+    /** Does not pass on that the group is leaving. */
+    IgnoresStop,
     AnswersTwice,
     LosesRefusals,
     /** Grants batch requests only when nothing else runs. */
     StarvesBatch,
+    /** Names 100 ms in each refusal. */
+    ConstantRetryAfter,
 };
 
 /** GroupAdmission with one fault put in on purpose. */
@@ -30,7 +36,7 @@
 public:
     FaultyAdmission(AdmissionOptions options, AdmissionFault fault)
         : fault(fault)
-        , inner(fault == AdmissionFault::IgnoresEarlierOwner
+        , inner(fault == AdmissionFault::IgnoresReadyAt
                     ? (options.readyAt = absl::InfinitePast(), options)
                     : options)
     { }
@@ -105,6 +111,8 @@
     }
     AdmissionActions stop(RefusalReason reason, absl::Time now) override
     {
+        if (this->fault == AdmissionFault::IgnoresStop)
+            return {};
         return this->alter(this->inner.stop(reason, now));
     }
     void resume() override { this->inner.resume(); }
@@ -127,6 +135,11 @@
     {
         if (this->fault == AdmissionFault::AnswersTwice && !actions.empty())
             actions.push_back(actions.back());
+        for (AdmissionAction &action : actions) {
+            auto *refused = std::get_if<RefuseAction>(&action);
+            if (refused != nullptr && this->fault == AdmissionFault::ConstantRetryAfter)
+                refused->refusal.retryAfter = absl::Milliseconds(100);
+        }
         if (this->fault == AdmissionFault::LosesRefusals) {
             std::erase_if(actions, [](const AdmissionAction &action) {
                 return std::holds_alternative<RefuseAction>(action);
