--- a/benchmarks/admission_benchmark.cpp
+++ b/benchmarks/admission_benchmark.cpp
@@ -22,6 +22,8 @@
         : policy(AdmissionOptionsBuilder()
                      .setGroup(GroupId("g"), FailureDomainId("d"), ModelId("m"))
                      .setOwner(InstanceId("owner"), 1)
+                     // Prefill must not be the limit, so that each release lets a request start.
+                     .setInitialRates(1e9, absl::Milliseconds(1))
                      .build()
                      .value())
     {
@@ -67,7 +69,7 @@
         if (this->permits.empty())
             return;
         const PermitRelease release {this->permits.front(), PermitOutcome::Finished,
-                                     absl::Milliseconds(100), 200};
+                                     absl::Microseconds(10), 200};
         this->permits.pop_front();
         this->take(this->policy.release(release, this->now));
     }
