--- a/load/generator/load_generator.cpp
+++ b/load/generator/load_generator.cpp
@@ -131,6 +131,9 @@
         } else if (this->record.isMixUp || this->record.hasGap || this->check.isMalformed()
                    || this->record.status != kStatusOk) {
             this->record.outcome = LoadOutcome::Wrong;
+        } else if (this->isSlowReader && (error == Error::Timeout || took > this->deadline)) {
+            // The reader itself took longer than the deadline; the system is not late.
+            this->record.outcome = LoadOutcome::SlowReader;
         } else if (error || !(this->isAction || this->check.isWhole())) {
             this->record.outcome = LoadOutcome::Cut;
             this->record.reason = error ? std::string(errorName(error)) : "incomplete";
--- a/load/generator/load_record.cpp
+++ b/load/generator/load_record.cpp
@@ -51,6 +51,8 @@
         return "cut";
     case LoadOutcome::Wrong:
         return "wrong";
+    case LoadOutcome::SlowReader:
+        return "slow_reader";
     case LoadOutcome::Unreachable:
         return "unreachable";
     }
--- a/load/generator/load_record.h
+++ b/load/generator/load_record.h
@@ -22,6 +22,8 @@
     Cut,
     /** Wrong text, missing or repeated tokens, or a reply outside the interface. */
     Wrong,
+    /** The reader took longer than the deadline to read the answer. */
+    SlowReader,
     /** No connection could be made. */
     Unreachable,
 };
