Refuse requests of a group that has no usable server for 2 s

Without usable limits the requests waited until their deadlines were unreachable, although another group could have served them. Refusing at once was ruled out: limits are empty for a moment while loans are renewed or the first load reports are on their way.

--- a/servers/admission/group_admission.cpp
+++ b/servers/admission/group_admission.cpp
@@ -30,6 +30,9 @@
 constexpr absl::Duration kMaximumRetryAfter = absl::Minutes(1);
 // The platform's list and the load reports need about this long to show a new server.
 constexpr absl::Duration kNoServerRetryAfter = absl::Seconds(5);
+// Loans are renewed and load reports arrive within this time. A group that has no usable server for
+// longer lets its requests go elsewhere rather than hold them until their deadlines.
+constexpr absl::Duration kNoCapacityTerm = absl::Seconds(2);
 constexpr absl::Duration kLeavingRetryAfter = absl::Seconds(1);
 
 constexpr WaitLane kLanes[] = {WaitLane::Short, WaitLane::Suspect, WaitLane::Long,
@@ -72,7 +75,7 @@
         return refuse(RefusalReason::UnknownModel, absl::ZeroDuration());
     if (this->servers.deathsOf(profile, now) >= kQuarantineDeaths)
         return refuse(RefusalReason::Quarantined, kQuarantineTerm);
-    if (this->servers.slots().empty())
+    if (this->servers.totalMemory() == 0)
         return refuse(RefusalReason::NoServer, kNoServerRetryAfter);
     if (profile.memoryTokens() > this->servers.totalMemory())
         return refuse(RefusalReason::MemoryUnavailable, absl::ZeroDuration());
@@ -378,11 +381,20 @@
     this->lastDispatch = now;
     this->servers.expireHolds(now);
     this->planner.onTick(this->servers.slots(), now);
+    // While taking over, no server is usable by design.
+    if (this->servers.largestLimit() > 0 || this->servers.isTakingOver(now))
+        this->noCapacitySince = absl::InfiniteFuture();
+    else
+        this->noCapacitySince = std::min(this->noCapacitySince, now);
     if (this->queue.size() == 0)
         return actions;
     this->refuseUnreachable(actions, now);
     if (this->servers.isTakingOver(now))
         return actions;
+    if (this->noCapacitySince + kNoCapacityTerm <= now) {
+        this->refuseAll(RefusalReason::NoServer, kNoServerRetryAfter, actions, now);
+        return actions;
+    }
     while (this->grantNext(actions, now)) { }
     this->updateHolds(now);
     return actions;
@@ -500,7 +512,7 @@
         summary.startDelay[i] = std::max(
             summary.startDelay[i], this->servers.delays().delay(ahead, this->servers.usedTokens()));
     }
-    summary.accepting = this->stopReason == RefusalReason::None && summary.servers > 0
+    summary.accepting = this->stopReason == RefusalReason::None && this->servers.largestLimit() > 0
         && !this->servers.isTakingOver(now);
     return summary;
 }
--- a/servers/admission/group_admission.h
+++ b/servers/admission/group_admission.h
@@ -81,6 +81,8 @@
     LongContextPlanner planner;
     std::optional<BlockedHold> blockedHold;
     RefusalReason stopReason = RefusalReason::None;
+    /** Since when no server of the group can take work, as far as known. */
+    absl::Time noCapacitySince = absl::InfiniteFuture();
     absl::Time lastDispatch = absl::InfinitePast();
     absl::Time lastEstimate = absl::InfinitePast();
 };
