Drain kept connections before an instance exits

A request that came on a kept connection at the moment of the exit was cut: the test with real processes saw one cut request after SIGTERM. While stopping, each response now closes its connection, and the exit waits until no request has come for 2 s.

--- a/main/lib/entry_instance.cpp
+++ b/main/lib/entry_instance.cpp
@@ -19,6 +19,8 @@
 constexpr int kCallerThreads = 4;
 constexpr int kAdminThreads = 2;
 constexpr useconds_t kStopPollMicroseconds = 50000;
+/** Callers with a kept connection may send another request until they see it closed. */
+constexpr absl::Duration kQuietBeforeExit = absl::Seconds(2);
 
 HttpResponse jsonResponse(int status, const nlohmann::json &body)
 {
@@ -214,15 +216,22 @@
     const absl::Time giveUpAt = started + this->settings.duration("stop", "limit");
     logEvent(LogLevel::Info, "shutdown_started");
     this->control->leave();
+    this->callerServer->startDraining();
     while (Clock::now() < listenUntil)
         ::usleep(kStopPollMicroseconds);
     this->callerServer->stopListening();
-    while (this->callerServer->openExchanges() > 0 && Clock::now() < giveUpAt)
+    while (!this->isQuiet(Clock::now()) && Clock::now() < giveUpAt)
         ::usleep(kStopPollMicroseconds);
     logEvent(LogLevel::Info, "shutdown_finished",
              {{"cut_requests", this->callerServer->openExchanges()}});
 }
 
+bool EntryInstance::isQuiet(absl::Time now) const
+{
+    return this->callerServer->openExchanges() == 0
+        && now - this->callerServer->lastRequestAt() > kQuietBeforeExit;
+}
+
 void EntryInstance::handleCaller(const std::shared_ptr<HttpExchange> &exchange)
 {
     const HttpRequest &request = exchange->request();
--- a/main/lib/entry_instance.h
+++ b/main/lib/entry_instance.h
@@ -44,6 +44,8 @@
     CompletionDefaults defaults() const;
     void handleCaller(const std::shared_ptr<HttpExchange> &exchange);
     void handleOperator(const std::shared_ptr<HttpExchange> &exchange);
+    /** No request is running and none has come for a while. */
+    bool isQuiet(absl::Time now) const;
     HttpResponse readiness() const;
     HttpResponse status() const;
     HttpResponse currentNote() const;
--- a/peers/http/http_exchange.cpp
+++ b/peers/http/http_exchange.cpp
@@ -23,10 +23,12 @@
 
 } // namespace
 
-MicrohttpdExchange::MicrohttpdExchange(MHD_Connection *connection, int socket, absl::Time startedAt)
+MicrohttpdExchange::MicrohttpdExchange(MHD_Connection *connection, int socket, absl::Time startedAt,
+                                       const std::atomic<bool> &draining)
     : connection(connection)
     , socket(socket)
     , startedAt(startedAt)
+    , draining(draining)
 { }
 
 MicrohttpdExchange::~MicrohttpdExchange()
@@ -154,6 +156,8 @@
                                                    this->answer.body.data(), MHD_RESPMEM_MUST_COPY);
     }
     addHeaders(response, this->answer);
+    if (this->draining.load())
+        MHD_add_response_header(response, "Connection", "close");
     const MHD_Result result =
         MHD_queue_response(this->connection, static_cast<unsigned>(this->answer.status), response);
     MHD_destroy_response(response);
--- a/peers/http/http_exchange.h
+++ b/peers/http/http_exchange.h
@@ -20,7 +20,9 @@
 public:
     enum class Phase { Receiving, Waiting, Answering, Completed };
 
-    MicrohttpdExchange(MHD_Connection *connection, int socket, absl::Time startedAt);
+    /** @p draining is read when the answer starts; it must outlive the exchange. */
+    MicrohttpdExchange(MHD_Connection *connection, int socket, absl::Time startedAt,
+                       const std::atomic<bool> &draining);
     ~MicrohttpdExchange() override;
     MicrohttpdExchange(const MicrohttpdExchange &) = delete;
     MicrohttpdExchange &operator=(const MicrohttpdExchange &) = delete;
@@ -70,6 +72,7 @@
     MHD_Connection *connection;
     int socket;
     absl::Time startedAt;
+    const std::atomic<bool> &draining;
     HttpRequest received;
 
     mutable pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
--- a/peers/http/http_server.cpp
+++ b/peers/http/http_server.cpp
@@ -136,6 +136,13 @@
             ::close(listener);
     }
 
+    void startDraining() { this->draining.store(true); }
+
+    absl::Time lastRequestAt() const
+    {
+        return absl::FromUnixMicros(this->lastRequestMicros.load());
+    }
+
     std::size_t openExchanges() const
     {
         const Lock lock(this->mutex);
@@ -178,8 +185,10 @@
     {
         const MHD_ConnectionInfo *info =
             MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        const absl::Time now = Clock::now();
+        this->lastRequestMicros.store(absl::ToUnixMicros(now));
         auto exchange =
-            std::make_shared<MicrohttpdExchange>(connection, info->connect_fd, Clock::now());
+            std::make_shared<MicrohttpdExchange>(connection, info->connect_fd, now, this->draining);
         HttpRequest &request = exchange->mutableRequest();
         request.method = method;
         request.path = url;
@@ -272,6 +281,8 @@
     std::uint16_t boundPort = 0;
     std::atomic<bool> quiesced {false};
     std::atomic<bool> stopping {false};
+    std::atomic<bool> draining {false};
+    std::atomic<std::int64_t> lastRequestMicros {0};
     std::atomic<std::size_t> bufferedBytes {0};
     mutable pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
     absl::flat_hash_set<ExchangePointer> exchanges;
@@ -303,6 +314,16 @@
     this->implementation->stopListening();
 }
 
+void HttpServer::startDraining()
+{
+    this->implementation->startDraining();
+}
+
+absl::Time HttpServer::lastRequestAt() const
+{
+    return this->implementation->lastRequestAt();
+}
+
 std::size_t HttpServer::openExchanges() const
 {
     return this->implementation->openExchanges();
--- a/peers/http/http_server.h
+++ b/peers/http/http_server.h
@@ -101,8 +101,12 @@
     HttpServer &operator=(const HttpServer &) = delete;
 
     std::uint16_t port() const;
-    /** Stops accepting connections; running exchanges go on. */
+    /** Ends each connection with its next response, so that callers move to other instances. */
+    void startDraining();
+    /** Stops accepting connections; running exchanges and kept connections go on. */
     void stopListening();
+    /** Time of the latest request; kept connections bring requests after stopListening(). */
+    absl::Time lastRequestAt() const;
     /** Exchanges whose response is not complete. */
     std::size_t openExchanges() const;
 
