Never follow a lost action with another attempt

A fence keeps an older attempt from arriving late; it does not stop a second run of an attempt that ran and whose answer was lost. The answer is now outcome unknown for every service, and the outcome is recorded for repetitions of the key.

--- a/main/lib/action_run.cpp
+++ b/main/lib/action_run.cpp
@@ -43,7 +43,8 @@
     request.customer = profile.customer;
     request.key = profile.key;
     request.body = profile.bodyFingerprint;
-    request.checksFence = profile.checksFence;
+    // A newer attempt after a lost one could run the action again, whatever the service checks.
+    request.checksFence = false;
     request.deadline = profile.deadline;
     request.receivedAt = Clock::wallNow();
     this->service.context.claims->claim(
@@ -113,11 +114,7 @@
     report.outcome = static_cast<AttemptOutcome>(action.outcome);
     report.answer = action.answer;
     report.at = Clock::wallNow();
-    this->service.context.claims->record(report, [self = shared_from_this()](bool isSuperseded) {
-        self->service.loop.post([self, isSuperseded] {
-            self->apply(self->session.onRecorded(isSuperseded, Clock::now()));
-        });
-    });
+    this->service.context.claims->record(report);
 }
 
 void ActionRun::on(const AnswerAction &action)
--- a/main/lib/claim_coordinator.cpp
+++ b/main/lib/claim_coordinator.cpp
@@ -50,10 +50,9 @@
     });
 }
 
-void ClaimCoordinator::record(const OutcomeReport &report, RecordedCallback callback)
+void ClaimCoordinator::record(const OutcomeReport &report)
 {
-    this->loop->post([this, report, callback = std::move(callback)]() mutable {
-        this->records[report.attempt] = std::move(callback);
+    this->loop->post([this, report] {
         ClaimShard &shard = this->shardFor(report.key);
         this->carryOut(shardOf(report.key, this->shards), shard.onOutcome(report, Clock::now()));
     });
@@ -119,15 +118,8 @@
     this->answerClaim(answer.request, answer);
 }
 
-void ClaimCoordinator::on(std::uint32_t /*shard*/, const ClaimRecorded &answer)
-{
-    const auto found = this->records.find(answer.attempt);
-    if (found == this->records.end())
-        return;
-    const RecordedCallback callback = std::move(found->second);
-    this->records.erase(found);
-    callback(answer.isSuperseded);
-}
+void ClaimCoordinator::on(std::uint32_t /*shard*/, const ClaimRecorded & /*answer*/)
+{ }
 
 void ClaimCoordinator::answerClaim(const RequestId &request, const ClaimAction &answer)
 {
--- a/main/lib/claim_coordinator.h
+++ b/main/lib/claim_coordinator.h
@@ -17,8 +17,6 @@
 public:
     /** Receives ClaimGranted, ClaimRefused or ClaimReplay, once, on the coordinator's loop. */
     using ClaimCallback = std::function<void(const ClaimAction &answer)>;
-    /** Called once when the outcome is in the log; @p isSuperseded as in ClaimRecorded. */
-    using RecordedCallback = std::function<void(bool isSuperseded)>;
 
     ClaimCoordinator(const InstanceId &self, Incarnation incarnation, std::uint32_t shards,
                      const PlatformClient &platform);
@@ -27,7 +25,7 @@
     ClaimCoordinator &operator=(const ClaimCoordinator &) = delete;
 
     void claim(const ClaimRequest &request, ClaimCallback callback);
-    void record(const OutcomeReport &report, RecordedCallback callback);
+    void record(const OutcomeReport &report);
     void stop();
 
 private:
@@ -50,7 +48,6 @@
     const PlatformClient &platform;
     absl::flat_hash_map<std::uint32_t, std::unique_ptr<ClaimShard>> active;
     absl::flat_hash_map<RequestId, ClaimCallback> claims;
-    absl::flat_hash_map<std::uint64_t, RecordedCallback> records;
     std::vector<std::unique_ptr<EventLoop>> storeLoops;
     std::unique_ptr<EventLoop> loop;
 };
--- a/servers/session/action_session.cpp
+++ b/servers/session/action_session.cpp
@@ -77,18 +77,6 @@
     return actions;
 }
 
-ActionSessionActions ActionSession::onRecorded(bool isSuperseded, absl::Time /*now*/)
-{
-    ActionSessionActions actions;
-    if (this->phase != Phase::Recording)
-        return actions;
-    if (isSuperseded)
-        this->refuse(RefusalReason::OutcomeUnknown, false, kDefaultRetryAfter, actions);
-    else
-        this->answer(std::move(this->result), false, actions);
-    return actions;
-}
-
 ActionSessionActions ActionSession::onTick(absl::Time now)
 {
     ActionSessionActions actions;
@@ -100,10 +88,6 @@
         this->refuse(RefusalReason::OutcomeUnknown, false, kDefaultRetryAfter, actions);
         return actions;
     }
-    if (this->phase == Phase::Recording) {
-        this->refuse(RefusalReason::OutcomeUnknown, false, kDefaultRetryAfter, actions);
-        return actions;
-    }
     const bool notRun = !this->inFlight && !this->mayHaveRun;
     this->refuse(RefusalReason::TimedOut, notRun, kDefaultRetryAfter, actions);
     return actions;
@@ -123,12 +107,8 @@
     if (!end.error) {
         // A late answer is recorded too, so that a repetition of the key gets it.
         actions.emplace_back(RecordOutcome {this->claim, ActionOutcome::Done, end.answer});
-        if (isLate)
-            return;
-        if (!this->action.checksFence)
-            return this->answer(end.answer, false, actions);
-        this->result = end.answer;
-        this->phase = Phase::Recording;
+        if (!isLate)
+            this->answer(end.answer, false, actions);
         return;
     }
     if (isLate)
--- a/servers/session/action_session.h
+++ b/servers/session/action_session.h
@@ -24,6 +24,7 @@
     std::string key;
     Fingerprint bodyFingerprint {};
     bool isRepeatable = false;
+    /** The service rejects fences lower than one it has seen, so the fence is sent along. */
     bool checksFence = false;
     absl::Time deadline = absl::InfiniteFuture();
 };
@@ -90,7 +91,8 @@
 /**
  * Decides what happens to one call to a plain service. An action that must not be repeated is
  * dispatched at most once, only after its claim is committed, and never after its deadline. Exactly
- * one final answer; notRun is said only when nothing can have run.
+ * one final answer; notRun is said only when nothing can have run. A lost answer is never followed
+ * by another attempt: a fence keeps older attempts out, but not a second run of one that ran.
  */
 class ActionSession
 {
@@ -103,8 +105,6 @@
     ActionSessionActions onClaimReplay(const std::string &answer, bool isAnswerKept,
                                        absl::Time now);
     ActionSessionActions onCallDone(const CallEnd &end, absl::Time now);
-    /** The outcome is in the claim log. */
-    ActionSessionActions onRecorded(bool isSuperseded, absl::Time now);
     ActionSessionActions onTick(absl::Time now);
 
     bool isAnswered() const { return this->answered; }
@@ -113,7 +113,7 @@
     const ActionProfile &profile() const { return this->action; }
 
 private:
-    enum class Phase { Idle, Claiming, Calling, Recording, Finished };
+    enum class Phase { Idle, Claiming, Calling, Finished };
 
     bool isTimeUp(absl::Time now) const;
     void dispatch(ActionSessionActions &actions);
@@ -126,7 +126,6 @@
     ActionProfile action;
     Phase phase = Phase::Idle;
     ActionClaim claim;
-    std::string result;
     int dispatched = 0;
     bool mayHaveRun = false;
     bool inFlight = false;
