Check operators' identifiers and the admission policy, bound the sum of reader buffers

An identifier or operator name outside the documents' alphabet was written and made the stored list unreadable. An unknown admission policy gave a null policy. limits.stream_buffers had no effect; above half of it each reader now has 4 KiB. Customers' failure domains restrict the groups that their requests may use. Denied requests are counted. A call that times out while its claim is open no longer says not run, since another request with its key may be running.

--- a/main/lib/completion_run.cpp
+++ b/main/lib/completion_run.cpp
@@ -5,6 +5,7 @@
 #include "core/log.h"
 #include "servers/admission/long_context_planner.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -21,8 +22,10 @@
 
     void onToken(std::int64_t offset, std::string_view text) override
     {
-        this->run->postEvent([attempt = this->attempt, offset,
+        this->run->postEvent([bufferBytes = this->run->service.bufferBytes(),
+                              attempt = this->attempt, offset,
                               text = std::string(text)](RequestSession &session, absl::Time now) {
+            session.setBufferBytes(bufferBytes);
             return session.onEngineToken(attempt, offset, text, now);
         });
     }
@@ -45,11 +48,12 @@
 
 CompletionRun::CompletionRun(CompletionService &service, EventLoop &loop,
                              std::shared_ptr<HttpExchange> exchange, CompletionCall call,
-                             RequestProfile profile)
+                             RequestProfile profile, std::vector<FailureDomainId> domains)
     : service(service)
     , loop(loop)
     , exchange(std::move(exchange))
     , call(std::move(call))
+    , domains(std::move(domains))
     , session(std::move(profile), service.context.session)
 { }
 
@@ -81,11 +85,33 @@
             self->apply(self->session.onReaderProgress(self->accounted, Clock::now()));
         });
     });
-    Random random(stableHash(this->session.profile().id.str()));
-    const RankedGroups ranked = this->service.context.view->read([&](const RoutingView &view) {
-        return this->service.context.policy->rank(view, this->session.profile(), now, random);
+    this->apply(this->session.start(this->rankGroups(now), now));
+}
+
+std::vector<GroupId> CompletionRun::rankGroups(absl::Time now) const
+{
+    const RequestProfile &profile = this->session.profile();
+    const auto isAllowed = [this](const RoutingGroup &group) {
+        return std::find(this->domains.begin(), this->domains.end(), group.summary.domain)
+            != this->domains.end();
+    };
+    return this->service.context.view->read([&](const RoutingView &view) {
+        Random random(stableHash(profile.id.str()));
+        std::vector<GroupId> groups;
+        for (const GroupId &id : this->service.context.policy->rank(view, profile, now, random)) {
+            const RoutingGroup *group = view.find(id);
+            if (group != nullptr && isAllowed(*group))
+                groups.push_back(id);
+        }
+        if (!groups.empty())
+            return groups;
+        // The policy ranks few groups; all of them may be in domains that the customer may not use.
+        for (const RoutingGroup &group : view.groups()) {
+            if (group.mayTakeRequests() && group.summary.model == profile.model && isAllowed(group))
+                groups.push_back(group.summary.group);
+        }
+        return groups;
     });
-    this->apply(this->session.start({ranked.begin(), ranked.end()}, now));
 }
 
 void CompletionRun::onTick(absl::Time now)
--- a/main/lib/completion_run.h
+++ b/main/lib/completion_run.h
@@ -16,7 +16,7 @@
 public:
     CompletionRun(CompletionService &service, EventLoop &loop,
                   std::shared_ptr<HttpExchange> exchange, CompletionCall call,
-                  RequestProfile profile);
+                  RequestProfile profile, std::vector<FailureDomainId> domains);
 
     /** All methods run on the loop of the request. */
     void start(absl::Time now);
@@ -42,6 +42,8 @@
     void on(const RefuseRequest &action);
     void on(const FailAnswer &action);
 
+    /** Groups in order of preference, in the failure domains that the customer may use. */
+    std::vector<GroupId> rankGroups(absl::Time now) const;
     void startCompletion(const StartEngine &action);
     std::string attemptName(std::uint64_t attempt) const;
     void startStream();
@@ -62,6 +64,7 @@
     std::shared_ptr<HttpExchange> exchange;
     std::shared_ptr<HttpBodyWriter> writer;
     CompletionCall call;
+    std::vector<FailureDomainId> domains;
     RequestSession session;
     absl::Time startedAt;
     absl::Time firstTokenAt = absl::InfiniteFuture();
--- a/main/lib/completion_service.cpp
+++ b/main/lib/completion_service.cpp
@@ -7,6 +7,7 @@
 #include "peers/engine/prompt_blocks.h"
 #include "servers/quarantine/quarantine.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace foxtailtally {
@@ -16,6 +17,8 @@
 constexpr absl::Duration kTickPeriod = absl::Milliseconds(10);
 /** Leading prompt blocks that routing compares; more would lengthen each reservation message. */
 constexpr std::size_t kRoutedBlocks = 16;
+/** With 4,096 connections at this size, the readers stay within half of the default sum. */
+constexpr std::size_t kScarceBufferBytes = 4096;
 
 /** Checks what the release note says of the caller; the reason of the refusal otherwise. */
 RefusalReason checkPermission(const ServingState &state, const CustomerEntry &customer,
@@ -66,6 +69,22 @@
     worker.loop.post([this, &worker, exchange] { this->begin(worker, exchange); });
 }
 
+std::size_t CompletionService::bufferBytes() const
+{
+    const bool isScarce = this->buffered.load() > this->context.streamBufferSum / 2;
+    return isScarce ? std::min(kScarceBufferBytes, this->context.session.bufferBytes)
+                    : this->context.session.bufferBytes;
+}
+
+void CompletionService::deny(const std::shared_ptr<HttpExchange> &exchange,
+                             const Refusal &refusal) const
+{
+    this->context.metrics
+        ->counter("foxtailtally_refusals_total", {{"reason", refusalName(refusal.reason)}})
+        .add();
+    exchange->respond(refusalResponse(refusal));
+}
+
 void CompletionService::begin(Worker &worker, const std::shared_ptr<HttpExchange> &exchange)
 {
     const std::uint64_t number = this->nextRequest.fetch_add(1);
@@ -77,15 +96,17 @@
 
     const absl::Time now = Clock::now();
     RequestProfile profile;
+    std::vector<FailureDomainId> domains;
     const RefusalReason denied = this->context.state->read([&](const ServingState &state) {
         const CustomerEntry *customer = state.authenticate(bearerToken(exchange->request()));
         if (customer == nullptr)
             return RefusalReason::UnknownCustomer;
         profile.customer = customer->id;
+        domains = customer->failureDomains;
         return checkPermission(state, *customer, call, Clock::wallNow());
     });
     if (denied != RefusalReason::None)
-        return exchange->respond(refusalResponse({denied, true, absl::ZeroDuration()}));
+        return this->deny(exchange, {denied, true, absl::ZeroDuration()});
 
     profile.id =
         RequestId(this->context.self.str() + "-" + std::to_string(this->context.incarnation) + "-"
@@ -101,11 +122,10 @@
         fingerprintOf(profile.customer.str() + '\n' + call.model.str() + '\n' + call.prompt);
     profile.deathsSeen = this->context.reservations->deathsSeen(profile.fingerprint);
     if (profile.deathsSeen >= kQuarantineDeaths)
-        return exchange->respond(
-            refusalResponse({RefusalReason::Quarantined, true, kQuarantineTerm}));
+        return this->deny(exchange, {RefusalReason::Quarantined, true, kQuarantineTerm});
     this->open.fetch_add(1);
     auto run = std::make_shared<CompletionRun>(*this, worker.loop, exchange, std::move(call),
-                                               std::move(profile));
+                                               std::move(profile), std::move(domains));
     worker.runs.push_back(run);
     run->start(now);
 }
--- a/main/lib/completion_service.h
+++ b/main/lib/completion_service.h
@@ -55,6 +55,11 @@
 private:
     friend class CompletionRun;
 
+    /** Buffer of one reader; small while the sum of all is high. */
+    std::size_t bufferBytes() const;
+    /** Answers a request that is not started, and counts it. */
+    void deny(const std::shared_ptr<HttpExchange> &exchange, const Refusal &refusal) const;
+
     struct Worker;
 
     void begin(Worker &worker, const std::shared_ptr<HttpExchange> &exchange);
--- a/main/lib/entry_instance.cpp
+++ b/main/lib/entry_instance.cpp
@@ -68,7 +68,9 @@
         return directory.error();
     this->peers = *directory;
     this->routingPolicy = makeRoutingPolicy(this->settings.text("routing", "policy"));
-    if (this->routingPolicy == nullptr)
+    const bool isKnownAdmission =
+        makeAdmissionPolicy(this->settings.text("admission", "policy"), {}) != nullptr;
+    if (this->routingPolicy == nullptr || !isKnownAdmission)
         return Error::SettingsInvalid;
     this->http = std::make_shared<HttpClient>(kHttpClientThreads);
     this->platform = std::make_unique<PlatformClient>(
--- a/main/lib/operator_service.cpp
+++ b/main/lib/operator_service.cpp
@@ -1,6 +1,7 @@
 #include "main/lib/operator_service.h"
 
 #include "core/log.h"
+#include "servers/configuration/document_reader.h"
 
 #include <absl/strings/str_split.h>
 #include <nlohmann/json.hpp>
@@ -100,8 +101,8 @@
 {
     // "", "admin", "v1", kind, id, "out" or "in"
     const std::vector<std::string> path = absl::StrSplit(request.path, '/');
-    const bool isValid =
-        path.size() == 6 && !path[4].empty() && (path[5] == "out" || path[5] == "in");
+    const bool isValid = path.size() == 6 && isIdentifier(path[4])
+        && (path[5] == "out" || path[5] == "in") && isIdentifier(operatorName(request));
     if (!isValid) {
         HttpResponse response;
         response.status = 404;
--- a/servers/session/action_session.cpp
+++ b/servers/session/action_session.cpp
@@ -88,7 +88,8 @@
         this->refuse(RefusalReason::OutcomeUnknown, false, kDefaultRetryAfter, actions);
         return actions;
     }
-    const bool notRun = !this->inFlight && !this->mayHaveRun;
+    // While the claim is open another request with the same key may be running the action.
+    const bool notRun = !isAction && !this->inFlight && !this->mayHaveRun;
     this->refuse(RefusalReason::TimedOut, notRun, kDefaultRetryAfter, actions);
     return actions;
 }
--- a/servers/session/request_session.h
+++ b/servers/session/request_session.h
@@ -151,6 +151,9 @@
     SessionActions onReaderGone(absl::Time now);
     SessionActions onTick(absl::Time now);
 
+    /** Changes the limit above which the engine stream is paused. */
+    void setBufferBytes(std::size_t bytes) { this->options.bufferBytes = bytes; }
+
     bool isFinished() const { return this->phase == Phase::Finished; }
     const RequestProfile &profile() const { return this->request; }
     std::int64_t tokensSent() const { return this->nextOffset; }
