Keep short prompts away from servers that prefill

Cause: most of the slowdown of short requests arises inside the engine, where a short prompt waits for a chunk of another one. The owner avoided only servers with a long prefill by prediction, which ends too early when more urgent prompts delay it, and ignored other prefills.

Short prompts now prefer servers whose ledger has no long prompt, then servers without any predicted prefill.

--- a/servers/admission/group_admission.cpp
+++ b/servers/admission/group_admission.cpp
@@ -3,6 +3,7 @@
 #include "servers/quarantine/quarantine.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace foxtailtally {
@@ -317,7 +318,7 @@
 {
     const bool isLong = profile.promptTokens > kLongPromptTokens;
     ServerSlot *best = nullptr;
-    std::pair<bool, absl::Duration> bestRank;
+    std::tuple<bool, bool, absl::Duration> bestRank;
     for (const auto &[id, slot] : this->servers.slots()) {
         if (!this->fits(*slot, profile, now))
             continue;
@@ -325,10 +326,13 @@
             slot->predictor.predict(profile, slot->ledger.requests(), now).end;
         if (now + withMargin(end) > profile.deadline)
             continue;
-        // Short prompts avoid servers with a long prefill, long prompts keep to servers with one.
-        const bool isAvoided =
-            isLong ? !slot->ledger.hasLong() : slot->predictor.hasLongPrefill(now);
-        const std::pair<bool, absl::Duration> rank {isAvoided, end};
+        // Long prompts keep to servers with one. Short prompts avoid these servers until the long
+        // request ends, since its predicted prefill can end too early, and then servers with any
+        // prefill, because engines finish a chunk in progress before they start a new prompt.
+        const bool isAvoided = isLong != slot->ledger.hasLong();
+        const bool hasPrefill =
+            !isLong && slot->predictor.backlog(RequestClass::Batch, now) > absl::ZeroDuration();
+        const std::tuple<bool, bool, absl::Duration> rank {isAvoided, hasPrefill, end};
         if (best == nullptr || rank < bestRank) {
             best = slot.get();
             bestRank = rank;
