--- a/tests/request_session_test.cpp
+++ b/tests/request_session_test.cpp
@@ -15,6 +15,8 @@
 constexpr absl::Duration kStep = absl::Milliseconds(10);
 constexpr absl::Duration kDeadline = absl::Seconds(3);
 constexpr std::int64_t kAnswerTokens = 20;
+/** With this many steps between two tokens an answer takes longer than the deadline. */
+constexpr std::uint64_t kSlow = 60;
 
 /**
  * Owners, engines and a caller that behave at random, and the oracle: what went out, which permits
@@ -25,6 +27,7 @@
 public:
     explicit SessionWorld(std::uint64_t seed)
         : random(seed)
+        , slowness(this->random.below(3) == 0 ? kSlow : 3)
         , session(profile(),
                   RequestSessionOptions {4, 3, 40, absl::Milliseconds(200), absl::Milliseconds(30)})
     { }
@@ -95,7 +98,7 @@
     {
         // Copies: an event may start or cancel runs. Cancelled runs still send late events.
         for (const auto &[attempt, run] : std::map<std::uint64_t, EngineRun>(this->runs)) {
-            if (run.paused || this->random.below(3) != 0)
+            if (run.paused || this->random.below(this->slowness) != 0)
                 continue;
             const std::uint64_t kind = this->random.below(40);
             if (kind == 0)
@@ -201,6 +204,8 @@
     }
 
     Random random;
+    /** Steps between two events of an engine, on average. */
+    std::uint64_t slowness;
     absl::Time now = absl::UnixEpoch();
     RequestSession session;
     std::optional<std::uint64_t> openReservation;
