Limit customers' tokens per second at the entry instances

Cause: release notes carry tokens_per_second, but no instance applied it. CustomerLimits now owns CustomerQuota behind a mutex. Request threads take prompt plus maximum new tokens after authentication and before routing; the control loop feeds rosters, ticks, requests and grants, and sends after the mutex is released. Refusals that ran nothing return the tokens.

Ruled out: running the quota on the control loop, since each request would wait for that loop once more before routing. A burst of a few seconds of the rate alone, since a million-token prompt would never be admitted for a small customer. Readiness without a share, since a new instance has no tokens until its roster is settled; the wait ends after 15 s.

--- a/main/lib/completion_run.cpp
+++ b/main/lib/completion_run.cpp
@@ -244,6 +244,10 @@
 
 void CompletionRun::on(const RefuseRequest &action)
 {
+    const RequestProfile &profile = this->session.profile();
+    if (action.refusal.notRun)
+        this->service.context.limits->giveBack(profile.customer, profile.memoryTokens(),
+                                               Clock::now());
     this->exchange->respond(refusalResponse(action.refusal));
     this->finish(action.refusal.notRun ? "refused" : "failed", action.refusal.reason);
 }
--- a/main/lib/completion_service.cpp
+++ b/main/lib/completion_service.cpp
@@ -103,6 +103,14 @@
     if (profile.deathsSeen >= kQuarantineDeaths)
         return exchange->respond(
             refusalResponse({RefusalReason::Quarantined, true, kQuarantineTerm}));
+    const Refusal exceeded =
+        this->context.limits->tryTake(profile.customer, profile.memoryTokens(), now);
+    if (exceeded.reason != RefusalReason::None) {
+        this->context.metrics
+            ->counter("foxtailtally_refusals_total", {{"reason", refusalName(exceeded.reason)}})
+            .add();
+        return exchange->respond(refusalResponse(exceeded));
+    }
     this->open.fetch_add(1);
     auto run = std::make_shared<CompletionRun>(*this, worker.loop, exchange, std::move(call),
                                                std::move(profile));
--- a/main/lib/completion_service.h
+++ b/main/lib/completion_service.h
@@ -3,6 +3,7 @@
 #include "core/event_loop.h"
 #include "core/metrics.h"
 #include "core/rcu_pointer.h"
+#include "main/lib/customer_limits.h"
 #include "main/lib/reservation_port.h"
 #include "main/lib/serving_state.h"
 #include "peers/caller/completion_call.h"
@@ -31,6 +32,7 @@
     const RcuPointer<ServingState> *state = nullptr;
     const RoutingPolicy *policy = nullptr;
     ReservationPort *reservations = nullptr;
+    CustomerLimits *limits = nullptr;
     EngineClient *engines = nullptr;
     Metrics *metrics = nullptr;
 };
--- a/main/lib/control_plane.cpp
+++ b/main/lib/control_plane.cpp
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/hash.h"
 #include "core/log.h"
+#include "main/lib/reserve_wire.h"
 #include "peers/instance/membership_wire.h"
 
 #include <algorithm>
@@ -71,6 +72,11 @@
     , membership(selfUpdate(this->options), this->options.incarnation)
     , ownership(ownershipOptions(this->options),
                 [this](const ShareAction &action) { this->sendShares(action); })
+    , limits({this->options.self, this->options.incarnation},
+             this->options.peers.domainCount(this->options.domain),
+             [this](const InstanceId &to, MessageKind kind, const std::string &payload) {
+                 this->sendDatagram(to, kind, payload);
+             })
 {
     this->viewBuilder.setLocalDomain(this->options.domain);
 }
@@ -202,6 +208,7 @@
             return;
         this->current.note = *note;
         this->current.indexCustomers();
+        this->limits.setCustomers(this->current.note.state.customers, now);
         this->servingState.publish(std::make_unique<ServingState>(this->current));
         return;
     }
@@ -217,6 +224,7 @@
             return;
         this->roster = *parsed;
         this->ownership.setRoster(toShareRoster(*parsed, this->options.domain), now);
+        this->limits.setRoster(this->ownership.roster(), now);
         return;
     }
     }
@@ -299,19 +307,7 @@
         address, MessageKind::ReserveRequest,
         packMessage(ReserveRequestMessage {group, profile, remaining}), remaining + kReplyMargin,
         [this, callback = std::move(callback)](const Result<Envelope> &envelope) {
-            Result<ReserveReply> reply = envelope.error();
-            if (envelope.ok()) {
-                const auto message = unpackMessage<ReserveReplyMessage>(envelope->payload);
-                reply = message.error();
-                if (message.ok())
-                    reply = ReserveReply {{},
-                                          message->granted,
-                                          message->grant,
-                                          message->addresses,
-                                          message->incarnations,
-                                          message->refusal};
-            }
-            this->loop->post([callback, reply] { callback(reply); });
+            this->loop->post([callback, reply = toReserveReply(envelope)] { callback(reply); });
         });
 }
 
@@ -461,6 +457,9 @@
             this->ownership.onLoanOffer(*offer, now);
         return;
     }
+    case MessageKind::QuotaRequest:
+    case MessageKind::QuotaGrant:
+        return this->limits.onMessage(message, now);
     case MessageKind::ReserveRequest:
         return this->handleReserve(message, reply);
     case MessageKind::ReserveCancel: {
@@ -503,13 +502,7 @@
     this->ownership.reserve(
         request->group, {request->profile, message.sender, message.incarnation},
         [reply](const Result<ReserveReply> &result) {
-            ReserveReplyMessage answer;
-            if (result.ok())
-                answer = {result->granted, result->grant, result->addresses, result->incarnations,
-                          result->refusal};
-            else
-                answer.refusal = {RefusalReason::NotOwner, true, absl::Milliseconds(500)};
-            reply(MessageKind::ReserveReply, packMessage(answer));
+            reply(MessageKind::ReserveReply, packMessage(toMessage(result)));
         },
         now);
 }
@@ -592,11 +585,14 @@
 void ControlPlane::sendShares(const ShareAction &action)
 {
     if (const auto *request = std::get_if<SendLoanRequest>(&action))
-        this->transport->sendDatagram(this->addressOf(request->to), MessageKind::LoanRequest,
-                                      packMessage(request->request));
+        this->sendDatagram(request->to, MessageKind::LoanRequest, packMessage(request->request));
     else if (const auto *offer = std::get_if<SendLoanOffer>(&action))
-        this->transport->sendDatagram(this->addressOf(offer->to), MessageKind::LoanOffer,
-                                      packMessage(offer->offer));
+        this->sendDatagram(offer->to, MessageKind::LoanOffer, packMessage(offer->offer));
+}
+
+void ControlPlane::sendDatagram(const InstanceId &to, MessageKind kind, const std::string &payload)
+{
+    this->transport->sendDatagram(this->addressOf(to), kind, payload);
 }
 
 void ControlPlane::onTick()
@@ -621,6 +617,11 @@
     this->membership.setSettledRoster(this->ownership.settledVersion());
     this->carryOut(this->membership.onTick(now));
     this->suspects.onTick(now);
+    this->limits.onTick(
+        [this, now](const RosterMember &member, std::uint64_t version) {
+            return this->ownership.isPast(member, version, now);
+        },
+        now);
 }
 
 void ControlPlane::updateSpreadPeers()
@@ -683,6 +684,7 @@
     std::unique_ptr<const RoutingView> next = this->viewBuilder.build();
     const auto groups = next->groups();
     const bool canServe = this->current.note.number > 0 && this->spread->plan().isReady()
+        && this->limits.isReady(Clock::now())
         && std::any_of(groups.begin(), groups.end(),
                        [](const RoutingGroup &group) { return group.mayTakeRequests(); });
     this->routingView.publish(std::move(next));
--- a/main/lib/control_plane.h
+++ b/main/lib/control_plane.h
@@ -3,6 +3,7 @@
 #include "core/event_loop.h"
 #include "core/metrics.h"
 #include "core/rcu_pointer.h"
+#include "main/lib/customer_limits.h"
 #include "main/lib/document_spread.h"
 #include "main/lib/group_ownership.h"
 #include "main/lib/peer_directory.h"
@@ -65,6 +66,7 @@
     const RcuPointer<ServingState> &state() const { return this->servingState; }
     /** A release note is in force and some group takes requests. */
     bool isReady() const { return this->ready.load(); }
+    CustomerLimits &customerLimits() { return this->limits; }
 
     // ReservationPort
     void reserve(const GroupId &group, const RequestProfile &profile, Callback callback) override;
@@ -105,6 +107,7 @@
     void handleGossip(const Envelope &message, absl::Time now);
     void carryOut(const MembershipActions &actions);
     void sendShares(const ShareAction &action);
+    void sendDatagram(const InstanceId &to, MessageKind kind, const std::string &payload);
 
     void onTick();
     void onMembershipTick();
@@ -133,6 +136,7 @@
     InstanceListSnapshot instanceList;
     Membership membership;
     GroupOwnership ownership;
+    CustomerLimits limits;
     absl::flat_hash_map<GroupId, InstanceId> summaryOwners;
     absl::flat_hash_map<PermitId, Permit> permits;
     bool isOwnDomainOut = false;
--- /dev/null
+++ b/main/lib/customer_limits.cpp
@@ -0,0 +1,126 @@
+#include "main/lib/customer_limits.h"
+
+#include "core/lock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace foxtailtally {
+
+namespace {
+
+constexpr double kBurstSeconds = 10;
+/** Prompt and new tokens of the longest request. */
+constexpr double kLongestRequest = 1048576;
+/** Longer than a change of the roster takes with the time after which lent tokens are reused. */
+constexpr absl::Duration kShareWait = absl::Seconds(15);
+
+} // namespace
+
+double quotaBurst(std::uint64_t tokensPerSecond, std::size_t domains)
+{
+    return std::max(kBurstSeconds * static_cast<double>(tokensPerSecond),
+                    2 * kLongestRequest * static_cast<double>(domains));
+}
+
+CustomerLimits::CustomerLimits(const RosterMember &self, std::size_t domains, Send send)
+    : domains(domains)
+    , send(std::move(send))
+    , quota(self, domains, self.incarnation)
+{ }
+
+CustomerLimits::~CustomerLimits()
+{
+    pthread_mutex_destroy(&this->mutex);
+}
+
+void CustomerLimits::setCustomers(std::span<const CustomerEntry> customers, absl::Time now)
+{
+    this->waitsUntil = std::min(this->waitsUntil, now + kShareWait);
+    std::vector<CustomerId> next;
+    const Lock lock(this->mutex);
+    for (const CustomerEntry &customer : customers) {
+        this->quota.setLimit(customer.id,
+                             {static_cast<double>(customer.tokensPerSecond),
+                              quotaBurst(customer.tokensPerSecond, this->domains)},
+                             now);
+        next.push_back(customer.id);
+    }
+    std::sort(next.begin(), next.end());
+    for (const CustomerId &customer : this->known) {
+        if (!std::binary_search(next.begin(), next.end(), customer))
+            this->quota.removeLimit(customer);
+    }
+    this->known = std::move(next);
+}
+
+void CustomerLimits::setRoster(const Roster &roster, absl::Time now)
+{
+    const Lock lock(this->mutex);
+    this->quota.setRoster(roster, now);
+}
+
+void CustomerLimits::onMessage(const Envelope &message, absl::Time now)
+{
+    if (message.kind == MessageKind::QuotaRequest) {
+        const auto request = unpackMessage<QuotaRequest>(message.payload);
+        if (!request.ok() || request->sender.instance != message.sender)
+            return;
+        QuotaActions actions;
+        {
+            const Lock lock(this->mutex);
+            actions = this->quota.onRequest(*request, now);
+        }
+        this->carryOut(actions);
+    } else if (message.kind == MessageKind::QuotaGrant) {
+        const auto grant = unpackMessage<QuotaGrant>(message.payload);
+        if (!grant.ok() || grant->lender.instance != message.sender)
+            return;
+        const Lock lock(this->mutex);
+        // A late or repeated grant is refused with an error and needs no answer.
+        static_cast<void>(this->quota.onGrant(*grant, now));
+    }
+}
+
+void CustomerLimits::onTick(
+    absl::FunctionRef<bool(const RosterMember &member, std::uint64_t version)> isPast,
+    absl::Time now)
+{
+    QuotaActions actions;
+    {
+        const Lock lock(this->mutex);
+        this->quota.updateShare(isPast, now);
+        actions = this->quota.onTick(now);
+        this->hadShare = this->hadShare || this->quota.fraction() > 0;
+    }
+    this->carryOut(actions);
+}
+
+bool CustomerLimits::isReady(absl::Time now) const
+{
+    return this->hadShare || now >= this->waitsUntil;
+}
+
+Refusal CustomerLimits::tryTake(const CustomerId &customer, std::int64_t tokens, absl::Time now)
+{
+    const Lock lock(this->mutex);
+    return this->quota.tryTake(customer, tokens, now);
+}
+
+void CustomerLimits::giveBack(const CustomerId &customer, std::int64_t tokens, absl::Time now)
+{
+    const Lock lock(this->mutex);
+    this->quota.giveBack(customer, tokens, now);
+}
+
+void CustomerLimits::carryOut(const QuotaActions &actions)
+{
+    for (const QuotaAction &action : actions) {
+        if (const auto *request = std::get_if<SendQuotaRequest>(&action))
+            this->send(request->to, MessageKind::QuotaRequest, packMessage(request->request));
+        else if (const auto *grant = std::get_if<SendQuotaGrant>(&action))
+            this->send(grant->to, MessageKind::QuotaGrant, packMessage(grant->grant));
+    }
+}
+
+} // namespace foxtailtally
--- a/main/lib/entry_instance.cpp
+++ b/main/lib/entry_instance.cpp
@@ -136,6 +136,7 @@
     context.state = &this->control->state();
     context.policy = this->routingPolicy.get();
     context.reservations = this->control.get();
+    context.limits = &this->control->customerLimits();
     context.engines = this->engines.get();
     context.metrics = &this->metrics;
     this->completions = std::make_unique<CompletionService>(std::move(context), kRequestLoops);
--- a/main/lib/peer_directory.cpp
+++ b/main/lib/peer_directory.cpp
@@ -1,5 +1,6 @@
 #include "main/lib/peer_directory.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <absl/strings/str_split.h>
 #include <utility>
 
@@ -24,6 +25,14 @@
     return PeerDirectory(std::move(entries));
 }
 
+std::size_t PeerDirectory::domainCount(const FailureDomainId &own) const
+{
+    absl::flat_hash_set<FailureDomainId> domains {own};
+    for (const PeerEntry &entry : this->list)
+        domains.insert(entry.domain);
+    return domains.size();
+}
+
 const PeerEntry *PeerDirectory::find(const InstanceId &id) const
 {
     const auto found = this->index.find(id);
--- a/main/lib/peer_directory.h
+++ b/main/lib/peer_directory.h
@@ -30,6 +30,8 @@
     static Result<PeerDirectory> parse(std::span<const std::string> seeds);
 
     std::span<const PeerEntry> entries() const { return this->list; }
+    /** Failure domains of the entries and @p own. */
+    std::size_t domainCount(const FailureDomainId &own) const;
     /** Null when the instance is unknown. */
     const PeerEntry *find(const InstanceId &id) const;
 
--- a/peers/instance/messages.h
+++ b/peers/instance/messages.h
@@ -16,6 +16,8 @@
     Gossip = 1,
     LoanRequest = 2,
     LoanOffer = 3,
+    QuotaRequest = 4,
+    QuotaGrant = 5,
     ReserveRequest = 10,
     ReserveReply = 11,
     ReserveCancel = 12,
