--- a/peers/instance/messages.h
+++ b/peers/instance/messages.h
@@ -25,9 +25,6 @@
     PermitReport = 14,
     DocumentPull = 20,
     DocumentBody = 21,
-    ClaimForward = 30,
-    ClaimReply = 31,
-    OutcomeForward = 32,
     InstanceListPull = 40,
     InstanceListBody = 41,
 };
@@ -82,12 +79,6 @@
     std::vector<Held> permits;
 };
 
-/** What an owner tells other instances about its groups. */
-struct SummariesMessage
-{
-    std::vector<GroupSummary> summaries;
-};
-
 /** Asks for a document when gossip showed a higher number. */
 struct DocumentPullMessage
 {
@@ -120,33 +111,6 @@
     std::string body;
 };
 
-/** Asks the keeper of a claim shard for the right to run an action. */
-struct ClaimForwardMessage
-{
-    std::string key;
-    Fingerprint bodyFingerprint {};
-    bool serviceChecksFence = false;
-    absl::Duration remaining;
-};
-
-struct ClaimReplyMessage
-{
-    bool granted = false;
-    bool replay = false;
-    std::uint32_t attempt = 0;
-    std::uint64_t fence = 0;
-    std::string answer;
-    Refusal refusal;
-};
-
-struct OutcomeForwardMessage
-{
-    std::string key;
-    std::uint32_t attempt = 0;
-    bool known = false;
-    std::string answer;
-};
-
 template <typename Archive>
 void serialize(Archive &archive, RequestProfile &profile)
 {
@@ -207,12 +171,6 @@
     archive(message.group, message.release);
 }
 
-template <typename Archive>
-void serialize(Archive &archive, SummariesMessage &message)
-{
-    archive(message.summaries);
-}
-
 template <typename Archive>
 void serialize(Archive &archive, PermitReportMessage::Held &held)
 {
@@ -250,23 +208,4 @@
     archive(message.digest, message.body);
 }
 
-template <typename Archive>
-void serialize(Archive &archive, ClaimForwardMessage &message)
-{
-    archive(message.key, message.bodyFingerprint, message.serviceChecksFence, message.remaining);
-}
-
-template <typename Archive>
-void serialize(Archive &archive, ClaimReplyMessage &message)
-{
-    archive(message.granted, message.replay, message.attempt, message.fence, message.answer,
-            message.refusal);
-}
-
-template <typename Archive>
-void serialize(Archive &archive, OutcomeForwardMessage &message)
-{
-    archive(message.key, message.attempt, message.known, message.answer);
-}
-
 } // namespace foxtailtally
--- a/tests/envelope_test.cpp
+++ b/tests/envelope_test.cpp
@@ -1,4 +1,7 @@
 #include "peers/instance/envelope.h"
+#include "peers/instance/membership_wire.h"
+#include "servers/quota/quota_messages.h"
+#include "servers/shares/loan_messages.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -57,7 +60,11 @@
         (void)unpackMessage<ReserveRequestMessage>(payload);
         (void)unpackMessage<ReserveReplyMessage>(payload);
         (void)unpackMessage<PermitReportMessage>(payload);
-        (void)unpackMessage<ClaimReplyMessage>(payload);
+        (void)unpackMessage<MembershipDatagram>(payload);
+        (void)unpackMessage<LoanOffer>(payload);
+        (void)unpackMessage<LoanRequest>(payload);
+        (void)unpackMessage<QuotaRequest>(payload);
+        (void)unpackMessage<QuotaGrant>(payload);
     }));
     const std::string hugeCount("\xff\xff\xff\x7f", 4);
     EXPECT_EQ(unpackMessage<PermitReportMessage>(hugeCount).error(), Error::MessageTooLarge);
