--- a/servers/configuration/change_set.cpp
+++ b/servers/configuration/change_set.cpp
@@ -159,12 +159,10 @@
 Result<ChangeSet> ChangeSet::parse(std::string_view text, DocumentProblems &problems)
 {
     const std::size_t before = problems.size();
-    const auto value = nlohmann::json::parse(text, nullptr, false);
-    if (value.is_discarded()) {
-        problems.push_back({DocumentProblem::Kind::Syntax, "", "JSON"});
-        return Error::DocumentInvalid;
-    }
-    DocumentReader reader(value, "", problems);
+    const Result<nlohmann::json> value = parseJson(text, problems);
+    if (!value.ok())
+        return value.error();
+    DocumentReader reader(*value, "", problems);
     ChangeSet changes;
     changes.author = reader.text("author");
     if (reader.has("added"))
--- a/servers/configuration/document_reader.cpp
+++ b/servers/configuration/document_reader.cpp
@@ -182,6 +182,15 @@
     return values;
 }
 
+Result<nlohmann::json> parseJson(std::string_view text, DocumentProblems &problems)
+{
+    nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
+    if (!value.is_discarded())
+        return value;
+    problems.push_back({DocumentProblem::Kind::Syntax, "", "JSON"});
+    return Error::DocumentInvalid;
+}
+
 bool isIdentifier(std::string_view text)
 {
     constexpr std::string_view kAllowed =
--- a/servers/configuration/document_reader.h
+++ b/servers/configuration/document_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/result.h"
 #include "servers/configuration/document_problem.h"
 
 #include <absl/time/time.h>
@@ -53,6 +54,9 @@
     std::vector<std::string> asked;
 };
 
+/** The JSON value of @p text; DocumentInvalid with a syntax problem otherwise. */
+Result<nlohmann::json> parseJson(std::string_view text, DocumentProblems &problems);
+
 /** True when @p text is a valid identifier. */
 bool isIdentifier(std::string_view text);
 
--- a/servers/configuration/out_list.cpp
+++ b/servers/configuration/out_list.cpp
@@ -67,12 +67,10 @@
 Result<OutList> OutList::parse(std::string_view text, DocumentProblems &problems)
 {
     const std::size_t before = problems.size();
-    const auto value = nlohmann::json::parse(text, nullptr, false);
-    if (value.is_discarded()) {
-        problems.push_back({DocumentProblem::Kind::Syntax, "", "JSON"});
-        return Error::DocumentInvalid;
-    }
-    DocumentReader reader(value, "", problems);
+    const Result<nlohmann::json> value = parseJson(text, problems);
+    if (!value.ok())
+        return value.error();
+    DocumentReader reader(*value, "", problems);
     OutList list;
     list.number = reader.integer("number", 1, std::numeric_limits<std::int64_t>::max());
     list.author = reader.text("author");
--- a/servers/configuration/roster_document.cpp
+++ b/servers/configuration/roster_document.cpp
@@ -38,12 +38,10 @@
 Result<RosterDocument> RosterDocument::parse(std::string_view text, DocumentProblems &problems)
 {
     const std::size_t before = problems.size();
-    const auto value = nlohmann::json::parse(text, nullptr, false);
-    if (value.is_discarded()) {
-        problems.push_back({DocumentProblem::Kind::Syntax, "", "JSON"});
-        return Error::DocumentInvalid;
-    }
-    DocumentReader reader(value, "", problems);
+    const Result<nlohmann::json> value = parseJson(text, problems);
+    if (!value.ok())
+        return value.error();
+    DocumentReader reader(*value, "", problems);
     RosterDocument roster;
     roster.number = reader.integer("number", 1, std::numeric_limits<std::int64_t>::max());
     roster.author = reader.text("author");
