Answer bodies with members of unexpected types instead of ending the process

json::value() throws when a member has another type than its default, and the exception left the loop's thread. Requests are spread over the loops by a counter of their own; a burst used to go to one loop.

--- a/main/lib/completion_service.cpp
+++ b/main/lib/completion_service.cpp
@@ -65,7 +65,7 @@
 {
     // Parsing a body of several megabytes takes tens of milliseconds; the server's threads stay
     // free.
-    Worker &worker = *this->workers[this->nextRequest.load() % this->workers.size()];
+    Worker &worker = *this->workers[this->nextWorker.fetch_add(1) % this->workers.size()];
     worker.loop.post([this, &worker, exchange] { this->begin(worker, exchange); });
 }
 
--- a/main/lib/completion_service.h
+++ b/main/lib/completion_service.h
@@ -70,6 +70,7 @@
     CompletionContext context;
     EventLoop holds {"long-contexts"};
     std::vector<std::unique_ptr<Worker>> workers;
+    std::atomic<std::uint64_t> nextWorker {0};
     std::atomic<std::uint64_t> nextRequest {1};
     std::atomic<std::size_t> open {0};
     std::atomic<std::size_t> buffered {0};
--- a/peers/caller/completion_call.cpp
+++ b/peers/caller/completion_call.cpp
@@ -26,7 +26,8 @@
     if (!content.is_array())
         return false;
     for (const json &part : content) {
-        const bool isText = part.is_object() && part.value("type", "") == "text"
+        // json::value() throws when the member has another type than the default.
+        const bool isText = part.is_object() && part.contains("type") && part["type"] == "text"
             && part.contains("text") && part["text"].is_string();
         if (!isText)
             return false;
