--- a/main/lib/tool_commands.cpp
+++ b/main/lib/tool_commands.cpp
@@ -3,8 +3,10 @@
 #include "load/commands.h"
 
 #include <cstdlib>
+#include <fstream>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace foxtailtally {
 
@@ -16,12 +18,26 @@
     return value == nullptr ? "" : value;
 }
 
+/** Lines of @p file that are not empty; none for an empty name. */
+std::vector<std::string> readLines(const std::string &file)
+{
+    std::vector<std::string> lines;
+    std::ifstream stream(file);
+    std::string line;
+    while (std::getline(stream, line)) {
+        if (!line.empty())
+            lines.push_back(line);
+    }
+    return lines;
+}
+
 void addLoadCommand(CLI::App &app, int &exitCode)
 {
     CLI::App *load = app.add_subcommand("load", "Send an open-loop load to entry instances");
     auto options = std::make_shared<LoadCommand>();
     auto tokenVariable = std::make_shared<std::string>("FOXTAILTALLY_API_KEY");
     auto withoutActions = std::make_shared<bool>(false);
+    auto keysFile = std::make_shared<std::string>();
     load->add_option("--entry", options->entries, "Base URL of an entry instance or load balancer")
         ->required();
     load->add_option("--deployment", options->deployment, "Mix of requests: himrekha or fotocheck");
@@ -33,14 +49,16 @@
                      "Factor of prompt lengths, above 0 and at most 1");
     load->add_option("--seed", options->seed, "Seed of the trace");
     load->add_option("--token-env", *tokenVariable, "Environment variable with the API key");
-    load->add_option("--customer-token", options->customerTokens,
-                     "API key of one customer as customer-N=key");
+    load->add_option(
+        "--customer-keys", *keysFile,
+        "File with lines customer-N=key; arguments would show the keys to other users");
     load->add_option("--model", options->model, "Model to ask for");
     load->add_option("--threads", options->threads, "Client threads");
     load->add_option("--lines", options->linesFile, "File for one JSON line per request");
     load->add_option("--summary", options->summaryFile, "File for the summary as JSON");
-    load->callback([options, tokenVariable, withoutActions, &exitCode] {
+    load->callback([options, tokenVariable, withoutActions, keysFile, &exitCode] {
         options->token = fromEnvironment(*tokenVariable);
+        options->customerTokens = readLines(*keysFile);
         options->withActions = !*withoutActions;
         exitCode = static_cast<int>(runLoad(*options));
     });
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -142,13 +142,14 @@
 
     wait_for "${admins[0]}/health/live" 10
     customers=""
-    tokens=()
+    tokens=(--customer-keys "$out/customer-keys")
+    : > "$out/customer-keys"
     for n in 0 1 2 3 4 5 6 7 8 9; do
         digest=$(printf 'depot-key-%s' "$n" | "$binary" key-digest)
         customers+="${customers:+,}{\"id\": \"customer-$n\", \"key_digest\": \"$digest\",
           \"failure_domains\": [\"west-hills-1\", \"west-hills-2\", \"west-hills-3\"], \"models\": [\"$model\"],
           \"tokens_per_second\": 10000000, \"requests_per_second\": 10000}"
-        tokens+=(--customer-token "customer-$n=depot-key-$n")
+        echo "customer-$n=depot-key-$n" >> "$out/customer-keys"
     done
     cat > "$out/change-set.json" << END
 {"author": "demo",
