--- /dev/null
+++ b/main/gateway/admin_endpoint.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "peers/http/inbound_connection.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+struct evconnlistener;
+struct event_base;
+
+namespace foxtailtally {
+
+/** What an AdminEndpoint answers. */
+struct AdminAnswer
+{
+    int status = 200;
+    std::string contentType;
+    std::string body;
+};
+
+/** Answers readiness and metrics on an address of their own. */
+class AdminEndpoint final : private InboundEvents
+{
+public:
+    using Handler = std::function<AdminAnswer(const RequestHead &head)>;
+
+    AdminEndpoint(event_base *base, Handler handler);
+    ~AdminEndpoint() override;
+
+    /** Listens on @p address, "ip:port". */
+    std::error_code start(const std::string &address);
+    /** Destroys closed connections; not from inside an event. */
+    void onTick();
+
+private:
+    void onAccept(int socket);
+    void onRequestHead(InboundConnection &connection) override;
+    void onRequestComplete(InboundConnection &connection) override;
+    void onCallerGone(InboundConnection &connection) override;
+    void onWritable(InboundConnection &connection) override;
+    void onRequestRejected(InboundConnection &connection, int status) override;
+    void onClosed(InboundConnection &connection) override;
+
+    event_base *base;
+    Handler handler;
+    evconnlistener *listener = nullptr;
+    std::vector<std::unique_ptr<InboundConnection>> connections;
+    std::vector<InboundConnection *> closed;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/gateway/call_run.cpp
@@ -0,0 +1,631 @@
+#include "main/gateway/call_run.h"
+
+#include "core/clock.h"
+#include "core/log.h"
+#include "servers/placement/read_cost.h"
+#include "servers/placement/service_placement.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace foxtailtally {
+
+namespace {
+
+/** A stream without news is looked at after this much more than planned, and then as often. */
+constexpr absl::Duration kStreamSlack = absl::Milliseconds(600);
+constexpr absl::Duration kStreamRecheck = absl::Milliseconds(250);
+
+/** A server from which no stream has got a byte for this long, and for this multiple of a planned
+ * pass, is taken for silent. Engines that lost a helper stall for a second and a half. */
+constexpr absl::Duration kServerSilence = absl::Milliseconds(900);
+constexpr double kSilentPasses = 2.5;
+
+/** An idempotent call is sent to a second server after this multiple of the usual time, and not
+ * before kEarliestHedge. */
+constexpr double kHedgeFactor = 3.0;
+constexpr absl::Duration kEarliestHedge = absl::Milliseconds(40);
+
+/** Largest answer that is held until it is complete, in bytes. */
+constexpr std::size_t kMaxHeldReply = std::size_t {8} << 20;
+
+/** When a caller may come back to a service without a free server; spread so that refused callers
+ * do not return together. */
+constexpr absl::Duration kShortestReturn = absl::Milliseconds(250);
+constexpr absl::Duration kReturnSpread = absl::Milliseconds(750);
+
+/** Share of the rate that a cold server bears which the instances together plan for. */
+constexpr double kColdShare = 0.7;
+
+/** Pauses of a stream after which a server's pace is judged. */
+constexpr int kPausesToJudge = 6;
+
+} // namespace
+
+CallRun::CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call)
+    : context(context)
+    , caller(&caller)
+    , call(std::move(call))
+    , deadlineTimer(context.base, [this] { this->onDeadline(); })
+    , watchTimer(context.base, [this] { this->onWatch(); })
+    , relay(this->call.headers.lastEventId)
+{
+    this->deadlineTimer.start(this->call.answerBy - this->call.receivedAt);
+}
+
+CallRun::~CallRun()
+{
+    this->forgetStream();
+}
+
+void CallRun::start(absl::Time now)
+{
+    this->hasStarted = true;
+    this->service = std::string(targetService(*this->call.route, this->call.headers.callId));
+    this->context.retries.onCall(this->service, now);
+    if (!this->dispatch(now))
+        this->answerNotRun("no_server", now);
+}
+
+void CallRun::onCallerGone()
+{
+    if (this->done)
+        return;
+    this->caller = nullptr;
+    this->finish("caller_gone", 0);
+}
+
+void CallRun::onCallerWritable()
+{
+    if (!this->isPaused)
+        return;
+    this->isPaused = false;
+    for (const auto &attempt : this->attempts)
+        attempt.call->pauseReading(false);
+}
+
+bool CallRun::dispatch(absl::Time now)
+{
+    const Service *found = this->call.config->findService(this->service);
+    if (!found)
+        return false;
+    if (found->isEngine && this->isStream())
+        return this->dispatchStream(*found, now);
+    return this->dispatchPlain(*found, now);
+}
+
+bool CallRun::isRateBound(const Service &service, const ServerDirectory::Server &server,
+                          std::int64_t knownArrivals, absl::Time now) const
+{
+    if (service.coldRequestsPerSecond <= 0)
+        return false;
+    const GatewaySettings &settings = this->context.settings;
+    // A server may turn cold without notice, so the bound of a cold one holds for all; one that is
+    // known to be cold gets no more than it bears.
+    const bool isCold = server.coldUntil > now;
+    const double bound = isCold
+        ? service.coldRequestsPerSecond
+        : service.coldRequestsPerSecond * settings.coldFactor + settings.coldSlack;
+    const auto found =
+        this->context.activity.find(serverKey(server.entry.id, server.entry.incarnation));
+    const std::int64_t own =
+        found == this->context.activity.end() || now - found->second.countedFrom >= absl::Seconds(1)
+        ? 0
+        : found->second.sentInSecond;
+    return static_cast<double>(std::max(own, knownArrivals) + 1)
+        > std::max(1.0, kColdShare * bound);
+}
+
+bool CallRun::dispatchStream(const Service &service, absl::Time now)
+{
+    const std::vector<const ServerDirectory::Server *> servers =
+        this->context.directory.usable(this->service, now);
+    const auto loads = this->context.ledger.loads(now);
+    std::vector<EngineCandidate> candidates;
+    std::vector<const ServerDirectory::Server *> chosen;
+    for (const ServerDirectory::Server *server : servers) {
+        EngineCandidate candidate;
+        candidate.server = serverKey(server->entry.id, server->entry.incarnation);
+        if (std::find(this->tried.begin(), this->tried.end(), candidate.server)
+            != this->tried.end())
+            continue;
+        candidate.slots = server->entry.slots;
+        candidate.slowness = this->context.health.slowness(candidate.server);
+        candidate.isSuspect = this->context.health.isSuspect(candidate.server, now);
+        const auto load = loads.find(candidate.server);
+        std::int64_t arrivals = 0;
+        if (load != loads.end()) {
+            arrivals = std::count_if(
+                load->second.parts.begin(), load->second.parts.end(), [now](const auto *part) {
+                    return !part->isHelper && now - part->placedAt < absl::Seconds(1);
+                });
+        }
+        candidate.isRateBound = this->isRateBound(service, *server, arrivals, now);
+        candidates.push_back(candidate);
+        chosen.push_back(server);
+    }
+    StreamDemand demand;
+    demand.promptTokens = this->call.headers.promptTokens;
+    demand.answerTokens = this->call.headers.maxAnswerTokens;
+    demand.firstEventDue = this->call.receivedAt + this->call.route->objective - now;
+    demand.pauseObjective = this->call.route->pauseObjective;
+    demand.timeLeft = this->call.answerBy - now;
+    const StreamPlacement placement(service.engine, demand, now);
+    std::optional<StreamPlan> found = placement.choose(candidates, loads);
+    if (!found) {
+        // A suspicion may be wrong, and an engine queues what exceeds its slots.
+        for (EngineCandidate &candidate : candidates) {
+            candidate.isSuspect = false;
+            candidate.slots *= 2;
+        }
+        found = placement.choose(candidates, loads);
+    }
+    if (!found)
+        return false;
+    this->plan = *found;
+    std::vector<platform::ReadHelper> helpers;
+    for (const std::size_t index : this->plan.helpers)
+        helpers.push_back({chosen[index]->entry.address, {}});
+    this->placeParts(candidates, now);
+    this->sendTo(*chosen[this->plan.server], std::move(helpers), now);
+    this->watchTimer.start(absl::Milliseconds(this->plan.predictedFirstEventMs) + kStreamSlack);
+    return true;
+}
+
+void CallRun::placeParts(const std::vector<EngineCandidate> &candidates, absl::Time now)
+{
+    this->forgetStream();
+    this->stream = this->context.nextStream++;
+    StreamPart part;
+    part.server = candidates[this->plan.server].server;
+    part.stream = this->stream;
+    part.placedAt = now;
+    part.readMs = static_cast<float>(this->plan.partReadMs);
+    part.memoryTokens = static_cast<std::uint32_t>(this->call.headers.promptTokens
+                                                   + this->call.headers.maxAnswerTokens);
+    part.pauseObjectiveMs =
+        static_cast<std::uint16_t>(absl::ToInt64Milliseconds(this->call.route->pauseObjective));
+    part.firstEventDueMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(
+        absl::ToInt64Milliseconds(this->call.receivedAt + this->call.route->objective - now), 0,
+        65535));
+    part.value = static_cast<float>(streamValue(this->call.headers.promptTokens));
+    part.isLate = part.firstEventDueMs == 0 || this->hasAnswerBegun;
+    std::vector<StreamPart> parts = {part};
+    part.isHelper = true;
+    part.memoryTokens = 0;
+    for (const std::size_t index : this->plan.helpers) {
+        part.server = candidates[index].server;
+        parts.push_back(part);
+    }
+    this->context.ledger.place(parts);
+    this->context.exchange.onLedgerChanged();
+}
+
+bool CallRun::dispatchPlain(const Service &service, absl::Time now)
+{
+    const std::vector<const ServerDirectory::Server *> servers =
+        this->context.directory.usable(this->service, now);
+    std::vector<ServiceCandidate> candidates;
+    for (const ServerDirectory::Server *server : servers) {
+        ServiceCandidate candidate;
+        candidate.server = serverKey(server->entry.id, server->entry.incarnation);
+        candidate.slots = server->entry.slots;
+        candidate.isSameDomain = server->entry.domain == this->context.settings.domain;
+        const auto activity = this->context.activity.find(candidate.server);
+        if (activity != this->context.activity.end()) {
+            candidate.outstanding = activity->second.outstanding;
+            if (now - activity->second.reportedAt < absl::Seconds(1))
+                candidate.reported = activity->second.reported;
+        }
+        candidate.wasTried = std::find(this->tried.begin(), this->tried.end(), candidate.server)
+            != this->tried.end();
+        candidate.isRateBound = this->isRateBound(service, *server, 0, now);
+        candidates.push_back(candidate);
+    }
+    const std::optional<std::size_t> best =
+        chooseServiceServer(candidates, this->context.health, now);
+    if (!best)
+        return false;
+    this->sendTo(*servers[*best], {}, now);
+    if (this->call.route->kind == CallKind::Idempotent && this->attempts.size() == 1) {
+        const absl::Duration usual = this->context.health.latency(candidates[*best].server);
+        const absl::Duration wait =
+            std::clamp(usual * kHedgeFactor, kEarliestHedge, this->call.route->objective * 0.5);
+        this->watchTimer.start(wait);
+    }
+    return true;
+}
+
+void CallRun::sendTo(const ServerDirectory::Server &server,
+                     std::vector<platform::ReadHelper> helpers, absl::Time now)
+{
+    AttemptTarget target;
+    target.id = server.entry.id;
+    target.key = serverKey(server.entry.id, server.entry.incarnation);
+    target.address = server.entry.address;
+    this->tried.push_back(target.key);
+    ++this->arrivals;
+    platform::ForwardedCall forwarded;
+    forwarded.server = target.id;
+    forwarded.deadline = this->call.answerBy - now;
+    forwarded.customer = this->call.customer;
+    forwarded.lastEventId = this->relay.lastEventId();
+    forwarded.helpers = std::move(helpers);
+    this->relay.beginRun();
+    ServerCallEvents &events = *this;
+    Attempt &attempt = this->attempts.emplace_back();
+    attempt.call = std::make_unique<ServerCall>(this->context, std::move(target), events);
+    const RequestHead &head = this->caller->head();
+    attempt.call->send(platform::encodeForwardedCall(head, this->caller->body(), forwarded),
+                       head.method == "HEAD", this->call.headers.callId,
+                       !this->call.route->isRepeatable(), now);
+}
+
+void CallRun::onReply(ServerCall &call, const ResponseHead &head,
+                      const platform::ServerReply &reply)
+{
+    Attempt *attempt = this->findAttempt(call);
+    const bool isSuccess = head.status >= 200 && head.status < 300;
+    attempt->isRelaying = isSuccess && reply.isEventStream && this->isStream();
+    attempt->reply = head;
+}
+
+void CallRun::onReplyBody(ServerCall &call, std::string_view data)
+{
+    Attempt *attempt = this->findAttempt(call);
+    if (attempt->isRelaying) {
+        this->relayEvents(*attempt, data, Clock::now());
+        return;
+    }
+    if (attempt->body.size() + data.size() <= kMaxHeldReply)
+        attempt->body.append(data);
+}
+
+void CallRun::relayEvents(Attempt &attempt, std::string_view data, absl::Time now)
+{
+    ServerCall &call = *attempt.call;
+    const Result<std::string> events = this->relay.feed(data);
+    if (!events.ok()) {
+        call.cancel();
+        this->onAttemptEnded(call, AttemptEnd::Lost);
+        return;
+    }
+    if (events->empty())
+        return;
+    this->noteEvent(call, now);
+    if (!this->hasAnswerBegun) {
+        this->hasAnswerBegun = true;
+        this->caller->startStream(attempt.reply.status,
+                                  platform::callerHeaders(attempt.reply.headers));
+    }
+    this->caller->sendChunk(*events);
+    if (this->caller->isCongested()) {
+        this->isPaused = true;
+        call.pauseReading(true);
+    }
+}
+
+void CallRun::noteEvent(ServerCall &call, absl::Time now)
+{
+    this->context.health.onOutcome(call.target().key, ServerHealth::Outcome::Answered, now);
+    if (this->firstEventAt == absl::InfinitePast()) {
+        this->firstEventAt = now;
+        if (now > this->call.receivedAt + this->call.route->objective)
+            this->context.ledger.onLate(this->stream);
+    }
+    if (this->lastEventAt < call.sentAt()) {
+        this->context.ledger.onFirstEvent(this->stream);
+        this->context.exchange.onLedgerChanged();
+    } else {
+        const absl::Duration pause = now - this->lastEventAt;
+        this->longestPause = std::max(this->longestPause, pause);
+        if (pause > this->call.route->pauseObjective)
+            this->context.ledger.onLate(this->stream);
+        this->notePace(call, now);
+    }
+    this->lastEventAt = now;
+    this->watchTimer.start(this->call.route->pauseObjective * 2 + kStreamSlack);
+}
+
+void CallRun::notePace(const ServerCall &call, absl::Time now)
+{
+    ServerActivity &activity = this->context.activity[call.target().key];
+    const double pause = absl::ToDoubleMilliseconds(now - this->lastEventAt);
+    activity.shortestPauseMs =
+        activity.pauses == 0 ? pause : std::min(activity.shortestPauseMs, pause);
+    if (++activity.pauses < kPausesToJudge)
+        return;
+    activity.pauses = 0;
+    const Service *engine = this->call.config->findService(this->service);
+    if (!engine)
+        return;
+    // The shortest of several pauses is a pass without reads of other prompts.
+    const double planned = writePassMs(engine->engine, 1, this->call.headers.promptTokens);
+    this->context.health.onPace(call.target().key, activity.shortestPauseMs / planned);
+}
+
+void CallRun::onReplyComplete(ServerCall &call)
+{
+    const absl::Time now = Clock::now();
+    std::optional<Attempt> finished = this->takeAttempt(call);
+    const ServerKey server = call.target().key;
+    const absl::Duration latency = now - call.sentAt();
+    // Destroyed later: this runs inside one of its events.
+    this->context.retired.push_back(std::move(finished->call));
+    ++this->runs;
+    if (finished->isRelaying && this->relay.isBetweenEvents()) {
+        if (!this->hasAnswerBegun)
+            this->caller->startStream(finished->reply.status,
+                                      platform::callerHeaders(finished->reply.headers));
+        this->caller->finishStream();
+        this->finish("served", finished->reply.status);
+        return;
+    }
+    if (finished->isRelaying || this->hasAnswerBegun) {
+        this->afterEnd(AttemptEnd::Lost, now);
+        return;
+    }
+    this->reply = std::move(finished->reply);
+    this->replyBody = std::move(finished->body);
+    if (this->reply.status >= 500) {
+        this->context.health.onOutcome(server, ServerHealth::Outcome::Failed, now);
+        this->hasStoredFailure = true;
+        this->afterEnd(AttemptEnd::ServerFailed, now);
+        return;
+    }
+    this->context.health.onOutcome(server, ServerHealth::Outcome::Answered, now);
+    this->context.health.onLatency(server, latency);
+    this->passStoredReply();
+}
+
+void CallRun::passStoredReply()
+{
+    const int status = this->reply.status;
+    // These statuses promise that the call has not run, which this server did not say.
+    const bool promisesNotRun = status == 408 || status == 421 || status == 429 || status == 503;
+    if (promisesNotRun) {
+        this->answerOwn(502, "server_failed", false);
+        return;
+    }
+    this->caller->answer(status, platform::callerHeaders(this->reply.headers), this->replyBody);
+    this->finish(status < 400 ? "served" : "server_failure", status);
+}
+
+void CallRun::onAttemptEnded(ServerCall &call, AttemptEnd end)
+{
+    const absl::Time now = Clock::now();
+    std::optional<Attempt> ended = this->takeAttempt(call);
+    const AttemptTarget target = call.target();
+    this->context.retired.push_back(std::move(ended->call));
+    if (end == AttemptEnd::NotSent || end == AttemptEnd::Rejected)
+        ++this->rejections;
+    else
+        ++this->runs;
+    const bool wasSuspect = this->context.health.isSuspect(target.key, now);
+    if (end != AttemptEnd::Rejected) {
+        this->context.health.onOutcome(target.key,
+                                       end == AttemptEnd::Silent ? ServerHealth::Outcome::Silent
+                                                                 : ServerHealth::Outcome::Lost,
+                                       now);
+        if (!wasSuspect && this->context.health.isSuspect(target.key, now))
+            this->context.exchange.onSuspicion(target.key);
+    }
+    logEvent(LogLevel::Info, "attempt_ended",
+             {{"request", this->call.headers.callId},
+              {"server", target.id.str()},
+              {"end", static_cast<int>(end)},
+              {"runs", this->runs},
+              {"rejections", this->rejections},
+              {"suspect", this->context.health.isSuspect(target.key, now)}});
+    this->afterEnd(end, now);
+}
+
+void CallRun::afterEnd(AttemptEnd end, absl::Time now)
+{
+    if (!this->attempts.empty())
+        return;
+    this->forgetStream();
+    const CallProgress state = this->progress();
+    NextStep step = nextStep(end, state);
+    if (step == NextStep::TryElsewhere) {
+        const bool isRepeat = end != AttemptEnd::NotSent;
+        const bool allowed = !isRepeat
+            || this->context.retries.tryRepeat(this->service,
+                                               this->context.exchange.instanceCount(), now);
+        if (allowed && this->dispatch(now))
+            return;
+        step = lastStep(end, state);
+    }
+    this->finishWith(step, now);
+}
+
+void CallRun::finishWith(NextStep step, absl::Time now)
+{
+    switch (step) {
+    case NextStep::TryElsewhere:
+    case NextStep::AnswerNotRun:
+        this->answerNotRun("rejected", now);
+        return;
+    case NextStep::PassServerFailure:
+        this->passStoredReply();
+        return;
+    case NextStep::AnswerOutcomeUnknown:
+        if (this->hasStoredFailure)
+            this->passStoredReply();
+        else
+            this->answerOwn(502, "server_lost", false);
+        return;
+    case NextStep::BreakOff:
+        this->caller->abort();
+        this->finish("broken_off", 0);
+        return;
+    }
+}
+
+void CallRun::answerNotRun(std::string_view cause, absl::Time)
+{
+    this->answerOwn(503, cause, true);
+}
+
+void CallRun::answerOwn(int status, std::string_view cause, bool notRun)
+{
+    std::optional<absl::Duration> retryAfter;
+    if (notRun)
+        retryAfter = kShortestReturn + kReturnSpread * this->context.random.uniform();
+    const nlohmann::json body = {{"error", cause}, {"not_run", notRun}};
+    this->caller->answer(status, platform::ownAnswerHeaders(this->call.headers.callId, retryAfter),
+                         body.dump());
+    this->finish(cause, status);
+}
+
+void CallRun::finish(std::string_view outcome, int status)
+{
+    if (this->done)
+        return;
+    this->done = true;
+    const absl::Time now = Clock::now();
+    this->deadlineTimer.stop();
+    this->watchTimer.stop();
+    std::string server;
+    if (!this->attempts.empty())
+        server = this->attempts.back().call->target().id.str();
+    this->dropAttempts();
+    this->forgetStream();
+    const bool hadEvent = this->firstEventAt != absl::InfinitePast();
+    this->context.metrics.counter("foxtailtally_calls_total", {{"outcome", outcome}}).add();
+    this->context.metrics.distribution("foxtailtally_call_seconds", {{"outcome", outcome}})
+        .observe(now - this->call.receivedAt);
+    logEvent(
+        LogLevel::Info, "call_done",
+        {{"request", this->call.headers.callId},
+         {"route", this->call.route->name},
+         {"service", this->service},
+         {"server", server},
+         {"outcome", outcome},
+         {"status", status},
+         {"arrivals", this->arrivals},
+         {"runs", this->runs},
+         {"prompt", this->call.headers.promptTokens},
+         {"helpers", this->plan.helpers.size()},
+         {"planned_ms", static_cast<int>(this->plan.predictedFirstEventMs)},
+         {"first_ms",
+          hadEvent ? absl::ToInt64Milliseconds(this->firstEventAt - this->call.receivedAt) : -1},
+         {"pause_ms", absl::ToInt64Milliseconds(this->longestPause)},
+         {"total_ms", absl::ToInt64Milliseconds(now - this->call.receivedAt)},
+         {"objective_ms", absl::ToInt64Milliseconds(this->call.route->objective)},
+         {"config", this->call.config->version()}});
+}
+
+void CallRun::onDeadline()
+{
+    if (this->done)
+        return;
+    if (this->hasAnswerBegun) {
+        this->caller->abort();
+        this->finish("timed_out_streaming", 0);
+        return;
+    }
+    const bool notRun = this->runs == 0 && this->attempts.empty();
+    if (!this->hasStarted)
+        this->answerOwn(408, "body_timed_out", true);
+    else
+        this->answerOwn(notRun ? 503 : 504, "timed_out", notRun);
+}
+
+void CallRun::onWatch()
+{
+    if (this->done || this->attempts.empty())
+        return;
+    const absl::Time now = Clock::now();
+    if (this->isStream())
+        this->watchStream(now);
+    else
+        this->hedge(now);
+}
+
+void CallRun::watchStream(absl::Time now)
+{
+    ServerCall &attempt = *this->attempts.back().call;
+    const Service *engine = this->call.config->findService(this->service);
+    const auto activity = this->context.activity.find(attempt.target().key);
+    const absl::Time heardAt =
+        std::max({attempt.sentAt(), this->lastEventAt, activity->second.lastByteAt});
+    double planned = 0;
+    if (engine) {
+        const auto loads = this->context.ledger.loads(now);
+        const auto load = loads.find(attempt.target().key);
+        if (load != loads.end())
+            planned = writePassMs(engine->engine, load->second.writers, load->second.memoryTokens)
+                + load->second.readLeftMs;
+    }
+    const absl::Duration bound =
+        std::max(kServerSilence, absl::Milliseconds(planned * kSilentPasses));
+    const bool isSilent = now - heardAt > bound && !this->isPaused;
+    const bool canMove =
+        this->call.route->isRepeatable() && this->runs + 1 < this->call.route->maxAttempts;
+    if (!isSilent || !canMove) {
+        this->watchTimer.start(kStreamRecheck);
+        return;
+    }
+    attempt.cancel();
+    this->onAttemptEnded(attempt, AttemptEnd::Silent);
+}
+
+void CallRun::hedge(absl::Time now)
+{
+    if (this->runs + 1 >= this->call.route->maxAttempts || this->attempts.size() > 1)
+        return;
+    if (!this->context.retries.tryRepeat(this->service, this->context.exchange.instanceCount(),
+                                         now))
+        return;
+    this->dispatch(now);
+}
+
+void CallRun::dropAttempts()
+{
+    for (Attempt &attempt : this->attempts) {
+        attempt.call->cancel();
+        this->context.retired.push_back(std::move(attempt.call));
+    }
+    this->attempts.clear();
+}
+
+CallRun::Attempt *CallRun::findAttempt(const ServerCall &call)
+{
+    const auto found =
+        std::find_if(this->attempts.begin(), this->attempts.end(),
+                     [&call](const Attempt &attempt) { return attempt.call.get() == &call; });
+    return found == this->attempts.end() ? nullptr : &*found;
+}
+
+std::optional<CallRun::Attempt> CallRun::takeAttempt(const ServerCall &call)
+{
+    Attempt *found = this->findAttempt(call);
+    if (!found)
+        return std::nullopt;
+    Attempt attempt = std::move(*found);
+    this->attempts.erase(this->attempts.begin() + (found - this->attempts.data()));
+    return attempt;
+}
+
+void CallRun::forgetStream()
+{
+    if (this->stream == 0)
+        return;
+    this->context.ledger.remove(this->stream);
+    this->context.exchange.onLedgerChanged();
+    this->stream = 0;
+}
+
+CallProgress CallRun::progress() const
+{
+    CallProgress state;
+    state.isRepeatable = this->call.route->isRepeatable();
+    state.runs = this->runs;
+    state.maxRuns = this->call.route->maxAttempts;
+    state.rejections = this->rejections;
+    state.hasAnswerBegun = this->hasAnswerBegun;
+    return state;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/gateway/call_run.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "main/gateway/gateway_context.h"
+#include "main/gateway/server_call.h"
+#include "peers/http/inbound_connection.h"
+#include "peers/http/loop_timer.h"
+#include "platform/call_headers.h"
+#include "servers/placement/stream_placement.h"
+#include "servers/retry/attempt_policy.h"
+#include "servers/retry/event_relay.h"
+
+#include <absl/time/time.h>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtailtally {
+
+/** A call that was let in: who calls, by which route, until when. */
+struct AdmittedCall
+{
+    platform::CallHeaders headers;
+    /** Keeps the route alive. */
+    std::shared_ptr<const ServingConfig> config;
+    const Route *route = nullptr;
+    /** Empty on routes without keys. */
+    std::string customer;
+    absl::Time receivedAt;
+    /** The final answer is due. */
+    absl::Time answerBy;
+};
+
+/** Serves one call: places it, relays the answer, and repeats it where that is allowed. */
+class CallRun final : public Retirable, private ServerCallEvents
+{
+public:
+    CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call);
+    ~CallRun() override;
+
+    /** The whole request is in. */
+    void start(absl::Time now);
+    /** The caller has gone; nothing is sent to it any more. */
+    void onCallerGone();
+    /** The caller reads again. */
+    void onCallerWritable();
+    bool isDone() const { return this->done; }
+
+private:
+    /** An attempt in work with what has come of its answer. */
+    struct Attempt
+    {
+        std::unique_ptr<ServerCall> call;
+        ResponseHead reply;
+        std::string body;
+        /** The answer is a stream whose events are passed on as they come. */
+        bool isRelaying = false;
+    };
+
+    void onReply(ServerCall &call, const ResponseHead &head,
+                 const platform::ServerReply &reply) override;
+    void onReplyBody(ServerCall &call, std::string_view data) override;
+    void onReplyComplete(ServerCall &call) override;
+    void onAttemptEnded(ServerCall &call, AttemptEnd end) override;
+
+    /** Sends the call to a server; false when none may get it. */
+    bool dispatch(absl::Time now);
+    bool dispatchStream(const Service &service, absl::Time now);
+    bool dispatchPlain(const Service &service, absl::Time now);
+    void sendTo(const ServerDirectory::Server &server, std::vector<platform::ReadHelper> helpers,
+                absl::Time now);
+    bool isRateBound(const Service &service, const ServerDirectory::Server &server,
+                     std::int64_t knownArrivals, absl::Time now) const;
+    void placeParts(const std::vector<EngineCandidate> &candidates, absl::Time now);
+
+    void relayEvents(Attempt &attempt, std::string_view data, absl::Time now);
+    void noteEvent(ServerCall &call, absl::Time now);
+    void notePace(const ServerCall &call, absl::Time now);
+    void passStoredReply();
+    void afterEnd(AttemptEnd end, absl::Time now);
+    void finishWith(NextStep step, absl::Time now);
+    void answerNotRun(std::string_view cause, absl::Time now);
+    void answerOwn(int status, std::string_view cause, bool notRun);
+    void finish(std::string_view outcome, int status);
+
+    void onDeadline();
+    void onWatch();
+    void watchStream(absl::Time now);
+    void hedge(absl::Time now);
+    void dropAttempts();
+    Attempt *findAttempt(const ServerCall &call);
+    std::optional<Attempt> takeAttempt(const ServerCall &call);
+    void forgetStream();
+    bool isStream() const { return this->call.route->kind == CallKind::Streaming; }
+    CallProgress progress() const;
+
+    GatewayContext &context;
+    InboundConnection *caller;
+    AdmittedCall call;
+    LoopTimer deadlineTimer;
+    LoopTimer watchTimer;
+    std::vector<Attempt> attempts;
+    std::vector<ServerKey> tried;
+    EventRelay relay;
+    std::string service;
+    int arrivals = 0;
+    int runs = 0;
+    int rejections = 0;
+    bool hasAnswerBegun = false;
+    bool done = false;
+    bool isPaused = false;
+    bool hasStarted = false;
+    /** Head of the reply that goes to the caller, and its body until it is complete. */
+    ResponseHead reply;
+    std::string replyBody;
+    bool hasStoredFailure = false;
+
+    std::uint32_t stream = 0;
+    StreamPlan plan;
+    absl::Time lastEventAt = absl::InfinitePast();
+    absl::Time firstEventAt = absl::InfinitePast();
+    absl::Duration longestPause = absl::ZeroDuration();
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/gateway/caller_session.cpp
@@ -0,0 +1,151 @@
+#include "main/gateway/caller_session.h"
+
+#include "core/clock.h"
+#include "core/log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace foxtailtally {
+
+namespace {
+
+/** The answer leaves this much before the caller's deadline, so that it arrives within it. */
+constexpr absl::Duration kAnswerLead = absl::Milliseconds(15);
+
+/** When a caller may come back to an instance that cannot check its key. Other instances can, and a
+ * new connection reaches one of them. */
+constexpr absl::Duration kUncheckedReturn = absl::Milliseconds(200);
+
+InboundLimits inboundLimits(const ServingConfig *config)
+{
+    InboundLimits limits;
+    if (!config)
+        return limits;
+    limits.headerBytes = config->limits().headerBytes;
+    limits.bodyBytes = config->limits().bodyBytes;
+    limits.headerTime = config->limits().headerTime;
+    limits.idleTime = config->limits().idleTime;
+    return limits;
+}
+
+} // namespace
+
+CallerSession::CallerSession(GatewayContext &context, int socket, SessionOwner &owner)
+    : context(context)
+    , owner(owner)
+    , connection(context.base, socket, *this, inboundLimits(context.config.get()))
+{ }
+
+void CallerSession::onRequestHead(InboundConnection &connection)
+{
+    const absl::Time now = Clock::now();
+    this->retireRun();
+    AdmittedCall call;
+    this->rejection = this->admit(connection.head(), call, now);
+    if (this->rejection) {
+        connection.discardBody();
+        return;
+    }
+    this->run = std::make_unique<CallRun>(this->context, connection, std::move(call));
+}
+
+std::optional<CallerSession::Rejection>
+CallerSession::admit(const RequestHead &head, AdmittedCall &call, absl::Time now) const
+{
+    call.receivedAt = now;
+    call.headers = platform::decodeCallHeaders(head.headers);
+    call.config = this->context.config;
+    if (!call.config)
+        return Rejection {503, "no_configuration", true};
+    const bool isFresh = this->context.freshness.mayAcceptKeys(now);
+    call.route = call.config->findRoute(head.host, head.path);
+    if (!call.route) {
+        // An instance that has lost the store may lack a new route.
+        if (!isFresh)
+            return Rejection {503, "configuration_unconfirmed", true};
+        return Rejection {404, "no_route", false};
+    }
+    if (call.config->hasCustomers() && call.route->needsKey) {
+        if (!isFresh)
+            return Rejection {503, "keys_unconfirmed", true};
+        const KeyHolder *customer = call.config->findCustomer(call.headers.key);
+        if (!customer)
+            return Rejection {401, "unknown_key", false};
+        call.customer = customer->id.str();
+    }
+    absl::Duration time = call.route->timeout;
+    if (call.headers.deadline)
+        time = std::min(time, *call.headers.deadline - kAnswerLead);
+    call.answerBy = now + time;
+    return std::nullopt;
+}
+
+void CallerSession::onRequestComplete(InboundConnection &)
+{
+    if (this->rejection) {
+        this->refuse(*this->rejection);
+        return;
+    }
+    this->run->start(Clock::now());
+}
+
+void CallerSession::refuse(const Rejection &rejection)
+{
+    const std::string callId = platform::decodeCallHeaders(this->connection.head().headers).callId;
+    std::optional<absl::Duration> retryAfter;
+    if (rejection.notRun)
+        retryAfter = kUncheckedReturn;
+    const nlohmann::json body = {{"error", rejection.cause}, {"not_run", true}};
+    this->context.metrics.counter("foxtailtally_refusals_total", {{"cause", rejection.cause}})
+        .add();
+    const std::int64_t version = this->context.config ? this->context.config->version() : -1;
+    logEvent(
+        LogLevel::Info, "call_refused",
+        {{"request", callId},
+         {"cause", rejection.cause},
+         {"status", rejection.status},
+         {"path", this->connection.head().path},
+         {"config", version},
+         {"config_age_ms", absl::ToInt64Milliseconds(this->context.freshness.age(Clock::now()))}});
+    this->connection.answer(rejection.status, platform::ownAnswerHeaders(callId, retryAfter),
+                            body.dump());
+}
+
+void CallerSession::onCallerGone(InboundConnection &)
+{
+    if (this->run)
+        this->run->onCallerGone();
+}
+
+void CallerSession::onWritable(InboundConnection &)
+{
+    if (this->run && !this->run->isDone())
+        this->run->onCallerWritable();
+}
+
+void CallerSession::onRequestRejected(InboundConnection &connection, int status)
+{
+    this->context.metrics.counter("foxtailtally_refusals_total", {{"cause", "protocol"}}).add();
+    logEvent(LogLevel::Warning, "request_malformed", {{"status", status}});
+    if (this->run)
+        this->run->onCallerGone();
+    const nlohmann::json body = {{"error", "request_malformed"}, {"not_run", true}};
+    connection.answer(status, platform::ownAnswerHeaders({}, std::nullopt), body.dump());
+}
+
+void CallerSession::onClosed(InboundConnection &)
+{
+    if (this->run && !this->run->isDone())
+        this->run->onCallerGone();
+    this->retireRun();
+    this->owner.onSessionClosed(*this);
+}
+
+void CallerSession::retireRun()
+{
+    if (this->run)
+        this->context.retired.push_back(std::move(this->run));
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/gateway/caller_session.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "main/gateway/call_run.h"
+#include "main/gateway/gateway_context.h"
+#include "peers/http/inbound_connection.h"
+
+#include <absl/time/time.h>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace foxtailtally {
+
+class CallerSession;
+
+class SessionOwner
+{
+public:
+    virtual ~SessionOwner() = default;
+    /** The session's connection is closed; the owner retires the session. */
+    virtual void onSessionClosed(CallerSession &session) = 0;
+};
+
+/** A caller's connection: lets its calls in or refuses them, one after the other. */
+class CallerSession final : public Retirable, private InboundEvents
+{
+public:
+    CallerSession(GatewayContext &context, int socket, SessionOwner &owner);
+
+    void closeWhenIdle() { this->connection.closeWhenIdle(); }
+    bool isBusy() const { return this->run && !this->run->isDone(); }
+
+private:
+    /** A refusal that is answered once the request has been read. */
+    struct Rejection
+    {
+        int status = 0;
+        std::string_view cause;
+        bool notRun = false;
+    };
+
+    void onRequestHead(InboundConnection &connection) override;
+    void onRequestComplete(InboundConnection &connection) override;
+    void onCallerGone(InboundConnection &connection) override;
+    void onWritable(InboundConnection &connection) override;
+    void onRequestRejected(InboundConnection &connection, int status) override;
+    void onClosed(InboundConnection &connection) override;
+
+    std::optional<Rejection> admit(const RequestHead &head, AdmittedCall &call,
+                                   absl::Time now) const;
+    void refuse(const Rejection &rejection);
+    void retireRun();
+
+    GatewayContext &context;
+    SessionOwner &owner;
+    std::unique_ptr<CallRun> run;
+    std::optional<Rejection> rejection;
+    InboundConnection connection;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/gateway/gateway.cpp
@@ -0,0 +1,172 @@
+#include "main/gateway/gateway.h"
+
+#include "core/clock.h"
+#include "core/log.h"
+#include "main/gateway/listener.h"
+
+#include <csignal>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <nlohmann/json.hpp>
+
+namespace foxtailtally {
+
+namespace {
+
+/** Interval of housekeeping: closed connections, lapsed entries, silent instances. */
+constexpr absl::Duration kTick = absl::Milliseconds(250);
+
+/** Time for which a stopping instance still takes new connections: the balancer asks once a second
+ * and takes an instance out after two answers. */
+constexpr absl::Duration kBalancerLag = absl::Milliseconds(2600);
+
+/** A stopping instance ends this long before it would be killed. */
+constexpr absl::Duration kStopMargin = absl::Milliseconds(400);
+
+event_base *newBase()
+{
+    event_config *config = event_config_new();
+    // The cached clock of the loop is coarse; one process has one loop and needs no locks.
+    event_config_set_flag(config, EVENT_BASE_FLAG_NOLOCK);
+    event_base *base = event_base_new_with_config(config);
+    event_config_free(config);
+    return base;
+}
+
+} // namespace
+
+Gateway::Gateway(const GatewaySettings &settings)
+    : base(newBase())
+    , context(this->base, settings)
+    , store(this->context)
+    , readyEndpoint(this->base, [this](const RequestHead &) { return this->answerReady(); })
+    , metricsEndpoint(this->base, [this](const RequestHead &) { return this->answerMetrics(); })
+    , tick(this->base, [this] { this->onTick(); })
+{ }
+
+Gateway::~Gateway()
+{
+    if (this->listener)
+        evconnlistener_free(this->listener);
+    if (this->termination)
+        event_free(this->termination);
+}
+
+std::error_code Gateway::start()
+{
+    const GatewaySettings &settings = this->context.settings;
+    std::signal(SIGPIPE, SIG_IGN);
+    // The settings are read at start only: a new file takes effect with the next start.
+    std::signal(SIGHUP, SIG_IGN);
+    this->termination = evsignal_new(
+        this->base, SIGTERM,
+        [](evutil_socket_t, short, void *object) { static_cast<Gateway *>(object)->beginStop(); },
+        this);
+    event_add(this->termination, nullptr);
+    if (const std::error_code error = this->context.exchange.start(settings.peerAddress))
+        return error;
+    if (const std::error_code error = this->readyEndpoint.start(settings.readyAddress))
+        return error;
+    if (const std::error_code error = this->metricsEndpoint.start(settings.metricsAddress))
+        return error;
+    const Result<evconnlistener *> opened = listenOn(
+        this->base, settings.callerAddress,
+        [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *object) {
+            static_cast<Gateway *>(object)->onAccept(socket);
+        },
+        this);
+    if (!opened.ok())
+        return opened.error();
+    this->listener = *opened;
+    this->store.start();
+    this->tick.start(kTick);
+    logEvent(LogLevel::Info, "started",
+             {{"instance", settings.id.str()},
+              {"domain", settings.domain.str()},
+              {"version", FOXTAILTALLY_VERSION}});
+    return {};
+}
+
+void Gateway::run()
+{
+    event_base_dispatch(this->base);
+    logEvent(LogLevel::Info, "stopped", {{"sessions", this->sessions.size()}});
+}
+
+void Gateway::onAccept(int socket)
+{
+    SessionOwner &owner = *this;
+    auto session = std::make_unique<CallerSession>(this->context, socket, owner);
+    CallerSession *key = session.get();
+    this->sessions.emplace(key, std::move(session));
+}
+
+void Gateway::onSessionClosed(CallerSession &session)
+{
+    const auto found = this->sessions.find(&session);
+    if (found == this->sessions.end())
+        return;
+    this->context.retired.push_back(std::move(found->second));
+    this->sessions.erase(found);
+}
+
+void Gateway::onTick()
+{
+    const absl::Time now = Clock::now();
+    this->context.directory.onTick(now);
+    this->context.ledger.onTick(now);
+    this->context.health.onTick(now);
+    // A retired object may retire others in its turn.
+    std::vector<std::unique_ptr<Retirable>> retired;
+    retired.swap(this->context.retired);
+    retired.clear();
+    this->context.pool.onTick(now);
+    this->readyEndpoint.onTick();
+    this->metricsEndpoint.onTick();
+    if (this->context.isStopping)
+        this->continueStop(now);
+    this->tick.start(kTick);
+}
+
+void Gateway::beginStop()
+{
+    if (this->context.isStopping)
+        return;
+    this->context.isStopping = true;
+    this->stopBegan = Clock::now();
+    logEvent(LogLevel::Info, "stopping", {{"sessions", this->sessions.size()}});
+}
+
+void Gateway::continueStop(absl::Time now)
+{
+    const absl::Duration elapsed = now - this->stopBegan;
+    if (elapsed < kBalancerLag)
+        return;
+    std::vector<CallerSession *> open;
+    for (const auto &[key, session] : this->sessions)
+        open.push_back(key);
+    for (CallerSession *session : open)
+        session->closeWhenIdle();
+    const bool isOver = elapsed >= this->context.settings.stopLimit - kStopMargin;
+    if (this->sessions.empty() || isOver)
+        event_base_loopbreak(this->base);
+}
+
+bool Gateway::isReady(absl::Time now) const
+{
+    return !this->context.isStopping && this->context.config && this->store.hasServers()
+        && this->context.freshness.isReady(now);
+}
+
+AdminAnswer Gateway::answerReady() const
+{
+    const bool ready = this->isReady(Clock::now());
+    return {ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n"};
+}
+
+AdminAnswer Gateway::answerMetrics() const
+{
+    return {200, "text/plain; version=0.0.4", this->context.metrics.exposition()};
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/gateway/gateway.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "main/gateway/admin_endpoint.h"
+#include "main/gateway/caller_session.h"
+#include "main/gateway/gateway_context.h"
+#include "main/gateway/store_follower.h"
+#include "peers/http/loop_timer.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+#include <memory>
+#include <system_error>
+
+struct event;
+struct event_base;
+struct evconnlistener;
+
+namespace foxtailtally {
+
+/**
+ * An entry instance on the users' platform: one thread, one event loop. It decides for each call
+ * by itself, on what the store and the other instances have told it.
+ */
+class Gateway final : private SessionOwner
+{
+public:
+    explicit Gateway(const GatewaySettings &settings);
+    ~Gateway() override;
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    std::error_code start();
+    /** Serves until a planned stop is complete. */
+    void run();
+
+private:
+    void onAccept(int socket);
+    void onSessionClosed(CallerSession &session) override;
+    void onTick();
+    void beginStop();
+    void continueStop(absl::Time now);
+    bool isReady(absl::Time now) const;
+    AdminAnswer answerReady() const;
+    AdminAnswer answerMetrics() const;
+
+    event_base *base;
+    GatewayContext context;
+    StoreFollower store;
+    AdminEndpoint readyEndpoint;
+    AdminEndpoint metricsEndpoint;
+    evconnlistener *listener = nullptr;
+    event *termination = nullptr;
+    LoopTimer tick;
+    absl::flat_hash_map<CallerSession *, std::unique_ptr<CallerSession>> sessions;
+    absl::Time stopBegan = absl::InfiniteFuture();
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/gateway/gateway_context.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "core/metrics.h"
+#include "core/random.h"
+#include "main/gateway/gateway_settings.h"
+#include "main/gateway/instance_exchange.h"
+#include "peers/http/connection_pool.h"
+#include "servers/catalog/config_freshness.h"
+#include "servers/catalog/server_directory.h"
+#include "servers/catalog/serving_config.h"
+#include "servers/placement/server_health.h"
+#include "servers/placement/stream_ledger.h"
+#include "servers/retry/retry_budget.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+struct event_base;
+
+namespace foxtailtally {
+
+/** What this instance sees of one server beside its health. */
+struct ServerActivity
+{
+    /** Calls of this instance in work there. */
+    std::int64_t outstanding = 0;
+    /** Running and waiting calls of all instances as last told, and when. */
+    std::int64_t reported = 0;
+    absl::Time reportedAt = absl::InfinitePast();
+    absl::Time lastByteAt = absl::InfinitePast();
+    /** Calls sent in the second that began at countedFrom. */
+    std::int64_t sentInSecond = 0;
+    absl::Time countedFrom = absl::InfinitePast();
+    /** Shortest pause between two events of a stream since the pace was last judged. */
+    double shortestPauseMs = 0;
+    int pauses = 0;
+};
+
+/** An object whose destruction waits until the events in progress are over. */
+class Retirable
+{
+public:
+    Retirable() = default;
+    virtual ~Retirable() = default;
+    Retirable(const Retirable &) = delete;
+    Retirable &operator=(const Retirable &) = delete;
+};
+
+/** State that all calls of a gateway share; used from its loop only. */
+struct GatewayContext
+{
+    GatewayContext(event_base *base, const GatewaySettings &settings)
+        : base(base)
+        , settings(settings)
+        , freshness(settings.revocationBound)
+        , retries(settings.retries)
+        , pool(base)
+        , exchange(base, settings.id, this->ledger, this->health)
+        , random(stableSeed(settings))
+    { }
+
+    static std::uint64_t stableSeed(const GatewaySettings &settings);
+
+    event_base *base;
+    GatewaySettings settings;
+    /** Null until the first configuration is known. */
+    std::shared_ptr<const ServingConfig> config;
+    ConfigFreshness freshness;
+    ServerDirectory directory;
+    StreamLedger ledger;
+    ServerHealth health;
+    RetryBudget retries;
+    ConnectionPool pool;
+    InstanceExchange exchange;
+    Metrics metrics;
+    Random random;
+    absl::flat_hash_map<ServerKey, ServerActivity> activity;
+    std::vector<std::unique_ptr<Retirable>> retired;
+    std::uint32_t nextStream = 1;
+    bool isStopping = false;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/gateway/gateway_settings.cpp
@@ -0,0 +1,87 @@
+#include "main/gateway/gateway_settings.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace foxtailtally {
+
+namespace {
+
+constexpr double kMaxPort = 65535;
+
+std::vector<SettingSpec> makeSchema()
+{
+    using Kind = SettingKind;
+    return {
+        {"instance", "id", Kind::Text, "", 0, 0, true, "Unique name of this instance."},
+        {"instance", "failure_domain", Kind::Text, "", 0, 0, true,
+         "Failure domain this instance runs in."},
+        {"instance", "address", Kind::Text, "", 0, 0, true, "IP number of this instance."},
+        {"instance", "caller_address", Kind::Text, "", 0, 0, true, "IP:port for callers."},
+        {"instance", "ready_address", Kind::Text, "", 0, 0, true,
+         "IP:port where readiness is asked for."},
+        {"instance", "internal_ports", Kind::List, "", 0, 0, true,
+         "First and last port for use between instances: the first one for datagrams, the next "
+         "one for metrics."},
+        {"store", "address", Kind::Text, "", 0, 0, true, "IP:port of the platform's store."},
+        {"keys", "revocation_bound", Kind::Duration, "5 s", 1, 60, false,
+         "Time after which a key that was taken away must not be honoured."},
+        {"retries", "ratio", Kind::Ratio, "0.2", 0, 10, false,
+         "Repeats allowed for each request to a service, over all instances."},
+        {"retries", "slack", Kind::Count, "100", 0, 100000, false,
+         "Repeats allowed in a window beyond the ratio, over all instances."},
+        {"retries", "window", Kind::Duration, "10 s", 1, 600, false, "Window of the two above."},
+        {"cold", "factor", Kind::Ratio, "1", 0, 100, false,
+         "Multiple of its own figure that a cold server bears in a second."},
+        {"cold", "slack", Kind::Count, "0", 0, 10000, false,
+         "Requests that a cold server bears in a second beyond that."},
+        {"stop", "limit", Kind::Duration, "8 s", 1, 3600, false,
+         "Time between SIGTERM and SIGKILL."},
+        {"log", "level", Kind::Text, "info", 0, 0, false, "debug, info, warning or error."},
+        {"metrics", "port_offset", Kind::Count, "1", 0, kMaxPort, false,
+         "Port for metrics, counted from the first internal port."},
+    };
+}
+
+LogLevel levelNamed(const std::string &name)
+{
+    if (name == "debug")
+        return LogLevel::Debug;
+    if (name == "warning")
+        return LogLevel::Warning;
+    return name == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
+} // namespace
+
+const std::vector<SettingSpec> &gatewaySettingsSchema()
+{
+    static const std::vector<SettingSpec> schema = makeSchema();
+    return schema;
+}
+
+GatewaySettings gatewaySettings(const Settings &settings)
+{
+    GatewaySettings result;
+    result.id = InstanceId(settings.text("instance", "id"));
+    result.domain = FailureDomainId(settings.text("instance", "failure_domain"));
+    result.callerAddress = settings.text("instance", "caller_address");
+    result.readyAddress = settings.text("instance", "ready_address");
+    const std::string &address = settings.text("instance", "address");
+    const std::vector<std::string> ports = settings.list("instance", "internal_ports");
+    const int firstPort = ports.empty() ? 0 : std::atoi(ports.front().c_str());
+    result.peerAddress = absl::StrCat(address, ":", firstPort);
+    result.metricsAddress =
+        absl::StrCat(address, ":", firstPort + settings.count("metrics", "port_offset"));
+    result.storeAddress = settings.text("store", "address");
+    result.revocationBound = settings.duration("keys", "revocation_bound");
+    result.stopLimit = settings.duration("stop", "limit");
+    result.retries.ratio = settings.ratio("retries", "ratio");
+    result.retries.slack = static_cast<double>(settings.count("retries", "slack"));
+    result.retries.window = settings.duration("retries", "window");
+    result.coldFactor = settings.ratio("cold", "factor");
+    result.coldSlack = static_cast<double>(settings.count("cold", "slack"));
+    result.logLevel = levelNamed(settings.text("log", "level"));
+    return result;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/gateway/gateway_settings.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/log.h"
+#include "core/settings.h"
+#include "servers/retry/retry_budget.h"
+
+#include <absl/time/time.h>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace foxtailtally {
+
+/** Settings of a gateway as its code uses them. */
+struct GatewaySettings
+{
+    InstanceId id;
+    FailureDomainId domain;
+    /** "ip:port" each. */
+    std::string callerAddress;
+    std::string readyAddress;
+    std::string metricsAddress;
+    std::string peerAddress;
+    std::string storeAddress;
+    absl::Duration revocationBound;
+    absl::Duration stopLimit;
+    RetryBudgetOptions retries;
+    /** Requests that a cold server bears in a second, as a multiple of its figure and a constant.
+     */
+    double coldFactor = 1.0;
+    double coldSlack = 0.0;
+    LogLevel logLevel = LogLevel::Info;
+};
+
+const std::vector<SettingSpec> &gatewaySettingsSchema();
+
+/** The settings of a file that was checked against gatewaySettingsSchema(). */
+GatewaySettings gatewaySettings(const Settings &settings);
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/gateway/kind_watcher.cpp
@@ -0,0 +1,189 @@
+#include "main/gateway/kind_watcher.h"
+
+#include "core/clock.h"
+#include "core/log.h"
+#include "core/text.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace foxtailtally {
+
+namespace {
+
+/** Time for an answer of the store; it answers in milliseconds, and up to a quarter of a second
+ * while it is slow. */
+constexpr absl::Duration kAnswerTime = absl::Milliseconds(900);
+
+/** Pauses between failed calls; each call is counted by the store. */
+constexpr absl::Duration kFirstPause = absl::Milliseconds(120);
+constexpr absl::Duration kLongestPause = absl::Milliseconds(600);
+
+/** Servers whose entries lapsed register again within this time of the store's return. */
+constexpr absl::Duration kSettleTime = absl::Milliseconds(2500);
+
+constexpr int kStatusGone = 410;
+
+} // namespace
+
+KindWatcher::KindWatcher(event_base *base, std::string storeAddress, std::string_view kind,
+                         absl::Duration watchTime, KindEvents &events)
+    : base(base)
+    , storeAddress(std::move(storeAddress))
+    , kind(kind)
+    , watchTime(watchTime)
+    , events(events)
+    , timer(base, [this] { this->onTimer(); })
+{ }
+
+void KindWatcher::start()
+{
+    this->list({});
+}
+
+bool KindWatcher::isSettled(absl::Time now) const
+{
+    return now - this->lastFailureAt > kSettleTime;
+}
+
+void KindWatcher::list(std::string_view after)
+{
+    this->phase = Phase::Listing;
+    if (after.empty()) {
+        this->listed.clear();
+        this->listStartedAt = Clock::now();
+    }
+    this->send(platform::listTarget(this->kind, after), kAnswerTime);
+}
+
+void KindWatcher::watch()
+{
+    this->phase = Phase::Watching;
+    this->send(platform::watchTarget(this->kind, this->revision, this->watchTime),
+               this->watchTime + kAnswerTime);
+}
+
+void KindWatcher::send(const std::string &target, absl::Duration limit)
+{
+    if (!this->connection || !this->connection->isReusable()) {
+        this->retired = std::move(this->connection);
+        IdleEvents &idleEvents = *this;
+        this->connection =
+            std::make_unique<OutboundConnection>(this->base, this->storeAddress, idleEvents);
+    }
+    this->status = 0;
+    this->body.clear();
+    this->sentAt = Clock::now();
+    this->timer.start(limit);
+    this->connection->call(
+        absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", this->storeAddress, "\r\n\r\n"), false,
+        {}, *this);
+}
+
+void KindWatcher::onResponseHead(OutboundConnection &, const ResponseHead &head)
+{
+    this->status = head.status;
+}
+
+void KindWatcher::onResponseBody(OutboundConnection &, std::string_view data)
+{
+    this->body.append(data);
+}
+
+void KindWatcher::onResponseComplete(OutboundConnection &)
+{
+    const absl::Time now = Clock::now();
+    if (this->status != 200) {
+        this->onFailure(absl::StrCat("status ", this->status), this->status == kStatusGone);
+        return;
+    }
+    if (this->phase == Phase::Listing)
+        this->onPage(now);
+    else
+        this->onChanges(now);
+}
+
+void KindWatcher::onPage(absl::Time now)
+{
+    Result<platform::ObjectPage> page = platform::decodePage(this->body);
+    if (!page.ok()) {
+        this->onFailure("unreadable list", true);
+        return;
+    }
+    for (platform::StoredObject &object : page->objects)
+        this->listed.push_back(std::move(object));
+    if (page->hasMore && !this->listed.empty()) {
+        const std::string after = this->listed.back().name;
+        this->list(after);
+        return;
+    }
+    this->revision = page->revision;
+    this->mustList = false;
+    if (this->failures > 0)
+        logEvent(LogLevel::Info, "store_regained", {{"kind", this->kind}});
+    this->failures = 0;
+    this->events.onObjects(this->listed, !this->isSettled(now), now);
+    this->events.onConfirmed(this->listStartedAt);
+    this->listed.clear();
+    this->watch();
+}
+
+void KindWatcher::onChanges(absl::Time now)
+{
+    const Result<platform::ObjectChanges> changes = platform::decodeChanges(this->body);
+    if (!changes.ok()) {
+        this->onFailure("unreadable changes", true);
+        return;
+    }
+    if (this->failures > 0)
+        logEvent(LogLevel::Info, "store_regained", {{"kind", this->kind}});
+    this->failures = 0;
+    for (const platform::ObjectChange &change : changes->changes)
+        this->events.onChange(change, !this->isSettled(now), now);
+    this->revision = std::max(this->revision, changes->revision);
+    // An empty answer was given when the time asked for was over; one with changes, at any time
+    // since the call.
+    const bool waitedFully = changes->changes.empty() && now - this->sentAt >= this->watchTime;
+    this->events.onConfirmed(waitedFully ? this->sentAt + this->watchTime : this->sentAt);
+    this->watch();
+}
+
+void KindWatcher::onCallFailed(OutboundConnection &, std::error_code error)
+{
+    this->onFailure(errorName(error), false);
+}
+
+void KindWatcher::onIdleClosed(OutboundConnection &)
+{
+    // send() opens another connection.
+}
+
+void KindWatcher::onFailure(std::string_view cause, bool mustList)
+{
+    this->mustList = this->mustList || mustList;
+    this->lastFailureAt = Clock::now();
+    if (this->failures++ == 0)
+        logEvent(LogLevel::Warning, "store_lost", {{"kind", this->kind}, {"cause", cause}});
+    if (this->connection && this->connection->hasCall())
+        this->connection->cancel();
+    this->phase = Phase::Waiting;
+    const bool isGone = this->status == kStatusGone;
+    const absl::Duration pause = std::min(kLongestPause, kFirstPause * this->failures);
+    this->timer.start(isGone ? absl::ZeroDuration() : pause);
+}
+
+void KindWatcher::onTimer()
+{
+    if (this->phase != Phase::Waiting) {
+        this->status = 0;
+        this->onFailure("no answer", false);
+        return;
+    }
+    this->retired.reset();
+    if (this->mustList)
+        this->list({});
+    else
+        this->watch();
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/gateway/kind_watcher.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "peers/http/loop_timer.h"
+#include "peers/http/outbound_connection.h"
+#include "platform/store_objects.h"
+
+#include <absl/time/time.h>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace foxtailtally {
+
+/** What a KindWatcher learns of one kind of object in the store. */
+class KindEvents
+{
+public:
+    virtual ~KindEvents() = default;
+    /** The complete list. @p storeUnsettled: the store could not be reached lately. */
+    virtual void onObjects(const std::vector<platform::StoredObject> &objects, bool storeUnsettled,
+                           absl::Time now) = 0;
+    virtual void onChange(const platform::ObjectChange &change, bool storeUnsettled,
+                          absl::Time now) = 0;
+    /** All changes up to @p moment have been told. */
+    virtual void onConfirmed(absl::Time moment) = 0;
+};
+
+/**
+ * Follows one kind of object in the store: lists it, then watches for changes, over one connection.
+ * A watch is asked for a short time only, because a connection may go silent without a reset and
+ * because its answer confirms that what is known is still the newest.
+ */
+class KindWatcher final : private OutboundEvents, private IdleEvents
+{
+public:
+    KindWatcher(event_base *base, std::string storeAddress, std::string_view kind,
+                absl::Duration watchTime, KindEvents &events);
+
+    void start();
+    /** True when nothing failed since kSettleTime. */
+    bool isSettled(absl::Time now) const;
+
+private:
+    enum class Phase { Listing, Watching, Waiting };
+
+    void onResponseHead(OutboundConnection &connection, const ResponseHead &head) override;
+    void onResponseBody(OutboundConnection &connection, std::string_view data) override;
+    void onResponseComplete(OutboundConnection &connection) override;
+    void onCallFailed(OutboundConnection &connection, std::error_code error) override;
+    void onIdleClosed(OutboundConnection &connection) override;
+
+    void list(std::string_view after);
+    void watch();
+    void send(const std::string &target, absl::Duration limit);
+    void onPage(absl::Time now);
+    void onChanges(absl::Time now);
+    void onFailure(std::string_view cause, bool mustList);
+    void onTimer();
+
+    event_base *base;
+    std::string storeAddress;
+    std::string kind;
+    absl::Duration watchTime;
+    KindEvents &events;
+    LoopTimer timer;
+    std::unique_ptr<OutboundConnection> connection;
+    std::unique_ptr<OutboundConnection> retired;
+    Phase phase = Phase::Waiting;
+    bool mustList = true;
+    int status = 0;
+    std::string body;
+    std::vector<platform::StoredObject> listed;
+    std::int64_t revision = 0;
+    absl::Time sentAt = absl::InfinitePast();
+    absl::Time listStartedAt = absl::InfinitePast();
+    absl::Time lastFailureAt = absl::InfinitePast();
+    int failures = 0;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/gateway/server_call.cpp
@@ -0,0 +1,142 @@
+#include "main/gateway/server_call.h"
+
+#include "core/clock.h"
+#include "core/error.h"
+
+namespace foxtailtally {
+
+namespace {
+
+/** Time for a connection to come about; servers are a few milliseconds away, and a lost packet is
+ * sent again after longer than this. */
+constexpr absl::Duration kConnectTime = absl::Milliseconds(180);
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+ServerCall::ServerCall(GatewayContext &context, AttemptTarget target, ServerCallEvents &events)
+    : context(context)
+    , server(std::move(target))
+    , events(events)
+    , connectTimer(context.base, [this] { this->onConnectTimer(); })
+{ }
+
+ServerCall::~ServerCall()
+{
+    this->cancel();
+}
+
+void ServerCall::send(std::string request, bool isHeadRequest, const std::string &callId,
+                      bool mustNotRepeat, absl::Time now)
+{
+    this->startedAt = now;
+    this->mustNotRepeat = mustNotRepeat;
+    const absl::Duration maxIdle = mustNotRepeat ? absl::ZeroDuration() : ConnectionPool::kMaxIdle;
+    this->connection = this->context.pool.acquire(this->server.address, maxIdle, now);
+    this->wasConnectionKept = this->connection->hasCarriedCalls();
+    ServerActivity &activity = this->context.activity[this->server.key];
+    ++activity.outstanding;
+    if (now - activity.countedFrom >= absl::Seconds(1)) {
+        activity.countedFrom = now;
+        activity.sentInSecond = 0;
+    }
+    ++activity.sentInSecond;
+    if (!this->connection->isConnected())
+        this->connectTimer.start(kConnectTime);
+    this->connection->call(std::move(request), isHeadRequest, platform::correlationOf(callId),
+                           *this);
+}
+
+void ServerCall::cancel()
+{
+    if (!this->connection)
+        return;
+    this->connection->cancel();
+    this->detach();
+}
+
+void ServerCall::pauseReading(bool isPaused)
+{
+    if (this->connection)
+        this->connection->pauseReading(isPaused);
+}
+
+void ServerCall::onResponseHead(OutboundConnection &, const ResponseHead &head)
+{
+    const absl::Time now = Clock::now();
+    ServerActivity &activity = this->context.activity[this->server.key];
+    activity.lastByteAt = now;
+    const platform::ServerReply reply = platform::decodeServerReply(head);
+    if (reply.outstanding) {
+        activity.reported = *reply.outstanding;
+        activity.reportedAt = now;
+    }
+    if (reply.coldLeft)
+        this->context.directory.onCold(this->server.id, *reply.coldLeft, now);
+    // On a kept connection a rejection without an id may answer an earlier call.
+    const bool isAmbiguous = !reply.hasCallId && this->wasConnectionKept;
+    if (reply.notRun && !(isAmbiguous && this->mustNotRepeat)) {
+        this->connection->cancel();
+        this->end(AttemptEnd::Rejected);
+        return;
+    }
+    if (!this->isUsable(head, reply)) {
+        this->connection->cancel();
+        this->end(AttemptEnd::Lost);
+        return;
+    }
+    this->events.onReply(*this, head, reply);
+}
+
+bool ServerCall::isUsable(const ResponseHead &head, const platform::ServerReply &reply) const
+{
+    if (reply.isEncoded || reply.notRun)
+        return false;
+    return !isSuccess(head.status) || (reply.isSigned && reply.hasCallId);
+}
+
+void ServerCall::onResponseBody(OutboundConnection &, std::string_view data)
+{
+    this->context.activity[this->server.key].lastByteAt = Clock::now();
+    this->events.onReplyBody(*this, data);
+}
+
+void ServerCall::onResponseComplete(OutboundConnection &)
+{
+    this->connectTimer.stop();
+    this->context.pool.release(this->server.address, std::move(this->connection), Clock::now());
+    --this->context.activity[this->server.key].outstanding;
+    this->events.onReplyComplete(*this);
+}
+
+void ServerCall::onCallFailed(OutboundConnection &, std::error_code error)
+{
+    this->end(error == Error::ConnectionFailed ? AttemptEnd::NotSent : AttemptEnd::Lost);
+}
+
+void ServerCall::onConnectTimer()
+{
+    if (!this->connection || this->connection->isConnected())
+        return;
+    this->connection->cancel();
+    this->end(AttemptEnd::NotSent);
+}
+
+void ServerCall::end(AttemptEnd end)
+{
+    this->detach();
+    this->events.onAttemptEnded(*this, end);
+}
+
+void ServerCall::detach()
+{
+    this->connectTimer.stop();
+    this->context.pool.discard(std::move(this->connection));
+    --this->context.activity[this->server.key].outstanding;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/gateway/server_call.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "main/gateway/gateway_context.h"
+#include "peers/http/loop_timer.h"
+#include "peers/http/outbound_connection.h"
+#include "platform/call_headers.h"
+#include "servers/retry/attempt_policy.h"
+
+#include <absl/time/time.h>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace foxtailtally {
+
+class ServerCall;
+
+/** What a ServerCall reports. A call that ended is silent from then on. */
+class ServerCallEvents
+{
+public:
+    virtual ~ServerCallEvents() = default;
+    /** The server answers the call; the body follows. */
+    virtual void onReply(ServerCall &call, const ResponseHead &head,
+                         const platform::ServerReply &reply) = 0;
+    virtual void onReplyBody(ServerCall &call, std::string_view data) = 0;
+    virtual void onReplyComplete(ServerCall &call) = 0;
+    /** The call ended without a usable answer. */
+    virtual void onAttemptEnded(ServerCall &call, AttemptEnd end) = 0;
+};
+
+/** Which server gets an attempt. */
+struct AttemptTarget
+{
+    BackendServerId id;
+    ServerKey key = 0;
+    std::string address;
+};
+
+/** One attempt of a call at one server. */
+class ServerCall final : public Retirable, private OutboundEvents
+{
+public:
+    ServerCall(GatewayContext &context, AttemptTarget target, ServerCallEvents &events);
+    ~ServerCall() override;
+
+    /**
+     * Sends @p request. @p mustNotRepeat: the call may run once only, so a kept connection, which
+     * may be broken without notice, is not used.
+     */
+    void send(std::string request, bool isHeadRequest, const std::string &callId,
+              bool mustNotRepeat, absl::Time now);
+    /** Gives the attempt up; the server is told by the close of the connection. */
+    void cancel();
+    void pauseReading(bool isPaused);
+
+    const AttemptTarget &target() const { return this->server; }
+    absl::Time sentAt() const { return this->startedAt; }
+    bool isActive() const { return this->connection != nullptr; }
+
+private:
+    void onResponseHead(OutboundConnection &connection, const ResponseHead &head) override;
+    void onResponseBody(OutboundConnection &connection, std::string_view data) override;
+    void onResponseComplete(OutboundConnection &connection) override;
+    void onCallFailed(OutboundConnection &connection, std::error_code error) override;
+
+    void onConnectTimer();
+    void end(AttemptEnd end);
+    void detach();
+    /** Judges the head; NextStep-relevant end when the reply is of no use. */
+    bool isUsable(const ResponseHead &head, const platform::ServerReply &reply) const;
+
+    GatewayContext &context;
+    AttemptTarget server;
+    ServerCallEvents &events;
+    std::unique_ptr<OutboundConnection> connection;
+    LoopTimer connectTimer;
+    absl::Time startedAt = absl::InfinitePast();
+    bool wasConnectionKept = false;
+    bool mustNotRepeat = false;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/main/gateway/store_follower.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "main/gateway/gateway_context.h"
+#include "main/gateway/kind_watcher.h"
+#include "peers/http/loop_timer.h"
+#include "peers/http/outbound_connection.h"
+
+#include <absl/time/time.h>
+#include <memory>
+#include <vector>
+
+namespace foxtailtally {
+
+/**
+ * Keeps the context's configuration, servers, evacuations and instances as the store has them, and
+ * enters this instance in the store.
+ */
+class StoreFollower
+{
+public:
+    explicit StoreFollower(GatewayContext &context);
+    ~StoreFollower();
+    StoreFollower(const StoreFollower &) = delete;
+    StoreFollower &operator=(const StoreFollower &) = delete;
+
+    void start();
+    /** The list of servers has been read. */
+    bool hasServers() const { return this->serversListed; }
+
+private:
+    class ConfigEvents;
+    class ServerEvents;
+    class EvacuationEvents;
+    class InstanceEvents;
+    class Registration;
+
+    GatewayContext &context;
+    bool serversListed = false;
+    std::unique_ptr<ConfigEvents> configEvents;
+    std::unique_ptr<ServerEvents> serverEvents;
+    std::unique_ptr<EvacuationEvents> evacuationEvents;
+    std::unique_ptr<InstanceEvents> instanceEvents;
+    std::vector<std::unique_ptr<KindWatcher>> watchers;
+    std::unique_ptr<Registration> registration;
+};
+
+} // namespace foxtailtally
--- a/main/lib/command_line.cpp
+++ b/main/lib/command_line.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "core/settings.h"
+#include "main/gateway/gateway.h"
 #include "main/lib/entry_instance.h"
 #include "main/lib/operator_commands.h"
 #include "main/lib/settings_schema.h"
@@ -20,10 +21,10 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitSettings = 2;
 
-Result<Settings> readSettings(const std::string &file)
+Result<Settings> readSettings(const std::string &file, const std::vector<SettingSpec> &schema)
 {
     std::vector<SettingsProblem> problems;
-    Result<Settings> settings = Settings::load(file, serveSettingsSchema(), problems);
+    Result<Settings> settings = Settings::load(file, schema, problems);
     for (const SettingsProblem &problem : problems)
         std::cerr << problem.describe() << '\n';
     return settings;
@@ -40,7 +41,7 @@
 
 int serve(const std::string &file)
 {
-    const Result<Settings> settings = readSettings(file);
+    const Result<Settings> settings = readSettings(file, serveSettingsSchema());
     if (!settings.ok())
         return kExitSettings;
     configureLog(levelNamed(settings->text("log", "level")), settings->text("log", "file"));
@@ -63,6 +64,22 @@
     return 0;
 }
 
+int serveGateway(const std::string &file)
+{
+    const Result<Settings> settings = readSettings(file, gatewaySettingsSchema());
+    if (!settings.ok())
+        return kExitSettings;
+    const GatewaySettings values = gatewaySettings(*settings);
+    configureLog(values.logLevel, "");
+    Gateway gateway(values);
+    if (const std::error_code error = gateway.start()) {
+        std::cerr << "cannot start: " << error.message() << '\n';
+        return error == Error::SettingsInvalid ? kExitSettings : kExitFailed;
+    }
+    gateway.run();
+    return 0;
+}
+
 } // namespace
 
 int runCommandLine(int argc, char **argv)
@@ -80,15 +97,25 @@
         ->required();
     serveCommand->callback([&] { result = serve(settingsFile); });
 
+    CLI::App *gatewayCommand =
+        app.add_subcommand("gateway", "Run an entry instance on the users' platform");
+    gatewayCommand->add_option("--settings", settingsFile, "INI file, see docs/settings.md")
+        ->required();
+    gatewayCommand->callback([&] { result = serveGateway(settingsFile); });
+
     CLI::App *check = app.add_subcommand("check-settings", "Check a settings file and exit");
     bool describe = false;
     check->add_option("--settings", settingsFile, "INI file to check");
     check->add_flag("--describe", describe, "Print every key with unit, default and range");
+    bool isGateway = false;
+    check->add_flag("--gateway", isGateway, "Check settings of the gateway command");
     check->callback([&] {
+        const std::vector<SettingSpec> &schema =
+            isGateway ? gatewaySettingsSchema() : serveSettingsSchema();
         if (describe)
-            std::cout << describeSettings(serveSettingsSchema());
+            std::cout << describeSettings(schema);
         else
-            result = readSettings(settingsFile).ok() ? 0 : kExitSettings;
+            result = readSettings(settingsFile, schema).ok() ? 0 : kExitSettings;
     });
 
     app.add_subcommand("key-digest",
--- /dev/null
+++ b/peers/http/connection_pool.cpp
@@ -0,0 +1,99 @@
+#include "peers/http/connection_pool.h"
+
+#include <algorithm>
+
+namespace foxtailtally {
+
+namespace {
+
+/** A kept connection is given up this much before the server's announced time-out. */
+constexpr absl::Duration kAnnouncedMargin = absl::Milliseconds(600);
+
+absl::Duration longestIdle(const OutboundConnection &connection, absl::Duration bound)
+{
+    const absl::Duration announced = connection.announcedIdleTime();
+    if (announced == absl::ZeroDuration())
+        return bound;
+    return std::min(bound, announced - kAnnouncedMargin);
+}
+
+} // namespace
+
+std::unique_ptr<OutboundConnection> ConnectionPool::acquire(const std::string &address,
+                                                            absl::Duration maxIdle, absl::Time now)
+{
+    const auto found = this->idle.find(address);
+    if (found != this->idle.end()) {
+        std::vector<Idle> &kept = found->second;
+        // The connection used last is the least likely to have been dropped.
+        while (!kept.empty()) {
+            Idle last = std::move(kept.back());
+            kept.pop_back();
+            const bool isFresh = now - last.since <= longestIdle(*last.connection, maxIdle);
+            if (isFresh && last.connection->isReusable())
+                return std::move(last.connection);
+            this->discard(std::move(last.connection));
+            if (!isFresh)
+                break;
+        }
+    }
+    ++this->opened;
+    IdleEvents &idleEvents = *this;
+    return std::make_unique<OutboundConnection>(this->base, address, idleEvents);
+}
+
+void ConnectionPool::release(const std::string &address,
+                             std::unique_ptr<OutboundConnection> connection, absl::Time now)
+{
+    if (!connection->isReusable()) {
+        this->discard(std::move(connection));
+        return;
+    }
+    this->idle[address].push_back({std::move(connection), now});
+}
+
+void ConnectionPool::discard(std::unique_ptr<OutboundConnection> connection)
+{
+    if (!connection)
+        return;
+    connection->cancel();
+    this->discarded.push_back(std::move(connection));
+}
+
+void ConnectionPool::forget(const std::string &address)
+{
+    const auto found = this->idle.find(address);
+    if (found == this->idle.end())
+        return;
+    for (Idle &entry : found->second)
+        this->discard(std::move(entry.connection));
+    this->idle.erase(found);
+}
+
+void ConnectionPool::onTick(absl::Time now)
+{
+    this->discarded.clear();
+    for (auto &[address, kept] : this->idle) {
+        std::erase_if(kept, [this, now](Idle &entry) {
+            const bool isUsable = entry.connection->isReusable()
+                && now - entry.since <= longestIdle(*entry.connection, kMaxIdle);
+            return !isUsable;
+        });
+    }
+    absl::erase_if(this->idle, [](const auto &item) { return item.second.empty(); });
+}
+
+std::size_t ConnectionPool::idleCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[address, kept] : this->idle)
+        count += kept.size();
+    return count;
+}
+
+void ConnectionPool::onIdleClosed(OutboundConnection &)
+{
+    // The next tick drops it: it is no longer reusable.
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/peers/http/http_head.cpp
@@ -0,0 +1,81 @@
+#include "peers/http/http_head.h"
+
+#include "core/text.h"
+
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+#include <array>
+#include <http_parser.h>
+
+namespace foxtailtally {
+
+namespace {
+
+bool sameName(std::string_view a, std::string_view b)
+{
+    return absl::EqualsIgnoreCase(asAbsl(a), asAbsl(b));
+}
+
+constexpr std::array<std::string_view, 9> kHopByHop = {
+    "Connection", "Keep-Alive",          "Proxy-Connection",  "TE",     "Trailer",
+    "Upgrade",    "Proxy-Authorization", "Transfer-Encoding", "Expect",
+};
+
+} // namespace
+
+void HttpHeaders::add(std::string_view name, std::string_view value)
+{
+    this->entries.push_back({std::string(name), std::string(value)});
+}
+
+const std::string *HttpHeaders::find(std::string_view name) const
+{
+    for (const HttpHeader &header : this->entries) {
+        if (sameName(header.name, name))
+            return &header.value;
+    }
+    return nullptr;
+}
+
+std::string_view HttpHeaders::valueOr(std::string_view name, std::string_view fallback) const
+{
+    const std::string *value = this->find(name);
+    return value ? std::string_view(*value) : fallback;
+}
+
+std::size_t HttpHeaders::count(std::string_view name) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->entries.begin(), this->entries.end(),
+                      [name](const HttpHeader &header) { return sameName(header.name, name); }));
+}
+
+void HttpHeaders::remove(std::string_view name)
+{
+    std::erase_if(this->entries,
+                  [name](const HttpHeader &header) { return sameName(header.name, name); });
+}
+
+void HttpHeaders::removeHopByHop()
+{
+    std::vector<std::string> named;
+    for (const HttpHeader &header : this->entries) {
+        if (!sameName(header.name, "Connection"))
+            continue;
+        for (absl::string_view token : absl::StrSplit(header.value, ','))
+            named.emplace_back(absl::StripAsciiWhitespace(token));
+    }
+    for (const std::string &name : named)
+        this->remove(name);
+    for (std::string_view name : kHopByHop)
+        this->remove(name);
+}
+
+std::string_view reasonPhrase(int status)
+{
+    return http_status_str(static_cast<http_status>(status));
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/peers/http/http_head.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtailtally {
+
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+};
+
+/** Headers of one message in the order in which they arrived. Names compare without case. */
+class HttpHeaders
+{
+public:
+    void add(std::string_view name, std::string_view value);
+    /** Value of the first header called @p name; null when there is none. */
+    const std::string *find(std::string_view name) const;
+    std::string_view valueOr(std::string_view name, std::string_view fallback) const;
+    std::size_t count(std::string_view name) const;
+    void remove(std::string_view name);
+    /** Drops the headers that concern one connection only, those named in Connection included. */
+    void removeHopByHop();
+    void clear() { this->entries.clear(); }
+
+    const std::vector<HttpHeader> &all() const { return this->entries; }
+    std::vector<HttpHeader> &all() { return this->entries; }
+
+private:
+    std::vector<HttpHeader> entries;
+};
+
+struct RequestHead
+{
+    std::string method;
+    /** As the caller sent it. */
+    std::string target;
+    /** Path of the target without its query. */
+    std::string path;
+    /** From the Host header, or from an absolute target. */
+    std::string host;
+    HttpHeaders headers;
+};
+
+struct ResponseHead
+{
+    int status = 0;
+    HttpHeaders headers;
+    /** The end of the body is marked by its length or by a last chunk, not by the connection. */
+    bool isFramed = false;
+};
+
+std::string_view reasonPhrase(int status);
+
+} // namespace foxtailtally
--- /dev/null
+++ b/peers/http/inbound_connection.cpp
@@ -0,0 +1,426 @@
+#include "peers/http/inbound_connection.h"
+
+#include "core/text.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace foxtailtally {
+
+namespace {
+
+/** Output held for one slow reader before its source is paused, in bytes. */
+constexpr std::size_t kCongestedBytes = 64 * 1024;
+
+/** Input read ahead of the parser, in bytes; a pipelined request waits in the socket beyond it. */
+constexpr std::size_t kReadAheadBytes = 64 * 1024;
+
+/** Time to read what a caller still sends after an answer that closes the connection, so that the
+ * close does not reset the answer on its way. */
+constexpr absl::Duration kLingerTime = absl::Seconds(1);
+
+bool isToken(std::string_view name)
+{
+    return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
+        return c > ' ' && c < 0x7f
+            && std::string_view("()<>@,;:\\\"/[]?={}").find(c) == std::string_view::npos;
+    });
+}
+
+bool isFieldValue(std::string_view value)
+{
+    return std::all_of(value.begin(), value.end(),
+                       [](char c) { return static_cast<unsigned char>(c) >= ' ' || c == '\t'; });
+}
+
+InboundConnection &self(http_parser *parser)
+{
+    return *static_cast<InboundConnection *>(parser->data);
+}
+
+} // namespace
+
+InboundConnection::InboundConnection(event_base *base, int socket, InboundEvents &events,
+                                     const InboundLimits &limits)
+    : events(events)
+    , limits(limits)
+{
+    const int enabled = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+    this->stream = bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(
+        this->stream,
+        [](bufferevent *, void *object) { static_cast<InboundConnection *>(object)->onReadable(); },
+        [](bufferevent *, void *object) { static_cast<InboundConnection *>(object)->onDrained(); },
+        [](bufferevent *, short what, void *object) {
+            static_cast<InboundConnection *>(object)->onEvent(what);
+        },
+        this);
+    bufferevent_setwatermark(this->stream, EV_READ, 0, kReadAheadBytes);
+    bufferevent_enable(this->stream, EV_READ | EV_WRITE);
+    this->timer = event_new(
+        base, -1, 0,
+        [](evutil_socket_t, short, void *object) {
+            static_cast<InboundConnection *>(object)->onTimer();
+        },
+        this);
+    this->armTimer(this->limits.idleTime);
+    this->beginRequest();
+}
+
+InboundConnection::~InboundConnection()
+{
+    event_free(this->timer);
+    bufferevent_free(this->stream);
+}
+
+void InboundConnection::discardBody()
+{
+    this->isBodyDiscarded = true;
+    this->requestBody.clear();
+}
+
+void InboundConnection::answer(int status, const HttpHeaders &headers, std::string_view body)
+{
+    if (this->state == State::Closed || this->state == State::Lingering)
+        return;
+    // The rest of an unread body would be taken for the next request.
+    if (this->state == State::ReadingBody)
+        this->keepsAlive = false;
+    std::string text = this->encodeHead(status, headers);
+    const bool hasBody = status != 204 && status != 304;
+    if (hasBody)
+        absl::StrAppend(&text, "Content-Length: ", body.size(), "\r\n");
+    text += "\r\n";
+    if (hasBody && this->request.method != "HEAD")
+        text += body;
+    this->write(text);
+    this->finishAnswer();
+}
+
+void InboundConnection::startStream(int status, const HttpHeaders &headers)
+{
+    std::string text = this->encodeHead(status, headers);
+    text += "Transfer-Encoding: chunked\r\n\r\n";
+    this->write(text);
+}
+
+void InboundConnection::sendChunk(std::string_view data)
+{
+    if (data.empty())
+        return;
+    std::string text = absl::StrCat(absl::Hex(data.size()), "\r\n");
+    text += data;
+    text += "\r\n";
+    this->write(text);
+}
+
+void InboundConnection::finishStream()
+{
+    this->write("0\r\n\r\n");
+    this->finishAnswer();
+}
+
+void InboundConnection::abort()
+{
+    this->close();
+}
+
+void InboundConnection::closeWhenIdle()
+{
+    this->isClosing = true;
+    if (this->state == State::Idle && evbuffer_get_length(bufferevent_get_input(this->stream)) == 0)
+        this->linger();
+}
+
+bool InboundConnection::isCongested() const
+{
+    return this->pendingOutput() > kCongestedBytes;
+}
+
+std::size_t InboundConnection::pendingOutput() const
+{
+    return evbuffer_get_length(bufferevent_get_output(this->stream));
+}
+
+const http_parser_settings &InboundConnection::parserSettings()
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings callbacks;
+        http_parser_settings_init(&callbacks);
+        callbacks.on_url = &InboundConnection::onUrl;
+        callbacks.on_header_field = &InboundConnection::onHeaderField;
+        callbacks.on_header_value = &InboundConnection::onHeaderValue;
+        callbacks.on_headers_complete = &InboundConnection::onHeadersComplete;
+        callbacks.on_body = &InboundConnection::onBody;
+        callbacks.on_message_complete = &InboundConnection::onMessageComplete;
+        return callbacks;
+    }();
+    return settings;
+}
+
+int InboundConnection::onUrl(http_parser *parser, const char *data, std::size_t size)
+{
+    self(parser).request.target.append(data, size);
+    return 0;
+}
+
+int InboundConnection::onHeaderField(http_parser *parser, const char *data, std::size_t size)
+{
+    InboundConnection &connection = self(parser);
+    if (connection.lastWasValue) {
+        connection.request.headers.add(connection.headerName, connection.headerValue);
+        connection.headerName.clear();
+        connection.headerValue.clear();
+        connection.lastWasValue = false;
+    }
+    connection.headerName.append(data, size);
+    return 0;
+}
+
+int InboundConnection::onHeaderValue(http_parser *parser, const char *data, std::size_t size)
+{
+    InboundConnection &connection = self(parser);
+    connection.headerValue.append(data, size);
+    connection.lastWasValue = true;
+    return 0;
+}
+
+int InboundConnection::onHeadersComplete(http_parser *parser)
+{
+    InboundConnection &connection = self(parser);
+    if (!connection.headerName.empty())
+        connection.request.headers.add(connection.headerName, connection.headerValue);
+    connection.request.method = http_method_str(static_cast<http_method>(parser->method));
+    connection.keepsAlive = http_should_keep_alive(parser) != 0;
+    // An upgrade is never accepted: the bytes that follow are the next request.
+    parser->upgrade = 0;
+    return connection.acceptHead() ? 0 : -1;
+}
+
+int InboundConnection::onBody(http_parser *parser, const char *data, std::size_t size)
+{
+    InboundConnection &connection = self(parser);
+    if (connection.isBodyDiscarded)
+        return 0;
+    if (connection.requestBody.size() + size > connection.limits.bodyBytes) {
+        connection.rejectStatus = 413;
+        return -1;
+    }
+    connection.requestBody.append(data, size);
+    return 0;
+}
+
+int InboundConnection::onMessageComplete(http_parser *parser)
+{
+    self(parser).state = State::Answering;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+bool InboundConnection::acceptHead()
+{
+    RequestHead &head = this->request;
+    for (const HttpHeader &header : head.headers.all()) {
+        if (!isToken(header.name) || !isFieldValue(header.value)) {
+            this->rejectStatus = 400;
+            return false;
+        }
+    }
+    std::string_view target = head.target;
+    if (head.headers.count("Host") != 1 || target.empty() || head.method == "CONNECT") {
+        this->rejectStatus = 400;
+        return false;
+    }
+    head.host = head.headers.valueOr("Host", "");
+    if (absl::StartsWithIgnoreCase(asAbsl(target), "http://")) {
+        const std::size_t authority = std::string_view("http://").size();
+        const std::size_t slash = target.find('/', authority);
+        head.host = std::string(target.substr(authority, slash - authority));
+        target = slash == std::string_view::npos ? std::string_view("/") : target.substr(slash);
+    }
+    head.path = std::string(target.substr(0, target.find_first_of("?#")));
+    std::uint64_t length = 0;
+    if (const std::string *text = head.headers.find("Content-Length");
+        text && absl::SimpleAtoi(*text, &length) && length > this->limits.bodyBytes) {
+        this->rejectStatus = 413;
+        return false;
+    }
+    this->state = State::ReadingBody;
+    this->events.onRequestHead(*this);
+    if (absl::EqualsIgnoreCase(asAbsl(head.headers.valueOr("Expect", "")), "100-continue"))
+        this->write("HTTP/1.1 100 Continue\r\n\r\n");
+    return true;
+}
+
+void InboundConnection::onReadable()
+{
+    if (this->state == State::Lingering) {
+        evbuffer *input = bufferevent_get_input(this->stream);
+        evbuffer_drain(input, evbuffer_get_length(input));
+        return;
+    }
+    this->parseInput();
+}
+
+void InboundConnection::parseInput()
+{
+    evbuffer *input = bufferevent_get_input(this->stream);
+    while (this->state == State::Idle || this->state == State::ReadingHead
+           || this->state == State::ReadingBody) {
+        const std::size_t size = evbuffer_get_contiguous_space(input);
+        if (size == 0)
+            return;
+        if (this->state == State::Idle) {
+            this->state = State::ReadingHead;
+            this->armTimer(this->limits.headerTime);
+        }
+        const bool wasReadingHead = this->state == State::ReadingHead;
+        const char *data =
+            reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+        const std::size_t parsed =
+            http_parser_execute(&this->parser, &parserSettings(), data, size);
+        evbuffer_drain(input, parsed);
+        if (wasReadingHead) {
+            this->headBytes += parsed;
+            if (this->state == State::ReadingHead && this->headBytes > this->limits.headerBytes)
+                this->rejectStatus = 431;
+            if (this->state != State::ReadingHead)
+                event_del(this->timer);
+        }
+        const http_errno error = HTTP_PARSER_ERRNO(&this->parser);
+        if (this->rejectStatus != 0 || (error != HPE_OK && error != HPE_PAUSED)) {
+            this->reject(this->rejectStatus != 0 ? this->rejectStatus : 400);
+            return;
+        }
+    }
+    if (this->state == State::Answering)
+        this->events.onRequestComplete(*this);
+}
+
+void InboundConnection::onDrained()
+{
+    if (this->state == State::Lingering) {
+        ::shutdown(bufferevent_getfd(this->stream), SHUT_WR);
+        return;
+    }
+    if (this->wasCongested) {
+        this->wasCongested = false;
+        this->events.onWritable(*this);
+    }
+}
+
+void InboundConnection::onEvent(short what)
+{
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) == 0)
+        return;
+    const bool wasOpen = this->state == State::ReadingBody || this->state == State::Answering;
+    if (wasOpen)
+        this->events.onCallerGone(*this);
+    this->close();
+}
+
+void InboundConnection::onTimer()
+{
+    if (this->state == State::ReadingHead) {
+        this->reject(408);
+        return;
+    }
+    if (this->state == State::Idle)
+        this->linger();
+    else if (this->state == State::Lingering)
+        this->close();
+}
+
+void InboundConnection::beginRequest()
+{
+    http_parser_init(&this->parser, HTTP_REQUEST);
+    this->parser.data = this;
+    this->request = RequestHead();
+    this->requestBody = std::string();
+    this->headerName.clear();
+    this->headerValue.clear();
+    this->lastWasValue = false;
+    this->headBytes = 0;
+    this->rejectStatus = 0;
+    this->isBodyDiscarded = false;
+    this->keepsAlive = true;
+}
+
+void InboundConnection::reject(int status)
+{
+    this->keepsAlive = false;
+    this->state = State::Answering;
+    event_del(this->timer);
+    this->events.onRequestRejected(*this, status);
+}
+
+void InboundConnection::finishAnswer()
+{
+    if (!this->keepsAlive || this->isClosing) {
+        this->linger();
+        return;
+    }
+    this->beginRequest();
+    this->state = State::Idle;
+    this->armTimer(this->limits.idleTime);
+    // Bytes of the next request may have arrived; parsed from the loop, not from this call.
+    if (evbuffer_get_length(bufferevent_get_input(this->stream)) > 0)
+        bufferevent_trigger(this->stream, EV_READ,
+                            BEV_TRIG_DEFER_CALLBACKS | BEV_TRIG_IGNORE_WATERMARKS);
+}
+
+void InboundConnection::linger()
+{
+    this->state = State::Lingering;
+    evbuffer *input = bufferevent_get_input(this->stream);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    if (this->pendingOutput() == 0)
+        ::shutdown(bufferevent_getfd(this->stream), SHUT_WR);
+    this->armTimer(kLingerTime);
+}
+
+void InboundConnection::close()
+{
+    if (this->state == State::Closed)
+        return;
+    this->state = State::Closed;
+    event_del(this->timer);
+    bufferevent_disable(this->stream, EV_READ | EV_WRITE);
+    this->events.onClosed(*this);
+}
+
+void InboundConnection::armTimer(absl::Duration delay)
+{
+    const timeval interval = absl::ToTimeval(delay);
+    event_add(this->timer, &interval);
+}
+
+std::string InboundConnection::encodeHead(int status, const HttpHeaders &headers) const
+{
+    std::string text = absl::StrCat("HTTP/1.1 ", status, " ", asAbsl(reasonPhrase(status)), "\r\n");
+    for (const HttpHeader &header : headers.all())
+        absl::StrAppend(&text, header.name, ": ", header.value, "\r\n");
+    if (!this->keepsAlive || this->isClosing)
+        text += "Connection: close\r\n";
+    return text;
+}
+
+void InboundConnection::write(std::string_view data)
+{
+    if (this->state == State::Closed)
+        return;
+    bufferevent_write(this->stream, data.data(), data.size());
+    if (this->isCongested())
+        this->wasCongested = true;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/peers/http/inbound_connection.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "peers/http/http_head.h"
+
+#include <absl/time/time.h>
+#include <cstddef>
+#include <http_parser.h>
+#include <string>
+#include <string_view>
+
+struct bufferevent;
+struct event;
+struct event_base;
+
+namespace foxtailtally {
+
+class InboundConnection;
+
+/** What an InboundConnection reports. The connection outlives each call. */
+class InboundEvents
+{
+public:
+    virtual ~InboundEvents() = default;
+    /** The head is in; a call to InboundConnection::discardBody() keeps the body out of memory. */
+    virtual void onRequestHead(InboundConnection &connection) = 0;
+    virtual void onRequestComplete(InboundConnection &connection) = 0;
+    /** The caller closed or broke its connection. No answer can reach it. */
+    virtual void onCallerGone(InboundConnection &connection) = 0;
+    /** A stream's output has drained after isCongested() was true. */
+    virtual void onWritable(InboundConnection &connection) = 0;
+    /** The request breaks the protocol or a limit; it was answered with @p status. */
+    virtual void onRequestRejected(InboundConnection &connection, int status) = 0;
+    /** The connection is done; its owner destroys it after the event. */
+    virtual void onClosed(InboundConnection &connection) = 0;
+};
+
+struct InboundLimits
+{
+    std::size_t headerBytes = 16384;
+    std::size_t bodyBytes = 4194304;
+    absl::Duration headerTime = absl::Seconds(3);
+    absl::Duration idleTime = absl::Seconds(15);
+};
+
+/**
+ * A caller's HTTP/1.1 connection on a libevent loop. It reads one request at a time; bytes of the
+ * next one wait in the socket until the answer is out. While a request is in work the connection
+ * still watches for the caller's close.
+ */
+class InboundConnection
+{
+public:
+    InboundConnection(event_base *base, int socket, InboundEvents &events,
+                      const InboundLimits &limits);
+    ~InboundConnection();
+    InboundConnection(const InboundConnection &) = delete;
+    InboundConnection &operator=(const InboundConnection &) = delete;
+
+    const RequestHead &head() const { return this->request; }
+    const std::string &body() const { return this->requestBody; }
+    void discardBody();
+    /** Frees the body once it has been copied to where it is needed. */
+    std::string takeBody() { return std::move(this->requestBody); }
+
+    /** Sends a complete answer. */
+    void answer(int status, const HttpHeaders &headers, std::string_view body);
+    /** Starts an answer whose length is not known. */
+    void startStream(int status, const HttpHeaders &headers);
+    void sendChunk(std::string_view data);
+    void finishStream();
+    /** Breaks the connection so that the answer does not look complete. */
+    void abort();
+
+    /** The next answer closes the connection; an idle connection closes now. */
+    void closeWhenIdle();
+    bool isCongested() const;
+    /** True between the end of a request and the end of its answer. */
+    bool isBusy() const { return this->state == State::Answering; }
+    /** True when no byte of a request has arrived since the last answer. */
+    bool isIdle() const { return this->state == State::Idle; }
+    /** Output that the caller has not read yet. */
+    std::size_t pendingOutput() const;
+
+private:
+    enum class State { Idle, ReadingHead, ReadingBody, Answering, Lingering, Closed };
+
+    static int onUrl(http_parser *parser, const char *data, std::size_t size);
+    static int onHeaderField(http_parser *parser, const char *data, std::size_t size);
+    static int onHeaderValue(http_parser *parser, const char *data, std::size_t size);
+    static int onHeadersComplete(http_parser *parser);
+    static int onBody(http_parser *parser, const char *data, std::size_t size);
+    static int onMessageComplete(http_parser *parser);
+    static const http_parser_settings &parserSettings();
+
+    void onReadable();
+    void onDrained();
+    void onEvent(short what);
+    void onTimer();
+    void parseInput();
+    void beginRequest();
+    bool acceptHead();
+    void reject(int status);
+    void finishAnswer();
+    void linger();
+    void close();
+    void armTimer(absl::Duration delay);
+    std::string encodeHead(int status, const HttpHeaders &headers) const;
+    void write(std::string_view data);
+
+    InboundEvents &events;
+    InboundLimits limits;
+    bufferevent *stream = nullptr;
+    event *timer = nullptr;
+    http_parser parser {};
+    State state = State::Idle;
+    RequestHead request;
+    std::string requestBody;
+    std::string headerName;
+    std::string headerValue;
+    bool lastWasValue = false;
+    std::size_t headBytes = 0;
+    int rejectStatus = 0;
+    bool isBodyDiscarded = false;
+    bool keepsAlive = true;
+    bool isClosing = false;
+    bool wasCongested = false;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/peers/http/outbound_connection.cpp
@@ -0,0 +1,305 @@
+#include "peers/http/outbound_connection.h"
+
+#include "core/error.h"
+#include "core/text.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <limits>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace foxtailtally {
+
+namespace {
+
+/** Time without an acknowledgement after which the kernel gives a connection up, in milliseconds.
+ * Peers are at most a few milliseconds away. */
+constexpr unsigned kUnacknowledgedMs = 2000;
+
+OutboundConnection &self(http_parser *parser)
+{
+    return *static_cast<OutboundConnection *>(parser->data);
+}
+
+} // namespace
+
+OutboundConnection::OutboundConnection(event_base *base, std::string_view address,
+                                       IdleEvents &idleEvents)
+    : idleEvents(idleEvents)
+{
+    this->stream = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(
+        this->stream,
+        [](bufferevent *, void *object) {
+            static_cast<OutboundConnection *>(object)->onReadable();
+        },
+        nullptr,
+        [](bufferevent *, short what, void *object) {
+            static_cast<OutboundConnection *>(object)->onEvent(what);
+        },
+        this);
+    sockaddr_in peer {};
+    int size = sizeof peer;
+    const std::string text(address);
+    if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr *>(&peer), &size) != 0) {
+        this->state = State::Closed;
+        return;
+    }
+    bufferevent_enable(this->stream, EV_READ | EV_WRITE);
+    if (bufferevent_socket_connect(this->stream, reinterpret_cast<sockaddr *>(&peer), size) != 0) {
+        this->state = State::Closed;
+        return;
+    }
+    const int enabled = 1;
+    const evutil_socket_t socket = bufferevent_getfd(this->stream);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+    ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs,
+                 sizeof kUnacknowledgedMs);
+}
+
+OutboundConnection::~OutboundConnection()
+{
+    bufferevent_free(this->stream);
+}
+
+void OutboundConnection::call(std::string bytes, bool isHeadRequest, const Correlation &correlation,
+                              OutboundEvents &events)
+{
+    this->events = &events;
+    this->correlation = correlation;
+    this->isHeadRequest = isHeadRequest;
+    this->wasCancelled = false;
+    this->beginResponse();
+    bufferevent_write(this->stream, bytes.data(), bytes.size());
+}
+
+void OutboundConnection::cancel()
+{
+    this->events = nullptr;
+    this->wasCancelled = true;
+    this->closeSocket();
+}
+
+void OutboundConnection::pauseReading(bool isPaused)
+{
+    if (this->state == State::Closed)
+        return;
+    if (isPaused)
+        bufferevent_disable(this->stream, EV_READ);
+    else
+        bufferevent_enable(this->stream, EV_READ);
+}
+
+bool OutboundConnection::isReusable() const
+{
+    return this->state == State::Open && this->keepsAlive && this->events == nullptr
+        && evbuffer_get_length(bufferevent_get_output(this->stream)) == 0
+        && evbuffer_get_length(bufferevent_get_input(this->stream)) == 0;
+}
+
+const http_parser_settings &OutboundConnection::parserSettings()
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings callbacks;
+        http_parser_settings_init(&callbacks);
+        callbacks.on_header_field = &OutboundConnection::onHeaderField;
+        callbacks.on_header_value = &OutboundConnection::onHeaderValue;
+        callbacks.on_headers_complete = &OutboundConnection::onHeadersComplete;
+        callbacks.on_body = &OutboundConnection::onBody;
+        callbacks.on_message_complete = &OutboundConnection::onMessageComplete;
+        return callbacks;
+    }();
+    return settings;
+}
+
+int OutboundConnection::onHeaderField(http_parser *parser, const char *data, std::size_t size)
+{
+    OutboundConnection &connection = self(parser);
+    connection.isInMessage = true;
+    if (connection.lastWasValue) {
+        connection.response.headers.add(connection.headerName, connection.headerValue);
+        connection.headerName.clear();
+        connection.headerValue.clear();
+        connection.lastWasValue = false;
+    }
+    connection.headerName.append(data, size);
+    return 0;
+}
+
+int OutboundConnection::onHeaderValue(http_parser *parser, const char *data, std::size_t size)
+{
+    OutboundConnection &connection = self(parser);
+    connection.headerValue.append(data, size);
+    connection.lastWasValue = true;
+    return 0;
+}
+
+int OutboundConnection::onHeadersComplete(http_parser *parser)
+{
+    OutboundConnection &connection = self(parser);
+    connection.isInMessage = true;
+    if (!connection.headerName.empty())
+        connection.response.headers.add(connection.headerName, connection.headerValue);
+    connection.response.status = parser->status_code;
+    parser->upgrade = 0;
+    const bool isInterim = parser->status_code < 200;
+    connection.isSkipped = isInterim || !connection.isAwaited();
+    connection.keepsAlive = http_should_keep_alive(parser) != 0;
+    const bool hasLength = parser->content_length != std::numeric_limits<std::uint64_t>::max();
+    connection.response.isFramed = hasLength || (parser->flags & F_CHUNKED) != 0
+        || connection.isHeadRequest || parser->status_code == 204 || parser->status_code == 304;
+    if (!connection.isSkipped) {
+        connection.noteHead();
+        connection.events->onResponseHead(connection, connection.response);
+    }
+    if (connection.wasCancelled)
+        return -1;
+    return connection.isHeadRequest ? 1 : 0;
+}
+
+int OutboundConnection::onBody(http_parser *parser, const char *data, std::size_t size)
+{
+    OutboundConnection &connection = self(parser);
+    if (!connection.isSkipped)
+        connection.events->onResponseBody(connection, std::string_view(data, size));
+    return connection.wasCancelled ? -1 : 0;
+}
+
+int OutboundConnection::onMessageComplete(http_parser *parser)
+{
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+bool OutboundConnection::isAwaited() const
+{
+    const std::string *value = this->response.headers.find(this->correlation.header);
+    if (!value)
+        return true;
+    return *value == this->correlation.value;
+}
+
+void OutboundConnection::noteHead()
+{
+    const std::string_view keepAlive = this->response.headers.valueOr("Keep-Alive", "");
+    const std::size_t at = keepAlive.find("timeout=");
+    if (at == std::string_view::npos)
+        return;
+    std::string_view digits = keepAlive.substr(at + std::string_view("timeout=").size());
+    digits = digits.substr(0, digits.find_first_not_of("0123456789"));
+    int seconds = 0;
+    if (absl::SimpleAtoi(asAbsl(digits), &seconds))
+        this->idleTime = absl::Seconds(seconds);
+}
+
+void OutboundConnection::onReadable()
+{
+    evbuffer *input = bufferevent_get_input(this->stream);
+    while (this->state == State::Open && evbuffer_get_length(input) > 0) {
+        if (!this->events) {
+            // Bytes outside a call belong to no request.
+            this->closeSocket();
+            this->idleEvents.onIdleClosed(*this);
+            return;
+        }
+        const std::size_t size = evbuffer_get_contiguous_space(input);
+        const char *data =
+            reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
+        this->isInMessage = true;
+        const std::size_t parsed =
+            http_parser_execute(&this->parser, &parserSettings(), data, size);
+        if (this->wasCancelled)
+            return;
+        const http_errno error = HTTP_PARSER_ERRNO(&this->parser);
+        if (error != HPE_OK && error != HPE_PAUSED) {
+            this->fail(Error::ProtocolViolation);
+            return;
+        }
+        evbuffer_drain(input, parsed);
+        if (error != HPE_PAUSED)
+            continue;
+        if (this->isSkipped) {
+            this->beginResponse();
+            continue;
+        }
+        OutboundEvents *finished = this->events;
+        this->events = nullptr;
+        ++this->completedCalls;
+        finished->onResponseComplete(*this);
+        return;
+    }
+}
+
+void OutboundConnection::onEvent(short what)
+{
+    if (what & BEV_EVENT_CONNECTED) {
+        this->state = State::Open;
+        return;
+    }
+    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
+        this->onEnd((what & BEV_EVENT_EOF) == 0);
+}
+
+void OutboundConnection::onEnd(bool wasReset)
+{
+    const bool wasConnected = this->state == State::Open;
+    if (!this->events) {
+        this->closeSocket();
+        this->idleEvents.onIdleClosed(*this);
+        return;
+    }
+    const bool endsBody = !wasReset && this->isInMessage && this->response.status != 0
+        && !this->response.isFramed && !this->isSkipped;
+    if (endsBody) {
+        OutboundEvents *finished = this->events;
+        this->events = nullptr;
+        this->closeSocket();
+        finished->onResponseComplete(*this);
+        return;
+    }
+    this->fail(wasConnected ? Error::ConnectionLost : Error::ConnectionFailed);
+}
+
+void OutboundConnection::beginResponse()
+{
+    http_parser_init(&this->parser, HTTP_RESPONSE);
+    this->parser.data = this;
+    this->response = ResponseHead();
+    this->headerName.clear();
+    this->headerValue.clear();
+    this->lastWasValue = false;
+    this->isSkipped = false;
+    this->isInMessage = false;
+}
+
+void OutboundConnection::fail(std::error_code error)
+{
+    OutboundEvents *failed = this->events;
+    this->events = nullptr;
+    this->closeSocket();
+    if (failed)
+        failed->onCallFailed(*this, error);
+}
+
+void OutboundConnection::closeSocket()
+{
+    if (this->state == State::Closed)
+        return;
+    this->state = State::Closed;
+    bufferevent_disable(this->stream, EV_READ | EV_WRITE);
+    const evutil_socket_t socket = bufferevent_getfd(this->stream);
+    if (socket < 0)
+        return;
+    // Detached first, so that nothing is written to a socket number that is used again.
+    bufferevent_setfd(this->stream, -1);
+    evutil_closesocket(socket);
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/catalog/server_directory.cpp
@@ -0,0 +1,102 @@
+#include "servers/catalog/server_directory.h"
+
+#include <algorithm>
+
+namespace foxtailtally {
+
+void ServerDirectory::onEntry(const ServerEntry &entry, absl::Time now)
+{
+    Server &server = this->servers[entry.id];
+    const bool isSameLife = server.entry.incarnation == entry.incarnation;
+    const absl::Time coldUntil = now + entry.coldLeft;
+    server.coldUntil = isSameLife ? std::max(server.coldUntil, coldUntil) : coldUntil;
+    server.entry = entry;
+    server.usableUntil = absl::InfiniteFuture();
+}
+
+void ServerDirectory::onRemoved(const BackendServerId &id, bool storeUnsettled, absl::Time now)
+{
+    const auto found = this->servers.find(id);
+    if (found == this->servers.end())
+        return;
+    if (!storeUnsettled || found->second.entry.leaving) {
+        this->servers.erase(found);
+        return;
+    }
+    found->second.usableUntil = std::min(found->second.usableUntil, now + kLapseGrace);
+}
+
+void ServerDirectory::onList(const std::vector<ServerEntry> &entries, bool storeUnsettled,
+                             absl::Time now)
+{
+    absl::btree_set<BackendServerId> listed;
+    for (const ServerEntry &entry : entries) {
+        listed.insert(entry.id);
+        this->onEntry(entry, now);
+    }
+    std::vector<BackendServerId> missing;
+    for (const auto &[id, server] : this->servers) {
+        if (!listed.contains(id))
+            missing.push_back(id);
+    }
+    for (const BackendServerId &id : missing)
+        this->onRemoved(id, storeUnsettled, now);
+}
+
+void ServerDirectory::onCold(const BackendServerId &id, absl::Duration left, absl::Time now)
+{
+    const auto found = this->servers.find(id);
+    if (found != this->servers.end())
+        found->second.coldUntil = std::max(found->second.coldUntil, now + left);
+}
+
+void ServerDirectory::onTick(absl::Time now)
+{
+    absl::erase_if(this->servers,
+                   [now](const auto &item) { return item.second.usableUntil < now; });
+}
+
+void ServerDirectory::setEvacuated(const FailureDomainId &domain, bool isEvacuated)
+{
+    if (isEvacuated)
+        this->evacuated.insert(domain);
+    else
+        this->evacuated.erase(domain);
+}
+
+void ServerDirectory::replaceEvacuated(absl::btree_set<FailureDomainId> domains)
+{
+    this->evacuated = std::move(domains);
+}
+
+std::vector<const ServerDirectory::Server *> ServerDirectory::usable(const std::string &service,
+                                                                     absl::Time now) const
+{
+    std::vector<const Server *> result;
+    for (const auto &[id, server] : this->servers) {
+        if (server.entry.service == service && this->mayGetWork(server, now))
+            result.push_back(&server);
+    }
+    return result;
+}
+
+bool ServerDirectory::isUsable(const BackendServerId &id, Incarnation incarnation,
+                               absl::Time now) const
+{
+    const Server *server = this->find(id);
+    return server && server->entry.incarnation == incarnation && this->mayGetWork(*server, now);
+}
+
+const ServerDirectory::Server *ServerDirectory::find(const BackendServerId &id) const
+{
+    const auto found = this->servers.find(id);
+    return found == this->servers.end() ? nullptr : &found->second;
+}
+
+bool ServerDirectory::mayGetWork(const Server &server, absl::Time now) const
+{
+    return !server.entry.leaving && server.usableUntil >= now
+        && !this->evacuated.contains(server.entry.domain);
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/catalog/serving_config.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "core/ids.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtailtally {
+
+/** What may be repeated when a call of a route has failed. */
+enum class CallKind : std::uint8_t {
+    /** May run any number of times. */
+    Idempotent,
+    /** Runs at most once for each call. */
+    NonIdempotent,
+    /** Answers with a stream of events; repeatable only where the route can resume. */
+    Streaming,
+};
+
+/** One service that receives a share of a route's calls. */
+struct RouteTarget
+{
+    std::string service;
+    std::uint32_t weight = 1;
+};
+
+struct Route
+{
+    std::string name;
+    std::string host;
+    /** Begins and ends with a slash. */
+    std::string pathPrefix;
+    CallKind kind = CallKind::NonIdempotent;
+    /** Longest time for which a call may be kept waiting for its final answer. */
+    absl::Duration timeout = absl::Seconds(10);
+    /** Time within which an answer, or the first event of a stream, is on time. */
+    absl::Duration objective = absl::Seconds(1);
+    /** Longest pause between two events of a stream that is on time. */
+    absl::Duration pauseObjective = absl::Seconds(1);
+    /** 0 is the most urgent. */
+    int priority = 1;
+    /** Backend servers on which one call may run. */
+    int maxAttempts = 1;
+    bool needsKey = true;
+    bool canResume = false;
+    std::vector<RouteTarget> targets;
+
+    bool isRepeatable() const
+    {
+        return this->kind == CallKind::Idempotent
+            || (this->kind == CallKind::Streaming && this->canResume);
+    }
+};
+
+/** Cost law of the model engines of a service. */
+struct EngineTiming
+{
+    double stepMs = 1.0;
+    double stepMsPerWriter = 0.0;
+    double stepMsPerThousandContext = 0.0;
+    double readTokensPerMs = 100.0;
+    double readMsPerMillionPairs = 0.0;
+    std::int64_t chunkTokens = 2048;
+    /** Steps that an engine runs in one pass while any of its requests is writing. */
+    std::int64_t stepsPerPass = 1;
+    std::int64_t slots = 16;
+    std::int64_t memoryTokens = 0;
+};
+
+struct Service
+{
+    std::string name;
+    std::int64_t maxConnections = 0;
+    /** Requests a second that a cold backend server bears; zero where it has no cold start. */
+    double coldRequestsPerSecond = 0.0;
+    bool isEngine = false;
+    EngineTiming engine;
+};
+
+/** Bounds on what a caller may send. */
+struct CallerLimits
+{
+    std::size_t headerBytes = 16384;
+    std::size_t bodyBytes = 4194304;
+    absl::Duration headerTime = absl::Seconds(3);
+    absl::Duration idleTime = absl::Seconds(15);
+};
+
+struct KeyHolder
+{
+    CustomerId id;
+    /** Overrides the priority of the route when set. */
+    int priority = -1;
+};
+
+/** One version of the configuration, immutable once it is built. */
+class ServingConfig
+{
+public:
+    class Builder;
+
+    std::int64_t version() const { return this->versionNumber; }
+    const CallerLimits &limits() const { return this->callerLimits; }
+
+    /** The route of @p host with the longest prefix of @p path; null when there is none. */
+    const Route *findRoute(std::string_view host, std::string_view path) const;
+    const Service *findService(std::string_view name) const;
+    /** The customer that holds @p key; null when no customer does. */
+    const KeyHolder *findCustomer(std::string_view key) const;
+    /** True when callers have keys in this version. */
+    bool hasCustomers() const { return this->customersPresent; }
+    std::size_t routeCount() const { return this->routeTotal; }
+
+private:
+    std::int64_t versionNumber = 0;
+    CallerLimits callerLimits;
+    bool customersPresent = false;
+    std::size_t routeTotal = 0;
+    /** Routes of a host, the longest prefix first. */
+    absl::flat_hash_map<std::string, std::vector<Route>> routesByHost;
+    absl::flat_hash_map<std::string, Service> services;
+    std::vector<KeyHolder> customers;
+    absl::flat_hash_map<std::string, std::size_t> customerByKey;
+};
+
+class ServingConfig::Builder
+{
+public:
+    Builder();
+
+    Builder &version(std::int64_t number);
+    Builder &limits(const CallerLimits &limits);
+    Builder &addRoute(Route route);
+    Builder &addService(Service service);
+    Builder &addCustomer(const KeyHolder &customer, const std::vector<std::string> &keys);
+    /** Keys are demanded even when the list of customers is empty. */
+    Builder &withCustomers();
+
+    std::shared_ptr<const ServingConfig> build();
+
+private:
+    std::shared_ptr<ServingConfig> config;
+};
+
+/** The service that @p route gives to the call with @p callId; stable for one call. */
+std::string_view targetService(const Route &route, std::string_view callId);
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/placement/service_placement.cpp
@@ -0,0 +1,51 @@
+#include "servers/placement/service_placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace foxtailtally {
+
+namespace {
+
+/** Expected time of a server without answers yet, in milliseconds. */
+constexpr double kUnknownLatencyMs = 20.0;
+
+/** Time that a hop to another failure domain adds, in milliseconds, there and back. */
+constexpr double kOtherDomainMs = 3.0;
+
+/** Factor by which failed answers lengthen the expected time: a failed call is made again. */
+constexpr double kFailureWeight = 6.0;
+
+double expectedMs(const ServiceCandidate &candidate, const ServerHealth &health)
+{
+    const absl::Duration known = health.latency(candidate.server);
+    const double latency =
+        known == absl::ZeroDuration() ? kUnknownLatencyMs : absl::ToDoubleMilliseconds(known);
+    const double busy = static_cast<double>(std::max(candidate.outstanding, candidate.reported))
+        / static_cast<double>(candidate.slots);
+    const double failures = 1.0 + kFailureWeight * health.failureShare(candidate.server);
+    return latency * (1.0 + busy) * failures + (candidate.isSameDomain ? 0.0 : kOtherDomainMs);
+}
+
+} // namespace
+
+std::optional<std::size_t> chooseServiceServer(std::span<const ServiceCandidate> candidates,
+                                               const ServerHealth &health, absl::Time now)
+{
+    std::optional<std::size_t> best;
+    std::tuple<absl::Duration, double> bestRank;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const ServiceCandidate &candidate = candidates[i];
+        if (candidate.wasTried || candidate.isRateBound)
+            continue;
+        const std::tuple rank(health.suspectLeft(candidate.server, now),
+                              expectedMs(candidate, health));
+        if (!best || rank < bestRank) {
+            best = i;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/placement/stream_ledger.cpp
@@ -0,0 +1,112 @@
+#include "servers/placement/stream_ledger.h"
+
+#include "core/hash.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace foxtailtally {
+
+namespace {
+
+/** Share of a read's planned time that is assumed to be left once the plan is over. */
+constexpr double kOverdueShare = 0.15;
+
+void add(ServerLoad &load, const StreamPart &part)
+{
+    load.parts.push_back(&part);
+    load.memoryTokens += part.memoryTokens;
+    if (part.isHelper)
+        return;
+    ++load.streams;
+    if (part.isWriting)
+        ++load.writers;
+}
+
+/** Reads are done one after the other in the order in which they were placed. */
+double readLeft(std::vector<const StreamPart *> &parts, absl::Time now)
+{
+    std::sort(parts.begin(), parts.end(),
+              [](const StreamPart *a, const StreamPart *b) { return a->placedAt < b->placedAt; });
+    absl::Time busyUntil = absl::InfinitePast();
+    double overdue = 0;
+    for (const StreamPart *part : parts) {
+        if (part->isWriting)
+            continue;
+        busyUntil = std::max(busyUntil, part->placedAt) + absl::Milliseconds(part->readMs);
+        overdue = std::max(overdue, kOverdueShare * part->readMs);
+    }
+    if (busyUntil == absl::InfinitePast())
+        return 0;
+    return std::max(overdue, absl::ToDoubleMilliseconds(busyUntil - now));
+}
+
+} // namespace
+
+ServerKey serverKey(const BackendServerId &id, Incarnation incarnation)
+{
+    return stableHash(id.str(), incarnation);
+}
+
+void StreamLedger::place(std::span<const StreamPart> parts)
+{
+    this->ownParts.insert(this->ownParts.end(), parts.begin(), parts.end());
+    ++this->revision;
+}
+
+void StreamLedger::onFirstEvent(std::uint32_t stream)
+{
+    // Helpers are done with their reads once the first event is out.
+    std::erase_if(this->ownParts, [stream](const StreamPart &part) {
+        return part.stream == stream && part.isHelper && part.memoryTokens == 0;
+    });
+    for (StreamPart &part : this->ownParts) {
+        if (part.stream == stream)
+            part.isWriting = true;
+    }
+    ++this->revision;
+}
+
+void StreamLedger::onLate(std::uint32_t stream)
+{
+    for (StreamPart &part : this->ownParts) {
+        if (part.stream == stream)
+            part.isLate = true;
+    }
+}
+
+void StreamLedger::remove(std::uint32_t stream)
+{
+    const std::size_t removed = std::erase_if(
+        this->ownParts, [stream](const StreamPart &part) { return part.stream == stream; });
+    if (removed > 0)
+        ++this->revision;
+}
+
+void StreamLedger::replacePeer(const InstanceId &instance, std::vector<StreamPart> parts,
+                               absl::Time now)
+{
+    this->peers[instance] = {std::move(parts), now};
+}
+
+void StreamLedger::onTick(absl::Time now)
+{
+    absl::erase_if(this->peers,
+                   [now](const auto &item) { return now - item.second.heardAt > kPeerSilence; });
+}
+
+absl::flat_hash_map<ServerKey, ServerLoad> StreamLedger::loads(absl::Time now) const
+{
+    absl::flat_hash_map<ServerKey, ServerLoad> result;
+    for (const StreamPart &part : this->ownParts)
+        add(result[part.server], part);
+    for (const auto &[instance, peer] : this->peers) {
+        for (const StreamPart &part : peer.parts)
+            add(result[part.server], part);
+    }
+    for (auto &[server, load] : result)
+        load.readLeftMs = readLeft(load.parts, now);
+    return result;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/retry/attempt_policy.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "servers/catalog/serving_config.h"
+
+namespace foxtailtally {
+
+/** How one attempt at a server ended without a usable answer. */
+enum class AttemptEnd {
+    /** No byte of the call reached the server. */
+    NotSent,
+    /** The server said that it rejected the call and never runs it. */
+    Rejected,
+    /** The server ran the call and answered that it failed. */
+    ServerFailed,
+    /** The connection broke, or what came was no answer to this call; it may have run. */
+    Lost,
+    /** Nothing came for much longer than planned; it may be running. */
+    Silent,
+};
+
+/** What is known of a call after one of its attempts ended. */
+struct CallProgress
+{
+    bool isRepeatable = false;
+    /** Attempts that ran or may have run, the one that just ended included. */
+    int runs = 0;
+    int maxRuns = 1;
+    /** Attempts that certainly did not run. */
+    int rejections = 0;
+    /** Part of the answer has gone to the caller. */
+    bool hasAnswerBegun = false;
+};
+
+enum class NextStep {
+    /** Send the call to another server, if the retry budget allows it. */
+    TryElsewhere,
+    /** Tell the caller that the call has not run, and when to come back. */
+    AnswerNotRun,
+    /** Pass on the failure that the server answered. */
+    PassServerFailure,
+    /** Tell the caller that the outcome is unknown. */
+    AnswerOutcomeUnknown,
+    /** Break the connection: the answer has begun and cannot be completed. */
+    BreakOff,
+};
+
+/** Servers that are asked for one call although earlier ones rejected it. */
+constexpr int kMaxRejections = 3;
+
+/** What follows an attempt that ended with @p end. */
+NextStep nextStep(AttemptEnd end, const CallProgress &progress);
+
+/** What follows when nextStep() says TryElsewhere and no server or budget is left. */
+NextStep lastStep(AttemptEnd end, const CallProgress &progress);
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/retry/retry_budget.cpp
@@ -0,0 +1,49 @@
+#include "servers/retry/retry_budget.h"
+
+#include <algorithm>
+
+namespace foxtailtally {
+
+namespace {
+
+/** Part of the shared bound that instances use; the rest covers their differing views. */
+constexpr double kUsedShare = 0.75;
+
+constexpr absl::Duration kBucketTime = absl::Seconds(1);
+
+} // namespace
+
+void RetryBudget::onCall(const std::string &service, absl::Time now)
+{
+    ++this->current(service, now).calls;
+}
+
+bool RetryBudget::tryRepeat(const std::string &service, std::size_t instances, absl::Time now)
+{
+    Bucket &bucket = this->current(service, now);
+    std::int64_t calls = 0;
+    std::int64_t repeats = 0;
+    for (const Bucket &past : this->services[service]) {
+        calls += past.calls;
+        repeats += past.repeats;
+    }
+    const double slack =
+        this->options.slack / static_cast<double>(std::max<std::size_t>(1, instances));
+    const double bound = kUsedShare * (this->options.ratio * static_cast<double>(calls) + slack);
+    if (static_cast<double>(repeats + 1) > bound)
+        return false;
+    ++bucket.repeats;
+    return true;
+}
+
+RetryBudget::Bucket &RetryBudget::current(const std::string &service, absl::Time now)
+{
+    Buckets &buckets = this->services[service];
+    while (!buckets.empty() && now - buckets.front().start > this->options.window)
+        buckets.pop_front();
+    if (buckets.empty() || now - buckets.back().start >= kBucketTime)
+        buckets.push_back({now});
+    return buckets.back();
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/servers/retry/retry_budget.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+#include <cstdint>
+#include <deque>
+#include <string>
+
+namespace foxtailtally {
+
+struct RetryBudgetOptions
+{
+    /** Repeats allowed for each call, over all instances. */
+    double ratio = 0.2;
+    /** Repeats allowed in each window beyond the ratio, over all instances. */
+    double slack = 100;
+    absl::Duration window = absl::Seconds(10);
+};
+
+/**
+ * Bounds the repeats that this instance sends to a service within a sliding window. The bound holds
+ * for all instances together; each keeps to its share without asking: the ratio of its own calls,
+ * and an even part of the slack.
+ */
+class RetryBudget
+{
+public:
+    explicit RetryBudget(const RetryBudgetOptions &options)
+        : options(options)
+    { }
+
+    void onCall(const std::string &service, absl::Time now);
+    /** Takes one repeat if the budget has it. @p instances: how many share the slack. */
+    bool tryRepeat(const std::string &service, std::size_t instances, absl::Time now);
+
+private:
+    struct Bucket
+    {
+        absl::Time start;
+        std::int64_t calls = 0;
+        std::int64_t repeats = 0;
+    };
+    using Buckets = std::deque<Bucket>;
+
+    Bucket &current(const std::string &service, absl::Time now);
+
+    RetryBudgetOptions options;
+    absl::flat_hash_map<std::string, Buckets> services;
+};
+
+} // namespace foxtailtally
