Place long reads away from short streams and wait for plans without harm

Ruled out: wrong cost law.

Change: instances list engines in one order, short streams fill it from the start and long reads use its end; split parts wait for the pass in progress; a stream that would harm others waits while its objective allows; a stream without an event moves before its caller leaves.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -5,6 +5,7 @@
 #include "servers/placement/read_cost.h"
 #include "servers/placement/service_placement.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -18,8 +19,18 @@
 
 /** A server from which no stream has got a byte for this long, and for this multiple of a planned
  * pass, is taken for silent. Engines that lost a helper stall for a second and a half. */
-constexpr absl::Duration kServerSilence = absl::Milliseconds(900);
-constexpr double kSilentPasses = 2.5;
+constexpr absl::Duration kServerSilence = absl::Milliseconds(1000);
+constexpr double kSilentPasses = 3.0;
+
+/** Pause between two looks for a plan that harms no other stream. */
+constexpr absl::Duration kWaitStep = absl::Milliseconds(20);
+
+/** Callers leave a stream that brings no event for the longest of these. */
+constexpr absl::Duration kShortestPatience = absl::Seconds(2);
+constexpr int kPatienceObjectives = 4;
+constexpr int kPatiencePauses = 8;
+/** Share of the caller's patience after which a stream is moved to another server. */
+constexpr double kPatienceShare = 0.6;
 
 /** An idempotent call is sent to a second server after this multiple of the usual time, and not
  * before kEarliestHedge. */
@@ -118,7 +129,7 @@
 
 bool CallRun::dispatchStream(const Service &service, absl::Time now)
 {
-    const std::vector<const ServerDirectory::Server *> servers =
+    std::vector<const ServerDirectory::Server *> servers =
         this->context.directory.usable(this->service, now);
     const auto loads = this->context.ledger.loads(now);
     std::vector<EngineCandidate> candidates;
@@ -163,10 +174,16 @@
     if (!found)
         return false;
     this->plan = *found;
+    if (placement.shouldWait(this->plan)) {
+        this->isWaiting = true;
+        this->watchTimer.start(kWaitStep);
+        return true;
+    }
     std::vector<platform::ReadHelper> helpers;
     for (const std::size_t index : this->plan.helpers)
         helpers.push_back({chosen[index]->entry.address, {}});
     this->placeParts(candidates, now);
+    this->logPlacement(chosen, loads, candidates[this->plan.server].server);
     this->sendTo(*chosen[this->plan.server], std::move(helpers), now);
     this->watchTimer.start(absl::Milliseconds(this->plan.predictedFirstEventMs) + kStreamSlack);
     return true;
@@ -201,6 +218,27 @@
     this->context.exchange.onLedgerChanged();
 }
 
+void CallRun::logPlacement(const std::vector<const ServerDirectory::Server *> &servers,
+                           const absl::flat_hash_map<ServerKey, ServerLoad> &loads,
+                           ServerKey server) const
+{
+    const auto load = loads.find(server);
+    const bool isIdle = load == loads.end();
+    std::string helpers;
+    for (const std::size_t index : this->plan.helpers)
+        absl::StrAppend(&helpers, helpers.empty() ? "" : ",", servers[index]->entry.id.str());
+    logEvent(LogLevel::Info, "stream_placed",
+             {{"request", this->call.headers.callId},
+              {"server", servers[this->plan.server]->entry.id.str()},
+              {"helpers", helpers},
+              {"part_ms", static_cast<int>(this->plan.partReadMs)},
+              {"planned_ms", static_cast<int>(this->plan.predictedFirstEventMs)},
+              {"harm", static_cast<int>(this->plan.harm * 100)},
+              {"read_left_ms", isIdle ? 0 : static_cast<int>(load->second.readLeftMs)},
+              {"writers", isIdle ? 0 : load->second.writers},
+              {"instances", this->context.exchange.instanceCount()}});
+}
+
 bool CallRun::dispatchPlain(const Service &service, absl::Time now)
 {
     const std::vector<const ServerDirectory::Server *> servers =
@@ -252,6 +290,7 @@
     forwarded.lastEventId = this->relay.lastEventId();
     forwarded.helpers = std::move(helpers);
     this->relay.beginRun();
+    this->waited = now - this->call.receivedAt;
     ServerCallEvents &events = *this;
     Attempt &attempt = this->attempts.emplace_back();
     attempt.call = std::make_unique<ServerCall>(this->context, std::move(target), events);
@@ -534,9 +573,17 @@
 
 void CallRun::onWatch()
 {
-    if (this->done || this->attempts.empty())
+    if (this->done)
         return;
     const absl::Time now = Clock::now();
+    if (this->isWaiting) {
+        this->isWaiting = false;
+        if (!this->dispatch(now))
+            this->finishWith(lastStep(AttemptEnd::NotSent, this->progress()), now);
+        return;
+    }
+    if (this->attempts.empty())
+        return;
     if (this->isStream())
         this->watchStream(now);
     else
@@ -559,8 +606,11 @@
                 + load->second.readLeftMs;
     }
     const absl::Duration bound =
-        std::max(kServerSilence, absl::Milliseconds(planned * kSilentPasses));
-    const bool isSilent = now - heardAt > bound && !this->isPaused;
+        std::max(kServerSilence * 2, absl::Milliseconds(planned * kSilentPasses));
+    const absl::Time newsAt = std::max(attempt.sentAt(), this->lastEventAt);
+    const bool isSilent = !this->isPaused
+        && ((now - heardAt > bound && now - newsAt > kServerSilence)
+            || now - newsAt > this->patience() * kPatienceShare);
     const bool canMove =
         this->call.route->isRepeatable() && this->runs + 1 < this->call.route->maxAttempts;
     if (!isSilent || !canMove) {
@@ -571,6 +621,13 @@
     this->onAttemptEnded(attempt, AttemptEnd::Silent);
 }
 
+absl::Duration CallRun::patience() const
+{
+    const Route &route = *this->call.route;
+    return std::max({kShortestPatience, route.objective * kPatienceObjectives,
+                     route.pauseObjective * kPatiencePauses});
+}
+
 void CallRun::hedge(absl::Time now)
 {
     if (this->runs + 1 >= this->call.route->maxAttempts || this->attempts.size() > 1)
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -75,6 +75,10 @@
                      std::int64_t knownArrivals, absl::Time now) const;
     void placeParts(const std::vector<EngineCandidate> &candidates, absl::Time now);
 
+    void logPlacement(const std::vector<const ServerDirectory::Server *> &servers,
+                      const absl::flat_hash_map<ServerKey, ServerLoad> &loads,
+                      ServerKey server) const;
+
     void relayEvents(Attempt &attempt, std::string_view data, absl::Time now);
     void noteEvent(ServerCall &call, absl::Time now);
     void notePace(const ServerCall &call, absl::Time now);
@@ -88,6 +92,8 @@
     void onDeadline();
     void onWatch();
     void watchStream(absl::Time now);
+    /** Time without an event after which the caller leaves. */
+    absl::Duration patience() const;
     void hedge(absl::Time now);
     void dropAttempts();
     Attempt *findAttempt(const ServerCall &call);
@@ -111,6 +117,10 @@
     bool hasAnswerBegun = false;
     bool done = false;
     bool isPaused = false;
+    /** No server has the call: it waits for a plan that harms no other stream. */
+    bool isWaiting = false;
+    /** Time from the call's arrival to its last attempt. */
+    absl::Duration waited = absl::ZeroDuration();
     bool hasStarted = false;
     /** Head of the reply that goes to the caller, and its body until it is complete. */
     ResponseHead reply;
--- a/servers/placement/stream_placement.cpp
+++ b/servers/placement/stream_placement.cpp
@@ -4,17 +4,34 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace foxtailtally {
 
 namespace {
 
-/** Numbers of engines among which a read is split, tried in turn; 16 helpers is the engines' limit.
- */
-constexpr std::array<std::size_t, 8> kSplits = {1, 2, 3, 4, 6, 8, 12, 16};
+/** Numbers of engines among which a read is split, tried in turn; an engine takes 16 helpers. */
+constexpr std::array<std::size_t, 11> kSplits = {1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17};
 
-/** A read shorter than this is not split, in milliseconds: the split saves less than a pass. */
-constexpr double kSplitFromMs = 120.0;
+/** A read shorter than this is short, in milliseconds: it delays others by less than their pause
+ * objectives, and to split it saves less than a pass. */
+constexpr double kShortReadMs = 120.0;
+
+/** Short streams that an engine is planned to write at once. */
+constexpr double kShortStreamsPerEngine = 10.0;
+/** Share of an engine's time that short reads may take up. */
+constexpr double kShortReadShare = 0.5;
+/** Time that a short stream takes to read, in milliseconds, for planning. */
+constexpr double kUsualShortReadMs = 40.0;
+
+/** A long part of at least this length makes the short streams late that arrive during it. */
+constexpr double kDelayingPartMs = 150.0;
+
+/** A stream waits for a better plan while its first event would still come within this share of
+ * its objective. */
+constexpr double kWaitShare = 0.6;
+/** Harm below this is no reason to wait. */
+constexpr double kAcceptedHarm = 0.3;
 
 /** Part of an answer's value that is left when it is late; the users' sheets give a quarter. */
 constexpr double kLateShare = 0.25;
@@ -31,17 +48,28 @@
 /** Memory that the known streams may plan for; the rest covers answers longer than hinted. */
 constexpr double kMemoryShare = 0.96;
 
+/** Part of the pass in progress that is left on average when a request arrives. */
+constexpr double kPassInProgress = 0.5;
+
+/** Longest that the reads of one pass take, in milliseconds; a pass reads a bounded number of
+ * chunks, which take longer the deeper they lie in the prompt. */
+constexpr double kMostReadInPassMs = 1300.0;
+
+/** Time until one of an engine's slots is free when all are taken, in milliseconds; short streams
+ * write for about two seconds. */
+constexpr double kSlotWaitMs = 130.0;
+/** Streams beyond its slots that an engine may be given. */
+constexpr std::int64_t kQueuedStreams = 3;
+
 /** Value of an engine's free time that a read takes from later arrivals, per millisecond. */
 constexpr double kReadCostPerMs = 0.0002;
 
-/** Preference for engines that write already, per writer, so that others stay free for reads. */
-constexpr double kPackingGain = 0.004;
-
-/** Writers of an engine up to which packing is preferred. */
-constexpr std::int64_t kPackedWriters = 9;
+/** Preference of short streams for engines early in the order, and of long reads for late ones,
+ * per place in the order. */
+constexpr double kOrderGain = 0.004;
 
 /** Value that goes with each helper, which may fail and take the stream with it. */
-constexpr double kHelperCost = 0.03;
+constexpr double kHelperCost = 0.01;
 
 /** Value of a prompt, whatever its length, and tokens for each further unit; from the users' sheets
  * of both deployments. */
@@ -57,6 +85,8 @@
     double waitMs = 0;
     double preference = 0;
     bool canServe = false;
+    /** Its own reads would stop the stream beyond the pause objective. */
+    bool hasLatePauses = false;
 };
 
 double streamValue(std::int64_t promptTokens)
@@ -64,6 +94,28 @@
     return kBaseValue + static_cast<double>(promptTokens) / kTokensPerValue;
 }
 
+ShortTraffic shortTraffic(const absl::flat_hash_map<ServerKey, ServerLoad> &loads,
+                          std::size_t engines, absl::Time now)
+{
+    double streams = 0;
+    double recent = 0;
+    for (const auto &[server, load] : loads) {
+        for (const StreamPart *part : load.parts) {
+            if (part->isHelper || part->readMs >= kShortReadMs)
+                continue;
+            streams += 1;
+            recent += now - part->placedAt < absl::Seconds(1) ? 1 : 0;
+        }
+    }
+    ShortTraffic traffic;
+    traffic.perSecond = recent;
+    const double forWriting = streams / kShortStreamsPerEngine;
+    const double forReading = recent * kUsualShortReadMs / 1000.0 / kShortReadShare;
+    const double needed = std::ceil(std::max({1.0, forWriting, forReading}));
+    traffic.engines = std::min(engines, static_cast<std::size_t>(needed));
+    return traffic;
+}
+
 StreamPlacement::StreamPlacement(const EngineTiming &engine, const StreamDemand &demand,
                                  absl::Time now)
     : engine(engine)
@@ -78,10 +130,11 @@
                         const absl::flat_hash_map<ServerKey, ServerLoad> &loads) const
 {
     static const ServerLoad idle;
+    const ShortTraffic traffic = shortTraffic(loads, candidates.size(), this->now);
     std::optional<StreamPlan> best;
     double bestScore = 0;
     for (const std::size_t parts : kSplits) {
-        if (parts > candidates.size() || (parts > 1 && this->wholeReadMs < kSplitFromMs))
+        if (parts > candidates.size() || (parts > 1 && this->isShort()))
             break;
         const double partMs = this->wholeReadMs / static_cast<double>(parts);
         std::vector<Option> options;
@@ -90,8 +143,11 @@
                 continue;
             const auto found = loads.find(candidates[i].server);
             Option option = this->assess(candidates[i], found == loads.end() ? idle : found->second,
-                                         partMs, parts > 1);
+                                         partMs, parts);
             option.index = i;
+            option.harm += this->futureHarm(i, traffic, partMs);
+            const double place = static_cast<double>(this->isShort() ? candidates.size() - i : i);
+            option.preference = kOrderGain * place;
             options.push_back(option);
         }
         if (options.size() < parts)
@@ -106,9 +162,7 @@
             std::min_element(options.begin(), options.end(), [&](const Option &a, const Option &b) {
                 if (a.canServe != b.canServe)
                     return a.canServe;
-                const double gainA = this->value * this->onTimeShare(a.waitMs) - cost(a);
-                const double gainB = this->value * this->onTimeShare(b.waitMs) - cost(b);
-                return gainA > gainB;
+                return this->gain(a, a.waitMs) - cost(a) > this->gain(b, b.waitMs) - cost(b);
             });
         if (!server->canServe)
             continue;
@@ -116,6 +170,7 @@
         plan.server = server->index;
         plan.partReadMs = partMs;
         double slowest = server->waitMs;
+        plan.harm = server->harm;
         double score = -server->harm + server->preference;
         for (const Option &option : options) {
             if (plan.helpers.size() + 1 == parts)
@@ -124,10 +179,11 @@
                 continue;
             plan.helpers.push_back(option.index);
             slowest = std::max(slowest, option.waitMs);
+            plan.harm += option.harm;
             score -= option.harm + kHelperCost;
         }
         plan.predictedFirstEventMs = slowest;
-        score += this->value * this->onTimeShare(slowest) - slowest * kReadCostPerMs;
+        score += this->gain(*server, slowest) - slowest * kReadCostPerMs;
         if (!best || score > bestScore) {
             best = plan;
             bestScore = score;
@@ -138,28 +194,35 @@
 
 StreamPlacement::Option StreamPlacement::assess(const EngineCandidate &candidate,
                                                 const ServerLoad &load, double partMs,
-                                                bool isHelper) const
+                                                std::size_t parts) const
 {
+    const bool isSplit = parts > 1;
     Option option;
     option.canServe = this->fits(candidate, load);
-    option.harm = this->harm(candidate, load, partMs, isHelper);
-    const double pass =
-        load.writers > 0 ? 1.5 * writePassMs(this->engine, load.writers, load.memoryTokens) : 0.0;
-    // Parts for another engine's prompt are read ahead of other reads.
-    const double ahead = isHelper ? 0.0 : load.readLeftMs;
+    option.harm = this->harm(candidate, load, partMs, parts);
+    const double pass = writePassMs(this->engine, load.writers, load.memoryTokens);
+    // Split parts are read ahead of other reads, but not before the pass in progress ends.
+    const double passReadMs =
+        load.writers > 0 ? std::min(load.readLeftMs, kMostReadInPassMs) : 0.0;
+    const double ahead = isSplit ? kPassInProgress * passReadMs : load.readLeftMs;
+    const double current = load.writers > 0 ? kPassInProgress * pass : 0.0;
     const double ownPass = writePassMs(this->engine, load.writers + 1, load.memoryTokens);
-    option.waitMs = (ahead + partMs + pass + ownPass) * candidate.slowness;
-    const std::int64_t packed = std::min(load.writers, kPackedWriters);
-    const bool isShort = this->wholeReadMs < kSplitFromMs;
-    option.preference = kPackingGain * static_cast<double>(isShort ? packed : -load.streams);
+    const double excess = std::max<double>(0, load.streams + 1 - candidate.slots);
+    option.waitMs = (ahead + partMs + current + ownPass + excess * kSlotWaitMs) * candidate.slowness;
+    // The reads that a split part overtakes stop the stream's own writing afterwards.
+    const double ownPause = isSplit ? ownPass + passReadMs : 0.0;
+    option.hasLatePauses =
+        ownPause > kPauseShare * absl::ToDoubleMilliseconds(this->demand.pauseObjective);
     return option;
 }
 
 double StreamPlacement::harm(const EngineCandidate &candidate, const ServerLoad &load,
-                             double partMs, bool isHelper) const
+                             double partMs, std::size_t parts) const
 {
     const double quiet = writePassMs(this->engine, load.writers, load.memoryTokens);
-    const double inPass = partMs * shareOfReadPerPass(this->engine, this->demand.promptTokens);
+    const std::int64_t partTokens =
+        this->demand.promptTokens / static_cast<std::int64_t>(parts);
+    const double inPass = partMs * shareOfReadPerPass(this->engine, partTokens);
     const double before = (quiet + load.readLeftMs) * candidate.slowness;
     const double after = (quiet + load.readLeftMs + inPass) * candidate.slowness;
     double total = 0;
@@ -175,16 +238,39 @@
         // A part that is read ahead delays the first events of the prompts that wait here.
         const double waited = absl::ToDoubleMilliseconds(this->now - part->placedAt);
         const double due = part->firstEventDueMs - waited;
-        const double delay = isHelper ? partMs : 0.0;
+        const double delay = parts > 1 ? partMs : 0.0;
         if (load.readLeftMs <= due && load.readLeftMs + delay > due)
             total += part->value * (1.0 - kLateShare);
     }
     return total;
 }
 
+double StreamPlacement::futureHarm(std::size_t rank, const ShortTraffic &traffic,
+                                   double partMs) const
+{
+    if (this->isShort() || rank >= traffic.engines || partMs < kDelayingPartMs)
+        return 0;
+    const double arrivals =
+        traffic.perSecond / static_cast<double>(traffic.engines) * partMs / 1000.0;
+    return arrivals * kBaseValue;
+}
+
+bool StreamPlacement::isShort() const
+{
+    return this->wholeReadMs < kShortReadMs;
+}
+
+bool StreamPlacement::shouldWait(const StreamPlan &plan) const
+{
+    if (this->isShort() || plan.harm < kAcceptedHarm)
+        return false;
+    const double due = absl::ToDoubleMilliseconds(this->demand.firstEventDue);
+    return plan.predictedFirstEventMs < due * kWaitShare;
+}
+
 bool StreamPlacement::fits(const EngineCandidate &candidate, const ServerLoad &load) const
 {
-    if (load.streams >= candidate.slots)
+    if (load.streams >= candidate.slots + kQueuedStreams)
         return false;
     if (this->engine.memoryTokens <= 0)
         return true;
@@ -193,6 +279,11 @@
     return planned <= kMemoryShare * static_cast<double>(this->engine.memoryTokens);
 }
 
+double StreamPlacement::gain(const Option &option, double firstEventMs) const
+{
+    return this->value * (option.hasLatePauses ? kLateShare : this->onTimeShare(firstEventMs));
+}
+
 double StreamPlacement::onTimeShare(double predictedMs) const
 {
     const double due = absl::ToDoubleMilliseconds(this->demand.firstEventDue);
--- a/servers/placement/stream_placement.h
+++ b/servers/placement/stream_placement.h
@@ -41,10 +41,24 @@
     /** Candidates that read an even part of the prompt each, besides the server itself. */
     std::vector<std::size_t> helpers;
     double predictedFirstEventMs = 0;
+    /** Value of the answers that the read would make late. */
+    double harm = 0;
     /** Time that each part takes to read. */
     double partReadMs = 0;
 };
 
+/** Short streams that arrive now; they need engines without long reads. */
+struct ShortTraffic
+{
+    double perSecond = 0;
+    /** Engines, counted from the first candidate, that are left to them. */
+    std::size_t engines = 1;
+};
+
+/** The short streams in @p loads, for @p engines candidates. */
+ShortTraffic shortTraffic(const absl::flat_hash_map<ServerKey, ServerLoad> &loads,
+                          std::size_t engines, absl::Time now);
+
 /** What an answer on time is worth; grows with the prompt, as the work that hangs on it does. */
 double streamValue(std::int64_t promptTokens);
 
@@ -59,18 +73,30 @@
 public:
     StreamPlacement(const EngineTiming &engine, const StreamDemand &demand, absl::Time now);
 
-    /** Empty when no candidate can take the stream. */
+    /**
+     * Empty when no candidate can take the stream. All instances list the candidates in the same
+     * order: short streams fill engines from its start, long reads use those at its end.
+     */
     std::optional<StreamPlan> choose(std::span<const EngineCandidate> candidates,
                                      const absl::flat_hash_map<ServerKey, ServerLoad> &loads) const;
 
+    /**
+     * True when the stream should wait for a plan without harm: it is not short, and even after
+     * the wait its first event is on time.
+     */
+    bool shouldWait(const StreamPlan &plan) const;
+
 private:
     struct Option;
 
     Option assess(const EngineCandidate &candidate, const ServerLoad &load, double partMs,
-                  bool isHelper) const;
+                  std::size_t parts) const;
+    double futureHarm(std::size_t rank, const ShortTraffic &traffic, double partMs) const;
     double harm(const EngineCandidate &candidate, const ServerLoad &load, double partMs,
-                bool isHelper) const;
+                std::size_t parts) const;
+    bool isShort() const;
     bool fits(const EngineCandidate &candidate, const ServerLoad &load) const;
+    double gain(const Option &option, double firstEventMs) const;
     double onTimeShare(double predictedMs) const;
 
     EngineTiming engine;
