Count split parts ahead in the estimate of a split read; play placement in virtual time

Change: the ledger keeps the time that split parts take up at an engine; a split part is planned behind them.

--- /dev/null
+++ b/load/placement/engine_pass_model.cpp
@@ -0,0 +1,94 @@
+#include "load/placement/engine_pass_model.h"
+
+#include <algorithm>
+
+namespace foxtailtally {
+
+void EnginePassModel::remove(std::int64_t stream)
+{
+    std::erase_if(this->jobs, [stream](const Job &job) { return job.stream == stream; });
+}
+
+void EnginePassModel::release(std::int64_t stream)
+{
+    for (Job &job : this->jobs) {
+        if (job.stream == stream)
+            job.isHeld = false;
+    }
+}
+
+bool EnginePassModel::hasWork() const
+{
+    return std::any_of(this->jobs.begin(), this->jobs.end(),
+                       [](const Job &job) { return !job.hasRead || (!job.isHelper && !job.isHeld); });
+}
+
+EnginePassModel::PassResult EnginePassModel::runPass()
+{
+    PassResult result;
+    std::int64_t writers = 0;
+    std::int64_t context = 0;
+    std::int64_t admitted = 0;
+    for (const Job &job : this->jobs) {
+        if (job.isHelper || admitted == this->timing.slots)
+            continue;
+        ++admitted;
+        if (job.hasRead && !job.isHeld) {
+            ++writers;
+            context += job.promptTokens;
+        }
+    }
+    const std::int64_t steps = writers > 0 ? this->timing.stepsPerPass : 1;
+    const double step = this->timing.stepMs
+        + this->timing.stepMsPerWriter * static_cast<double>(writers)
+        + this->timing.stepMsPerThousandContext * static_cast<double>(context) / 1000.0;
+    for (std::int64_t i = 0; i < steps; ++i)
+        result.durationMs += step + this->readChunk(this->timing.chunkTokens, result.partsRead);
+    admitted = 0;
+    for (Job &job : this->jobs) {
+        if (job.isHelper || ++admitted > this->timing.slots || !job.hasRead || job.isHeld)
+            continue;
+        result.events.push_back(job.stream);
+        if (--job.events == 0)
+            result.finished.push_back(job.stream);
+    }
+    std::erase_if(this->jobs, [](const Job &job) {
+        return (job.isHelper && job.hasRead) || (!job.isHelper && job.events <= 0);
+    });
+    return result;
+}
+
+double EnginePassModel::readChunk(std::int64_t budget, std::vector<std::int64_t> &partsRead)
+{
+    double spent = 0;
+    while (budget > 0) {
+        Job *next = nullptr;
+        std::int64_t admitted = 0;
+        for (Job &job : this->jobs) {
+            const bool hasSlot = job.isHelper || ++admitted <= this->timing.slots;
+            if (job.hasRead || !hasSlot)
+                continue;
+            if (!next || (job.isSplit && !next->isSplit))
+                next = &job;
+        }
+        if (!next)
+            break;
+        const std::int64_t tokens = std::min(budget, next->readTokens - next->readDone);
+        const double whole = static_cast<double>(next->promptTokens);
+        // A split part has its share of the pairs of the whole prompt, wherever it lies.
+        const double earlier = next->isSplit
+            ? whole / 2.0
+            : static_cast<double>(next->readDone) + static_cast<double>(tokens) / 2.0;
+        spent += static_cast<double>(tokens) / this->timing.readTokensPerMs
+            + static_cast<double>(tokens) * earlier / 1e6 * this->timing.readMsPerMillionPairs;
+        next->readDone += tokens;
+        budget -= tokens;
+        if (next->readDone < next->readTokens)
+            continue;
+        next->hasRead = true;
+        partsRead.push_back(next->stream);
+    }
+    return spent;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/load/placement/placement_trial.cpp
@@ -0,0 +1,488 @@
+#include "load/placement/placement_trial.h"
+
+#include "core/random.h"
+#include "load/placement/engine_pass_model.h"
+#include "servers/placement/read_cost.h"
+#include "servers/placement/stream_ledger.h"
+#include "servers/placement/stream_placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <memory>
+#include <numbers>
+#include <queue>
+
+namespace foxtailtally {
+
+namespace {
+
+/** Worth of the smallest stream of a kind, and of the largest, against its mean. */
+constexpr double kLeastSizeWorth = 0.3;
+constexpr double kMostSizeWorth = 4.0;
+
+/** Pause between two looks of a stream that waits for a better plan. */
+constexpr double kWaitStepMs = 20;
+/** Time after which a caller leaves a stream without an event. */
+constexpr double kShortestPatienceMs = 2000;
+
+double lognormal(Random &random, double mean, double spread, double most)
+{
+    const double u = std::max(1e-12, random.uniform());
+    const double normal =
+        std::sqrt(-2.0 * std::log(u)) * std::cos(2.0 * std::numbers::pi * random.uniform());
+    const double value = mean * std::exp(spread * normal - spread * spread / 2.0);
+    return std::clamp(value, 1.0, most);
+}
+
+struct TrialStream
+{
+    int kind = 0;
+    std::int64_t tokens = 0;
+    std::int64_t events = 0;
+    double arrivalMs = 0;
+    double lastEventMs = -1;
+    double longestPauseMs = 0;
+    double firstMs = -1;
+    std::size_t instance = 0;
+    std::size_t partsLeft = 0;
+    std::size_t engine = 0;
+    std::vector<std::size_t> helpers;
+    bool isDone = false;
+    bool wasRetried = false;
+    int generation = 0;
+};
+
+enum class EventKind { Arrive, Place, PassEnd, Tell, Patience };
+
+struct TrialEvent
+{
+    double atMs = 0;
+    std::int64_t order = 0;
+    EventKind kind = EventKind::Arrive;
+    std::int64_t subject = 0;
+    int generation = 0;
+
+    bool operator>(const TrialEvent &other) const
+    {
+        return this->atMs != other.atMs ? this->atMs > other.atMs : this->order > other.order;
+    }
+};
+
+class Trial
+{
+public:
+    Trial(const TrialSetup &setup, std::uint64_t seed)
+        : setup(setup)
+        , random(seed)
+        , ledgers(setup.instances)
+        , told(setup.instances, false)
+    {
+        this->result.kinds.resize(setup.kinds.size());
+        for (std::size_t i = 0; i < setup.engines; ++i) {
+            this->engines.emplace_back(setup.engine);
+            this->isRunning.push_back(false);
+            this->passes.emplace_back();
+        }
+    }
+
+    TrialResult run()
+    {
+        this->drawArrivals();
+        while (!this->events.empty()) {
+            const TrialEvent event = this->events.top();
+            this->events.pop();
+            this->nowMs = event.atMs;
+            this->handle(event);
+        }
+        return this->result;
+    }
+
+private:
+    absl::Time now() const { return absl::UnixEpoch() + absl::Milliseconds(this->nowMs); }
+
+    void schedule(double atMs, EventKind kind, std::int64_t subject, int generation = 0)
+    {
+        this->events.push({atMs, this->order++, kind, subject, generation});
+    }
+
+    void drawArrivals()
+    {
+        for (std::size_t kind = 0; kind < this->setup.kinds.size(); ++kind) {
+            double from = 0;
+            for (const TrialPhase &phase : this->setup.phases) {
+                const double rate = this->setup.kinds[kind].perSecond * phase.factors[kind];
+                double at = from;
+                while (rate > 0) {
+                    at += -std::log(std::max(1e-12, this->random.uniform())) / rate;
+                    if (at >= phase.untilS)
+                        break;
+                    this->drawStream(static_cast<int>(kind), at * 1000.0);
+                }
+                from = phase.untilS;
+            }
+        }
+    }
+
+    void drawStream(int kind, double atMs)
+    {
+        const TrialKind &type = this->setup.kinds[static_cast<std::size_t>(kind)];
+        TrialStream stream;
+        stream.kind = kind;
+        stream.tokens = static_cast<std::int64_t>(
+            lognormal(this->random, type.promptMean, type.promptSpread, type.promptMost));
+        stream.events = std::max<std::int64_t>(
+            1, static_cast<std::int64_t>(std::lround(lognormal(
+                   this->random, type.eventsMean, type.eventsSpread, type.eventsMean * 2.5))));
+        stream.arrivalMs = atMs;
+        stream.instance = this->random.below(this->setup.instances);
+        this->streams.push_back(stream);
+        this->schedule(atMs, EventKind::Arrive, static_cast<std::int64_t>(this->streams.size()) - 1);
+    }
+
+    void handle(const TrialEvent &event)
+    {
+        const auto index = static_cast<std::size_t>(event.subject);
+        switch (event.kind) {
+        case EventKind::Arrive:
+            this->account(this->streams[index]).asked += 1;
+            this->account(this->streams[index]).worthOwed += this->worth(this->streams[index]);
+            this->place(event.subject);
+            break;
+        case EventKind::Place:
+            if (event.generation == this->streams[index].generation)
+                this->place(event.subject);
+            break;
+        case EventKind::PassEnd:
+            this->endPass(index);
+            break;
+        case EventKind::Tell:
+            this->tell(index);
+            break;
+        case EventKind::Patience:
+            this->checkPatience(event.subject, event.generation);
+            break;
+        }
+    }
+
+    TrialKindResult &account(const TrialStream &stream)
+    {
+        return this->result.kinds[static_cast<std::size_t>(stream.kind)];
+    }
+    const TrialKind &kindOf(const TrialStream &stream) const
+    {
+        return this->setup.kinds[static_cast<std::size_t>(stream.kind)];
+    }
+    double sizeFactor(const TrialStream &stream) const
+    {
+        const double size = static_cast<double>(stream.tokens) / this->kindOf(stream).promptMean;
+        return std::min(kMostSizeWorth, kLeastSizeWorth + (1.0 - kLeastSizeWorth) * size);
+    }
+    double worth(const TrialStream &stream) const
+    {
+        return this->sizeFactor(stream) * this->kindOf(stream).worth;
+    }
+    double patienceMs(const TrialStream &stream) const
+    {
+        const TrialKind &kind = this->kindOf(stream);
+        return std::max({kShortestPatienceMs, 4 * kind.objectiveMs, 8 * kind.pauseObjectiveMs});
+    }
+
+    void place(std::int64_t id)
+    {
+        TrialStream &stream = this->streams[static_cast<std::size_t>(id)];
+        const TrialKind &kind = this->kindOf(stream);
+        StreamLedger &ledger = this->ledgers[stream.instance];
+        StreamDemand demand;
+        demand.promptTokens = stream.tokens;
+        demand.answerTokens = stream.events * this->setup.engine.stepsPerPass;
+        const double waited = this->nowMs - stream.arrivalMs;
+        demand.firstEventDue = absl::Milliseconds(kind.objectiveMs - waited);
+        demand.pauseObjective = absl::Milliseconds(kind.pauseObjectiveMs);
+        demand.usefulLeft =
+            absl::Milliseconds(std::min(kind.deadlineMs, this->patienceMs(stream)) - waited);
+        std::vector<EngineCandidate> candidates;
+        for (std::size_t i = 0; i < this->setup.engines; ++i) {
+            EngineCandidate candidate;
+            candidate.server = i + 1;
+            candidate.slots = this->setup.engine.slots;
+            candidates.push_back(candidate);
+        }
+        const auto loads = ledger.loads(this->now());
+        const StreamPlacement placement(this->setup.engine, demand, this->now());
+        const std::optional<StreamPlan> plan = placement.choose(candidates, loads);
+        if (!plan || placement.shouldWait(*plan)) {
+            if (waited > std::min(kind.deadlineMs, this->patienceMs(stream))) {
+                this->giveUp(id);
+                return;
+            }
+            this->schedule(this->nowMs + kWaitStepMs, EventKind::Place, id, stream.generation);
+            return;
+        }
+        this->start(id, *plan);
+    }
+
+    void start(std::int64_t id, const StreamPlan &plan)
+    {
+        TrialStream &stream = this->streams[static_cast<std::size_t>(id)];
+        const TrialKind &kind = this->kindOf(stream);
+        stream.engine = plan.server;
+        stream.helpers = plan.helpers;
+        stream.partsLeft = plan.helpers.size() + 1;
+        stream.lastEventMs = this->nowMs;
+        const auto parts = static_cast<std::int64_t>(stream.partsLeft);
+        EnginePassModel::Job job;
+        job.stream = id;
+        job.promptTokens = stream.tokens;
+        job.readTokens = std::max<std::int64_t>(1, stream.tokens / parts);
+        job.isSplit = parts > 1;
+        job.isHeld = parts > 1;
+        job.events = stream.events;
+        this->engines[plan.server].add(job);
+        StreamPart part;
+        part.server = plan.server + 1;
+        part.stream = static_cast<std::uint32_t>(id) + 1;
+        part.placedAt = this->now();
+        part.readMs = static_cast<float>(plan.partReadMs);
+        part.memoryTokens = static_cast<std::uint32_t>(
+            stream.tokens + stream.events * this->setup.engine.stepsPerPass);
+        part.pauseObjectiveMs = static_cast<std::uint16_t>(kind.pauseObjectiveMs);
+        const double due = kind.objectiveMs - (this->nowMs - stream.arrivalMs);
+        part.firstEventDueMs = static_cast<std::uint16_t>(std::clamp(due, 0.0, 65535.0));
+        part.value = static_cast<float>(streamValue(stream.tokens));
+        part.isLate = due <= 0;
+        part.isSplit = parts > 1;
+        std::vector<StreamPart> placed = {part};
+        job.isHelper = true;
+        part.isHelper = true;
+        part.memoryTokens = 0;
+        for (const std::size_t helper : plan.helpers) {
+            this->engines[helper].add(job);
+            part.server = helper + 1;
+            placed.push_back(part);
+            this->wake(helper);
+        }
+        this->wake(plan.server);
+        this->ledgers[stream.instance].place(placed);
+        this->changed(stream.instance);
+        this->schedule(this->nowMs + this->patienceMs(stream), EventKind::Patience, id,
+                       stream.generation);
+    }
+
+    void wake(std::size_t engine)
+    {
+        if (this->isRunning[engine] || !this->engines[engine].hasWork())
+            return;
+        this->isRunning[engine] = true;
+        this->passes[engine] = this->engines[engine].runPass();
+        this->schedule(this->nowMs + this->passes[engine].durationMs, EventKind::PassEnd,
+                       static_cast<std::int64_t>(engine));
+    }
+
+    void endPass(std::size_t engine)
+    {
+        this->isRunning[engine] = false;
+        const EnginePassModel::PassResult pass = this->passes[engine];
+        for (const std::int64_t id : pass.partsRead) {
+            TrialStream &stream = this->streams[static_cast<std::size_t>(id)];
+            if (!stream.isDone && stream.partsLeft > 0 && --stream.partsLeft == 0) {
+                this->engines[stream.engine].release(id);
+                this->wake(stream.engine);
+            }
+        }
+        for (const std::int64_t id : pass.events)
+            this->noteEvent(id);
+        for (const std::int64_t id : pass.finished)
+            this->finish(id);
+        this->wake(engine);
+    }
+
+    void noteEvent(std::int64_t id)
+    {
+        TrialStream &stream = this->streams[static_cast<std::size_t>(id)];
+        if (stream.isDone)
+            return;
+        const auto key = static_cast<std::uint32_t>(id) + 1;
+        StreamLedger &ledger = this->ledgers[stream.instance];
+        const TrialKind &kind = this->kindOf(stream);
+        if (stream.firstMs < 0) {
+            stream.firstMs = this->nowMs - stream.arrivalMs;
+            ledger.onFirstEvent(key);
+            if (stream.firstMs > kind.objectiveMs)
+                ledger.onLate(key);
+            this->changed(stream.instance);
+        } else {
+            const double pause = this->nowMs - stream.lastEventMs;
+            stream.longestPauseMs = std::max(stream.longestPauseMs, pause);
+            if (pause > kind.pauseObjectiveMs)
+                ledger.onLate(key);
+        }
+        stream.lastEventMs = this->nowMs;
+        this->schedule(this->nowMs + this->patienceMs(stream), EventKind::Patience, id,
+                       stream.generation);
+    }
+
+    void finish(std::int64_t id)
+    {
+        TrialStream &stream = this->streams[static_cast<std::size_t>(id)];
+        if (stream.isDone)
+            return;
+        const TrialKind &kind = this->kindOf(stream);
+        const double total = this->nowMs - stream.arrivalMs;
+        if (total > kind.deadlineMs) {
+            this->giveUp(id);
+            return;
+        }
+        const bool onTime = stream.firstMs <= kind.objectiveMs
+            && stream.longestPauseMs <= kind.pauseObjectiveMs;
+        TrialKindResult &account = this->account(stream);
+        account.firstLate += stream.firstMs > kind.objectiveMs ? 1 : 0;
+        account.pausesLate += stream.longestPauseMs > kind.pauseObjectiveMs ? 1 : 0;
+        (onTime ? account.onTime : account.late) += 1;
+        account.worthEarned +=
+            this->sizeFactor(stream) * (onTime ? kind.worth : kind.lateWorth);
+        this->forget(id);
+    }
+
+    void checkPatience(std::int64_t id, int generation)
+    {
+        TrialStream &stream = this->streams[static_cast<std::size_t>(id)];
+        if (stream.isDone || generation != stream.generation)
+            return;
+        if (this->nowMs - stream.lastEventMs < this->patienceMs(stream) - 1.0)
+            return;
+        this->giveUp(id);
+    }
+
+    void giveUp(std::int64_t id)
+    {
+        this->forget(id);
+        TrialStream &stream = this->streams[static_cast<std::size_t>(id)];
+        const double left =
+            this->kindOf(stream).deadlineMs - (this->nowMs - stream.arrivalMs);
+        if (stream.wasRetried || left <= 0) {
+            this->account(stream).lost += 1;
+            return;
+        }
+        stream.wasRetried = true;
+        stream.isDone = false;
+        ++stream.generation;
+        stream.firstMs = -1;
+        this->schedule(this->nowMs + 1.0, EventKind::Place, id, stream.generation);
+    }
+
+    void forget(std::int64_t id)
+    {
+        TrialStream &stream = this->streams[static_cast<std::size_t>(id)];
+        stream.isDone = true;
+        this->engines[stream.engine].remove(id);
+        for (const std::size_t helper : stream.helpers)
+            this->engines[helper].remove(id);
+        this->ledgers[stream.instance].remove(static_cast<std::uint32_t>(id) + 1);
+        this->changed(stream.instance);
+    }
+
+    void changed(std::size_t instance)
+    {
+        if (this->told[instance])
+            return;
+        this->told[instance] = true;
+        this->schedule(this->nowMs + this->setup.tellMs, EventKind::Tell,
+                       static_cast<std::int64_t>(instance));
+    }
+
+    void tell(std::size_t instance)
+    {
+        this->told[instance] = false;
+        const InstanceId id(std::to_string(instance));
+        for (std::size_t other = 0; other < this->ledgers.size(); ++other) {
+            if (other != instance)
+                this->ledgers[other].replacePeer(id, this->ledgers[instance].own(), this->now());
+        }
+    }
+
+    const TrialSetup &setup;
+    Random random;
+    std::vector<StreamLedger> ledgers;
+    std::vector<bool> told;
+    std::vector<EnginePassModel> engines;
+    std::vector<bool> isRunning;
+    std::vector<EnginePassModel::PassResult> passes;
+    std::vector<TrialStream> streams;
+    std::priority_queue<TrialEvent, std::vector<TrialEvent>, std::greater<>> events;
+    std::int64_t order = 0;
+    double nowMs = 0;
+    TrialResult result;
+};
+
+EngineTiming plannedEngine(std::int64_t slots, std::int64_t steps)
+{
+    EngineTiming engine;
+    engine.stepMs = 1.31;
+    engine.stepMsPerWriter = 0.000917;
+    engine.stepMsPerThousandContext = 0.00213;
+    engine.readTokensPerMs = 154;
+    engine.readMsPerMillionPairs = 0.162;
+    engine.chunkTokens = 2048;
+    engine.stepsPerPass = steps;
+    engine.slots = slots;
+    engine.memoryTokens = 405000;
+    return engine;
+}
+
+/** Loads that change between many long prompts and many short ones, as on the users' days. */
+std::vector<TrialPhase> swings()
+{
+    return {{2, {1, 1, 1}},      {11, {0.39, 1.3, 2.8}}, {12, {1, 1, 1}},
+            {21.5, {2.45, 0.5, 0.05}}, {23, {1, 1, 1}},  {32.5, {0.37, 1.3, 2.75}},
+            {36, {1, 1, 1}}};
+}
+
+} // namespace
+
+double TrialResult::share() const
+{
+    double owed = 0;
+    double earned = 0;
+    for (const TrialKindResult &kind : this->kinds) {
+        owed += kind.worthOwed;
+        earned += kind.worthEarned;
+    }
+    return owed > 0 ? earned / owed : 0;
+}
+
+TrialSetup trialSetup(const std::string &name)
+{
+    TrialSetup setup;
+    setup.phases = swings();
+    const bool isGrown = name.ends_with("-grown");
+    const bool isFotocheck = name.starts_with("fotocheck");
+    setup.engine = isGrown ? plannedEngine(12, 38) : plannedEngine(16, 34);
+    setup.instances = isGrown ? 30 : 6;
+    if (isGrown)
+        setup.engines = isFotocheck ? 78 : 45;
+    else
+        setup.engines = isFotocheck ? 23 : 14;
+    const std::vector<double> rates = isGrown
+        ? (isFotocheck ? std::vector<double> {124, 8.68, 2.17}
+                       : std::vector<double> {71.3, 5.01, 1.25})
+        : (isFotocheck ? std::vector<double> {46, 2.57, 1.19}
+                       : std::vector<double> {28, 1.57, 0.727});
+    const double longest = isGrown ? 260000 : 182000;
+    const double longestObjective = !isGrown && isFotocheck ? 3000 : 4000;
+    const double longWorth = isGrown ? 34 : 24;
+    setup.kinds = {
+        {"short", rates[0], 4960, 0.9, 23800, 38, 0.7, 300, 250, 10000, 1.3, 0.33},
+        {"middle", rates[1], 45000, 0.5, 110000, 23, 0.6, 1500, 600, 10000, 3.9, 0.97},
+        {"long", rates[2], longest, 0.55, 400000, 19, 0.5, longestObjective, 1000, 15000,
+         longWorth, longWorth / 4},
+    };
+    return setup;
+}
+
+TrialResult runPlacementTrial(const TrialSetup &setup, std::uint64_t seed)
+{
+    return Trial(setup, seed).run();
+}
+
+} // namespace foxtailtally
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -160,7 +160,8 @@
     demand.answerTokens = this->call.headers.maxAnswerTokens;
     demand.firstEventDue = this->call.receivedAt + this->call.route->objective - now;
     demand.pauseObjective = this->call.route->pauseObjective;
-    demand.timeLeft = this->call.answerBy - now;
+    const absl::Time newsAt = std::max(this->call.receivedAt, this->lastEventAt);
+    demand.usefulLeft = std::min(this->call.answerBy, newsAt + this->patience()) - now;
     const StreamPlacement placement(service.engine, demand, now);
     std::optional<StreamPlan> found = placement.choose(candidates, loads);
     if (!found) {
@@ -207,6 +208,7 @@
         65535));
     part.value = static_cast<float>(streamValue(this->call.headers.promptTokens));
     part.isLate = part.firstEventDueMs == 0 || this->hasAnswerBegun;
+    part.isSplit = !this->plan.helpers.empty();
     std::vector<StreamPart> parts = {part};
     part.isHelper = true;
     part.memoryTokens = 0;
--- a/main/gateway/instance_exchange.cpp
+++ b/main/gateway/instance_exchange.cpp
@@ -70,7 +70,7 @@
     }
 };
 
-enum PartFlags : std::uint8_t { Writing = 1, Helper = 2, Late = 4 };
+enum PartFlags : std::uint8_t { Writing = 1, Helper = 2, Late = 4, Split = 8 };
 
 PartNotice noticeOf(const StreamPart &part, absl::Time now)
 {
@@ -85,7 +85,8 @@
     notice.firstEventDueMs = part.firstEventDueMs;
     notice.valueTenths = static_cast<std::uint16_t>(part.value * 10);
     notice.flags = static_cast<std::uint8_t>(
-        (part.isWriting ? Writing : 0) | (part.isHelper ? Helper : 0) | (part.isLate ? Late : 0));
+        (part.isWriting ? Writing : 0) | (part.isHelper ? Helper : 0) | (part.isLate ? Late : 0)
+                                             | (part.isSplit ? Split : 0));
     return notice;
 }
 
@@ -103,6 +104,7 @@
     part.isWriting = (notice.flags & Writing) != 0;
     part.isHelper = (notice.flags & Helper) != 0;
     part.isLate = (notice.flags & Late) != 0;
+    part.isSplit = (notice.flags & Split) != 0;
     return part;
 }
 
--- a/servers/placement/stream_ledger.cpp
+++ b/servers/placement/stream_ledger.cpp
@@ -23,22 +23,37 @@
         ++load.writers;
 }
 
-/** Reads are done one after the other in the order in which they were placed. */
-double readLeft(std::vector<const StreamPart *> &parts, absl::Time now)
+/** Time left of reads that are done one after the other: none but the oldest has made progress. */
+class ReadQueue
 {
-    std::sort(parts.begin(), parts.end(),
-              [](const StreamPart *a, const StreamPart *b) { return a->placedAt < b->placedAt; });
-    absl::Time busyUntil = absl::InfinitePast();
-    double overdue = 0;
-    for (const StreamPart *part : parts) {
-        if (part->isWriting)
-            continue;
-        busyUntil = std::max(busyUntil, part->placedAt) + absl::Milliseconds(part->readMs);
-        overdue = std::max(overdue, kOverdueShare * part->readMs);
+public:
+    void add(const StreamPart &part, absl::Time now)
+    {
+        const double elapsed = absl::ToDoubleMilliseconds(now - part.placedAt);
+        const double progress = this->isEmpty ? std::max(0.0, elapsed) : 0.0;
+        this->left += std::max(kOverdueShare * part.readMs, part.readMs - progress);
+        this->isEmpty = false;
     }
-    if (busyUntil == absl::InfinitePast())
-        return 0;
-    return std::max(overdue, absl::ToDoubleMilliseconds(busyUntil - now));
+    double leftMs() const { return this->left; }
+
+private:
+    double left = 0;
+    bool isEmpty = true;
+};
+
+void countReads(ServerLoad &load, absl::Time now)
+{
+    std::sort(load.parts.begin(), load.parts.end(), [](const StreamPart *a, const StreamPart *b) {
+        return a->placedAt < b->placedAt;
+    });
+    ReadQueue splitParts;
+    ReadQueue wholePrompts;
+    for (const StreamPart *part : load.parts) {
+        if (!part->isWriting)
+            (part->isSplit ? splitParts : wholePrompts).add(*part, now);
+    }
+    load.splitLeftMs = splitParts.leftMs();
+    load.readLeftMs = splitParts.leftMs() + wholePrompts.leftMs();
 }
 
 } // namespace
@@ -105,7 +120,7 @@
             add(result[part.server], part);
     }
     for (auto &[server, load] : result)
-        load.readLeftMs = readLeft(load.parts, now);
+        countReads(load, now);
     return result;
 }
 
--- a/servers/placement/stream_ledger.h
+++ b/servers/placement/stream_ledger.h
@@ -30,6 +30,8 @@
     bool isWriting = false;
     /** The server reads for another one and writes nothing for this stream. */
     bool isHelper = false;
+    /** One of several parts of a prompt; engines read these ahead of whole prompts. */
+    bool isSplit = false;
     /** Already too late for its objectives; further delay costs its caller nothing more. */
     bool isLate = false;
     std::uint16_t pauseObjectiveMs = 0;
@@ -48,6 +50,8 @@
     std::int64_t memoryTokens = 0;
     /** Time until the reads that are placed are done. */
     double readLeftMs = 0;
+    /** The part of it that is taken up by parts of split prompts. */
+    double splitLeftMs = 0;
     std::vector<const StreamPart *> parts;
 };
 
--- a/servers/placement/stream_placement.cpp
+++ b/servers/placement/stream_placement.cpp
@@ -28,7 +28,7 @@
 constexpr double kDelayingPartMs = 150.0;
 
 /** A stream waits for a better plan while its first event would still come within this share of
- * its objective. */
+ * the time to its objective or, when that cannot be met, of the time that its caller waits. */
 constexpr double kWaitShare = 0.6;
 /** Harm below this is no reason to wait. */
 constexpr double kAcceptedHarm = 0.3;
@@ -204,7 +204,9 @@
     // Split parts are read ahead of other reads, but not before the pass in progress ends.
     const double passReadMs =
         load.writers > 0 ? std::min(load.readLeftMs, kMostReadInPassMs) : 0.0;
-    const double ahead = isSplit ? kPassInProgress * passReadMs : load.readLeftMs;
+    const double wholeMs = std::max(0.0, passReadMs - load.splitLeftMs);
+    const double ahead =
+        isSplit ? load.splitLeftMs + kPassInProgress * wholeMs : load.readLeftMs;
     const double current = load.writers > 0 ? kPassInProgress * pass : 0.0;
     const double ownPass = writePassMs(this->engine, load.writers + 1, load.memoryTokens);
     const double excess = std::max<double>(0, load.streams + 1 - candidate.slots);
@@ -265,7 +267,9 @@
     if (this->isShort() || plan.harm < kAcceptedHarm)
         return false;
     const double due = absl::ToDoubleMilliseconds(this->demand.firstEventDue);
-    return plan.predictedFirstEventMs < due * kWaitShare;
+    const double useful = absl::ToDoubleMilliseconds(this->demand.usefulLeft);
+    const bool canBeOnTime = plan.predictedFirstEventMs < due * kSafeShare;
+    return plan.predictedFirstEventMs < (canBeOnTime ? due : useful) * kWaitShare;
 }
 
 bool StreamPlacement::fits(const EngineCandidate &candidate, const ServerLoad &load) const
--- a/servers/placement/stream_placement.h
+++ b/servers/placement/stream_placement.h
@@ -31,8 +31,8 @@
     /** Time left until the first event is due. */
     absl::Duration firstEventDue = absl::ZeroDuration();
     absl::Duration pauseObjective = absl::ZeroDuration();
-    /** Time left until the call has to be over. */
-    absl::Duration timeLeft = absl::ZeroDuration();
+    /** Time left until the caller gives the call up. */
+    absl::Duration usefulLeft = absl::ZeroDuration();
 };
 
 struct StreamPlan
