--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -20,7 +20,7 @@
 /** A server from which no stream has got a byte for this long, and for this multiple of a planned
  * pass, is taken for silent. Engines that lost a helper stall for a second and a half. */
 constexpr absl::Duration kServerSilence = absl::Milliseconds(1000);
-constexpr double kSilentPasses = 3.0;
+constexpr double kSilentPasses = 2.0;
 
 /** Pause between two looks for a plan that harms no other stream. */
 constexpr absl::Duration kWaitStep = absl::Milliseconds(20);
@@ -45,9 +45,6 @@
 constexpr absl::Duration kShortestReturn = absl::Milliseconds(250);
 constexpr absl::Duration kReturnSpread = absl::Milliseconds(750);
 
-/** Share of the rate that a cold server bears which the instances together plan for. */
-constexpr double kColdShare = 0.7;
-
 /** Pauses of a stream after which a server's pace is judged. */
 constexpr int kPausesToJudge = 6;
 
@@ -105,89 +102,48 @@
     return this->dispatchPlain(*found, now);
 }
 
-bool CallRun::isRateBound(const Service &service, const ServerDirectory::Server &server,
-                          std::int64_t knownArrivals, absl::Time now) const
+StreamDemand CallRun::demand(absl::Time now) const
 {
-    if (service.coldRequestsPerSecond <= 0)
-        return false;
-    const GatewaySettings &settings = this->context.settings;
-    // A server may turn cold without notice, so the bound of a cold one holds for all; one that is
-    // known to be cold gets no more than it bears.
-    const bool isCold = server.coldUntil > now;
-    const double bound = isCold
-        ? service.coldRequestsPerSecond
-        : service.coldRequestsPerSecond * settings.coldFactor + settings.coldSlack;
-    const auto found =
-        this->context.activity.find(serverKey(server.entry.id, server.entry.incarnation));
-    const std::int64_t own =
-        found == this->context.activity.end() || now - found->second.countedFrom >= absl::Seconds(1)
-        ? 0
-        : found->second.sentInSecond;
-    return static_cast<double>(std::max(own, knownArrivals) + 1)
-        > std::max(1.0, kColdShare * bound);
-}
-
-bool CallRun::dispatchStream(const Service &service, absl::Time now)
-{
-    std::vector<const ServerDirectory::Server *> servers =
-        this->context.directory.usable(this->service, now);
-    const auto loads = this->context.ledger.loads(now);
-    std::vector<EngineCandidate> candidates;
-    std::vector<const ServerDirectory::Server *> chosen;
-    for (const ServerDirectory::Server *server : servers) {
-        EngineCandidate candidate;
-        candidate.server = serverKey(server->entry.id, server->entry.incarnation);
-        if (std::find(this->tried.begin(), this->tried.end(), candidate.server)
-            != this->tried.end())
-            continue;
-        candidate.slots = server->entry.slots;
-        candidate.slowness = this->context.health.slowness(candidate.server);
-        candidate.isSuspect = this->context.health.isSuspect(candidate.server, now);
-        const auto load = loads.find(candidate.server);
-        std::int64_t arrivals = 0;
-        if (load != loads.end()) {
-            arrivals = std::count_if(
-                load->second.parts.begin(), load->second.parts.end(), [now](const auto *part) {
-                    return !part->isHelper && now - part->placedAt < absl::Seconds(1);
-                });
-        }
-        candidate.isRateBound = this->isRateBound(service, *server, arrivals, now);
-        candidates.push_back(candidate);
-        chosen.push_back(server);
-    }
     StreamDemand demand;
     demand.promptTokens = this->call.headers.promptTokens;
     demand.answerTokens = this->call.headers.maxAnswerTokens;
     demand.firstEventDue = this->call.receivedAt + this->call.route->objective - now;
+    demand.objective = this->call.route->objective;
     demand.pauseObjective = this->call.route->pauseObjective;
     const absl::Time newsAt = std::max(this->call.receivedAt, this->lastEventAt);
     demand.usefulLeft = std::min(this->call.answerBy, newsAt + this->patience()) - now;
-    const StreamPlacement placement(service.engine, demand, now);
-    std::optional<StreamPlan> found = placement.choose(candidates, loads);
-    if (!found) {
-        // A suspicion may be wrong, and an engine queues what exceeds its slots.
-        for (EngineCandidate &candidate : candidates) {
-            candidate.isSuspect = false;
-            candidate.slots *= 2;
-        }
-        found = placement.choose(candidates, loads);
-    }
-    if (!found)
+    return demand;
+}
+
+bool CallRun::dispatchStream(const Service &service, absl::Time now)
+{
+    const StreamDecision decision =
+        StreamPlanner(this->context).decide(service, this->demand(now), this->tried, now);
+    this->plan = decision.plan;
+    switch (decision.kind) {
+    case StreamDecision::Kind::NoServer:
+    case StreamDecision::Kind::Hopeless:
         return false;
-    this->plan = *found;
-    if (placement.shouldWait(this->plan)) {
+    case StreamDecision::Kind::Wait:
         this->isWaiting = true;
         this->watchTimer.start(kWaitStep);
         return true;
+    case StreamDecision::Kind::Place:
+        this->placeStream(decision, now);
+        return true;
     }
+    return false;
+}
+
+void CallRun::placeStream(const StreamDecision &decision, absl::Time now)
+{
     std::vector<platform::ReadHelper> helpers;
     for (const std::size_t index : this->plan.helpers)
-        helpers.push_back({chosen[index]->entry.address, {}});
-    this->placeParts(candidates, now);
-    this->logPlacement(chosen, loads, candidates[this->plan.server].server);
-    this->sendTo(*chosen[this->plan.server], std::move(helpers), now);
+        helpers.push_back({decision.servers[index]->entry.address, {}});
+    this->placeParts(decision.candidates, now);
+    this->logPlacement(decision);
+    this->sendTo(*decision.servers[this->plan.server], std::move(helpers), now);
     this->watchTimer.start(absl::Milliseconds(this->plan.predictedFirstEventMs) + kStreamSlack);
-    return true;
 }
 
 void CallRun::placeParts(const std::vector<EngineCandidate> &candidates, absl::Time now)
@@ -220,24 +176,21 @@
     this->context.exchange.onLedgerChanged();
 }
 
-void CallRun::logPlacement(const std::vector<const ServerDirectory::Server *> &servers,
-                           const absl::flat_hash_map<ServerKey, ServerLoad> &loads,
-                           ServerKey server) const
+void CallRun::logPlacement(const StreamDecision &decision) const
 {
-    const auto load = loads.find(server);
-    const bool isIdle = load == loads.end();
     std::string helpers;
     for (const std::size_t index : this->plan.helpers)
-        absl::StrAppend(&helpers, helpers.empty() ? "" : ",", servers[index]->entry.id.str());
+        absl::StrAppend(&helpers, helpers.empty() ? "" : ",",
+                        decision.servers[index]->entry.id.str());
     logEvent(LogLevel::Info, "stream_placed",
              {{"request", this->call.headers.callId},
-              {"server", servers[this->plan.server]->entry.id.str()},
+              {"server", decision.servers[this->plan.server]->entry.id.str()},
               {"helpers", helpers},
               {"part_ms", static_cast<int>(this->plan.partReadMs)},
               {"planned_ms", static_cast<int>(this->plan.predictedFirstEventMs)},
               {"harm", static_cast<int>(this->plan.harm * 100)},
-              {"read_left_ms", isIdle ? 0 : static_cast<int>(load->second.readLeftMs)},
-              {"writers", isIdle ? 0 : load->second.writers},
+              {"read_left_ms", static_cast<int>(decision.readLeftMs)},
+              {"writers", decision.writers},
               {"instances", this->context.exchange.instanceCount()}});
 }
 
@@ -259,7 +212,9 @@
         }
         candidate.wasTried = std::find(this->tried.begin(), this->tried.end(), candidate.server)
             != this->tried.end();
-        candidate.isRateBound = this->isRateBound(service, *server, 0, now);
+        candidate.isRateBound = isRateBound(this->context, service, *server, 0, now);
+        candidate.isUnreachable =
+            !this->context.reachability.isReachable(candidate.server, server->entry.domain);
         candidates.push_back(candidate);
     }
     const std::optional<std::size_t> best =
@@ -283,6 +238,7 @@
     target.id = server.entry.id;
     target.key = serverKey(server.entry.id, server.entry.incarnation);
     target.address = server.entry.address;
+    target.domain = server.entry.domain;
     this->tried.push_back(target.key);
     ++this->arrivals;
     platform::ForwardedCall forwarded;
@@ -443,7 +399,9 @@
     else
         ++this->runs;
     const bool wasSuspect = this->context.health.isSuspect(target.key, now);
-    if (end != AttemptEnd::Rejected) {
+    if (end == AttemptEnd::NotSent) {
+        this->context.reachability.onConnectFailed(target.key, target.domain, now);
+    } else if (end == AttemptEnd::Silent || end == AttemptEnd::Lost) {
         this->context.health.onOutcome(target.key,
                                        end == AttemptEnd::Silent ? ServerHealth::Outcome::Silent
                                                                  : ServerHealth::Outcome::Lost,
@@ -451,16 +409,32 @@
         if (!wasSuspect && this->context.health.isSuspect(target.key, now))
             this->context.exchange.onSuspicion(target.key);
     }
+    if (end == AttemptEnd::Rejected)
+        this->blameHelper(call, now);
     logEvent(LogLevel::Info, "attempt_ended",
              {{"request", this->call.headers.callId},
               {"server", target.id.str()},
               {"end", static_cast<int>(end)},
               {"runs", this->runs},
               {"rejections", this->rejections},
-              {"suspect", this->context.health.isSuspect(target.key, now)}});
+              {"at_fault", call.faultyServer()},
+              {"suspect", this->context.health.isSuspect(target.key, now)},
+              {"domain_cut", this->context.reachability.isCut(target.domain)}});
     this->afterEnd(end, now);
 }
 
+void CallRun::blameHelper(const ServerCall &call, absl::Time now)
+{
+    const std::string &address = call.faultyServer();
+    if (address.empty() || address == call.target().address)
+        return;
+    const ServerDirectory::Server *helper = this->context.directory.findAddress(address);
+    if (helper)
+        this->context.health.onOutcome(
+            serverKey(helper->entry.id, helper->entry.incarnation), ServerHealth::Outcome::Lost,
+            now);
+}
+
 void CallRun::afterEnd(AttemptEnd end, absl::Time now)
 {
     if (!this->attempts.empty())
@@ -607,20 +581,32 @@
             planned = writePassMs(engine->engine, load->second.writers, load->second.memoryTokens)
                 + load->second.readLeftMs;
     }
-    const absl::Duration bound =
-        std::max(kServerSilence * 2, absl::Milliseconds(planned * kSilentPasses));
+    planned = std::max(planned, this->plan.predictedFirstEventMs);
+    const absl::Duration bound = kServerSilence * 2 + absl::Milliseconds(planned * kSilentPasses);
     const absl::Time newsAt = std::max(attempt.sentAt(), this->lastEventAt);
-    const bool isSilent = !this->isPaused
-        && ((now - heardAt > bound && now - newsAt > kServerSilence)
-            || now - newsAt > this->patience() * kPatienceShare);
+    const bool isOverdue = now - newsAt > this->patience() * kPatienceShare;
+    const bool isSilent = now - heardAt > bound || (isOverdue && now - heardAt > kServerSilence);
     const bool canMove =
         this->call.route->isRepeatable() && this->runs + 1 < this->call.route->maxAttempts;
-    if (!isSilent || !canMove) {
+    if (!canMove || this->isPaused || !(isSilent || (isOverdue && this->hasBetterPlace(now)))) {
         this->watchTimer.start(kStreamRecheck);
         return;
     }
     attempt.cancel();
-    this->onAttemptEnded(attempt, AttemptEnd::Silent);
+    this->onAttemptEnded(attempt, isSilent ? AttemptEnd::Silent : AttemptEnd::Overdue);
+}
+
+bool CallRun::hasBetterPlace(absl::Time now) const
+{
+    const Service *engine = this->call.config->findService(this->service);
+    if (!engine)
+        return false;
+    const StreamDemand demand = this->demand(now);
+    const StreamDecision decision =
+        StreamPlanner(this->context).decide(*engine, demand, this->tried, now);
+    return decision.kind == StreamDecision::Kind::Place
+        && absl::Milliseconds(decision.plan.predictedFirstEventMs)
+        < demand.usefulLeft * kPatienceShare;
 }
 
 absl::Duration CallRun::patience() const
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -2,6 +2,7 @@
 
 #include "main/gateway/gateway_context.h"
 #include "main/gateway/server_call.h"
+#include "main/gateway/stream_planner.h"
 #include "peers/http/inbound_connection.h"
 #include "peers/http/loop_timer.h"
 #include "platform/call_headers.h"
@@ -71,13 +72,13 @@
     bool dispatchPlain(const Service &service, absl::Time now);
     void sendTo(const ServerDirectory::Server &server, std::vector<platform::ReadHelper> helpers,
                 absl::Time now);
-    bool isRateBound(const Service &service, const ServerDirectory::Server &server,
-                     std::int64_t knownArrivals, absl::Time now) const;
+    StreamDemand demand(absl::Time now) const;
+    void placeStream(const StreamDecision &decision, absl::Time now);
     void placeParts(const std::vector<EngineCandidate> &candidates, absl::Time now);
 
-    void logPlacement(const std::vector<const ServerDirectory::Server *> &servers,
-                      const absl::flat_hash_map<ServerKey, ServerLoad> &loads,
-                      ServerKey server) const;
+    void logPlacement(const StreamDecision &decision) const;
+    /** A rejection that names a helper speaks against that helper. */
+    void blameHelper(const ServerCall &call, absl::Time now);
 
     void relayEvents(Attempt &attempt, std::string_view data, absl::Time now);
     void noteEvent(ServerCall &call, absl::Time now);
@@ -92,6 +93,8 @@
     void onDeadline();
     void onWatch();
     void watchStream(absl::Time now);
+    /** Another engine would bring the next event in good time. */
+    bool hasBetterPlace(absl::Time now) const;
     /** Time without an event after which the caller leaves. */
     absl::Duration patience() const;
     void hedge(absl::Time now);
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -39,6 +39,7 @@
     : base(newBase())
     , context(this->base, settings)
     , store(this->context)
+    , prober(this->context)
     , readyEndpoint(this->base, [this](const RequestHead &) { return this->answerReady(); })
     , metricsEndpoint(this->base, [this](const RequestHead &) { return this->answerMetrics(); })
     , tick(this->base, [this] { this->onTick(); })
@@ -121,6 +122,7 @@
     retired.swap(this->context.retired);
     retired.clear();
     this->context.pool.onTick(now);
+    this->prober.onTick(now);
     this->readyEndpoint.onTick();
     this->metricsEndpoint.onTick();
     if (this->context.isStopping)
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "main/gateway/admin_endpoint.h"
 #include "main/gateway/caller_session.h"
 #include "main/gateway/gateway_context.h"
+#include "main/gateway/server_prober.h"
 #include "main/gateway/store_follower.h"
 #include "peers/http/loop_timer.h"
 
@@ -46,6 +47,7 @@
     event_base *base;
     GatewayContext context;
     StoreFollower store;
+    ServerProber prober;
     AdminEndpoint readyEndpoint;
     AdminEndpoint metricsEndpoint;
     evconnlistener *listener = nullptr;
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -8,6 +8,7 @@
 #include "servers/catalog/config_freshness.h"
 #include "servers/catalog/server_directory.h"
 #include "servers/catalog/serving_config.h"
+#include "servers/placement/reachability.h"
 #include "servers/placement/server_health.h"
 #include "servers/placement/stream_ledger.h"
 #include "servers/retry/retry_budget.h"
@@ -72,6 +73,7 @@
     ServerDirectory directory;
     StreamLedger ledger;
     ServerHealth health;
+    Reachability reachability;
     RetryBudget retries;
     ConnectionPool pool;
     InstanceExchange exchange;
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -71,6 +71,8 @@
     ServerActivity &activity = this->context.activity[this->server.key];
     activity.lastByteAt = now;
     const platform::ServerReply reply = platform::decodeServerReply(head);
+    this->faulty = reply.faultyServer;
+    this->context.reachability.onConnected(this->server.key, this->server.domain);
     if (reply.outstanding) {
         activity.reported = *reply.outstanding;
         activity.reportedAt = now;
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -35,6 +35,7 @@
     BackendServerId id;
     ServerKey key = 0;
     std::string address;
+    FailureDomainId domain;
 };
 
 /** One attempt of a call at one server. */
@@ -56,6 +57,8 @@
 
     const AttemptTarget &target() const { return this->server; }
     absl::Time sentAt() const { return this->startedAt; }
+    /** Server that a rejection named as its cause; empty when it named none. */
+    const std::string &faultyServer() const { return this->faulty; }
     bool isActive() const { return this->connection != nullptr; }
 
 private:
@@ -76,6 +79,7 @@
     std::unique_ptr<OutboundConnection> connection;
     LoopTimer connectTimer;
     absl::Time startedAt = absl::InfinitePast();
+    std::string faulty;
     bool wasConnectionKept = false;
     bool mustNotRepeat = false;
 };
--- /dev/null
+++ b/main/gateway/server_prober.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "main/gateway/gateway_context.h"
+
+#include <memory>
+#include <vector>
+
+namespace foxtailtally {
+
+/** Opens connections to servers that could not be reached, to learn when they can be again. */
+class ServerProber
+{
+public:
+    explicit ServerProber(GatewayContext &context)
+        : context(context)
+    { }
+
+    /** Judges the probes under way and starts those that are due. */
+    void onTick(absl::Time now);
+
+private:
+    struct Probe
+    {
+        ServerKey key = 0;
+        std::string address;
+        FailureDomainId domain;
+        std::unique_ptr<OutboundConnection> connection;
+    };
+
+    void judge(absl::Time now);
+
+    GatewayContext &context;
+    std::vector<Probe> probes;
+};
+
+} // namespace foxtailtally
--- a/servers/catalog/server_directory.cpp
+++ b/servers/catalog/server_directory.cpp
@@ -1,9 +1,16 @@
 #include "servers/catalog/server_directory.h"
 
+#include "core/hash.h"
+
 #include <algorithm>
 
 namespace foxtailtally {
 
+ServerKey serverKey(const BackendServerId &id, Incarnation incarnation)
+{
+    return stableHash(id.str(), incarnation);
+}
+
 void ServerDirectory::onEntry(const ServerEntry &entry, absl::Time now)
 {
     Server &server = this->servers[entry.id];
@@ -93,6 +100,24 @@
     return found == this->servers.end() ? nullptr : &found->second;
 }
 
+const ServerDirectory::Server *ServerDirectory::findKey(ServerKey key) const
+{
+    const auto found =
+        std::find_if(this->servers.begin(), this->servers.end(), [key](const auto &item) {
+            return serverKey(item.first, item.second.entry.incarnation) == key;
+        });
+    return found == this->servers.end() ? nullptr : &found->second;
+}
+
+const ServerDirectory::Server *ServerDirectory::findAddress(const std::string &address) const
+{
+    const auto found =
+        std::find_if(this->servers.begin(), this->servers.end(), [&address](const auto &item) {
+            return item.second.entry.address == address;
+        });
+    return found == this->servers.end() ? nullptr : &found->second;
+}
+
 bool ServerDirectory::mayGetWork(const Server &server, absl::Time now) const
 {
     return !server.entry.leaving && server.usableUntil >= now
--- a/servers/catalog/server_directory.h
+++ b/servers/catalog/server_directory.h
@@ -11,6 +11,11 @@
 
 namespace foxtailtally {
 
+/** Stable number that stands for one life of a backend server in messages between instances. */
+using ServerKey = std::uint64_t;
+
+ServerKey serverKey(const BackendServerId &id, Incarnation incarnation);
+
 /** What the platform's list says of one backend server. */
 struct ServerEntry
 {
@@ -64,6 +69,9 @@
     std::vector<const Server *> usable(const std::string &service, absl::Time now) const;
     bool isUsable(const BackendServerId &id, Incarnation incarnation, absl::Time now) const;
     const Server *find(const BackendServerId &id) const;
+    /** The server with the number that instances use among themselves; null when there is none. */
+    const Server *findKey(ServerKey key) const;
+    const Server *findAddress(const std::string &address) const;
     std::size_t size() const { return this->servers.size(); }
 
 private:
--- a/servers/placement/service_placement.cpp
+++ b/servers/placement/service_placement.cpp
@@ -33,12 +33,12 @@
                                                const ServerHealth &health, absl::Time now)
 {
     std::optional<std::size_t> best;
-    std::tuple<absl::Duration, double> bestRank;
+    std::tuple<bool, absl::Duration, double> bestRank;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const ServiceCandidate &candidate = candidates[i];
         if (candidate.wasTried || candidate.isRateBound)
             continue;
-        const std::tuple rank(health.suspectLeft(candidate.server, now),
+        const std::tuple rank(candidate.isUnreachable, health.suspectLeft(candidate.server, now),
                               expectedMs(candidate, health));
         if (!best || rank < bestRank) {
             best = i;
--- a/servers/placement/service_placement.h
+++ b/servers/placement/service_placement.h
@@ -22,6 +22,8 @@
     /** Not to be chosen again for this call. */
     bool wasTried = false;
     bool isRateBound = false;
+    /** No connection to it came about lately. */
+    bool isUnreachable = false;
 };
 
 /**
--- a/servers/placement/stream_ledger.cpp
+++ b/servers/placement/stream_ledger.cpp
@@ -1,7 +1,5 @@
 #include "servers/placement/stream_ledger.h"
 
-#include "core/hash.h"
-
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 
@@ -58,11 +56,6 @@
 
 } // namespace
 
-ServerKey serverKey(const BackendServerId &id, Incarnation incarnation)
-{
-    return stableHash(id.str(), incarnation);
-}
-
 void StreamLedger::place(std::span<const StreamPart> parts)
 {
     this->ownParts.insert(this->ownParts.end(), parts.begin(), parts.end());
--- a/servers/placement/stream_ledger.h
+++ b/servers/placement/stream_ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "servers/catalog/server_directory.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -10,11 +11,6 @@
 
 namespace foxtailtally {
 
-/** Stable number that stands for one life of a backend server in messages between instances. */
-using ServerKey = std::uint64_t;
-
-ServerKey serverKey(const BackendServerId &id, Incarnation incarnation);
-
 /** What one stream asks of one server: its own, or one that reads a part of its prompt. */
 struct StreamPart
 {
--- a/servers/placement/stream_placement.cpp
+++ b/servers/placement/stream_placement.cpp
@@ -139,7 +139,7 @@
         const double partMs = this->wholeReadMs / static_cast<double>(parts);
         std::vector<Option> options;
         for (std::size_t i = 0; i < candidates.size(); ++i) {
-            if (candidates[i].isSuspect || candidates[i].isRateBound)
+            if (candidates[i].isSuspect || candidates[i].isUnreachable || candidates[i].isRateBound)
                 continue;
             const auto found = loads.find(candidates[i].server);
             Option option = this->assess(candidates[i], found == loads.end() ? idle : found->second,
@@ -278,6 +278,8 @@
         return false;
     if (this->engine.memoryTokens <= 0)
         return true;
+    if (candidate.mayExceedMemory)
+        return this->demand.promptTokens + this->demand.answerTokens <= this->engine.memoryTokens;
     const double planned = static_cast<double>(load.memoryTokens + this->demand.promptTokens
                                                + this->demand.answerTokens);
     return planned <= kMemoryShare * static_cast<double>(this->engine.memoryTokens);
--- a/servers/placement/stream_placement.h
+++ b/servers/placement/stream_placement.h
@@ -22,6 +22,10 @@
     /** It may take no further request now because it is cold. */
     bool isRateBound = false;
     bool isSuspect = false;
+    /** No connection to it came about lately. */
+    bool isUnreachable = false;
+    /** The stream may wait there until its memory is free. */
+    bool mayExceedMemory = false;
 };
 
 struct StreamDemand
@@ -31,6 +35,8 @@
     /** Time left until the first event is due. */
     absl::Duration firstEventDue = absl::ZeroDuration();
     absl::Duration pauseObjective = absl::ZeroDuration();
+    /** Time for the first event, counted from the call's arrival. */
+    absl::Duration objective = absl::ZeroDuration();
     /** Time left until the caller gives the call up. */
     absl::Duration usefulLeft = absl::ZeroDuration();
 };
--- a/servers/retry/attempt_policy.h
+++ b/servers/retry/attempt_policy.h
@@ -16,6 +16,8 @@
     Lost,
     /** Nothing came for much longer than planned; it may be running. */
     Silent,
+    /** The server works, but too slowly for this call. */
+    Overdue,
 };
 
 /** What is known of a call after one of its attempts ended. */
