Let few instances of a failure domain watch the store for the others

Ruled out: longer watches: the time to notice a silent connection is bound by the drain and revocation bounds.

Change: StoreSource ranks the live instances of a domain; the first watch the store, the others watch them over StoreRelay, which tells how old its knowledge is; a follower whose source fails or is old asks the next one or the store.

--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -79,7 +79,8 @@
     if (!opened.ok())
         return opened.error();
     this->listener = *opened;
-    this->store.start();
+    if (const std::error_code error = this->store.start())
+        return error;
     this->tick.start(kTick);
     logEvent(LogLevel::Info, "started",
              {{"instance", settings.id.str()},
@@ -123,6 +124,7 @@
     retired.clear();
     this->context.pool.onTick(now);
     this->prober.onTick(now);
+    this->store.onTick();
     this->readyEndpoint.onTick();
     this->metricsEndpoint.onTick();
     if (this->context.isStopping)
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -8,6 +8,7 @@
 #include "servers/catalog/config_freshness.h"
 #include "servers/catalog/server_directory.h"
 #include "servers/catalog/serving_config.h"
+#include "servers/catalog/store_source.h"
 #include "servers/placement/reachability.h"
 #include "servers/placement/server_health.h"
 #include "servers/placement/stream_ledger.h"
@@ -59,7 +60,8 @@
         , freshness(settings.revocationBound)
         , retries(settings.retries)
         , pool(base)
-        , exchange(base, settings.id, this->ledger, this->health)
+        , storeSource(settings.id, settings.domain, settings.storeAddress)
+        , exchange(base, settings.id, this->ledger, this->health, this->storeSource)
         , random(stableSeed(settings))
     { }
 
@@ -76,6 +78,7 @@
     Reachability reachability;
     RetryBudget retries;
     ConnectionPool pool;
+    StoreSource storeSource;
     InstanceExchange exchange;
     Metrics metrics;
     Random random;
--- a/main/gateway/gateway_settings.cpp
+++ b/main/gateway/gateway_settings.cpp
@@ -8,6 +8,9 @@
 
 constexpr double kMaxPort = 65535;
 
+/** Port where instances ask each other for the store's objects, from the first internal port. */
+constexpr int kRelayPortOffset = 2;
+
 std::vector<SettingSpec> makeSchema()
 {
     using Kind = SettingKind;
@@ -72,6 +75,7 @@
     result.peerAddress = absl::StrCat(address, ":", firstPort);
     result.metricsAddress =
         absl::StrCat(address, ":", firstPort + settings.count("metrics", "port_offset"));
+    result.relayAddress = absl::StrCat(address, ":", firstPort + kRelayPortOffset);
     result.storeAddress = settings.text("store", "address");
     result.revocationBound = settings.duration("keys", "revocation_bound");
     result.stopLimit = settings.duration("stop", "limit");
--- a/main/gateway/gateway_settings.h
+++ b/main/gateway/gateway_settings.h
@@ -22,6 +22,7 @@
     std::string readyAddress;
     std::string metricsAddress;
     std::string peerAddress;
+    std::string relayAddress;
     std::string storeAddress;
     absl::Duration revocationBound;
     absl::Duration stopLimit;
--- a/main/gateway/instance_exchange.cpp
+++ b/main/gateway/instance_exchange.cpp
@@ -118,11 +118,12 @@
 } // namespace
 
 InstanceExchange::InstanceExchange(event_base *base, const InstanceId &self, StreamLedger &ledger,
-                                   ServerHealth &health)
+                                   ServerHealth &health, StoreSource &storeSource)
     : base(base)
     , self(self)
     , ledger(ledger)
     , health(health)
+    , storeSource(storeSource)
     , timer(base, [this] { this->send(); })
 { }
 
@@ -256,6 +257,7 @@
     for (const PartNotice &part : notice.parts)
         parts.push_back(partOf(part, now));
     this->ledger.replacePeer(instance, std::move(parts), now);
+    this->storeSource.onHeard(instance, now);
     for (const ServerKey server : notice.suspects)
         this->health.onPeerSuspicion(server, absl::Seconds(1), now);
 }
--- a/main/gateway/instance_exchange.h
+++ b/main/gateway/instance_exchange.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "peers/http/loop_timer.h"
+#include "servers/catalog/store_source.h"
 #include "servers/placement/server_health.h"
 #include "servers/placement/stream_ledger.h"
 
@@ -27,7 +28,7 @@
 {
 public:
     InstanceExchange(event_base *base, const InstanceId &self, StreamLedger &ledger,
-                     ServerHealth &health);
+                     ServerHealth &health, StoreSource &storeSource);
     ~InstanceExchange();
     InstanceExchange(const InstanceExchange &) = delete;
     InstanceExchange &operator=(const InstanceExchange &) = delete;
@@ -56,6 +57,7 @@
     InstanceId self;
     StreamLedger &ledger;
     ServerHealth &health;
+    StoreSource &storeSource;
     LoopTimer timer;
     event *readable = nullptr;
     int socket = -1;
--- /dev/null
+++ b/main/gateway/kind_cache.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "platform/store_objects.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/time/time.h>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace foxtailtally {
+
+/** The objects of one kind as this instance knows them, for the instances that follow it. */
+class KindCache
+{
+public:
+    /** Changes that are kept for followers; one that lags further lists again. */
+    static constexpr std::size_t kKeptChanges = 256;
+
+    void replace(const std::vector<platform::StoredObject> &listed, std::int64_t listRevision);
+    void apply(const std::vector<platform::ObjectChange> &changes, std::int64_t newRevision);
+    void confirm(absl::Time moment) { this->confirmedAt = std::max(this->confirmedAt, moment); }
+
+    /** False until the kind has been listed. */
+    bool isKnown() const { return this->known; }
+    std::int64_t revision() const { return this->currentRevision; }
+    absl::Duration age(absl::Time now) const { return now - this->confirmedAt; }
+    platform::ObjectPage page() const;
+    /** Empty when changes since @p from are no longer kept. */
+    std::optional<platform::ObjectChanges> changesSince(std::int64_t from) const;
+
+private:
+    struct Logged
+    {
+        std::int64_t revision = 0;
+        platform::ObjectChange change;
+    };
+
+    absl::btree_map<std::string, platform::StoredObject> objects;
+    std::deque<Logged> log;
+    std::int64_t currentRevision = 0;
+    /** Changes after this revision are in the log. */
+    std::int64_t logStart = 0;
+    absl::Time confirmedAt = absl::InfinitePast();
+    bool known = false;
+};
+
+} // namespace foxtailtally
--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -15,6 +15,15 @@
  * while it is slow. */
 constexpr absl::Duration kAnswerTime = absl::Milliseconds(900);
 
+/** Time for which a watch at another instance waits, and for its answer beyond that; together below
+ * the time within which a leaving server gets no new work. */
+constexpr absl::Duration kRelayWatch = absl::Milliseconds(700);
+constexpr absl::Duration kRelayAnswerTime = absl::Milliseconds(300);
+
+/** An instance whose knowledge is older than this is not asked again for a while; the users' bound
+ * on keys leaves five seconds. */
+constexpr absl::Duration kOldestNote = absl::Milliseconds(2400);
+
 /** Pauses between failed calls; each call is counted by the store. */
 constexpr absl::Duration kFirstPause = absl::Milliseconds(120);
 constexpr absl::Duration kLongestPause = absl::Milliseconds(600);
@@ -26,10 +35,10 @@
 
 } // namespace
 
-KindWatcher::KindWatcher(event_base *base, std::string storeAddress, std::string_view kind,
+KindWatcher::KindWatcher(event_base *base, StoreSource &source, std::string_view kind,
                          absl::Duration watchTime, KindEvents &events)
     : base(base)
-    , storeAddress(std::move(storeAddress))
+    , source(source)
     , kind(kind)
     , watchTime(watchTime)
     , events(events)
@@ -59,30 +68,37 @@
 void KindWatcher::watch()
 {
     this->phase = Phase::Watching;
-    this->send(platform::watchTarget(this->kind, this->revision, this->watchTime),
-               this->watchTime + kAnswerTime);
+    const bool isStore = this->source.choose(Clock::now()).isStore;
+    this->watchAsked = isStore ? this->watchTime : std::min(this->watchTime, kRelayWatch);
+    this->send(platform::watchTarget(this->kind, this->revision, this->watchAsked),
+               this->watchAsked + (isStore ? kAnswerTime : kRelayAnswerTime));
 }
 
 void KindWatcher::send(const std::string &target, absl::Duration limit)
 {
-    if (!this->connection || !this->connection->isReusable()) {
+    const StoreSource::Choice choice = this->source.choose(Clock::now());
+    const bool hasMoved = choice.address != this->asked.address;
+    this->asked = choice;
+    this->note = {};
+    if (!this->connection || !this->connection->isReusable() || hasMoved) {
         this->retired = std::move(this->connection);
         IdleEvents &idleEvents = *this;
         this->connection =
-            std::make_unique<OutboundConnection>(this->base, this->storeAddress, idleEvents);
+            std::make_unique<OutboundConnection>(this->base, choice.address, idleEvents);
     }
     this->status = 0;
     this->body.clear();
     this->sentAt = Clock::now();
     this->timer.start(limit);
     this->connection->call(
-        absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", this->storeAddress, "\r\n\r\n"), false,
+        absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", choice.address, "\r\n\r\n"), false,
         {}, *this);
 }
 
 void KindWatcher::onResponseHead(OutboundConnection &, const ResponseHead &head)
 {
     this->status = head.status;
+    this->note = platform::decodeRelayNote(head.headers);
 }
 
 void KindWatcher::onResponseBody(OutboundConnection &, std::string_view data)
@@ -93,6 +109,11 @@
 void KindWatcher::onResponseComplete(OutboundConnection &)
 {
     const absl::Time now = Clock::now();
+    if (this->note.isUnsettled)
+        this->lastFailureAt = now;
+    // What it tells may be used, but another source is asked next.
+    if (this->note.age > kOldestNote)
+        this->source.onFailed(this->asked.address, now);
     if (this->status != 200) {
         this->onFailure(absl::StrCat("status ", this->status), this->status == kStatusGone);
         return;
@@ -122,8 +143,11 @@
     if (this->failures > 0)
         logEvent(LogLevel::Info, "store_regained", {{"kind", this->kind}});
     this->failures = 0;
+    this->known.replace(this->listed, this->revision);
+    this->known.confirm(this->listStartedAt - this->note.age);
     this->events.onObjects(this->listed, !this->isSettled(now), now);
-    this->events.onConfirmed(this->listStartedAt);
+    this->events.onConfirmed(this->listStartedAt - this->note.age);
+    this->events.onCacheChanged();
     this->listed.clear();
     this->watch();
 }
@@ -138,13 +162,19 @@
     if (this->failures > 0)
         logEvent(LogLevel::Info, "store_regained", {{"kind", this->kind}});
     this->failures = 0;
+    if (!changes->changes.empty())
+        this->known.apply(changes->changes, changes->revision);
     for (const platform::ObjectChange &change : changes->changes)
         this->events.onChange(change, !this->isSettled(now), now);
     this->revision = std::max(this->revision, changes->revision);
     // An empty answer was given when the time asked for was over; one with changes, at any time
     // since the call.
-    const bool waitedFully = changes->changes.empty() && now - this->sentAt >= this->watchTime;
-    this->events.onConfirmed(waitedFully ? this->sentAt + this->watchTime : this->sentAt);
+    const bool waitedFully = changes->changes.empty() && now - this->sentAt >= this->watchAsked;
+    const absl::Time answeredAfter = waitedFully ? this->sentAt + this->watchAsked : this->sentAt;
+    this->known.confirm(answeredAfter - this->note.age);
+    this->events.onConfirmed(answeredAfter - this->note.age);
+    if (!changes->changes.empty())
+        this->events.onCacheChanged();
     this->watch();
 }
 
@@ -162,13 +192,15 @@
 {
     this->mustList = this->mustList || mustList;
     this->lastFailureAt = Clock::now();
+    this->source.onFailed(this->asked.address, this->lastFailureAt);
     if (this->failures++ == 0)
-        logEvent(LogLevel::Warning, "store_lost", {{"kind", this->kind}, {"cause", cause}});
+        logEvent(LogLevel::Warning, "store_lost", {{"kind", this->kind}, {"source", this->asked.address}, {"cause", cause}});
     if (this->connection && this->connection->hasCall())
         this->connection->cancel();
     this->phase = Phase::Waiting;
     const bool isGone = this->status == kStatusGone;
-    const absl::Duration pause = std::min(kLongestPause, kFirstPause * this->failures);
+    const absl::Duration storePause = std::min(kLongestPause, kFirstPause * this->failures);
+    const absl::Duration pause = this->asked.isStore ? storePause : absl::ZeroDuration();
     this->timer.start(isGone ? absl::ZeroDuration() : pause);
 }
 
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "main/gateway/kind_cache.h"
 #include "peers/http/loop_timer.h"
 #include "peers/http/outbound_connection.h"
 #include "platform/store_objects.h"
+#include "servers/catalog/store_source.h"
 
 #include <absl/time/time.h>
 #include <cstdint>
@@ -24,22 +26,26 @@
                           absl::Time now) = 0;
     /** All changes up to @p moment have been told. */
     virtual void onConfirmed(absl::Time moment) = 0;
+    /** Called after the events above: what the watcher's cache holds has changed. */
+    virtual void onCacheChanged() = 0;
 };
 
 /**
- * Follows one kind of object in the store: lists it, then watches for changes, over one connection.
+ * Follows one kind of object in the store: lists it, then watches for changes, over one connection
+ * to the store or to an instance that watches it.
  * A watch is asked for a short time only, because a connection may go silent without a reset and
  * because its answer confirms that what is known is still the newest.
  */
 class KindWatcher final : private OutboundEvents, private IdleEvents
 {
 public:
-    KindWatcher(event_base *base, std::string storeAddress, std::string_view kind,
+    KindWatcher(event_base *base, StoreSource &source, std::string_view kind,
                 absl::Duration watchTime, KindEvents &events);
 
     void start();
-    /** True when nothing failed since kSettleTime. */
+    /** True when nothing failed since kSettleTime, here or at the instance that is followed. */
     bool isSettled(absl::Time now) const;
+    const KindCache &cache() const { return this->known; }
 
 private:
     enum class Phase { Listing, Watching, Waiting };
@@ -59,13 +65,18 @@
     void onTimer();
 
     event_base *base;
-    std::string storeAddress;
+    StoreSource &source;
     std::string kind;
+    /** Time for which a watch at the store may wait. */
     absl::Duration watchTime;
     KindEvents &events;
     LoopTimer timer;
     std::unique_ptr<OutboundConnection> connection;
     std::unique_ptr<OutboundConnection> retired;
+    KindCache known;
+    StoreSource::Choice asked;
+    platform::RelayNote note;
+    absl::Duration watchAsked = absl::ZeroDuration();
     Phase phase = Phase::Waiting;
     bool mustList = true;
     int status = 0;
--- a/main/gateway/store_follower.cpp
+++ b/main/gateway/store_follower.cpp
@@ -31,8 +31,9 @@
 class StoreFollower::ConfigEvents final : public KindEvents
 {
 public:
-    explicit ConfigEvents(GatewayContext &context)
+    ConfigEvents(GatewayContext &context, StoreRelay &relay)
         : context(context)
+        , relay(relay)
     { }
 
     void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time) override
@@ -50,6 +51,7 @@
         if (this->context.config)
             this->context.freshness.confirm(moment);
     }
+    void onCacheChanged() override { this->relay.onChanged(std::string(platform::kConfigKind)); }
 
 private:
     void adopt(const StoredObject &object)
@@ -73,14 +75,16 @@
     }
 
     GatewayContext &context;
+    StoreRelay &relay;
     std::int64_t revision = -1;
 };
 
 class StoreFollower::ServerEvents final : public KindEvents
 {
 public:
-    ServerEvents(GatewayContext &context, bool &isListed)
+    ServerEvents(GatewayContext &context, StoreRelay &relay, bool &isListed)
         : context(context)
+        , relay(relay)
         , isListed(isListed)
     { }
 
@@ -124,6 +128,7 @@
                       {"incarnation", entry->incarnation}});
     }
     void onConfirmed(absl::Time) override { }
+    void onCacheChanged() override { this->relay.onChanged(std::string(platform::kServerKind)); }
 
 private:
     Result<ServerEntry> decode(const StoredObject &object)
@@ -137,14 +142,16 @@
     }
 
     GatewayContext &context;
+    StoreRelay &relay;
     bool &isListed;
 };
 
 class StoreFollower::EvacuationEvents final : public KindEvents
 {
 public:
-    explicit EvacuationEvents(GatewayContext &context)
+    EvacuationEvents(GatewayContext &context, StoreRelay &relay)
         : context(context)
+        , relay(relay)
     { }
 
     void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time) override
@@ -162,16 +169,19 @@
                  {{"domain", change.object.name}, {"out", !change.isDeleted}});
     }
     void onConfirmed(absl::Time) override { }
+    void onCacheChanged() override { this->relay.onChanged(std::string(platform::kEvacuationKind)); }
 
 private:
     GatewayContext &context;
+    StoreRelay &relay;
 };
 
 class StoreFollower::InstanceEvents final : public KindEvents
 {
 public:
-    explicit InstanceEvents(GatewayContext &context)
+    InstanceEvents(GatewayContext &context, StoreRelay &relay)
         : context(context)
+        , relay(relay)
     { }
 
     void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time) override
@@ -181,24 +191,30 @@
     }
     void onChange(const ObjectChange &change, bool, absl::Time) override
     {
-        if (change.isDeleted)
-            this->context.exchange.removePeer(InstanceId(change.object.name));
-        else
+        if (!change.isDeleted) {
             this->adopt(change.object);
+            return;
+        }
+        this->context.exchange.removePeer(InstanceId(change.object.name));
+        this->context.storeSource.removePeer(InstanceId(change.object.name));
     }
     void onConfirmed(absl::Time) override { }
+    void onCacheChanged() override { this->relay.onChanged(std::string(platform::kInstanceKind)); }
 
 private:
     void adopt(const StoredObject &object)
     {
         const Result<platform::InstanceEntry> entry = platform::decodeInstance(object);
-        if (entry.ok())
-            this->context.exchange.setPeer(entry->id, entry->address);
-        else
+        if (!entry.ok()) {
             logEvent(LogLevel::Warning, "instance_entry_unreadable", {{"name", object.name}});
+            return;
+        }
+        this->context.exchange.setPeer(entry->id, entry->address);
+        this->context.storeSource.setPeer(entry->id, entry->domain, entry->relayAddress);
     }
 
     GatewayContext &context;
+    StoreRelay &relay;
 };
 
 /** Enters this instance in the store, once; an entry of an earlier life stays as it is. */
@@ -217,7 +233,8 @@
         this->connection = std::make_unique<OutboundConnection>(this->context.base,
                                                                 settings.storeAddress, idleEvents);
         const std::string body =
-            platform::encodeInstance({settings.id, settings.domain, settings.peerAddress});
+            platform::encodeInstance(
+            {settings.id, settings.domain, settings.peerAddress, settings.relayAddress});
         this->connection->call(
             absl::StrCat("POST ", platform::listTarget(platform::kInstanceKind, {}),
                          " HTTP/1.1\r\nHost: ", settings.storeAddress,
@@ -258,15 +275,17 @@
 
 StoreFollower::StoreFollower(GatewayContext &context)
     : context(context)
-    , configEvents(std::make_unique<ConfigEvents>(context))
-    , serverEvents(std::make_unique<ServerEvents>(context, this->serversListed))
-    , evacuationEvents(std::make_unique<EvacuationEvents>(context))
-    , instanceEvents(std::make_unique<InstanceEvents>(context))
+    , relay(context.base)
+    , configEvents(std::make_unique<ConfigEvents>(context, this->relay))
+    , serverEvents(std::make_unique<ServerEvents>(context, this->relay, this->serversListed))
+    , evacuationEvents(std::make_unique<EvacuationEvents>(context, this->relay))
+    , instanceEvents(std::make_unique<InstanceEvents>(context, this->relay))
     , registration(std::make_unique<Registration>(context))
 {
     const auto follow = [this](std::string_view kind, absl::Duration watch, KindEvents &events) {
         this->watchers.push_back(std::make_unique<KindWatcher>(
-            this->context.base, this->context.settings.storeAddress, kind, watch, events));
+            this->context.base, this->context.storeSource, kind, watch, events));
+        this->relay.addKind(std::string(kind), *this->watchers.back());
     };
     follow(platform::kConfigKind, kConfigWatch, *this->configEvents);
     follow(platform::kServerKind, kServerWatch, *this->serverEvents);
@@ -276,11 +295,14 @@
 
 StoreFollower::~StoreFollower() = default;
 
-void StoreFollower::start()
+std::error_code StoreFollower::start()
 {
+    if (const std::error_code error = this->relay.start(this->context.settings.relayAddress))
+        return error;
     for (const auto &watcher : this->watchers)
         watcher->start();
     this->registration->send();
+    return {};
 }
 
 } // namespace foxtailtally
--- a/main/gateway/store_follower.h
+++ b/main/gateway/store_follower.h
@@ -2,6 +2,7 @@
 
 #include "main/gateway/gateway_context.h"
 #include "main/gateway/kind_watcher.h"
+#include "main/gateway/store_relay.h"
 #include "peers/http/loop_timer.h"
 #include "peers/http/outbound_connection.h"
 
@@ -23,7 +24,9 @@
     StoreFollower(const StoreFollower &) = delete;
     StoreFollower &operator=(const StoreFollower &) = delete;
 
-    void start();
+    std::error_code start();
+    /** Destroys closed connections of followers; not from inside an event. */
+    void onTick() { this->relay.onTick(); }
     /** The list of servers has been read. */
     bool hasServers() const { return this->serversListed; }
 
@@ -36,6 +39,7 @@
 
     GatewayContext &context;
     bool serversListed = false;
+    StoreRelay relay;
     std::unique_ptr<ConfigEvents> configEvents;
     std::unique_ptr<ServerEvents> serverEvents;
     std::unique_ptr<EvacuationEvents> evacuationEvents;
--- /dev/null
+++ b/main/gateway/store_relay.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "main/gateway/kind_cache.h"
+#include "main/gateway/kind_watcher.h"
+#include "peers/http/inbound_connection.h"
+#include "peers/http/loop_timer.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+struct evconnlistener;
+struct event_base;
+
+namespace foxtailtally {
+
+/**
+ * Tells the instances that follow this one what it knows of the store, in the store's own form: a
+ * list, or a watch that is answered with the next change or when its time is over. Each answer says
+ * how long ago its content was known to be the newest.
+ */
+class StoreRelay final : private InboundEvents
+{
+public:
+    explicit StoreRelay(event_base *base);
+    ~StoreRelay() override;
+
+    /** @p watcher is told of and outlives the relay. */
+    void addKind(const std::string &kind, const KindWatcher &watcher);
+    std::error_code start(const std::string &address);
+    /** Something of @p kind has changed: answers the watches that wait for it. */
+    void onChanged(const std::string &kind);
+    /** Destroys closed connections; not from inside an event. */
+    void onTick();
+
+private:
+    struct Waiting
+    {
+        InboundConnection *connection = nullptr;
+        std::string kind;
+        std::int64_t revision = 0;
+        absl::Time until;
+    };
+
+    void onAccept(int socket);
+    void onRequestHead(InboundConnection &connection) override;
+    void onRequestComplete(InboundConnection &connection) override;
+    void onCallerGone(InboundConnection &connection) override;
+    void onWritable(InboundConnection &connection) override;
+    void onRequestRejected(InboundConnection &connection, int status) override;
+    void onClosed(InboundConnection &connection) override;
+
+    void onTimer();
+    void startTimer(absl::Time now);
+    void answerWatch(const Waiting &waiting, absl::Time now);
+    void answer(InboundConnection &connection, const KindWatcher &watcher, int status,
+                const std::string &body, absl::Time now);
+    void forget(InboundConnection &connection);
+
+    event_base *base;
+    LoopTimer timer;
+    evconnlistener *listener = nullptr;
+    absl::flat_hash_map<std::string, const KindWatcher *> kinds;
+    std::vector<Waiting> waiting;
+    std::vector<std::unique_ptr<InboundConnection>> connections;
+    std::vector<InboundConnection *> closed;
+};
+
+} // namespace foxtailtally
