Divide the memory of prompts that no engine holds; let the longest reads wait under load

Cause: prompts over an engine's memory were refused (a sixth of the longest kind on the grown sites), and the longest ones, whose cost grows with the square, made all others late when reads queued up.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -137,12 +137,54 @@
 
 void CallRun::placeStream(const StreamDecision &decision, absl::Time now)
 {
-    std::vector<platform::ReadHelper> helpers;
-    for (const std::size_t index : this->plan.helpers)
-        helpers.push_back({decision.servers[index]->entry.address, {}});
     this->placeParts(decision.candidates, now);
     this->logPlacement(decision);
-    this->sendTo(*decision.servers[this->plan.server], std::move(helpers), now);
+    this->placedServer = decision.servers[this->plan.server]->entry;
+    this->placedHelpers.clear();
+    const std::string reservationId = this->plan.holders.empty()
+        ? std::string()
+        : absl::StrCat(this->call.headers.callId, "-", this->stream);
+    std::vector<ReservationSet::Share> shares;
+    for (const std::size_t index : this->plan.helpers) {
+        const std::string &address = decision.servers[index]->entry.address;
+        const bool isHolder = std::find(this->plan.holders.begin(), this->plan.holders.end(), index)
+            != this->plan.holders.end();
+        this->placedHelpers.push_back({address, isHolder ? reservationId : std::string()});
+        if (isHolder)
+            shares.push_back({decision.candidates[index].server, address});
+    }
+    if (shares.empty()) {
+        this->sendPlaced(now);
+        return;
+    }
+    this->retireReservations();
+    ReservationEvents &events = *this;
+    this->reservations = std::make_unique<ReservationSet>(this->context, reservationId,
+                                                          this->plan.shareTokens, shares, events);
+}
+
+void CallRun::onReserved()
+{
+    if (!this->done)
+        this->sendPlaced(Clock::now());
+}
+
+void CallRun::onReservationFailed(ServerKey engine)
+{
+    if (this->done)
+        return;
+    const absl::Time now = Clock::now();
+    logEvent(LogLevel::Info, "reservation_failed",
+             {{"request", this->call.headers.callId}, {"tokens", this->plan.shareTokens}});
+    this->tried.push_back(engine);
+    this->forgetStream();
+    if (++this->rejections > kMaxRejections || !this->dispatch(now))
+        this->finishWith(lastStep(AttemptEnd::NotSent, this->progress()), now);
+}
+
+void CallRun::sendPlaced(absl::Time now)
+{
+    this->sendTo(this->placedServer, this->placedHelpers, now);
     this->watchTimer.start(absl::Milliseconds(this->plan.predictedFirstEventMs) + kStreamSlack);
 }
 
@@ -155,8 +197,7 @@
     part.stream = this->stream;
     part.placedAt = now;
     part.readMs = static_cast<float>(this->plan.partReadMs);
-    part.memoryTokens = static_cast<std::uint32_t>(this->call.headers.promptTokens
-                                                   + this->call.headers.maxAnswerTokens);
+    part.memoryTokens = static_cast<std::uint32_t>(this->plan.shareTokens);
     part.pauseObjectiveMs =
         static_cast<std::uint16_t>(absl::ToInt64Milliseconds(this->call.route->pauseObjective));
     part.firstEventDueMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(
@@ -167,8 +208,10 @@
     part.isSplit = !this->plan.helpers.empty();
     std::vector<StreamPart> parts = {part};
     part.isHelper = true;
-    part.memoryTokens = 0;
     for (const std::size_t index : this->plan.helpers) {
+        const bool isHolder = std::find(this->plan.holders.begin(), this->plan.holders.end(), index)
+            != this->plan.holders.end();
+        part.memoryTokens = isHolder ? static_cast<std::uint32_t>(this->plan.shareTokens) : 0;
         part.server = candidates[index].server;
         parts.push_back(part);
     }
@@ -221,7 +264,7 @@
         chooseServiceServer(candidates, this->context.health, now);
     if (!best)
         return false;
-    this->sendTo(*servers[*best], {}, now);
+    this->sendTo(servers[*best]->entry, {}, now);
     if (this->call.route->kind == CallKind::Idempotent && this->attempts.size() == 1) {
         const absl::Duration usual = this->context.health.latency(candidates[*best].server);
         const absl::Duration wait =
@@ -231,14 +274,14 @@
     return true;
 }
 
-void CallRun::sendTo(const ServerDirectory::Server &server,
-                     std::vector<platform::ReadHelper> helpers, absl::Time now)
+void CallRun::sendTo(const ServerEntry &server, std::vector<platform::ReadHelper> helpers,
+                     absl::Time now)
 {
     AttemptTarget target;
-    target.id = server.entry.id;
-    target.key = serverKey(server.entry.id, server.entry.incarnation);
-    target.address = server.entry.address;
-    target.domain = server.entry.domain;
+    target.id = server.id;
+    target.key = serverKey(server.id, server.incarnation);
+    target.address = server.address;
+    target.domain = server.domain;
     this->tried.push_back(target.key);
     ++this->arrivals;
     platform::ForwardedCall forwarded;
@@ -652,8 +695,17 @@
     return attempt;
 }
 
+void CallRun::retireReservations()
+{
+    if (!this->reservations)
+        return;
+    this->reservations->release();
+    this->context.retired.push_back(std::move(this->reservations));
+}
+
 void CallRun::forgetStream()
 {
+    this->retireReservations();
     if (this->stream == 0)
         return;
     this->context.ledger.remove(this->stream);
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "main/gateway/gateway_context.h"
+#include "main/gateway/reservation_set.h"
 #include "main/gateway/server_call.h"
 #include "main/gateway/stream_planner.h"
 #include "peers/http/inbound_connection.h"
@@ -35,7 +36,7 @@
 };
 
 /** Serves one call: places it, relays the answer, and repeats it where that is allowed. */
-class CallRun final : public Retirable, private ServerCallEvents
+class CallRun final : public Retirable, private ServerCallEvents, private ReservationEvents
 {
 public:
     CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call);
@@ -70,9 +71,13 @@
     bool dispatch(absl::Time now);
     bool dispatchStream(const Service &service, absl::Time now);
     bool dispatchPlain(const Service &service, absl::Time now);
-    void sendTo(const ServerDirectory::Server &server, std::vector<platform::ReadHelper> helpers,
+    void sendTo(const ServerEntry &server, std::vector<platform::ReadHelper> helpers,
                 absl::Time now);
     StreamDemand demand(absl::Time now) const;
+    void onReserved() override;
+    void onReservationFailed(ServerKey engine) override;
+    void sendPlaced(absl::Time now);
+    void retireReservations();
     void placeStream(const StreamDecision &decision, absl::Time now);
     void placeParts(const std::vector<EngineCandidate> &candidates, absl::Time now);
 
@@ -132,6 +137,9 @@
 
     std::uint32_t stream = 0;
     StreamPlan plan;
+    ServerEntry placedServer;
+    std::vector<platform::ReadHelper> placedHelpers;
+    std::unique_ptr<ReservationSet> reservations;
     absl::Time lastEventAt = absl::InfinitePast();
     absl::Time firstEventAt = absl::InfinitePast();
     absl::Duration longestPause = absl::ZeroDuration();
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -20,6 +20,9 @@
  * and takes an instance out after two answers. */
 constexpr absl::Duration kBalancerLag = absl::Milliseconds(2600);
 
+/** Time for orders that nobody waits for to reach their servers. */
+constexpr absl::Duration kLingerTime = absl::Seconds(1);
+
 /** A stopping instance ends this long before it would be killed. */
 constexpr absl::Duration kStopMargin = absl::Milliseconds(400);
 
@@ -122,6 +125,8 @@
     std::vector<std::unique_ptr<Retirable>> retired;
     retired.swap(this->context.retired);
     retired.clear();
+    std::erase_if(this->context.lingering,
+                  [now](const Lingering &entry) { return now - entry.since > kLingerTime; });
     this->context.pool.onTick(now);
     this->prober.onTick(now);
     this->store.onTick();
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -51,6 +51,13 @@
     Retirable &operator=(const Retirable &) = delete;
 };
 
+/** A retired object that stays alive for a while, to let its connection finish. */
+struct Lingering
+{
+    std::unique_ptr<Retirable> object;
+    absl::Time since;
+};
+
 /** State that all calls of a gateway share; used from its loop only. */
 struct GatewayContext
 {
@@ -84,6 +91,7 @@
     Random random;
     absl::flat_hash_map<ServerKey, ServerActivity> activity;
     std::vector<std::unique_ptr<Retirable>> retired;
+    std::vector<Lingering> lingering;
     std::uint32_t nextStream = 1;
     bool isStopping = false;
 };
--- a/main/gateway/instance_exchange.cpp
+++ b/main/gateway/instance_exchange.cpp
@@ -21,7 +21,7 @@
 
 /** Shortest time between two datagrams to the same instance, for each instance told; so the cost of
  * telling does not grow with the square of their number. */
-constexpr absl::Duration kPauseForEachPeer = absl::Milliseconds(1);
+constexpr absl::Duration kPauseForEachPeer = absl::Microseconds(150);
 constexpr absl::Duration kShortestPause = absl::Milliseconds(4);
 
 /** Time after which an instance tells again although nothing has changed. */
--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -91,8 +91,8 @@
     this->sentAt = Clock::now();
     this->timer.start(limit);
     this->connection->call(
-        absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", choice.address, "\r\n\r\n"), false,
-        {}, *this);
+        absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", choice.address, "\r\n\r\n"), false, {},
+        *this);
 }
 
 void KindWatcher::onResponseHead(OutboundConnection &, const ResponseHead &head)
@@ -194,7 +194,8 @@
     this->lastFailureAt = Clock::now();
     this->source.onFailed(this->asked.address, this->lastFailureAt);
     if (this->failures++ == 0)
-        logEvent(LogLevel::Warning, "store_lost", {{"kind", this->kind}, {"source", this->asked.address}, {"cause", cause}});
+        logEvent(LogLevel::Warning, "store_lost",
+                 {{"kind", this->kind}, {"source", this->asked.address}, {"cause", cause}});
     if (this->connection && this->connection->hasCall())
         this->connection->cancel();
     this->phase = Phase::Waiting;
--- a/main/gateway/store_follower.cpp
+++ b/main/gateway/store_follower.cpp
@@ -169,7 +169,10 @@
                  {{"domain", change.object.name}, {"out", !change.isDeleted}});
     }
     void onConfirmed(absl::Time) override { }
-    void onCacheChanged() override { this->relay.onChanged(std::string(platform::kEvacuationKind)); }
+    void onCacheChanged() override
+    {
+        this->relay.onChanged(std::string(platform::kEvacuationKind));
+    }
 
 private:
     GatewayContext &context;
@@ -232,8 +235,7 @@
         IdleEvents &idleEvents = *this;
         this->connection = std::make_unique<OutboundConnection>(this->context.base,
                                                                 settings.storeAddress, idleEvents);
-        const std::string body =
-            platform::encodeInstance(
+        const std::string body = platform::encodeInstance(
             {settings.id, settings.domain, settings.peerAddress, settings.relayAddress});
         this->connection->call(
             absl::StrCat("POST ", platform::listTarget(platform::kInstanceKind, {}),
--- a/main/gateway/store_relay.cpp
+++ b/main/gateway/store_relay.cpp
@@ -144,9 +144,9 @@
 {
     if (this->waiting.empty())
         return;
-    const auto first = std::min_element(
-        this->waiting.begin(), this->waiting.end(),
-        [](const Waiting &a, const Waiting &b) { return a.until < b.until; });
+    const auto first =
+        std::min_element(this->waiting.begin(), this->waiting.end(),
+                         [](const Waiting &a, const Waiting &b) { return a.until < b.until; });
     this->timer.start(first->until - now + absl::Milliseconds(1));
 }
 
@@ -168,9 +168,8 @@
 
 void StoreRelay::forget(InboundConnection &connection)
 {
-    std::erase_if(this->waiting, [&connection](const Waiting &watch) {
-        return watch.connection == &connection;
-    });
+    std::erase_if(this->waiting,
+                  [&connection](const Waiting &watch) { return watch.connection == &connection; });
 }
 
 } // namespace foxtailtally
--- a/main/gateway/stream_planner.cpp
+++ b/main/gateway/stream_planner.cpp
@@ -68,6 +68,8 @@
         decision.kind = StreamDecision::Kind::Hopeless;
     else if (placement.shouldWait(*plan))
         decision.kind = StreamDecision::Kind::Wait;
+    else if (plan->netValue < 0)
+        decision.kind = StreamDecision::Kind::Hopeless;
     else
         decision.kind = StreamDecision::Kind::Place;
     return decision;
@@ -90,6 +92,8 @@
         const auto load = loads.find(candidate.server);
         const std::int64_t arrivals = load == loads.end() ? 0 : arrivalsInSecond(load->second, now);
         candidate.isRateBound = isRateBound(this->context, service, *server, arrivals, now);
+        candidate.jitterMs =
+            this->context.random.uniform() * jitterBoundMs(this->context.exchange.instanceCount());
         decision.candidates.push_back(candidate);
         decision.servers.push_back(server);
     }
--- a/main/gateway/stream_planner.h
+++ b/main/gateway/stream_planner.h
@@ -18,7 +18,8 @@
         Place,
         /** No plan is without harm to others, and there is time to wait for one. */
         Wait,
-        /** Its caller would leave before the first event. */
+        /** Its caller would leave before the first event, or it costs others more than it brings.
+         */
         Hopeless,
         /** No engine can take it. */
         NoServer,
@@ -38,7 +39,7 @@
 class StreamPlanner
 {
 public:
-    explicit StreamPlanner(const GatewayContext &context)
+    explicit StreamPlanner(GatewayContext &context)
         : context(context)
     { }
 
@@ -52,7 +53,7 @@
     void collect(const Service &service, std::span<const ServerKey> tried, const Loads &loads,
                  absl::Time now, StreamDecision &decision) const;
 
-    const GatewayContext &context;
+    GatewayContext &context;
 };
 
 /**
--- a/servers/catalog/store_source.cpp
+++ b/servers/catalog/store_source.cpp
@@ -50,7 +50,8 @@
     std::vector<Ranked> live = {{rendezvousWeight(kRankingKey, this->self.str()), nullptr}};
     for (const auto &[instance, peer] : this->peers) {
         const auto failed = this->failedAt.find(peer.relayAddress);
-        const bool hasFailed = failed != this->failedAt.end() && now - failed->second < kFailureTerm;
+        const bool hasFailed =
+            failed != this->failedAt.end() && now - failed->second < kFailureTerm;
         if (!hasFailed && now - peer.heardAt < kSilence)
             live.push_back({rendezvousWeight(kRankingKey, instance.str()), &peer.relayAddress});
     }
--- a/servers/catalog/store_source.h
+++ b/servers/catalog/store_source.h
@@ -10,8 +10,8 @@
 namespace foxtailtally {
 
 /**
- * Where this instance reads the store's objects. Each call to the store has its price, so only a few
- * instances of a failure domain watch the store itself; the others watch one of these. All
+ * Where this instance reads the store's objects. Each call to the store has its price, so only a
+ * few instances of a failure domain watch the store itself; the others watch one of these. All
  * instances rank the live ones of their domain alike, without asking; where their views differ, an
  * instance is asked that follows another one, and what it tells is only older.
  */
--- a/servers/placement/stream_placement.cpp
+++ b/servers/placement/stream_placement.cpp
@@ -17,6 +17,11 @@
  * objectives, and to split it saves less than a pass. */
 constexpr double kShortReadMs = 120.0;
 
+/** Value of an engine's millisecond for each millisecond of reads that wait at the mean engine. The
+ * cost of a read grows with the square of the prompt, its value only in proportion: when reads
+ * queue up, the longest prompts wait first. */
+constexpr double kPricePerBacklogMs = 3e-6;
+
 /** Short streams that an engine is planned to write at once. */
 constexpr double kShortStreamsPerEngine = 10.0;
 /** Share of an engine's time that short reads may take up. */
@@ -65,13 +70,26 @@
 /** Streams beyond its slots that an engine may be given. */
 constexpr std::int64_t kQueuedStreams = 3;
 
+/** Share of an engine's memory up to which one engine holds a prompt by itself. */
+constexpr double kMostOnOneEngine = 0.85;
+/** Share of an engine's memory that each of several engines gives to a prompt at most. */
+constexpr double kMemoryOfShare = 0.5;
+
 /** Value of an engine's free time that a read takes from later arrivals, per millisecond. */
 constexpr double kReadCostPerMs = 0.0002;
 
+/** Preference of short streams for engines that bring the first event sooner, per millisecond;
+ * predictions near the objective often fail. */
+constexpr double kShortWaitCostPerMs = 0.001;
+
 /** Preference of short streams for engines early in the order, and of long reads for late ones,
  * per place in the order. */
 constexpr double kOrderGain = 0.01;
 
+/** Instances that know of each other's placements soon enough to choose alike. */
+constexpr std::size_t kInstancesWithoutJitter = 12;
+constexpr double kJitterMs = 60.0;
+
 /** Value that goes with each helper, which may fail and take the stream with it. */
 constexpr double kHelperCost = 0.01;
 
@@ -89,15 +107,33 @@
     double waitMs = 0;
     double preference = 0;
     bool canServe = false;
+    bool hasMemory = false;
     /** Its own reads would stop the stream beyond the pause objective. */
     bool hasLatePauses = false;
 };
 
+double jitterBoundMs(std::size_t instances)
+{
+    return instances <= kInstancesWithoutJitter ? 0.0 : kJitterMs;
+}
+
 double streamValue(std::int64_t promptTokens)
 {
     return kBaseValue + static_cast<double>(promptTokens) / kTokensPerValue;
 }
 
+double readPricePerMs(std::span<const EngineCandidate> candidates,
+                      const absl::flat_hash_map<ServerKey, ServerLoad> &loads)
+{
+    double backlog = 0;
+    for (const EngineCandidate &candidate : candidates) {
+        const auto load = loads.find(candidate.server);
+        backlog += load == loads.end() ? 0.0 : load->second.readLeftMs;
+    }
+    const double mean = backlog / static_cast<double>(std::max<std::size_t>(1, candidates.size()));
+    return kPricePerBacklogMs * mean;
+}
+
 ShortTraffic shortTraffic(const absl::flat_hash_map<ServerKey, ServerLoad> &loads,
                           std::size_t engines, absl::Time now)
 {
@@ -135,11 +171,14 @@
 {
     static const ServerLoad idle;
     const ShortTraffic traffic = shortTraffic(loads, candidates.size(), this->now);
+    const double readPrice = this->isShort() ? 0.0 : readPricePerMs(candidates, loads);
     std::optional<StreamPlan> best;
     double bestScore = 0;
     for (const std::size_t parts : kSplits) {
         if (parts > candidates.size() || (parts > 1 && this->isShort()))
             break;
+        if (parts < this->memoryShares())
+            continue;
         const double partMs = this->wholeReadMs / static_cast<double>(parts);
         std::vector<Option> options;
         for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -150,8 +189,7 @@
                                          partMs, parts);
             option.index = i;
             option.harm += this->futureHarm(i, traffic, partMs);
-            const double place = static_cast<double>(this->isShort() ? candidates.size() - i : i);
-            option.preference = kOrderGain * place;
+            option.preference = this->preference(i, candidates[i], option, traffic);
             options.push_back(option);
         }
         if (options.size() < parts)
@@ -173,6 +211,7 @@
         StreamPlan plan;
         plan.server = server->index;
         plan.partReadMs = partMs;
+        plan.shareTokens = this->totalTokens() / static_cast<std::int64_t>(this->memoryShares());
         double slowest = server->waitMs;
         plan.harm = server->harm;
         double score = -server->harm + server->preference;
@@ -181,14 +220,23 @@
                 break;
             if (option.index == plan.server)
                 continue;
+            const std::size_t holdersMissing = this->memoryShares() - 1 - plan.holders.size();
+            const std::size_t helpersMissing = parts - 1 - plan.helpers.size();
+            if (holdersMissing > 0 && option.hasMemory)
+                plan.holders.push_back(option.index);
+            else if (helpersMissing == holdersMissing)
+                continue;
             plan.helpers.push_back(option.index);
             slowest = std::max(slowest, option.waitMs);
             plan.harm += option.harm;
             score -= option.harm + kHelperCost;
         }
+        if (plan.helpers.size() + 1 < parts)
+            continue;
         plan.predictedFirstEventMs = slowest;
         score -= kBlockingCost * this->wholeReadMs * partMs;
         score += this->gain(*server, slowest) - slowest * kReadCostPerMs;
+        plan.netValue = score - this->wholeReadMs * readPrice;
         if (!best || score > bestScore) {
             best = plan;
             bestScore = score;
@@ -204,6 +252,7 @@
     const bool isSplit = parts > 1;
     Option option;
     option.canServe = this->fits(candidate, load);
+    option.hasMemory = this->hasMemory(candidate, load);
     option.harm = this->harm(candidate, load, partMs, parts);
     const double pass = writePassMs(this->engine, load.writers, load.memoryTokens);
     // Split parts are read ahead of other reads, but not before the pass in progress ends.
@@ -251,6 +300,16 @@
     return total;
 }
 
+double StreamPlacement::preference(std::size_t rank, const EngineCandidate &candidate,
+                                   const Option &option, const ShortTraffic &traffic) const
+{
+    if (!this->isShort())
+        return kOrderGain * static_cast<double>(rank);
+    const double beyond =
+        rank < traffic.engines ? 0.0 : static_cast<double>(rank - traffic.engines + 1);
+    return -kOrderGain * beyond - kShortWaitCostPerMs * (option.waitMs + candidate.jitterMs);
+}
+
 double StreamPlacement::futureHarm(std::size_t rank, const ShortTraffic &traffic,
                                    double partMs) const
 {
@@ -268,7 +327,7 @@
 
 bool StreamPlacement::shouldWait(const StreamPlan &plan) const
 {
-    if (this->isShort() || plan.harm < kAcceptedHarm)
+    if (this->isShort() || (plan.harm < kAcceptedHarm && plan.netValue >= 0))
         return false;
     const double due = absl::ToDoubleMilliseconds(this->demand.firstEventDue);
     const double useful = absl::ToDoubleMilliseconds(this->demand.usefulLeft);
@@ -280,12 +339,30 @@
 {
     if (load.streams >= candidate.slots + kQueuedStreams)
         return false;
-    if (this->engine.memoryTokens <= 0)
+    return this->hasMemory(candidate, load);
+}
+
+std::int64_t StreamPlacement::totalTokens() const
+{
+    return this->demand.promptTokens + this->demand.answerTokens;
+}
+
+std::size_t StreamPlacement::memoryShares() const
+{
+    const double memory = static_cast<double>(this->engine.memoryTokens);
+    const double total = static_cast<double>(this->totalTokens());
+    if (memory <= 0 || total <= kMostOnOneEngine * memory)
+        return 1;
+    return static_cast<std::size_t>(std::ceil(total / (kMemoryOfShare * memory)));
+}
+
+bool StreamPlacement::hasMemory(const EngineCandidate &candidate, const ServerLoad &load) const
+{
+    if (this->engine.memoryTokens <= 0 || candidate.mayExceedMemory)
         return true;
-    if (candidate.mayExceedMemory)
-        return this->demand.promptTokens + this->demand.answerTokens <= this->engine.memoryTokens;
-    const double planned = static_cast<double>(load.memoryTokens + this->demand.promptTokens
-                                               + this->demand.answerTokens);
+    const std::int64_t share =
+        this->totalTokens() / static_cast<std::int64_t>(this->memoryShares());
+    const double planned = static_cast<double>(load.memoryTokens + share);
     return planned <= kMemoryShare * static_cast<double>(this->engine.memoryTokens);
 }
 
--- a/servers/placement/stream_placement.h
+++ b/servers/placement/stream_placement.h
@@ -24,6 +24,9 @@
     bool isSuspect = false;
     /** No connection to it came about lately. */
     bool isUnreachable = false;
+    /** Added to the wait when short streams choose, so that instances whose knowledge is a little
+     * old do not all choose the same engine. */
+    double jitterMs = 0;
     /** The stream may wait there until its memory is free. */
     bool mayExceedMemory = false;
 };
@@ -46,9 +49,15 @@
     std::size_t server = 0;
     /** Candidates that read an even part of the prompt each, besides the server itself. */
     std::vector<std::size_t> helpers;
+    /** Those of the helpers that also hold a share of the prompt's memory. */
+    std::vector<std::size_t> holders;
+    /** Tokens of memory that the server and each holder need. */
+    std::int64_t shareTokens = 0;
     double predictedFirstEventMs = 0;
     /** Value of the answers that the read would make late. */
     double harm = 0;
+    /** Value of the stream less all that it costs others; negative when it had better wait. */
+    double netValue = 0;
     /** Time that each part takes to read. */
     double partReadMs = 0;
 };
@@ -65,6 +74,13 @@
 ShortTraffic shortTraffic(const absl::flat_hash_map<ServerKey, ServerLoad> &loads,
                           std::size_t engines, absl::Time now);
 
+/** Upper bound of EngineCandidate::jitterMs for a number of instances. */
+double jitterBoundMs(std::size_t instances);
+
+/** Value of a millisecond of reading, by the reads that wait at @p candidates. */
+double readPricePerMs(std::span<const EngineCandidate> candidates,
+                      const absl::flat_hash_map<ServerKey, ServerLoad> &loads);
+
 /** What an answer on time is worth; grows with the prompt, as the work that hangs on it does. */
 double streamValue(std::int64_t promptTokens);
 
@@ -97,11 +113,17 @@
 
     Option assess(const EngineCandidate &candidate, const ServerLoad &load, double partMs,
                   std::size_t parts) const;
+    double preference(std::size_t rank, const EngineCandidate &candidate, const Option &option,
+                      const ShortTraffic &traffic) const;
     double futureHarm(std::size_t rank, const ShortTraffic &traffic, double partMs) const;
     double harm(const EngineCandidate &candidate, const ServerLoad &load, double partMs,
                 std::size_t parts) const;
     bool isShort() const;
     bool fits(const EngineCandidate &candidate, const ServerLoad &load) const;
+    bool hasMemory(const EngineCandidate &candidate, const ServerLoad &load) const;
+    /** Engines among which the memory of the prompt is divided. */
+    std::size_t memoryShares() const;
+    std::int64_t totalTokens() const;
     double gain(const Option &option, double firstEventMs) const;
     double onTimeShare(double predictedMs) const;
 
--- /dev/null
+++ b/tests/platform/kind_cache_test.cpp
@@ -0,0 +1,75 @@
+#include "main/gateway/kind_cache.h"
+
+#include <gtest/gtest.h>
+
+namespace foxtailtally {
+namespace {
+
+using platform::ObjectChange;
+using platform::StoredObject;
+
+TEST(KindCache, TellsAFollowerWhatItLacks)
+{
+    KindCache cache;
+    EXPECT_FALSE(cache.isKnown());
+    cache.replace({{"a", 1, "{}"}}, 10);
+    cache.apply({ObjectChange {{"b", 12, "{}"}, false}}, 12);
+    cache.apply({ObjectChange {{"a", 13, ""}, true}}, 13);
+    ASSERT_TRUE(cache.changesSince(12));
+    EXPECT_EQ(cache.changesSince(12)->changes.size(), 1U);
+    EXPECT_EQ(cache.changesSince(10)->changes.size(), 2U);
+    EXPECT_EQ(cache.changesSince(13)->changes.size(), 0U);
+    EXPECT_EQ(cache.page().objects.size(), 1U);
+    EXPECT_EQ(cache.page().revision, 13);
+}
+
+// After a new list the changes in between are unknown: a follower must list as well.
+TEST(KindCache, SendsAFollowerThatLagsBackToTheList)
+{
+    KindCache cache;
+    cache.replace({}, 10);
+    EXPECT_FALSE(cache.changesSince(9));
+    EXPECT_FALSE(cache.changesSince(11));
+    for (std::int64_t revision = 11; revision < 600; ++revision)
+        cache.apply({ObjectChange {{"x", revision, "{}"}, false}}, revision);
+    EXPECT_FALSE(cache.changesSince(20));
+    EXPECT_TRUE(cache.changesSince(590));
+    cache.replace({}, 700);
+    EXPECT_FALSE(cache.changesSince(599));
+}
+
+TEST(KindCache, ItsAgeIsThatOfTheNewestConfirmation)
+{
+    KindCache cache;
+    const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+    cache.confirm(now - absl::Seconds(2));
+    cache.confirm(now - absl::Seconds(5));
+    EXPECT_EQ(cache.age(now), absl::Seconds(2));
+}
+
+TEST(StoreRelayForm, SurvivesTheWayBetweenInstances)
+{
+    const platform::StoreQuery watch =
+        platform::parseStoreTarget(platform::watchTarget("servers", 530, absl::Milliseconds(700)));
+    EXPECT_EQ(watch.kind, "servers");
+    EXPECT_EQ(watch.watchFrom, 530);
+    EXPECT_EQ(watch.wait, absl::Milliseconds(700));
+    const platform::StoreQuery list =
+        platform::parseStoreTarget(platform::listTarget("servers", ""));
+    EXPECT_FALSE(list.watchFrom);
+    platform::ObjectPage page;
+    page.objects = {{"a", 5, R"({"x":1})"}};
+    page.revision = 9;
+    const auto decoded = platform::decodePage(platform::encodePage(page));
+    ASSERT_TRUE(decoded.ok());
+    EXPECT_EQ(decoded->objects.at(0).spec, R"({"x":1})");
+    EXPECT_EQ(decoded->revision, 9);
+    const platform::RelayNote note =
+        platform::decodeRelayNote(platform::relayHeaders({absl::Milliseconds(1234), true}));
+    EXPECT_EQ(note.age, absl::Milliseconds(1234));
+    EXPECT_TRUE(note.isUnsettled);
+    EXPECT_EQ(platform::decodeRelayNote({}).age, absl::ZeroDuration());
+}
+
+} // namespace
+} // namespace foxtailtally
--- a/tests/platform/store_objects_test.cpp
+++ b/tests/platform/store_objects_test.cpp
@@ -99,7 +99,7 @@
 TEST(StoreObjects, KeepsAnInstanceEntry)
 {
     const InstanceEntry entry {InstanceId("n1"), FailureDomainId("east"), "10.0.0.1:7340",
-                                 "10.0.0.1:7342"};
+                               "10.0.0.1:7342"};
     const std::string body = encodeInstance(entry);
     const std::size_t spec = body.find("\"Spec\":") + 7;
     const Result<InstanceEntry> read =
