Take a stream from its server only for a better place; never refuse short streams for harm

Ruled out: callers that left: the run was cut by this system 0.2 s before the connection closed.

Change: shouldMove asks for a better place also for silent servers; an answer that has begun is placed wherever there is room; the price of harm refuses long reads only. Log lines are bounded and dropped rather than waited for.

--- a/core/log.cpp
+++ b/core/log.cpp
@@ -6,7 +6,9 @@
 #include <atomic>
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <string>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -16,6 +18,30 @@
 
 std::atomic<LogLevel> minimumLevel {LogLevel::Info};
 
+/** Lines a second that are written at most, so that a storm of events does not take up the process.
+ */
+constexpr std::int64_t kLinesPerSecond = 500;
+
+std::atomic<bool> writesToStandardOutput {true};
+std::atomic<std::uint64_t> droppedLines {0};
+std::atomic<std::int64_t> currentSecond {0};
+std::atomic<std::int64_t> linesInSecond {0};
+
+bool isWithinBudget(absl::Time now)
+{
+    const std::int64_t second = absl::ToUnixSeconds(now);
+    if (currentSecond.exchange(second, std::memory_order_relaxed) != second)
+        linesInSecond.store(0, std::memory_order_relaxed);
+    return linesInSecond.fetch_add(1, std::memory_order_relaxed) < kLinesPerSecond;
+}
+
+/** False while a reader of the output is behind: a line must not block the process. */
+bool standardOutputTakes()
+{
+    pollfd output {STDOUT_FILENO, POLLOUT, 0};
+    return ::poll(&output, 1, 0) == 1;
+}
+
 std::string_view levelName(LogLevel level)
 {
     switch (level) {
@@ -40,6 +66,7 @@
     configuration.setToDefault();
     configuration.setGlobally(el::ConfigurationType::Format, "%msg");
     const bool toFile = !file.empty();
+    writesToStandardOutput.store(!toFile);
     configuration.setGlobally(el::ConfigurationType::ToFile, toFile ? "true" : "false");
     configuration.setGlobally(el::ConfigurationType::ToStandardOutput, toFile ? "false" : "true");
     if (toFile)
@@ -47,10 +74,20 @@
     el::Loggers::reconfigureAllLoggers(configuration);
 }
 
+std::uint64_t droppedLogLines()
+{
+    return droppedLines.load(std::memory_order_relaxed);
+}
+
 void logEvent(LogLevel level, std::string_view event, const nlohmann::json &fields)
 {
     if (level < minimumLevel.load(std::memory_order_relaxed))
         return;
+    if (writesToStandardOutput.load(std::memory_order_relaxed)
+        && !(isWithinBudget(Clock::now()) && standardOutputTakes())) {
+        droppedLines.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
     const std::string time =
         absl::FormatTime("%Y-%m-%dT%H:%M:%E3SZ", Clock::wallNow(), absl::UTCTimeZone());
     nlohmann::json line = {{"time", time}, {"level", levelName(level)}, {"event", event}};
--- a/core/log.h
+++ b/core/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <nlohmann/json_fwd.hpp>
 #include <string_view>
 
@@ -22,4 +23,7 @@
 void logEvent(LogLevel level, std::string_view event, const nlohmann::json &fields);
 void logEvent(LogLevel level, std::string_view event);
 
+/** Lines that were dropped because there were too many, or standard output did not take them. */
+std::uint64_t droppedLogLines();
+
 } // namespace foxtailtally
--- a/load/placement/placement_trial.cpp
+++ b/load/placement/placement_trial.cpp
@@ -217,7 +217,7 @@
         const auto loads = ledger.loads(this->now());
         const StreamPlacement placement(this->setup.engine, demand, this->now());
         const std::optional<StreamPlan> plan = placement.choose(candidates, loads);
-        if (plan && plan->netValue < 0 && !placement.shouldWait(*plan)) {
+        if (plan && !placement.isWorthwhile(*plan) && !placement.shouldWait(*plan)) {
             this->giveUp(id);
             return;
         }
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -120,6 +120,12 @@
     const StreamDecision decision =
         StreamPlanner(this->context).decide(service, this->demand(now), this->tried, now);
     this->plan = decision.plan;
+    // The rest of an answer that has begun is worth more than any harm, and its caller is waiting.
+    if (this->hasAnswerBegun && decision.kind != StreamDecision::Kind::NoServer
+        && !decision.servers.empty() && decision.hasPlan) {
+        this->placeStream(decision, now);
+        return true;
+    }
     switch (decision.kind) {
     case StreamDecision::Kind::NoServer:
     case StreamDecision::Kind::Hopeless:
@@ -457,7 +463,7 @@
     logEvent(LogLevel::Info, "attempt_ended",
              {{"request", this->call.headers.callId},
               {"server", target.id.str()},
-              {"end", static_cast<int>(end)},
+              {"end", attemptEndName(end)},
               {"runs", this->runs},
               {"rejections", this->rejections},
               {"at_fault", call.faultyServer()},
@@ -513,8 +519,8 @@
             this->answerOwn(502, "server_lost", false);
         return;
     case NextStep::BreakOff:
-        this->caller->abort();
         this->finish("broken_off", 0);
+        this->caller->abort();
         return;
     }
 }
@@ -564,6 +570,8 @@
          {"runs", this->runs},
          {"prompt", this->call.headers.promptTokens},
          {"helpers", this->plan.helpers.size()},
+         {"harm", static_cast<int>(this->plan.harm * 100)},
+         {"waited_ms", absl::ToInt64Milliseconds(this->waited)},
          {"planned_ms", static_cast<int>(this->plan.predictedFirstEventMs)},
          {"first_ms",
           hadEvent ? absl::ToInt64Milliseconds(this->firstEventAt - this->call.receivedAt) : -1},
@@ -578,8 +586,8 @@
     if (this->done)
         return;
     if (this->hasAnswerBegun) {
-        this->caller->abort();
         this->finish("timed_out_streaming", 0);
+        this->caller->abort();
         return;
     }
     const bool notRun = this->runs == 0 && this->attempts.empty();
@@ -628,9 +636,14 @@
     const absl::Time newsAt = std::max(attempt.sentAt(), this->lastEventAt);
     const bool isOverdue = now - newsAt > this->patience() * kPatienceShare;
     const bool isSilent = now - heardAt > bound || (isOverdue && now - heardAt > kServerSilence);
-    const bool canMove =
-        this->call.route->isRepeatable() && this->runs + 1 < this->call.route->maxAttempts;
-    if (!canMove || this->isPaused || !(isSilent || (isOverdue && this->hasBetterPlace(now)))) {
+    MoveEvidence evidence;
+    evidence.isRepeatable = this->call.route->isRepeatable() && !this->isPaused;
+    evidence.earlierRuns = this->runs;
+    evidence.maxRuns = this->call.route->maxAttempts;
+    evidence.isSilent = isSilent;
+    evidence.isOverdue = isOverdue;
+    evidence.hasBetterPlace = (isSilent || isOverdue) && this->hasBetterPlace(now);
+    if (!shouldMove(evidence)) {
         this->watchTimer.start(kStreamRecheck);
         return;
     }
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "main/gateway/listener.h"
 
+#include <absl/strings/str_cat.h>
 #include <csignal>
 #include <event2/event.h>
 #include <event2/listener.h>
@@ -175,7 +176,9 @@
 
 AdminAnswer Gateway::answerMetrics() const
 {
-    return {200, "text/plain; version=0.0.4", this->context.metrics.exposition()};
+    std::string text = this->context.metrics.exposition();
+    absl::StrAppend(&text, "foxtailtally_log_lines_dropped_total ", droppedLogLines(), "\n");
+    return {200, "text/plain; version=0.0.4", text};
 }
 
 } // namespace foxtailtally
--- a/main/gateway/stream_planner.cpp
+++ b/main/gateway/stream_planner.cpp
@@ -58,6 +58,7 @@
         return decision;
     }
     decision.plan = *plan;
+    decision.hasPlan = true;
     const auto load = loads.find(decision.candidates[plan->server].server);
     if (load != loads.end()) {
         decision.readLeftMs = load->second.readLeftMs;
@@ -68,7 +69,7 @@
         decision.kind = StreamDecision::Kind::Hopeless;
     else if (placement.shouldWait(*plan))
         decision.kind = StreamDecision::Kind::Wait;
-    else if (plan->netValue < 0)
+    else if (!placement.isWorthwhile(*plan))
         decision.kind = StreamDecision::Kind::Hopeless;
     else
         decision.kind = StreamDecision::Kind::Place;
--- a/main/gateway/stream_planner.h
+++ b/main/gateway/stream_planner.h
@@ -26,6 +26,8 @@
     };
 
     Kind kind = Kind::NoServer;
+    /** plan is set, whatever kind says of it. */
+    bool hasPlan = false;
     StreamPlan plan;
     /** The engine and its helpers, as plan names them. */
     std::vector<const ServerDirectory::Server *> servers;
--- a/servers/placement/stream_placement.cpp
+++ b/servers/placement/stream_placement.cpp
@@ -327,7 +327,7 @@
 
 bool StreamPlacement::shouldWait(const StreamPlan &plan) const
 {
-    if (this->isShort() || (plan.harm < kAcceptedHarm && plan.netValue >= 0))
+    if (this->isShort() || (plan.harm < kAcceptedHarm && this->isWorthwhile(plan)))
         return false;
     const double due = absl::ToDoubleMilliseconds(this->demand.firstEventDue);
     const double useful = absl::ToDoubleMilliseconds(this->demand.usefulLeft);
@@ -335,6 +335,11 @@
     return plan.predictedFirstEventMs < (canBeOnTime ? due : useful) * kWaitShare;
 }
 
+bool StreamPlacement::isWorthwhile(const StreamPlan &plan) const
+{
+    return this->isShort() || plan.netValue >= 0;
+}
+
 bool StreamPlacement::fits(const EngineCandidate &candidate, const ServerLoad &load) const
 {
     if (load.streams >= candidate.slots + kQueuedStreams)
--- a/servers/placement/stream_placement.h
+++ b/servers/placement/stream_placement.h
@@ -107,6 +107,8 @@
      * the wait its first event is on time.
      */
     bool shouldWait(const StreamPlan &plan) const;
+    /** False when a long read costs others more than it brings. */
+    bool isWorthwhile(const StreamPlan &plan) const;
 
 private:
     struct Option;
--- a/servers/retry/attempt_policy.cpp
+++ b/servers/retry/attempt_policy.cpp
@@ -2,6 +2,32 @@
 
 namespace foxtailtally {
 
+std::string_view attemptEndName(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::NotSent:
+        return "not_sent";
+    case AttemptEnd::Rejected:
+        return "rejected";
+    case AttemptEnd::ServerFailed:
+        return "server_failed";
+    case AttemptEnd::Lost:
+        return "lost";
+    case AttemptEnd::Silent:
+        return "silent";
+    case AttemptEnd::Overdue:
+        return "overdue";
+    }
+    return "unknown";
+}
+
+bool shouldMove(const MoveEvidence &evidence)
+{
+    if (!evidence.isRepeatable || evidence.earlierRuns + 1 >= evidence.maxRuns)
+        return false;
+    return (evidence.isSilent || evidence.isOverdue) && evidence.hasBetterPlace;
+}
+
 NextStep nextStep(AttemptEnd end, const CallProgress &progress)
 {
     if (end == AttemptEnd::NotSent || end == AttemptEnd::Rejected) {
--- a/servers/retry/attempt_policy.h
+++ b/servers/retry/attempt_policy.h
@@ -2,6 +2,8 @@
 
 #include "servers/catalog/serving_config.h"
 
+#include <string_view>
+
 namespace foxtailtally {
 
 /** How one attempt at a server ended without a usable answer. */
@@ -20,6 +22,9 @@
     Overdue,
 };
 
+/** Stable snake_case name for logs. */
+std::string_view attemptEndName(AttemptEnd end);
+
 /** What is known of a call after one of its attempts ended. */
 struct CallProgress
 {
@@ -49,6 +54,28 @@
 /** Servers that are asked for one call although earlier ones rejected it. */
 constexpr int kMaxRejections = 3;
 
+/** What speaks for taking a stream from the server that it is at. */
+struct MoveEvidence
+{
+    bool isRepeatable = false;
+    /** Attempts that ran before this one. */
+    int earlierRuns = 0;
+    int maxRuns = 1;
+    /** Nothing came from the server for much longer than planned. */
+    bool isSilent = false;
+    /** The stream has had no event for most of the time that its caller waits. */
+    bool isOverdue = false;
+    /** Another server would bring the next event in good time. */
+    bool hasBetterPlace = false;
+};
+
+/**
+ * True when the stream should go to another server. Silence alone is no reason: an engine that
+ * reads a long prompt is silent too, and a stream that is taken from it without a better place is
+ * lost.
+ */
+bool shouldMove(const MoveEvidence &evidence);
+
 /** What follows an attempt that ended with @p end. */
 NextStep nextStep(AttemptEnd end, const CallProgress &progress);
 
--- a/tests/placement/stream_placement_test.cpp
+++ b/tests/placement/stream_placement_test.cpp
@@ -199,6 +199,16 @@
     EXPECT_GT(StreamPlacement(engine(), middle, kNow).choose(candidates(12), loads)->netValue, 0);
 }
 
+// Found by a hunt: short streams were refused because of their harm to others.
+TEST(StreamPlacement, NeverRefusesAShortStreamForItsHarm)
+{
+    StreamPlan plan;
+    plan.netValue = -3;
+    plan.harm = 8;
+    EXPECT_TRUE(StreamPlacement(engine(), shortDemand(), kNow).isWorthwhile(plan));
+    EXPECT_FALSE(StreamPlacement(engine(), longDemand(), kNow).isWorthwhile(plan));
+}
+
 TEST(StreamPlacement, LeavesOutWhatMayNotGetWork)
 {
     StreamLedger ledger;
--- a/tests/retry/retry_test.cpp
+++ b/tests/retry/retry_test.cpp
@@ -42,6 +42,28 @@
     RC_ASSERT(progress.rejections <= kMaxRejections);
 }
 
+// Found by a hunt: streams were taken from an engine that read a long prompt, no other engine could
+// take them, and their answers were broken off.
+TEST(AttemptPolicy, MovesAStreamOnlyToABetterPlace)
+{
+    MoveEvidence evidence;
+    evidence.isRepeatable = true;
+    evidence.maxRuns = 2;
+    evidence.isSilent = true;
+    evidence.isOverdue = true;
+    EXPECT_FALSE(shouldMove(evidence));
+    evidence.hasBetterPlace = true;
+    EXPECT_TRUE(shouldMove(evidence));
+    evidence.earlierRuns = 1;
+    EXPECT_FALSE(shouldMove(evidence));
+    evidence.earlierRuns = 0;
+    evidence.isRepeatable = false;
+    EXPECT_FALSE(shouldMove(evidence));
+    evidence.isRepeatable = true;
+    evidence.isSilent = evidence.isOverdue = false;
+    EXPECT_FALSE(shouldMove(evidence));
+}
+
 std::string event(int number)
 {
     return "id: " + std::to_string(number) + "\ndata: " + std::string(number % 7, 'x') + "\n\n";
