Let followers of the store wait that know more; gather changes that come together

Change: a watch from a later revision waits; empty answers of the store raise the revision; changes are gathered for 60 to 150 ms (instances 1 s) before the next watch.

--- a/main/gateway/kind_cache.cpp
+++ b/main/gateway/kind_cache.cpp
@@ -41,10 +41,11 @@
 
 std::optional<platform::ObjectChanges> KindCache::changesSince(std::int64_t from) const
 {
-    if (from < this->logStart || from > this->currentRevision)
+    if (from < this->logStart)
         return std::nullopt;
+    // A follower that has read the store itself may know more than this instance.
     platform::ObjectChanges changes;
-    changes.revision = this->currentRevision;
+    changes.revision = std::max(from, this->currentRevision);
     for (const Logged &logged : this->log) {
         if (logged.revision > from)
             changes.changes.push_back(logged.change);
--- a/main/gateway/kind_cache.h
+++ b/main/gateway/kind_cache.h
@@ -21,6 +21,11 @@
 
     void replace(const std::vector<platform::StoredObject> &listed, std::int64_t listRevision);
     void apply(const std::vector<platform::ObjectChange> &changes, std::int64_t newRevision);
+    /** Nothing has changed up to @p newRevision. */
+    void advance(std::int64_t newRevision)
+    {
+        this->currentRevision = std::max(this->currentRevision, newRevision);
+    }
     void confirm(absl::Time moment) { this->confirmedAt = std::max(this->confirmedAt, moment); }
 
     /** False until the kind has been listed. */
@@ -28,7 +33,7 @@
     std::int64_t revision() const { return this->currentRevision; }
     absl::Duration age(absl::Time now) const { return now - this->confirmedAt; }
     platform::ObjectPage page() const;
-    /** Empty when changes since @p from are no longer kept. */
+    /** Changes after @p from; nothing when they are no longer kept. */
     std::optional<platform::ObjectChanges> changesSince(std::int64_t from) const;
 
 private:
--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -36,11 +36,11 @@
 } // namespace
 
 KindWatcher::KindWatcher(event_base *base, StoreSource &source, std::string_view kind,
-                         absl::Duration watchTime, KindEvents &events)
+                         const Timing &timing, KindEvents &events)
     : base(base)
     , source(source)
     , kind(kind)
-    , watchTime(watchTime)
+    , timing(timing)
     , events(events)
     , timer(base, [this] { this->onTimer(); })
 { }
@@ -69,7 +69,7 @@
 {
     this->phase = Phase::Watching;
     const bool isStore = this->source.choose(Clock::now()).isStore;
-    this->watchAsked = isStore ? this->watchTime : std::min(this->watchTime, kRelayWatch);
+    this->watchAsked = isStore ? this->timing.watch : std::min(this->timing.watch, kRelayWatch);
     this->send(platform::watchTarget(this->kind, this->revision, this->watchAsked),
                this->watchAsked + (isStore ? kAnswerTime : kRelayAnswerTime));
 }
@@ -162,7 +162,9 @@
     if (this->failures > 0)
         logEvent(LogLevel::Info, "store_regained", {{"kind", this->kind}});
     this->failures = 0;
-    if (!changes->changes.empty())
+    if (changes->changes.empty())
+        this->known.advance(changes->revision);
+    else
         this->known.apply(changes->changes, changes->revision);
     for (const platform::ObjectChange &change : changes->changes)
         this->events.onChange(change, !this->isSettled(now), now);
@@ -173,9 +175,13 @@
     const absl::Time answeredAfter = waitedFully ? this->sentAt + this->watchAsked : this->sentAt;
     this->known.confirm(answeredAfter - this->note.age);
     this->events.onConfirmed(answeredAfter - this->note.age);
-    if (!changes->changes.empty())
-        this->events.onCacheChanged();
-    this->watch();
+    if (changes->changes.empty()) {
+        this->watch();
+        return;
+    }
+    this->events.onCacheChanged();
+    this->phase = Phase::Waiting;
+    this->timer.start(this->timing.gather);
 }
 
 void KindWatcher::onCallFailed(OutboundConnection &, std::error_code error)
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -39,8 +39,16 @@
 class KindWatcher final : private OutboundEvents, private IdleEvents
 {
 public:
-    KindWatcher(event_base *base, StoreSource &source, std::string_view kind,
-                absl::Duration watchTime, KindEvents &events);
+    struct Timing
+    {
+        /** Time for which a watch at the store may wait. */
+        absl::Duration watch;
+        /** Pause after changes, so that many that come together cost one call. */
+        absl::Duration gather;
+    };
+
+    KindWatcher(event_base *base, StoreSource &source, std::string_view kind, const Timing &timing,
+                KindEvents &events);
 
     void start();
     /** True when nothing failed since kSettleTime, here or at the instance that is followed. */
@@ -67,8 +75,7 @@
     event_base *base;
     StoreSource &source;
     std::string kind;
-    /** Time for which a watch at the store may wait. */
-    absl::Duration watchTime;
+    Timing timing;
     KindEvents &events;
     LoopTimer timer;
     std::unique_ptr<OutboundConnection> connection;
--- a/main/gateway/store_follower.cpp
+++ b/main/gateway/store_follower.cpp
@@ -17,10 +17,11 @@
 /** Time for which a watch may wait, by how soon a silent connection must be noticed: keys that are
  * taken away within the revocation bound, servers that leave within two seconds, domains that are
  * taken out within five. */
-constexpr absl::Duration kConfigWatch = absl::Milliseconds(1200);
-constexpr absl::Duration kServerWatch = absl::Milliseconds(2000);
-constexpr absl::Duration kEvacuationWatch = absl::Milliseconds(2500);
-constexpr absl::Duration kInstanceWatch = absl::Seconds(10);
+constexpr KindWatcher::Timing kConfigTiming = {absl::Milliseconds(1200), absl::Milliseconds(60)};
+constexpr KindWatcher::Timing kServerTiming = {absl::Milliseconds(2000), absl::Milliseconds(150)};
+constexpr KindWatcher::Timing kEvacuationTiming = {absl::Milliseconds(2500),
+                                                   absl::Milliseconds(100)};
+constexpr KindWatcher::Timing kInstanceTiming = {absl::Seconds(10), absl::Seconds(1)};
 
 /** Pause between attempts to enter this instance in the store. */
 constexpr absl::Duration kRegistrationPause = absl::Seconds(1);
@@ -284,15 +285,16 @@
     , instanceEvents(std::make_unique<InstanceEvents>(context, this->relay))
     , registration(std::make_unique<Registration>(context))
 {
-    const auto follow = [this](std::string_view kind, absl::Duration watch, KindEvents &events) {
+    const auto follow = [this](std::string_view kind, const KindWatcher::Timing &timing,
+                               KindEvents &events) {
         this->watchers.push_back(std::make_unique<KindWatcher>(
-            this->context.base, this->context.storeSource, kind, watch, events));
+            this->context.base, this->context.storeSource, kind, timing, events));
         this->relay.addKind(std::string(kind), *this->watchers.back());
     };
-    follow(platform::kConfigKind, kConfigWatch, *this->configEvents);
-    follow(platform::kServerKind, kServerWatch, *this->serverEvents);
-    follow(platform::kEvacuationKind, kEvacuationWatch, *this->evacuationEvents);
-    follow(platform::kInstanceKind, kInstanceWatch, *this->instanceEvents);
+    follow(platform::kConfigKind, kConfigTiming, *this->configEvents);
+    follow(platform::kServerKind, kServerTiming, *this->serverEvents);
+    follow(platform::kEvacuationKind, kEvacuationTiming, *this->evacuationEvents);
+    follow(platform::kInstanceKind, kInstanceTiming, *this->instanceEvents);
 }
 
 StoreFollower::~StoreFollower() = default;
--- a/main/gateway/store_relay.cpp
+++ b/main/gateway/store_relay.cpp
@@ -98,7 +98,8 @@
     }
     const Waiting watch = {&connection, query.kind, *query.watchFrom,
                            now + std::min(query.wait, kLongestWatch)};
-    if (*query.watchFrom != watcher.cache().revision()) {
+    const auto changes = watcher.cache().changesSince(*query.watchFrom);
+    if (!changes || !changes->changes.empty()) {
         this->answerWatch(watch, now);
         return;
     }
