Let a rejection speak against the server that it names

Ruled out: late news of the store: the entries were removed with the store's own lag.

What attempts say of servers moves to server_evidence.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/log.h"
+#include "main/gateway/server_evidence.h"
 #include "servers/placement/read_cost.h"
 #include "servers/placement/service_placement.h"
 
@@ -45,9 +46,6 @@
 constexpr absl::Duration kShortestReturn = absl::Milliseconds(250);
 constexpr absl::Duration kReturnSpread = absl::Milliseconds(750);
 
-/** Pauses of a stream after which a server's pace is judged. */
-constexpr int kPausesToJudge = 6;
-
 } // namespace
 
 CallRun::CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call)
@@ -72,7 +70,7 @@
     this->service = std::string(targetService(*this->call.route, this->call.headers.callId));
     this->context.retries.onCall(this->service, now);
     if (!this->dispatch(now))
-        this->answerNotRun("no_server", now);
+        this->answerOwn(503, "no_server", true);
 }
 
 void CallRun::onCallerGone()
@@ -185,7 +183,7 @@
     this->tried.push_back(engine);
     this->forgetStream();
     if (++this->rejections > kMaxRejections || !this->dispatch(now))
-        this->finishWith(lastStep(AttemptEnd::NotSent, this->progress()), now);
+        this->finishWith(lastStep(AttemptEnd::NotSent, this->progress()));
 }
 
 void CallRun::sendPlaced(absl::Time now)
@@ -367,29 +365,15 @@
         this->longestPause = std::max(this->longestPause, pause);
         if (pause > this->call.route->pauseObjective)
             this->context.ledger.onLate(this->stream);
-        this->notePace(call, now);
+        const Service *engine = this->call.config->findService(this->service);
+        if (engine)
+            recordPause(this->context, call.target().key, engine->engine,
+                        this->call.headers.promptTokens, pause);
     }
     this->lastEventAt = now;
     this->watchTimer.start(this->call.route->pauseObjective * 2 + kStreamSlack);
 }
 
-void CallRun::notePace(const ServerCall &call, absl::Time now)
-{
-    ServerActivity &activity = this->context.activity[call.target().key];
-    const double pause = absl::ToDoubleMilliseconds(now - this->lastEventAt);
-    activity.shortestPauseMs =
-        activity.pauses == 0 ? pause : std::min(activity.shortestPauseMs, pause);
-    if (++activity.pauses < kPausesToJudge)
-        return;
-    activity.pauses = 0;
-    const Service *engine = this->call.config->findService(this->service);
-    if (!engine)
-        return;
-    // The shortest of several pauses is a pass without reads of other prompts.
-    const double planned = writePassMs(engine->engine, 1, this->call.headers.promptTokens);
-    this->context.health.onPace(call.target().key, activity.shortestPauseMs / planned);
-}
-
 void CallRun::onReplyComplete(ServerCall &call)
 {
     const absl::Time now = Clock::now();
@@ -447,19 +431,7 @@
         ++this->rejections;
     else
         ++this->runs;
-    const bool wasSuspect = this->context.health.isSuspect(target.key, now);
-    if (end == AttemptEnd::NotSent) {
-        this->context.reachability.onConnectFailed(target.key, target.domain, now);
-    } else if (end == AttemptEnd::Silent || end == AttemptEnd::Lost) {
-        this->context.health.onOutcome(target.key,
-                                       end == AttemptEnd::Silent ? ServerHealth::Outcome::Silent
-                                                                 : ServerHealth::Outcome::Lost,
-                                       now);
-        if (!wasSuspect && this->context.health.isSuspect(target.key, now))
-            this->context.exchange.onSuspicion(target.key);
-    }
-    if (end == AttemptEnd::Rejected)
-        this->blameHelper(call, now);
+    recordAttemptEnd(this->context, call, end, now);
     logEvent(LogLevel::Info, "attempt_ended",
              {{"request", this->call.headers.callId},
               {"server", target.id.str()},
@@ -472,17 +444,6 @@
     this->afterEnd(end, now);
 }
 
-void CallRun::blameHelper(const ServerCall &call, absl::Time now)
-{
-    const std::string &address = call.faultyServer();
-    if (address.empty() || address == call.target().address)
-        return;
-    const ServerDirectory::Server *helper = this->context.directory.findAddress(address);
-    if (helper)
-        this->context.health.onOutcome(serverKey(helper->entry.id, helper->entry.incarnation),
-                                       ServerHealth::Outcome::Lost, now);
-}
-
 void CallRun::afterEnd(AttemptEnd end, absl::Time now)
 {
     if (!this->attempts.empty())
@@ -499,15 +460,15 @@
             return;
         step = lastStep(end, state);
     }
-    this->finishWith(step, now);
+    this->finishWith(step);
 }
 
-void CallRun::finishWith(NextStep step, absl::Time now)
+void CallRun::finishWith(NextStep step)
 {
     switch (step) {
     case NextStep::TryElsewhere:
     case NextStep::AnswerNotRun:
-        this->answerNotRun("rejected", now);
+        this->answerOwn(503, "rejected", true);
         return;
     case NextStep::PassServerFailure:
         this->passStoredReply();
@@ -525,11 +486,6 @@
     }
 }
 
-void CallRun::answerNotRun(std::string_view cause, absl::Time)
-{
-    this->answerOwn(503, cause, true);
-}
-
 void CallRun::answerOwn(int status, std::string_view cause, bool notRun)
 {
     std::optional<absl::Duration> retryAfter;
@@ -605,7 +561,7 @@
     if (this->isWaiting) {
         this->isWaiting = false;
         if (!this->dispatch(now))
-            this->finishWith(lastStep(AttemptEnd::NotSent, this->progress()), now);
+            this->finishWith(lastStep(AttemptEnd::NotSent, this->progress()));
         return;
     }
     if (this->attempts.empty())
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -82,16 +82,12 @@
     void placeParts(const std::vector<EngineCandidate> &candidates, absl::Time now);
 
     void logPlacement(const StreamDecision &decision) const;
-    /** A rejection that names a helper speaks against that helper. */
-    void blameHelper(const ServerCall &call, absl::Time now);
 
     void relayEvents(Attempt &attempt, std::string_view data, absl::Time now);
     void noteEvent(ServerCall &call, absl::Time now);
-    void notePace(const ServerCall &call, absl::Time now);
     void passStoredReply();
     void afterEnd(AttemptEnd end, absl::Time now);
-    void finishWith(NextStep step, absl::Time now);
-    void answerNotRun(std::string_view cause, absl::Time now);
+    void finishWith(NextStep step);
     void answerOwn(int status, std::string_view cause, bool notRun);
     void finish(std::string_view outcome, int status);
 
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -72,6 +72,7 @@
     activity.lastByteAt = now;
     const platform::ServerReply reply = platform::decodeServerReply(head);
     this->faulty = reply.faultyServer;
+    this->misdirected = reply.isMisdirected;
     this->context.reachability.onConnected(this->server.key, this->server.domain);
     if (reply.outstanding) {
         activity.reported = *reply.outstanding;
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -57,6 +57,8 @@
 
     const AttemptTarget &target() const { return this->server; }
     absl::Time sentAt() const { return this->startedAt; }
+    /** Another server, or another life of this one, has the address. */
+    bool wasMisdirected() const { return this->misdirected; }
     /** Server that a rejection named as its cause; empty when it named none. */
     const std::string &faultyServer() const { return this->faulty; }
     bool isActive() const { return this->connection != nullptr; }
@@ -80,6 +82,7 @@
     LoopTimer connectTimer;
     absl::Time startedAt = absl::InfinitePast();
     std::string faulty;
+    bool misdirected = false;
     bool wasConnectionKept = false;
     bool mustNotRepeat = false;
 };
--- /dev/null
+++ b/main/gateway/server_evidence.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "main/gateway/gateway_context.h"
+#include "main/gateway/server_call.h"
+#include "servers/catalog/serving_config.h"
+
+#include <absl/time/time.h>
+#include <cstdint>
+
+namespace foxtailtally {
+
+/** Keeps what the end of an attempt says of the servers, and tells other instances of suspects. */
+void recordAttemptEnd(GatewayContext &context, const ServerCall &call, AttemptEnd end,
+                      absl::Time now);
+
+/** Judges the pace of an engine by the pauses between the events of its streams. */
+void recordPause(GatewayContext &context, ServerKey server, const EngineTiming &engine,
+                 std::int64_t promptTokens, absl::Duration pause);
+
+} // namespace foxtailtally
--- a/tests/platform/call_headers_test.cpp
+++ b/tests/platform/call_headers_test.cpp
@@ -69,6 +69,10 @@
     ResponseHead misdirected;
     misdirected.status = 421;
     EXPECT_TRUE(decodeServerReply(misdirected).notRun);
+    // Found in an incident: calls went on to addresses whose servers had gone, since a rejection
+    // spoke against nobody.
+    EXPECT_TRUE(decodeServerReply(misdirected).isMisdirected);
+    EXPECT_FALSE(decodeServerReply(head).isMisdirected);
 }
 
 TEST(CallHeaders, ReadsLoadAndSignature)
