Take no request late in a planned stop; go to the store when an instance fails to tell

Ruled out: idle connections left open: they were closed after 2.6 s.

Change: StopPolicy refuses requests after 2.6 s as not run and closes each connection with its next answer from the signal on; a follower whose source fails or is old asks the store itself for four seconds, and watches are shorter (servers 0.6 s).

--- a/main/gateway/caller_session.cpp
+++ b/main/gateway/caller_session.cpp
@@ -41,6 +41,9 @@
 {
     const absl::Time now = Clock::now();
     this->retireRun();
+    // The next request of this caller goes to another instance.
+    if (this->context.stop.isStopping())
+        connection.closeAfterAnswer();
     AdmittedCall call;
     this->rejection = this->admit(connection.head(), call, now);
     if (this->rejection) {
@@ -55,6 +58,8 @@
 {
     call.receivedAt = now;
     call.headers = platform::decodeCallHeaders(head.headers);
+    if (!this->context.stop.mayTakeRequests(now))
+        return Rejection {503, "stopping", true};
     call.config = this->context.config;
     if (!call.config)
         return Rejection {503, "no_configuration", true};
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -17,16 +17,9 @@
 /** Interval of housekeeping: closed connections, lapsed entries, silent instances. */
 constexpr absl::Duration kTick = absl::Milliseconds(250);
 
-/** Time for which a stopping instance still takes new connections: the balancer asks once a second
- * and takes an instance out after two answers. */
-constexpr absl::Duration kBalancerLag = absl::Milliseconds(2600);
-
 /** Time for orders that nobody waits for to reach their servers. */
 constexpr absl::Duration kLingerTime = absl::Seconds(1);
 
-/** A stopping instance ends this long before it would be killed. */
-constexpr absl::Duration kStopMargin = absl::Milliseconds(400);
-
 event_base *newBase()
 {
     event_config *config = event_config_new();
@@ -133,38 +126,35 @@
     this->store.onTick();
     this->readyEndpoint.onTick();
     this->metricsEndpoint.onTick();
-    if (this->context.isStopping)
+    if (this->context.stop.isStopping())
         this->continueStop(now);
     this->tick.start(kTick);
 }
 
 void Gateway::beginStop()
 {
-    if (this->context.isStopping)
+    if (this->context.stop.isStopping())
         return;
-    this->context.isStopping = true;
-    this->stopBegan = Clock::now();
+    this->context.stop.begin(Clock::now());
     logEvent(LogLevel::Info, "stopping", {{"sessions", this->sessions.size()}});
 }
 
 void Gateway::continueStop(absl::Time now)
 {
-    const absl::Duration elapsed = now - this->stopBegan;
-    if (elapsed < kBalancerLag)
+    if (!this->context.stop.closesIdle(now))
         return;
     std::vector<CallerSession *> open;
     for (const auto &[key, session] : this->sessions)
         open.push_back(key);
     for (CallerSession *session : open)
         session->closeWhenIdle();
-    const bool isOver = elapsed >= this->context.settings.stopLimit - kStopMargin;
-    if (this->sessions.empty() || isOver)
+    if (this->sessions.empty() || this->context.stop.isOver(now))
         event_base_loopbreak(this->base);
 }
 
 bool Gateway::isReady(absl::Time now) const
 {
-    return !this->context.isStopping && this->context.config && this->store.hasServers()
+    return !this->context.stop.isStopping() && this->context.config && this->store.hasServers()
         && this->context.freshness.isReady(now);
 }
 
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -54,7 +54,6 @@
     event *termination = nullptr;
     LoopTimer tick;
     absl::flat_hash_map<CallerSession *, std::unique_ptr<CallerSession>> sessions;
-    absl::Time stopBegan = absl::InfiniteFuture();
 };
 
 } // namespace foxtailtally
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -13,6 +13,7 @@
 #include "servers/placement/server_health.h"
 #include "servers/placement/stream_ledger.h"
 #include "servers/retry/retry_budget.h"
+#include "servers/retry/stop_policy.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -66,6 +67,7 @@
         , settings(settings)
         , freshness(settings.revocationBound)
         , retries(settings.retries)
+        , stop(settings.stopLimit)
         , pool(base)
         , storeSource(settings.id, settings.domain, settings.storeAddress)
         , exchange(base, settings.id, this->ledger, this->health, this->storeSource)
@@ -93,7 +95,7 @@
     std::vector<std::unique_ptr<Retirable>> retired;
     std::vector<Lingering> lingering;
     std::uint32_t nextStream = 1;
-    bool isStopping = false;
+    StopPolicy stop;
 };
 
 } // namespace foxtailtally
--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -17,12 +17,12 @@
 
 /** Time for which a watch at another instance waits, and for its answer beyond that; together below
  * the time within which a leaving server gets no new work. */
-constexpr absl::Duration kRelayWatch = absl::Milliseconds(700);
+constexpr absl::Duration kRelayWatch = absl::Milliseconds(500);
 constexpr absl::Duration kRelayAnswerTime = absl::Milliseconds(300);
 
-/** An instance whose knowledge is older than this is not asked again for a while; the users' bound
- * on keys leaves five seconds. */
-constexpr absl::Duration kOldestNote = absl::Milliseconds(2400);
+/** An instance whose knowledge is older than its watch explains, by more than this, has lost the
+ * store; its followers ask the store themselves. */
+constexpr absl::Duration kNoteSlack = absl::Milliseconds(300);
 
 /** Pauses between failed calls; each call is counted by the store. */
 constexpr absl::Duration kFirstPause = absl::Milliseconds(120);
@@ -112,7 +112,7 @@
     if (this->note.isUnsettled)
         this->lastFailureAt = now;
     // What it tells may be used, but another source is asked next.
-    if (this->note.age > kOldestNote)
+    if (this->note.age > this->timing.watch + kNoteSlack)
         this->source.onFailed(this->asked.address, now);
     if (this->status != 200) {
         this->onFailure(absl::StrCat("status ", this->status), this->status == kStatusGone);
--- a/main/gateway/server_evidence.cpp
+++ b/main/gateway/server_evidence.cpp
@@ -31,9 +31,9 @@
             return;
         faulty = serverKey(helper->entry.id, helper->entry.incarnation);
     }
-    const bool isGone = call.wasMisdirected() || faulty != call.target().key;
-    recordOutcome(context, faulty,
-                  isGone ? ServerHealth::Outcome::Lost : ServerHealth::Outcome::Failed, now);
+    // A server that is only full has done nothing wrong.
+    if (call.wasMisdirected() || faulty != call.target().key)
+        recordOutcome(context, faulty, ServerHealth::Outcome::Lost, now);
 }
 
 } // namespace
--- a/main/gateway/store_follower.cpp
+++ b/main/gateway/store_follower.cpp
@@ -17,9 +17,9 @@
 /** Time for which a watch may wait, by how soon a silent connection must be noticed: keys that are
  * taken away within the revocation bound, servers that leave within two seconds, domains that are
  * taken out within five. */
-constexpr KindWatcher::Timing kConfigTiming = {absl::Milliseconds(1200), absl::Milliseconds(60)};
-constexpr KindWatcher::Timing kServerTiming = {absl::Milliseconds(2000), absl::Milliseconds(150)};
-constexpr KindWatcher::Timing kEvacuationTiming = {absl::Milliseconds(2500),
+constexpr KindWatcher::Timing kConfigTiming = {absl::Milliseconds(1000), absl::Milliseconds(60)};
+constexpr KindWatcher::Timing kServerTiming = {absl::Milliseconds(600), absl::Milliseconds(100)};
+constexpr KindWatcher::Timing kEvacuationTiming = {absl::Milliseconds(1500),
                                                    absl::Milliseconds(100)};
 constexpr KindWatcher::Timing kInstanceTiming = {absl::Seconds(10), absl::Seconds(1)};
 
--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -18,10 +18,10 @@
 namespace {
 
 /** Output held for one slow reader before its source is paused, in bytes. */
-constexpr std::size_t kCongestedBytes = 64 * 1024;
+constexpr std::size_t kCongestedBytes = std::size_t {64} << 10;
 
 /** Input read ahead of the parser, in bytes; a pipelined request waits in the socket beyond it. */
-constexpr std::size_t kReadAheadBytes = 64 * 1024;
+constexpr std::size_t kReadAheadBytes = std::size_t {64} << 10;
 
 /** Time to read what a caller still sends after an answer that closes the connection, so that the
  * close does not reset the answer on its way. */
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -71,6 +71,8 @@
     /** Breaks the connection so that the answer does not look complete. */
     void abort();
 
+    /** The answer to the request in work closes the connection. */
+    void closeAfterAnswer() { this->isClosing = true; }
     /** The next answer closes the connection; an idle connection closes now. */
     void closeWhenIdle();
     bool isCongested() const;
--- a/servers/catalog/store_source.cpp
+++ b/servers/catalog/store_source.cpp
@@ -37,11 +37,14 @@
 void StoreSource::onFailed(const std::string &address, absl::Time now)
 {
     if (address != this->storeAddress)
-        this->failedAt[address] = now;
+        this->failedAt = now;
 }
 
 StoreSource::Choice StoreSource::choose(absl::Time now) const
 {
+    // Another follower might lead back to the source that failed, and time for news is short.
+    if (now - this->failedAt < kFailureTerm)
+        return {this->storeAddress, true};
     struct Ranked
     {
         std::uint64_t weight = 0;
@@ -49,10 +52,7 @@
     };
     std::vector<Ranked> live = {{rendezvousWeight(kRankingKey, this->self.str()), nullptr}};
     for (const auto &[instance, peer] : this->peers) {
-        const auto failed = this->failedAt.find(peer.relayAddress);
-        const bool hasFailed =
-            failed != this->failedAt.end() && now - failed->second < kFailureTerm;
-        if (!hasFailed && now - peer.heardAt < kSilence)
+        if (now - peer.heardAt < kSilence)
             live.push_back({rendezvousWeight(kRankingKey, instance.str()), &peer.relayAddress});
     }
     std::sort(live.begin(), live.end(),
--- a/servers/catalog/store_source.h
+++ b/servers/catalog/store_source.h
@@ -20,7 +20,7 @@
 public:
     /** An instance that was not heard of for this long is not asked. */
     static constexpr absl::Duration kSilence = absl::Seconds(2);
-    /** Time for which a source that failed is not asked again. */
+    /** Time for which the store itself is asked after another instance failed to tell. */
     static constexpr absl::Duration kFailureTerm = absl::Seconds(4);
     /** Instances of a domain for each one that watches the store, beyond the first. */
     static constexpr std::size_t kFollowersForEachWatcher = 24;
@@ -57,7 +57,7 @@
     FailureDomainId domain;
     std::string storeAddress;
     absl::flat_hash_map<InstanceId, Peer> peers;
-    absl::flat_hash_map<std::string, absl::Time> failedAt;
+    absl::Time failedAt = absl::InfinitePast();
 };
 
 } // namespace foxtailtally
--- a/servers/shares/share_lender.cpp
+++ b/servers/shares/share_lender.cpp
@@ -37,7 +37,7 @@
         share.index = *held.ownIndex;
         share.holders = holders;
         share.tenancy = this->nextTenancy++;
-        share.tenant = {};
+        share.borrower = {};
         share.statement = {};
         share.returned = {};
     }
@@ -52,17 +52,17 @@
         if (held == nullptr || !held->ownIndex || !held->blockers.empty() || !share.records.empty()
             || !this->topology.isOwner(*held))
             continue;
-        if (share.tenant != this->topology.self())
+        if (share.borrower != this->topology.self())
             this->passTo(share, this->topology.self(), now);
         share.returned = {};
     }
 }
 
-void ShareLender::passTo(OwnShare &share, const RosterMember &tenant, absl::Time now)
+void ShareLender::passTo(OwnShare &share, const RosterMember &borrower, absl::Time now)
 {
     share.tenancy = this->nextTenancy++;
-    share.tenant = tenant;
-    share.tenantSince = now;
+    share.borrower = borrower;
+    share.borrowerSince = now;
     share.statement = std::exchange(share.returned, {});
 }
 
@@ -83,7 +83,7 @@
             continue;
         const auto declared = std::find_if(request.returns.begin(), request.returns.end(),
                                            [&](const LoanReturn &r) { return r.group == group; });
-        if (declared != request.returns.end() && share.tenant == request.sender)
+        if (declared != request.returns.end() && share.borrower == request.sender)
             share.returned = declared->statement;
     }
 }
@@ -106,7 +106,7 @@
 void ShareLender::onOwnUseEnded(const GroupId &group, const UseStatement &statement)
 {
     const auto found = this->shares.find(group);
-    if (found != this->shares.end() && found->second.tenant == this->topology.self())
+    if (found != this->shares.end() && found->second.borrower == this->topology.self())
         found->second.returned = statement;
 }
 
@@ -141,7 +141,7 @@
             || !this->isLendable(*held, found->second, to))
             continue;
         OwnShare &share = found->second;
-        if (share.tenant != to.member)
+        if (share.borrower != to.member)
             this->passTo(share, to.member, now);
         share.returned = {};
         auto record =
@@ -189,11 +189,11 @@
 std::optional<HeldShare> ShareLender::lastUsedShare(const GroupId &group) const
 {
     const auto found = this->shares.find(group);
-    if (found == this->shares.end() || found->second.tenant != this->topology.self())
+    if (found == this->shares.end() || found->second.borrower != this->topology.self())
         return std::nullopt;
     const OwnShare &own = found->second;
     // Even numbers; acquisitions by loans have odd ones.
-    return HeldShare {own.tenancy * 2, own.tenantSince, own.index, own.holders,
+    return HeldShare {own.tenancy * 2, own.borrowerSince, own.index, own.holders,
                       own.statement.isKnown() ? &own.statement : nullptr};
 }
 
--- a/servers/shares/share_lender.h
+++ b/servers/shares/share_lender.h
@@ -60,11 +60,11 @@
     struct OwnShare
     {
         std::uint64_t tenancy = 0;
-        RosterMember tenant;
-        absl::Time tenantSince;
-        /** What users before the tenant may run. */
+        RosterMember borrower;
+        absl::Time borrowerSince;
+        /** What users before the borrower may run. */
         UseStatement statement;
-        /** Declared by the tenant when it gave the share up; passed on to the next tenant. */
+        /** Declared by the borrower when it gave the share up; passed on to the next borrower. */
         UseStatement returned;
         std::uint32_t index = 0;
         std::uint32_t holders = 0;
@@ -82,7 +82,7 @@
 
     void release(const LoanRequest &request);
     bool isLendable(const HeldGroup &held, const OwnShare &share, const Requester &to) const;
-    void passTo(OwnShare &share, const RosterMember &tenant, absl::Time now);
+    void passTo(OwnShare &share, const RosterMember &borrower, absl::Time now);
     LoanOffer makeOffer(const Requester &to, absl::Time now);
 
     ShareTopology &topology;
