--- a/core/log.cpp
+++ b/core/log.cpp
@@ -59,6 +59,15 @@
 
 } // namespace
 
+LogLevel logLevelNamed(std::string_view name)
+{
+    if (name == "debug")
+        return LogLevel::Debug;
+    if (name == "warning")
+        return LogLevel::Warning;
+    return name == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
 void configureLog(LogLevel minimum, std::string_view file)
 {
     minimumLevel.store(minimum);
--- a/core/log.h
+++ b/core/log.h
@@ -13,6 +13,9 @@
     Error,
 };
 
+/** The level called @p name; Info for names that are none. */
+LogLevel logLevelNamed(std::string_view name);
+
 /** Sets where log lines go and which are kept. An empty @p file means standard error. */
 void configureLog(LogLevel minimum, std::string_view file);
 
--- a/main/gateway/gateway_settings.cpp
+++ b/main/gateway/gateway_settings.cpp
@@ -45,15 +45,6 @@
     };
 }
 
-LogLevel levelNamed(const std::string &name)
-{
-    if (name == "debug")
-        return LogLevel::Debug;
-    if (name == "warning")
-        return LogLevel::Warning;
-    return name == "error" ? LogLevel::Error : LogLevel::Info;
-}
-
 } // namespace
 
 const std::vector<SettingSpec> &gatewaySettingsSchema()
@@ -84,7 +75,7 @@
     result.retries.window = settings.duration("retries", "window");
     result.coldFactor = settings.ratio("cold", "factor");
     result.coldSlack = static_cast<double>(settings.count("cold", "slack"));
-    result.logLevel = levelNamed(settings.text("log", "level"));
+    result.logLevel = logLevelNamed(settings.text("log", "level"));
     return result;
 }
 
--- a/main/lib/command_line.cpp
+++ b/main/lib/command_line.cpp
@@ -30,21 +30,12 @@
     return settings;
 }
 
-LogLevel levelNamed(std::string_view name)
-{
-    if (name == "debug")
-        return LogLevel::Debug;
-    if (name == "warning")
-        return LogLevel::Warning;
-    return name == "error" ? LogLevel::Error : LogLevel::Info;
-}
-
 int serve(const std::string &file)
 {
     const Result<Settings> settings = readSettings(file, serveSettingsSchema());
     if (!settings.ok())
         return kExitSettings;
-    configureLog(levelNamed(settings->text("log", "level")), settings->text("log", "file"));
+    configureLog(logLevelNamed(settings->text("log", "level")), settings->text("log", "file"));
     // Blocked before any thread starts, so that only the wait below receives the signals.
     sigset_t signals;
     sigemptyset(&signals);
--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -176,29 +176,21 @@
 int InboundConnection::onHeaderField(http_parser *parser, const char *data, std::size_t size)
 {
     InboundConnection &connection = self(parser);
-    if (connection.lastWasValue) {
-        connection.request.headers.add(connection.headerName, connection.headerValue);
-        connection.headerName.clear();
-        connection.headerValue.clear();
-        connection.lastWasValue = false;
-    }
-    connection.headerName.append(data, size);
+    connection.collector.onName({data, size});
     return 0;
 }
 
 int InboundConnection::onHeaderValue(http_parser *parser, const char *data, std::size_t size)
 {
     InboundConnection &connection = self(parser);
-    connection.headerValue.append(data, size);
-    connection.lastWasValue = true;
+    connection.collector.onValue({data, size});
     return 0;
 }
 
 int InboundConnection::onHeadersComplete(http_parser *parser)
 {
     InboundConnection &connection = self(parser);
-    if (!connection.headerName.empty())
-        connection.request.headers.add(connection.headerName, connection.headerValue);
+    connection.collector.finish();
     connection.request.method = http_method_str(static_cast<http_method>(parser->method));
     connection.keepsAlive = http_should_keep_alive(parser) != 0;
     // An upgrade is never accepted: the bytes that follow are the next request.
@@ -346,9 +338,7 @@
     this->parser.data = this;
     this->request = RequestHead();
     this->requestBody = std::string();
-    this->headerName.clear();
-    this->headerValue.clear();
-    this->lastWasValue = false;
+    this->collector.clear();
     this->headBytes = 0;
     this->rejectStatus = 0;
     this->isBodyDiscarded = false;
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peers/http/header_collector.h"
 #include "peers/http/http_head.h"
 
 #include <absl/time/time.h>
@@ -116,10 +117,8 @@
     http_parser parser {};
     State state = State::Idle;
     RequestHead request;
+    HeaderCollector collector {this->request.headers};
     std::string requestBody;
-    std::string headerName;
-    std::string headerValue;
-    bool lastWasValue = false;
     std::size_t headBytes = 0;
     int rejectStatus = 0;
     bool isBodyDiscarded = false;
--- a/peers/http/outbound_connection.cpp
+++ b/peers/http/outbound_connection.cpp
@@ -123,21 +123,14 @@
 {
     OutboundConnection &connection = self(parser);
     connection.isInMessage = true;
-    if (connection.lastWasValue) {
-        connection.response.headers.add(connection.headerName, connection.headerValue);
-        connection.headerName.clear();
-        connection.headerValue.clear();
-        connection.lastWasValue = false;
-    }
-    connection.headerName.append(data, size);
+    connection.collector.onName({data, size});
     return 0;
 }
 
 int OutboundConnection::onHeaderValue(http_parser *parser, const char *data, std::size_t size)
 {
     OutboundConnection &connection = self(parser);
-    connection.headerValue.append(data, size);
-    connection.lastWasValue = true;
+    connection.collector.onValue({data, size});
     return 0;
 }
 
@@ -145,8 +138,7 @@
 {
     OutboundConnection &connection = self(parser);
     connection.isInMessage = true;
-    if (!connection.headerName.empty())
-        connection.response.headers.add(connection.headerName, connection.headerValue);
+    connection.collector.finish();
     connection.response.status = parser->status_code;
     parser->upgrade = 0;
     const bool isInterim = parser->status_code < 200;
@@ -272,9 +264,7 @@
     http_parser_init(&this->parser, HTTP_RESPONSE);
     this->parser.data = this;
     this->response = ResponseHead();
-    this->headerName.clear();
-    this->headerValue.clear();
-    this->lastWasValue = false;
+    this->collector.clear();
     this->isSkipped = false;
     this->isInMessage = false;
 }
--- a/peers/http/outbound_connection.h
+++ b/peers/http/outbound_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peers/http/header_collector.h"
 #include "peers/http/http_head.h"
 
 #include <absl/time/time.h>
@@ -102,10 +103,8 @@
     http_parser parser {};
     State state = State::Connecting;
     ResponseHead response;
+    HeaderCollector collector {this->response.headers};
     Correlation correlation;
-    std::string headerName;
-    std::string headerValue;
-    bool lastWasValue = false;
     bool isHeadRequest = false;
     bool isSkipped = false;
     bool isInMessage = false;
