Bound the age of what other instances tell by kind of object

Ruled out: lost watchers: no connection broke in the traced play.

Change: an age bound for each kind, none for instances.

--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -23,7 +23,7 @@
 event_base *newBase()
 {
     event_config *config = event_config_new();
-    // The cached clock of the loop is coarse; one process has one loop and needs no locks.
+    // One process has one loop, on one thread.
     event_config_set_flag(config, EVENT_BASE_FLAG_NOLOCK);
     event_base *base = event_base_new_with_config(config);
     event_config_free(config);
--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -20,10 +20,6 @@
 constexpr absl::Duration kRelayWatch = absl::Milliseconds(500);
 constexpr absl::Duration kRelayAnswerTime = absl::Milliseconds(300);
 
-/** An instance whose knowledge is older than its watch explains, by more than this, has lost the
- * store; its followers ask the store themselves. */
-constexpr absl::Duration kNoteSlack = absl::Milliseconds(300);
-
 /** Pauses between failed calls; each call is counted by the store. */
 constexpr absl::Duration kFirstPause = absl::Milliseconds(120);
 constexpr absl::Duration kLongestPause = absl::Milliseconds(600);
@@ -112,7 +108,7 @@
     if (this->note.isUnsettled)
         this->lastFailureAt = now;
     // What it tells may be used, but another source is asked next.
-    if (this->note.age > this->timing.watch + kNoteSlack)
+    if (this->note.age > this->timing.oldest)
         this->source.onFailed(this->asked.address, now);
     if (this->status != 200) {
         this->onFailure(absl::StrCat("status ", this->status), this->status == kStatusGone);
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -45,6 +45,9 @@
         absl::Duration watch;
         /** Pause after changes, so that many that come together cost one call. */
         absl::Duration gather;
+        /** Age up to which another instance's knowledge will do; what is older comes from an
+         * instance that has lost the store. */
+        absl::Duration oldest;
     };
 
     KindWatcher(event_base *base, StoreSource &source, std::string_view kind, const Timing &timing,
--- a/main/gateway/store_follower.cpp
+++ b/main/gateway/store_follower.cpp
@@ -17,11 +17,15 @@
 /** Time for which a watch may wait, by how soon a silent connection must be noticed: keys that are
  * taken away within the revocation bound, servers that leave within two seconds, domains that are
  * taken out within five. */
-constexpr KindWatcher::Timing kConfigTiming = {absl::Milliseconds(1000), absl::Milliseconds(60)};
-constexpr KindWatcher::Timing kServerTiming = {absl::Milliseconds(600), absl::Milliseconds(100)};
-constexpr KindWatcher::Timing kEvacuationTiming = {absl::Milliseconds(1500),
-                                                   absl::Milliseconds(100)};
-constexpr KindWatcher::Timing kInstanceTiming = {absl::Seconds(10), absl::Seconds(1)};
+constexpr KindWatcher::Timing kConfigTiming = {absl::Milliseconds(1000), absl::Milliseconds(60),
+                                               absl::Milliseconds(2200)};
+constexpr KindWatcher::Timing kServerTiming = {absl::Milliseconds(600), absl::Milliseconds(100),
+                                               absl::Milliseconds(1200)};
+constexpr KindWatcher::Timing kEvacuationTiming = {
+    absl::Milliseconds(1500), absl::Milliseconds(100), absl::Milliseconds(3200)};
+/** Late news of an instance does no harm: it is heard of in any case. */
+constexpr KindWatcher::Timing kInstanceTiming = {absl::Seconds(10), absl::Seconds(1),
+                                                 absl::InfiniteDuration()};
 
 /** Pause between attempts to enter this instance in the store. */
 constexpr absl::Duration kRegistrationPause = absl::Seconds(1);
--- a/servers/placement/stream_ledger.h
+++ b/servers/placement/stream_ledger.h
@@ -76,7 +76,7 @@
     std::uint64_t ownRevision() const { return this->revision; }
     std::size_t peerCount() const { return this->peers.size(); }
 
-    /** Load of each server that has any. @p slowness: how much longer than planned each takes. */
+    /** Load of each server that has any. */
     absl::flat_hash_map<ServerKey, ServerLoad> loads(absl::Time now) const;
 
 private:
