--- a/main/gateway/stream_planner.cpp
+++ b/main/gateway/stream_planner.cpp
@@ -69,10 +69,9 @@
         decision.kind = StreamDecision::Kind::Hopeless;
     else if (placement.shouldWait(*plan))
         decision.kind = StreamDecision::Kind::Wait;
-    else if (!placement.isWorthwhile(*plan))
-        decision.kind = StreamDecision::Kind::Hopeless;
     else
-        decision.kind = StreamDecision::Kind::Place;
+        decision.kind = placement.isWorthwhile(*plan) ? StreamDecision::Kind::Place
+                                                      : StreamDecision::Kind::Hopeless;
     return decision;
 }
 
