--- a/load/placement/placement_trial.cpp
+++ b/load/placement/placement_trial.cpp
@@ -265,9 +265,8 @@
         job.isHelper = true;
         part.isHelper = true;
         for (const std::size_t helper : plan.helpers) {
-            const bool isHolder =
-                std::find(plan.holders.begin(), plan.holders.end(), helper) != plan.holders.end();
-            part.memoryTokens = isHolder ? static_cast<std::uint32_t>(plan.shareTokens) : 0;
+            part.memoryTokens =
+                plan.isHolder(helper) ? static_cast<std::uint32_t>(plan.shareTokens) : 0;
             this->engines[helper].add(job);
             part.server = helper + 1;
             placed.push_back(part);
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -119,8 +119,7 @@
         StreamPlanner(this->context).decide(service, this->demand(now), this->tried, now);
     this->plan = decision.plan;
     // The rest of an answer that has begun is worth more than any harm, and its caller is waiting.
-    if (this->hasAnswerBegun && decision.kind != StreamDecision::Kind::NoServer
-        && !decision.servers.empty() && decision.hasPlan) {
+    if (this->hasAnswerBegun && decision.hasPlan) {
         this->placeStream(decision, now);
         return true;
     }
@@ -151,8 +150,7 @@
     std::vector<ReservationSet::Share> shares;
     for (const std::size_t index : this->plan.helpers) {
         const std::string &address = decision.servers[index]->entry.address;
-        const bool isHolder = std::find(this->plan.holders.begin(), this->plan.holders.end(), index)
-            != this->plan.holders.end();
+        const bool isHolder = this->plan.isHolder(index);
         this->placedHelpers.push_back({address, isHolder ? reservationId : std::string()});
         if (isHolder)
             shares.push_back({decision.candidates[index].server, address});
@@ -213,8 +211,7 @@
     std::vector<StreamPart> parts = {part};
     part.isHelper = true;
     for (const std::size_t index : this->plan.helpers) {
-        const bool isHolder = std::find(this->plan.holders.begin(), this->plan.holders.end(), index)
-            != this->plan.holders.end();
+        const bool isHolder = this->plan.isHolder(index);
         part.memoryTokens = isHolder ? static_cast<std::uint32_t>(this->plan.shareTokens) : 0;
         part.server = candidates[index].server;
         parts.push_back(part);
--- a/main/gateway/caller_session.h
+++ b/main/gateway/caller_session.h
@@ -28,7 +28,6 @@
     CallerSession(GatewayContext &context, int socket, SessionOwner &owner);
 
     void closeWhenIdle() { this->connection.closeWhenIdle(); }
-    bool isBusy() const { return this->run && !this->run->isDone(); }
 
 private:
     /** A refusal that is answered once the request has been read. */
--- a/main/gateway/instance_exchange.cpp
+++ b/main/gateway/instance_exchange.cpp
@@ -196,9 +196,8 @@
         if (!parseAddress(address, peer))
             continue;
         // A full socket drops the datagram; the next one carries all of it again.
-        const ssize_t result = ::sendto(this->socket, bytes.data(), bytes.size(), 0,
-                                        reinterpret_cast<sockaddr *>(&peer), sizeof peer);
-        this->sent += result > 0 ? 1 : 0;
+        ::sendto(this->socket, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr *>(&peer),
+                 sizeof peer);
     }
     this->timer.start(kHeartbeat);
 }
@@ -211,7 +210,6 @@
         const ssize_t size = ::recv(this->socket, buffer.data(), buffer.size(), 0);
         if (size <= 0)
             return;
-        ++this->received;
         this->decode(std::span(buffer.data(), static_cast<std::size_t>(size)), now);
     }
 }
--- a/main/gateway/instance_exchange.h
+++ b/main/gateway/instance_exchange.h
@@ -44,8 +44,6 @@
 
     /** Instances that take part, this one included. */
     std::size_t instanceCount() const { return this->ledger.peerCount() + 1; }
-    std::uint64_t sentCount() const { return this->sent; }
-    std::uint64_t receivedCount() const { return this->received; }
 
 private:
     void send();
@@ -73,8 +71,6 @@
         std::uint64_t sequence = 0;
     };
     absl::flat_hash_map<InstanceId, PeerSequence> lastSequence;
-    std::uint64_t sent = 0;
-    std::uint64_t received = 0;
 };
 
 } // namespace foxtailtally
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -61,7 +61,6 @@
     bool wasMisdirected() const { return this->misdirected; }
     /** Server that a rejection named as its cause; empty when it named none. */
     const std::string &faultyServer() const { return this->faulty; }
-    bool isActive() const { return this->connection != nullptr; }
 
 private:
     void onResponseHead(OutboundConnection &connection, const ResponseHead &head) override;
--- a/servers/placement/stream_placement.h
+++ b/servers/placement/stream_placement.h
@@ -4,6 +4,7 @@
 #include "servers/placement/stream_ledger.h"
 
 #include <absl/time/time.h>
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -51,6 +52,11 @@
     std::vector<std::size_t> helpers;
     /** Those of the helpers that also hold a share of the prompt's memory. */
     std::vector<std::size_t> holders;
+    bool isHolder(std::size_t candidate) const
+    {
+        return std::find(this->holders.begin(), this->holders.end(), candidate)
+            != this->holders.end();
+    }
     /** Tokens of memory that the server and each holder need. */
     std::int64_t shareTokens = 0;
     double predictedFirstEventMs = 0;
--- a/servers/retry/event_relay.cpp
+++ b/servers/retry/event_relay.cpp
@@ -69,10 +69,8 @@
         const Verdict verdict = this->judge(event);
         if (verdict == Verdict::Gap)
             return Error::ProtocolViolation;
-        if (verdict == Verdict::Pass) {
+        if (verdict == Verdict::Pass)
             whole.append(event);
-            ++this->relayed;
-        }
         rest.remove_prefix(length);
     }
     this->pending.erase(0, this->pending.size() - rest.size());
--- a/servers/retry/event_relay.h
+++ b/servers/retry/event_relay.h
@@ -31,7 +31,6 @@
     bool isBetweenEvents() const { return this->pending.empty(); }
     /** The last event passed on, or the caller's; empty at the start. */
     std::string lastEventId() const;
-    std::uint64_t relayedCount() const { return this->relayed; }
 
 private:
     enum class Verdict { Pass, Skip, Gap };
@@ -40,7 +39,6 @@
 
     std::string pending;
     std::optional<std::uint64_t> last;
-    std::uint64_t relayed = 0;
 };
 
 } // namespace foxtailtally
