End an attempt whose answer is over the limit instead of cutting the body

Cause: the last reading of the change: an answer over 8 MiB lost its rest and was passed on as whole.

Ruled out: nothing played reaches the limit; answers there have 800 bytes.

Change: the attempt ends as lost, as for a body that breaks off.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -318,8 +318,13 @@
         this->relayEvents(*attempt, data, Clock::now());
         return;
     }
-    if (attempt->body.size() + data.size() <= kMaxHeldReply)
-        attempt->body.append(data);
+    if (attempt->body.size() + data.size() > kMaxHeldReply) {
+        // A cut body must not pass for a whole one.
+        call.cancel();
+        this->onAttemptEnded(call, AttemptEnd::Lost);
+        return;
+    }
+    attempt->body.append(data);
 }
 
 void CallRun::relayEvents(Attempt &attempt, std::string_view data, absl::Time now)
