--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -69,7 +69,7 @@
         , retries(settings.retries)
         , stop(settings.stopLimit)
         , pool(base)
-        , storeSource(settings.id, settings.domain, settings.storeAddress)
+        , storeSource(storeReader(settings), settings.storeAddress)
         , exchange(base, settings.id, this->ledger, this->health, this->storeSource)
         , random(stableSeed(settings))
     { }
@@ -86,6 +86,7 @@
     ServerHealth health;
     Reachability reachability;
     RetryBudget retries;
+    StopPolicy stop;
     ConnectionPool pool;
     StoreSource storeSource;
     InstanceExchange exchange;
@@ -95,7 +96,6 @@
     std::vector<std::unique_ptr<Retirable>> retired;
     std::vector<Lingering> lingering;
     std::uint32_t nextStream = 1;
-    StopPolicy stop;
 };
 
 } // namespace foxtailtally
--- a/main/gateway/gateway_settings.cpp
+++ b/main/gateway/gateway_settings.cpp
@@ -25,6 +25,12 @@
         {"instance", "internal_ports", Kind::List, "", 0, 0, true,
          "First and last port for use between instances: the first one for datagrams, the next "
          "one for metrics."},
+        {"instance", "processor_cores", Kind::Ratio, "1", 0, 1024, false,
+         "Processor cores that this instance may use."},
+        {"instance", "link", Kind::Ratio, "1", 0, 1000000, false,
+         "Megabits a second of this instance's link."},
+        {"instance", "first_start", Kind::Flag, "false", 0, 0, false,
+         "The whole system starts for the first time; instances then wait for each other."},
         {"store", "address", Kind::Text, "", 0, 0, true, "IP:port of the platform's store."},
         {"keys", "revocation_bound", Kind::Duration, "5 s", 1, 60, false,
          "Time after which a key that was taken away must not be honoured."},
@@ -53,6 +59,12 @@
     return schema;
 }
 
+StoreReader storeReader(const GatewaySettings &settings)
+{
+    return {settings.id, settings.domain, settings.relayAddress,
+            settings.processorCores * settings.linkMegabits};
+}
+
 GatewaySettings gatewaySettings(const Settings &settings)
 {
     GatewaySettings result;
@@ -68,6 +80,9 @@
         absl::StrCat(address, ":", firstPort + settings.count("metrics", "port_offset"));
     result.relayAddress = absl::StrCat(address, ":", firstPort + kRelayPortOffset);
     result.storeAddress = settings.text("store", "address");
+    result.processorCores = settings.ratio("instance", "processor_cores");
+    result.linkMegabits = settings.ratio("instance", "link");
+    result.isFirstStart = settings.flag("instance", "first_start");
     result.revocationBound = settings.duration("keys", "revocation_bound");
     result.stopLimit = settings.duration("stop", "limit");
     result.retries.ratio = settings.ratio("retries", "ratio");
--- a/main/gateway/gateway_settings.h
+++ b/main/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/log.h"
 #include "core/settings.h"
+#include "servers/catalog/store_source.h"
 #include "servers/retry/retry_budget.h"
 
 #include <absl/time/time.h>
@@ -24,6 +25,10 @@
     std::string peerAddress;
     std::string relayAddress;
     std::string storeAddress;
+    double processorCores = 1.0;
+    double linkMegabits = 1.0;
+    /** The whole system starts for the first time: no other instance is in the store yet. */
+    bool isFirstStart = false;
     absl::Duration revocationBound;
     absl::Duration stopLimit;
     RetryBudgetOptions retries;
@@ -36,6 +41,9 @@
 
 const std::vector<SettingSpec> &gatewaySettingsSchema();
 
+/** This instance as the others of its failure domain may ask it for the store's objects. */
+StoreReader storeReader(const GatewaySettings &settings);
+
 /** The settings of a file that was checked against gatewaySettingsSchema(). */
 GatewaySettings gatewaySettings(const Settings &settings);
 
--- a/main/gateway/instance_exchange.h
+++ b/main/gateway/instance_exchange.h
@@ -48,8 +48,7 @@
 private:
     void send();
     void receive();
-    std::string encode(absl::Time now) const;
-    void decode(std::span<const char> bytes, absl::Time now);
+    void onDatagram(std::span<const char> bytes, absl::Time now);
 
     event_base *base;
     InstanceId self;
--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -15,9 +15,7 @@
  * while it is slow. */
 constexpr absl::Duration kAnswerTime = absl::Milliseconds(900);
 
-/** Time for which a watch at another instance waits, and for its answer beyond that; together below
- * the time within which a leaving server gets no new work. */
-constexpr absl::Duration kRelayWatch = absl::Milliseconds(500);
+/** Time for an answer of another instance to begin, and then to go on. */
 constexpr absl::Duration kRelayAnswerTime = absl::Milliseconds(300);
 
 /** Pauses between failed calls; each call is counted by the store. */
@@ -58,21 +56,22 @@
         this->listed.clear();
         this->listStartedAt = Clock::now();
     }
-    this->send(platform::listTarget(this->kind, after), kAnswerTime);
+    this->send(this->source.choose(Clock::now()), platform::listTarget(this->kind, after),
+               kAnswerTime);
 }
 
 void KindWatcher::watch()
 {
     this->phase = Phase::Watching;
-    const bool isStore = this->source.choose(Clock::now()).isStore;
-    this->watchAsked = isStore ? this->timing.watch : std::min(this->timing.watch, kRelayWatch);
-    this->send(platform::watchTarget(this->kind, this->revision, this->watchAsked),
-               this->watchAsked + (isStore ? kAnswerTime : kRelayAnswerTime));
+    const StoreSource::Choice choice = this->source.choose(Clock::now());
+    this->watchAsked = choice.isStore ? this->timing.watch : this->timing.relayWatch;
+    this->send(choice, platform::watchTarget(this->kind, this->revision, this->watchAsked),
+               this->watchAsked + (choice.isStore ? kAnswerTime : kRelayAnswerTime));
 }
 
-void KindWatcher::send(const std::string &target, absl::Duration limit)
+void KindWatcher::send(const StoreSource::Choice &choice, const std::string &target,
+                       absl::Duration limit)
 {
-    const StoreSource::Choice choice = this->source.choose(Clock::now());
     const bool hasMoved = choice.address != this->asked.address;
     this->asked = choice;
     this->note = {};
@@ -94,12 +93,20 @@
 void KindWatcher::onResponseHead(OutboundConnection &, const ResponseHead &head)
 {
     this->status = head.status;
+    this->noteProgress();
     this->note = platform::decodeRelayNote(head.headers);
 }
 
 void KindWatcher::onResponseBody(OutboundConnection &, std::string_view data)
 {
     this->body.append(data);
+    this->noteProgress();
+}
+
+void KindWatcher::noteProgress()
+{
+    // A long configuration takes its time over a narrow link that all followers share.
+    this->timer.start(this->asked.isStore ? kAnswerTime : kRelayAnswerTime);
 }
 
 void KindWatcher::onResponseComplete(OutboundConnection &)
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -43,6 +43,9 @@
     {
         /** Time for which a watch at the store may wait. */
         absl::Duration watch;
+        /** The same at another instance; short for what must be noticed soon, as one that falls
+         * silent must be. */
+        absl::Duration relayWatch;
         /** Pause after changes, so that many that come together cost one call. */
         absl::Duration gather;
         /** Age up to which another instance's knowledge will do; what is older comes from an
@@ -69,10 +72,11 @@
 
     void list(std::string_view after);
     void watch();
-    void send(const std::string &target, absl::Duration limit);
+    void send(const StoreSource::Choice &choice, const std::string &target, absl::Duration limit);
     void onPage(absl::Time now);
     void onChanges(absl::Time now);
     void onFailure(std::string_view cause, bool mustList);
+    void noteProgress();
     void onTimer();
 
     event_base *base;
--- a/main/gateway/store_follower.cpp
+++ b/main/gateway/store_follower.cpp
@@ -17,20 +17,27 @@
 /** Time for which a watch may wait, by how soon a silent connection must be noticed: keys that are
  * taken away within the revocation bound, servers that leave within two seconds, domains that are
  * taken out within five. */
-constexpr KindWatcher::Timing kConfigTiming = {absl::Milliseconds(1000), absl::Milliseconds(60),
-                                               absl::Milliseconds(2200)};
-constexpr KindWatcher::Timing kServerTiming = {absl::Milliseconds(600), absl::Milliseconds(100),
-                                               absl::Milliseconds(1200)};
+constexpr KindWatcher::Timing kConfigTiming = {absl::Milliseconds(1000), absl::Milliseconds(700),
+                                               absl::Milliseconds(60), absl::Milliseconds(2200)};
+constexpr KindWatcher::Timing kServerTiming = {absl::Milliseconds(600), absl::Milliseconds(500),
+                                               absl::Milliseconds(100), absl::Milliseconds(1200)};
 constexpr KindWatcher::Timing kEvacuationTiming = {
-    absl::Milliseconds(1500), absl::Milliseconds(100), absl::Milliseconds(3200)};
+    absl::Milliseconds(1500), absl::Milliseconds(1500), absl::Milliseconds(100),
+    absl::Milliseconds(3200)};
 /** Late news of an instance does no harm: it is heard of in any case. */
-constexpr KindWatcher::Timing kInstanceTiming = {absl::Seconds(10), absl::Seconds(1),
-                                                 absl::InfiniteDuration()};
+constexpr KindWatcher::Timing kInstanceTiming = {absl::Seconds(10), absl::Seconds(3),
+                                                 absl::Seconds(1), absl::InfiniteDuration()};
+
+/** When all instances start at once, the list of them is read after this time: they start within a
+ * third of a second of each other, and whoever misses the others reads everything by itself. */
+constexpr absl::Duration kFirstStartPause = absl::Seconds(1);
 
 /** Pause between attempts to enter this instance in the store. */
 constexpr absl::Duration kRegistrationPause = absl::Seconds(1);
 constexpr absl::Duration kRegistrationTime = absl::Milliseconds(900);
 
+constexpr int kStatusConflict = 409;
+
 } // namespace
 
 class StoreFollower::ConfigEvents final : public KindEvents
@@ -187,20 +194,26 @@
 class StoreFollower::InstanceEvents final : public KindEvents
 {
 public:
-    InstanceEvents(GatewayContext &context, StoreRelay &relay)
-        : context(context)
-        , relay(relay)
+    InstanceEvents(StoreFollower &follower)
+        : follower(follower)
+        , context(follower.context)
+        , relay(follower.relay)
     { }
 
-    void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time) override
+    void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time now) override
     {
-        for (const StoredObject &object : objects)
-            this->adopt(object);
+        std::optional<platform::InstanceEntry> ownEntry;
+        for (const StoredObject &object : objects) {
+            const Result<platform::InstanceEntry> entry = this->adopt(object, now);
+            if (entry.ok() && entry->reader.id == this->context.settings.id)
+                ownEntry = *entry;
+        }
+        this->follower.onInstancesListed(ownEntry);
     }
-    void onChange(const ObjectChange &change, bool, absl::Time) override
+    void onChange(const ObjectChange &change, bool, absl::Time now) override
     {
         if (!change.isDeleted) {
-            this->adopt(change.object);
+            this->adopt(change.object, now);
             return;
         }
         this->context.exchange.removePeer(InstanceId(change.object.name));
@@ -210,48 +223,62 @@
     void onCacheChanged() override { this->relay.onChanged(std::string(platform::kInstanceKind)); }
 
 private:
-    void adopt(const StoredObject &object)
+    Result<platform::InstanceEntry> adopt(const StoredObject &object, absl::Time now)
     {
-        const Result<platform::InstanceEntry> entry = platform::decodeInstance(object);
+        Result<platform::InstanceEntry> entry = platform::decodeInstance(object);
         if (!entry.ok()) {
             logEvent(LogLevel::Warning, "instance_entry_unreadable", {{"name", object.name}});
-            return;
+            return entry;
         }
-        this->context.exchange.setPeer(entry->id, entry->address);
-        this->context.storeSource.setPeer(entry->id, entry->domain, entry->relayAddress);
+        this->context.exchange.setPeer(entry->reader.id, entry->address);
+        this->context.storeSource.setPeer(entry->reader, now);
+        return entry;
     }
 
+    StoreFollower &follower;
     GatewayContext &context;
     StoreRelay &relay;
 };
 
-/** Enters this instance in the store, once; an entry of an earlier life stays as it is. */
+/** Enters this instance in the store. */
 class StoreFollower::Registration final : private OutboundEvents, private IdleEvents
 {
 public:
-    explicit Registration(GatewayContext &context)
+    Registration(GatewayContext &context, platform::InstanceEntry entry)
         : context(context)
+        , entry(std::move(entry))
         , timer(context.base, [this] { this->send(); })
     { }
 
+    /** @p isKnown: the store holds an entry of an earlier life, at another address. */
+    void start(bool isKnown)
+    {
+        if (this->isInWork)
+            return;
+        this->isInWork = true;
+        this->isKnown = isKnown;
+        this->send();
+    }
+
+private:
     void send()
     {
-        const GatewaySettings &settings = this->context.settings;
+        const std::string &address = this->context.settings.storeAddress;
+        const std::string target = this->isKnown
+            ? platform::objectTarget(platform::kInstanceKind, this->entry.reader.id.str())
+            : platform::listTarget(platform::kInstanceKind, {});
         IdleEvents &idleEvents = *this;
-        this->connection = std::make_unique<OutboundConnection>(this->context.base,
-                                                                settings.storeAddress, idleEvents);
-        const std::string body = platform::encodeInstance(
-            {settings.id, settings.domain, settings.peerAddress, settings.relayAddress});
+        this->connection =
+            std::make_unique<OutboundConnection>(this->context.base, address, idleEvents);
+        const std::string body = platform::encodeInstance(this->entry);
         this->connection->call(
-            absl::StrCat("POST ", platform::listTarget(platform::kInstanceKind, {}),
-                         " HTTP/1.1\r\nHost: ", settings.storeAddress,
+            absl::StrCat(this->isKnown ? "PUT " : "POST ", target, " HTTP/1.1\r\nHost: ", address,
                          "\r\nContent-Type: application/json\r\nContent-Length: ", body.size(),
                          "\r\n\r\n", body),
             false, {}, *this);
         this->timer.start(kRegistrationTime);
     }
 
-private:
     void onResponseHead(OutboundConnection &, const ResponseHead &head) override
     {
         this->status = head.status;
@@ -259,13 +286,16 @@
     void onResponseBody(OutboundConnection &, std::string_view) override { }
     void onResponseComplete(OutboundConnection &) override
     {
-        const bool isEntered = this->status < 300 || this->status == 409;
+        // An entry is there already when the answer to an earlier call was lost.
+        this->isKnown = this->status == kStatusConflict;
+        const bool isEntered = this->status < 300;
         logEvent(isEntered ? LogLevel::Info : LogLevel::Warning, "instance_registration",
                  {{"status", this->status}});
+        this->isInWork = !isEntered;
         if (isEntered)
             this->timer.stop();
         else
-            this->timer.start(kRegistrationPause);
+            this->timer.start(this->isKnown ? absl::ZeroDuration() : kRegistrationPause);
     }
     void onCallFailed(OutboundConnection &, std::error_code error) override
     {
@@ -275,9 +305,12 @@
     void onIdleClosed(OutboundConnection &) override { }
 
     GatewayContext &context;
+    platform::InstanceEntry entry;
     LoopTimer timer;
     std::unique_ptr<OutboundConnection> connection;
     int status = 0;
+    bool isInWork = false;
+    bool isKnown = false;
 };
 
 StoreFollower::StoreFollower(GatewayContext &context)
@@ -286,19 +319,22 @@
     , configEvents(std::make_unique<ConfigEvents>(context, this->relay))
     , serverEvents(std::make_unique<ServerEvents>(context, this->relay, this->serversListed))
     , evacuationEvents(std::make_unique<EvacuationEvents>(context, this->relay))
-    , instanceEvents(std::make_unique<InstanceEvents>(context, this->relay))
-    , registration(std::make_unique<Registration>(context))
+    , instanceEvents(std::make_unique<InstanceEvents>(*this))
+    , startTimer(context.base, [this] { this->instanceWatcher->start(); })
+    , registration(std::make_unique<Registration>(context, this->wantedEntry()))
 {
     const auto follow = [this](std::string_view kind, const KindWatcher::Timing &timing,
                                KindEvents &events) {
-        this->watchers.push_back(std::make_unique<KindWatcher>(
-            this->context.base, this->context.storeSource, kind, timing, events));
-        this->relay.addKind(std::string(kind), *this->watchers.back());
+        auto watcher = std::make_unique<KindWatcher>(this->context.base, this->context.storeSource,
+                                                     kind, timing, events);
+        this->relay.addKind(std::string(kind), *watcher);
+        return watcher;
     };
-    follow(platform::kConfigKind, kConfigTiming, *this->configEvents);
-    follow(platform::kServerKind, kServerTiming, *this->serverEvents);
-    follow(platform::kEvacuationKind, kEvacuationTiming, *this->evacuationEvents);
-    follow(platform::kInstanceKind, kInstanceTiming, *this->instanceEvents);
+    this->watchers.push_back(follow(platform::kConfigKind, kConfigTiming, *this->configEvents));
+    this->watchers.push_back(follow(platform::kServerKind, kServerTiming, *this->serverEvents));
+    this->watchers.push_back(
+        follow(platform::kEvacuationKind, kEvacuationTiming, *this->evacuationEvents));
+    this->instanceWatcher = follow(platform::kInstanceKind, kInstanceTiming, *this->instanceEvents);
 }
 
 StoreFollower::~StoreFollower() = default;
@@ -307,10 +343,29 @@
 {
     if (const std::error_code error = this->relay.start(this->context.settings.relayAddress))
         return error;
+    if (!this->context.settings.isFirstStart) {
+        this->instanceWatcher->start();
+        return {};
+    }
+    this->registration->start(false);
+    this->startTimer.start(kFirstStartPause);
+    return {};
+}
+
+void StoreFollower::onInstancesListed(const std::optional<platform::InstanceEntry> &ownEntry)
+{
+    if (ownEntry != this->wantedEntry())
+        this->registration->start(ownEntry.has_value());
+    if (this->hasStarted)
+        return;
+    this->hasStarted = true;
     for (const auto &watcher : this->watchers)
         watcher->start();
-    this->registration->send();
-    return {};
+}
+
+platform::InstanceEntry StoreFollower::wantedEntry() const
+{
+    return {this->context.settings.peerAddress, storeReader(this->context.settings)};
 }
 
 } // namespace foxtailtally
--- a/main/gateway/store_follower.h
+++ b/main/gateway/store_follower.h
@@ -8,6 +8,7 @@
 
 #include <absl/time/time.h>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace foxtailtally {
@@ -37,14 +38,22 @@
     class InstanceEvents;
     class Registration;
 
+    /** The instances are known. @p ownEntry: what the store holds of this one, if anything. */
+    void onInstancesListed(const std::optional<platform::InstanceEntry> &ownEntry);
+    platform::InstanceEntry wantedEntry() const;
+
     GatewayContext &context;
     bool serversListed = false;
+    bool hasStarted = false;
     StoreRelay relay;
     std::unique_ptr<ConfigEvents> configEvents;
     std::unique_ptr<ServerEvents> serverEvents;
     std::unique_ptr<EvacuationEvents> evacuationEvents;
     std::unique_ptr<InstanceEvents> instanceEvents;
+    std::unique_ptr<KindWatcher> instanceWatcher;
+    /** Watchers of all other kinds. */
     std::vector<std::unique_ptr<KindWatcher>> watchers;
+    LoopTimer startTimer;
     std::unique_ptr<Registration> registration;
 };
 
--- a/main/gateway/store_relay.cpp
+++ b/main/gateway/store_relay.cpp
@@ -12,6 +12,10 @@
 constexpr int kStatusGone = 410;
 constexpr int kStatusUnavailable = 503;
 
+/** Time for which a list waits that this instance has not read itself yet: when all instances start
+ * at once, most of them ask the same one. Below the time that they wait for a list. */
+constexpr absl::Duration kListHold = absl::Milliseconds(600);
+
 /** Longest that a watch is held, whatever its caller asks for. */
 constexpr absl::Duration kLongestWatch = absl::Seconds(5);
 
@@ -58,7 +62,7 @@
         return true;
     });
     for (const Waiting &watch : ready)
-        this->answerWatch(watch, now);
+        this->answerWaiting(watch, now);
 }
 
 void StoreRelay::onTick()
@@ -87,26 +91,29 @@
     const absl::Time now = Clock::now();
     const platform::StoreQuery query = platform::parseStoreTarget(connection.head().target);
     const auto found = this->kinds.find(query.kind);
-    if (found == this->kinds.end() || !found->second->cache().isKnown()) {
+    if (found == this->kinds.end()) {
         connection.answer(kStatusUnavailable, {}, {});
         return;
     }
-    const KindWatcher &watcher = *found->second;
-    if (!query.watchFrom) {
-        this->answer(connection, watcher, 200, platform::encodePage(watcher.cache().page()), now);
-        return;
-    }
-    const Waiting watch = {&connection, query.kind, *query.watchFrom,
-                           now + std::min(query.wait, kLongestWatch)};
-    const auto changes = watcher.cache().changesSince(*query.watchFrom);
-    if (!changes || !changes->changes.empty()) {
-        this->answerWatch(watch, now);
+    const KindCache &cache = found->second->cache();
+    const absl::Duration wait = query.watchFrom ? std::min(query.wait, kLongestWatch) : kListHold;
+    const Waiting request = {&connection, query.kind, query.watchFrom, now + wait};
+    if (this->canAnswer(request, cache)) {
+        this->answerWaiting(request, now);
         return;
     }
-    this->waiting.push_back(watch);
+    this->waiting.push_back(request);
     this->startTimer(now);
 }
 
+bool StoreRelay::canAnswer(const Waiting &request, const KindCache &cache) const
+{
+    if (!cache.isKnown() || !request.watchFrom)
+        return cache.isKnown();
+    const auto changes = cache.changesSince(*request.watchFrom);
+    return !changes || !changes->changes.empty();
+}
+
 void StoreRelay::onCallerGone(InboundConnection &connection)
 {
     this->forget(connection);
@@ -137,7 +144,7 @@
         return true;
     });
     for (const Waiting &watch : over)
-        this->answerWatch(watch, now);
+        this->answerWaiting(watch, now);
     this->startTimer(now);
 }
 
@@ -151,13 +158,33 @@
     this->timer.start(first->until - now + absl::Milliseconds(1));
 }
 
-void StoreRelay::answerWatch(const Waiting &waiting, absl::Time now)
+void StoreRelay::answerWaiting(const Waiting &waiting, absl::Time now)
 {
     const KindWatcher &watcher = *this->kinds.at(waiting.kind);
-    const std::optional<platform::ObjectChanges> changes =
-        watcher.cache().changesSince(waiting.revision);
-    this->answer(*waiting.connection, watcher, changes ? 200 : kStatusGone,
-                 changes ? platform::encodeChanges(*changes) : std::string(), now);
+    const KindCache &cache = watcher.cache();
+    if (!cache.isKnown()) {
+        waiting.connection->answer(kStatusUnavailable, {}, {});
+        return;
+    }
+    if (!waiting.watchFrom) {
+        this->answer(*waiting.connection, watcher, 200, platform::encodePage(cache.page()), now);
+        return;
+    }
+    const std::optional<platform::ObjectChanges> changes = cache.changesSince(*waiting.watchFrom);
+    if (changes)
+        this->answer(*waiting.connection, watcher, 200, this->encodedChanges(waiting, *changes),
+                     now);
+    else
+        this->answer(*waiting.connection, watcher, kStatusGone, {}, now);
+}
+
+const std::string &StoreRelay::encodedChanges(const Waiting &waiting,
+                                              const platform::ObjectChanges &changes)
+{
+    EncodedChanges &last = this->encoded[waiting.kind];
+    if (last.from != *waiting.watchFrom || last.to != changes.revision)
+        last = {*waiting.watchFrom, changes.revision, platform::encodeChanges(changes)};
+    return last.body;
 }
 
 void StoreRelay::answer(InboundConnection &connection, const KindWatcher &watcher, int status,
--- a/main/gateway/store_relay.h
+++ b/main/gateway/store_relay.h
@@ -8,6 +8,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -41,10 +42,19 @@
     {
         InboundConnection *connection = nullptr;
         std::string kind;
-        std::int64_t revision = 0;
+        /** Revision from which changes are watched; absent for a list. */
+        std::optional<std::int64_t> watchFrom;
         absl::Time until;
     };
 
+    /** The answer to the last watch of a kind, for the followers that wait for the same. */
+    struct EncodedChanges
+    {
+        std::int64_t from = -1;
+        std::int64_t to = -1;
+        std::string body;
+    };
+
     void onAccept(int socket);
     void onRequestHead(InboundConnection &connection) override;
     void onRequestComplete(InboundConnection &connection) override;
@@ -55,7 +65,10 @@
 
     void onTimer();
     void startTimer(absl::Time now);
-    void answerWatch(const Waiting &waiting, absl::Time now);
+    bool canAnswer(const Waiting &request, const KindCache &cache) const;
+    void answerWaiting(const Waiting &waiting, absl::Time now);
+    const std::string &encodedChanges(const Waiting &waiting,
+                                      const platform::ObjectChanges &changes);
     void answer(InboundConnection &connection, const KindWatcher &watcher, int status,
                 const std::string &body, absl::Time now);
     void forget(InboundConnection &connection);
@@ -64,6 +77,7 @@
     LoopTimer timer;
     evconnlistener *listener = nullptr;
     absl::flat_hash_map<std::string, const KindWatcher *> kinds;
+    absl::flat_hash_map<std::string, EncodedChanges> encoded;
     std::vector<Waiting> waiting;
     std::vector<std::unique_ptr<InboundConnection>> connections;
     std::vector<InboundConnection *> closed;
--- a/servers/catalog/store_source.cpp
+++ b/servers/catalog/store_source.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <vector>
 
 namespace foxtailtally {
@@ -14,12 +15,25 @@
 
 } // namespace
 
-void StoreSource::setPeer(const InstanceId &instance, const FailureDomainId &peerDomain,
-                          const std::string &relayAddress)
+StoreSource::Ranked StoreSource::ranked(const StoreReader &reader)
 {
-    if (instance == this->self || peerDomain != this->domain)
+    return {&reader, rendezvousWeight(kRankingKey, reader.id.str())};
+}
+
+bool StoreSource::ranksBefore(const Ranked &a, const Ranked &b)
+{
+    if (a.reader->capacity != b.reader->capacity)
+        return a.reader->capacity > b.reader->capacity;
+    return a.weight > b.weight;
+}
+
+void StoreSource::setPeer(const StoreReader &peer, absl::Time now)
+{
+    if (peer.id == this->self.id || peer.domain != this->self.domain)
         return;
-    this->peers[instance].relayAddress = relayAddress;
+    Peer &known = this->peers[peer.id];
+    known.reader = peer;
+    known.heardAt = now;
 }
 
 void StoreSource::removePeer(const InstanceId &instance)
@@ -36,35 +50,52 @@
 
 void StoreSource::onFailed(const std::string &address, absl::Time now)
 {
-    if (address != this->storeAddress)
-        this->failedAt = now;
+    if (address == this->storeAddress)
+        this->storeFailedAt = now;
+    for (auto &[instance, peer] : this->peers) {
+        if (peer.reader.relayAddress == address)
+            peer.failedAt = now;
+    }
 }
 
-StoreSource::Choice StoreSource::choose(absl::Time now) const
+StoreSource::Choice StoreSource::choose(absl::Time now)
 {
-    // Another follower might lead back to the source that failed, and time for news is short.
-    if (now - this->failedAt < kFailureTerm)
-        return {this->storeAddress, true};
-    struct Ranked
-    {
-        std::uint64_t weight = 0;
-        const std::string *address = nullptr;
-    };
-    std::vector<Ranked> live = {{rendezvousWeight(kRankingKey, this->self.str()), nullptr}};
+    std::vector<Ranked> sound = {ranked(this->self)};
+    std::vector<Ranked> live = sound;
+    std::size_t failed = 0;
     for (const auto &[instance, peer] : this->peers) {
-        if (now - peer.heardAt < kSilence)
-            live.push_back({rendezvousWeight(kRankingKey, instance.str()), &peer.relayAddress});
+        const bool hasFailed = now - peer.failedAt < kFailureTerm;
+        failed += hasFailed ? 1 : 0;
+        if (now - peer.heardAt >= kSilence)
+            continue;
+        live.push_back(ranked(peer.reader));
+        if (!hasFailed)
+            sound.push_back(ranked(peer.reader));
     }
-    std::sort(live.begin(), live.end(),
-              [](const Ranked &a, const Ranked &b) { return a.weight > b.weight; });
+    if (failed <= kMostFailed)
+        return this->chooseAmong(sound);
+    if (now - this->storeFailedAt < kStoreFailureTerm)
+        return this->chooseAmong(live);
+    const bool isFirst = this->storeTriedAt <= this->storeFailedAt;
+    if (isFirst)
+        this->storeTriedAt = now;
+    if (isFirst || now - this->storeTriedAt >= kStoreTrial)
+        return {this->storeAddress, true};
+    return this->chooseAmong(live);
+}
+
+StoreSource::Choice StoreSource::chooseAmong(std::span<Ranked> live) const
+{
+    std::sort(live.begin(), live.end(), ranksBefore);
     const std::size_t watchers = 1 + live.size() / kFollowersForEachWatcher;
-    const auto own = std::find_if(live.begin(), live.end(),
-                                  [](const Ranked &ranked) { return ranked.address == nullptr; });
+    const auto own = std::find_if(live.begin(), live.end(), [this](const Ranked &candidate) {
+        return candidate.reader == &this->self;
+    });
     const auto rank = static_cast<std::size_t>(own - live.begin());
     if (rank < watchers)
         return {this->storeAddress, true};
     // Followers spread over the watchers by their own rank.
-    return {*live[rank % watchers].address, false};
+    return {live[rank % watchers].reader->relayAddress, false};
 }
 
 } // namespace foxtailtally
--- a/servers/catalog/store_source.h
+++ b/servers/catalog/store_source.h
@@ -2,13 +2,28 @@
 
 #include "core/ids.h"
 
-#include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
+#include <cstdint>
+#include <span>
 #include <string>
 
 namespace foxtailtally {
 
+/** An instance of this system as one that can tell others what the store holds. */
+struct StoreReader
+{
+    InstanceId id;
+    FailureDomainId domain;
+    /** "ip:port" where it tells. */
+    std::string relayAddress;
+    /** Megabits a second of its link, times its processor cores: a configuration of some hundred
+     * routes goes to all followers at once. */
+    double capacity = 0;
+
+    bool operator==(const StoreReader &) const = default;
+};
+
 /**
  * Where this instance reads the store's objects. Each call to the store has its price, so only a
  * few instances of a failure domain watch the store itself; the others watch one of these. All
@@ -20,10 +35,18 @@
 public:
     /** An instance that was not heard of for this long is not asked. */
     static constexpr absl::Duration kSilence = absl::Seconds(2);
-    /** Time for which the store itself is asked after another instance failed to tell. */
+    /** Time for which an instance that failed to tell is not asked again. */
     static constexpr absl::Duration kFailureTerm = absl::Seconds(4);
+    /** Instances that may fail to tell within kFailureTerm before the store itself is asked; news
+     * have two seconds to arrive, and finding a silent instance takes most of one. */
+    static constexpr std::size_t kMostFailed = 1;
+    /** Time for which an instance that follows others leaves the store alone that failed to answer:
+     * mostly it fails for all, and whoever gets through to it first tells the others. */
+    static constexpr absl::Duration kStoreFailureTerm = absl::Seconds(4);
+    /** Time for which one call alone tries whether the store answers. */
+    static constexpr absl::Duration kStoreTrial = absl::Milliseconds(300);
     /** Instances of a domain for each one that watches the store, beyond the first. */
-    static constexpr std::size_t kFollowersForEachWatcher = 24;
+    static constexpr std::size_t kFollowersForEachWatcher = 48;
 
     struct Choice
     {
@@ -31,33 +54,45 @@
         bool isStore = true;
     };
 
-    StoreSource(InstanceId self, FailureDomainId domain, std::string storeAddress)
+    StoreSource(StoreReader self, std::string storeAddress)
         : self(std::move(self))
-        , domain(std::move(domain))
         , storeAddress(std::move(storeAddress))
     { }
 
-    /** @p relayAddress: where @p instance tells what it knows of the store. */
-    void setPeer(const InstanceId &instance, const FailureDomainId &peerDomain,
-                 const std::string &relayAddress);
+    /** @p peer counts as heard of for kSilence. */
+    void setPeer(const StoreReader &peer, absl::Time now);
     void removePeer(const InstanceId &instance);
     void onHeard(const InstanceId &instance, absl::Time now);
     void onFailed(const std::string &address, absl::Time now);
 
-    Choice choose(absl::Time now) const;
+    /** The source for one call that is sent now. */
+    Choice choose(absl::Time now);
 
 private:
+    struct Ranked
+    {
+        const StoreReader *reader = nullptr;
+        std::uint64_t weight = 0;
+    };
+
+    /** By rank among @p live, of which this instance is one. */
+    Choice chooseAmong(std::span<Ranked> live) const;
+    static Ranked ranked(const StoreReader &reader);
+    static bool ranksBefore(const Ranked &a, const Ranked &b);
+
     struct Peer
     {
-        std::string relayAddress;
+        StoreReader reader;
         absl::Time heardAt = absl::InfinitePast();
+        absl::Time failedAt = absl::InfinitePast();
     };
 
-    InstanceId self;
-    FailureDomainId domain;
+    StoreReader self;
     std::string storeAddress;
     absl::flat_hash_map<InstanceId, Peer> peers;
-    absl::Time failedAt = absl::InfinitePast();
+    absl::Time storeFailedAt = absl::InfinitePast();
+    /** When the store was first asked in place of another instance since it failed. */
+    absl::Time storeTriedAt = absl::InfinitePast();
 };
 
 } // namespace foxtailtally
--- a/tests/catalog/store_source_test.cpp
+++ b/tests/catalog/store_source_test.cpp
@@ -9,22 +9,34 @@
 const absl::Time kNow = absl::UnixEpoch() + absl::Hours(1);
 const FailureDomainId kEast("east");
 constexpr int kInstances = 30;
+constexpr double kStrong = 100;
 
 std::string name(int index)
 {
     return "instance-" + std::to_string(index);
 }
 
+/** Instances 7 and 8 are stronger than the others. */
+StoreReader reader(int index)
+{
+    const bool isStrong = index == 7 || index == 8;
+    return {InstanceId(name(index)), kEast, name(index), isStrong ? kStrong : 1.0};
+}
+
 StoreSource sourceOf(int self)
 {
-    StoreSource source(InstanceId(name(self)), kEast, "store");
-    for (int other = 0; other < kInstances; ++other) {
-        source.setPeer(InstanceId(name(other)), kEast, name(other));
-        source.onHeard(InstanceId(name(other)), kNow);
-    }
+    StoreSource source(reader(self), "store");
+    for (int other = 0; other < kInstances; ++other)
+        source.setPeer(reader(other), kNow);
     return source;
 }
 
+void hearAll(StoreSource &source, absl::Time now)
+{
+    for (int other = 0; other < kInstances; ++other)
+        source.onHeard(InstanceId(name(other)), now);
+}
+
 // With one watcher for each instance the price of the store's calls took a third of the worth.
 TEST(StoreSource, LetsFewInstancesOfADomainWatchTheStore)
 {
@@ -33,23 +45,60 @@
         if (sourceOf(self).choose(kNow).isStore)
             watchers.insert(name(self));
     }
-    EXPECT_EQ(watchers.size(), 2U);
+    EXPECT_EQ(watchers.size(), 1U);
     for (int self = 0; self < kInstances; ++self) {
         const StoreSource::Choice choice = sourceOf(self).choose(kNow);
         EXPECT_TRUE(choice.isStore || watchers.contains(choice.address));
     }
 }
 
+// A configuration of 249 routes took an instance with a narrow link 0.4 s to pass on; its followers
+// gave it up and went to the store.
+TEST(StoreSource, LetsTheStrongestWatch)
+{
+    const std::string address = sourceOf(0).choose(kNow).address;
+    EXPECT_TRUE(address == name(7) || address == name(8));
+}
+
+// At the start each instance listed everything by itself, since none had heard of another yet.
+TEST(StoreSource, AsksAnInstanceThatIsJustKnown)
+{
+    StoreSource source = sourceOf(0);
+    EXPECT_FALSE(source.choose(kNow + StoreSource::kSilence / 2).isStore);
+    EXPECT_TRUE(source.choose(kNow + StoreSource::kSilence).isStore);
+}
+
 TEST(StoreSource, GoesToTheStoreWhenNobodyIsHeard)
 {
     EXPECT_TRUE(sourceOf(3).choose(kNow + StoreSource::kSilence).isStore);
-    StoreSource alone(InstanceId("a"), kEast, "store");
+    StoreSource alone(reader(3), "store");
     EXPECT_EQ(alone.choose(kNow).address, "store");
 }
 
+// A watcher that ends sent all of its followers to the store for seconds.
+TEST(StoreSource, AsksTheNextInstanceWhenOneFailed)
+{
+    std::set<std::string> watchers;
+    std::set<std::string> sources;
+    const std::string first = sourceOf(0).choose(kNow).address;
+    for (int self = 0; self < kInstances; ++self) {
+        StoreSource source = sourceOf(self);
+        source.onFailed(first, kNow);
+        const StoreSource::Choice choice = source.choose(kNow);
+        if (name(self) == first)
+            continue;
+        if (choice.isStore)
+            watchers.insert(name(self));
+        else
+            sources.insert(choice.address);
+    }
+    EXPECT_EQ(watchers.size(), 1U);
+    EXPECT_EQ(sources, watchers);
+}
+
 // Found by a hunt: an instance learnt late that a server was leaving, since it went from one
 // instance without news to the next.
-TEST(StoreSource, GoesToTheStoreWhenASourceFailed)
+TEST(StoreSource, GoesToTheStoreWhenASecondInstanceFailed)
 {
     for (int self = 0; self < kInstances; ++self) {
         StoreSource source = sourceOf(self);
@@ -57,21 +106,49 @@
         if (first.isStore)
             continue;
         source.onFailed(first.address, kNow);
+        source.onFailed(source.choose(kNow).address, kNow);
         EXPECT_TRUE(source.choose(kNow).isStore);
         const absl::Time later = kNow + StoreSource::kFailureTerm;
-        for (int other = 0; other < kInstances; ++other)
-            source.onHeard(InstanceId(name(other)), later);
+        hearAll(source, later);
         EXPECT_EQ(source.choose(later).address, first.address);
     }
 }
 
-TEST(StoreSource, AsksNoInstanceOfAnotherDomain)
+// While the store refused everybody, 90 instances asked it again every half second.
+TEST(StoreSource, LeavesTheStoreToItsWatchersWhileItFails)
 {
-    StoreSource source(InstanceId("a"), kEast, "store");
-    for (int other = 0; other < kInstances; ++other) {
-        source.setPeer(InstanceId(name(other)), FailureDomainId("west"), name(other));
-        source.onHeard(InstanceId(name(other)), kNow);
+    std::set<std::string> atStore;
+    for (int self = 0; self < kInstances; ++self) {
+        StoreSource source = sourceOf(self);
+        for (int failure = 0; failure < 3; ++failure)
+            source.onFailed(source.choose(kNow).address, kNow);
+        if (source.choose(kNow).isStore)
+            atStore.insert(name(self));
+        const absl::Time later = kNow + StoreSource::kStoreFailureTerm;
+        hearAll(source, later);
+        for (int failure = 0; failure < 2; ++failure)
+            source.onFailed(source.choose(later).address, later);
+        EXPECT_TRUE(source.choose(later).isStore) << self;
     }
+    EXPECT_LE(atStore.size(), 2U);
+}
+
+// All kinds of object went to the store at once, to be refused four times.
+TEST(StoreSource, TriesTheStoreWithOneCall)
+{
+    StoreSource source = sourceOf(0);
+    source.onFailed(source.choose(kNow).address, kNow);
+    source.onFailed(source.choose(kNow).address, kNow);
+    ASSERT_TRUE(source.choose(kNow).isStore);
+    EXPECT_FALSE(source.choose(kNow).isStore);
+    EXPECT_TRUE(source.choose(kNow + StoreSource::kStoreTrial).isStore);
+}
+
+TEST(StoreSource, AsksNoInstanceOfAnotherDomain)
+{
+    StoreSource source({InstanceId("a"), FailureDomainId("west"), "a", 1}, "store");
+    for (int other = 0; other < kInstances; ++other)
+        source.setPeer(reader(other), kNow);
     EXPECT_TRUE(source.choose(kNow).isStore);
 }
 
--- a/tests/load/experiment_test.cpp
+++ b/tests/load/experiment_test.cpp
@@ -86,6 +86,15 @@
     }));
 }
 
+// A seed that the check above found on a run with fresh seeds.
+TEST(ExperimentTest, OwnersProtectEnginesOfSeed1281295)
+{
+    const PolicyResult result = runRandom(1281295, makeAdmission);
+    EXPECT_EQ(result.coldOverloads, 0);
+    EXPECT_FALSE(result.engineDeaths.contains("memory_exceeded"));
+    EXPECT_TRUE(resultHolds(result));
+}
+
 // Shows that the check above can fail.
 TEST(ExperimentTest, CheckFindsOwnerThatIgnoresColdServers)
 {
--- a/tests/platform/store_objects_test.cpp
+++ b/tests/platform/store_objects_test.cpp
@@ -98,14 +98,14 @@
 
 TEST(StoreObjects, KeepsAnInstanceEntry)
 {
-    const InstanceEntry entry {InstanceId("n1"), FailureDomainId("east"), "10.0.0.1:7340",
-                               "10.0.0.1:7342"};
+    const InstanceEntry entry {"10.0.0.1:7340",
+                               {InstanceId("n1"), FailureDomainId("east"), "10.0.0.1:7342", 24.0}};
     const std::string body = encodeInstance(entry);
     const std::size_t spec = body.find("\"Spec\":") + 7;
     const Result<InstanceEntry> read =
         decodeInstance({"n1", 1, body.substr(spec, body.size() - spec - 1)});
     ASSERT_TRUE(read.ok());
-    EXPECT_EQ(read->address, entry.address);
+    EXPECT_EQ(*read, entry);
 }
 
 } // namespace
--- /dev/null
+++ b/tests/process/gateway_deployment.cpp
@@ -0,0 +1,144 @@
+#include "tests/process/gateway_deployment.h"
+
+#include "tests/process/http_caller.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <atomic>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace foxtailtally {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/** Hosts 1 to kMostGateways are the gateways'. */
+constexpr int kStandinHost = 200;
+
+constexpr absl::Duration kReadyLimit = absl::Seconds(30);
+
+/** Deployments of this process so far; each has its own addresses. */
+std::atomic<int> deployments = 0;
+
+Json route(const std::string &name, const std::string &prefix, const std::string &kind,
+           const std::string &service)
+{
+    return {{"Name", name},           {"Host", "desk.example"},
+            {"PathPrefix", prefix},   {"Kind", kind},
+            {"Service", service},     {"TimeoutMs", 4000},
+            {"TargetLatencyMs", 400}, {"GapAimMs", 250},
+            {"MaxAttempts", 3},       {"Resumable", kind == "streaming"}};
+}
+
+} // namespace
+
+GatewayDeployment::GatewayDeployment(int gateways)
+    : folder(absl::StrCat(FOXTAILTALLY_BINARY_DIR, "/process-tests/", getpid(), "-", ++deployments))
+{
+    std::filesystem::create_directories(this->folder);
+    this->standin = std::make_unique<ServingStandin>(this->host(kStandinHost));
+    this->processes.resize(static_cast<std::size_t>(gateways));
+    this->storeAddresses.assign(static_cast<std::size_t>(gateways), this->standin->storeAddress());
+}
+
+GatewayDeployment::~GatewayDeployment()
+{
+    // The gateways end before the platform that they talk to.
+    this->processes.clear();
+}
+
+std::string GatewayDeployment::host(int number) const
+{
+    // All of 127.0.0.0/8 is the loopback network; the process id keeps test runs apart.
+    const int pid = getpid();
+    return absl::StrCat("127.", 1 + (pid >> 8) % 254, ".", pid % 256, ".", number);
+}
+
+std::string GatewayDeployment::spareHost(int number) const
+{
+    return this->host(kStandinHost + 1 + number);
+}
+
+std::string GatewayDeployment::callerAddress(int index) const
+{
+    return this->host(index + 1) + ":8080";
+}
+
+std::string GatewayDeployment::logFile(int index) const
+{
+    return absl::StrCat(this->folder, "/gateway-", index, ".log");
+}
+
+void GatewayDeployment::setStoreAddress(int index, const std::string &address)
+{
+    this->storeAddresses.at(static_cast<std::size_t>(index)) = address;
+}
+
+void GatewayDeployment::start(int index)
+{
+    const std::string file = absl::StrCat(this->folder, "/gateway-", index, ".ini");
+    const std::string own = this->host(index + 1);
+    const std::string &store = this->storeAddresses.at(static_cast<std::size_t>(index));
+    std::ofstream(file) << "[instance]\nid = gateway-" << index << "\nfailure_domain = d"
+                        << index % 3 << "\naddress = " << own << "\ncaller_address = " << own
+                        << ":8080\nready_address = " << own
+                        << ":8081\ninternal_ports = 7340,7355\n[store]\naddress = " << store
+                        << "\n[keys]\nrevocation_bound = 3 s\n[stop]\nlimit = 4 s\n";
+    this->processes.at(static_cast<std::size_t>(index)) = std::make_unique<ChildProcess>(
+        std::vector<std::string> {FOXTAILTALLY_BINARY_DIR "/foxtailtally", "gateway", "--settings",
+                                  file},
+        this->logFile(index));
+}
+
+bool GatewayDeployment::isReady(int index) const
+{
+    CallerRequest request;
+    request.address = this->host(index + 1) + ":8081";
+    request.method = "GET";
+    request.path = "/ready";
+    request.limit = absl::Seconds(1);
+    return callGateway(request).status == 200;
+}
+
+bool GatewayDeployment::waitUntilReady(int index) const
+{
+    const absl::Time end = absl::Now() + kReadyLimit;
+    while (!this->isReady(index)) {
+        if (absl::Now() > end)
+            return false;
+        absl::SleepFor(absl::Milliseconds(20));
+    }
+    return true;
+}
+
+std::string GatewayDeployment::metrics(int index) const
+{
+    CallerRequest request;
+    request.address = this->host(index + 1) + ":7341";
+    request.method = "GET";
+    request.path = "/metrics";
+    return callGateway(request).body;
+}
+
+void GatewayDeployment::configure(int version, const std::vector<std::string> &keys)
+{
+    const Json engine = {{"Slots", 16},     {"KvCapacity", 405000},   {"Stride", 34},
+                         {"step_ms", 1.31}, {"read_per_s", 154000.0}, {"chunk", 2048}};
+    const Json config = {
+        {"Version", version},
+        {"Routes",
+         {route("s", "/stream", "streaming", "engine"),
+          route("n", "/act", "non_idempotent", "desk"), route("i", "/look", "idempotent", "desk")}},
+        {"Services", {{{"Name", "engine"}, {"Engine", engine}}, {{"Name", "desk"}}}},
+        {"Limits", {{"MaxBodyBytes", 65536}, {"MaxHeaderBytes", 8192}}},
+        {"Tenants", {{{"Name", "customer-1"}, {"ApiKeys", keys}}}}};
+    this->standin->putObject(std::string(platform::kConfigKind), std::string(platform::kConfigName),
+                             config.dump());
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/tests/process/http_caller.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <absl/time/time.h>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace foxtailtally {
+
+/** A caller's request as a test writes it. */
+struct CallerRequest
+{
+    /** "ip:port" of a gateway. */
+    std::string address;
+    std::string method = "POST";
+    std::string host = "desk.example";
+    std::string path;
+    std::string body;
+    std::vector<std::string> headers;
+    absl::Duration limit = absl::Seconds(10);
+};
+
+struct CallerAnswer
+{
+    /** Zero when no answer came. */
+    int status = 0;
+    /** The body ended as its framing said. */
+    bool isComplete = false;
+    std::string body;
+    /** All header lines. */
+    std::string head;
+    absl::Duration took = absl::ZeroDuration();
+
+    bool hasHeader(const std::string &line) const
+    {
+        return this->head.find(line) != std::string::npos;
+    }
+};
+
+/** Sends @p request on a new connection and waits for its answer. */
+CallerAnswer callGateway(const CallerRequest &request);
+
+} // namespace foxtailtally
--- /dev/null
+++ b/tests/process/serving_standin.cpp
@@ -0,0 +1,404 @@
+#include "tests/process/serving_standin.h"
+
+#include "main/gateway/listener.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <algorithm>
+#include <event2/event.h>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace foxtailtally {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr absl::Duration kTick = absl::Milliseconds(2);
+
+HttpHeaders jsonHeaders()
+{
+    HttpHeaders headers;
+    headers.add("Content-Type", "application/json");
+    return headers;
+}
+
+HttpHeaders replyHeaders(const ServerArrival &arrival, std::string_view contentType)
+{
+    HttpHeaders headers;
+    headers.add("Attempt-Id", arrival.callId);
+    headers.add("Response-Seal", arrival.server);
+    headers.add("Content-Type", contentType);
+    return headers;
+}
+
+evconnlistener *listenAt(event_base *base, const std::string &address, evconnlistener_cb callback,
+                         void *object)
+{
+    const Result<evconnlistener *> listener = listenOn(base, address, callback, object);
+    if (!listener.ok())
+        throw std::runtime_error("cannot listen on " + address);
+    return *listener;
+}
+
+} // namespace
+
+ServingStandin::ServingStandin(std::string host)
+    : host(std::move(host))
+    , base(event_base_new())
+    , tick(this->base, [this] { this->onTick(); })
+{
+    this->storeListener = listenAt(
+        this->base, this->storeAddress(),
+        [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *object) {
+            static_cast<ServingStandin *>(object)->accept(socket, -1);
+        },
+        this);
+    this->tick.start(kTick);
+    this->thread = std::thread([this] { event_base_dispatch(this->base); });
+}
+
+ServingStandin::~ServingStandin()
+{
+    this->run([this] { event_base_loopbreak(this->base); });
+    this->thread.join();
+    this->connections.clear();
+    evconnlistener_free(this->storeListener);
+    for (auto &[index, server] : this->servers)
+        evconnlistener_free(server.listener);
+}
+
+std::string ServingStandin::serverAddress(int index) const
+{
+    return absl::StrCat(this->host, ":", 8300 + index);
+}
+
+void ServingStandin::run(const std::function<void()> &task)
+{
+    std::promise<void> done;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->tasks.emplace_back([&] {
+            task();
+            done.set_value();
+        });
+    }
+    done.get_future().wait();
+}
+
+void ServingStandin::runTasks()
+{
+    std::vector<std::function<void()>> ready;
+    {
+        const std::lock_guard lock(this->mutex);
+        ready.swap(this->tasks);
+    }
+    for (const std::function<void()> &task : ready)
+        task();
+}
+
+void ServingStandin::putObject(const std::string &kind, const std::string &name,
+                               const std::string &spec)
+{
+    this->run([&] { this->change(kind, {{name, 0, spec}, false}); });
+}
+
+void ServingStandin::removeObject(const std::string &kind, const std::string &name)
+{
+    this->run([&] { this->change(kind, {{name, 0, "{}"}, true}); });
+}
+
+void ServingStandin::setStoreConduct(StoreConduct conduct)
+{
+    this->run([&] { this->storeConduct = conduct; });
+}
+
+void ServingStandin::addServer(int index, const std::string &service, const std::string &domain,
+                               const std::string &address)
+{
+    const Json spec = {{"Service", service}, {"Address", address},
+                       {"Zone", domain},     {"Slots", 16},
+                       {"State", "ready"},   {"born", 1'700'000'000'000 + index}};
+    this->run([&] {
+        Server &server = this->servers[index];
+        server.name = serverName(index);
+        server.owner = this;
+        server.index = index;
+        server.listener = listenAt(
+            this->base, this->serverAddress(index),
+            [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *object) {
+                const Server *own = static_cast<Server *>(object);
+                own->owner->accept(socket, own->index);
+            },
+            &server);
+        this->change(std::string(platform::kServerKind), {{server.name, 0, spec.dump()}, false});
+    });
+}
+
+void ServingStandin::setServerConduct(int index, ServerConduct conduct)
+{
+    this->run([&] { this->servers.at(index).conduct = conduct; });
+}
+
+std::vector<ServerArrival> ServingStandin::arrivals()
+{
+    std::vector<ServerArrival> result;
+    this->run([&] { result = this->seen; });
+    return result;
+}
+
+int ServingStandin::storeCalls()
+{
+    int result = 0;
+    this->run([&] { result = this->calls; });
+    return result;
+}
+
+void ServingStandin::accept(int socket, int server)
+{
+    InboundEvents &events = *this;
+    InboundLimits limits;
+    limits.idleTime = absl::Minutes(10);
+    this->connections.push_back(
+        std::make_unique<InboundConnection>(this->base, socket, events, limits));
+    if (server >= 0)
+        this->serverOf[this->connections.back().get()] = server;
+}
+
+void ServingStandin::onTick()
+{
+    const absl::Time now = absl::Now();
+    this->runTasks();
+    this->advanceStreams(now);
+    std::vector<Watch> over;
+    std::erase_if(this->watches, [&](const Watch &watch) {
+        if (watch.until > now)
+            return false;
+        over.push_back(watch);
+        return true;
+    });
+    for (const Watch &watch : over)
+        watch.connection->answer(200, jsonHeaders(), platform::encodeChanges({{}, this->revision}));
+    std::erase_if(this->connections, [this](const auto &connection) {
+        return std::find(this->closed.begin(), this->closed.end(), connection.get())
+            != this->closed.end();
+    });
+    this->closed.clear();
+    this->tick.start(kTick);
+}
+
+void ServingStandin::onRequestHead(InboundConnection &)
+{ }
+
+void ServingStandin::onRequestComplete(InboundConnection &connection)
+{
+    const auto found = this->serverOf.find(&connection);
+    if (found == this->serverOf.end())
+        this->answerStore(connection);
+    else
+        this->answerCall(connection, this->servers.at(found->second));
+}
+
+void ServingStandin::answerStore(InboundConnection &connection)
+{
+    ++this->calls;
+    if (this->storeConduct == StoreConduct::Silent)
+        return;
+    const RequestHead &head = connection.head();
+    const platform::StoreQuery query = platform::parseStoreTarget(head.target);
+    if (this->storeConduct == StoreConduct::Refuse || query.kind.empty()) {
+        connection.answer(503, {}, {});
+        return;
+    }
+    if (head.method == "POST") {
+        this->createObject(connection, query.kind);
+        return;
+    }
+    const KindCache &kind = this->kinds[query.kind];
+    if (!query.watchFrom) {
+        platform::ObjectPage page = kind.page();
+        page.revision = this->revision;
+        connection.answer(200, jsonHeaders(), platform::encodePage(page));
+        return;
+    }
+    const auto changes = kind.changesSince(*query.watchFrom);
+    if (!changes)
+        connection.answer(410, {}, {});
+    else if (!changes->changes.empty())
+        connection.answer(200, jsonHeaders(), platform::encodeChanges(*changes));
+    else
+        this->watches.push_back(
+            {&connection, query.kind, *query.watchFrom, absl::Now() + query.wait});
+}
+
+void ServingStandin::createObject(InboundConnection &connection, const std::string &kind)
+{
+    const Json json = Json::parse(connection.body());
+    const std::string name = json.at("Metadata").at("Name");
+    for (const platform::StoredObject &object : this->kinds[kind].page().objects) {
+        if (object.name == name) {
+            connection.answer(409, {}, {});
+            return;
+        }
+    }
+    connection.answer(200, jsonHeaders(), "{}");
+    this->change(kind, {{name, 0, json.at("Spec").dump()}, false});
+}
+
+void ServingStandin::change(const std::string &kind, const platform::ObjectChange &change)
+{
+    platform::ObjectChange stamped = change;
+    stamped.object.revision = ++this->revision;
+    KindCache &cache = this->kinds[kind];
+    cache.apply({stamped}, this->revision);
+    std::vector<Watch> ready;
+    std::erase_if(this->watches, [&](const Watch &watch) {
+        if (watch.kind != kind)
+            return false;
+        ready.push_back(watch);
+        return true;
+    });
+    for (const Watch &watch : ready)
+        watch.connection->answer(200, jsonHeaders(),
+                                 platform::encodeChanges(*cache.changesSince(watch.from)));
+}
+
+void ServingStandin::answerCall(InboundConnection &connection, Server &server)
+{
+    const RequestHead &head = connection.head();
+    if (head.path == "/order") {
+        connection.answer(200, jsonHeaders(), "{}");
+        return;
+    }
+    if (const std::string *expected = head.headers.find("Expect-Instance");
+        expected && *expected != server.name) {
+        connection.answer(421, {}, {});
+        return;
+    }
+    ServerArrival arrival;
+    arrival.server = server.name;
+    arrival.callId = std::string(head.headers.valueOr("Attempt-Id", ""));
+    arrival.path = head.target;
+    arrival.customer = std::string(head.headers.valueOr("Tenant", ""));
+    arrival.body = connection.body();
+    std::int64_t left = 0;
+    if (absl::SimpleAtoi(std::string(head.headers.valueOr("Deadline-Ms", "")), &left))
+        arrival.deadline = absl::Milliseconds(left);
+    arrival.at = absl::Now();
+    arrival.hasRun = server.conduct != ServerConduct::Shed;
+    this->seen.push_back(arrival);
+    switch (server.conduct) {
+    case ServerConduct::Shed: {
+        HttpHeaders headers;
+        headers.add("Attempt-Id", arrival.callId);
+        headers.add("Not-Executed", "1");
+        connection.answer(503, headers, {});
+        return;
+    }
+    case ServerConduct::FailWithoutMark:
+        connection.answer(503, replyHeaders(arrival, "text/plain"), "failed");
+        return;
+    case ServerConduct::Break:
+        connection.abort();
+        return;
+    case ServerConduct::Silent:
+        return;
+    case ServerConduct::CutBody:
+        connection.startStream(200, replyHeaders(arrival, "text/plain"));
+        connection.sendChunk("only a part");
+        connection.abort();
+        return;
+    case ServerConduct::Oversized:
+        connection.answer(200, replyHeaders(arrival, "text/plain"), std::string(9U << 20, 'x'));
+        return;
+    case ServerConduct::Serve:
+    case ServerConduct::BreakMidway:
+        break;
+    }
+    if (head.path.starts_with("/stream"))
+        this->startStream(connection, arrival, server.conduct);
+    else
+        connection.answer(200, replyHeaders(arrival, "text/plain"),
+                          absl::StrCat("done:", arrival.callId, ":", arrival.body));
+}
+
+void ServingStandin::startStream(InboundConnection &connection, const ServerArrival &arrival,
+                                 ServerConduct conduct)
+{
+    Stream stream;
+    stream.connection = &connection;
+    stream.callId = arrival.callId;
+    int last = 0;
+    if (absl::SimpleAtoi(std::string(connection.head().headers.valueOr("Last-Event-Id", "")),
+                         &last))
+        stream.next = last + 1;
+    stream.breakAt = conduct == ServerConduct::BreakMidway ? stream.next + 3 : 0;
+    stream.dueAt = absl::Now() + kEventPause;
+    connection.startStream(200, replyHeaders(arrival, "text/event-stream"));
+    this->streams.push_back(stream);
+}
+
+void ServingStandin::advanceStreams(absl::Time now)
+{
+    std::vector<InboundConnection *> broken;
+    for (Stream &stream : this->streams) {
+        if (stream.dueAt > now)
+            continue;
+        if (stream.next == stream.breakAt) {
+            broken.push_back(stream.connection);
+            continue;
+        }
+        if (stream.next <= kEvents) {
+            stream.connection->sendChunk(absl::StrCat(
+                "id: ", stream.next, "\ndata: ", stream.callId, "-", stream.next, "\n\n"));
+            ++stream.next;
+            stream.dueAt = now + kEventPause;
+        }
+    }
+    std::vector<InboundConnection *> complete;
+    for (const Stream &stream : this->streams) {
+        if (stream.next > kEvents)
+            complete.push_back(stream.connection);
+    }
+    for (InboundConnection *connection : complete) {
+        this->forget(*connection);
+        connection->finishStream();
+    }
+    for (InboundConnection *connection : broken) {
+        this->forget(*connection);
+        connection->abort();
+    }
+}
+
+void ServingStandin::onCallerGone(InboundConnection &connection)
+{
+    this->forget(connection);
+}
+
+void ServingStandin::onWritable(InboundConnection &)
+{ }
+
+void ServingStandin::onRequestRejected(InboundConnection &connection, int status)
+{
+    connection.answer(status, {}, {});
+}
+
+void ServingStandin::onClosed(InboundConnection &connection)
+{
+    this->forget(connection);
+    this->serverOf.erase(&connection);
+    this->closed.push_back(&connection);
+}
+
+void ServingStandin::forget(InboundConnection &connection)
+{
+    std::erase_if(this->watches,
+                  [&](const Watch &watch) { return watch.connection == &connection; });
+    std::erase_if(this->streams,
+                  [&](const Stream &stream) { return stream.connection == &connection; });
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/tests/process/serving_standin.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "main/gateway/kind_cache.h"
+#include "peers/http/inbound_connection.h"
+#include "peers/http/loop_timer.h"
+#include "platform/store_objects.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/time/time.h>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+struct event_base;
+struct evconnlistener;
+
+namespace foxtailtally {
+
+/** What a backend server of the stand-in does with a call. */
+enum class ServerConduct {
+    Serve,
+    /** Rejects the call and says that it has not run. */
+    Shed,
+    /** Runs the call and fails, with a status that would promise that it has not run. */
+    FailWithoutMark,
+    /** Runs the call and breaks the connection. */
+    Break,
+    /** Breaks a stream in its middle. */
+    BreakMidway,
+    /** Runs the call and answers nothing. */
+    Silent,
+    /** Announces a longer body than it sends. */
+    CutBody,
+    /** Answers with more than a gateway holds. */
+    Oversized,
+};
+
+enum class StoreConduct { Serve, Refuse, Silent };
+
+/** One arrival of a call at a backend server. */
+struct ServerArrival
+{
+    std::string server;
+    std::string callId;
+    std::string path;
+    std::string customer;
+    std::string body;
+    absl::Duration deadline = absl::ZeroDuration();
+    absl::Time at;
+    bool hasRun = false;
+};
+
+/**
+ * The users' platform as their protocol describes it, on loopback addresses: the store, and backend
+ * servers. It runs on a thread of its own.
+ */
+class ServingStandin final : private InboundEvents
+{
+public:
+    /** Events of each stream, and the pause between them. */
+    static constexpr int kEvents = 12;
+    static constexpr absl::Duration kEventPause = absl::Milliseconds(25);
+
+    /** @p host: an address of the loopback network that nobody else uses. */
+    explicit ServingStandin(std::string host);
+    ~ServingStandin() override;
+
+    std::string storeAddress() const { return this->host + ":8200"; }
+    std::string serverAddress(int index) const;
+
+    void putObject(const std::string &kind, const std::string &name, const std::string &spec);
+    void removeObject(const std::string &kind, const std::string &name);
+    void setStoreConduct(StoreConduct conduct);
+
+    /** Starts server @p index of @p service and enters it in the store, reached at @p address. */
+    void addServer(int index, const std::string &service, const std::string &domain,
+                   const std::string &address);
+    static std::string serverName(int index) { return "server-" + std::to_string(index); }
+    void setServerConduct(int index, ServerConduct conduct);
+
+    std::vector<ServerArrival> arrivals();
+    int storeCalls();
+
+private:
+    struct Server
+    {
+        std::string name;
+        ServerConduct conduct = ServerConduct::Serve;
+        evconnlistener *listener = nullptr;
+        ServingStandin *owner = nullptr;
+        int index = 0;
+    };
+    struct Watch
+    {
+        InboundConnection *connection = nullptr;
+        std::string kind;
+        std::int64_t from = 0;
+        absl::Time until;
+    };
+    struct Stream
+    {
+        InboundConnection *connection = nullptr;
+        std::string callId;
+        int next = 1;
+        int breakAt = 0;
+        absl::Time dueAt;
+    };
+
+    void onRequestHead(InboundConnection &connection) override;
+    void onRequestComplete(InboundConnection &connection) override;
+    void onCallerGone(InboundConnection &connection) override;
+    void onWritable(InboundConnection &connection) override;
+    void onRequestRejected(InboundConnection &connection, int status) override;
+    void onClosed(InboundConnection &connection) override;
+
+    /** Runs @p task on the stand-in's thread and waits for it. */
+    void run(const std::function<void()> &task);
+    void runTasks();
+    void onTick();
+    void accept(int socket, int server);
+    void answerStore(InboundConnection &connection);
+    void createObject(InboundConnection &connection, const std::string &kind);
+    void change(const std::string &kind, const platform::ObjectChange &change);
+    void answerCall(InboundConnection &connection, Server &server);
+    void startStream(InboundConnection &connection, const ServerArrival &arrival,
+                     ServerConduct conduct);
+    void advanceStreams(absl::Time now);
+    void forget(InboundConnection &connection);
+
+    std::string host;
+    event_base *base;
+    evconnlistener *storeListener = nullptr;
+    LoopTimer tick;
+    StoreConduct storeConduct = StoreConduct::Serve;
+    std::int64_t revision = 1;
+    absl::btree_map<std::string, KindCache> kinds;
+    /** Listeners keep the address of their server. */
+    std::map<int, Server> servers;
+    std::vector<Watch> watches;
+    std::vector<Stream> streams;
+    std::vector<std::unique_ptr<InboundConnection>> connections;
+    /** Server of a connection; the store's are absent. */
+    absl::btree_map<InboundConnection *, int> serverOf;
+    std::vector<InboundConnection *> closed;
+    std::vector<ServerArrival> seen;
+    int calls = 0;
+    std::mutex mutex;
+    /** For the next turn of the loop; guarded by the mutex. */
+    std::vector<std::function<void()>> tasks;
+    std::thread thread;
+};
+
+} // namespace foxtailtally
