Try a store that failed again within a second

Ruled out: the list of sources: a third instance of the domain had the news, but counted as failed.

Change: the store is tried again after half a second, then each second; when all have failed, an instance that has not lost the store is asked before one that has.

Calls while the store refuses everybody rise: a try each second and instance in place of one each four seconds.

--- a/servers/catalog/store_source.cpp
+++ b/servers/catalog/store_source.cpp
@@ -80,6 +80,7 @@
 StoreSource::Choice StoreSource::choose(absl::Time now)
 {
     std::vector<Ranked> live;
+    std::vector<Ranked> reading;
     std::vector<Ranked> sound;
     std::size_t failed = 0;
     for (const auto &[instance, peer] : this->peers) {
@@ -88,7 +89,10 @@
         if (now - peer.heardAt >= kSilence)
             continue;
         live.push_back(ranked(peer.reader));
-        if (!hasFailed && !peer.hasLostStore)
+        if (peer.hasLostStore)
+            continue;
+        reading.push_back(ranked(peer.reader));
+        if (!hasFailed)
             sound.push_back(ranked(peer.reader));
     }
     if (live.empty())
@@ -101,7 +105,10 @@
     }
     if (isStoreDue && this->mayTryStore(now))
         return {this->storeAddress, true};
-    return this->chooseAmong(sound.empty() ? live : sound);
+    if (!sound.empty())
+        return this->chooseAmong(sound);
+    // An instance that failed lately may have recovered; one that has lost the store has no news.
+    return this->chooseAmong(reading.empty() ? live : reading);
 }
 
 bool StoreSource::mayTryStore(absl::Time now)
--- a/servers/catalog/store_source.h
+++ b/servers/catalog/store_source.h
@@ -47,9 +47,10 @@
     /** Failures within this time are one: all kinds of object fail together. */
     static constexpr absl::Duration kSameFailure = absl::Milliseconds(100);
     /** Time for which the store is left alone that failed to answer while others may tell, doubled
-     * with each further failure up to the second value. */
+     * with each further failure up to the second value. A configuration has two seconds to be in
+     * force, from its acknowledgement by a store that has just recovered. */
     static constexpr absl::Duration kStoreFailureTerm = absl::Milliseconds(500);
-    static constexpr absl::Duration kLongestStoreFailureTerm = absl::Seconds(4);
+    static constexpr absl::Duration kLongestStoreFailureTerm = absl::Seconds(1);
     /** Time for which one call alone tries whether the store answers. */
     static constexpr absl::Duration kStoreTrial = absl::Milliseconds(300);
     /** Instances of a domain for each one that watches the store, beyond the first. */
