--- a/tests/process/fault_proxy.cpp
+++ b/tests/process/fault_proxy.cpp
@@ -99,8 +99,10 @@
             return;
         const sockaddr_in address = parsed(this->target);
         const int server = newSocket();
-        ::connect(server, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+        const int error =
+            ::connect(server, reinterpret_cast<const sockaddr *>(&address), sizeof address);
         Connection connection;
+        connection.isBroken = error != 0 && errno != EINPROGRESS;
         connection.caller = caller;
         connection.server = server;
         connection.request = {caller, server, false, false, false, {}};
