--- a/main/gateway/load_notice.cpp
+++ b/main/gateway/load_notice.cpp
@@ -14,7 +14,7 @@
 
 enum StreamFlags : std::uint8_t { Writing = 1, Late = 2, Split = 4 };
 
-/** Elements after a count of one byte; the archive's own counts take eight. */
+/** Elements after a count of one byte; the archive's own counts take four. */
 template <typename Archive, typename Container>
 void archiveShort(Archive &archive, Container &container)
 {
@@ -55,6 +55,8 @@
     }
 };
 
+/** Bytes of a Datagram without what its strings and lists hold. */
+constexpr std::size_t kHeadBytes = 21;
 /** Bytes of a StreamNotice without its servers, and of each of these. */
 constexpr std::size_t kStreamBytes = 17;
 constexpr std::size_t kServerBytes = 8;
@@ -82,7 +84,8 @@
     }
     std::size_t bytes() const
     {
-        std::size_t total = 21 + this->instance.size() + kServerBytes * this->suspects.size();
+        std::size_t total =
+            kHeadBytes + this->instance.size() + kServerBytes * this->suspects.size();
         for (const StreamNotice &stream : this->streams)
             total += kStreamBytes + kServerBytes * stream.servers.size();
         return total;
--- a/main/gateway/store_follower.h
+++ b/main/gateway/store_follower.h
@@ -50,9 +50,10 @@
     std::unique_ptr<ServerEvents> serverEvents;
     std::unique_ptr<EvacuationEvents> evacuationEvents;
     std::unique_ptr<InstanceEvents> instanceEvents;
+    /** Starts first: the others may ask the instances that it finds. */
     std::unique_ptr<KindWatcher> instanceWatcher;
-    /** Watchers of all other kinds. */
     std::vector<std::unique_ptr<KindWatcher>> watchers;
+    /** Delays the first list of instances when all of them start at once. */
     LoopTimer startTimer;
     std::unique_ptr<Registration> registration;
 };
