Allow a gateway that is still loading to end by SIGTERM in the soak

Cause: seed 200 reported an exit by signal 15. Its log has no line of that life: the signal came before the program had installed its handler, which it does before it listens, so no call was lost.

--- a/tests/process/gateway_deployment.cpp
+++ b/tests/process/gateway_deployment.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
@@ -43,6 +44,7 @@
     std::filesystem::create_directories(this->folder);
     this->standin = std::make_unique<ServingStandin>(this->host(kStandinHost));
     this->processes.resize(static_cast<std::size_t>(gateways));
+    this->logStarts.resize(static_cast<std::size_t>(gateways));
     this->storeAddresses.assign(static_cast<std::size_t>(gateways), this->standin->storeAddress());
 }
 
@@ -89,12 +91,23 @@
                         << ":8080\nready_address = " << own
                         << ":8081\ninternal_ports = 7340,7355\n[store]\naddress = " << store
                         << "\n[keys]\nrevocation_bound = 3 s\n[stop]\nlimit = 4 s\n";
+    const std::string log = this->logFile(index);
+    this->logStarts.at(static_cast<std::size_t>(index)) =
+        std::filesystem::exists(log) ? std::filesystem::file_size(log) : 0;
     this->processes.at(static_cast<std::size_t>(index)) = std::make_unique<ChildProcess>(
         std::vector<std::string> {FOXTAILTALLY_BINARY_DIR "/foxtailtally", "gateway", "--settings",
                                   file},
         this->logFile(index));
 }
 
+bool GatewayDeployment::hasStarted(int index) const
+{
+    std::ifstream log(this->logFile(index));
+    log.seekg(static_cast<std::streamoff>(this->logStarts.at(static_cast<std::size_t>(index))));
+    const std::string text((std::istreambuf_iterator<char>(log)), std::istreambuf_iterator<char>());
+    return text.find("\"event\":\"started\"") != std::string::npos;
+}
+
 bool GatewayDeployment::isReady(int index) const
 {
     CallerRequest request;
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -3,6 +3,7 @@
 #include "tests/process/child_process.h"
 #include "tests/process/serving_standin.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -35,6 +36,8 @@
     /** Text of the gateway's metrics. */
     std::string metrics(int index) const;
     std::string logFile(int index) const;
+    /** The gateway has said since its last start that it takes calls. */
+    bool hasStarted(int index) const;
     int size() const { return static_cast<int>(this->processes.size()); }
 
     /** Writes configuration @p version: services, routes of each kind, and customers' keys. */
@@ -47,6 +50,8 @@
     std::unique_ptr<ServingStandin> standin;
     std::vector<std::unique_ptr<ChildProcess>> processes;
     std::vector<std::string> storeAddresses;
+    /** Length of each gateway's log at its last start. */
+    std::vector<std::uintmax_t> logStarts;
 };
 
 } // namespace foxtailtally
--- a/tests/process/gateway_soak.cpp
+++ b/tests/process/gateway_soak.cpp
@@ -159,7 +159,9 @@
     }
     if (!process.waitForEnd(kStopLimit))
         this->report("a gateway does not end");
-    else if (process.exitCode() != 0 && process.exitCode() != -SIGKILL)
+    // A program that is just being loaded cannot handle the signal yet, and has taken no call.
+    const bool wasLoading = process.exitCode() == -SIGTERM && !this->deployment.hasStarted(index);
+    if (process.exitCode() != 0 && process.exitCode() != -SIGKILL && !wasLoading)
         this->report(absl::StrCat("a gateway ends with ", process.exitCode()));
     this->deployment.start(index);
 }
--- a/tests/process/gateway_soak_test.cpp
+++ b/tests/process/gateway_soak_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/process/gateway_soak.h"
 
 #include <absl/strings/numbers.h>
+#include <array>
 #include <cstdlib>
 #include <gtest/gtest.h>
 #include <vector>
@@ -15,11 +16,16 @@
     return text && absl::SimpleAtoi(text, &number) ? number : fallback;
 }
 
-/** Three fixed seeds; by hand FOXTAILTALLY_SOAK_FROM and FOXTAILTALLY_SOAK_COUNT name others. */
+/** Seeds of the short runs. Seed 200 stopped a gateway before it could handle the signal. */
+constexpr std::array<std::uint64_t, 4> kShortSeeds = {1, 2, 3, 200};
+
+/** By hand FOXTAILTALLY_SOAK_FROM and FOXTAILTALLY_SOAK_COUNT name others. */
 std::vector<std::uint64_t> seeds()
 {
     const std::uint64_t first = numberFrom("FOXTAILTALLY_SOAK_FROM", 1);
-    const std::uint64_t count = numberFrom("FOXTAILTALLY_SOAK_COUNT", 3);
+    const std::uint64_t count = numberFrom("FOXTAILTALLY_SOAK_COUNT", 0);
+    if (count == 0)
+        return {kShortSeeds.begin(), kShortSeeds.end()};
     std::vector<std::uint64_t> result;
     for (std::uint64_t seed = first; seed < first + count; ++seed)
         result.push_back(seed);
