Parse socket addresses in one place

The connections, the listener and the datagrams of the gateway each parsed "ip:port" by themselves beside the function that the instances' transport had. It moves to core/ and serves all of them, the tests' proxy too.

--- a/main/gateway/instance_exchange.cpp
+++ b/main/gateway/instance_exchange.cpp
@@ -3,14 +3,13 @@
 #include "core/clock.h"
 #include "core/error.h"
 #include "core/log.h"
+#include "core/socket_address.h"
 #include "main/gateway/load_notice.h"
 
 #include <algorithm>
 #include <array>
 #include <cerrno>
 #include <event2/event.h>
-#include <event2/util.h>
-#include <netinet/in.h>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -28,13 +27,6 @@
 /** Time after which an instance tells again although nothing has changed. */
 constexpr absl::Duration kHeartbeat = absl::Milliseconds(500);
 
-bool parseAddress(const std::string &address, sockaddr_in &result)
-{
-    int size = sizeof result;
-    return evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr *>(&result), &size)
-        == 0;
-}
-
 } // namespace
 
 InstanceExchange::InstanceExchange(event_base *base, const InstanceId &self, StreamLedger &ledger,
--- a/main/gateway/listener.cpp
+++ b/main/gateway/listener.cpp
@@ -1,10 +1,9 @@
 #include "main/gateway/listener.h"
 
 #include "core/error.h"
+#include "core/socket_address.h"
 
 #include <cerrno>
-#include <event2/util.h>
-#include <netinet/in.h>
 
 namespace foxtailtally {
 
@@ -19,13 +18,11 @@
                                   evconnlistener_cb onAccept, void *object)
 {
     sockaddr_in bound {};
-    int size = sizeof bound;
-    if (evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr *>(&bound), &size)
-        != 0)
+    if (!parseAddress(address, bound))
         return Error::SettingsInvalid;
     evconnlistener *listener =
         evconnlistener_new_bind(base, onAccept, object, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-                                kBacklog, reinterpret_cast<sockaddr *>(&bound), size);
+                                kBacklog, reinterpret_cast<sockaddr *>(&bound), sizeof bound);
     if (!listener)
         return std::error_code(errno, std::generic_category());
     return listener;
--- a/peers/http/outbound_connection.cpp
+++ b/peers/http/outbound_connection.cpp
@@ -1,6 +1,7 @@
 #include "peers/http/outbound_connection.h"
 
 #include "core/error.h"
+#include "core/socket_address.h"
 #include "core/text.h"
 
 #include <absl/strings/match.h>
@@ -11,7 +12,6 @@
 #include <event2/event.h>
 #include <event2/util.h>
 #include <limits>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -46,14 +46,13 @@
         },
         this);
     sockaddr_in peer {};
-    int size = sizeof peer;
-    const std::string text(address);
-    if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr *>(&peer), &size) != 0) {
+    if (!parseAddress(std::string(address), peer)) {
         this->state = State::Closed;
         return;
     }
     bufferevent_enable(this->stream, EV_READ | EV_WRITE);
-    if (bufferevent_socket_connect(this->stream, reinterpret_cast<sockaddr *>(&peer), size) != 0) {
+    if (bufferevent_socket_connect(this->stream, reinterpret_cast<sockaddr *>(&peer), sizeof peer)
+        != 0) {
         this->state = State::Closed;
         return;
     }
--- a/peers/instance/instance_transport.cpp
+++ b/peers/instance/instance_transport.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/lock.h"
+#include "core/socket_address.h"
 #include "core/thread.h"
 #include "peers/instance/stream_connection.h"
 
--- a/peers/instance/stream_connection.h
+++ b/peers/instance/stream_connection.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <netinet/in.h>
 #include <string>
 #include <string_view>
 
@@ -41,7 +40,4 @@
     std::string input;
 };
 
-/** Parses "ip:port". */
-bool parseAddress(const std::string &address, sockaddr_in &result);
-
 } // namespace foxtailtally
--- a/tests/process/fault_proxy.cpp
+++ b/tests/process/fault_proxy.cpp
@@ -1,10 +1,10 @@
 #include "tests/process/fault_proxy.h"
 
+#include "core/socket_address.h"
+
 #include <absl/time/clock.h>
 #include <array>
 #include <cerrno>
-#include <event2/util.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -21,9 +21,7 @@
 sockaddr_in parsed(const std::string &address)
 {
     sockaddr_in result {};
-    int size = sizeof result;
-    if (evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr *>(&result), &size)
-        != 0)
+    if (!parseAddress(address, result))
         throw std::runtime_error("not an address: " + address);
     return result;
 }
