Accept and own the connections of the admin endpoint and the store relay in one class

Both had the same listener, list of connections and list of closed ones. The two loops of the relay that take requests out of its queue and answer them are one.

--- a/main/gateway/admin_endpoint.h
+++ b/main/gateway/admin_endpoint.h
@@ -1,14 +1,12 @@
 #pragma once
 
-#include "peers/http/inbound_connection.h"
+#include "main/gateway/inbound_server.h"
 
 #include <functional>
-#include <memory>
 #include <string>
 #include <system_error>
 #include <vector>
 
-struct evconnlistener;
 struct event_base;
 
 namespace foxtailtally {
@@ -28,15 +26,13 @@
     using Handler = std::function<AdminAnswer(const RequestHead &head)>;
 
     AdminEndpoint(event_base *base, Handler handler);
-    ~AdminEndpoint() override;
 
     /** Listens on @p address, "ip:port". */
-    std::error_code start(const std::string &address);
+    std::error_code start(const std::string &address) { return this->server.start(address); }
     /** Destroys closed connections; not from inside an event. */
-    void onTick();
+    void onTick() { this->server.onTick(); }
 
 private:
-    void onAccept(int socket);
     void onRequestHead(InboundConnection &connection) override;
     void onRequestComplete(InboundConnection &connection) override;
     void onCallerGone(InboundConnection &connection) override;
@@ -44,11 +40,8 @@
     void onRequestRejected(InboundConnection &connection, int status) override;
     void onClosed(InboundConnection &connection) override;
 
-    event_base *base;
     Handler handler;
-    evconnlistener *listener = nullptr;
-    std::vector<std::unique_ptr<InboundConnection>> connections;
-    std::vector<InboundConnection *> closed;
+    InboundServer server;
 };
 
 } // namespace foxtailtally
--- a/main/gateway/store_relay.cpp
+++ b/main/gateway/store_relay.cpp
@@ -1,9 +1,9 @@
 #include "main/gateway/store_relay.h"
 
 #include "core/clock.h"
-#include "main/gateway/listener.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace foxtailtally {
 
@@ -22,63 +22,18 @@
 } // namespace
 
 StoreRelay::StoreRelay(event_base *base)
-    : base(base)
-    , timer(base, [this] { this->onTimer(); })
+    : timer(base, [this] { this->onTimer(); })
+    , server(base, *this)
 { }
 
-StoreRelay::~StoreRelay()
-{
-    if (this->listener)
-        evconnlistener_free(this->listener);
-}
-
 void StoreRelay::addKind(const std::string &kind, const KindWatcher &watcher)
 {
     this->kinds[kind] = &watcher;
 }
 
-std::error_code StoreRelay::start(const std::string &address)
-{
-    const Result<evconnlistener *> opened = listenOn(
-        this->base, address,
-        [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *object) {
-            static_cast<StoreRelay *>(object)->onAccept(socket);
-        },
-        this);
-    if (!opened.ok())
-        return opened.error();
-    this->listener = *opened;
-    return {};
-}
-
 void StoreRelay::onChanged(const std::string &kind)
 {
-    const absl::Time now = Clock::now();
-    std::vector<Waiting> ready;
-    std::erase_if(this->waiting, [&](const Waiting &watch) {
-        if (watch.kind != kind)
-            return false;
-        ready.push_back(watch);
-        return true;
-    });
-    for (const Waiting &watch : ready)
-        this->answerWaiting(watch, now);
-}
-
-void StoreRelay::onTick()
-{
-    std::erase_if(this->connections, [this](const auto &connection) {
-        return std::find(this->closed.begin(), this->closed.end(), connection.get())
-            != this->closed.end();
-    });
-    this->closed.clear();
-}
-
-void StoreRelay::onAccept(int socket)
-{
-    InboundEvents &events = *this;
-    this->connections.push_back(
-        std::make_unique<InboundConnection>(this->base, socket, events, InboundLimits()));
+    this->answerDue([&kind](const Waiting &request) { return request.kind == kind; }, Clock::now());
 }
 
 void StoreRelay::onRequestHead(InboundConnection &connection)
@@ -130,24 +85,25 @@
 void StoreRelay::onClosed(InboundConnection &connection)
 {
     this->forget(connection);
-    this->closed.push_back(&connection);
+    this->server.onClosed(connection);
 }
 
 void StoreRelay::onTimer()
 {
     const absl::Time now = Clock::now();
-    std::vector<Waiting> over;
-    std::erase_if(this->waiting, [&](const Waiting &watch) {
-        if (watch.until > now)
-            return false;
-        over.push_back(watch);
-        return true;
-    });
-    for (const Waiting &watch : over)
-        this->answerWaiting(watch, now);
+    this->answerDue([now](const Waiting &request) { return request.until <= now; }, now);
     this->startTimer(now);
 }
 
+void StoreRelay::answerDue(const std::function<bool(const Waiting &)> &isDue, absl::Time now)
+{
+    std::vector<Waiting> due;
+    std::copy_if(this->waiting.begin(), this->waiting.end(), std::back_inserter(due), isDue);
+    std::erase_if(this->waiting, isDue);
+    for (const Waiting &request : due)
+        this->answerWaiting(request, now);
+}
+
 void StoreRelay::startTimer(absl::Time now)
 {
     if (this->waiting.empty())
--- a/main/gateway/store_relay.h
+++ b/main/gateway/store_relay.h
@@ -1,19 +1,18 @@
 #pragma once
 
+#include "main/gateway/inbound_server.h"
 #include "main/gateway/kind_cache.h"
 #include "main/gateway/kind_watcher.h"
-#include "peers/http/inbound_connection.h"
 #include "peers/http/loop_timer.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
-#include <memory>
+#include <functional>
 #include <optional>
 #include <string>
 #include <system_error>
 #include <vector>
 
-struct evconnlistener;
 struct event_base;
 
 namespace foxtailtally {
@@ -27,15 +26,14 @@
 {
 public:
     explicit StoreRelay(event_base *base);
-    ~StoreRelay() override;
 
     /** @p watcher is told of and outlives the relay. */
     void addKind(const std::string &kind, const KindWatcher &watcher);
-    std::error_code start(const std::string &address);
+    std::error_code start(const std::string &address) { return this->server.start(address); }
     /** Something of @p kind has changed: answers the watches that wait for it. */
     void onChanged(const std::string &kind);
     /** Destroys closed connections; not from inside an event. */
-    void onTick();
+    void onTick() { this->server.onTick(); }
 
 private:
     struct Waiting
@@ -55,7 +53,6 @@
         std::string body;
     };
 
-    void onAccept(int socket);
     void onRequestHead(InboundConnection &connection) override;
     void onRequestComplete(InboundConnection &connection) override;
     void onCallerGone(InboundConnection &connection) override;
@@ -66,6 +63,8 @@
     void onTimer();
     void startTimer(absl::Time now);
     bool canAnswer(const Waiting &request, const KindCache &cache) const;
+    /** Answers the requests that wait and for which @p isDue holds. */
+    void answerDue(const std::function<bool(const Waiting &)> &isDue, absl::Time now);
     void answerWaiting(const Waiting &waiting, absl::Time now);
     const std::string &encodedChanges(const Waiting &waiting,
                                       const platform::ObjectChanges &changes);
@@ -73,14 +72,11 @@
                 const std::string &body, absl::Time now);
     void forget(InboundConnection &connection);
 
-    event_base *base;
     LoopTimer timer;
-    evconnlistener *listener = nullptr;
     absl::flat_hash_map<std::string, const KindWatcher *> kinds;
     absl::flat_hash_map<std::string, EncodedChanges> encoded;
     std::vector<Waiting> waiting;
-    std::vector<std::unique_ptr<InboundConnection>> connections;
-    std::vector<InboundConnection *> closed;
+    InboundServer server;
 };
 
 } // namespace foxtailtally
