--- a/main/gateway/store_follower.cpp
+++ b/main/gateway/store_follower.cpp
@@ -40,12 +40,32 @@
 
 } // namespace
 
-class StoreFollower::ConfigEvents final : public KindEvents
+/** Keeps one kind of object, and tells the instances that follow this one of changes. */
+class StoreFollower::KindKeeper : public KindEvents
 {
 public:
-    ConfigEvents(GatewayContext &context, StoreRelay &relay)
-        : context(context)
-        , relay(relay)
+    KindKeeper(StoreFollower &follower, std::string_view kind)
+        : follower(follower)
+        , context(follower.context)
+        , kind(kind)
+    { }
+
+    void onConfirmed(absl::Time) override { }
+    void onCacheChanged() final { this->follower.relay.onChanged(this->kind); }
+
+protected:
+    StoreFollower &follower;
+    GatewayContext &context;
+
+private:
+    std::string kind;
+};
+
+class StoreFollower::ConfigEvents final : public KindKeeper
+{
+public:
+    explicit ConfigEvents(StoreFollower &follower)
+        : KindKeeper(follower, platform::kConfigKind)
     { }
 
     void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time) override
@@ -63,7 +83,6 @@
         if (this->context.config)
             this->context.freshness.confirm(moment);
     }
-    void onCacheChanged() override { this->relay.onChanged(std::string(platform::kConfigKind)); }
 
 private:
     void adopt(const StoredObject &object)
@@ -86,18 +105,14 @@
                   {"routes", this->context.config->routeCount()}});
     }
 
-    GatewayContext &context;
-    StoreRelay &relay;
     std::int64_t revision = -1;
 };
 
-class StoreFollower::ServerEvents final : public KindEvents
+class StoreFollower::ServerEvents final : public KindKeeper
 {
 public:
-    ServerEvents(GatewayContext &context, StoreRelay &relay, bool &isListed)
-        : context(context)
-        , relay(relay)
-        , isListed(isListed)
+    explicit ServerEvents(StoreFollower &follower)
+        : KindKeeper(follower, platform::kServerKind)
     { }
 
     void onObjects(const std::vector<StoredObject> &objects, bool unsettled,
@@ -109,7 +124,7 @@
                 entries.push_back(*entry);
         }
         this->context.directory.onList(entries, unsettled, now);
-        this->isListed = true;
+        this->follower.serversListed = true;
         logEvent(LogLevel::Info, "servers_listed",
                  {{"servers", entries.size()}, {"unsettled", unsettled}});
     }
@@ -139,8 +154,6 @@
                       {"cold_ms", absl::ToInt64Milliseconds(entry->coldLeft)},
                       {"incarnation", entry->incarnation}});
     }
-    void onConfirmed(absl::Time) override { }
-    void onCacheChanged() override { this->relay.onChanged(std::string(platform::kServerKind)); }
 
 private:
     Result<ServerEntry> decode(const StoredObject &object)
@@ -152,18 +165,13 @@
         }
         return entry;
     }
-
-    GatewayContext &context;
-    StoreRelay &relay;
-    bool &isListed;
 };
 
-class StoreFollower::EvacuationEvents final : public KindEvents
+class StoreFollower::EvacuationEvents final : public KindKeeper
 {
 public:
-    EvacuationEvents(GatewayContext &context, StoreRelay &relay)
-        : context(context)
-        , relay(relay)
+    explicit EvacuationEvents(StoreFollower &follower)
+        : KindKeeper(follower, platform::kEvacuationKind)
     { }
 
     void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time) override
@@ -180,24 +188,13 @@
         logEvent(LogLevel::Info, "domain_evacuation",
                  {{"domain", change.object.name}, {"out", !change.isDeleted}});
     }
-    void onConfirmed(absl::Time) override { }
-    void onCacheChanged() override
-    {
-        this->relay.onChanged(std::string(platform::kEvacuationKind));
-    }
-
-private:
-    GatewayContext &context;
-    StoreRelay &relay;
 };
 
-class StoreFollower::InstanceEvents final : public KindEvents
+class StoreFollower::InstanceEvents final : public KindKeeper
 {
 public:
-    InstanceEvents(StoreFollower &follower)
-        : follower(follower)
-        , context(follower.context)
-        , relay(follower.relay)
+    explicit InstanceEvents(StoreFollower &follower)
+        : KindKeeper(follower, platform::kInstanceKind)
     { }
 
     void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time now) override
@@ -219,8 +216,6 @@
         this->context.exchange.removePeer(InstanceId(change.object.name));
         this->context.storeSource.removePeer(InstanceId(change.object.name));
     }
-    void onConfirmed(absl::Time) override { }
-    void onCacheChanged() override { this->relay.onChanged(std::string(platform::kInstanceKind)); }
 
 private:
     Result<platform::InstanceEntry> adopt(const StoredObject &object, absl::Time now)
@@ -234,10 +229,6 @@
         this->context.storeSource.setPeer(entry->reader, now);
         return entry;
     }
-
-    StoreFollower &follower;
-    GatewayContext &context;
-    StoreRelay &relay;
 };
 
 /** Enters this instance in the store. */
@@ -316,9 +307,9 @@
 StoreFollower::StoreFollower(GatewayContext &context)
     : context(context)
     , relay(context.base)
-    , configEvents(std::make_unique<ConfigEvents>(context, this->relay))
-    , serverEvents(std::make_unique<ServerEvents>(context, this->relay, this->serversListed))
-    , evacuationEvents(std::make_unique<EvacuationEvents>(context, this->relay))
+    , configEvents(std::make_unique<ConfigEvents>(*this))
+    , serverEvents(std::make_unique<ServerEvents>(*this))
+    , evacuationEvents(std::make_unique<EvacuationEvents>(*this))
     , instanceEvents(std::make_unique<InstanceEvents>(*this))
     , startTimer(context.base, [this] { this->instanceWatcher->start(); })
     , registration(std::make_unique<Registration>(context, this->wantedEntry()))
--- a/main/gateway/store_follower.h
+++ b/main/gateway/store_follower.h
@@ -32,6 +32,7 @@
     bool hasServers() const { return this->serversListed; }
 
 private:
+    class KindKeeper;
     class ConfigEvents;
     class ServerEvents;
     class EvacuationEvents;
