Hash server and instance names when they become known, and ask for memory once

Each decision hashed the name of every server of its service, each choice of a source the name of every instance of the domain, and each assessment of an engine asked twice whether its memory suffices. What the call's stored failure says follows from the reply that is kept.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -245,7 +245,7 @@
     std::vector<ServiceCandidate> candidates;
     for (const ServerDirectory::Server *server : servers) {
         ServiceCandidate candidate;
-        candidate.server = serverKey(server->entry.id, server->entry.incarnation);
+        candidate.server = server->key;
         candidate.slots = server->entry.slots;
         candidate.isSameDomain = server->entry.domain == this->context.settings.domain;
         const auto activity = this->context.activity.find(candidate.server);
@@ -401,7 +401,6 @@
     this->replyBody = std::move(finished->body);
     if (this->reply.status >= 500) {
         this->context.health.onOutcome(server, ServerHealth::Outcome::Failed, now);
-        this->hasStoredFailure = true;
         this->afterEnd(AttemptEnd::ServerFailed, now);
         return;
     }
@@ -476,7 +475,7 @@
         this->passStoredReply();
         return;
     case NextStep::AnswerOutcomeUnknown:
-        if (this->hasStoredFailure)
+        if (this->reply.status != 0)
             this->passStoredReply();
         else
             this->answerOwn(502, "server_lost", false);
--- a/main/gateway/server_evidence.cpp
+++ b/main/gateway/server_evidence.cpp
@@ -29,7 +29,7 @@
         const ServerDirectory::Server *helper = context.directory.findAddress(address);
         if (!helper)
             return;
-        faulty = serverKey(helper->entry.id, helper->entry.incarnation);
+        faulty = helper->key;
     }
     // A server that is only full has done nothing wrong.
     if (call.wasMisdirected() || faulty != call.target().key)
--- a/main/gateway/stream_planner.cpp
+++ b/main/gateway/stream_planner.cpp
@@ -81,7 +81,7 @@
     for (const ServerDirectory::Server *server :
          this->context.directory.usable(service.name, now)) {
         EngineCandidate candidate;
-        candidate.server = serverKey(server->entry.id, server->entry.incarnation);
+        candidate.server = server->key;
         if (std::find(tried.begin(), tried.end(), candidate.server) != tried.end())
             continue;
         candidate.slots = server->entry.slots;
@@ -107,7 +107,7 @@
     const double bound = server.coldUntil > now
         ? service.coldRequestsPerSecond
         : service.coldRequestsPerSecond * context.settings.coldFactor + context.settings.coldSlack;
-    const auto found = context.activity.find(serverKey(server.entry.id, server.entry.incarnation));
+    const auto found = context.activity.find(server.key);
     std::int64_t own = 0;
     if (found != context.activity.end() && now - found->second.countedFrom < absl::Seconds(1))
         own = found->second.sentInSecond;
--- a/servers/catalog/server_directory.cpp
+++ b/servers/catalog/server_directory.cpp
@@ -18,6 +18,7 @@
     const absl::Time coldUntil = now + entry.coldLeft;
     server.coldUntil = isSameLife ? std::max(server.coldUntil, coldUntil) : coldUntil;
     server.entry = entry;
+    server.key = serverKey(entry.id, entry.incarnation);
     server.usableUntil = absl::InfiniteFuture();
 }
 
@@ -102,10 +103,8 @@
 
 const ServerDirectory::Server *ServerDirectory::findKey(ServerKey key) const
 {
-    const auto found =
-        std::find_if(this->servers.begin(), this->servers.end(), [key](const auto &item) {
-            return serverKey(item.first, item.second.entry.incarnation) == key;
-        });
+    const auto found = std::find_if(this->servers.begin(), this->servers.end(),
+                                    [key](const auto &item) { return item.second.key == key; });
     return found == this->servers.end() ? nullptr : &found->second;
 }
 
--- a/servers/catalog/server_directory.h
+++ b/servers/catalog/server_directory.h
@@ -46,6 +46,8 @@
     struct Server
     {
         ServerEntry entry;
+        /** serverKey() of the entry. */
+        ServerKey key = 0;
         absl::Time coldUntil;
         /** InfiniteFuture while the platform lists the server. */
         absl::Time usableUntil = absl::InfiniteFuture();
--- a/servers/catalog/store_source.cpp
+++ b/servers/catalog/store_source.cpp
@@ -17,22 +17,15 @@
 
 StoreSource::Ranked StoreSource::ranked(const StoreReader &reader)
 {
-    return {&reader, rendezvousWeight(kRankingKey, reader.id.str())};
-}
-
-bool StoreSource::ranksBefore(const Ranked &a, const Ranked &b)
-{
-    if (a.reader->capacity != b.reader->capacity)
-        return a.reader->capacity > b.reader->capacity;
-    return a.weight > b.weight;
+    return {reader, rendezvousWeight(kRankingKey, reader.id.str())};
 }
 
 void StoreSource::setPeer(const StoreReader &peer, absl::Time now)
 {
-    if (peer.id == this->self.id || peer.domain != this->self.domain)
+    if (peer.id == this->self.reader.id || peer.domain != this->self.reader.domain)
         return;
     Peer &known = this->peers[peer.id];
-    known.reader = peer;
+    known.ranked = ranked(peer);
     known.heardAt = now;
 }
 
@@ -57,7 +50,7 @@
         this->storeFailedAt = now;
     }
     for (auto &[instance, peer] : this->peers) {
-        if (peer.reader.relayAddress == address)
+        if (peer.ranked.reader.relayAddress == address)
             peer.failedAt = now;
     }
 }
@@ -79,27 +72,27 @@
 
 StoreSource::Choice StoreSource::choose(absl::Time now)
 {
-    std::vector<Ranked> live;
-    std::vector<Ranked> reading;
-    std::vector<Ranked> sound;
+    std::vector<const Ranked *> live;
+    std::vector<const Ranked *> reading;
+    std::vector<const Ranked *> sound;
     std::size_t failed = 0;
     for (const auto &[instance, peer] : this->peers) {
         const bool hasFailed = now - peer.failedAt < kFailureTerm;
         failed += hasFailed ? 1 : 0;
         if (now - peer.heardAt >= kSilence)
             continue;
-        live.push_back(ranked(peer.reader));
+        live.push_back(&peer.ranked);
         if (peer.hasLostStore)
             continue;
-        reading.push_back(ranked(peer.reader));
+        reading.push_back(&peer.ranked);
         if (!hasFailed)
-            sound.push_back(ranked(peer.reader));
+            sound.push_back(&peer.ranked);
     }
     if (live.empty())
         return {this->storeAddress, true};
     const bool isStoreDue = now - this->storeFailedAt >= this->storeFailureTerm();
     if (!this->isStoreLost()) {
-        sound.push_back(ranked(this->self));
+        sound.push_back(&this->self);
         if (failed <= kMostFailed)
             return this->chooseAmong(sound);
     }
@@ -119,18 +112,20 @@
     return isFirst || now - this->storeTriedAt >= kStoreTrial;
 }
 
-StoreSource::Choice StoreSource::chooseAmong(std::span<Ranked> readers) const
+StoreSource::Choice StoreSource::chooseAmong(std::span<const Ranked *> readers) const
 {
-    std::sort(readers.begin(), readers.end(), ranksBefore);
-    const std::size_t watchers = 1 + readers.size() / kFollowersForEachWatcher;
-    const auto own = std::find_if(readers.begin(), readers.end(), [this](const Ranked &candidate) {
-        return candidate.reader == &this->self;
+    std::sort(readers.begin(), readers.end(), [](const Ranked *a, const Ranked *b) {
+        if (a->reader.capacity != b->reader.capacity)
+            return a->reader.capacity > b->reader.capacity;
+        return a->weight > b->weight;
     });
+    const std::size_t watchers = 1 + readers.size() / kFollowersForEachWatcher;
+    const auto own = std::find(readers.begin(), readers.end(), &this->self);
     const auto rank = static_cast<std::size_t>(own - readers.begin());
     if (own != readers.end() && rank < watchers)
         return {this->storeAddress, true};
     // Followers spread over the watchers by their own rank.
-    return {readers[rank % std::min(watchers, readers.size())].reader->relayAddress, false};
+    return {readers[rank % std::min(watchers, readers.size())]->reader.relayAddress, false};
 }
 
 } // namespace foxtailtally
--- a/servers/catalog/store_source.h
+++ b/servers/catalog/store_source.h
@@ -62,8 +62,8 @@
         bool isStore = true;
     };
 
-    StoreSource(StoreReader self, std::string storeAddress)
-        : self(std::move(self))
+    StoreSource(const StoreReader &self, std::string storeAddress)
+        : self(ranked(self))
         , storeAddress(std::move(storeAddress))
     { }
 
@@ -83,27 +83,26 @@
 private:
     struct Ranked
     {
-        const StoreReader *reader = nullptr;
+        StoreReader reader;
+        /** Decides among readers of the same capacity. */
         std::uint64_t weight = 0;
     };
-
-    /** By rank among @p readers, of which this instance may be one. */
-    Choice chooseAmong(std::span<Ranked> readers) const;
-    absl::Duration storeFailureTerm() const;
-    /** Lets one call find out whether a store that failed answers again. */
-    bool mayTryStore(absl::Time now);
-    static Ranked ranked(const StoreReader &reader);
-    static bool ranksBefore(const Ranked &a, const Ranked &b);
-
     struct Peer
     {
-        StoreReader reader;
+        Ranked ranked;
         absl::Time heardAt = absl::InfinitePast();
         absl::Time failedAt = absl::InfinitePast();
         bool hasLostStore = false;
     };
 
-    StoreReader self;
+    /** By rank among @p readers, of which this instance may be one. */
+    Choice chooseAmong(std::span<const Ranked *> readers) const;
+    absl::Duration storeFailureTerm() const;
+    /** Lets one call find out whether a store that failed answers again. */
+    bool mayTryStore(absl::Time now);
+    static Ranked ranked(const StoreReader &reader);
+
+    Ranked self;
     std::string storeAddress;
     absl::flat_hash_map<InstanceId, Peer> peers;
     absl::Time storeFailedAt = absl::InfinitePast();
--- a/servers/placement/stream_placement.cpp
+++ b/servers/placement/stream_placement.cpp
@@ -262,8 +262,8 @@
 {
     const bool isSplit = parts > 1;
     Option option;
-    option.canServe = this->fits(candidate, load);
     option.hasMemory = this->hasMemory(candidate, load);
+    option.canServe = option.hasMemory && load.streams < candidate.slots + kQueuedStreams;
     option.harm = this->harm(candidate, load, partMs, parts);
     const double pass = writePassMs(this->engine, load.writers, load.memoryTokens);
     // Split parts are read ahead of other reads, but not before the pass in progress ends.
@@ -351,13 +351,6 @@
     return this->isShort() || plan.netValue >= 0;
 }
 
-bool StreamPlacement::fits(const EngineCandidate &candidate, const ServerLoad &load) const
-{
-    if (load.streams >= candidate.slots + kQueuedStreams)
-        return false;
-    return this->hasMemory(candidate, load);
-}
-
 std::int64_t StreamPlacement::totalTokens() const
 {
     return this->demand.promptTokens + this->demand.answerTokens;
--- a/servers/placement/stream_placement.h
+++ b/servers/placement/stream_placement.h
@@ -127,7 +127,6 @@
     double harm(const EngineCandidate &candidate, const ServerLoad &load, double partMs,
                 std::size_t parts) const;
     bool isShort() const;
-    bool fits(const EngineCandidate &candidate, const ServerLoad &load) const;
     bool hasMemory(const EngineCandidate &candidate, const ServerLoad &load) const;
     /** Engines among which the memory of the prompt is divided. */
     std::size_t memoryShares() const;
