--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -126,10 +126,10 @@
     /** Time from the call's arrival to its last attempt. */
     absl::Duration waited = absl::ZeroDuration();
     bool hasStarted = false;
-    /** Head of the reply that goes to the caller, and its body until it is complete. */
+    /** Last complete reply that did not go to the caller as it came; status 0 while there is none.
+     */
     ResponseHead reply;
     std::string replyBody;
-    bool hasStoredFailure = false;
 
     std::uint32_t stream = 0;
     StreamPlan plan;
--- a/main/gateway/caller_session.cpp
+++ b/main/gateway/caller_session.cpp
@@ -17,6 +17,8 @@
  * new connection reaches one of them. */
 constexpr absl::Duration kUncheckedReturn = absl::Milliseconds(200);
 
+constexpr int kStatusUnavailable = 503;
+
 InboundLimits inboundLimits(const ServingConfig *config)
 {
     InboundLimits limits;
@@ -59,24 +61,24 @@
     call.receivedAt = now;
     call.headers = platform::decodeCallHeaders(head.headers);
     if (!this->context.stop.mayTakeRequests(now))
-        return Rejection {503, "stopping", true};
+        return Rejection {kStatusUnavailable, "stopping"};
     call.config = this->context.config;
     if (!call.config)
-        return Rejection {503, "no_configuration", true};
+        return Rejection {kStatusUnavailable, "no_configuration"};
     const bool isFresh = this->context.freshness.mayAcceptKeys(now);
     call.route = call.config->findRoute(head.host, head.path);
     if (!call.route) {
         // An instance that has lost the store may lack a new route.
         if (!isFresh)
-            return Rejection {503, "configuration_unconfirmed", true};
-        return Rejection {404, "no_route", false};
+            return Rejection {kStatusUnavailable, "configuration_unconfirmed"};
+        return Rejection {404, "no_route"};
     }
     if (call.config->hasCustomers() && call.route->needsKey) {
         if (!isFresh)
-            return Rejection {503, "keys_unconfirmed", true};
+            return Rejection {kStatusUnavailable, "keys_unconfirmed"};
         const KeyHolder *customer = call.config->findCustomer(call.headers.key);
         if (!customer)
-            return Rejection {401, "unknown_key", false};
+            return Rejection {401, "unknown_key"};
         call.customer = customer->id.str();
     }
     absl::Duration time = call.route->timeout;
@@ -99,7 +101,7 @@
 {
     const std::string callId = platform::decodeCallHeaders(this->connection.head().headers).callId;
     std::optional<absl::Duration> retryAfter;
-    if (rejection.notRun)
+    if (rejection.status == kStatusUnavailable)
         retryAfter = kUncheckedReturn;
     const nlohmann::json body = {{"error", rejection.cause}, {"not_run", true}};
     this->context.metrics.counter("foxtailtally_refusals_total", {{"cause", rejection.cause}})
--- a/main/gateway/caller_session.h
+++ b/main/gateway/caller_session.h
@@ -35,7 +35,6 @@
     {
         int status = 0;
         std::string_view cause;
-        bool notRun = false;
     };
 
     void onRequestHead(InboundConnection &connection) override;
--- a/peers/http/connection_pool.cpp
+++ b/peers/http/connection_pool.cpp
@@ -37,7 +37,6 @@
                 break;
         }
     }
-    ++this->opened;
     IdleEvents &idleEvents = *this;
     return std::make_unique<OutboundConnection>(this->base, address, idleEvents);
 }
@@ -60,16 +59,6 @@
     this->discarded.push_back(std::move(connection));
 }
 
-void ConnectionPool::forget(const std::string &address)
-{
-    const auto found = this->idle.find(address);
-    if (found == this->idle.end())
-        return;
-    for (Idle &entry : found->second)
-        this->discard(std::move(entry.connection));
-    this->idle.erase(found);
-}
-
 void ConnectionPool::onTick(absl::Time now)
 {
     this->discarded.clear();
--- a/peers/http/connection_pool.h
+++ b/peers/http/connection_pool.h
@@ -31,12 +31,9 @@
                  absl::Time now);
     /** Destroys @p connection once the events in progress are over. */
     void discard(std::unique_ptr<OutboundConnection> connection);
-    /** Closes the kept connections to @p address. */
-    void forget(const std::string &address);
     /** Closes connections that were idle too long; destroys discarded ones. */
     void onTick(absl::Time now);
 
-    std::uint64_t openedCount() const { return this->opened; }
     std::size_t idleCount() const;
 
 private:
@@ -51,7 +48,6 @@
     event_base *base;
     absl::flat_hash_map<std::string, std::vector<Idle>> idle;
     std::vector<std::unique_ptr<OutboundConnection>> discarded;
-    std::uint64_t opened = 0;
 };
 
 } // namespace foxtailtally
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -77,8 +77,6 @@
     /** The next answer closes the connection; an idle connection closes now. */
     void closeWhenIdle();
     bool isCongested() const;
-    /** True between the end of a request and the end of its answer. */
-    bool isBusy() const { return this->state == State::Answering; }
     /** True when no byte of a request has arrived since the last answer. */
     bool isIdle() const { return this->state == State::Idle; }
     /** Output that the caller has not read yet. */
--- a/servers/placement/stream_ledger.cpp
+++ b/servers/placement/stream_ledger.cpp
@@ -58,7 +58,6 @@
 void StreamLedger::place(std::span<const StreamPart> parts)
 {
     this->ownParts.insert(this->ownParts.end(), parts.begin(), parts.end());
-    ++this->revision;
 }
 
 void StreamLedger::onFirstEvent(std::uint32_t stream)
@@ -71,7 +70,6 @@
         if (part.stream == stream)
             part.isWriting = true;
     }
-    ++this->revision;
 }
 
 void StreamLedger::onLate(std::uint32_t stream)
@@ -84,10 +82,8 @@
 
 void StreamLedger::remove(std::uint32_t stream)
 {
-    const std::size_t removed = std::erase_if(
-        this->ownParts, [stream](const StreamPart &part) { return part.stream == stream; });
-    if (removed > 0)
-        ++this->revision;
+    std::erase_if(this->ownParts,
+                  [stream](const StreamPart &part) { return part.stream == stream; });
 }
 
 void StreamLedger::replacePeer(const InstanceId &instance, std::vector<StreamPart> parts,
--- a/servers/placement/stream_ledger.h
+++ b/servers/placement/stream_ledger.h
@@ -58,7 +58,7 @@
 class StreamLedger
 {
 public:
-    /** Ten times the longest interval between two reports of an instance. */
+    /** Six times the longest interval between two reports of an instance. */
     static constexpr absl::Duration kPeerSilence = absl::Seconds(3);
 
     /** Adds the parts of one own stream. */
@@ -72,8 +72,6 @@
     void onTick(absl::Time now);
 
     const std::vector<StreamPart> &own() const { return this->ownParts; }
-    /** Rises with each change of own(). */
-    std::uint64_t ownRevision() const { return this->revision; }
     std::size_t peerCount() const { return this->peers.size(); }
 
     /** Load of each server that has any. */
@@ -87,7 +85,6 @@
     };
 
     std::vector<StreamPart> ownParts;
-    std::uint64_t revision = 0;
     absl::flat_hash_map<InstanceId, Peer> peers;
 };
 
