--- a/tests/process/gateway_process_test.cpp
+++ b/tests/process/gateway_process_test.cpp
@@ -72,21 +72,13 @@
     int calls = 0;
 };
 
-std::string wholeStream(const std::string &callId, int from)
-{
-    std::string text;
-    for (int event = from; event <= ServingStandin::kEvents; ++event)
-        absl::StrAppend(&text, "id: ", event, "\ndata: ", callId, "-", event, "\n\n");
-    return text;
-}
-
 TEST_F(GatewayProcess, ServesEachKindOfRoute)
 {
     this->startAll();
     const CallerAnswer stream = this->call("/stream/a?x=1");
     EXPECT_EQ(stream.status, 200);
     EXPECT_TRUE(stream.isComplete);
-    EXPECT_EQ(stream.body, wholeStream(this->lastCall, 1));
+    EXPECT_EQ(stream.body, ServingStandin::wholeStream(this->lastCall));
     EXPECT_EQ(this->arrivals().at(0).path, "/stream/a?x=1");
     EXPECT_EQ(this->arrivals().at(0).customer, "customer-1");
 
@@ -167,7 +159,7 @@
     bool wasResumed = false;
     for (int i = 0; i < 20; ++i) {
         const CallerAnswer answer = this->call("/stream/a");
-        EXPECT_EQ(answer.body, wholeStream(this->lastCall, 1));
+        EXPECT_EQ(answer.body, ServingStandin::wholeStream(this->lastCall));
         EXPECT_TRUE(answer.isComplete);
         wasResumed = wasResumed || this->arrivals().size() == 2;
         if (wasResumed)
@@ -182,7 +174,7 @@
     this->deployment.platform().setServerConduct(0, ServerConduct::BreakMidway);
     const CallerAnswer answer = this->call("/stream/a", "b", "key-1", 1500);
     EXPECT_FALSE(answer.status == 200 && answer.isComplete
-                 && answer.body != wholeStream(this->lastCall, 1));
+                 && answer.body != ServingStandin::wholeStream(this->lastCall));
 }
 
 // A longer answer was once cut at the limit and passed on as whole.
--- a/tests/process/gateway_soak.cpp
+++ b/tests/process/gateway_soak.cpp
@@ -24,14 +24,6 @@
 constexpr absl::Duration kLongestFault = absl::Milliseconds(1500);
 constexpr absl::Duration kLongestPause = absl::Milliseconds(400);
 
-std::string wholeStream(const std::string &callId)
-{
-    std::string text;
-    for (int event = 1; event <= ServingStandin::kEvents; ++event)
-        absl::StrAppend(&text, "id: ", event, "\ndata: ", callId, "-", event, "\n\n");
-    return text;
-}
-
 } // namespace
 
 GatewaySoak::GatewaySoak(std::uint64_t seed)
@@ -113,7 +105,7 @@
 {
     if (status != 200)
         return;
-    const std::string whole = wholeStream(callId);
+    const std::string whole = ServingStandin::wholeStream(callId);
     if (!absl::StartsWith(whole, body))
         this->report(absl::StrCat(callId, " gets events that are not in order: ", body));
     if (isComplete && body != whole)
--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -19,6 +19,11 @@
 
 constexpr absl::Duration kTick = absl::Milliseconds(2);
 
+std::string eventText(const std::string &callId, int number)
+{
+    return absl::StrCat("id: ", number, "\ndata: ", callId, "-", number, "\n\n");
+}
+
 HttpHeaders jsonHeaders()
 {
     HttpHeaders headers;
@@ -71,6 +76,14 @@
         evconnlistener_free(server.listener);
 }
 
+std::string ServingStandin::wholeStream(const std::string &callId)
+{
+    std::string text;
+    for (int number = 1; number <= kEvents; ++number)
+        text += eventText(callId, number);
+    return text;
+}
+
 std::string ServingStandin::serverAddress(int index) const
 {
     return absl::StrCat(this->host, ":", 8300 + index);
@@ -352,8 +365,7 @@
             continue;
         }
         if (stream.next <= kEvents) {
-            stream.connection->sendChunk(absl::StrCat(
-                "id: ", stream.next, "\ndata: ", stream.callId, "-", stream.next, "\n\n"));
+            stream.connection->sendChunk(eventText(stream.callId, stream.next));
             ++stream.next;
             stream.dueAt = now + kEventPause;
         }
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -70,6 +70,8 @@
     explicit ServingStandin(std::string host);
     ~ServingStandin() override;
 
+    /** Body of the stream that answers @p callId. */
+    static std::string wholeStream(const std::string &callId);
     std::string storeAddress() const { return this->host + ":8200"; }
     std::string serverAddress(int index) const;
 
