End a call, not the process or the next call, when a server or the code goes wrong

Cause, each shown by a test that fails without the change: - Orders went out on kept connections and took the next response for their answer. Calls themselves were safe: their answers bear the id, other ones are skipped. - An exception in any callback ended the process with all its calls (OutboundConnectionTest and InboundConnectionTest .AnException*). It now ends the connection or message, is logged as unexpected_error and counted. - Answers to other calls, and interim responses, could come without end; a stream of comments or of repeated events was passed on for ever and counted as progress, so a stalled stream that sent a byte now and then was never overdue (EndlessBytes, EventRelay.TakesOnlyANewEventForProgress, .EndsAStreamWithoutNewEvents).

Ruled out: heads without end (the parser ends them at 80 KB), chunk extensions without end (ended by the parser as well), a late copy on a kept connection of calls, whole, partial and in pieces.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -38,8 +38,10 @@
 constexpr double kHedgeFactor = 3.0;
 constexpr absl::Duration kEarliestHedge = absl::Milliseconds(40);
 
-/** Largest answer that is held until it is complete, in bytes. */
+/** Largest answer that is held until it is complete, and all that are held at a time, in bytes; the
+ * smallest instances have 160 MB. */
 constexpr std::size_t kMaxHeldReply = std::size_t {8} << 20;
+constexpr std::size_t kMaxHeldReplies = std::size_t {48} << 20;
 
 /** When a caller may come back to a service without a free server; spread so that refused callers
  * do not return together. */
@@ -61,6 +63,7 @@
 
 CallRun::~CallRun()
 {
+    this->context.heldReplyBytes -= this->heldBytes;
     this->forgetStream();
 }
 
@@ -318,13 +321,17 @@
         this->relayEvents(*attempt, data, Clock::now());
         return;
     }
-    if (attempt->body.size() + data.size() > kMaxHeldReply) {
+    const bool fits = attempt->body.size() + data.size() <= kMaxHeldReply
+        && this->context.heldReplyBytes + data.size() <= kMaxHeldReplies;
+    if (!fits) {
         // A cut body must not pass for a whole one.
         call.cancel();
         this->onAttemptEnded(call, AttemptEnd::Lost);
         return;
     }
     attempt->body.append(data);
+    this->context.heldReplyBytes += data.size();
+    this->heldBytes += data.size();
 }
 
 void CallRun::relayEvents(Attempt &attempt, std::string_view data, absl::Time now)
@@ -338,7 +345,8 @@
     }
     if (events->empty())
         return;
-    this->noteEvent(call, now);
+    if (this->relay.hasAdvanced())
+        this->noteEvent(call, now);
     if (!this->hasAnswerBegun) {
         this->hasAnswerBegun = true;
         this->caller->startStream(attempt.reply.status,
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -130,6 +130,8 @@
      */
     ResponseHead reply;
     std::string replyBody;
+    /** Bytes of answers that this call has held so far; part of GatewayContext::heldReplyBytes. */
+    std::size_t heldBytes = 0;
 
     std::uint32_t stream = 0;
     StreamPlan plan;
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "main/gateway/gateway.h"
 
 #include "core/clock.h"
+#include "core/guard.h"
 #include "core/log.h"
 #include "main/gateway/listener.h"
 
@@ -58,7 +59,9 @@
     std::signal(SIGHUP, SIG_IGN);
     this->termination = evsignal_new(
         this->base, SIGTERM,
-        [](evutil_socket_t, short, void *object) { static_cast<Gateway *>(object)->beginStop(); },
+        [](evutil_socket_t, short, void *object) {
+            runGuarded("stop", [object] { static_cast<Gateway *>(object)->beginStop(); });
+        },
         this);
     event_add(this->termination, nullptr);
     if (const std::error_code error = this->context.exchange.start())
@@ -70,7 +73,7 @@
     const Result<evconnlistener *> opened = listenOn(
         this->base, settings.callerAddress,
         [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *object) {
-            static_cast<Gateway *>(object)->onAccept(socket);
+            runGuarded("accept", [&] { static_cast<Gateway *>(object)->onAccept(socket); });
         },
         this);
     if (!opened.ok())
@@ -111,6 +114,7 @@
 
 void Gateway::onTick()
 {
+    this->tick.start(kTick);
     const absl::Time now = Clock::now();
     this->context.directory.onTick(now);
     this->context.ledger.onTick(now);
@@ -128,7 +132,6 @@
     this->metricsEndpoint.onTick();
     if (this->context.stop.isStopping())
         this->continueStop(now);
-    this->tick.start(kTick);
 }
 
 void Gateway::beginStop()
@@ -167,7 +170,8 @@
 AdminAnswer Gateway::answerMetrics() const
 {
     std::string text = this->context.metrics.exposition();
-    absl::StrAppend(&text, "foxtailtally_log_lines_dropped_total ", droppedLogLines(), "\n");
+    absl::StrAppend(&text, "foxtailtally_log_lines_dropped_total ", droppedLogLines(),
+                    "\nfoxtailtally_unexpected_errors_total ", unexpectedErrors(), "\n");
     return {200, "text/plain; version=0.0.4", text};
 }
 
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -96,6 +96,8 @@
     std::vector<std::unique_ptr<Retirable>> retired;
     std::vector<Lingering> lingering;
     std::uint32_t nextStream = 1;
+    /** Bytes of answers that calls hold until they are complete. */
+    std::size_t heldReplyBytes = 0;
 };
 
 } // namespace foxtailtally
--- a/main/gateway/inbound_server.cpp
+++ b/main/gateway/inbound_server.cpp
@@ -1,5 +1,6 @@
 #include "main/gateway/inbound_server.h"
 
+#include "core/guard.h"
 #include "main/gateway/listener.h"
 
 #include <algorithm>
@@ -17,7 +18,7 @@
     const Result<evconnlistener *> opened = listenOn(
         this->base, address,
         [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *object) {
-            static_cast<InboundServer *>(object)->onAccept(socket);
+            runGuarded("accept", [&] { static_cast<InboundServer *>(object)->onAccept(socket); });
         },
         this);
     if (!opened.ok())
--- a/main/gateway/instance_exchange.cpp
+++ b/main/gateway/instance_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "core/guard.h"
 #include "core/log.h"
 #include "core/socket_address.h"
 
@@ -110,7 +111,7 @@
     this->readable = event_new(
         this->base, this->socket, EV_READ | EV_PERSIST,
         [](evutil_socket_t, short, void *object) {
-            static_cast<InstanceExchange *>(object)->receive();
+            runGuarded("receive", [object] { static_cast<InstanceExchange *>(object)->receive(); });
         },
         this);
     event_add(this->readable, nullptr);
@@ -156,13 +157,13 @@
 
 void InstanceExchange::onTick()
 {
+    this->tick.start(kTick);
     const absl::Time now = Clock::now();
     this->chooseLinks(now);
     if (now - this->reportedAt >= kReportHeartbeat)
         this->sendReports(true);
     if (now - this->bundledAt >= kBeat)
         this->sendBundles(false);
-    this->tick.start(kTick);
 }
 
 void InstanceExchange::chooseLinks(absl::Time now)
--- a/main/gateway/reservation_set.cpp
+++ b/main/gateway/reservation_set.cpp
@@ -39,8 +39,9 @@
         this->connection =
             this->context.pool.acquire(this->share.address, ConnectionPool::kMaxIdle, now);
         OutboundEvents &events = *this;
-        this->connection->call(platform::encodeOrderRequest(this->share.address, body), false, {},
-                               events);
+        // The late answer to a call that used the connection before is not the order's.
+        this->connection->call(platform::encodeOrderRequest(this->share.address, body), false,
+                               platform::correlationOf({}), events);
     }
     /** The answer is of no interest any more. */
     void abandon() { this->owner = nullptr; }
--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -1,5 +1,6 @@
 #include "peers/http/inbound_connection.h"
 
+#include "core/guard.h"
 #include "core/text.h"
 
 #include <absl/strings/match.h>
@@ -58,10 +59,14 @@
     this->stream = bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(
         this->stream,
-        [](bufferevent *, void *object) { static_cast<InboundConnection *>(object)->onReadable(); },
-        [](bufferevent *, void *object) { static_cast<InboundConnection *>(object)->onDrained(); },
+        [](bufferevent *, void *object) {
+            guarded(object, [](InboundConnection &connection) { connection.onReadable(); });
+        },
+        [](bufferevent *, void *object) {
+            guarded(object, [](InboundConnection &connection) { connection.onDrained(); });
+        },
         [](bufferevent *, short what, void *object) {
-            static_cast<InboundConnection *>(object)->onEvent(what);
+            guarded(object, [what](InboundConnection &connection) { connection.onEvent(what); });
         },
         this);
     bufferevent_setwatermark(this->stream, EV_READ, 0, kReadAheadBytes);
@@ -69,13 +74,21 @@
     this->timer = event_new(
         base, -1, 0,
         [](evutil_socket_t, short, void *object) {
-            static_cast<InboundConnection *>(object)->onTimer();
+            guarded(object, [](InboundConnection &connection) { connection.onTimer(); });
         },
         this);
     this->armTimer(this->limits.idleTime);
     this->beginRequest();
 }
 
+template <typename Work>
+void InboundConnection::guarded(void *object, Work &&work)
+{
+    InboundConnection &connection = *static_cast<InboundConnection *>(object);
+    if (!runGuarded("caller_connection", [&] { work(connection); }))
+        runGuarded("caller_connection_close", [&connection] { connection.close(); });
+}
+
 InboundConnection::~InboundConnection()
 {
     event_free(this->timer);
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -93,6 +93,10 @@
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &parserSettings();
 
+    /** Runs @p work on the connection @p object; an exception closes it. */
+    template <typename Work>
+    static void guarded(void *object, Work &&work);
+
     void onReadable();
     void onDrained();
     void onEvent(short what);
--- a/peers/http/loop_timer.cpp
+++ b/peers/http/loop_timer.cpp
@@ -1,5 +1,7 @@
 #include "peers/http/loop_timer.h"
 
+#include "core/guard.h"
+
 #include <algorithm>
 #include <event2/event.h>
 #include <utility>
@@ -11,7 +13,9 @@
 {
     this->timer = event_new(
         base, -1, 0,
-        [](evutil_socket_t, short, void *object) { static_cast<LoopTimer *>(object)->task(); },
+        [](evutil_socket_t, short, void *object) {
+            runGuarded("timer", [object] { static_cast<LoopTimer *>(object)->task(); });
+        },
         this);
 }
 
--- a/peers/http/outbound_connection.cpp
+++ b/peers/http/outbound_connection.cpp
@@ -1,6 +1,7 @@
 #include "peers/http/outbound_connection.h"
 
 #include "core/error.h"
+#include "core/guard.h"
 #include "core/socket_address.h"
 #include "core/text.h"
 
@@ -23,6 +24,12 @@
  * Peers are at most a few milliseconds away. */
 constexpr unsigned kUnacknowledgedMs = 2000;
 
+/** Bytes that may come for one call beside the body of its answer: heads, answers to other calls
+ * and the marks of chunks, of which the smallest take five bytes for one of the body. A server in
+ * trouble may send such bytes without end. */
+constexpr std::uint64_t kMostExtraBytes = std::uint64_t {256} << 10;
+constexpr std::uint64_t kMostFraming = 8;
+
 OutboundConnection &self(http_parser *parser)
 {
     return *static_cast<OutboundConnection *>(parser->data);
@@ -38,11 +45,11 @@
     bufferevent_setcb(
         this->stream,
         [](bufferevent *, void *object) {
-            static_cast<OutboundConnection *>(object)->onReadable();
+            guarded(object, [](OutboundConnection &connection) { connection.onReadable(); });
         },
         nullptr,
         [](bufferevent *, short what, void *object) {
-            static_cast<OutboundConnection *>(object)->onEvent(what);
+            guarded(object, [what](OutboundConnection &connection) { connection.onEvent(what); });
         },
         this);
     sockaddr_in peer {};
@@ -63,6 +70,14 @@
                  sizeof kUnacknowledgedMs);
 }
 
+template <typename Work>
+void OutboundConnection::guarded(void *object, Work &&work)
+{
+    OutboundConnection &connection = *static_cast<OutboundConnection *>(object);
+    if (!runGuarded("server_connection", [&] { work(connection); }))
+        runGuarded("server_connection_close", [&connection] { connection.fail(Error::Internal); });
+}
+
 OutboundConnection::~OutboundConnection()
 {
     bufferevent_free(this->stream);
@@ -75,6 +90,8 @@
     this->correlation = correlation;
     this->isHeadRequest = isHeadRequest;
     this->wasCancelled = false;
+    this->receivedBytes = 0;
+    this->bodyBytes = 0;
     this->beginResponse();
     bufferevent_write(this->stream, bytes.data(), bytes.size());
 }
@@ -158,8 +175,10 @@
 int OutboundConnection::onBody(http_parser *parser, const char *data, std::size_t size)
 {
     OutboundConnection &connection = self(parser);
-    if (!connection.isSkipped)
+    if (!connection.isSkipped) {
+        connection.bodyBytes += size;
         connection.events->onResponseBody(connection, std::string_view(data, size));
+    }
     return connection.wasCancelled ? -1 : 0;
 }
 
@@ -169,6 +188,11 @@
     return 0;
 }
 
+bool OutboundConnection::isOverLimit() const
+{
+    return this->receivedBytes > kMostExtraBytes + kMostFraming * this->bodyBytes;
+}
+
 bool OutboundConnection::isAwaited() const
 {
     const std::string *value = this->response.headers.find(this->correlation.header);
@@ -208,8 +232,10 @@
             http_parser_execute(&this->parser, &parserSettings(), data, size);
         if (this->wasCancelled)
             return;
+        this->receivedBytes += parsed;
         const http_errno error = HTTP_PARSER_ERRNO(&this->parser);
-        if (error != HPE_OK && error != HPE_PAUSED) {
+        const bool isAnswer = (error == HPE_OK || error == HPE_PAUSED) && !this->isOverLimit();
+        if (!isAnswer) {
             this->fail(Error::ProtocolViolation);
             return;
         }
--- a/peers/http/outbound_connection.h
+++ b/peers/http/outbound_connection.h
@@ -5,6 +5,7 @@
 
 #include <absl/time/time.h>
 #include <cstddef>
+#include <cstdint>
 #include <http_parser.h>
 #include <string>
 #include <string_view>
@@ -55,7 +56,8 @@
     OutboundConnection(const OutboundConnection &) = delete;
     OutboundConnection &operator=(const OutboundConnection &) = delete;
 
-    /** What identifies the response to a call; responses to other calls are skipped. */
+    /** What identifies the response to a call; responses to other calls are skipped. An empty value
+     * stands for a call whose response does not bear the header. */
     struct Correlation
     {
         std::string header;
@@ -88,11 +90,17 @@
     static int onMessageComplete(http_parser *parser);
     static const http_parser_settings &parserSettings();
 
+    /** Runs @p work on the connection @p object; an exception ends its call. */
+    template <typename Work>
+    static void guarded(void *object, Work &&work);
+
     void onReadable();
     void onEvent(short what);
     void onEnd(bool wasReset);
     void beginResponse();
     bool isAwaited() const;
+    /** More came for the call than an answer of its length takes. */
+    bool isOverLimit() const;
     void noteHead();
     void fail(std::error_code error);
     void closeSocket();
@@ -105,6 +113,9 @@
     ResponseHead response;
     HeaderCollector collector {this->response.headers};
     Correlation correlation;
+    /** Of the call in work: all bytes, and those of the body that were passed on. */
+    std::uint64_t receivedBytes = 0;
+    std::uint64_t bodyBytes = 0;
     bool isHeadRequest = false;
     bool isSkipped = false;
     bool isInMessage = false;
--- a/servers/retry/event_relay.cpp
+++ b/servers/retry/event_relay.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/** Longest event that is passed on, in bytes. */
+/** Longest event that is passed on, and most that may come without a new event, in bytes. */
 constexpr std::size_t kMaxEventBytes = std::size_t {256} << 10;
 
 /** Length of @p text up to and with the blank line that ends its first event; npos if none does. */
@@ -54,11 +54,14 @@
 void EventRelay::beginRun()
 {
     this->pending.clear();
+    this->idleBytes = 0;
 }
 
 Result<std::string> EventRelay::feed(std::string_view data)
 {
     this->pending.append(data);
+    this->idleBytes += data.size();
+    this->advanced = false;
     std::string whole;
     std::string_view rest = this->pending;
     while (true) {
@@ -74,7 +77,7 @@
         rest.remove_prefix(length);
     }
     this->pending.erase(0, this->pending.size() - rest.size());
-    if (this->pending.size() > kMaxEventBytes)
+    if (this->idleBytes > kMaxEventBytes)
         return Error::ProtocolViolation;
     return whole;
 }
@@ -94,6 +97,8 @@
     if (this->last && *number != *this->last + 1)
         return Verdict::Gap;
     this->last = number;
+    this->idleBytes = 0;
+    this->advanced = true;
     return Verdict::Pass;
 }
 
--- a/servers/retry/event_relay.h
+++ b/servers/retry/event_relay.h
@@ -23,9 +23,13 @@
     void beginRun();
     /**
      * Takes bytes of the current run; returns the bytes of the events that they complete.
-     * ProtocolViolation when an event is missing before the next one, or an event is too large.
+     * ProtocolViolation when an event is missing before the next one, or when more comes without a
+     * new event than the largest event takes.
      */
     Result<std::string> feed(std::string_view data);
+    /** The last bytes completed a new event. Comments, repeated events and parts of one are no
+     * progress, however often they come. */
+    bool hasAdvanced() const { return this->advanced; }
 
     /** True when no part of an event is pending. */
     bool isBetweenEvents() const { return this->pending.empty(); }
@@ -38,6 +42,9 @@
     Verdict judge(std::string_view event);
 
     std::string pending;
+    /** Bytes since the last new event. */
+    std::size_t idleBytes = 0;
+    bool advanced = false;
     std::optional<std::uint64_t> last;
 };
 
--- a/tests/http/inbound_connection_test.cpp
+++ b/tests/http/inbound_connection_test.cpp
@@ -4,6 +4,7 @@
 #include "tests/http/test_loop.h"
 
 #include <gtest/gtest.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -185,5 +186,35 @@
     EXPECT_EQ(this->received.find("0\r\n\r\n"), std::string::npos);
 }
 
+/** Throws where a request is told. */
+struct Throwing final : InboundEvents
+{
+    void onRequestHead(InboundConnection &) override { }
+    void onRequestComplete(InboundConnection &) override
+    {
+        throw std::runtime_error("a fault on purpose");
+    }
+    void onCallerGone(InboundConnection &) override { }
+    void onWritable(InboundConnection &) override { }
+    void onRequestRejected(InboundConnection &, int) override { }
+    void onClosed(InboundConnection &) override { this->isClosed = true; }
+
+    bool isClosed = false;
+};
+
+// An exception in one request ended the whole process.
+TEST_F(InboundConnectionTest, AnExceptionClosesOneConnectionOnly)
+{
+    int sockets[2] = {-1, -1};
+    ::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, sockets);
+    Throwing faulty;
+    InboundConnection bad(this->loop.base(), sockets[1], faulty, {});
+    writeAll(sockets[0], "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->loop.until([&] { return faulty.isClosed; }));
+    writeAll(this->caller, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(this->answered("done"));
+    ::close(sockets[0]);
+}
+
 } // namespace
 } // namespace foxtailtally
--- a/tests/http/outbound_connection_test.cpp
+++ b/tests/http/outbound_connection_test.cpp
@@ -1,11 +1,13 @@
 #include "peers/http/outbound_connection.h"
 
 #include "core/error.h"
+#include "core/guard.h"
 #include "peers/http/connection_pool.h"
 #include "tests/http/raw_peer.h"
 #include "tests/http/test_loop.h"
 
 #include <gtest/gtest.h>
+#include <stdexcept>
 #include <unistd.h>
 
 namespace foxtailtally {
@@ -174,5 +176,143 @@
     ::close(socket);
 }
 
+// A second copy of an answer came late, when another call used the connection.
+TEST_F(OutboundConnectionTest, SkipsALateSecondCopyOfAnEarlierAnswer)
+{
+    OutboundConnection connection(this->loop.base(), this->server.address(), this->events);
+    this->call(connection, "1");
+    const int socket = this->acceptAndRead();
+    const std::string first = "HTTP/1.1 200 OK\r\nCall: 1\r\nContent-Length: 5\r\n\r\nfirst";
+    writeAll(socket, first);
+    ASSERT_TRUE(this->loop.until([&] { return this->isOver(); }));
+    this->events = {};
+    this->call(connection, "2");
+    this->acceptAndRead(socket);
+    writeAll(socket, first.substr(0, 30));
+    this->loop.turn();
+    writeAll(socket, first.substr(30));
+    writeAll(socket, "HTTP/1.1 200 OK\r\nCall: 2\r\nContent-Length: 6\r\n\r\nsecond");
+    ASSERT_TRUE(this->loop.until([&] { return this->isOver(); }));
+    EXPECT_EQ(this->events.body, "second");
+    ::close(socket);
+}
+
+TEST_F(OutboundConnectionTest, EndsACallWhoseAnswerIsOnlyACopyOfAnother)
+{
+    OutboundConnection connection(this->loop.base(), this->server.address(), this->events);
+    this->call(connection, "2");
+    const int socket = this->acceptAndRead();
+    writeAll(socket, "HTTP/1.1 200 OK\r\nCall: 1\r\nContent-Length: 5\r\n\r\nfirst");
+    ::close(socket);
+    ASSERT_TRUE(this->loop.until([&] { return this->isOver(); }));
+    EXPECT_EQ(this->events.error, make_error_code(Error::ConnectionLost));
+    EXPECT_TRUE(this->events.body.empty());
+}
+
+// Orders bear no id: a late answer to a call was taken for the grant of a reservation.
+TEST_F(OutboundConnectionTest, SkipsAnAnswerWithAnIdWhereNoneIsDue)
+{
+    OutboundConnection connection(this->loop.base(), this->server.address(), this->events);
+    this->call(connection, "");
+    const int socket = this->acceptAndRead();
+    writeAll(socket, "HTTP/1.1 200 OK\r\nCall: 1\r\nContent-Length: 5\r\n\r\nfirst");
+    writeAll(socket, "HTTP/1.1 409 Conflict\r\nContent-Length: 4\r\n\r\nfull");
+    ASSERT_TRUE(this->loop.until([&] { return this->isOver(); }));
+    EXPECT_EQ(this->events.status, 409);
+    EXPECT_EQ(this->events.body, "full");
+    ::close(socket);
+}
+
+/** Sends @p piece again and again until the call ends or @p most bytes are out. */
+class EndlessBytes : public OutboundConnectionTest,
+                     public ::testing::WithParamInterface<const char *>
+{ };
+
+// A server in trouble may send bytes that are no answer until its caller closes.
+TEST_P(EndlessBytes, EndTheCall)
+{
+    constexpr std::size_t kMost = std::size_t {4} << 20;
+    OutboundConnection connection(this->loop.base(), this->server.address(), this->events);
+    this->call(connection, "2");
+    const int socket = this->acceptAndRead();
+    const std::string piece = GetParam();
+    std::string burst;
+    while (burst.size() < 16384)
+        burst += piece;
+    const std::string start = piece.starts_with("H") ? "" : "HTTP/1.1 200 OK\r\n";
+    writeAll(socket, start);
+    std::size_t sent = 0;
+    while (!this->isOver() && sent < kMost) {
+        writeAll(socket, burst);
+        sent += burst.size();
+        event_base_loop(this->loop.base(), EVLOOP_NONBLOCK);
+    }
+    ASSERT_TRUE(this->loop.until([&] { return this->isOver(); }));
+    EXPECT_TRUE(this->events.error);
+    EXPECT_LT(sent, kMost);
+    EXPECT_TRUE(this->events.body.empty());
+    ::close(socket);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Forms, EndlessBytes,
+    ::testing::Values("X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n", "a",
+                      "HTTP/1.1 100 Continue\r\n\r\n",
+                      "HTTP/1.1 200 OK\r\nCall: 1\r\nContent-Length: 5\r\n\r\nfirst"));
+
+TEST_F(OutboundConnectionTest, EndsACallWhoseChunksCarryOnlyExtensions)
+{
+    OutboundConnection connection(this->loop.base(), this->server.address(), this->events);
+    this->call(connection, "2");
+    const int socket = this->acceptAndRead();
+    writeAll(socket, "HTTP/1.1 200 OK\r\nCall: 2\r\nTransfer-Encoding: chunked\r\n\r\n5;");
+    std::size_t sent = 0;
+    while (!this->isOver() && sent < (std::size_t {4} << 20)) {
+        writeAll(socket, std::string(16384, 'e'));
+        sent += 16384;
+        event_base_loop(this->loop.base(), EVLOOP_NONBLOCK);
+    }
+    ASSERT_TRUE(this->loop.until([&] { return this->isOver(); }));
+    EXPECT_TRUE(this->events.error);
+    ::close(socket);
+}
+
+/** Throws where an answer is told. */
+struct Throwing final : OutboundEvents, IdleEvents
+{
+    void onResponseHead(OutboundConnection &, const ResponseHead &) override
+    {
+        throw std::runtime_error("a fault on purpose");
+    }
+    void onResponseBody(OutboundConnection &, std::string_view) override { }
+    void onResponseComplete(OutboundConnection &) override { }
+    void onCallFailed(OutboundConnection &, std::error_code code) override { this->error = code; }
+    void onIdleClosed(OutboundConnection &) override { }
+
+    std::error_code error;
+};
+
+// An exception in one answer ended the whole process.
+TEST_F(OutboundConnectionTest, AnExceptionEndsOneCallOnly)
+{
+    Throwing faulty;
+    const std::uint64_t before = unexpectedErrors();
+    OutboundConnection bad(this->loop.base(), this->server.address(), faulty);
+    bad.call(kRequest, false, {"Call", "1"}, faulty);
+    const int badSocket = this->acceptAndRead();
+    OutboundConnection good(this->loop.base(), this->server.address(), this->events);
+    this->call(good, "2");
+    const int goodSocket = this->acceptAndRead();
+    writeAll(badSocket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(this->loop.until([&] { return bool(faulty.error); }));
+    EXPECT_EQ(faulty.error, make_error_code(Error::Internal));
+    EXPECT_EQ(unexpectedErrors(), before + 1);
+    writeAll(goodSocket, "HTTP/1.1 200 OK\r\nCall: 2\r\nContent-Length: 2\r\n\r\nok");
+    ASSERT_TRUE(this->loop.until([&] { return this->isOver(); }));
+    EXPECT_EQ(this->events.body, "ok");
+    ::close(badSocket);
+    ::close(goodSocket);
+}
+
 } // namespace
 } // namespace foxtailtally
--- a/tests/retry/retry_test.cpp
+++ b/tests/retry/retry_test.cpp
@@ -119,6 +119,35 @@
     EXPECT_EQ(relay.lastEventId(), "1");
 }
 
+// A stalled stream that sent a byte now and then was never found to be overdue.
+TEST(EventRelay, TakesOnlyANewEventForProgress)
+{
+    EventRelay relay("");
+    EXPECT_TRUE(relay.feed(event(1)).ok());
+    EXPECT_TRUE(relay.hasAdvanced());
+    EXPECT_EQ(relay.feed(": still there\n\n").value(), ": still there\n\n");
+    EXPECT_FALSE(relay.hasAdvanced());
+    EXPECT_TRUE(relay.feed(event(1)).ok());
+    EXPECT_FALSE(relay.hasAdvanced());
+    EXPECT_TRUE(relay.feed("id: 2\nda").ok());
+    EXPECT_FALSE(relay.hasAdvanced());
+    EXPECT_TRUE(relay.feed("ta: x\n\n").ok());
+    EXPECT_TRUE(relay.hasAdvanced());
+}
+
+// Bytes that are no event may come without end.
+TEST(EventRelay, EndsAStreamWithoutNewEvents)
+{
+    for (const std::string &piece : {std::string(": ping\n\n"), event(1), std::string("x")}) {
+        EventRelay relay("");
+        EXPECT_TRUE(relay.feed(event(1)).ok());
+        std::size_t sent = 0;
+        while (relay.feed(piece).ok() && sent < (std::size_t {1} << 20))
+            sent += piece.size();
+        EXPECT_LT(sent, std::size_t {1} << 20) << piece;
+    }
+}
+
 RC_GTEST_PROP(RetryBudget, KeepsTheSumOfAllInstancesWithinTheBound, ())
 {
     RetryBudgetOptions options;
