Close listening and accepted sockets in started processes

Cause: test programs that start gateways passed them the stand-ins' sockets, so a stand-in server could not listen again after its end ('cannot listen'), and connections that it had closed stayed open. Change: listeners and what they accept are closed on exec. The gateway itself starts no process.

--- a/main/gateway/listener.cpp
+++ b/main/gateway/listener.cpp
@@ -12,6 +12,9 @@
 /** Connections that wait to be accepted; beyond them an opening packet is lost for a second. */
 constexpr int kBacklog = 1024;
 
+/** A process that is started from this one must not hold its sockets open. */
+constexpr unsigned kOptions = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC;
+
 } // namespace
 
 Result<evconnlistener *> listenOn(event_base *base, const std::string &address,
@@ -21,8 +24,8 @@
     if (!parseAddress(address, bound))
         return Error::SettingsInvalid;
     evconnlistener *listener =
-        evconnlistener_new_bind(base, onAccept, object, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-                                kBacklog, reinterpret_cast<sockaddr *>(&bound), sizeof bound);
+        evconnlistener_new_bind(base, onAccept, object, kOptions, kBacklog,
+                                reinterpret_cast<sockaddr *>(&bound), sizeof bound);
     if (!listener)
         return std::error_code(errno, std::generic_category());
     return listener;
