Log what a lost attempt shares with others and what ran at its server

Change: attempt_ended has the fingerprint of customer, path and body, the cause, had_event, lasted_ms, whether the server is listed and cold, and for lost ones its planned streams, writers, arrivals and memory. Ended attempts are counted by kind (foxtailtally_attempts_ended_total). The fingerprint is computed only when an attempt ends.

--- a/core/hash.cpp
+++ b/core/hash.cpp
@@ -1,5 +1,6 @@
 #include "core/hash.h"
 
+#include <absl/strings/escaping.h>
 #include <sodium.h>
 #include <xxhash.h>
 
@@ -24,4 +25,26 @@
     return digest;
 }
 
+Fingerprint fingerprintOf(std::span<const std::string_view> parts)
+{
+    crypto_generichash_state state;
+    Fingerprint digest {};
+    crypto_generichash_init(&state, nullptr, 0, digest.size());
+    for (const std::string_view part : parts) {
+        const std::uint64_t size = part.size();
+        crypto_generichash_update(&state, reinterpret_cast<const unsigned char *>(&size),
+                                  sizeof size);
+        crypto_generichash_update(&state, reinterpret_cast<const unsigned char *>(part.data()),
+                                  part.size());
+    }
+    crypto_generichash_final(&state, digest.data(), digest.size());
+    return digest;
+}
+
+std::string fingerprintText(const Fingerprint &fingerprint)
+{
+    return absl::BytesToHexString(
+        {reinterpret_cast<const char *>(fingerprint.data()), fingerprint.size()});
+}
+
 } // namespace foxtailtally
--- a/core/hash.h
+++ b/core/hash.h
@@ -3,6 +3,8 @@
 #include "core/request.h"
 
 #include <cstdint>
+#include <span>
+#include <string>
 #include <string_view>
 
 namespace foxtailtally {
@@ -16,4 +18,10 @@
 /** 128-bit keyed-free digest (BLAKE2b) of @p data. */
 Fingerprint fingerprintOf(std::string_view data);
 
+/** Digest of several texts in order; texts that are split elsewhere have another one. */
+Fingerprint fingerprintOf(std::span<const std::string_view> parts);
+
+/** Hexadecimal digits of @p fingerprint. */
+std::string fingerprintText(const Fingerprint &fingerprint);
+
 } // namespace foxtailtally
--- a/core/request.h
+++ b/core/request.h
@@ -21,7 +21,8 @@
 
 std::string_view requestClassName(RequestClass requestClass);
 
-/** 128-bit hash of customer, model and prompt. Equal requests have equal fingerprints. */
+/** 128-bit hash of what makes two requests the same, whoever receives them: customer and content.
+ * Equal requests have equal fingerprints. */
 using Fingerprint = std::array<std::uint8_t, 16>;
 
 /** All that routing and admission need to know of a request; holds no prompt text. */
--- /dev/null
+++ b/main/gateway/attempt_log.cpp
@@ -0,0 +1,56 @@
+#include "main/gateway/attempt_log.h"
+
+#include "core/error.h"
+#include "core/hash.h"
+#include "core/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace foxtailtally {
+
+namespace {
+
+/** What ran at the server, as far as this instance knows; empty for servers without streams. */
+nlohmann::json loadFields(const GatewayContext &context, ServerKey server, absl::Time now)
+{
+    const ServerLoads loads = context.ledger.loads(now);
+    const auto load = loads.find(server);
+    if (load == loads.end())
+        return nlohmann::json::object();
+    return {{"server_streams", load->second.streams},
+            {"server_writers", load->second.writers},
+            {"server_memory_tokens", load->second.memoryTokens},
+            {"server_arrivals", load->second.arrivals}};
+}
+
+} // namespace
+
+void logAttemptEnd(GatewayContext &context, const ServerCall &call, AttemptEnd end,
+                   const AttemptRecord &record, absl::Time now)
+{
+    const AttemptTarget &target = call.target();
+    context.metrics.counter("foxtailtally_attempts_ended_total", {{"end", attemptEndName(end)}})
+        .add();
+    const ServerDirectory::Server *server = context.directory.findKey(target.key);
+    nlohmann::json fields = {
+        {"request", record.callId},
+        {"fingerprint", fingerprintText(record.fingerprint)},
+        {"server", target.id.str()},
+        {"end", attemptEndName(end)},
+        {"cause", call.failure() ? errorName(call.failure()) : ""},
+        {"had_event", record.hadEvent},
+        {"lasted_ms", absl::ToInt64Milliseconds(now - call.sentAt())},
+        {"runs", record.runs},
+        {"rejections", record.rejections},
+        {"at_fault", call.faultyServer()},
+        {"suspect", context.health.isSuspect(target.key, now)},
+        {"server_listed", server != nullptr},
+        {"server_cold", server && server->coldUntil > now},
+        {"domain_cut", context.reachability.isCut(target.domain)},
+    };
+    if (end == AttemptEnd::Lost)
+        fields.update(loadFields(context, target.key, now));
+    logEvent(LogLevel::Info, "attempt_ended", fields);
+}
+
+} // namespace foxtailtally
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -1,13 +1,16 @@
 #include "main/gateway/call_run.h"
 
 #include "core/clock.h"
+#include "core/hash.h"
 #include "core/log.h"
+#include "main/gateway/attempt_log.h"
 #include "main/gateway/server_evidence.h"
 #include "servers/placement/read_cost.h"
 #include "servers/placement/service_placement.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 
 namespace foxtailtally {
@@ -434,22 +437,19 @@
 {
     const absl::Time now = Clock::now();
     std::optional<Attempt> ended = this->takeAttempt(call);
-    const AttemptTarget &target = call.target();
     this->context.retired.push_back(std::move(ended->call));
     if (end == AttemptEnd::NotSent || end == AttemptEnd::Rejected)
         ++this->rejections;
     else
         ++this->runs;
     recordAttemptEnd(this->context, call, end, now);
-    logEvent(LogLevel::Info, "attempt_ended",
-             {{"request", this->call.headers.callId},
-              {"server", target.id.str()},
-              {"end", attemptEndName(end)},
-              {"runs", this->runs},
-              {"rejections", this->rejections},
-              {"at_fault", call.faultyServer()},
-              {"suspect", this->context.health.isSuspect(target.key, now)},
-              {"domain_cut", this->context.reachability.isCut(target.domain)}});
+    AttemptRecord record;
+    record.callId = this->call.headers.callId;
+    record.fingerprint = this->fingerprint();
+    record.runs = this->runs;
+    record.rejections = this->rejections;
+    record.hadEvent = this->lastEventAt >= call.sentAt();
+    logAttemptEnd(this->context, call, end, record, now);
     this->afterEnd(end, now);
 }
 
@@ -691,6 +691,16 @@
     this->stream = 0;
 }
 
+const Fingerprint &CallRun::fingerprint()
+{
+    if (!this->knownFingerprint) {
+        const std::array<std::string_view, 3> parts = {
+            this->call.customer, this->caller->head().path, this->caller->body()};
+        this->knownFingerprint = fingerprintOf(parts);
+    }
+    return *this->knownFingerprint;
+}
+
 CallProgress CallRun::progress() const
 {
     CallProgress state;
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/request.h"
 #include "main/gateway/gateway_context.h"
 #include "main/gateway/reservation_set.h"
 #include "main/gateway/server_call.h"
@@ -104,11 +105,15 @@
     std::optional<Attempt> takeAttempt(const ServerCall &call);
     void forgetStream();
     bool isStream() const { return this->call.route->kind == CallKind::Streaming; }
+    /** Equal for all calls of a customer with the same path and body. */
+    const Fingerprint &fingerprint();
     CallProgress progress() const;
 
     GatewayContext &context;
     InboundConnection *caller;
     AdmittedCall call;
+    /** Computed when it is first asked for. */
+    std::optional<Fingerprint> knownFingerprint;
     LoopTimer deadlineTimer;
     LoopTimer watchTimer;
     std::vector<Attempt> attempts;
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -88,6 +88,7 @@
         return;
     }
     if (!this->isUsable(head, reply)) {
+        this->failed = Error::ProtocolViolation;
         this->connection->cancel();
         this->end(AttemptEnd::Lost);
         return;
@@ -118,6 +119,7 @@
 
 void ServerCall::onCallFailed(OutboundConnection &, std::error_code error)
 {
+    this->failed = error;
     this->end(error == Error::ConnectionFailed ? AttemptEnd::NotSent : AttemptEnd::Lost);
 }
 
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <system_error>
 
 namespace foxtailtally {
 
@@ -61,6 +62,8 @@
     bool wasMisdirected() const { return this->misdirected; }
     /** Server that a rejection named as its cause; empty when it named none. */
     const std::string &faultyServer() const { return this->faulty; }
+    /** What broke the attempt; no error while nothing has. */
+    std::error_code failure() const { return this->failed; }
 
 private:
     void onResponseHead(OutboundConnection &connection, const ResponseHead &head) override;
@@ -81,6 +84,7 @@
     LoopTimer connectTimer;
     absl::Time startedAt = absl::InfinitePast();
     std::string faulty;
+    std::error_code failed;
     bool misdirected = false;
     bool wasConnectionKept = false;
     bool mustNotRepeat = false;
