Show that a call which ends servers is sent to them without end

The test starts three gateways as processes before five servers of each service, one of which ends, with all that it does, when it begins to run a certain call, and is back a second later. Callers send that call ten times a second for 7 s. Ruled out by the logs of these runs: repeats within one call (never more than the route's attempts), and servers that end of load (one planned stream each, warm).

--- /dev/null
+++ b/tests/process/crashing_call_test.cpp
@@ -0,0 +1,114 @@
+#include "tests/process/gateway_deployment.h"
+#include "tests/process/http_caller.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace foxtailtally {
+namespace {
+
+constexpr int kGateways = 3;
+constexpr int kServersOfEach = 5;
+/** Time for which a server that ended is away. */
+constexpr absl::Duration kAway = absl::Seconds(1);
+/** Pause between two callers that send the same call. */
+constexpr absl::Duration kReturnPause = absl::Milliseconds(100);
+/** The users' bound: once three servers have ended and this time has passed, at most
+ * kMostLateArrivals more of the call reach servers. */
+constexpr absl::Duration kNoticeTime = absl::Seconds(3);
+constexpr int kMostLateArrivals = 3;
+
+const std::string kCrashingBody = "crashes whoever runs it";
+
+/** Three gateways in three failure domains, and a call that ends each server that runs it. */
+class CrashingCall : public testing::Test
+{
+protected:
+    CrashingCall()
+        : deployment(kGateways)
+    {
+        ServingStandin &platform = this->deployment.platform();
+        this->deployment.configure(1, {"key-1"});
+        for (int index = 0; index < 2 * kServersOfEach; ++index)
+            platform.addServer(index, index < kServersOfEach ? "engine" : "desk",
+                               absl::StrCat("d", index % 3), platform.serverAddress(index));
+        platform.setCrashingBody(kCrashingBody, kAway);
+        for (int gateway = 0; gateway < kGateways; ++gateway)
+            this->deployment.start(gateway);
+    }
+
+    bool waitUntilReady()
+    {
+        for (int gateway = 0; gateway < kGateways; ++gateway) {
+            if (!this->deployment.waitUntilReady(gateway))
+                return false;
+        }
+        return true;
+    }
+    CallerAnswer call(int gateway, const std::string &path, const std::string &body)
+    {
+        CallerRequest request;
+        request.address = this->deployment.callerAddress(gateway);
+        request.path = path;
+        request.body = body;
+        request.headers = {absl::StrCat("Attempt-Id: call-", ++this->calls), "Key: key-1",
+                           "Deadline-Ms: 1500", "Token-Usage: 1000,100"};
+        return callGateway(request);
+    }
+    /** Callers send the call again and again, each at the next gateway. */
+    void sendFor(absl::Duration time, const std::string &path)
+    {
+        const absl::Time end = absl::Now() + time;
+        while (absl::Now() < end) {
+            this->call(this->calls % kGateways, path, kCrashingBody);
+            absl::SleepFor(kReturnPause);
+        }
+    }
+    /** When the call reached servers, in order. */
+    std::vector<absl::Time> arrivals()
+    {
+        std::vector<absl::Time> times;
+        for (const ServerArrival &arrival : this->deployment.platform().arrivals()) {
+            if (arrival.body == kCrashingBody)
+                times.push_back(arrival.at);
+        }
+        std::sort(times.begin(), times.end());
+        return times;
+    }
+
+    void expectFewArrivals(const std::string &path)
+    {
+        ASSERT_TRUE(this->waitUntilReady());
+        this->sendFor(absl::Seconds(7), path);
+        const std::vector<absl::Time> times = this->arrivals();
+        ASSERT_GE(times.size(), 3U);
+        const auto late = std::count_if(times.begin(), times.end(), [&](absl::Time time) {
+            return time > times[2] + kNoticeTime;
+        });
+        EXPECT_LE(late, kMostLateArrivals) << times.size() << " arrivals in all";
+    }
+
+    GatewayDeployment deployment;
+    int calls = 0;
+};
+
+// The users saw a call sent to servers again and again after three had ended under it.
+TEST_F(CrashingCall, IsNotSentAgainOnceThreeServersHaveEndedUnderAStream)
+{
+    this->expectFewArrivals("/stream/a");
+}
+
+TEST_F(CrashingCall, IsNotSentAgainOnceThreeServersHaveEndedUnderAnAction)
+{
+    this->expectFewArrivals("/act/a");
+}
+
+TEST_F(CrashingCall, IsNotSentAgainOnceThreeServersHaveEndedUnderALookup)
+{
+    this->expectFewArrivals("/look/a");
+}
+
+} // namespace
+} // namespace foxtailtally
--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -19,6 +19,11 @@
 
 constexpr absl::Duration kTick = absl::Milliseconds(2);
 
+/** Unix milliseconds at which server 0 first started; the others follow one by one. */
+constexpr std::int64_t kFirstStartMs = 1'700'000'000'000;
+/** Keeps the starts of different servers apart. */
+constexpr std::int64_t kMostServers = 1000;
+
 std::string eventText(const std::string &callId, int number)
 {
     return absl::StrCat("id: ", number, "\ndata: ", callId, "-", number, "\n\n");
@@ -72,8 +77,10 @@
     this->thread.join();
     this->connections.clear();
     evconnlistener_free(this->storeListener);
-    for (auto &[index, server] : this->servers)
-        evconnlistener_free(server.listener);
+    for (auto &[index, server] : this->servers) {
+        if (server.listener)
+            evconnlistener_free(server.listener);
+    }
 }
 
 std::string ServingStandin::wholeStream(const std::string &callId)
@@ -132,22 +139,65 @@
 void ServingStandin::addServer(int index, const std::string &service, const std::string &domain,
                                const std::string &address)
 {
-    const Json spec = {{"Service", service}, {"Address", address},
-                       {"Zone", domain},     {"Slots", 16},
-                       {"State", "ready"},   {"born", 1'700'000'000'000 + index}};
     this->run([&] {
         Server &server = this->servers[index];
         server.name = serverName(index);
         server.owner = this;
         server.index = index;
-        server.listener = listenAt(
-            this->base, this->serverAddress(index),
-            [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *object) {
-                const Server *own = static_cast<Server *>(object);
-                own->owner->accept(socket, own->index);
-            },
-            &server);
-        this->change(std::string(platform::kServerKind), {{server.name, 0, spec.dump()}, false});
+        server.service = service;
+        server.domain = domain;
+        server.address = address;
+        server.startedMs = kFirstStartMs + index;
+        this->startServer(server);
+    });
+}
+
+void ServingStandin::startServer(Server &server)
+{
+    server.returnsAt = absl::InfiniteFuture();
+    server.listener = listenAt(
+        this->base, this->serverAddress(server.index),
+        [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *object) {
+            const Server *own = static_cast<Server *>(object);
+            own->owner->accept(socket, own->index);
+        },
+        &server);
+    const Json spec = {{"Service", server.service}, {"Address", server.address},
+                       {"Zone", server.domain},     {"Slots", 16},
+                       {"State", "ready"},          {"born", server.startedMs}};
+    this->change(std::string(platform::kServerKind), {{server.name, 0, spec.dump()}, false});
+}
+
+void ServingStandin::crash(Server &server)
+{
+    evconnlistener_free(server.listener);
+    server.listener = nullptr;
+    server.returnsAt = absl::Now() + this->crashTime;
+    server.startedMs += kMostServers;
+    std::vector<InboundConnection *> open;
+    for (const auto &[connection, index] : this->serverOf) {
+        if (index == server.index)
+            open.push_back(connection);
+    }
+    for (InboundConnection *connection : open) {
+        this->forget(*connection);
+        connection->abort();
+    }
+}
+
+void ServingStandin::returnServers(absl::Time now)
+{
+    for (auto &[index, server] : this->servers) {
+        if (server.returnsAt <= now)
+            this->startServer(server);
+    }
+}
+
+void ServingStandin::setCrashingBody(const std::string &body, absl::Duration away)
+{
+    this->run([&] {
+        this->crashingBody = body;
+        this->crashTime = away;
     });
 }
 
@@ -183,8 +233,10 @@
 
 void ServingStandin::onTick()
 {
+    this->tick.start(kTick);
     const absl::Time now = absl::Now();
     this->runTasks();
+    this->returnServers(now);
     this->advanceStreams(now);
     std::vector<Watch> over;
     std::erase_if(this->watches, [&](const Watch &watch) {
@@ -200,7 +252,6 @@
             != this->closed.end();
     });
     this->closed.clear();
-    this->tick.start(kTick);
 }
 
 void ServingStandin::onRequestHead(InboundConnection &)
@@ -303,6 +354,10 @@
     arrival.at = absl::Now();
     arrival.hasRun = server.conduct != ServerConduct::Shed;
     this->seen.push_back(arrival);
+    if (arrival.hasRun && !this->crashingBody.empty() && arrival.body == this->crashingBody) {
+        this->crash(server);
+        return;
+    }
     switch (server.conduct) {
     case ServerConduct::Shed: {
         HttpHeaders headers;
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -84,6 +84,9 @@
                    const std::string &address);
     static std::string serverName(int index) { return "server-" + std::to_string(index); }
     void setServerConduct(int index, ServerConduct conduct);
+    /** A call with body @p body ends each server that begins to run it, with all that it does. The
+     * server is back after @p away as another life. */
+    void setCrashingBody(const std::string &body, absl::Duration away);
 
     std::vector<ServerArrival> arrivals();
     int storeCalls();
@@ -96,6 +99,13 @@
         evconnlistener *listener = nullptr;
         ServingStandin *owner = nullptr;
         int index = 0;
+        /** What the store says of it. */
+        std::string service;
+        std::string domain;
+        std::string address;
+        std::int64_t startedMs = 0;
+        /** When it is back after a crash. */
+        absl::Time returnsAt = absl::InfiniteFuture();
     };
     struct Watch
     {
@@ -129,6 +139,10 @@
     void createObject(InboundConnection &connection, const std::string &kind);
     void change(const std::string &kind, const platform::ObjectChange &change);
     void answerCall(InboundConnection &connection, Server &server);
+    /** Starts a life of the server and enters it in the store. */
+    void startServer(Server &server);
+    void crash(Server &server);
+    void returnServers(absl::Time now);
     void startStream(InboundConnection &connection, const ServerArrival &arrival,
                      ServerConduct conduct);
     void advanceStreams(absl::Time now);
@@ -150,6 +164,8 @@
     absl::btree_map<InboundConnection *, int> serverOf;
     std::vector<InboundConnection *> closed;
     std::vector<ServerArrival> seen;
+    std::string crashingBody;
+    absl::Duration crashTime = absl::ZeroDuration();
     int calls = 0;
     std::mutex mutex;
     /** For the next turn of the loop; guarded by the mutex. */
