--- a/main/gateway/attempt_log.cpp
+++ b/main/gateway/call_log.cpp
@@ -1,9 +1,10 @@
-#include "main/gateway/attempt_log.h"
+#include "main/gateway/call_log.h"
 
 #include "core/error.h"
 #include "core/hash.h"
 #include "core/log.h"
 
+#include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
 namespace foxtailtally {
@@ -53,4 +54,23 @@
     logEvent(LogLevel::Info, "attempt_ended", fields);
 }
 
+void logPlacement(const GatewayContext &context, const std::string &callId,
+                  const StreamDecision &decision)
+{
+    std::string helpers;
+    for (const std::size_t index : decision.plan.helpers)
+        absl::StrAppend(&helpers, helpers.empty() ? "" : ",",
+                        decision.servers[index]->entry.id.str());
+    logEvent(LogLevel::Info, "stream_placed",
+             {{"request", callId},
+              {"server", decision.servers[decision.plan.server]->entry.id.str()},
+              {"helpers", helpers},
+              {"part_ms", static_cast<int>(decision.plan.partReadMs)},
+              {"planned_ms", static_cast<int>(decision.plan.predictedFirstEventMs)},
+              {"harm", static_cast<int>(decision.plan.harm * 100)},
+              {"read_left_ms", static_cast<int>(decision.readLeftMs)},
+              {"writers", decision.writers},
+              {"instances", context.exchange.instanceCount()}});
+}
+
 } // namespace foxtailtally
--- a/main/gateway/attempt_log.h
+++ b/main/gateway/call_log.h
@@ -3,6 +3,7 @@
 #include "core/request.h"
 #include "main/gateway/gateway_context.h"
 #include "main/gateway/server_call.h"
+#include "main/gateway/stream_planner.h"
 
 #include <absl/time/time.h>
 #include <string>
@@ -24,4 +25,8 @@
 void logAttemptEnd(GatewayContext &context, const ServerCall &call, AttemptEnd end,
                    const AttemptRecord &record, absl::Time now);
 
+/** Logs where a stream is placed, and why there. */
+void logPlacement(const GatewayContext &context, const std::string &callId,
+                  const StreamDecision &decision);
+
 } // namespace foxtailtally
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -1,16 +1,15 @@
 #include "main/gateway/call_run.h"
 
 #include "core/clock.h"
-#include "core/hash.h"
+#include "core/error.h"
 #include "core/log.h"
-#include "main/gateway/attempt_log.h"
+#include "main/gateway/call_log.h"
 #include "main/gateway/server_evidence.h"
+#include "main/gateway/service_planner.h"
 #include "servers/placement/read_cost.h"
-#include "servers/placement/service_placement.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
-#include <array>
 #include <nlohmann/json.hpp>
 
 namespace foxtailtally {
@@ -73,8 +72,15 @@
 void CallRun::start(absl::Time now)
 {
     this->hasStarted = true;
+    this->suspicion.emplace(
+        this->context, this->call.headers.callId,
+        CallContent {this->call.customer, this->caller->head().path, this->caller->body()});
     this->service = std::string(targetService(*this->call.route, this->call.headers.callId));
     this->context.retries.onCall(this->service, now);
+    if (this->suspicion->isQuarantined(now)) {
+        this->refuseQuarantined(now);
+        return;
+    }
     if (!this->dispatch(now))
         this->answerOwn(503, "no_server", true);
 }
@@ -147,7 +153,7 @@
 void CallRun::placeStream(const StreamDecision &decision, absl::Time now)
 {
     this->placeParts(decision.candidates, now);
-    this->logPlacement(decision);
+    logPlacement(this->context, this->call.headers.callId, decision);
     this->placedServer = decision.servers[this->plan.server]->entry;
     this->placedHelpers.clear();
     const std::string reservationId = this->plan.holders.empty()
@@ -173,8 +179,13 @@
 
 void CallRun::onReserved()
 {
-    if (!this->done)
-        this->sendPlaced(Clock::now());
+    if (this->done)
+        return;
+    const absl::Time now = Clock::now();
+    if (this->suspicion->isQuarantined(now))
+        this->finishWith(lastStep(AttemptEnd::NotSent, this->progress(now)), now);
+    else
+        this->sendPlaced(now);
 }
 
 void CallRun::onReservationFailed(ServerKey engine)
@@ -186,8 +197,9 @@
              {{"request", this->call.headers.callId}, {"tokens", this->plan.shareTokens}});
     this->tried.push_back(engine);
     this->forgetStream();
-    if (++this->rejections > kMaxRejections || !this->dispatch(now))
-        this->finishWith(lastStep(AttemptEnd::NotSent, this->progress()));
+    if (++this->rejections > kMaxRejections || this->suspicion->isQuarantined(now)
+        || !this->dispatch(now))
+        this->finishWith(lastStep(AttemptEnd::NotSent, this->progress(now)), now);
 }
 
 void CallRun::sendPlaced(absl::Time now)
@@ -200,80 +212,21 @@
 {
     this->forgetStream();
     this->stream = this->context.nextStream++;
-    StreamPart part;
-    part.server = candidates[this->plan.server].server;
-    part.stream = this->stream;
-    part.placedAt = now;
-    part.readMs = static_cast<float>(this->plan.partReadMs);
-    part.memoryTokens = static_cast<std::uint32_t>(this->plan.shareTokens);
-    part.pauseObjectiveMs =
-        static_cast<std::uint16_t>(absl::ToInt64Milliseconds(this->call.route->pauseObjective));
-    part.firstEventDueMs = static_cast<std::uint16_t>(std::clamp<std::int64_t>(
-        absl::ToInt64Milliseconds(this->call.receivedAt + this->call.route->objective - now), 0,
-        65535));
-    part.value = static_cast<float>(streamValue(this->call.headers.promptTokens));
-    part.isLate = part.firstEventDueMs == 0 || this->hasAnswerBegun;
-    part.isSplit = !this->plan.helpers.empty();
-    std::vector<StreamPart> parts = {part};
-    part.isHelper = true;
-    for (const std::size_t index : this->plan.helpers) {
-        const bool isHolder = this->plan.isHolder(index);
-        part.memoryTokens = isHolder ? static_cast<std::uint32_t>(this->plan.shareTokens) : 0;
-        part.server = candidates[index].server;
-        parts.push_back(part);
-    }
+    const std::vector<StreamPart> parts = streamParts(this->plan, candidates, this->demand(now),
+                                                      this->stream, this->hasAnswerBegun, now);
     this->context.ledger.place(parts);
     this->context.exchange.onLedgerChanged();
 }
 
-void CallRun::logPlacement(const StreamDecision &decision) const
-{
-    std::string helpers;
-    for (const std::size_t index : this->plan.helpers)
-        absl::StrAppend(&helpers, helpers.empty() ? "" : ",",
-                        decision.servers[index]->entry.id.str());
-    logEvent(LogLevel::Info, "stream_placed",
-             {{"request", this->call.headers.callId},
-              {"server", decision.servers[this->plan.server]->entry.id.str()},
-              {"helpers", helpers},
-              {"part_ms", static_cast<int>(this->plan.partReadMs)},
-              {"planned_ms", static_cast<int>(this->plan.predictedFirstEventMs)},
-              {"harm", static_cast<int>(this->plan.harm * 100)},
-              {"read_left_ms", static_cast<int>(decision.readLeftMs)},
-              {"writers", decision.writers},
-              {"instances", this->context.exchange.instanceCount()}});
-}
-
 bool CallRun::dispatchPlain(const Service &service, absl::Time now)
 {
-    const std::vector<const ServerDirectory::Server *> servers =
-        this->context.directory.usable(this->service, now);
-    std::vector<ServiceCandidate> candidates;
-    for (const ServerDirectory::Server *server : servers) {
-        ServiceCandidate candidate;
-        candidate.server = server->key;
-        candidate.slots = server->entry.slots;
-        candidate.isSameDomain = server->entry.domain == this->context.settings.domain;
-        const auto activity = this->context.activity.find(candidate.server);
-        if (activity != this->context.activity.end()) {
-            candidate.outstanding = activity->second.outstanding;
-            if (now - activity->second.reportedAt < absl::Seconds(1))
-                candidate.reported = activity->second.reported;
-        }
-        candidate.wasTried = std::find(this->tried.begin(), this->tried.end(), candidate.server)
-            != this->tried.end();
-        candidate.isRateBound = isRateBound(this->context, service, *server, 0, now);
-        candidate.isUnreachable =
-            !this->context.reachability.isReachable(candidate.server, server->entry.domain);
-        candidates.push_back(candidate);
-    }
-    const std::optional<std::size_t> best =
-        chooseServiceServer(candidates, this->context.health, now);
+    const ServerDirectory::Server *best =
+        ServicePlanner(this->context).choose(service, this->tried, now);
     if (!best)
         return false;
-    this->sendTo(servers[*best]->entry, {}, now);
+    this->sendTo(best->entry, {}, now);
     if (this->call.route->kind == CallKind::Idempotent && this->attempts.size() == 1) {
-        const absl::Duration usual = this->context.health.latency(candidates[*best].server);
+        const absl::Duration usual = this->context.health.latency(best->key);
         const absl::Duration wait =
             std::clamp(usual * kHedgeFactor, kEarliestHedge, this->call.route->objective * 0.5);
         this->watchTimer.start(wait);
@@ -286,6 +239,7 @@
 {
     AttemptTarget target;
     target.id = server.id;
+    target.incarnation = server.incarnation;
     target.key = serverKey(server.id, server.incarnation);
     target.address = server.address;
     target.domain = server.domain;
@@ -348,8 +302,10 @@
     }
     if (events->empty())
         return;
-    if (this->relay.hasAdvanced())
+    if (this->relay.hasAdvanced()) {
+        attempt.firstEventAt = std::min(attempt.firstEventAt, now);
         this->noteEvent(call, now);
+    }
     if (!this->hasAnswerBegun) {
         this->hasAnswerBegun = true;
         this->caller->startStream(attempt.reply.status,
@@ -397,6 +353,7 @@
     this->context.retired.push_back(std::move(finished->call));
     ++this->runs;
     if (finished->isRelaying && this->relay.isBetweenEvents()) {
+        this->suspicion->onServed(now);
         if (!this->hasAnswerBegun)
             this->caller->startStream(finished->reply.status,
                                       platform::callerHeaders(finished->reply.headers));
@@ -408,6 +365,7 @@
         this->afterEnd(AttemptEnd::Lost, now);
         return;
     }
+    this->suspicion->onServed(now);
     this->reply = std::move(finished->reply);
     this->replyBody = std::move(finished->body);
     if (this->reply.status >= 500) {
@@ -437,6 +395,7 @@
 {
     const absl::Time now = Clock::now();
     std::optional<Attempt> ended = this->takeAttempt(call);
+    this->suspicion->onLoss(call.target(), this->lossEvidence(*ended, end, now), now);
     this->context.retired.push_back(std::move(ended->call));
     if (end == AttemptEnd::NotSent || end == AttemptEnd::Rejected)
         ++this->rejections;
@@ -445,7 +404,7 @@
     recordAttemptEnd(this->context, call, end, now);
     AttemptRecord record;
     record.callId = this->call.headers.callId;
-    record.fingerprint = this->fingerprint();
+    record.fingerprint = this->suspicion->fingerprint();
     record.runs = this->runs;
     record.rejections = this->rejections;
     record.hadEvent = this->lastEventAt >= call.sentAt();
@@ -458,7 +417,7 @@
     if (!this->attempts.empty())
         return;
     this->forgetStream();
-    const CallProgress state = this->progress();
+    const CallProgress state = this->progress(now);
     NextStep step = nextStep(end, state);
     if (step == NextStep::TryElsewhere) {
         const bool isRepeat = end != AttemptEnd::NotSent;
@@ -469,15 +428,18 @@
             return;
         step = lastStep(end, state);
     }
-    this->finishWith(step);
+    this->finishWith(step, now);
 }
 
-void CallRun::finishWith(NextStep step)
+void CallRun::finishWith(NextStep step, absl::Time now)
 {
     switch (step) {
     case NextStep::TryElsewhere:
     case NextStep::AnswerNotRun:
-        this->answerOwn(503, "rejected", true);
+        if (this->suspicion->isQuarantined(now))
+            this->refuseQuarantined(now);
+        else
+            this->answerOwn(503, "rejected", true);
         return;
     case NextStep::PassServerFailure:
         this->passStoredReply();
@@ -495,11 +457,32 @@
     }
 }
 
+void CallRun::refuseQuarantined(absl::Time now)
+{
+    this->answerOwn(503, "quarantined", true, this->suspicion->quarantineLeft(now));
+}
+
+LossEvidence CallRun::lossEvidence(const Attempt &attempt, AttemptEnd end, absl::Time now) const
+{
+    LossEvidence evidence;
+    evidence.isConnectionBroken =
+        end == AttemptEnd::Lost && attempt.call->failure() == Error::ConnectionLost;
+    evidence.hasAnswerBegun = !this->isStream() && attempt.reply.status != 0;
+    evidence.writingFor = std::max(absl::ZeroDuration(), now - attempt.firstEventAt);
+    return evidence;
+}
+
 void CallRun::answerOwn(int status, std::string_view cause, bool notRun)
 {
     std::optional<absl::Duration> retryAfter;
     if (notRun)
         retryAfter = kShortestReturn + kReturnSpread * this->context.random.uniform();
+    this->answerOwn(status, cause, notRun, retryAfter);
+}
+
+void CallRun::answerOwn(int status, std::string_view cause, bool notRun,
+                        std::optional<absl::Duration> retryAfter)
+{
     const nlohmann::json body = {{"error", cause}, {"not_run", notRun}};
     this->caller->answer(status, platform::ownAnswerHeaders(this->call.headers.callId, retryAfter),
                          body.dump());
@@ -569,8 +552,8 @@
     const absl::Time now = Clock::now();
     if (this->isWaiting) {
         this->isWaiting = false;
-        if (!this->dispatch(now))
-            this->finishWith(lastStep(AttemptEnd::NotSent, this->progress()));
+        if (this->suspicion->isQuarantined(now) || !this->dispatch(now))
+            this->finishWith(lastStep(AttemptEnd::NotSent, this->progress(now)), now);
         return;
     }
     if (this->attempts.empty())
@@ -640,6 +623,9 @@
 {
     if (this->runs + 1 >= this->call.route->maxAttempts || this->attempts.size() > 1)
         return;
+    // A copy of a call that may crash its server would cost another one.
+    if (this->suspicion->isSuspect(now))
+        return;
     if (!this->context.retries.tryRepeat(this->service, this->context.exchange.instanceCount(),
                                          now))
         return;
@@ -691,17 +677,7 @@
     this->stream = 0;
 }
 
-const Fingerprint &CallRun::fingerprint()
-{
-    if (!this->knownFingerprint) {
-        const std::array<std::string_view, 3> parts = {
-            this->call.customer, this->caller->head().path, this->caller->body()};
-        this->knownFingerprint = fingerprintOf(parts);
-    }
-    return *this->knownFingerprint;
-}
-
-CallProgress CallRun::progress() const
+CallProgress CallRun::progress(absl::Time now)
 {
     CallProgress state;
     state.isRepeatable = this->call.route->isRepeatable();
@@ -709,6 +685,7 @@
     state.maxRuns = this->call.route->maxAttempts;
     state.rejections = this->rejections;
     state.hasAnswerBegun = this->hasAnswerBegun;
+    state.isQuarantined = this->suspicion->isQuarantined(now);
     return state;
 }
 
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/request.h"
+#include "main/gateway/call_suspicion.h"
 #include "main/gateway/gateway_context.h"
 #include "main/gateway/reservation_set.h"
 #include "main/gateway/server_call.h"
@@ -60,6 +60,7 @@
         std::string body;
         /** The answer is a stream whose events are passed on as they come. */
         bool isRelaying = false;
+        absl::Time firstEventAt = absl::InfiniteFuture();
     };
 
     void onReply(ServerCall &call, const ResponseHead &head,
@@ -82,14 +83,16 @@
     void placeStream(const StreamDecision &decision, absl::Time now);
     void placeParts(const std::vector<EngineCandidate> &candidates, absl::Time now);
 
-    void logPlacement(const StreamDecision &decision) const;
-
     void relayEvents(Attempt &attempt, std::string_view data, absl::Time now);
     void noteEvent(ServerCall &call, absl::Time now);
     void passStoredReply();
     void afterEnd(AttemptEnd end, absl::Time now);
-    void finishWith(NextStep step);
+    void finishWith(NextStep step, absl::Time now);
+    void refuseQuarantined(absl::Time now);
+    LossEvidence lossEvidence(const Attempt &attempt, AttemptEnd end, absl::Time now) const;
     void answerOwn(int status, std::string_view cause, bool notRun);
+    void answerOwn(int status, std::string_view cause, bool notRun,
+                   std::optional<absl::Duration> retryAfter);
     void finish(std::string_view outcome, int status);
 
     void onDeadline();
@@ -105,15 +108,13 @@
     std::optional<Attempt> takeAttempt(const ServerCall &call);
     void forgetStream();
     bool isStream() const { return this->call.route->kind == CallKind::Streaming; }
-    /** Equal for all calls of a customer with the same path and body. */
-    const Fingerprint &fingerprint();
-    CallProgress progress() const;
+    CallProgress progress(absl::Time now);
 
     GatewayContext &context;
     InboundConnection *caller;
     AdmittedCall call;
-    /** Computed when it is first asked for. */
-    std::optional<Fingerprint> knownFingerprint;
+    /** Set when the whole request is in. */
+    std::optional<CallSuspicion> suspicion;
     LoopTimer deadlineTimer;
     LoopTimer watchTimer;
     std::vector<Attempt> attempts;
--- a/main/gateway/exchange_message.cpp
+++ b/main/gateway/exchange_message.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-constexpr std::uint8_t kFormat = 4;
+constexpr std::uint8_t kFormat = 5;
 
-enum class MessageType : std::uint8_t { Report = 1, Bundle = 2 };
+enum class MessageType : std::uint8_t { Report = 1, Bundle = 2, Quarantine = 3 };
 
 enum StreamFlags : std::uint8_t { Writing = 1, Late = 2, Split = 4 };
 
@@ -55,6 +55,11 @@
     return bounded<std::uint16_t>(absl::ToDoubleMilliseconds(duration));
 }
 
+std::uint32_t ageMsOf(absl::Time moment, absl::Time now)
+{
+    return bounded<std::uint32_t>(absl::ToDoubleMilliseconds(now - moment));
+}
+
 struct WireState
 {
     std::int64_t revision = -1;
@@ -81,6 +86,7 @@
     std::uint8_t hasLostStore = 0;
     std::array<WireState, kStoreKinds> states;
     std::vector<ServerKey> suspects;
+    std::uint64_t quarantineDigest = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
@@ -92,6 +98,7 @@
         for (WireState &state : this->states)
             archive(state);
         archiveShort(archive, this->suspects);
+        archive(this->quarantineDigest);
     }
 };
 
@@ -171,6 +178,34 @@
     }
 };
 
+struct WireDeath
+{
+    Fingerprint fingerprint {};
+    std::string server;
+    std::uint64_t incarnation = 0;
+    std::uint32_t ageMs = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->fingerprint);
+        archiveShort(archive, this->server);
+        archive(this->incarnation, this->ageMs);
+    }
+};
+
+struct WireServed
+{
+    Fingerprint fingerprint {};
+    std::uint32_t ageMs = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->fingerprint, this->ageMs);
+    }
+};
+
 WireHead wireHead(const MessageHead &head, MessageType type, absl::Time now)
 {
     WireHead wire;
@@ -194,6 +229,7 @@
     const std::size_t suspects = std::min(head.suspects.size(), kMostElements);
     wire.suspects.assign(head.suspects.begin(),
                          head.suspects.begin() + static_cast<std::ptrdiff_t>(suspects));
+    wire.quarantineDigest = head.quarantineDigest;
     return wire;
 }
 
@@ -215,6 +251,7 @@
             head.states[i].confirmedAt = now - absl::Milliseconds(state.ageMs);
     }
     head.suspects = std::move(wire.suspects);
+    head.quarantineDigest = wire.quarantineDigest;
     return head;
 }
 
@@ -411,6 +448,45 @@
     return datagrams;
 }
 
+std::vector<std::string> encodeQuarantine(const QuarantineMessage &message, absl::Time now)
+{
+    std::vector<std::string> datagrams;
+    WireHead head = wireHead(message.head, MessageType::Quarantine, now);
+    head.suspects.clear();
+    std::size_t nextDeath = 0;
+    std::size_t nextServed = 0;
+    while (nextDeath < message.deaths.size() || nextServed < message.served.size()) {
+        const std::string bytes = encoded(head);
+        ListWriter deaths;
+        ListWriter served;
+        const auto room = [&] {
+            return kMaxDatagram
+                - std::min(kMaxDatagram, bytes.size() + deaths.size() + served.size());
+        };
+        const std::size_t begin = nextDeath + nextServed;
+        for (; nextDeath < message.deaths.size(); ++nextDeath) {
+            const SuspectReport &report = message.deaths[nextDeath];
+            const WireDeath wire = {report.fingerprint,
+                                    report.server.str().substr(0, kMostElements),
+                                    report.incarnation, ageMsOf(report.diedAt, now)};
+            if (!deaths.add(encoded(wire), room()))
+                break;
+        }
+        for (; nextServed < message.served.size(); ++nextServed) {
+            const ServedReport &report = message.served[nextServed];
+            const WireServed wire = {report.fingerprint, ageMsOf(report.servedAt, now)};
+            if (!served.add(encoded(wire), room()))
+                break;
+        }
+        // A head without room for an entry would be repeated for ever.
+        if (nextDeath + nextServed == begin)
+            break;
+        datagrams.push_back(bytes + deaths.text() + served.text());
+        ++head.sequence;
+    }
+    return datagrams;
+}
+
 void setEcho(std::string &datagram, std::uint64_t echo)
 {
     std::memcpy(datagram.data() + kEchoOffset, &echo, sizeof echo);
@@ -421,6 +497,7 @@
     WireHead head;
     ReportMessage report;
     BundleMessage bundle;
+    QuarantineMessage quarantine;
     try {
         BoundedReader reader(bytes);
         reader(head);
@@ -442,6 +519,18 @@
                 bundle.ownDomain.push_back(tableEntry(wire, now));
             for (const WireEntry &wire : elsewhere)
                 bundle.elsewhere.push_back(tableEntry(wire, now));
+        } else if (head.type == static_cast<std::uint8_t>(MessageType::Quarantine)) {
+            std::vector<WireDeath> deaths;
+            std::vector<WireServed> served;
+            archiveShort(reader, deaths);
+            archiveShort(reader, served);
+            for (const WireDeath &wire : deaths)
+                quarantine.deaths.push_back({wire.fingerprint, BackendServerId(wire.server),
+                                             wire.incarnation,
+                                             now - absl::Milliseconds(wire.ageMs)});
+            for (const WireServed &wire : served)
+                quarantine.served.push_back(
+                    {wire.fingerprint, now - absl::Milliseconds(wire.ageMs)});
         } else {
             return Error::MessageTagInvalid;
         }
@@ -451,6 +540,9 @@
     if (head.type == static_cast<std::uint8_t>(MessageType::Report)) {
         report.head = messageHead(head, now);
         sink.onReport(report);
+    } else if (head.type == static_cast<std::uint8_t>(MessageType::Quarantine)) {
+        quarantine.head = messageHead(head, now);
+        sink.onQuarantine(quarantine);
     } else {
         bundle.head = messageHead(head, now);
         sink.onBundle(bundle);
--- a/main/gateway/exchange_message.h
+++ b/main/gateway/exchange_message.h
@@ -4,6 +4,7 @@
 #include "servers/catalog/store_source.h"
 #include "servers/placement/load_table.h"
 #include "servers/placement/stream_part.h"
+#include "servers/quarantine/quarantine.h"
 
 #include <absl/time/time.h>
 #include <cstddef>
@@ -40,6 +41,8 @@
     /** Ages are sent; confirmedAt is InfinitePast where it is unknown. */
     KindStates states;
     std::vector<ServerKey> suspects;
+    /** Of the sender's quarantine; one that differs from the receiver's leads to an exchange. */
+    std::uint64_t quarantineDigest = 0;
 };
 
 /** What an instance reports to the one that it follows. */
@@ -62,6 +65,14 @@
     std::vector<TableEntry> elsewhere;
 };
 
+/** What an instance tells of calls that crash servers. Times are sent as ages. */
+struct QuarantineMessage
+{
+    MessageHead head;
+    std::vector<SuspectReport> deaths;
+    std::vector<ServedReport> served;
+};
+
 /** Receives what a datagram holds. */
 class MessageSink
 {
@@ -69,6 +80,7 @@
     virtual ~MessageSink() = default;
     virtual void onReport(ReportMessage &message) = 0;
     virtual void onBundle(BundleMessage &message) = 0;
+    virtual void onQuarantine(QuarantineMessage &message) = 0;
 };
 
 /**
@@ -81,6 +93,9 @@
  * sequence on; at least one. */
 std::vector<std::string> encodeBundle(const BundleMessage &message, absl::Time now);
 
+/** The same for what is known of calls that crash servers. */
+std::vector<std::string> encodeQuarantine(const QuarantineMessage &message, absl::Time now);
+
 /** Replaces the echo in an encoded datagram, the one thing that differs between receivers. */
 void setEcho(std::string &datagram, std::uint64_t echo);
 
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -119,6 +119,7 @@
     this->context.directory.onTick(now);
     this->context.ledger.onTick(now);
     this->context.health.onTick(now);
+    this->context.quarantine.onTick(now);
     // A retired object may retire others in its turn.
     std::vector<std::unique_ptr<Retirable>> retired;
     retired.swap(this->context.retired);
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -12,6 +12,7 @@
 #include "servers/placement/reachability.h"
 #include "servers/placement/server_health.h"
 #include "servers/placement/stream_ledger.h"
+#include "servers/quarantine/quarantine.h"
 #include "servers/retry/retry_budget.h"
 #include "servers/retry/stop_policy.h"
 
@@ -66,11 +67,13 @@
         : base(base)
         , settings(settings)
         , freshness(settings.revocationBound)
+        , quarantine(settings.quarantine)
         , retries(settings.retries)
         , stop(settings.stopLimit)
         , pool(base)
         , storeSource(instanceRecord(settings))
-        , exchange(base, instanceRecord(settings), this->ledger, this->health, this->storeSource)
+        , exchange(base, instanceRecord(settings), this->ledger, this->health, this->quarantine,
+                   this->storeSource)
         , random(stableSeed(settings))
     { }
 
@@ -85,6 +88,7 @@
     StreamLedger ledger;
     ServerHealth health;
     Reachability reachability;
+    Quarantine quarantine;
     RetryBudget retries;
     StopPolicy stop;
     ConnectionPool pool;
--- a/main/gateway/gateway_settings.cpp
+++ b/main/gateway/gateway_settings.cpp
@@ -8,6 +8,11 @@
 
 constexpr double kMaxPort = 65535;
 
+/** A server that is silent for this many heartbeats is taken out of the store. */
+constexpr int kHeartbeatsOfSilence = 3;
+/** Entries that lapsed without reason are back within two seconds. */
+constexpr absl::Duration kNoticeSlack = absl::Seconds(2);
+
 /** Port where instances ask each other for the store's objects, from the first internal port. */
 constexpr int kRelayPortOffset = 2;
 
@@ -39,6 +44,10 @@
         {"retries", "slack", Kind::Count, "100", 0, 100000, false,
          "Repeats allowed in a window beyond the ratio, over all instances."},
         {"retries", "window", Kind::Duration, "10 s", 1, 600, false, "Window of the two above."},
+        {"quarantine", "deaths", Kind::Count, "3", 2, 100, false,
+         "Backend servers that end under a request before no further one gets it."},
+        {"servers", "heartbeat", Kind::Duration, "1200 ms", 0.1, 60, false,
+         "Interval at which backend servers renew their entries in the store."},
         {"cold", "factor", Kind::Ratio, "1", 0, 100, false,
          "Multiple of its own figure that a cold server bears in a second."},
         {"cold", "slack", Kind::Count, "0", 0, 10000, false,
@@ -88,6 +97,9 @@
     result.retries.ratio = settings.ratio("retries", "ratio");
     result.retries.slack = static_cast<double>(settings.count("retries", "slack"));
     result.retries.window = settings.duration("retries", "window");
+    result.quarantine.deaths = static_cast<std::size_t>(settings.count("quarantine", "deaths"));
+    result.quarantine.noticeTime =
+        settings.duration("servers", "heartbeat") * kHeartbeatsOfSilence + kNoticeSlack;
     result.coldFactor = settings.ratio("cold", "factor");
     result.coldSlack = static_cast<double>(settings.count("cold", "slack"));
     result.logLevel = logLevelNamed(settings.text("log", "level"));
--- a/main/gateway/gateway_settings.h
+++ b/main/gateway/gateway_settings.h
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "core/settings.h"
 #include "servers/fleet/instance_record.h"
+#include "servers/quarantine/quarantine.h"
 #include "servers/retry/retry_budget.h"
 
 #include <absl/time/time.h>
@@ -32,6 +33,7 @@
     absl::Duration revocationBound;
     absl::Duration stopLimit;
     RetryBudgetOptions retries;
+    QuarantineOptions quarantine;
     /** Requests that a cold server bears in a second, as a multiple of its figure and a constant.
      */
     double coldFactor = 1.0;
--- a/main/gateway/instance_exchange.cpp
+++ b/main/gateway/instance_exchange.cpp
@@ -6,6 +6,7 @@
 #include "core/log.h"
 #include "core/socket_address.h"
 
+#include <absl/container/btree_set.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -46,6 +47,10 @@
 /** Time for which a server is suspect at an instance that is told so. */
 constexpr absl::Duration kToldSuspicion = absl::Seconds(1);
 
+/** Shortest time between two answers to an instance whose quarantine differs: what is on the way
+ * makes it differ for some milliseconds. */
+constexpr absl::Duration kQuarantinePause = absl::Milliseconds(500);
+
 /** Bits of a stamp that hold the time since the start, in microseconds; the rest tells the lives of
  * an instance apart. */
 constexpr int kStampTimeBits = 48;
@@ -77,11 +82,12 @@
 
 InstanceExchange::InstanceExchange(event_base *base, const InstanceRecord &self,
                                    StreamLedger &ledger, ServerHealth &health,
-                                   StoreSource &storeSource)
+                                   Quarantine &quarantine, StoreSource &storeSource)
     : base(base)
     , self(self)
     , ledger(ledger)
     , health(health)
+    , quarantine(quarantine)
     , storeSource(storeSource)
     , fleet(self)
     , tick(base, [this] { this->onTick(); })
@@ -155,6 +161,46 @@
     this->onLedgerChanged();
 }
 
+void InstanceExchange::onServerDeaths(std::vector<SuspectReport> deaths)
+{
+    QuarantineMessage message;
+    message.deaths = std::move(deaths);
+    this->spread(std::move(message), {}, Clock::now());
+}
+
+void InstanceExchange::onServed(const ServedReport &served)
+{
+    QuarantineMessage message;
+    message.served = {served};
+    this->spread(std::move(message), {}, Clock::now());
+}
+
+void InstanceExchange::spread(QuarantineMessage message, std::string_view source, absl::Time now)
+{
+    absl::btree_set<std::string> addresses;
+    if (const InstanceRecord *aggregator = this->fleet.aggregator())
+        addresses.insert(aggregator->exchangeAddress);
+    for (const InstanceRecord *other : this->fleet.remoteAggregators())
+        addresses.insert(other->exchangeAddress);
+    for (const bool isOwnDomain : {true, false}) {
+        for (const FleetView::Subscriber *subscriber : this->fleet.subscribers(isOwnDomain))
+            addresses.insert(subscriber->exchangeAddress);
+    }
+    addresses.erase(std::string(source));
+    for (const std::string &address : addresses)
+        this->sendQuarantine(message, address, now);
+}
+
+void InstanceExchange::sendQuarantine(QuarantineMessage &message, const std::string &address,
+                                      absl::Time now)
+{
+    message.head = this->head(now);
+    const std::vector<std::string> datagrams = encodeQuarantine(message, now);
+    this->sequence = message.head.sequence + datagrams.size();
+    for (const std::string &datagram : datagrams)
+        this->sendTo(address, datagram);
+}
+
 void InstanceExchange::onTick()
 {
     this->tick.start(kTick);
@@ -215,6 +261,7 @@
     head.stamp = this->stampOf(now);
     head.hasLostStore = this->storeSource.isStoreLost(now);
     head.states = this->storeSource.states();
+    head.quarantineDigest = this->quarantine.digest();
     return head;
 }
 
@@ -341,7 +388,9 @@
     // incarnation is put in order.
     if (head.incarnation == last.incarnation && head.sequence <= last.sequence)
         return false;
-    last = {head.incarnation, head.sequence, head.stamp};
+    last.incarnation = head.incarnation;
+    last.sequence = head.sequence;
+    last.stamp = head.stamp;
     return true;
 }
 
@@ -396,9 +445,43 @@
     this->onTold(head, absl::StrCat(hostOf(this->senderAddress), ":", head.relayPort), now);
 }
 
+void InstanceExchange::onQuarantine(QuarantineMessage &message)
+{
+    const absl::Time now = Clock::now();
+    if (!this->accept(message.head))
+        return;
+    QuarantineMessage news;
+    for (const SuspectReport &report : message.deaths) {
+        if (this->quarantine.onVerdict(report, now))
+            news.deaths.push_back(report);
+    }
+    for (const ServedReport &report : message.served) {
+        if (this->quarantine.onServed(report, now))
+            news.served.push_back(report);
+    }
+    if (!news.deaths.empty() || !news.served.empty())
+        this->spread(std::move(news), this->senderAddress, now);
+}
+
+void InstanceExchange::compareQuarantine(const MessageHead &head, absl::Time now)
+{
+    Known &sender = this->known[InstanceId(head.instance)];
+    const bool isDue = !this->quarantine.isEmpty()
+        && head.quarantineDigest != this->quarantine.digest()
+        && now - sender.quarantineTold >= kQuarantinePause;
+    if (!isDue)
+        return;
+    sender.quarantineTold = now;
+    QuarantineMessage all;
+    all.deaths = this->quarantine.reports(now);
+    all.served = this->quarantine.servedReports(now);
+    this->sendQuarantine(all, this->senderAddress, now);
+}
+
 void InstanceExchange::onTold(const MessageHead &head, const std::string &relayAddress,
                               absl::Time now)
 {
+    this->compareQuarantine(head, now);
     KindStates states = head.states;
     const absl::Time sentAfter = this->echoedMoment(head.echo, now);
     for (KindState &state : states) {
--- a/main/gateway/instance_exchange.h
+++ b/main/gateway/instance_exchange.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 struct event;
@@ -27,13 +28,14 @@
  * Talks with other instances by datagrams. To the instance that it follows it reports the streams
  * that it has placed, servers that it holds for suspect and what it holds of the store; those that
  * follow it are told the sums. Everything is told again before long, so a lost datagram costs
- * nothing but its age.
+ * nothing but its age. What is known of calls that crash servers goes to all linked instances when
+ * it is new, and again where the digests in two datagrams differ.
  */
 class InstanceExchange final : private MessageSink
 {
 public:
     InstanceExchange(event_base *base, const InstanceRecord &self, StreamLedger &ledger,
-                     ServerHealth &health, StoreSource &storeSource);
+                     ServerHealth &health, Quarantine &quarantine, StoreSource &storeSource);
     ~InstanceExchange() override;
     InstanceExchange(const InstanceExchange &) = delete;
     InstanceExchange &operator=(const InstanceExchange &) = delete;
@@ -56,6 +58,9 @@
     void onStoreNews();
     /** A server became suspect at this instance. */
     void onSuspicion(ServerKey server);
+    /** Tells at once what this instance has learned of calls that crash servers. */
+    void onServerDeaths(std::vector<SuspectReport> deaths);
+    void onServed(const ServedReport &served);
 
     const FleetView &view() const { return this->fleet; }
     /** Instances that take part, this one included. */
@@ -67,6 +72,8 @@
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         std::uint64_t stamp = 0;
+        /** When it was last sent all that is quarantined here. */
+        absl::Time quarantineTold = absl::InfinitePast();
     };
 
     void onTick();
@@ -82,6 +89,12 @@
     void receive();
     void onReport(ReportMessage &message) override;
     void onBundle(BundleMessage &message) override;
+    void onQuarantine(QuarantineMessage &message) override;
+    /** Tells all linked instances but the one at @p source. */
+    void spread(QuarantineMessage message, std::string_view source, absl::Time now);
+    void sendQuarantine(QuarantineMessage &message, const std::string &address, absl::Time now);
+    /** Answers an instance whose quarantine differs from this one's with all of this one's. */
+    void compareQuarantine(const MessageHead &head, absl::Time now);
     /** False when the message is older than one that was taken in, or the own one. */
     bool accept(const MessageHead &head);
     void onTold(const MessageHead &head, const std::string &relayAddress, absl::Time now);
@@ -94,6 +107,7 @@
     InstanceRecord self;
     StreamLedger &ledger;
     ServerHealth &health;
+    Quarantine &quarantine;
     StoreSource &storeSource;
     FleetView fleet;
     LoadTold toldInDomain;
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -57,6 +57,8 @@
     /** True when the store has not failed since kSettleTime, here or at the instance from which
      * changes were fetched. */
     bool isSettled(absl::Time now) const;
+    /** When the store last failed, as far as isSettled() knows. */
+    absl::Time unsettledAt() const { return this->storeFailedAt; }
     const KindCache &cache() const { return this->known; }
     std::string_view name() const { return this->kindName; }
 
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -34,6 +34,7 @@
 struct AttemptTarget
 {
     BackendServerId id;
+    Incarnation incarnation = 0;
     ServerKey key = 0;
     std::string address;
     FailureDomainId domain;
--- /dev/null
+++ b/main/gateway/service_planner.cpp
@@ -0,0 +1,46 @@
+#include "main/gateway/service_planner.h"
+
+#include "main/gateway/stream_planner.h"
+#include "servers/placement/service_placement.h"
+
+#include <algorithm>
+
+namespace foxtailtally {
+
+namespace {
+
+/** What a server told of its load is believed for this long. */
+constexpr absl::Duration kReportLife = absl::Seconds(1);
+
+} // namespace
+
+const ServerDirectory::Server *ServicePlanner::choose(const Service &service,
+                                                      std::span<const ServerKey> tried,
+                                                      absl::Time now) const
+{
+    const std::vector<const ServerDirectory::Server *> servers =
+        this->context.directory.usable(service.name, now);
+    std::vector<ServiceCandidate> candidates;
+    for (const ServerDirectory::Server *server : servers) {
+        ServiceCandidate candidate;
+        candidate.server = server->key;
+        candidate.slots = server->entry.slots;
+        candidate.isSameDomain = server->entry.domain == this->context.settings.domain;
+        const auto activity = this->context.activity.find(candidate.server);
+        if (activity != this->context.activity.end()) {
+            candidate.outstanding = activity->second.outstanding;
+            if (now - activity->second.reportedAt < kReportLife)
+                candidate.reported = activity->second.reported;
+        }
+        candidate.wasTried = std::find(tried.begin(), tried.end(), server->key) != tried.end();
+        candidate.isRateBound = isRateBound(this->context, service, *server, 0, now);
+        candidate.isUnreachable =
+            !this->context.reachability.isReachable(candidate.server, server->entry.domain);
+        candidates.push_back(candidate);
+    }
+    const std::optional<std::size_t> best =
+        chooseServiceServer(candidates, this->context.health, now);
+    return best ? servers[*best] : nullptr;
+}
+
+} // namespace foxtailtally
--- a/main/gateway/store_follower.cpp
+++ b/main/gateway/store_follower.cpp
@@ -237,6 +237,28 @@
     }
 };
 
+/** The list of backend servers, for what judges by it. */
+class StoreFollower::ListedServers final : public ServerListing
+{
+public:
+    ListedServers(const ServerDirectory &directory, const KindWatcher &watcher)
+        : directory(directory)
+        , watcher(watcher)
+    { }
+
+    bool has(const BackendServerId &server, Incarnation incarnation) const override
+    {
+        const ServerDirectory::Server *found = this->directory.find(server);
+        return found && found->entry.incarnation == incarnation;
+    }
+    absl::Time confirmedFrom() const override { return this->watcher.unsettledAt(); }
+    absl::Time confirmedUntil() const override { return this->watcher.cache().confirmedSince(); }
+
+private:
+    const ServerDirectory &directory;
+    const KindWatcher &watcher;
+};
+
 /** Enters this instance in the store. */
 class StoreFollower::Registration final : private OutboundEvents, private IdleEvents
 {
@@ -333,6 +355,7 @@
         follow(StoreKind::Config, platform::kConfigKind, kConfigTiming, *this->configEvents));
     this->watchers.push_back(
         follow(StoreKind::Servers, platform::kServerKind, kServerTiming, *this->serverEvents));
+    this->serverWatcher = this->watchers.back().get();
     this->watchers.push_back(follow(StoreKind::Evacuations, platform::kEvacuationKind,
                                     kEvacuationTiming, *this->evacuationEvents));
     this->instanceWatcher = follow(StoreKind::Instances, platform::kInstanceKind, kInstanceTiming,
@@ -360,6 +383,9 @@
 void StoreFollower::onTick(absl::Time now)
 {
     this->relay.onTick();
+    if (this->serversListed)
+        this->context.quarantine.withdrawListed(
+            ListedServers(this->context.directory, *this->serverWatcher));
     const bool isUnlistedAggregator = this->hasStarted && !this->context.exchange.isKnownToOthers()
         && !this->context.exchange.view().aggregator();
     if (!isUnlistedAggregator) {
--- a/main/gateway/store_follower.h
+++ b/main/gateway/store_follower.h
@@ -38,6 +38,7 @@
     class EvacuationEvents;
     class InstanceEvents;
     class Registration;
+    class ListedServers;
 
     /** The instances are known. @p ownRecord: what the store holds of this one, if anything. */
     void onInstancesListed(const std::optional<InstanceRecord> &ownRecord);
@@ -61,6 +62,8 @@
     /** Starts first: the others may ask the instances that it finds. */
     std::unique_ptr<KindWatcher> instanceWatcher;
     std::vector<std::unique_ptr<KindWatcher>> watchers;
+    /** One of the watchers. */
+    const KindWatcher *serverWatcher = nullptr;
     /** Delays the first reads when all instances start at once. */
     LoopTimer startTimer;
     std::unique_ptr<Registration> registration;
--- a/servers/placement/stream_placement.cpp
+++ b/servers/placement/stream_placement.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 
 namespace foxtailtally {
 
@@ -128,6 +129,35 @@
     return kBaseValue + static_cast<double>(promptTokens) / kTokensPerValue;
 }
 
+std::vector<StreamPart> streamParts(const StreamPlan &plan,
+                                    std::span<const EngineCandidate> candidates,
+                                    const StreamDemand &demand, std::uint32_t stream,
+                                    bool isResumed, absl::Time now)
+{
+    StreamPart part;
+    part.server = candidates[plan.server].server;
+    part.stream = stream;
+    part.placedAt = now;
+    part.readMs = static_cast<float>(plan.partReadMs);
+    part.memoryTokens = static_cast<std::uint32_t>(plan.shareTokens);
+    part.pauseObjectiveMs =
+        static_cast<std::uint16_t>(absl::ToInt64Milliseconds(demand.pauseObjective));
+    part.firstEventDueMs = static_cast<std::uint16_t>(
+        std::clamp<std::int64_t>(absl::ToInt64Milliseconds(demand.firstEventDue), 0,
+                                 std::numeric_limits<std::uint16_t>::max()));
+    part.value = static_cast<float>(streamValue(demand.promptTokens));
+    part.isLate = part.firstEventDueMs == 0 || isResumed;
+    part.isSplit = !plan.helpers.empty();
+    std::vector<StreamPart> parts = {part};
+    part.isHelper = true;
+    for (const std::size_t index : plan.helpers) {
+        part.memoryTokens = plan.isHolder(index) ? static_cast<std::uint32_t>(plan.shareTokens) : 0;
+        part.server = candidates[index].server;
+        parts.push_back(part);
+    }
+    return parts;
+}
+
 double readPricePerMs(std::span<const EngineCandidate> candidates, const ServerLoads &loads)
 {
     double backlog = 0;
--- a/servers/placement/stream_placement.h
+++ b/servers/placement/stream_placement.h
@@ -90,6 +90,13 @@
 /** What an answer on time is worth; grows with the prompt, as the work that hangs on it does. */
 double streamValue(std::int64_t promptTokens);
 
+/** What @p plan asks of each engine, the one that writes first. @p isResumed: events of the stream
+ * have been passed on before. */
+std::vector<StreamPart> streamParts(const StreamPlan &plan,
+                                    std::span<const EngineCandidate> candidates,
+                                    const StreamDemand &demand, std::uint32_t stream,
+                                    bool isResumed, absl::Time now);
+
 /**
  * Chooses the engine for a stream, and engines that help to read its prompt, so that the value of
  * all answers on time is highest: the stream's own, less that of the streams which the read would
--- a/servers/quarantine/quarantine.cpp
+++ b/servers/quarantine/quarantine.cpp
@@ -1,5 +1,7 @@
 #include "servers/quarantine/quarantine.h"
 
+#include "core/hash.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -10,13 +12,30 @@
 // Clocks of instances differ by less than this; a report from further ahead is not believed.
 constexpr absl::Duration kMaxClockSkew = absl::Minutes(1);
 
-bool isCurrent(absl::Time diedAt, absl::Time now)
+bool isCurrent(absl::Time happenedAt, absl::Time now)
 {
-    return diedAt + kQuarantineTerm > now;
+    return happenedAt + kQuarantineTerm > now;
+}
+
+/** What a clock that runs far ahead reports must not count for much longer than its term. */
+bool isCredible(absl::Time happenedAt, absl::Time now)
+{
+    return isCurrent(happenedAt, now) && happenedAt <= now + kMaxClockSkew;
+}
+
+std::uint64_t hashOf(const Fingerprint &fingerprint)
+{
+    return stableHash({reinterpret_cast<const char *>(fingerprint.data()), fingerprint.size()});
 }
 
 } // namespace
 
+absl::Time Quarantine::Entry::newest() const
+{
+    return this->deaths.empty() ? this->servedAt
+                                : std::max(this->servedAt, this->deaths.front().diedAt);
+}
+
 bool Quarantine::isNewer(const Death &a, const Death &b)
 {
     return std::tie(b.diedAt, a.server, a.incarnation)
@@ -40,10 +59,12 @@
 bool Quarantine::onVerdict(const SuspectReport &report, absl::Time now)
 {
     const absl::Time diedAt = report.diedAt;
-    // A clock that runs far ahead must not make a verdict last much longer than its term.
-    if (!isCurrent(diedAt, now) || diedAt > now + kMaxClockSkew)
+    if (!isCredible(diedAt, now))
+        return false;
+    Entry &entry = this->entries[report.fingerprint];
+    if (isCurrent(entry.servedAt, now))
         return false;
-    Deaths &deaths = this->entries[report.fingerprint];
+    Deaths &deaths = entry.deaths;
     const Death death {report.server, report.incarnation, diedAt};
     const auto same = std::find_if(deaths.begin(), deaths.end(), [&](const Death &known) {
         return known.server == death.server && known.incarnation == death.incarnation;
@@ -61,17 +82,68 @@
         || deaths.back().incarnation != death.incarnation;
     if (deaths.size() > kMaxDeaths)
         deaths.pop_back();
-    while (this->entries.size() > this->maxFingerprints)
-        this->dropOne();
+    this->onChanged();
     return isKept && this->entries.contains(report.fingerprint);
 }
 
+bool Quarantine::onServed(const ServedReport &report, absl::Time now)
+{
+    if (!isCredible(report.servedAt, now))
+        return false;
+    Entry &entry = this->entries[report.fingerprint];
+    const bool isNew = !isCurrent(entry.servedAt, now);
+    entry.servedAt = std::max(entry.servedAt, report.servedAt);
+    entry.deaths.clear();
+    this->onChanged();
+    return isNew && this->entries.contains(report.fingerprint);
+}
+
+void Quarantine::withdrawListed(const ServerListing &listing)
+{
+    const absl::Time latest = listing.confirmedUntil() - this->options.noticeTime;
+    if (this->entries.empty() || listing.confirmedFrom() > latest)
+        return;
+    for (auto entry = this->entries.begin(); entry != this->entries.end();) {
+        std::erase_if(entry->second.deaths, [&](const Death &death) {
+            return death.diedAt <= latest && listing.has(death.server, death.incarnation);
+        });
+        const bool isEmpty =
+            entry->second.deaths.empty() && entry->second.servedAt == absl::InfinitePast();
+        entry = isEmpty ? this->entries.erase(entry) : std::next(entry);
+    }
+    this->onChanged();
+}
+
+std::uint64_t Quarantine::digest() const
+{
+    if (this->knownDigest)
+        return *this->knownDigest;
+    std::uint64_t digest = 0;
+    for (const auto &[fingerprint, entry] : this->entries) {
+        const std::uint64_t key = hashOf(fingerprint);
+        if (entry.servedAt != absl::InfinitePast())
+            digest ^= stableHash("served", key);
+        for (const Death &death : entry.deaths)
+            digest ^= stableHash(death.server.str(), key ^ death.incarnation);
+    }
+    this->knownDigest = digest;
+    return digest;
+}
+
+void Quarantine::onChanged()
+{
+    while (this->entries.size() > this->options.maxFingerprints)
+        this->dropOne();
+    this->knownDigest.reset();
+}
+
 void Quarantine::dropOne()
 {
     auto victim = this->entries.begin();
-    const auto rank = [](const Deaths &deaths) {
-        return std::tuple(separate(deaths, absl::InfinitePast()).size() >= kQuarantineDeaths,
-                          deaths.front().diedAt);
+    const auto rank = [this](const Entry &entry) {
+        return std::tuple(separate(entry.deaths, absl::InfinitePast()).size()
+                              >= this->options.deaths,
+                          entry.newest());
     };
     for (auto entry = this->entries.begin(); entry != this->entries.end(); ++entry) {
         if (rank(entry->second) < rank(victim->second))
@@ -103,13 +175,13 @@
     const auto found = this->entries.find(fingerprint);
     return found == this->entries.end()
         ? 0
-        : static_cast<std::uint32_t>(separate(found->second, now).size());
+        : static_cast<std::uint32_t>(separate(found->second.deaths, now).size());
 }
 
 QuarantineState Quarantine::check(const Fingerprint &fingerprint, absl::Time now) const
 {
     const std::uint32_t deaths = this->deathsSeen(fingerprint, now);
-    if (deaths >= kQuarantineDeaths)
+    if (deaths >= this->options.deaths)
         return QuarantineState::Quarantined;
     return deaths > 0 ? QuarantineState::Suspect : QuarantineState::Clear;
 }
@@ -118,16 +190,17 @@
 {
     if (this->check(fingerprint, now) != QuarantineState::Quarantined)
         return absl::ZeroDuration();
-    // The quarantine ends when only one death still counts.
-    const std::vector<absl::Time> times = separate(this->entries.find(fingerprint)->second, now);
-    return times[kQuarantineDeaths - 1] + kQuarantineTerm - now;
+    // The quarantine ends when too few deaths still count.
+    const std::vector<absl::Time> times =
+        separate(this->entries.find(fingerprint)->second.deaths, now);
+    return times[this->options.deaths - 1] + kQuarantineTerm - now;
 }
 
 std::vector<SuspectReport> Quarantine::reports(absl::Time now) const
 {
     std::vector<SuspectReport> all;
-    for (const auto &[fingerprint, deaths] : this->entries) {
-        for (const Death &death : deaths) {
+    for (const auto &[fingerprint, entry] : this->entries) {
+        for (const Death &death : entry.deaths) {
             if (isCurrent(death.diedAt, now))
                 all.push_back({fingerprint, death.server, death.incarnation, death.diedAt});
         }
@@ -135,12 +208,30 @@
     return all;
 }
 
+std::vector<ServedReport> Quarantine::servedReports(absl::Time now) const
+{
+    std::vector<ServedReport> all;
+    for (const auto &[fingerprint, entry] : this->entries) {
+        if (isCurrent(entry.servedAt, now))
+            all.push_back({fingerprint, entry.servedAt});
+    }
+    return all;
+}
+
 void Quarantine::onTick(absl::Time now)
 {
     for (auto entry = this->entries.begin(); entry != this->entries.end();) {
-        std::erase_if(entry->second,
-                      [&](const Death &death) { return !isCurrent(death.diedAt, now); });
-        entry = entry->second.empty() ? this->entries.erase(entry) : std::next(entry);
+        Deaths &deaths = entry->second.deaths;
+        const std::size_t forgotten = std::erase_if(
+            deaths, [&](const Death &death) { return !isCurrent(death.diedAt, now); });
+        absl::Time &servedAt = entry->second.servedAt;
+        const bool isServedOver = servedAt != absl::InfinitePast() && !isCurrent(servedAt, now);
+        if (isServedOver)
+            servedAt = absl::InfinitePast();
+        if (forgotten > 0 || isServedOver)
+            this->knownDigest.reset();
+        const bool isEmpty = deaths.empty() && servedAt == absl::InfinitePast();
+        entry = isEmpty ? this->entries.erase(entry) : std::next(entry);
     }
 }
 
--- a/servers/quarantine/quarantine.h
+++ b/servers/quarantine/quarantine.h
@@ -2,23 +2,33 @@
 
 #include "core/ids.h"
 #include "core/request.h"
+#include "servers/quarantine/server_listing.h"
 
 #include <absl/container/btree_map.h>
-#include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <vector>
 
 namespace foxtailtally {
 
-/** Server deaths with a request after which it is quarantined. */
+/** Server deaths with a request after which it is quarantined, unless the options say otherwise. */
 constexpr std::size_t kQuarantineDeaths = 2;
 
-/** Time for which a death counts, and for which a quarantined request is refused. */
+/** Time for which a death counts, and for which a quarantined request is refused. Long enough for a
+ * caller that tries again every few minutes, short enough to try after a repair of the servers. */
 constexpr absl::Duration kQuarantineTerm = absl::Hours(1);
 
+struct QuarantineOptions
+{
+    std::size_t deaths = kQuarantineDeaths;
+    std::size_t maxFingerprints = 4096;
+    /** Time after its end after which the platform's list no longer has a server. */
+    absl::Duration noticeTime = absl::Seconds(6);
+};
+
 /** A server needs longer than this to restart and to be given the request again. */
 constexpr absl::Duration kSameDeathWindow = absl::Seconds(5);
 
@@ -32,6 +42,14 @@
     absl::Time diedAt;
 };
 
+/** A request was served; it does not crash the servers that run it. */
+struct ServedReport
+{
+    Fingerprint fingerprint {};
+    /** By the clock of the instance that served it. */
+    absl::Time servedAt;
+};
+
 enum class QuarantineState : std::uint8_t {
     Clear,
     /** One death; runs only where no other suspect runs. */
@@ -42,22 +60,25 @@
 /**
  * Requests that were running when a backend server died. What an instance knows is a set of deaths
  * (fingerprint, server, incarnation); instances merge their sets, so order and repetition of
- * reports do not matter. Two deaths of different server incarnations quarantine a fingerprint. A
- * death is forgotten an hour after it happened. Instances may know different incarnations of a
- * server at the time of one death, so deaths of one server within kSameDeathWindow count once.
+ * reports do not matter. QuarantineOptions::deaths deaths of different server incarnations
+ * quarantine a fingerprint. A death is forgotten kQuarantineTerm after it happened. Instances may
+ * know different incarnations of a server at the time of one death, so deaths of one server within
+ * kSameDeathWindow count once.
  *
- * The table is bounded by kMaxFingerprints. When it is full, the suspect with the oldest death is
- * dropped first; quarantined fingerprints are dropped only when there are no suspects left, the
- * oldest first. Of one fingerprint at most kMaxDeaths deaths are kept, the newest ones.
+ * A request that was served crashes nobody: its deaths stop counting, and for kQuarantineTerm no
+ * further ones count. A death of a server that the platform goes on listing was none.
+ *
+ * The table is bounded. When it is full, the entry with the oldest news is dropped first;
+ * quarantined fingerprints are dropped only when there are no others left. Of one fingerprint at
+ * most kMaxDeaths deaths are kept, the newest ones.
  */
 class Quarantine
 {
 public:
-    static constexpr std::size_t kMaxFingerprints = 4096;
     static constexpr std::size_t kMaxDeaths = 8;
 
-    explicit Quarantine(std::size_t maxFingerprints = kMaxFingerprints)
-        : maxFingerprints(maxFingerprints)
+    explicit Quarantine(const QuarantineOptions &options = {})
+        : options(options)
     { }
 
     /**
@@ -70,6 +91,14 @@
     /** Merges a report of another instance; true when it was new and should be passed on. */
     bool onVerdict(const SuspectReport &report, absl::Time now);
 
+    /** Merges that a request was served; true when it was new and should be passed on. */
+    bool onServed(const ServedReport &report, absl::Time now);
+
+    /** Forgets the deaths of servers that @p listing has long after. */
+    void withdrawListed(const ServerListing &listing);
+
+    /** Anything is known of @p fingerprint. */
+    bool knows(const Fingerprint &fingerprint) const { return this->entries.contains(fingerprint); }
     QuarantineState check(const Fingerprint &fingerprint, absl::Time now) const;
     /** Deaths that count for @p fingerprint; the value for RequestProfile::deathsSeen. */
     std::uint32_t deathsSeen(const Fingerprint &fingerprint, absl::Time now) const;
@@ -78,11 +107,16 @@
 
     /** All deaths that still count, for an instance that has just joined. */
     std::vector<SuspectReport> reports(absl::Time now) const;
+    /** All served requests that still count. */
+    std::vector<ServedReport> servedReports(absl::Time now) const;
+    /** Equal for tables that hold the same; zero for an empty one. */
+    std::uint64_t digest() const;
     /** Forgets deaths that no longer count. */
     void onTick(absl::Time now);
 
     /** Fingerprints in the table. */
     std::size_t size() const { return this->entries.size(); }
+    bool isEmpty() const { return this->entries.empty(); }
 
 private:
     struct Death
@@ -93,15 +127,25 @@
     };
     /** Newest death first; of equal times by server and incarnation. */
     using Deaths = std::vector<Death>;
+    struct Entry
+    {
+        Deaths deaths;
+        absl::Time servedAt = absl::InfinitePast();
+
+        absl::Time newest() const;
+    };
 
     /** Times of the deaths that count separately, the newest first. */
     static std::vector<absl::Time> separate(const Deaths &deaths, absl::Time now);
     static bool isNewer(const Death &a, const Death &b);
+    void onChanged();
     void dropOne();
 
-    std::size_t maxFingerprints;
+    QuarantineOptions options;
     /** Ordered, so that equal tables drop the same entries on all instances. */
-    absl::btree_map<Fingerprint, Deaths> entries;
+    absl::btree_map<Fingerprint, Entry> entries;
+    /** Computed when it is asked for after a change. */
+    mutable std::optional<std::uint64_t> knownDigest;
 };
 
 } // namespace foxtailtally
--- a/servers/retry/attempt_policy.cpp
+++ b/servers/retry/attempt_policy.cpp
@@ -30,6 +30,8 @@
 
 NextStep nextStep(AttemptEnd end, const CallProgress &progress)
 {
+    if (progress.isQuarantined)
+        return lastStep(end, progress);
     if (end == AttemptEnd::NotSent || end == AttemptEnd::Rejected) {
         if (progress.rejections < kMaxRejections)
             return NextStep::TryElsewhere;
--- a/servers/retry/attempt_policy.h
+++ b/servers/retry/attempt_policy.h
@@ -36,6 +36,8 @@
     int rejections = 0;
     /** Part of the answer has gone to the caller. */
     bool hasAnswerBegun = false;
+    /** Several servers have ended under the call; no further one may get it. */
+    bool isQuarantined = false;
 };
 
 enum class NextStep {
--- a/tests/placement/exchange_message_test.cpp
+++ b/tests/placement/exchange_message_test.cpp
@@ -1,6 +1,7 @@
 #include "main/gateway/exchange_message.h"
 
 #include "core/error.h"
+#include "core/hash.h"
 
 #include <cstring>
 #include <gtest/gtest.h>
@@ -19,9 +20,11 @@
 public:
     void onReport(ReportMessage &message) override { this->report = message; }
     void onBundle(BundleMessage &message) override { this->bundle = message; }
+    void onQuarantine(QuarantineMessage &message) override { this->quarantine = message; }
 
     std::optional<ReportMessage> report;
     std::optional<BundleMessage> bundle;
+    std::optional<QuarantineMessage> quarantine;
 };
 
 Kept decoded(const std::string &bytes, absl::Time now = kNow)
@@ -222,6 +225,44 @@
     EXPECT_EQ(elsewhere, 600U);
 }
 
+SuspectReport suspectReport(int number)
+{
+    return {fingerprintOf(std::to_string(number)), BackendServerId("i-0123456789"),
+            1'700'000'000'000, kNow - absl::Milliseconds(number)};
+}
+
+TEST(ExchangeMessage, WhatIsKnownOfCrashingCallsTakesAsManyDatagramsAsItNeeds)
+{
+    QuarantineMessage message;
+    message.head = head();
+    message.head.quarantineDigest = 77;
+    for (int number = 0; number < 300; ++number) {
+        message.deaths.push_back(suspectReport(number));
+        message.served.push_back({fingerprintOf(std::to_string(number)), kNow});
+    }
+    std::vector<SuspectReport> deaths;
+    std::size_t served = 0;
+    std::uint64_t sequence = message.head.sequence;
+    for (const std::string &datagram : encodeQuarantine(message, kNow)) {
+        EXPECT_LE(datagram.size(), kMaxDatagram);
+        const Kept kept = decoded(datagram, kLater);
+        ASSERT_TRUE(kept.quarantine);
+        EXPECT_EQ(kept.quarantine->head.sequence, sequence++);
+        EXPECT_EQ(kept.quarantine->head.quarantineDigest, 77U);
+        deaths.insert(deaths.end(), kept.quarantine->deaths.begin(), kept.quarantine->deaths.end());
+        served += kept.quarantine->served.size();
+    }
+    ASSERT_EQ(deaths.size(), message.deaths.size());
+    for (std::size_t i = 0; i < deaths.size(); ++i) {
+        EXPECT_EQ(deaths[i].fingerprint, message.deaths[i].fingerprint);
+        EXPECT_EQ(deaths[i].server, message.deaths[i].server);
+        EXPECT_EQ(deaths[i].incarnation, message.deaths[i].incarnation);
+        EXPECT_EQ(kLater - deaths[i].diedAt, kNow - message.deaths[i].diedAt);
+    }
+    EXPECT_EQ(served, message.served.size());
+    EXPECT_TRUE(encodeQuarantine({head(), {}, {}}, kNow).empty());
+}
+
 TEST(ExchangeMessage, AHeadWithoutRoomForAnEntryEnds)
 {
     BundleMessage message = {head(), 1, {entry(1)}, {}};
@@ -235,9 +276,10 @@
 {
     const std::vector<std::string> good = {
         encodeReport({head(), splitStream(5, 3)}, kNow),
-        encodeBundle({head(), 2, {entry(3), entry(4)}, {entry(5)}}, kNow).front()};
+        encodeBundle({head(), 2, {entry(3), entry(4)}, {entry(5)}}, kNow).front(),
+        encodeQuarantine({head(), {suspectReport(1)}, {{fingerprintOf("2"), kNow}}}, kNow).front()};
     EXPECT_TRUE(rc::check("damaged datagrams", [&good] {
-        std::string bytes = good[*rc::gen::inRange<std::size_t>(0, 2)];
+        std::string bytes = good[*rc::gen::inRange<std::size_t>(0, good.size())];
         const int changes = *rc::gen::inRange(0, 4);
         for (int i = 0; i < changes; ++i)
             bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
@@ -245,7 +287,9 @@
         bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
         Kept kept;
         const bool isRead = !decodeMessage(bytes, kNow, kept);
-        RC_ASSERT(isRead == (kept.report.has_value() || kept.bundle.has_value()));
+        RC_ASSERT(
+            isRead
+            == (kept.report.has_value() || kept.bundle.has_value() || kept.quarantine.has_value()));
         RC_ASSERT(!kept.report || kept.report->parts.size() <= kMaxDatagram);
     }));
 }
--- a/tests/process/crashing_call_test.cpp
+++ b/tests/process/crashing_call_test.cpp
@@ -4,7 +4,10 @@
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <algorithm>
+#include <atomic>
+#include <csignal>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace foxtailtally {
 namespace {
@@ -91,7 +94,7 @@
     }
 
     GatewayDeployment deployment;
-    int calls = 0;
+    std::atomic<int> calls = 0;
 };
 
 // The users saw a call sent to servers again and again after three had ended under it.
@@ -110,5 +113,45 @@
     this->expectFewArrivals("/look/a");
 }
 
+// An instance that starts knows nothing; the others tell it before callers find out.
+TEST_F(CrashingCall, IsRefusedByAnInstanceThatStartsLater)
+{
+    ASSERT_TRUE(this->waitUntilReady());
+    this->sendFor(absl::Seconds(1), "/act/a");
+    const std::size_t before = this->arrivals().size();
+    ASSERT_GE(before, 3U);
+    this->deployment.process(2).signal(SIGKILL);
+    ASSERT_TRUE(this->deployment.process(2).waitForEnd(kNoticeTime));
+    this->deployment.start(2);
+    ASSERT_TRUE(this->deployment.waitUntilReady(2));
+    absl::SleepFor(absl::Seconds(1));
+    const CallerAnswer answer = this->call(2, "/act/a", kCrashingBody);
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_TRUE(answer.hasHeader("Retry-After: 35"));
+    EXPECT_NE(answer.body.find("\"not_run\":true"), std::string::npos);
+    EXPECT_EQ(this->arrivals().size(), before);
+}
+
+// Calls that ran at the servers that ended are served as soon as the servers are back.
+TEST_F(CrashingCall, LeavesAloneTheCallsThatRanBesideIt)
+{
+    ASSERT_TRUE(this->waitUntilReady());
+    std::atomic<bool> isOver = false;
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < kGateways; ++caller) {
+        callers.emplace_back([this, caller, &isOver] {
+            while (!isOver)
+                this->call(caller, "/stream/a", "beside");
+        });
+    }
+    this->sendFor(absl::Seconds(2), "/stream/a");
+    isOver = true;
+    for (std::thread &caller : callers)
+        caller.join();
+    EXPECT_GE(this->arrivals().size(), 3U);
+    for (int gateway = 0; gateway < kGateways; ++gateway)
+        EXPECT_EQ(this->call(gateway, "/stream/a", "beside").status, 200);
+}
+
 } // namespace
 } // namespace foxtailtally
--- /dev/null
+++ b/tests/quarantine/crash_suspicion_test.cpp
@@ -0,0 +1,226 @@
+#include "core/hash.h"
+#include "core/random.h"
+#include "servers/quarantine/crash_evidence.h"
+#include "servers/quarantine/quarantine.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace foxtailtally {
+namespace {
+
+const absl::Time kNow = absl::UnixEpoch() + absl::Hours(100);
+const Fingerprint kCall = fingerprintOf("call");
+
+QuarantineOptions threeDeaths()
+{
+    QuarantineOptions options;
+    options.deaths = 3;
+    options.noticeTime = absl::Seconds(6);
+    return options;
+}
+
+SuspectReport death(int server, absl::Time at = kNow, const Fingerprint &call = kCall)
+{
+    return {call, BackendServerId(absl::StrCat("server-", server)), 1, at};
+}
+
+class FakeListing final : public ServerListing
+{
+public:
+    bool has(const BackendServerId &server, Incarnation incarnation) const override
+    {
+        const auto found = this->listed.find(server);
+        return found != this->listed.end() && found->second == incarnation;
+    }
+    absl::Time confirmedFrom() const override { return this->from; }
+    absl::Time confirmedUntil() const override { return this->until; }
+
+    absl::btree_map<BackendServerId, Incarnation> listed;
+    absl::Time from = absl::InfinitePast();
+    absl::Time until = kNow;
+};
+
+TEST(CrashEvidence, CountsOnlyConnectionsThatBrokeBeforeTheAnswer)
+{
+    struct Case
+    {
+        bool isBroken;
+        bool hasAnswerBegun;
+        absl::Duration writingFor;
+        bool mayHaveCrashed;
+    };
+    const std::vector<Case> cases = {
+        {true, false, absl::ZeroDuration(), true},
+        {false, false, absl::ZeroDuration(), false},
+        {true, true, absl::ZeroDuration(), false},
+        // The first event may get out before the connection breaks; a stream that has been written
+        // for a while has crashed nobody.
+        {true, false, kCrashDelay, true},
+        {true, false, kCrashDelay + absl::Milliseconds(1), false},
+    };
+    for (const Case &entry : cases) {
+        const LossEvidence evidence = {entry.isBroken, entry.hasAnswerBegun, entry.writingFor};
+        EXPECT_EQ(mayHaveCrashedServer(evidence), entry.mayHaveCrashed);
+    }
+}
+
+TEST(CrashSuspicion, QuarantinesAtTheThirdServerAndNotBefore)
+{
+    Quarantine table(threeDeaths());
+    table.onVerdict(death(1), kNow);
+    table.onVerdict(death(1), kNow);
+    table.onVerdict(death(2), kNow);
+    EXPECT_EQ(table.check(kCall, kNow), QuarantineState::Suspect);
+    EXPECT_EQ(table.retryAfter(kCall, kNow), absl::ZeroDuration());
+    table.onVerdict(death(3), kNow);
+    EXPECT_EQ(table.check(kCall, kNow), QuarantineState::Quarantined);
+    EXPECT_EQ(table.retryAfter(kCall, kNow), kQuarantineTerm);
+}
+
+// A call that is asked for often runs at most servers that end, whatever ends them.
+TEST(CrashSuspicion, ACallThatWasServedIsNeverQuarantined)
+{
+    Quarantine table(threeDeaths());
+    table.onVerdict(death(1), kNow);
+    EXPECT_TRUE(table.onServed({kCall, kNow}, kNow));
+    EXPECT_FALSE(table.onServed({kCall, kNow}, kNow));
+    for (int server = 2; server < 9; ++server)
+        EXPECT_FALSE(table.onVerdict(death(server), kNow));
+    EXPECT_EQ(table.check(kCall, kNow), QuarantineState::Clear);
+    const absl::Time later = kNow + kQuarantineTerm;
+    table.onTick(later);
+    EXPECT_TRUE(table.isEmpty());
+    EXPECT_TRUE(table.onVerdict(death(1, later), later));
+}
+
+// Connections that break while the servers live must not put calls into quarantine.
+TEST(CrashSuspicion, ForgetsDeathsOfServersThatTheListKeeps)
+{
+    Quarantine table(threeDeaths());
+    FakeListing listing;
+    for (int server = 1; server <= 3; ++server) {
+        table.onVerdict(death(server), kNow);
+        listing.listed[BackendServerId(absl::StrCat("server-", server))] = 1;
+    }
+    listing.until = kNow + absl::Seconds(5);
+    table.withdrawListed(listing);
+    EXPECT_EQ(table.check(kCall, kNow), QuarantineState::Quarantined);
+
+    // The store was away meanwhile, so the list may still have servers that have ended.
+    listing.until = kNow + absl::Seconds(7);
+    listing.from = kNow + absl::Seconds(2);
+    table.withdrawListed(listing);
+    EXPECT_EQ(table.check(kCall, kNow), QuarantineState::Quarantined);
+
+    // Server 3 is there in another life only.
+    listing.listed[BackendServerId("server-3")] = 2;
+    listing.until = kNow + absl::Seconds(8);
+    table.withdrawListed(listing);
+    EXPECT_EQ(table.deathsSeen(kCall, kNow), 1U);
+
+    listing.listed[BackendServerId("server-3")] = 1;
+    table.withdrawListed(listing);
+    EXPECT_TRUE(table.isEmpty());
+    EXPECT_EQ(table.digest(), 0U);
+}
+
+/** One thing that an instance may learn. */
+struct News
+{
+    bool isServed = false;
+    SuspectReport report;
+};
+
+News anyNews(Random &random)
+{
+    News news;
+    news.isServed = random.below(5) == 0;
+    news.report =
+        death(static_cast<int>(random.below(6)), kNow - absl::Milliseconds(random.below(1000)),
+              fingerprintOf(absl::StrCat(random.below(4))));
+    return news;
+}
+
+void learn(Quarantine &table, const News &news)
+{
+    if (news.isServed)
+        table.onServed({news.report.fingerprint, news.report.diedAt}, kNow);
+    else
+        table.onVerdict(news.report, kNow);
+}
+
+// Instances compare digests to find out whether they know the same.
+RC_GTEST_PROP(CrashSuspicion, TablesThatLearnTheSameInAnyOrderHaveEqualDigests, ())
+{
+    Random random(*rc::gen::arbitrary<std::uint32_t>());
+    std::vector<News> news(1 + random.below(30));
+    for (News &item : news)
+        item = anyNews(random);
+    Quarantine first(threeDeaths());
+    for (const News &item : news)
+        learn(first, item);
+    for (std::size_t i = news.size() - 1; i > 0; --i)
+        std::swap(news[i], news[random.below(i + 1)]);
+    Quarantine second(threeDeaths());
+    for (const News &item : news) {
+        learn(second, item);
+        if (random.below(3) == 0)
+            learn(second, item);
+    }
+    RC_ASSERT(first.digest() == second.digest());
+    for (std::uint64_t call = 0; call < 4; ++call) {
+        const Fingerprint fingerprint = fingerprintOf(absl::StrCat(call));
+        RC_ASSERT(first.check(fingerprint, kNow) == second.check(fingerprint, kNow));
+    }
+    // What one table tells adds nothing to the other.
+    for (const SuspectReport &report : first.reports(kNow))
+        RC_ASSERT(!second.onVerdict(report, kNow));
+    for (const ServedReport &report : first.servedReports(kNow))
+        RC_ASSERT(!second.onServed(report, kNow));
+    RC_ASSERT((first.digest() == 0) == first.isEmpty());
+}
+
+RC_GTEST_PROP(CrashSuspicion, ADigestTellsThatATableLacksSomething, ())
+{
+    Random random(*rc::gen::arbitrary<std::uint32_t>());
+    Quarantine first(threeDeaths());
+    Quarantine second(threeDeaths());
+    const std::uint64_t common = random.below(10);
+    for (std::uint64_t i = 0; i < common; ++i) {
+        const News news = anyNews(random);
+        learn(first, news);
+        learn(second, news);
+    }
+    const News extra = anyNews(random);
+    const std::uint64_t before = first.digest();
+    const bool isNew = extra.isServed
+        ? first.onServed({extra.report.fingerprint, extra.report.diedAt}, kNow)
+        : first.onVerdict(extra.report, kNow);
+    RC_ASSERT(isNew == (first.digest() != before));
+    RC_ASSERT(isNew == (first.digest() != second.digest()));
+}
+
+TEST(CrashSuspicion, AFullTableKeepsVerdictsAndDropsTheOldestNews)
+{
+    QuarantineOptions options = threeDeaths();
+    options.maxFingerprints = 20;
+    Quarantine table(options);
+    for (int server = 1; server <= 3; ++server)
+        table.onVerdict(death(server, kNow - absl::Minutes(50)), kNow);
+    for (int i = 0; i < 100; ++i) {
+        const Fingerprint call = fingerprintOf(absl::StrCat("other", i));
+        if (i % 2 == 0)
+            table.onServed({call, kNow - absl::Minutes(40)}, kNow);
+        else
+            table.onVerdict(death(1, kNow, call), kNow);
+    }
+    EXPECT_EQ(table.size(), 20U);
+    EXPECT_EQ(table.check(kCall, kNow), QuarantineState::Quarantined);
+    EXPECT_TRUE(table.servedReports(kNow).empty());
+}
+
+} // namespace
+} // namespace foxtailtally
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine/quarantine_test.cpp
@@ -359,7 +359,9 @@
 TEST(QuarantineTest, TableIsBoundedAndKeepsVerdicts)
 {
     const absl::Time now = absl::FromUnixSeconds(100000);
-    Quarantine table(100);
+    QuarantineOptions options;
+    options.maxFingerprints = 100;
+    Quarantine table(options);
     const Fingerprint killer = fingerprintOf("killer");
     table.onVerdict({killer, BackendServerId("a"), 1, now - absl::Minutes(30)}, now);
     table.onVerdict({killer, BackendServerId("b"), 1, now - absl::Minutes(20)}, now);
--- a/tests/retry/retry_test.cpp
+++ b/tests/retry/retry_test.cpp
@@ -42,6 +42,20 @@
     RC_ASSERT(progress.rejections <= kMaxRejections);
 }
 
+// Callers saw a call sent again and again to servers that ended under it.
+RC_GTEST_PROP(AttemptPolicy, SendsAQuarantinedCallToNoFurtherServer, ())
+{
+    CallProgress progress;
+    progress.isRepeatable = *rc::gen::arbitrary<bool>();
+    progress.maxRuns = *rc::gen::inRange(1, 9);
+    progress.runs = *rc::gen::inRange(0, 3);
+    progress.rejections = *rc::gen::inRange(0, 3);
+    progress.isQuarantined = true;
+    const NextStep step = nextStep(*anyEnd(), progress);
+    RC_ASSERT(step != NextStep::TryElsewhere);
+    RC_ASSERT(step != NextStep::AnswerNotRun || progress.runs == 0);
+}
+
 // Found by a hunt: streams were taken from an engine that read a long prompt, no other engine could
 // take them, and their answers were broken off.
 TEST(AttemptPolicy, MovesAStreamOnlyToABetterPlace)
