Keep deaths under calls in the store, so that the whole fleet may be restarted

Cause: what instances know of calls that crash servers was in their memory alone. Change: an instance writes each death that it saw itself to the store once the call has two (kind foxtailtally-deaths, one object for a death, named by fingerprint and life of the server, created once, so no write changes another's). Instances follow the kind as they follow the others, with a watch of 3 s. Removed objects count no more and do not come back by gossip: so an operator lets a call run again, and the writer withdraws what the list of servers has refuted. Expired ones are removed by whoever writes next. One class makes all writes to the store; the registration of instances had its own. Ruled out: one object for a call, which instances would have to change under conditions; a write for each death, most of which are of calls that only ran beside.

--- a/core/hash.cpp
+++ b/core/hash.cpp
@@ -1,6 +1,9 @@
 #include "core/hash.h"
 
+#include "core/text.h"
+
 #include <absl/strings/escaping.h>
+#include <algorithm>
 #include <sodium.h>
 #include <xxhash.h>
 
@@ -47,4 +50,15 @@
         {reinterpret_cast<const char *>(fingerprint.data()), fingerprint.size()});
 }
 
+bool parseFingerprint(std::string_view text, Fingerprint &fingerprint)
+{
+    const bool isHexadecimal = text.size() == 2 * fingerprint.size()
+        && text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+    if (!isHexadecimal)
+        return false;
+    const std::string bytes = absl::HexStringToBytes(asAbsl(text));
+    std::copy(bytes.begin(), bytes.end(), fingerprint.begin());
+    return true;
+}
+
 } // namespace foxtailtally
--- a/core/hash.h
+++ b/core/hash.h
@@ -23,5 +23,7 @@
 
 /** Hexadecimal digits of @p fingerprint. */
 std::string fingerprintText(const Fingerprint &fingerprint);
+/** Reads what fingerprintText() wrote; false when @p text is something else. */
+bool parseFingerprint(std::string_view text, Fingerprint &fingerprint);
 
 } // namespace foxtailtally
--- a/main/gateway/store_follower.cpp
+++ b/main/gateway/store_follower.cpp
@@ -17,6 +17,7 @@
 constexpr KindWatcher::Timing kConfigTiming = {absl::Milliseconds(60)};
 constexpr KindWatcher::Timing kServerTiming = {absl::Milliseconds(100)};
 constexpr KindWatcher::Timing kEvacuationTiming = {absl::Milliseconds(100)};
+constexpr KindWatcher::Timing kDeathTiming = {absl::Milliseconds(100)};
 constexpr KindWatcher::Timing kInstanceTiming = {absl::Seconds(1), true};
 
 /** When all instances start at once, the list of them is read after this time: they start within a
@@ -39,7 +40,6 @@
 
 /** Pause between attempts to enter this instance in the store. */
 constexpr absl::Duration kRegistrationPause = absl::Seconds(1);
-constexpr absl::Duration kRegistrationTime = absl::Milliseconds(900);
 
 constexpr int kStatusConflict = 409;
 
@@ -199,6 +199,63 @@
     }
 };
 
+/** Ends of servers under calls, which outlive the instances that saw them. */
+class StoreFollower::DeathEvents final : public KindKeeper
+{
+public:
+    explicit DeathEvents(StoreFollower &follower)
+        : KindKeeper(follower, platform::kDeathKind)
+    { }
+
+    void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time now) override
+    {
+        absl::btree_set<std::string> listed;
+        for (const StoredObject &object : objects) {
+            listed.insert(object.name);
+            this->adopt(object, now);
+        }
+        for (const std::string &name : this->known) {
+            if (!listed.contains(name))
+                this->withdraw(name, now);
+        }
+        this->known = std::move(listed);
+    }
+    void onChange(const ObjectChange &change, bool, absl::Time now) override
+    {
+        if (change.isDeleted) {
+            this->withdraw(change.object.name, now);
+            this->known.erase(change.object.name);
+            return;
+        }
+        this->known.insert(change.object.name);
+        this->adopt(change.object, now);
+    }
+
+private:
+    void adopt(const StoredObject &object, absl::Time now)
+    {
+        Result<SuspectReport> report = platform::decodeDeath(object);
+        if (!report.ok()) {
+            logEvent(LogLevel::Warning, "death_entry_unreadable", {{"name", object.name}});
+            return;
+        }
+        const absl::Duration age = Clock::wallNow() - report->diedAt;
+        report->diedAt = now - std::max(age, absl::ZeroDuration());
+        this->follower.recorder.onStored(object.name, report->diedAt + kQuarantineTerm);
+        this->context.quarantine.onVerdict(*report, now);
+    }
+    /** An operator, or who wrote it, has removed the object. */
+    void withdraw(const std::string &name, absl::Time now)
+    {
+        this->follower.recorder.onRemoved(name);
+        if (const std::optional<DeathKey> death = DeathRecorder::keyOf(name))
+            this->context.quarantine.withdraw(*death, now);
+        logEvent(LogLevel::Info, "death_withdrawn", {{"name", name}});
+    }
+
+    absl::btree_set<std::string> known;
+};
+
 class StoreFollower::InstanceEvents final : public KindKeeper
 {
 public:
@@ -260,12 +317,13 @@
 };
 
 /** Enters this instance in the store. */
-class StoreFollower::Registration final : private OutboundEvents, private IdleEvents
+class StoreFollower::Registration final : private StoreWriterEvents
 {
 public:
     Registration(GatewayContext &context, InstanceRecord record)
         : context(context)
         , record(std::move(record))
+        , writer(context.base, context.settings.storeAddress, *this)
         , timer(context.base, [this] { this->send(); })
     { }
 
@@ -282,53 +340,37 @@
 private:
     void send()
     {
-        const std::string &address = this->context.settings.storeAddress;
-        const std::string target = this->isKnown
-            ? platform::objectTarget(platform::kInstanceKind, this->record.id.str())
-            : platform::listTarget(platform::kInstanceKind, {});
-        IdleEvents &idleEvents = *this;
-        this->connection =
-            std::make_unique<OutboundConnection>(this->context.base, address, idleEvents);
         const std::string body = platform::encodeInstance(this->record);
-        this->connection->call(
-            absl::StrCat(this->isKnown ? "PUT " : "POST ", target, " HTTP/1.1\r\nHost: ", address,
-                         "\r\nContent-Type: application/json\r\nContent-Length: ", body.size(),
-                         "\r\n\r\n", body),
-            false, {}, *this);
-        this->timer.start(kRegistrationTime);
+        if (this->isKnown)
+            this->writer.send(
+                "PUT", platform::objectTarget(platform::kInstanceKind, this->record.id.str()),
+                body);
+        else
+            this->writer.send("POST", platform::listTarget(platform::kInstanceKind, {}), body);
     }
 
-    void onResponseHead(OutboundConnection &, const ResponseHead &head) override
-    {
-        this->status = head.status;
-    }
-    void onResponseBody(OutboundConnection &, std::string_view) override { }
-    void onResponseComplete(OutboundConnection &) override
+    void onStoreAnswer(int status) override
     {
         // An entry is there already when the answer to an earlier call was lost.
-        this->isKnown = this->status == kStatusConflict;
-        const bool isEntered = this->status < 300;
+        this->isKnown = status == kStatusConflict;
+        const bool isEntered = status < 300;
         logEvent(isEntered ? LogLevel::Info : LogLevel::Warning, "instance_registration",
-                 {{"status", this->status}});
+                 {{"status", status}});
         this->isInWork = !isEntered;
         this->context.exchange.setListed(isEntered);
-        if (isEntered)
-            this->timer.stop();
-        else
+        if (!isEntered)
             this->timer.start(this->isKnown ? absl::ZeroDuration() : kRegistrationPause);
     }
-    void onCallFailed(OutboundConnection &, std::error_code error) override
+    void onNoStoreAnswer(std::string_view cause) override
     {
-        logEvent(LogLevel::Warning, "instance_registration", {{"error", errorName(error)}});
+        logEvent(LogLevel::Warning, "instance_registration", {{"error", cause}});
         this->timer.start(kRegistrationPause);
     }
-    void onIdleClosed(OutboundConnection &) override { }
 
     GatewayContext &context;
     InstanceRecord record;
+    StoreWriter writer;
     LoopTimer timer;
-    std::unique_ptr<OutboundConnection> connection;
-    int status = 0;
     bool isInWork = false;
     bool isKnown = false;
 };
@@ -336,9 +378,11 @@
 StoreFollower::StoreFollower(GatewayContext &context)
     : context(context)
     , relay(context.base)
+    , recorder(context.base, context.settings.storeAddress)
     , configEvents(std::make_unique<ConfigEvents>(*this))
     , serverEvents(std::make_unique<ServerEvents>(*this))
     , evacuationEvents(std::make_unique<EvacuationEvents>(*this))
+    , deathEvents(std::make_unique<DeathEvents>(*this))
     , instanceEvents(std::make_unique<InstanceEvents>(*this))
     , startTimer(context.base, [this] { this->onStartTimer(); })
     , registration(std::make_unique<Registration>(context, instanceRecord(this->context.settings)))
@@ -358,6 +402,8 @@
     this->serverWatcher = this->watchers.back().get();
     this->watchers.push_back(follow(StoreKind::Evacuations, platform::kEvacuationKind,
                                     kEvacuationTiming, *this->evacuationEvents));
+    this->watchers.push_back(
+        follow(StoreKind::Deaths, platform::kDeathKind, kDeathTiming, *this->deathEvents));
     this->instanceWatcher = follow(StoreKind::Instances, platform::kInstanceKind, kInstanceTiming,
                                    *this->instanceEvents);
     this->context.exchange.setToldTask([this] { this->onTold(); });
@@ -386,6 +432,7 @@
     if (this->serversListed)
         this->context.quarantine.withdrawListed(
             ListedServers(this->context.directory, *this->serverWatcher));
+    this->recorder.onTick(this->context.quarantine, now, Clock::wallNow());
     const bool isUnlistedAggregator = this->hasStarted && !this->context.exchange.isKnownToOthers()
         && !this->context.exchange.view().aggregator();
     if (!isUnlistedAggregator) {
--- a/main/gateway/store_follower.h
+++ b/main/gateway/store_follower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "main/gateway/death_recorder.h"
 #include "main/gateway/gateway_context.h"
 #include "main/gateway/kind_watcher.h"
 #include "main/gateway/store_relay.h"
@@ -36,6 +37,7 @@
     class ConfigEvents;
     class ServerEvents;
     class EvacuationEvents;
+    class DeathEvents;
     class InstanceEvents;
     class Registration;
     class ListedServers;
@@ -55,9 +57,11 @@
     /** When this instance was last followed, followed another one or was listed. */
     absl::Time unlistedSince = absl::InfinitePast();
     StoreRelay relay;
+    DeathRecorder recorder;
     std::unique_ptr<ConfigEvents> configEvents;
     std::unique_ptr<ServerEvents> serverEvents;
     std::unique_ptr<EvacuationEvents> evacuationEvents;
+    std::unique_ptr<DeathEvents> deathEvents;
     std::unique_ptr<InstanceEvents> instanceEvents;
     /** Starts first: the others may ask the instances that it finds. */
     std::unique_ptr<KindWatcher> instanceWatcher;
--- /dev/null
+++ b/main/gateway/store_writer.cpp
@@ -0,0 +1,69 @@
+#include "main/gateway/store_writer.h"
+
+#include "core/error.h"
+#include "core/text.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace foxtailtally {
+
+namespace {
+
+/** Time for the store's answer; it answers in milliseconds, and in a quarter of a second while it
+ * is slow. */
+constexpr absl::Duration kAnswerTime = absl::Milliseconds(900);
+
+} // namespace
+
+StoreWriter::StoreWriter(event_base *base, const std::string &storeAddress,
+                         StoreWriterEvents &events)
+    : base(base)
+    , storeAddress(storeAddress)
+    , events(events)
+    , limit(base, [this] {
+        this->connection->cancel();
+        this->events.onNoStoreAnswer("no answer");
+    })
+{ }
+
+void StoreWriter::send(std::string_view method, std::string_view target, std::string_view body)
+{
+    this->status = 0;
+    IdleEvents &idleEvents = *this;
+    // A connection on which an answer was lost returns nothing further.
+    this->connection =
+        std::make_unique<OutboundConnection>(this->base, this->storeAddress, idleEvents);
+    this->connection->call(
+        absl::StrCat(asAbsl(method), " ", asAbsl(target), " HTTP/1.1\r\nHost: ", this->storeAddress,
+                     "\r\nContent-Type: application/json\r\nContent-Length: ", body.size(),
+                     "\r\n\r\n", asAbsl(body)),
+        false, {}, *this);
+    this->limit.start(kAnswerTime);
+}
+
+void StoreWriter::onResponseHead(OutboundConnection &, const ResponseHead &head)
+{
+    this->status = head.status;
+}
+
+void StoreWriter::onResponseBody(OutboundConnection &, std::string_view)
+{ }
+
+void StoreWriter::onResponseComplete(OutboundConnection &)
+{
+    this->limit.stop();
+    this->events.onStoreAnswer(this->status);
+}
+
+void StoreWriter::onCallFailed(OutboundConnection &, std::error_code error)
+{
+    this->limit.stop();
+    this->events.onNoStoreAnswer(errorName(error));
+}
+
+void StoreWriter::onIdleClosed(OutboundConnection &)
+{
+    // Each call opens a connection of its own.
+}
+
+} // namespace foxtailtally
--- a/servers/catalog/store_source.cpp
+++ b/servers/catalog/store_source.cpp
@@ -113,6 +113,21 @@
     return this->storeFailures == 0 || this->mayTryStore(now);
 }
 
+absl::Duration StoreSource::watchTime(StoreKind kind)
+{
+    switch (kind) {
+    case StoreKind::Config:
+    case StoreKind::Servers:
+    case StoreKind::Evacuations:
+        return kWatch;
+    case StoreKind::Deaths:
+        return kDeathWatch;
+    case StoreKind::Instances:
+        return kInstanceWatch;
+    }
+    return kWatch;
+}
+
 std::size_t StoreSource::position(absl::Time now) const
 {
     if (!this->place.aggregator)
--- a/servers/catalog/store_source.h
+++ b/servers/catalog/store_source.h
@@ -16,9 +16,9 @@
 namespace foxtailtally {
 
 /** Kinds of object that an instance keeps as the store has them. */
-enum class StoreKind : std::uint8_t { Config, Servers, Evacuations, Instances };
+enum class StoreKind : std::uint8_t { Config, Servers, Evacuations, Deaths, Instances };
 
-inline constexpr std::size_t kStoreKinds = 4;
+inline constexpr std::size_t kStoreKinds = 5;
 
 /** What an instance holds of one kind. */
 struct KindState
@@ -50,6 +50,8 @@
     static constexpr absl::Duration kWatch = absl::Seconds(1);
     /** The same for instances; late news of one does no harm. */
     static constexpr absl::Duration kInstanceWatch = absl::Seconds(10);
+    /** The same for deaths; instances tell each other of them at once. */
+    static constexpr absl::Duration kDeathWatch = absl::Seconds(3);
     /** Age beyond that of a watch at which the second in order reads the store in place of the
      * first, and the further time for each one after it. */
     static constexpr absl::Duration kFirstPatience = absl::Milliseconds(200);
@@ -159,10 +161,7 @@
     bool hasLost(const InstanceRecord &other) const;
     absl::Duration retryPause() const;
     bool mayReadStore(StoreKind kind, absl::Time now);
-    static absl::Duration watchTime(StoreKind kind)
-    {
-        return kind == StoreKind::Instances ? kInstanceWatch : kWatch;
-    }
+    static absl::Duration watchTime(StoreKind kind);
     /** Lets one call find out whether a store that failed answers again. */
     bool mayTryStore(absl::Time now);
 
--- a/servers/quarantine/quarantine.cpp
+++ b/servers/quarantine/quarantine.cpp
@@ -52,22 +52,27 @@
         if (this->wasServedLately(fingerprint, now))
             continue;
         const SuspectReport report {fingerprint, server, incarnation, now};
-        if (this->onVerdict(report, now))
+        if (this->addDeath(report, true, now))
             fresh.push_back(report);
     }
     return fresh;
 }
 
 bool Quarantine::onVerdict(const SuspectReport &report, absl::Time now)
+{
+    return this->addDeath(report, false, now);
+}
+
+bool Quarantine::addDeath(const SuspectReport &report, bool isOwn, absl::Time now)
 {
     const absl::Time diedAt = report.diedAt;
-    if (!isCredible(diedAt, now))
+    if (!isCredible(diedAt, now) || this->withdrawn.contains(deathKey(report)))
         return false;
     Entry &entry = this->entries[report.fingerprint];
     if (diedAt <= entry.servedAt + kServedTerm)
         return false;
     Deaths &deaths = entry.deaths;
-    const Death death {report.server, report.incarnation, diedAt};
+    const Death death {report.server, report.incarnation, diedAt, isOwn};
     const auto same = std::find_if(deaths.begin(), deaths.end(), [&](const Death &known) {
         return known.server == death.server && known.incarnation == death.incarnation;
     });
@@ -131,6 +136,44 @@
     this->onChanged();
 }
 
+void Quarantine::withdraw(const DeathKey &death, absl::Time now)
+{
+    this->withdrawn[death] = now + kQuarantineTerm;
+    const auto found = this->entries.find(death.fingerprint);
+    if (found == this->entries.end())
+        return;
+    std::erase_if(found->second.deaths, [&death](const Death &known) {
+        return lifeHash(known.server, known.incarnation) == death.life;
+    });
+    if (found->second.deaths.empty() && found->second.servedAt == absl::InfinitePast())
+        this->entries.erase(found);
+    this->onChanged();
+}
+
+std::vector<SuspectReport> Quarantine::toRecord(absl::Time now) const
+{
+    std::vector<SuspectReport> reports;
+    for (const auto &[fingerprint, entry] : this->entries) {
+        if (this->nextRun(fingerprint, now) != SuspectRun::Last)
+            continue;
+        for (const Death &death : entry.deaths) {
+            if (death.isOwn && isCurrent(death.diedAt, now))
+                reports.push_back({fingerprint, death.server, death.incarnation, death.diedAt});
+        }
+    }
+    return reports;
+}
+
+bool Quarantine::has(const DeathKey &death) const
+{
+    const auto found = this->entries.find(death.fingerprint);
+    return found != this->entries.end()
+        && std::any_of(found->second.deaths.begin(), found->second.deaths.end(),
+                       [&death](const Death &known) {
+                           return lifeHash(known.server, known.incarnation) == death.life;
+                       });
+}
+
 std::uint64_t Quarantine::digest() const
 {
     if (this->knownDigest)
@@ -141,7 +184,7 @@
         if (entry.servedAt != absl::InfinitePast())
             digest ^= stableHash("served", key);
         for (const Death &death : entry.deaths)
-            digest ^= stableHash(death.server.str(), key ^ death.incarnation);
+            digest ^= stableHash("death", key ^ lifeHash(death.server, death.incarnation));
     }
     this->knownDigest = digest;
     return digest;
@@ -245,6 +288,7 @@
 
 void Quarantine::onTick(absl::Time now)
 {
+    absl::erase_if(this->withdrawn, [now](const auto &item) { return item.second <= now; });
     for (auto entry = this->entries.begin(); entry != this->entries.end();) {
         Deaths &deaths = entry->second.deaths;
         const std::size_t forgotten = std::erase_if(
--- a/servers/quarantine/quarantine.h
+++ b/servers/quarantine/quarantine.h
@@ -4,6 +4,7 @@
 #include "core/request.h"
 #include "servers/quarantine/served_memory.h"
 #include "servers/quarantine/server_listing.h"
+#include "servers/quarantine/suspect_report.h"
 #include "servers/quarantine/suspect_spread.h"
 
 #include <absl/container/btree_map.h>
@@ -40,24 +41,6 @@
 /** A server needs longer than this to restart and to be given the request again. */
 constexpr absl::Duration kSameDeathWindow = absl::Seconds(5);
 
-/** One death of a backend server while a request with this fingerprint ran on it. */
-struct SuspectReport
-{
-    Fingerprint fingerprint {};
-    BackendServerId server;
-    Incarnation incarnation = 0;
-    /** Time of the death, by the clock of the instance that saw it. */
-    absl::Time diedAt;
-};
-
-/** A request was served; it does not crash the servers that run it. */
-struct ServedReport
-{
-    Fingerprint fingerprint {};
-    /** By the clock of the instance that served it. */
-    absl::Time servedAt;
-};
-
 enum class QuarantineState : std::uint8_t {
     Clear,
     /** One death; runs only where no other suspect runs. */
@@ -111,6 +94,8 @@
 
     /** Forgets the deaths of servers that @p listing has long after. */
     void withdrawListed(const ServerListing &listing);
+    /** A death is not to count any more, whoever tells of it again. */
+    void withdraw(const DeathKey &death, absl::Time now);
 
     QuarantineState check(const Fingerprint &fingerprint, absl::Time now) const;
     /** Deaths that count for @p fingerprint; the value for RequestProfile::deathsSeen. */
@@ -120,6 +105,10 @@
     /** Time until @p fingerprint is no longer quarantined; zero when it is not. */
     absl::Duration retryAfter(const Fingerprint &fingerprint, absl::Time now) const;
 
+    /** Deaths seen by this instance that must outlive it: those of fingerprints that are
+     * quarantined or would be with the next death. */
+    std::vector<SuspectReport> toRecord(absl::Time now) const;
+    bool has(const DeathKey &death) const;
     /** All deaths that still count, for an instance that has just joined. */
     std::vector<SuspectReport> reports(absl::Time now) const;
     /** All served requests that still count. */
@@ -139,6 +128,8 @@
         BackendServerId server;
         Incarnation incarnation = 0;
         absl::Time diedAt;
+        /** This instance saw it. */
+        bool isOwn = false;
     };
     /** Newest death first; of equal times by server and incarnation. */
     using Deaths = std::vector<Death>;
@@ -153,6 +144,7 @@
     /** Times of the deaths that count separately, the newest first. */
     static std::vector<absl::Time> separate(const Deaths &deaths, absl::Time now);
     static bool isNewer(const Death &a, const Death &b);
+    bool addDeath(const SuspectReport &report, bool isOwn, absl::Time now);
     void onChanged();
     void dropOne();
 
@@ -160,6 +152,8 @@
     /** Ordered, so that equal tables drop the same entries on all instances. */
     absl::btree_map<Fingerprint, Entry> entries;
     ServedMemory servedLately;
+    /** Withdrawn deaths, with the time until which they are remembered. */
+    absl::btree_map<DeathKey, absl::Time> withdrawn;
     /** Computed when it is asked for after a change. */
     mutable std::optional<std::uint64_t> knownDigest;
 };
--- a/servers/quarantine/suspect_spread.h
+++ b/servers/quarantine/suspect_spread.h
@@ -15,7 +15,7 @@
     None,
     /** A server has ended under it, and further ones may before it is quarantined. */
     Early,
-    /** If one more server ends under it, it is quarantined. */
+    /** If one more server ends under it, it is quarantined, or it is already. */
     Last,
 };
 
--- /dev/null
+++ b/tests/gateway/death_recorder_test.cpp
@@ -0,0 +1,54 @@
+#include "main/gateway/death_recorder.h"
+
+#include "core/hash.h"
+#include "platform/store_objects.h"
+
+#include <gtest/gtest.h>
+
+namespace foxtailtally {
+namespace {
+
+const SuspectReport kReport = {fingerprintOf("call"), BackendServerId("i-7f3a91c2"),
+                               1'700'000'000'123, absl::FromUnixMillis(1'700'000'100'456)};
+
+TEST(DeathRecorder, NamesADeathAndReadsItsName)
+{
+    const DeathKey key = deathKey(kReport);
+    const std::string name = DeathRecorder::nameOf(key);
+    EXPECT_EQ(DeathRecorder::keyOf(name), key);
+    EXPECT_EQ(name.substr(0, 32), fingerprintText(kReport.fingerprint));
+    SuspectReport otherLife = kReport;
+    ++otherLife.incarnation;
+    EXPECT_NE(DeathRecorder::nameOf(deathKey(otherLife)), name);
+}
+
+// Another writer may put anything into the store.
+TEST(DeathRecorder, TakesOtherNamesForNone)
+{
+    const std::string good = DeathRecorder::nameOf(deathKey(kReport));
+    EXPECT_FALSE(DeathRecorder::keyOf(""));
+    EXPECT_FALSE(DeathRecorder::keyOf("main"));
+    EXPECT_FALSE(DeathRecorder::keyOf(good.substr(1)));
+    EXPECT_FALSE(DeathRecorder::keyOf(good.substr(0, 33)));
+    EXPECT_FALSE(DeathRecorder::keyOf(good + "x"));
+    EXPECT_FALSE(DeathRecorder::keyOf("G" + good.substr(1)));
+}
+
+TEST(StoreObjects, KeepsADeath)
+{
+    const std::string body = platform::encodeDeath("name", kReport);
+    const std::size_t spec = body.find("\"Spec\":") + 7;
+    const std::string text = body.substr(spec, body.size() - spec - 1);
+    const Result<SuspectReport> read = platform::decodeDeath({"name", 1, text});
+    ASSERT_TRUE(read.ok());
+    EXPECT_EQ(deathKey(*read), deathKey(kReport));
+    EXPECT_EQ(read->server, kReport.server);
+    EXPECT_EQ(read->incarnation, kReport.incarnation);
+    EXPECT_EQ(read->diedAt, kReport.diedAt);
+    for (const std::string &odd : {std::string(), std::string("{}"), std::string("[]"),
+                                   text.substr(0, text.size() / 2), std::string("\xff")})
+        EXPECT_FALSE(platform::decodeDeath({"name", 1, odd}).ok());
+}
+
+} // namespace
+} // namespace foxtailtally
--- a/tests/process/crashing_call_test.cpp
+++ b/tests/process/crashing_call_test.cpp
@@ -132,6 +132,41 @@
     EXPECT_EQ(this->arrivals().size(), before);
 }
 
+// The instances keep nothing; the store has what they must not forget together.
+TEST_F(CrashingCall, IsStillRefusedAfterAllInstancesWereKilled)
+{
+    ASSERT_TRUE(this->waitUntilReady());
+    this->sendFor(absl::Seconds(2), "/act/a");
+    const std::size_t before = this->arrivals().size();
+    ASSERT_GE(before, 3U);
+    for (int gateway = 0; gateway < kGateways; ++gateway)
+        this->deployment.process(gateway).signal(SIGKILL);
+    for (int gateway = 0; gateway < kGateways; ++gateway) {
+        ASSERT_TRUE(this->deployment.process(gateway).waitForEnd(kNoticeTime));
+        this->deployment.start(gateway);
+    }
+    ASSERT_TRUE(this->waitUntilReady());
+    this->sendFor(absl::Seconds(2), "/act/a");
+    EXPECT_EQ(this->arrivals().size(), before);
+}
+
+// An operator releases a call by removing what the store has of it.
+TEST_F(CrashingCall, RunsAgainWhenTheStoreNoLongerHasItsDeaths)
+{
+    ASSERT_TRUE(this->waitUntilReady());
+    this->sendFor(absl::Seconds(2), "/act/a");
+    EXPECT_EQ(this->call(0, "/act/a", kCrashingBody).status, 503);
+    ServingStandin &platform = this->deployment.platform();
+    platform.setCrashingBody("", kAway);
+    const std::vector<std::string> names = platform.objectNames("foxtailtally-deaths");
+    EXPECT_EQ(names.size(), 3U);
+    for (const std::string &name : names)
+        platform.removeObject("foxtailtally-deaths", name);
+    absl::SleepFor(absl::Seconds(2));
+    for (int gateway = 0; gateway < kGateways; ++gateway)
+        EXPECT_EQ(this->call(gateway, "/act/a", kCrashingBody).status, 200);
+}
+
 // Calls that ran beside it were once sent to the same servers after it, and taken for the culprit.
 TEST_F(CrashingCall, LeavesAloneTheCallsThatRanBesideIt)
 {
--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -131,6 +131,16 @@
     this->run([&] { this->change(kind, {{name, 0, "{}"}, true}); });
 }
 
+std::vector<std::string> ServingStandin::objectNames(const std::string &kind)
+{
+    std::vector<std::string> names;
+    this->run([&] {
+        for (const platform::StoredObject &object : this->kinds[kind].page().objects)
+            names.push_back(object.name);
+    });
+    return names;
+}
+
 void ServingStandin::setStoreConduct(StoreConduct conduct)
 {
     this->run([&] { this->storeConduct = conduct; });
@@ -286,6 +296,10 @@
         this->createObject(connection, query.kind);
         return;
     }
+    if (head.method == "DELETE") {
+        this->deleteObject(connection, query.kind);
+        return;
+    }
     const KindCache &kind = this->kinds[query.kind];
     if (!query.watchFrom) {
         platform::ObjectPage page = kind.page();
@@ -317,6 +331,19 @@
     this->change(kind, {{name, 0, json.at("Spec").dump()}, false});
 }
 
+void ServingStandin::deleteObject(InboundConnection &connection, const std::string &path)
+{
+    const std::size_t slash = path.find('/');
+    const std::string kind = path.substr(0, slash);
+    const std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
+    const std::vector<platform::StoredObject> objects = this->kinds[kind].page().objects;
+    const bool exists = std::any_of(objects.begin(), objects.end(),
+                                    [&name](const auto &object) { return object.name == name; });
+    connection.answer(exists ? 200 : 404, jsonHeaders(), "{}");
+    if (exists)
+        this->change(kind, {{name, 0, "{}"}, true});
+}
+
 void ServingStandin::change(const std::string &kind, const platform::ObjectChange &change)
 {
     platform::ObjectChange stamped = change;
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -77,6 +77,7 @@
 
     void putObject(const std::string &kind, const std::string &name, const std::string &spec);
     void removeObject(const std::string &kind, const std::string &name);
+    std::vector<std::string> objectNames(const std::string &kind);
     void setStoreConduct(StoreConduct conduct);
 
     /** Starts server @p index of @p service and enters it in the store, reached at @p address. */
@@ -140,6 +141,8 @@
     void accept(int socket, int server);
     void answerStore(InboundConnection &connection);
     void createObject(InboundConnection &connection, const std::string &kind);
+    /** @p path: kind and name of the object. */
+    void deleteObject(InboundConnection &connection, const std::string &path);
     void change(const std::string &kind, const platform::ObjectChange &change);
     void answerCall(InboundConnection &connection, Server &server);
     /** Starts a life of the server and enters it in the store. */
--- a/tests/quarantine/crash_suspicion_test.cpp
+++ b/tests/quarantine/crash_suspicion_test.cpp
@@ -231,6 +231,35 @@
     EXPECT_EQ(table.digest(), 0U);
 }
 
+TEST(CrashSuspicion, AWithdrawnDeathDoesNotComeBack)
+{
+    Quarantine table(threeDeaths());
+    for (int server = 1; server <= 3; ++server)
+        table.onVerdict(death(server), kNow);
+    table.withdraw(deathKey(death(2)), kNow);
+    EXPECT_EQ(table.deathsSeen(kCall, kNow), 2U);
+    EXPECT_FALSE(table.onVerdict(death(2), kNow));
+    EXPECT_FALSE(table.has(deathKey(death(2))));
+    // What is unknown yet is withdrawn as well.
+    table.withdraw(deathKey(death(4)), kNow);
+    EXPECT_FALSE(table.onVerdict(death(4), kNow));
+    const absl::Time later = kNow + kQuarantineTerm;
+    table.onTick(later);
+    EXPECT_TRUE(table.onVerdict(death(4, later), later));
+}
+
+TEST(CrashSuspicion, RecordsOnlyOwnDeathsOfCallsThatAreNearlyQuarantined)
+{
+    Quarantine table(threeDeaths());
+    table.onServerDeath(BackendServerId("server-1"), 1, {&kCall, 1}, kNow);
+    EXPECT_TRUE(table.toRecord(kNow).empty());
+    table.onVerdict(death(2), kNow);
+    const std::vector<SuspectReport> reports = table.toRecord(kNow);
+    ASSERT_EQ(reports.size(), 1U);
+    EXPECT_EQ(deathKey(reports[0]), deathKey(death(1)));
+    EXPECT_EQ(table.nextRun(kCall, kNow), SuspectRun::Last);
+}
+
 /** One thing that an instance may learn. */
 struct News
 {
