Tell a server that has gone dark from one that reads a long prompt

Cause: silence was judged by the planned time alone, twice its length and two seconds more, since an engine that reads is silent too; reservations are renewed as long as the attempt lives. Ruled out: a release order that is lost or late (memory lapses 3.5 s after the last renewal, and its time counts from the order's arrival; ReservationSetTest.RenewsUntilTheReleaseAndNeverAfterIt). Change: an engine from which no stream had a byte for a second is probed with a connection, at most once a second; one that reads takes it. Three connections that hang in a row mark it dark: its streams are ended and placed again, those with memory at others in any case, and it gets no further work until it takes a connection. A reset at once is no silence. The end counts as a death under calls without an event, to be withdrawn if the list keeps the server. On the way: servers that were removed after failed connections left their domain taken for cut off (Reachability.ForgetsWhatServersThatAreGoneSaidOfTheirDomain).

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -28,9 +28,6 @@
 /** Pause between two looks for a plan that harms no other stream. */
 constexpr absl::Duration kWaitStep = absl::Milliseconds(20);
 
-/** Share of the caller's patience after which a stream is moved to another server. */
-constexpr double kPatienceShare = 0.6;
-
 /** Largest answer that is held until it is complete, and all that are held at a time, in bytes; the
  * smallest instances have 160 MB. */
 constexpr std::size_t kMaxHeldReply = std::size_t {8} << 20;
@@ -219,7 +216,8 @@
 void CallRun::sendPlaced(absl::Time now)
 {
     this->sendTo(this->placedServer, this->placedHelpers, now);
-    this->watchTimer.start(absl::Milliseconds(this->plan.predictedFirstEventMs) + kStreamSlack);
+    this->watchTimer.start(std::min(
+        kServerSilence, absl::Milliseconds(this->plan.predictedFirstEventMs) + kStreamSlack));
 }
 
 void CallRun::placeParts(const std::vector<EngineCandidate> &candidates, absl::Time now)
@@ -356,7 +354,8 @@
                         this->call.headers.promptTokens, pause);
     }
     this->lastEventAt = now;
-    this->watchTimer.start(this->call.route->pauseObjective * 2 + kStreamSlack);
+    const absl::Duration pause = this->call.route->pauseObjective * 2 + kStreamSlack;
+    this->watchTimer.start(this->reservations ? std::min(kServerSilence, pause) : pause);
 }
 
 void CallRun::onReplyComplete(ServerCall &call)
@@ -482,8 +481,11 @@
 LossEvidence CallRun::lossEvidence(const Attempt &attempt, AttemptEnd end, absl::Time now) const
 {
     LossEvidence evidence;
-    evidence.isConnectionBroken =
+    const bool isBroken =
         end == AttemptEnd::Lost && attempt.call->failure() == Error::ConnectionLost;
+    const bool isDark =
+        end == AttemptEnd::Silent && this->context.reachability.isDark(attempt.call->target().key);
+    evidence.isConnectionBroken = isBroken || isDark;
     evidence.hasAnswerBegun = !this->isStream() && attempt.reply.status != 0;
     evidence.writingFor = std::max(absl::ZeroDuration(), now - attempt.firstEventAt);
     return evidence;
@@ -584,44 +586,40 @@
 void CallRun::watchStream(absl::Time now)
 {
     ServerCall &attempt = *this->attempts.back().call;
-    const Service *engine = this->call.config->findService(this->service);
-    const auto activity = this->context.activity.find(attempt.target().key);
-    const absl::Time heardAt =
-        std::max({attempt.sentAt(), this->lastEventAt, activity->second.lastByteAt});
-    double planned = this->plan.predictedFirstEventMs;
-    if (engine)
-        planned = std::max(
-            planned, plannedSilenceMs(this->context, engine->engine, attempt.target().key, now));
-    const absl::Duration bound = kServerSilence * 2 + absl::Milliseconds(planned * kSilentPasses);
+    const AttemptTarget &target = attempt.target();
     const absl::Time newsAt = std::max(attempt.sentAt(), this->lastEventAt);
-    const bool isOverdue = now - newsAt > this->call.route->patience() * kPatienceShare;
-    const bool isSilent = now - heardAt > bound || (isOverdue && now - heardAt > kServerSilence);
+    const absl::Duration quietFor =
+        now - std::max(newsAt, this->context.activity[target.key].lastByteAt);
+    if (quietFor >= kServerSilence)
+        this->context.reachability.onSilent(target.key, target.domain, now);
     MoveEvidence evidence;
     evidence.isRepeatable = this->call.route->isRepeatable() && !this->isPaused;
     evidence.earlierRuns = this->runs;
     evidence.maxRuns = this->call.route->maxAttempts;
-    evidence.isSilent = isSilent;
-    evidence.isOverdue = isOverdue;
-    evidence.hasBetterPlace = (isSilent || isOverdue) && this->hasBetterPlace(now);
+    evidence.isOverdue = now - newsAt > this->call.route->patience() * kLatestMoveShare;
+    evidence.isDark = quietFor >= kServerSilence && this->context.reachability.isDark(target.key);
+    evidence.isSilent = (evidence.isOverdue && quietFor > kServerSilence)
+        || (quietFor > kServerSilence * 2 && quietFor > this->silenceBound(target.key, now));
+    evidence.holdsMemory = this->reservations != nullptr;
+    const Service *engines = this->call.config->findService(this->service);
+    const bool hasReason = evidence.isSilent || evidence.isDark || evidence.isOverdue;
+    evidence.hasBetterPlace = engines && hasReason
+        && StreamPlanner(this->context).hasGoodPlace(*engines, this->demand(now), this->tried, now);
     if (!shouldMove(evidence)) {
         this->watchTimer.start(kStreamRecheck);
         return;
     }
     attempt.cancel();
-    this->onAttemptEnded(attempt, isSilent ? AttemptEnd::Silent : AttemptEnd::Overdue);
+    this->onAttemptEnded(
+        attempt, evidence.isSilent || evidence.isDark ? AttemptEnd::Silent : AttemptEnd::Overdue);
 }
 
-bool CallRun::hasBetterPlace(absl::Time now) const
+absl::Duration CallRun::silenceBound(ServerKey server, absl::Time now) const
 {
-    const Service *engine = this->call.config->findService(this->service);
-    if (!engine)
-        return false;
-    const StreamDemand demand = this->demand(now);
-    const StreamDecision decision =
-        StreamPlanner(this->context).decide(*engine, demand, this->tried, now);
-    return decision.kind == StreamDecision::Kind::Place
-        && absl::Milliseconds(decision.plan.predictedFirstEventMs)
-        < demand.usefulLeft * kPatienceShare;
+    double planned = this->plan.predictedFirstEventMs;
+    if (const Service *engine = this->call.config->findService(this->service))
+        planned = std::max(planned, plannedSilenceMs(this->context, engine->engine, server, now));
+    return kServerSilence * 2 + absl::Milliseconds(planned * kSilentPasses);
 }
 
 void CallRun::hedge(absl::Time now)
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -103,8 +103,8 @@
     void onDeadline();
     void onWatch();
     void watchStream(absl::Time now);
-    /** Another engine would bring the next event in good time. */
-    bool hasBetterPlace(absl::Time now) const;
+    /** Time without a byte from @p server after which it is taken for silent. */
+    absl::Duration silenceBound(ServerKey server, absl::Time now) const;
     void hedge(absl::Time now);
     void dropAttempts();
     Attempt *findAttempt(const ServerCall &call);
--- a/main/gateway/server_prober.h
+++ b/main/gateway/server_prober.h
@@ -7,7 +7,8 @@
 
 namespace foxtailtally {
 
-/** Opens connections to servers that could not be reached, to learn when they can be again. */
+/** Opens connections to servers that could not be reached, to learn when they can be again, and to
+ * silent ones, to learn whether they are there. */
 class ServerProber
 {
 public:
@@ -24,10 +25,13 @@
         ServerKey key = 0;
         std::string address;
         FailureDomainId domain;
+        absl::Time startedAt;
         std::unique_ptr<OutboundConnection> connection;
     };
 
     void judge(absl::Time now);
+    /** The probe's connection hangs. */
+    void noteSilence(const Probe &probe, absl::Time now);
 
     GatewayContext &context;
     std::vector<Probe> probes;
--- a/main/gateway/stream_planner.cpp
+++ b/main/gateway/stream_planner.cpp
@@ -89,6 +89,15 @@
     return decision;
 }
 
+bool StreamPlanner::hasGoodPlace(const Service &service, const StreamDemand &demand,
+                                 std::span<const ServerKey> tried, absl::Time now) const
+{
+    const StreamDecision decision = this->decide(service, demand, tried, now);
+    return decision.kind == StreamDecision::Kind::Place
+        && absl::Milliseconds(decision.plan.predictedFirstEventMs)
+        < demand.usefulLeft * kLatestMoveShare;
+}
+
 void StreamPlanner::collect(const Service &service, std::span<const ServerKey> tried,
                             const ServerLoads &loads, absl::Time now,
                             StreamDecision &decision) const
--- a/main/gateway/stream_planner.h
+++ b/main/gateway/stream_planner.h
@@ -37,6 +37,10 @@
     std::int64_t writers = 0;
 };
 
+/** Share of its caller's patience after which a stream is moved to another engine, and within which
+ * that one must bring the next event. */
+inline constexpr double kLatestMoveShare = 0.6;
+
 /** Brings together what this instance knows of the engines of a service, and decides. */
 class StreamPlanner
 {
@@ -48,6 +52,9 @@
     /** @p tried: engines that the stream has been sent to before. */
     StreamDecision decide(const Service &service, const StreamDemand &demand,
                           std::span<const ServerKey> tried, absl::Time now) const;
+    /** An engine would bring the stream's next event in good time. */
+    bool hasGoodPlace(const Service &service, const StreamDemand &demand,
+                      std::span<const ServerKey> tried, absl::Time now) const;
 
 private:
     void collect(const Service &service, std::span<const ServerKey> tried, const ServerLoads &loads,
--- a/servers/placement/reachability.cpp
+++ b/servers/placement/reachability.cpp
@@ -4,9 +4,10 @@
 
 void Reachability::onConnectFailed(ServerKey server, const FailureDomainId &domain, absl::Time now)
 {
-    const auto [found, isNew] = this->failures.try_emplace(server, Failure {domain, now});
-    found->second.probedAt = now;
-    if (isNew)
+    Failure &failure = this->failures[server];
+    failure.domain = domain;
+    failure.probedAt = now;
+    if (++failure.failed == 1)
         ++this->failuresByDomain[domain];
 }
 
@@ -17,23 +18,52 @@
     this->failuresByDomain.erase(domain);
 }
 
+void Reachability::onSilent(ServerKey server, const FailureDomainId &domain, absl::Time now)
+{
+    if (this->failures.contains(server))
+        return;
+    const auto [found, isNew] = this->silentSince.try_emplace(server, now);
+    if (!isNew && now - found->second < kSilentProbePause)
+        return;
+    found->second = now;
+    this->failures[server].domain = domain;
+}
+
 void Reachability::forget(ServerKey server)
 {
-    this->failures.erase(server);
+    const auto found = this->failures.find(server);
+    if (found == this->failures.end())
+        return;
+    // A server that is gone says nothing of its domain.
+    const auto count = this->failuresByDomain.find(found->second.domain);
+    if (found->second.failed > 0 && count != this->failuresByDomain.end() && --count->second == 0)
+        this->failuresByDomain.erase(count);
+    this->failures.erase(found);
 }
 
 bool Reachability::isReachable(ServerKey server, const FailureDomainId &domain) const
 {
-    return !this->failures.contains(server) && !this->isCut(domain);
+    const auto found = this->failures.find(server);
+    const bool hasFailed = found != this->failures.end() && found->second.failed > 0;
+    return !hasFailed && !this->isCut(domain);
+}
+
+bool Reachability::isDark(ServerKey server) const
+{
+    const auto found = this->failures.find(server);
+    return found != this->failures.end() && found->second.failed >= kFailuresForDark;
 }
 
 std::vector<ServerKey> Reachability::takeProbes(absl::Time now)
 {
+    absl::erase_if(this->silentSince,
+                   [now](const auto &item) { return now - item.second >= kSilentProbePause; });
     std::vector<ServerKey> servers;
     for (auto &[server, failure] : this->failures) {
         if (servers.size() == kProbesAtOnce)
             break;
-        if (now - failure.probedAt < kProbePause)
+        const bool isDark = failure.failed >= kFailuresForDark;
+        if (now - failure.probedAt < (isDark ? kProbePause : kDarkProbePause))
             continue;
         failure.probedAt = now;
         servers.push_back(server);
--- a/servers/placement/reachability.h
+++ b/servers/placement/reachability.h
@@ -15,6 +15,9 @@
  * it comes about, be it a call's or a probe's; when several servers of a failure domain cannot be
  * reached and none could since, the whole domain is taken for cut off, so that the others need not
  * be found out one call at a time.
+ *
+ * A server that is silent is probed as well: one that reads a long prompt takes connections, one
+ * that has gone without a word does not.
  */
 class Reachability
 {
@@ -23,14 +26,25 @@
     static constexpr std::size_t kServersForCut = 2;
     /** Time between two probes of a server. */
     static constexpr absl::Duration kProbePause = absl::Milliseconds(500);
+    /** Connections to a server that fail one after the other before it counts as dark; packets are
+     * lost now and then. */
+    static constexpr int kFailuresForDark = 3;
+    /** Time between the probes that are to find that out. */
+    static constexpr absl::Duration kDarkProbePause = absl::Milliseconds(200);
+    /** Time between two probes of a silent server that takes connections; each has its price. */
+    static constexpr absl::Duration kSilentProbePause = absl::Seconds(1);
     /** Probes that are started at once. */
     static constexpr std::size_t kProbesAtOnce = 4;
 
     void onConnectFailed(ServerKey server, const FailureDomainId &domain, absl::Time now);
     void onConnected(ServerKey server, const FailureDomainId &domain);
+    /** Nothing comes from a server that has work. */
+    void onSilent(ServerKey server, const FailureDomainId &domain, absl::Time now);
     void forget(ServerKey server);
 
     bool isReachable(ServerKey server, const FailureDomainId &domain) const;
+    /** The server has refused or ignored several connections, and taken none since. */
+    bool isDark(ServerKey server) const;
     /** Servers to probe now; they count as probed. */
     std::vector<ServerKey> takeProbes(absl::Time now);
     bool isCut(const FailureDomainId &domain) const;
@@ -39,11 +53,15 @@
     struct Failure
     {
         FailureDomainId domain;
-        absl::Time probedAt;
+        absl::Time probedAt = absl::InfinitePast();
+        /** Connections that failed in a row; zero for one that is only silent. */
+        int failed = 0;
     };
 
     absl::flat_hash_map<ServerKey, Failure> failures;
     absl::flat_hash_map<FailureDomainId, std::size_t> failuresByDomain;
+    /** When silent servers were last given to probes. */
+    absl::flat_hash_map<ServerKey, absl::Time> silentSince;
 };
 
 } // namespace foxtailtally
--- a/servers/quarantine/crash_evidence.h
+++ b/servers/quarantine/crash_evidence.h
@@ -7,7 +7,7 @@
 /** How an attempt was lost, as far as it tells whether the call ended its server. */
 struct LossEvidence
 {
-    /** The connection had come about and broke. */
+    /** The connection had come about and broke, or its server takes no further ones. */
     bool isConnectionBroken = false;
     /** The server had begun to answer a call that is not a stream. */
     bool hasAnswerBegun = false;
--- a/servers/retry/attempt_policy.h
+++ b/servers/retry/attempt_policy.h
@@ -66,6 +66,10 @@
     int maxRuns = 1;
     /** Nothing came from the server for much longer than planned. */
     bool isSilent = false;
+    /** The server takes no connections any more. */
+    bool isDark = false;
+    /** Other servers hold memory for the stream. */
+    bool holdsMemory = false;
     /** The stream has had no event for most of the time that its caller waits. */
     bool isOverdue = false;
     /** Another server would bring the next event in good time. */
@@ -75,7 +79,7 @@
 /**
  * True when the stream should go to another server. Silence alone is no reason: an engine that
  * reads a long prompt is silent too, and a stream that is taken from it without a better place is
- * lost.
+ * lost. One that holds memory of others at a dark server is ended in any case.
  */
 bool shouldMove(const MoveEvidence &evidence);
 
--- a/tests/gateway/reservation_set_test.cpp
+++ b/tests/gateway/reservation_set_test.cpp
@@ -5,6 +5,8 @@
 #include "tests/http/raw_peer.h"
 #include "tests/http/test_loop.h"
 
+#include <absl/time/clock.h>
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <unistd.h>
 
@@ -99,5 +101,97 @@
     ::close(this->socket);
 }
 
+/** An engine that answers each order as a test says, or not at all. */
+class OrderedEngine
+{
+public:
+    explicit OrderedEngine(TestLoop &loop)
+        : loop(loop)
+    { }
+    ~OrderedEngine()
+    {
+        for (const Line &line : this->lines)
+            ::close(line.socket);
+    }
+
+    std::string address() const { return this->server.address(); }
+    /** Turns the loop for @p time; orders are answered while @p answers. */
+    void turn(absl::Duration time, bool answers)
+    {
+        const absl::Time end = absl::Now() + time;
+        this->loop.until([&] {
+            this->serve(answers);
+            return absl::Now() > end;
+        });
+    }
+    /** Orders that have come, by operation, in order. */
+    const std::vector<std::string> &orders() const { return this->seen; }
+
+private:
+    struct Line
+    {
+        int socket = -1;
+        std::string received;
+    };
+
+    void serve(bool answers)
+    {
+        const int socket = this->server.accept();
+        if (socket >= 0)
+            this->lines.push_back({socket, {}});
+        for (Line &line : this->lines) {
+            line.received += readAvailable(line.socket);
+            if (line.received.find('}') == std::string::npos)
+                continue;
+            const bool isRelease = line.received.find("release") != std::string::npos;
+            this->seen.emplace_back(isRelease ? "release" : "reserve");
+            line.received.clear();
+            if (answers)
+                writeAll(line.socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        }
+    }
+
+    TestLoop &loop;
+    RawServer server;
+    std::vector<Line> lines;
+    std::vector<std::string> seen;
+};
+
+// Memory is free when the last renewal has lapsed, at the latest; a renewal after the release would
+// set it aside again.
+TEST_F(ReservationSetTest, RenewsUntilTheReleaseAndNeverAfterIt)
+{
+    OrderedEngine engine(this->loop);
+    Outcome outcome;
+    const std::vector<ReservationSet::Share> shares = {{7, engine.address()}};
+    ReservationSet set(this->context, "r", 1000, shares, outcome);
+    engine.turn(absl::Milliseconds(200), true);
+    ASSERT_TRUE(outcome.isReserved);
+    // Answers to two renewals are lost; the next ones are sent all the same.
+    engine.turn(absl::Milliseconds(2500), false);
+    EXPECT_GE(engine.orders().size(), 3U);
+    set.release();
+    engine.turn(absl::Milliseconds(2500), false);
+    EXPECT_EQ(std::count(engine.orders().begin(), engine.orders().end(), "release"), 1);
+    EXPECT_EQ(engine.orders().back(), "release");
+    EXPECT_FALSE(outcome.hasFailed);
+}
+
+TEST_F(ReservationSetTest, ReleasesEverywhereWhenOneEngineDoesNotAnswer)
+{
+    OrderedEngine good(this->loop);
+    OrderedEngine mute(this->loop);
+    Outcome outcome;
+    const std::vector<ReservationSet::Share> shares = {{7, good.address()}, {8, mute.address()}};
+    ReservationSet set(this->context, "r", 1000, shares, outcome);
+    for (int i = 0; i < 10; ++i) {
+        good.turn(absl::Milliseconds(30), true);
+        mute.turn(absl::Milliseconds(30), false);
+    }
+    EXPECT_TRUE(outcome.hasFailed);
+    EXPECT_EQ(good.orders(), (std::vector<std::string> {"reserve", "release"}));
+    EXPECT_EQ(mute.orders().back(), "release");
+}
+
 } // namespace
 } // namespace foxtailtally
--- a/tests/placement/server_evidence_test.cpp
+++ b/tests/placement/server_evidence_test.cpp
@@ -55,7 +55,7 @@
     reachability.onConnectFailed(1, kEast, kNow);
     reachability.onConnectFailed(2, kEast, kNow);
     EXPECT_TRUE(reachability.takeProbes(kNow).empty());
-    const absl::Time later = kNow + Reachability::kProbePause;
+    const absl::Time later = kNow + Reachability::kDarkProbePause;
     EXPECT_EQ(reachability.takeProbes(later).size(), 2U);
     EXPECT_TRUE(reachability.takeProbes(later).empty());
     reachability.onConnected(1, kEast);
@@ -64,6 +64,51 @@
     EXPECT_FALSE(reachability.isReachable(2, kEast));
 }
 
+// Found by a hunt: an engine that had gone without a word was waited for as one that reads.
+TEST(Reachability, TellsADarkServerFromABusyOneByItsConnections)
+{
+    Reachability reachability;
+    absl::Time now = kNow;
+    reachability.onSilent(1, kEast, now);
+    EXPECT_TRUE(reachability.isReachable(1, kEast));
+    for (int failure = 0; failure < Reachability::kFailuresForDark; ++failure) {
+        EXPECT_FALSE(reachability.isDark(1));
+        EXPECT_EQ(reachability.takeProbes(now), std::vector<ServerKey> {1});
+        EXPECT_TRUE(reachability.takeProbes(now).empty());
+        reachability.onConnectFailed(1, kEast, now);
+        now += Reachability::kDarkProbePause;
+    }
+    EXPECT_TRUE(reachability.isDark(1));
+    EXPECT_FALSE(reachability.isReachable(1, kEast));
+    reachability.onConnected(1, kEast);
+    EXPECT_FALSE(reachability.isDark(1));
+
+    // One that takes connections is not asked again at once, however many streams wait for it.
+    now += Reachability::kSilentProbePause;
+    reachability.onSilent(1, kEast, now);
+    EXPECT_EQ(reachability.takeProbes(now).size(), 1U);
+    reachability.onConnected(1, kEast);
+    reachability.onSilent(1, kEast, now + Reachability::kSilentProbePause / 2);
+    EXPECT_TRUE(reachability.takeProbes(now + Reachability::kSilentProbePause / 2).empty());
+    reachability.onSilent(1, kEast, now + Reachability::kSilentProbePause);
+    EXPECT_EQ(reachability.takeProbes(now + Reachability::kSilentProbePause).size(), 1U);
+}
+
+// Servers that ended and left the list kept their domain cut off for ever.
+TEST(Reachability, ForgetsWhatServersThatAreGoneSaidOfTheirDomain)
+{
+    Reachability reachability;
+    reachability.onConnectFailed(1, kEast, kNow);
+    reachability.onConnectFailed(2, kEast, kNow);
+    EXPECT_TRUE(reachability.isCut(kEast));
+    reachability.forget(1);
+    EXPECT_FALSE(reachability.isCut(kEast));
+    reachability.forget(1);
+    reachability.forget(2);
+    reachability.onConnectFailed(3, kEast, kNow);
+    EXPECT_FALSE(reachability.isCut(kEast));
+}
+
 ServiceCandidate candidate(ServerKey server, bool isSameDomain)
 {
     ServiceCandidate result;
--- a/tests/process/gateway_deployment.cpp
+++ b/tests/process/gateway_deployment.cpp
@@ -36,6 +36,16 @@
             {"MaxAttempts", 3},       {"Resumable", kind == "streaming"}};
 }
 
+/** A route for long prompts, whose callers wait longer. */
+Json longRoute()
+{
+    Json result = route("l", "/long", "streaming", "engine");
+    result["TimeoutMs"] = 14000;
+    result["TargetLatencyMs"] = 4000;
+    result["GapAimMs"] = 1000;
+    return result;
+}
+
 } // namespace
 
 GatewayDeployment::GatewayDeployment(int gateways)
@@ -138,14 +148,19 @@
     return callGateway(request).body;
 }
 
-void GatewayDeployment::configure(int version, const std::vector<std::string> &keys)
+void GatewayDeployment::configure(int version, const std::vector<std::string> &keys,
+                                  double readTokensPerSecond)
 {
-    const Json engine = {{"Slots", 16},     {"KvCapacity", 405000},   {"Stride", 34},
-                         {"step_ms", 1.31}, {"read_per_s", 154000.0}, {"chunk", 2048}};
+    const Json engine = {{"Slots", 16},
+                         {"KvCapacity", 405000},
+                         {"Stride", 34},
+                         {"step_ms", 1.31},
+                         {"read_per_s", readTokensPerSecond},
+                         {"chunk", 2048}};
     const Json config = {
         {"Version", version},
         {"Routes",
-         {route("s", "/stream", "streaming", "engine"),
+         {route("s", "/stream", "streaming", "engine"), longRoute(),
           route("n", "/act", "non_idempotent", "desk"), route("i", "/look", "idempotent", "desk")}},
         {"Services", {{{"Name", "engine"}, {"Engine", engine}}, {{"Name", "desk"}}}},
         {"Limits", {{"MaxBodyBytes", 65536}, {"MaxHeaderBytes", 8192}}},
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -40,8 +40,10 @@
     bool hasStarted(int index) const;
     int size() const { return static_cast<int>(this->processes.size()); }
 
-    /** Writes configuration @p version: services, routes of each kind, and customers' keys. */
-    void configure(int version, const std::vector<std::string> &keys);
+    /** Writes configuration @p version: services, routes of each kind, and customers' keys.
+     * @p readTokensPerSecond: pace at which engines read prompts. */
+    void configure(int version, const std::vector<std::string> &keys,
+                   double readTokensPerSecond = 154000.0);
 
 private:
     std::string host(int number) const;
--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -1,5 +1,6 @@
 #include "tests/process/serving_standin.h"
 
+#include "core/socket_address.h"
 #include "main/gateway/listener.h"
 
 #include <absl/strings/numbers.h>
@@ -10,6 +11,8 @@
 #include <future>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace foxtailtally {
 
@@ -80,6 +83,10 @@
     for (auto &[index, server] : this->servers) {
         if (server.listener)
             evconnlistener_free(server.listener);
+        for (const int socket : {server.darkFiller, server.darkListener}) {
+            if (socket >= 0)
+                ::close(socket);
+        }
     }
 }
 
@@ -216,6 +223,30 @@
     this->run([&] { this->servers.at(index).conduct = conduct; });
 }
 
+void ServingStandin::goDark(int index)
+{
+    this->run([&] {
+        Server &server = this->servers.at(index);
+        evconnlistener_free(server.listener);
+        server.listener = nullptr;
+        sockaddr_in address {};
+        parseAddress(this->serverAddress(index), address);
+        const auto *target = reinterpret_cast<const sockaddr *>(&address);
+        const int reuse = 1;
+        server.darkListener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        ::setsockopt(server.darkListener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+        // A full queue of new connections drops opening packets.
+        if (::bind(server.darkListener, target, sizeof address) != 0
+            || ::listen(server.darkListener, 0) != 0)
+            throw std::runtime_error("cannot go dark");
+        server.darkFiller = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        ::connect(server.darkFiller, target, sizeof address);
+        std::erase_if(this->streams, [&](const Stream &stream) {
+            return this->serverOf.at(stream.connection) == index;
+        });
+    });
+}
+
 void ServingStandin::setReadTime(absl::Duration time)
 {
     this->run([&] { this->readTime = time; });
@@ -228,6 +259,13 @@
     return result;
 }
 
+std::vector<MemoryOrder> ServingStandin::memoryOrders()
+{
+    std::vector<MemoryOrder> result;
+    this->run([&] { result = this->orders; });
+    return result;
+}
+
 int ServingStandin::storeCalls()
 {
     int result = 0;
@@ -365,8 +403,10 @@
 void ServingStandin::answerCall(InboundConnection &connection, Server &server)
 {
     const RequestHead &head = connection.head();
+    if (server.darkListener >= 0)
+        return;
     if (head.path == "/order") {
-        connection.answer(200, jsonHeaders(), "{}");
+        this->answerOrder(connection, server);
         return;
     }
     if (const std::string *expected = head.headers.find("Expect-Instance");
@@ -418,13 +458,26 @@
     case ServerConduct::BreakMidway:
         break;
     }
-    if (head.path.starts_with("/stream"))
+    if (head.path.starts_with("/stream") || head.path.starts_with("/long"))
         this->startStream(connection, arrival, server.conduct);
     else
         connection.answer(200, replyHeaders(arrival, "text/plain"),
                           absl::StrCat("done:", arrival.callId, ":", arrival.body));
 }
 
+void ServingStandin::answerOrder(InboundConnection &connection, const Server &server)
+{
+    const Json json = Json::parse(connection.body());
+    MemoryOrder order;
+    order.server = server.name;
+    order.reservation = json.at("Id");
+    order.isRelease = json.at("Op") == "release";
+    order.hold = absl::Milliseconds(json.value("HoldMs", 0));
+    order.at = absl::Now();
+    this->orders.push_back(order);
+    connection.answer(200, jsonHeaders(), "{}");
+}
+
 void ServingStandin::startStream(InboundConnection &connection, const ServerArrival &arrival,
                                  ServerConduct conduct)
 {
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -55,6 +55,17 @@
     bool hasRun = false;
 };
 
+/** One order of memory at a backend server. */
+struct MemoryOrder
+{
+    std::string server;
+    std::string reservation;
+    bool isRelease = false;
+    /** Time for which the memory is set aside. */
+    absl::Duration hold = absl::ZeroDuration();
+    absl::Time at;
+};
+
 /**
  * The users' platform as their protocol describes it, on loopback addresses: the store, and backend
  * servers. It runs on a thread of its own.
@@ -89,10 +100,13 @@
      * server is back after @p away as another life. */
     void setCrashingBody(const std::string &body, absl::Duration away);
 
+    /** Server @p index falls silent: it answers nothing, and connections to it hang. */
+    void goDark(int index);
     /** Time before the first event of each stream. */
     void setReadTime(absl::Duration time);
 
     std::vector<ServerArrival> arrivals();
+    std::vector<MemoryOrder> memoryOrders();
     int storeCalls();
 
 private:
@@ -108,6 +122,9 @@
         std::string domain;
         std::string address;
         std::int64_t startedMs = 0;
+        /** Holds the address of a server that is dark, and a connection that fills its queue. */
+        int darkListener = -1;
+        int darkFiller = -1;
         /** When it is back after a crash. */
         absl::Time returnsAt = absl::InfiniteFuture();
     };
@@ -148,6 +165,7 @@
     /** Starts a life of the server and enters it in the store. */
     void startServer(Server &server);
     void crash(Server &server);
+    void answerOrder(InboundConnection &connection, const Server &server);
     void returnServers(absl::Time now);
     void startStream(InboundConnection &connection, const ServerArrival &arrival,
                      ServerConduct conduct);
@@ -170,6 +188,7 @@
     absl::btree_map<InboundConnection *, int> serverOf;
     std::vector<InboundConnection *> closed;
     std::vector<ServerArrival> seen;
+    std::vector<MemoryOrder> orders;
     std::string crashingBody;
     absl::Duration crashTime = absl::ZeroDuration();
     absl::Duration readTime = kEventPause;
--- a/tests/retry/retry_test.cpp
+++ b/tests/retry/retry_test.cpp
@@ -79,6 +79,13 @@
     EXPECT_TRUE(shouldMove(evidence));
     evidence.earlierRuns = 1;
     EXPECT_FALSE(shouldMove(evidence));
+    // Memory at others must not wait for a server that is gone, whatever becomes of the call.
+    evidence.isDark = true;
+    EXPECT_FALSE(shouldMove(evidence));
+    evidence.holdsMemory = true;
+    EXPECT_TRUE(shouldMove(evidence));
+    evidence.isDark = false;
+    EXPECT_FALSE(shouldMove(evidence));
     evidence.earlierRuns = 0;
     evidence.isRepeatable = false;
     EXPECT_FALSE(shouldMove(evidence));
