Keep to what servers ask for in their answers

The gateway knew of leaving from the store alone and passed both headers by. A placement that waited for memory is checked again before the call is sent and made anew. Memory of streams that run is renewed as rarely as that is safe during a pause. Values that are no number of seconds are counted and ignored; the longest of several counts, an hour at most. When all servers of a service pause, a call waits if half of its time to the objective is enough, else it is refused at once and told when its turn comes. Result: all 12 of ServerWish.* fail when answers' wishes are dropped; 318 tests pass.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -25,6 +25,10 @@
 constexpr absl::Duration kServerSilence = absl::Milliseconds(1000);
 constexpr double kSilentPasses = 2.0;
 
+/** Part of the time to its objective for which a call waits for servers that have asked for a
+ * pause; what is left has to do for the work. */
+constexpr double kPauseWaitShare = 0.5;
+
 /** Pause between two looks for a plan that harms no other stream. */
 constexpr absl::Duration kWaitStep = absl::Milliseconds(20);
 
@@ -47,6 +51,7 @@
     , deadlineTimer(context.base, [this] { this->onDeadline(); })
     , watchTimer(context.base, [this] { this->onWatch(); })
     , relay(this->call.headers.lastEventId)
+    , place(context, this->call.headers.callId, *this)
 {
     this->deadlineTimer.start(this->call.answerBy - this->call.receivedAt);
 }
@@ -54,7 +59,7 @@
 CallRun::~CallRun()
 {
     this->context.heldReplyBytes -= this->heldBytes;
-    this->forgetStream();
+    this->place.drop();
 }
 
 void CallRun::start(absl::Time now)
@@ -70,7 +75,7 @@
         return;
     }
     if (!this->dispatch(now))
-        this->answerOwn(503, "no_server", true);
+        this->refuse("no_server", now);
 }
 
 void CallRun::onCallerGone()
@@ -104,7 +109,36 @@
     if (spread.avoided.size() > spread.forbidden.size()
         && this->dispatchTo(*found, this->triedAnd(spread.avoided), now))
         return true;
-    return this->dispatchTo(*found, this->triedAnd(spread.forbidden), now);
+    return this->dispatchTo(*found, this->triedAnd(spread.forbidden), now)
+        || this->waitForPause(now);
+}
+
+bool CallRun::waitForPause(absl::Time now)
+{
+    const std::optional<absl::Time> reopensAt =
+        this->context.directory.pausedUntil(this->service, now);
+    const absl::Duration left = this->call.receivedAt + this->call.route->objective - now;
+    if (!reopensAt || *reopensAt - now > left * kPauseWaitShare)
+        return false;
+    this->isWaiting = true;
+    this->watchTimer.start(*reopensAt - now);
+    return true;
+}
+
+void CallRun::refuse(std::string_view cause, absl::Time now)
+{
+    const std::optional<absl::Time> reopensAt =
+        this->context.directory.pausedUntil(this->service, now);
+    if (!reopensAt) {
+        this->answerOwn(503, cause, true);
+        return;
+    }
+    RefusedCall refused;
+    refused.service = this->service;
+    refused.reopensAt = *reopensAt;
+    refused.usefulUntil = this->call.answerBy;
+    refused.callsPerSecond = this->context.retries.callsPerSecond(this->service, now);
+    this->answerOwn(503, "servers_paused", true, this->context.returns.returnAfter(refused, now));
 }
 
 std::vector<ServerKey> CallRun::triedAnd(std::span<const ServerKey> others) const
@@ -140,10 +174,10 @@
 {
     const StreamDecision decision =
         StreamPlanner(this->context).decide(service, this->demand(now), excluded, now);
-    this->plan = decision.plan;
+    this->lastPlan = decision.plan;
     // The rest of an answer that has begun is worth more than any harm, and its caller is waiting.
     if (this->hasAnswerBegun && decision.hasPlan) {
-        this->placeStream(decision, now);
+        this->place.place(decision, this->demand(now), this->hasAnswerBegun, now);
         return true;
     }
     switch (decision.kind) {
@@ -155,81 +189,42 @@
         this->watchTimer.start(kWaitStep);
         return true;
     case StreamDecision::Kind::Place:
-        this->placeStream(decision, now);
+        this->place.place(decision, this->demand(now), this->hasAnswerBegun, now);
         return true;
     }
     return false;
 }
 
-void CallRun::placeStream(const StreamDecision &decision, absl::Time now)
-{
-    this->placeParts(decision.candidates, now);
-    logPlacement(this->context, this->call.headers.callId, decision);
-    this->placedServer = decision.servers[this->plan.server]->entry;
-    this->placedHelpers.clear();
-    const std::string reservationId = this->plan.holders.empty()
-        ? std::string()
-        : absl::StrCat(this->call.headers.callId, "-", this->stream);
-    std::vector<ReservationSet::Share> shares;
-    for (const std::size_t index : this->plan.helpers) {
-        const std::string &address = decision.servers[index]->entry.address;
-        const bool isHolder = this->plan.isHolder(index);
-        this->placedHelpers.push_back({address, isHolder ? reservationId : std::string()});
-        if (isHolder)
-            shares.push_back({decision.candidates[index].server, address});
-    }
-    if (shares.empty()) {
-        this->sendPlaced(now);
+void CallRun::onStreamPrepared(absl::Time now)
+{
+    if (this->done)
+        return;
+    if (this->suspicion->isQuarantined(now) || !this->place.isValid(now)) {
+        this->placeAgain(now);
         return;
     }
-    this->retireReservations();
-    ReservationEvents &events = *this;
-    this->reservations = std::make_unique<ReservationSet>(this->context, reservationId,
-                                                          this->plan.shareTokens, shares, events);
+    this->sendTo(this->place.server(), this->place.helpers(), now);
+    this->watchTimer.start(
+        std::min(kServerSilence,
+                 absl::Milliseconds(this->place.plan().predictedFirstEventMs) + kStreamSlack));
 }
 
-void CallRun::onReserved()
+void CallRun::onStreamUnprepared(ServerKey engine, absl::Time now)
 {
     if (this->done)
         return;
-    const absl::Time now = Clock::now();
-    if (this->suspicion->isQuarantined(now))
-        this->finishWith(lastStep(AttemptEnd::NotSent, this->progress(now)), now);
-    else
-        this->sendPlaced(now);
+    this->tried.push_back(engine);
+    this->placeAgain(now);
 }
 
-void CallRun::onReservationFailed(ServerKey engine)
+void CallRun::placeAgain(absl::Time now)
 {
-    if (this->done)
-        return;
-    const absl::Time now = Clock::now();
-    logEvent(LogLevel::Info, "reservation_failed",
-             {{"request", this->call.headers.callId}, {"tokens", this->plan.shareTokens}});
-    this->tried.push_back(engine);
-    this->forgetStream();
+    this->place.drop();
     if (++this->rejections > kMaxRejections || this->suspicion->isQuarantined(now)
         || !this->dispatch(now))
         this->finishWith(lastStep(AttemptEnd::NotSent, this->progress(now)), now);
 }
 
-void CallRun::sendPlaced(absl::Time now)
-{
-    this->sendTo(this->placedServer, this->placedHelpers, now);
-    this->watchTimer.start(std::min(
-        kServerSilence, absl::Milliseconds(this->plan.predictedFirstEventMs) + kStreamSlack));
-}
-
-void CallRun::placeParts(const std::vector<EngineCandidate> &candidates, absl::Time now)
-{
-    this->forgetStream();
-    this->stream = this->context.nextStream++;
-    const std::vector<StreamPart> parts = streamParts(this->plan, candidates, this->demand(now),
-                                                      this->stream, this->hasAnswerBegun, now);
-    this->context.ledger.place(parts);
-    this->context.exchange.onLedgerChanged();
-}
-
 bool CallRun::dispatchPlain(const Service &service, std::span<const ServerKey> excluded,
                             absl::Time now)
 {
@@ -338,16 +333,15 @@
     if (this->firstEventAt == absl::InfinitePast()) {
         this->firstEventAt = now;
         if (now > this->call.receivedAt + this->call.route->objective)
-            this->context.ledger.onLate(this->stream);
+            this->place.onLate();
     }
     if (this->lastEventAt < call.sentAt()) {
-        this->context.ledger.onFirstEvent(this->stream);
-        this->context.exchange.onLedgerChanged();
+        this->place.onFirstEvent();
     } else {
         const absl::Duration pause = now - this->lastEventAt;
         this->longestPause = std::max(this->longestPause, pause);
         if (pause > this->call.route->pauseObjective)
-            this->context.ledger.onLate(this->stream);
+            this->place.onLate();
         const Service *engine = this->call.config->findService(this->service);
         if (engine)
             recordPause(this->context, call.target().key, engine->engine,
@@ -355,7 +349,7 @@
     }
     this->lastEventAt = now;
     const absl::Duration pause = this->call.route->pauseObjective * 2 + kStreamSlack;
-    this->watchTimer.start(this->reservations ? std::min(kServerSilence, pause) : pause);
+    this->watchTimer.start(this->place.holdsMemory() ? std::min(kServerSilence, pause) : pause);
 }
 
 void CallRun::onReplyComplete(ServerCall &call)
@@ -432,7 +426,7 @@
 {
     if (!this->attempts.empty())
         return;
-    this->forgetStream();
+    this->place.drop();
     const CallProgress state = this->progress(now);
     NextStep step = nextStep(end, state);
     if (step == NextStep::TryElsewhere) {
@@ -455,7 +449,7 @@
         if (this->suspicion->isQuarantined(now))
             this->refuseQuarantined(now);
         else
-            this->answerOwn(503, "rejected", true);
+            this->refuse("rejected", now);
         return;
     case NextStep::PassServerFailure:
         this->passStoredReply();
@@ -520,7 +514,7 @@
     if (!this->attempts.empty())
         server = this->attempts.back().call->target().id.str();
     this->dropAttempts();
-    this->forgetStream();
+    this->place.drop();
     const bool hadEvent = this->firstEventAt != absl::InfinitePast();
     this->context.metrics.counter("foxtailtally_calls_total", {{"outcome", outcome}}).add();
     this->context.metrics.distribution("foxtailtally_call_seconds", {{"outcome", outcome}})
@@ -536,10 +530,10 @@
          {"arrivals", this->arrivals},
          {"runs", this->runs},
          {"prompt", this->call.headers.promptTokens},
-         {"helpers", this->plan.helpers.size()},
-         {"harm", static_cast<int>(this->plan.harm * 100)},
+         {"helpers", this->lastPlan.helpers.size()},
+         {"harm", static_cast<int>(this->lastPlan.harm * 100)},
          {"waited_ms", absl::ToInt64Milliseconds(this->waited)},
-         {"planned_ms", static_cast<int>(this->plan.predictedFirstEventMs)},
+         {"planned_ms", static_cast<int>(this->lastPlan.predictedFirstEventMs)},
          {"first_ms",
           hadEvent ? absl::ToInt64Milliseconds(this->firstEventAt - this->call.receivedAt) : -1},
          {"pause_ms", absl::ToInt64Milliseconds(this->longestPause)},
@@ -600,7 +594,7 @@
     evidence.isDark = quietFor >= kServerSilence && this->context.reachability.isDark(target.key);
     evidence.isSilent = (evidence.isOverdue && quietFor > kServerSilence)
         || (quietFor > kServerSilence * 2 && quietFor > this->silenceBound(target.key, now));
-    evidence.holdsMemory = this->reservations != nullptr;
+    evidence.holdsMemory = this->place.holdsMemory();
     const Service *engines = this->call.config->findService(this->service);
     const bool hasReason = evidence.isSilent || evidence.isDark || evidence.isOverdue;
     evidence.hasBetterPlace = engines && hasReason
@@ -616,7 +610,7 @@
 
 absl::Duration CallRun::silenceBound(ServerKey server, absl::Time now) const
 {
-    double planned = this->plan.predictedFirstEventMs;
+    double planned = this->place.plan().predictedFirstEventMs;
     if (const Service *engine = this->call.config->findService(this->service))
         planned = std::max(planned, plannedSilenceMs(this->context, engine->engine, server, now));
     return kServerSilence * 2 + absl::Milliseconds(planned * kSilentPasses);
@@ -662,24 +656,6 @@
     return attempt;
 }
 
-void CallRun::retireReservations()
-{
-    if (!this->reservations)
-        return;
-    this->reservations->release();
-    this->context.retired.push_back(std::move(this->reservations));
-}
-
-void CallRun::forgetStream()
-{
-    this->retireReservations();
-    if (this->stream == 0)
-        return;
-    this->context.ledger.remove(this->stream);
-    this->context.exchange.onLedgerChanged();
-    this->stream = 0;
-}
-
 CallProgress CallRun::progress(absl::Time now)
 {
     CallProgress state;
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -2,9 +2,8 @@
 
 #include "main/gateway/call_suspicion.h"
 #include "main/gateway/gateway_context.h"
-#include "main/gateway/reservation_set.h"
+#include "main/gateway/placed_stream.h"
 #include "main/gateway/server_call.h"
-#include "main/gateway/stream_planner.h"
 #include "peers/http/inbound_connection.h"
 #include "peers/http/loop_timer.h"
 #include "platform/call_headers.h"
@@ -38,7 +37,7 @@
 };
 
 /** Serves one call: places it, relays the answer, and repeats it where that is allowed. */
-class CallRun final : public Retirable, private ServerCallEvents, private ReservationEvents
+class CallRun final : public Retirable, private ServerCallEvents, private PlacedStreamEvents
 {
 public:
     CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call);
@@ -81,12 +80,9 @@
     void sendTo(const ServerEntry &server, std::vector<platform::ReadHelper> helpers,
                 absl::Time now);
     StreamDemand demand(absl::Time now) const;
-    void onReserved() override;
-    void onReservationFailed(ServerKey engine) override;
-    void sendPlaced(absl::Time now);
-    void retireReservations();
-    void placeStream(const StreamDecision &decision, absl::Time now);
-    void placeParts(const std::vector<EngineCandidate> &candidates, absl::Time now);
+    void onStreamPrepared(absl::Time now) override;
+    void onStreamUnprepared(ServerKey engine, absl::Time now) override;
+    void placeAgain(absl::Time now);
 
     void relayEvents(Attempt &attempt, std::string_view data, absl::Time now);
     void noteEvent(ServerCall &call, absl::Time now);
@@ -94,6 +90,11 @@
     void afterEnd(AttemptEnd end, absl::Time now);
     void finishWith(NextStep step, absl::Time now);
     void refuseQuarantined(absl::Time now);
+    /** The call has not run and no server gets it now. */
+    void refuse(std::string_view cause, absl::Time now);
+    /** Waits for the end of a pause that all servers have asked for; false when it is too late for
+     * the caller, or some server has asked for none. */
+    bool waitForPause(absl::Time now);
     LossEvidence lossEvidence(const Attempt &attempt, AttemptEnd end, absl::Time now) const;
     void answerOwn(int status, std::string_view cause, bool notRun);
     void answerOwn(int status, std::string_view cause, bool notRun,
@@ -109,7 +110,6 @@
     void dropAttempts();
     Attempt *findAttempt(const ServerCall &call);
     std::optional<Attempt> takeAttempt(const ServerCall &call);
-    void forgetStream();
     bool isStream() const { return this->call.route->kind == CallKind::Streaming; }
     CallProgress progress(absl::Time now);
 
@@ -142,11 +142,9 @@
     /** Bytes of answers that this call has held so far; part of GatewayContext::heldReplyBytes. */
     std::size_t heldBytes = 0;
 
-    std::uint32_t stream = 0;
-    StreamPlan plan;
-    ServerEntry placedServer;
-    std::vector<platform::ReadHelper> placedHelpers;
-    std::unique_ptr<ReservationSet> reservations;
+    PlacedStream place;
+    /** The plan that was weighed last, for the log; it need not have been followed. */
+    StreamPlan lastPlan;
     absl::Time lastEventAt = absl::InfinitePast();
     absl::Time firstEventAt = absl::InfinitePast();
     absl::Duration longestPause = absl::ZeroDuration();
--- /dev/null
+++ b/main/gateway/placed_stream.cpp
@@ -0,0 +1,92 @@
+#include "main/gateway/placed_stream.h"
+
+#include "core/clock.h"
+#include "core/log.h"
+#include "main/gateway/call_log.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace foxtailtally {
+
+void PlacedStream::place(const StreamDecision &decision, const StreamDemand &demand, bool isResumed,
+                         absl::Time now)
+{
+    this->drop();
+    this->chosen = decision.plan;
+    this->stream = this->context.nextStream++;
+    this->context.ledger.place(
+        streamParts(decision.plan, decision.candidates, demand, this->stream, isResumed, now));
+    this->context.exchange.onLedgerChanged();
+    logPlacement(this->context, this->callId, decision);
+    this->engine = decision.servers[decision.plan.server]->entry;
+    this->engines = {decision.candidates[decision.plan.server].server};
+    this->readHelpers.clear();
+    const std::string reservationId = absl::StrCat(this->callId, "-", this->stream);
+    std::vector<ReservationSet::Share> shares;
+    for (const std::size_t index : decision.plan.helpers) {
+        const std::string &address = decision.servers[index]->entry.address;
+        const ServerKey helper = decision.candidates[index].server;
+        const bool isHolder = decision.plan.isHolder(index);
+        this->engines.push_back(helper);
+        this->readHelpers.push_back({address, isHolder ? reservationId : std::string()});
+        if (isHolder)
+            shares.push_back({helper, address});
+    }
+    if (shares.empty()) {
+        this->events.onStreamPrepared(now);
+        return;
+    }
+    ReservationEvents &reservationEvents = *this;
+    this->reservations = std::make_unique<ReservationSet>(
+        this->context, reservationId, decision.plan.shareTokens, shares, reservationEvents);
+}
+
+void PlacedStream::drop()
+{
+    if (this->reservations) {
+        this->reservations->release();
+        this->context.retired.push_back(std::move(this->reservations));
+    }
+    if (this->stream == 0)
+        return;
+    this->context.ledger.remove(this->stream);
+    this->context.exchange.onLedgerChanged();
+    this->stream = 0;
+}
+
+bool PlacedStream::isValid(absl::Time now) const
+{
+    const ServerDirectory &directory = this->context.directory;
+    return std::all_of(this->engines.begin(), this->engines.end(), [&](ServerKey key) {
+        const ServerDirectory::Server *server = directory.findKey(key);
+        return server && directory.mayGetWork(*server, now);
+    });
+}
+
+void PlacedStream::onFirstEvent()
+{
+    this->context.ledger.onFirstEvent(this->stream);
+    this->context.exchange.onLedgerChanged();
+}
+
+void PlacedStream::onLate()
+{
+    this->context.ledger.onLate(this->stream);
+}
+
+void PlacedStream::onReserved()
+{
+    this->events.onStreamPrepared(Clock::now());
+}
+
+void PlacedStream::onReservationFailed(ServerKey failed)
+{
+    logEvent(LogLevel::Info, "reservation_failed",
+             {{"request", this->callId}, {"tokens", this->chosen.shareTokens}});
+    this->drop();
+    this->events.onStreamUnprepared(failed, Clock::now());
+}
+
+} // namespace foxtailtally
--- a/main/gateway/reservation_set.cpp
+++ b/main/gateway/reservation_set.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/log.h"
+#include "main/gateway/server_evidence.h"
 #include "platform/call_headers.h"
 
 #include <nlohmann/json.hpp>
@@ -26,10 +27,12 @@
 class ReservationSet::Order final : public Retirable, private OutboundEvents
 {
 public:
-    Order(GatewayContext &context, ReservationSet *owner, const Share &share)
+    Order(GatewayContext &context, ReservationSet *owner, const Share &share,
+          const std::string &reservationId)
         : context(context)
         , owner(owner)
         , share(share)
+        , reservationId(reservationId)
     { }
     ~Order() override { this->context.pool.discard(std::move(this->connection)); }
 
@@ -51,6 +54,8 @@
     void onResponseHead(OutboundConnection &, const ResponseHead &head) override
     {
         this->status = head.status;
+        recordWishes(this->context, this->share.engine, platform::decodeServerReply(head),
+                     this->reservationId, Clock::now());
     }
     void onResponseBody(OutboundConnection &, std::string_view) override { }
     void onResponseComplete(OutboundConnection &) override
@@ -68,6 +73,7 @@
     GatewayContext &context;
     ReservationSet *owner;
     Share share;
+    std::string reservationId;
     std::unique_ptr<OutboundConnection> connection;
     int status = 0;
 };
@@ -82,8 +88,10 @@
     , renewTimer(context.base, [this] { this->onRenew(); })
     , answerTimer(context.base, [this] { this->onTimeout(); })
 {
-    for (const Share &share : this->shares)
-        this->sendReserve(share);
+    const absl::Time now = Clock::now();
+    this->renewedAt.assign(this->shares.size(), now);
+    for (std::size_t i = 0; i < this->shares.size(); ++i)
+        this->sendReserve(i, now);
     this->answerTimer.start(kAnswerTime);
 }
 
@@ -106,16 +114,18 @@
     }
     this->orders.clear();
     for (const Share &share : this->shares) {
-        auto order = std::make_unique<Order>(this->context, nullptr, share);
+        auto order = std::make_unique<Order>(this->context, nullptr, share, this->reservationId);
         order->send(platform::encodeReleaseOrder(this->reservationId));
         // The connection carries the order out although nobody waits for its answer.
         this->context.lingering.push_back({std::move(order), Clock::now()});
     }
 }
 
-void ReservationSet::sendReserve(const Share &share)
+void ReservationSet::sendReserve(std::size_t index, absl::Time now)
 {
-    auto order = std::make_unique<Order>(this->context, this, share);
+    const Share &share = this->shares[index];
+    this->renewedAt[index] = now;
+    auto order = std::make_unique<Order>(this->context, this, share, this->reservationId);
     order->send(platform::encodeReserveOrder(this->reservationId, this->tokens, kHoldTime));
     this->orders.push_back(std::move(order));
 }
@@ -154,11 +164,24 @@
         this->context.retired.push_back(std::move(order));
     }
     this->orders.clear();
-    for (const Share &share : this->shares)
-        this->sendReserve(share);
+    const absl::Time now = Clock::now();
+    for (std::size_t i = 0; i < this->shares.size(); ++i) {
+        if (this->mustRenew(i, now))
+            this->sendReserve(i, now);
+    }
     this->renewTimer.start(kRenewInterval);
 }
 
+bool ReservationSet::mustRenew(std::size_t share, absl::Time now) const
+{
+    const absl::Time pausedUntil =
+        this->context.directory.wishes().pausedUntil(this->shares[share].engine);
+    if (pausedUntil <= now)
+        return true;
+    // An engine that wants nothing for a while keeps the memory as long as it was last asked to.
+    return this->renewedAt[share] + kHoldTime < now + 2 * kRenewInterval;
+}
+
 void ReservationSet::onTimeout()
 {
     if (this->isComplete || !this->events || this->orders.empty())
--- a/main/gateway/reservation_set.h
+++ b/main/gateway/reservation_set.h
@@ -6,6 +6,7 @@
 #include "peers/http/outbound_connection.h"
 
 #include <absl/time/time.h>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <span>
@@ -50,7 +51,9 @@
 private:
     class Order;
 
-    void sendReserve(const Share &share);
+    void sendReserve(std::size_t index, absl::Time now);
+    /** False while the engine of @p share wants nothing and holds the memory for long enough. */
+    bool mustRenew(std::size_t share, absl::Time now) const;
     void onOrderDone(Order &order, bool isGranted);
     void onRenew();
     void onTimeout();
@@ -59,6 +62,8 @@
     std::string reservationId;
     std::int64_t tokens;
     std::vector<Share> shares;
+    /** When each of the shares was last asked for. */
+    std::vector<absl::Time> renewedAt;
     ReservationEvents *events;
     LoopTimer renewTimer;
     LoopTimer answerTimer;
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "main/gateway/server_evidence.h"
 
 namespace foxtailtally {
 
@@ -34,6 +35,7 @@
                       bool mustNotRepeat, absl::Time now)
 {
     this->startedAt = now;
+    this->callId = callId;
     this->mustNotRepeat = mustNotRepeat;
     const absl::Duration maxIdle = mustNotRepeat ? absl::ZeroDuration() : ConnectionPool::kMaxIdle;
     this->connection = this->context.pool.acquire(this->server.address, maxIdle, now);
@@ -72,6 +74,7 @@
     ServerActivity &activity = this->context.activity[this->server.key];
     activity.lastByteAt = now;
     const platform::ServerReply reply = platform::decodeServerReply(head);
+    recordWishes(this->context, this->server.key, reply, this->callId, now);
     this->faulty = reply.faultyServer;
     this->misdirected = reply.isMisdirected;
     this->context.reachability.onConnected(this->server.key, this->server.domain);
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -91,6 +91,7 @@
     ServerCallEvents &events;
     std::unique_ptr<OutboundConnection> connection;
     LoopTimer connectTimer;
+    std::string callId;
     absl::Time startedAt = absl::InfinitePast();
     std::string faulty;
     std::error_code failed;
--- a/main/gateway/server_evidence.cpp
+++ b/main/gateway/server_evidence.cpp
@@ -1,8 +1,10 @@
 #include "main/gateway/server_evidence.h"
 
+#include "core/log.h"
 #include "servers/placement/read_cost.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace foxtailtally {
 
@@ -61,6 +63,33 @@
     }
 }
 
+void recordWishes(GatewayContext &context, ServerKey server, const platform::ServerReply &reply,
+                  const std::string &callId, absl::Time now)
+{
+    // What another server says at this address is no wish of the one that was called.
+    if (reply.isMisdirected)
+        return;
+    ServerWishes &wishes = context.directory.wishes();
+    const ServerDirectory::Server *known = context.directory.findKey(server);
+    const std::string name = known ? known->entry.id.str() : std::string();
+    const std::uint64_t incarnation = known ? known->entry.incarnation : 0;
+    const auto note = [&](std::string_view wish, absl::Duration pause) {
+        context.metrics.counter("foxtailtally_server_wishes_total", {{"wish", wish}}).add();
+        logEvent(LogLevel::Info, "server_wish",
+                 {{"request", callId},
+                  {"server", name},
+                  {"incarnation", incarnation},
+                  {"wish", wish},
+                  {"pause_ms", absl::ToInt64Milliseconds(pause)}});
+    };
+    if (reply.isPauseMalformed)
+        note("malformed", absl::ZeroDuration());
+    if (reply.isLeaving && wishes.onLeaving(server, now))
+        note("leave", absl::ZeroDuration());
+    if (wishes.onPause(server, reply.pauseAsked, now))
+        note("pause", std::min(reply.pauseAsked, ServerWishes::kLongestPause));
+}
+
 void recordPause(GatewayContext &context, ServerKey server, const EngineTiming &engine,
                  std::int64_t promptTokens, absl::Duration pause)
 {
--- a/main/gateway/server_evidence.h
+++ b/main/gateway/server_evidence.h
@@ -13,6 +13,11 @@
 void recordAttemptEnd(GatewayContext &context, const ServerCall &call, AttemptEnd end,
                       absl::Time now);
 
+/** Keeps what a server asks for in the head of an answer; no work from now on, or for a time.
+ * @p callId: the call or reservation that it answers. */
+void recordWishes(GatewayContext &context, ServerKey server, const platform::ServerReply &reply,
+                  const std::string &callId, absl::Time now);
+
 /** Judges the pace of an engine by the pauses between the events of its streams. */
 void recordPause(GatewayContext &context, ServerKey server, const EngineTiming &engine,
                  std::int64_t promptTokens, absl::Duration pause);
--- a/servers/catalog/server_directory.cpp
+++ b/servers/catalog/server_directory.cpp
@@ -62,6 +62,7 @@
 {
     absl::erase_if(this->servers,
                    [now](const auto &item) { return item.second.usableUntil < now; });
+    this->asked.onTick(now);
 }
 
 void ServerDirectory::setEvacuated(const FailureDomainId &domain, bool isEvacuated)
@@ -116,9 +117,29 @@
     return found == this->servers.end() ? nullptr : &found->second;
 }
 
+std::optional<absl::Time> ServerDirectory::pausedUntil(const std::string &service,
+                                                       absl::Time now) const
+{
+    std::optional<absl::Time> earliest;
+    for (const auto &[id, server] : this->servers) {
+        if (server.entry.service != service || !this->isInService(server, now))
+            continue;
+        const absl::Time until = this->asked.pausedUntil(server.key);
+        if (until <= now)
+            return std::nullopt;
+        earliest = std::min(earliest.value_or(until), until);
+    }
+    return earliest;
+}
+
 bool ServerDirectory::mayGetWork(const Server &server, absl::Time now) const
 {
-    return !server.entry.leaving && server.usableUntil >= now
+    return this->isInService(server, now) && this->asked.mayGetWork(server.key, now);
+}
+
+bool ServerDirectory::isInService(const Server &server, absl::Time now) const
+{
+    return !server.entry.leaving && !this->asked.isLeaving(server.key) && server.usableUntil >= now
         && !this->evacuated.contains(server.entry.domain);
 }
 
--- a/servers/catalog/server_directory.h
+++ b/servers/catalog/server_directory.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "core/ids.h"
+#include "servers/catalog/server_wishes.h"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
 #include <absl/time/time.h>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,9 +15,7 @@
 
 /** Stable number that stands for one life of a backend server in messages between instances. Two
  * servers of a fleet of 600 share one with a chance of 1 in 24,000; they would be taken for equally
- * loaded. */
-using ServerKey = std::uint32_t;
-
+ * loaded, and for one in what a server asks for. */
 ServerKey serverKey(const BackendServerId &id, Incarnation incarnation);
 
 /** What the platform's list says of one backend server. */
@@ -66,11 +66,19 @@
     /** Forgets lapsed entries whose grace is over. */
     void onTick(absl::Time now);
 
+    /** What servers have asked of this instance; those that ask for no work are not usable. */
+    ServerWishes &wishes() { return this->asked; }
+    const ServerWishes &wishes() const { return this->asked; }
+    /** When the first server of @p service ends its pause. Nothing when one may get work now, or
+     * when there is none. */
+    std::optional<absl::Time> pausedUntil(const std::string &service, absl::Time now) const;
+
     void setEvacuated(const FailureDomainId &domain, bool isEvacuated);
     void replaceEvacuated(absl::btree_set<FailureDomainId> domains);
 
     /** Servers of @p service that may get new work, in the order of their ids. */
     std::vector<const Server *> usable(const std::string &service, absl::Time now) const;
+    bool mayGetWork(const Server &server, absl::Time now) const;
     bool isUsable(const BackendServerId &id, Incarnation incarnation, absl::Time now) const;
     const Server *find(const BackendServerId &id) const;
     /** The server with the number that instances use among themselves; null when there is none. */
@@ -79,10 +87,12 @@
     std::size_t size() const { return this->servers.size(); }
 
 private:
-    bool mayGetWork(const Server &server, absl::Time now) const;
+    /** Listed, not leaving, and not in a domain that is out; it may have asked for a pause. */
+    bool isInService(const Server &server, absl::Time now) const;
 
     absl::btree_map<BackendServerId, Server> servers;
     absl::btree_set<FailureDomainId> evacuated;
+    ServerWishes asked;
 };
 
 } // namespace foxtailtally
--- a/servers/retry/attempt_policy.cpp
+++ b/servers/retry/attempt_policy.cpp
@@ -46,8 +46,7 @@
         return true;
     if (!evidence.isRepeatable || evidence.earlierRuns + 1 >= evidence.maxRuns)
         return false;
-    return (evidence.isSilent || evidence.isDark || evidence.isOverdue)
-        && evidence.hasBetterPlace;
+    return (evidence.isSilent || evidence.isDark || evidence.isOverdue) && evidence.hasBetterPlace;
 }
 
 NextStep nextStep(AttemptEnd end, const CallProgress &progress)
--- a/servers/retry/retry_budget.cpp
+++ b/servers/retry/retry_budget.cpp
@@ -18,6 +18,24 @@
     ++this->current(service, now).calls;
 }
 
+double RetryBudget::callsPerSecond(const std::string &service, absl::Time now) const
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end())
+        return 0.0;
+    std::int64_t calls = 0;
+    absl::Time since = now;
+    for (const Bucket &past : found->second) {
+        if (now - past.start > this->options.window)
+            continue;
+        calls += past.calls;
+        since = std::min(since, past.start);
+    }
+    // A bucket that has just begun would stand for a high rate.
+    const absl::Duration span = std::max(now - since, kBucketTime);
+    return static_cast<double>(calls) / absl::ToDoubleSeconds(span);
+}
+
 bool RetryBudget::tryRepeat(const std::string &service, std::size_t instances, absl::Time now)
 {
     Bucket &bucket = this->current(service, now);
--- a/servers/retry/retry_budget.h
+++ b/servers/retry/retry_budget.h
@@ -30,6 +30,8 @@
     { }
 
     void onCall(const std::string &service, absl::Time now);
+    /** Mean rate of calls to @p service over the window. */
+    double callsPerSecond(const std::string &service, absl::Time now) const;
     /** Takes one repeat if the budget has it. @p instances: how many share the slack. */
     bool tryRepeat(const std::string &service, std::size_t instances, absl::Time now);
 
--- /dev/null
+++ b/servers/retry/return_policy.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+#include <string>
+
+namespace foxtailtally {
+
+/** A call that is refused because all servers of its service have asked for a pause. */
+struct RefusedCall
+{
+    std::string service;
+    /** When the first server takes calls again. */
+    absl::Time reopensAt;
+    /** Until when the answer is of use to the caller. */
+    absl::Time usefulUntil;
+    /** Calls of the service that this instance gets, as of late. */
+    double callsPerSecond = 0;
+};
+
+/** Chooses when callers that were refused come back. */
+class ReturnPolicy
+{
+public:
+    virtual ~ReturnPolicy() = default;
+    /** Time after which the caller may come back. */
+    virtual absl::Duration returnAfter(const RefusedCall &call, absl::Time now) = 0;
+};
+
+/**
+ * Lets refused callers return one after the other, at a share of the usual rate, so that they find
+ * room beside those that come for the first time; all at once they would be refused again, and the
+ * servers would ask for the next pause.
+ */
+class SpacedReturns final : public ReturnPolicy
+{
+public:
+    /** Share of a service's usual rate at which refused callers return. */
+    static constexpr double kReturnShare = 0.5;
+
+    absl::Duration returnAfter(const RefusedCall &call, absl::Time now) override;
+
+private:
+    /** The next free place in the order, by service. */
+    absl::flat_hash_map<std::string, absl::Time> nextPlace;
+};
+
+} // namespace foxtailtally
--- /dev/null
+++ b/tests/catalog/server_wishes_test.cpp
@@ -0,0 +1,143 @@
+#include "servers/catalog/server_wishes.h"
+
+#include "core/random.h"
+#include "servers/catalog/server_directory.h"
+
+#include <absl/container/btree_map.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace foxtailtally {
+namespace {
+
+const absl::Time kNow = absl::UnixEpoch() + absl::Hours(1);
+
+TEST(ServerWishes, KeepsToWhatServersAskFor)
+{
+    struct Case
+    {
+        const char *name;
+        absl::Duration pause;
+        absl::Duration after;
+        bool mayGetWork;
+    };
+    const std::vector<Case> cases = {
+        {"none", absl::ZeroDuration(), absl::ZeroDuration(), true},
+        {"negative", absl::Seconds(-5), absl::ZeroDuration(), true},
+        {"within", absl::Seconds(2), absl::Milliseconds(1999), false},
+        {"over", absl::Seconds(2), absl::Seconds(2), true},
+        {"fraction", absl::Milliseconds(250), absl::Milliseconds(249), false},
+        {"huge", absl::InfiniteDuration(), ServerWishes::kLongestPause - absl::Seconds(1), false},
+        {"huge is bounded", absl::InfiniteDuration(), ServerWishes::kLongestPause, true},
+    };
+    for (const Case &entry : cases) {
+        ServerWishes wishes;
+        wishes.onPause(1, entry.pause, kNow);
+        EXPECT_EQ(wishes.mayGetWork(1, kNow + entry.after), entry.mayGetWork) << entry.name;
+        EXPECT_TRUE(wishes.mayGetWork(2, kNow));
+    }
+}
+
+/** What a server may say, and what must follow, written down once more. */
+struct Model
+{
+    absl::Time leavingSince = absl::InfiniteFuture();
+    absl::Time pausedUntil = absl::InfinitePast();
+};
+
+// Whatever comes in whatever order, no server gets work inside the time it asked for, and none that
+// has said that it leaves.
+RC_GTEST_PROP(ServerWishes, HoldsInAnyOrderOfAnswers, ())
+{
+    Random random(*rc::gen::arbitrary<std::uint32_t>());
+    ServerWishes wishes;
+    absl::btree_map<ServerKey, Model> models;
+    absl::Time now = kNow;
+    for (int step = 0; step < 60; ++step) {
+        const auto server = static_cast<ServerKey>(random.below(4));
+        Model &model = models[server];
+        switch (random.below(5)) {
+        case 0:
+            wishes.onLeaving(server, now);
+            model.leavingSince = std::min(model.leavingSince, now);
+            break;
+        case 1: {
+            const absl::Duration pause = absl::Milliseconds(random.below(4000));
+            wishes.onPause(server, pause, now);
+            if (pause > absl::ZeroDuration())
+                model.pausedUntil = std::max(model.pausedUntil, now + pause);
+            break;
+        }
+        case 2:
+            wishes.onTick(now);
+            break;
+        default:
+            // The process may have been frozen for a while.
+            now += absl::Milliseconds(random.below(10) == 0 ? 10000 : random.below(800));
+        }
+        for (const auto &[key, expected] : models) {
+            const bool mayGetWork = expected.leavingSince > now && expected.pausedUntil <= now;
+            RC_ASSERT(wishes.mayGetWork(key, now) == mayGetWork);
+        }
+    }
+}
+
+TEST(ServerWishes, AreBoundedAndForgotten)
+{
+    ServerWishes wishes;
+    for (ServerKey server = 0; server < 2 * ServerWishes::kMostServers; ++server)
+        wishes.onLeaving(server, kNow + absl::Milliseconds(server));
+    EXPECT_EQ(wishes.size(), ServerWishes::kMostServers);
+    EXPECT_FALSE(wishes.mayGetWork(2 * ServerWishes::kMostServers - 1, kNow));
+    wishes.onTick(kNow + 2 * ServerWishes::kLeavingTerm);
+    EXPECT_EQ(wishes.size(), 0U);
+}
+
+ServerEntry entry(const std::string &id, Incarnation incarnation)
+{
+    ServerEntry result;
+    result.id = BackendServerId(id);
+    result.incarnation = incarnation;
+    result.service = "desk";
+    result.address = "127.0.0.1:80";
+    result.domain = FailureDomainId("east");
+    return result;
+}
+
+TEST(ServerDirectory, GivesNoWorkToALifeThatHasSaidItLeaves)
+{
+    ServerDirectory directory;
+    directory.onEntry(entry("a", 1), kNow);
+    const ServerKey first = directory.find(BackendServerId("a"))->key;
+    directory.wishes().onLeaving(first, kNow);
+    EXPECT_TRUE(directory.usable("desk", kNow).empty());
+    // The store may still list it as ready.
+    directory.onEntry(entry("a", 1), kNow);
+    EXPECT_TRUE(directory.usable("desk", kNow).empty());
+    directory.onEntry(entry("a", 2), kNow);
+    EXPECT_EQ(directory.usable("desk", kNow).size(), 1U);
+    // The old life comes back in a late list.
+    directory.onEntry(entry("a", 1), kNow);
+    EXPECT_TRUE(directory.usable("desk", kNow).empty());
+}
+
+TEST(ServerDirectory, TellsWhenTheFirstOfAllPausesEnds)
+{
+    ServerDirectory directory;
+    EXPECT_FALSE(directory.pausedUntil("desk", kNow));
+    directory.onEntry(entry("a", 1), kNow);
+    directory.onEntry(entry("b", 1), kNow);
+    const ServerKey a = directory.find(BackendServerId("a"))->key;
+    const ServerKey b = directory.find(BackendServerId("b"))->key;
+    directory.wishes().onPause(a, absl::Seconds(3), kNow);
+    EXPECT_FALSE(directory.pausedUntil("desk", kNow));
+    directory.wishes().onPause(b, absl::Seconds(2), kNow);
+    EXPECT_EQ(directory.pausedUntil("desk", kNow), kNow + absl::Seconds(2));
+    EXPECT_FALSE(directory.pausedUntil("desk", kNow + absl::Seconds(2)));
+    // One that leaves does not come back.
+    directory.wishes().onLeaving(b, kNow);
+    EXPECT_EQ(directory.pausedUntil("desk", kNow), kNow + absl::Seconds(3));
+}
+
+} // namespace
+} // namespace foxtailtally
--- a/tests/gateway/reservation_set_test.cpp
+++ b/tests/gateway/reservation_set_test.cpp
@@ -177,6 +177,24 @@
     EXPECT_FALSE(outcome.hasFailed);
 }
 
+// An engine that asked for a pause still holds the memory of streams that it runs; it is asked to
+// go on holding it as rarely as that is safe.
+TEST_F(ReservationSetTest, RenewsRarelyWhileTheEngineWantsNothing)
+{
+    OrderedEngine engine(this->loop);
+    Outcome outcome;
+    const std::vector<ReservationSet::Share> shares = {{7, engine.address()}};
+    ReservationSet set(this->context, "r", 1000, shares, outcome);
+    engine.turn(absl::Milliseconds(200), true);
+    ASSERT_TRUE(outcome.isReserved);
+    this->context.directory.wishes().onPause(7, absl::Seconds(10), Clock::now());
+    engine.turn(absl::Milliseconds(1900), true);
+    EXPECT_EQ(engine.orders().size(), 1U);
+    // The first order held the memory for 3.5 s.
+    engine.turn(absl::Milliseconds(1000), true);
+    EXPECT_EQ(engine.orders().size(), 2U);
+}
+
 TEST_F(ReservationSetTest, ReleasesEverywhereWhenOneEngineDoesNotAnswer)
 {
     OrderedEngine good(this->loop);
--- a/tests/platform/call_headers_test.cpp
+++ b/tests/platform/call_headers_test.cpp
@@ -75,6 +75,52 @@
     EXPECT_FALSE(decodeServerReply(head).isMisdirected);
 }
 
+TEST(CallHeaders, ReadsWhatAServerAsksFor)
+{
+    struct Case
+    {
+        int status;
+        std::vector<std::string> values;
+        absl::Duration pause;
+        bool isMalformed;
+    };
+    const std::vector<Case> cases = {
+        {503, {}, absl::ZeroDuration(), false},
+        {503, {"2"}, absl::Seconds(2), false},
+        {503, {"0.25"}, absl::Milliseconds(250), false},
+        {503, {"0"}, absl::ZeroDuration(), false},
+        {503, {"-1"}, absl::ZeroDuration(), true},
+        {503, {""}, absl::ZeroDuration(), true},
+        {503, {"soon"}, absl::ZeroDuration(), true},
+        {503, {"2 s"}, absl::ZeroDuration(), true},
+        {503, {"nan"}, absl::ZeroDuration(), true},
+        {503, {"1e999"}, absl::InfiniteDuration(), false},
+        {503, {"Fri, 04 Dec 2026 12:00:00 GMT"}, absl::ZeroDuration(), true},
+        {503, {"1", "3", "2"}, absl::Seconds(3), false},
+        {503, {"1", "never"}, absl::Seconds(1), true},
+        // Only a server that turns a call away asks for a pause.
+        {200, {"2"}, absl::ZeroDuration(), false},
+    };
+    for (const Case &entry : cases) {
+        ResponseHead head;
+        head.status = entry.status;
+        for (const std::string &value : entry.values)
+            head.headers.add("retry-after", value);
+        const ServerReply reply = decodeServerReply(head);
+        EXPECT_EQ(reply.pauseAsked, entry.pause) << testing::PrintToString(entry.values);
+        EXPECT_EQ(reply.isPauseMalformed, entry.isMalformed)
+            << testing::PrintToString(entry.values);
+    }
+    ResponseHead leaving;
+    leaving.status = 200;
+    EXPECT_FALSE(decodeServerReply(leaving).isLeaving);
+    leaving.headers.add("Server-Leaving", "1");
+    EXPECT_TRUE(decodeServerReply(leaving).isLeaving);
+    // The server that answers is not the one that was asked.
+    leaving.status = 421;
+    EXPECT_FALSE(decodeServerReply(leaving).isLeaving);
+}
+
 TEST(CallHeaders, ReadsLoadAndSignature)
 {
     ResponseHead head;
--- /dev/null
+++ b/tests/process/server_wish_test.cpp
@@ -0,0 +1,156 @@
+#include "tests/process/gateway_deployment.h"
+#include "tests/process/http_caller.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace foxtailtally {
+namespace {
+
+constexpr int kServersOfEach = 2;
+constexpr absl::Duration kWaitLimit = absl::Seconds(10);
+
+/** One gateway before two engines and two plain servers, which the store lists as ready. */
+class ServerWish : public testing::TestWithParam<const char *>
+{
+protected:
+    ServerWish()
+        : deployment(1)
+    {
+        this->deployment.configure(1, {"key-1"});
+        for (int index = 0; index < 2 * kServersOfEach; ++index)
+            this->platform().addServer(index, index < kServersOfEach ? "engine" : "desk", "d0",
+                                       this->platform().serverAddress(index));
+        this->deployment.start(0);
+    }
+
+    ServingStandin &platform() { return this->deployment.platform(); }
+    /** First of the servers that calls of the path go to. */
+    int firstServer() const
+    {
+        return std::string(this->GetParam()).starts_with("/stream") ? 0 : kServersOfEach;
+    }
+    CallerAnswer call()
+    {
+        CallerRequest request;
+        request.address = this->deployment.callerAddress(0);
+        request.path = this->GetParam();
+        request.body = absl::StrCat("body-", ++this->calls);
+        request.headers = {absl::StrCat("Attempt-Id: call-", this->calls), "Key: key-1",
+                           "Deadline-Ms: 3000", "Token-Usage: 1000,100"};
+        return callGateway(request);
+    }
+    /** Calls for @p time; returns the statuses. */
+    std::vector<int> callFor(absl::Duration time)
+    {
+        std::vector<int> statuses;
+        const absl::Time end = absl::Now() + time;
+        while (absl::Now() < end)
+            statuses.push_back(this->call().status);
+        return statuses;
+    }
+    std::vector<absl::Time> arrivalsAt(int server)
+    {
+        std::vector<absl::Time> times;
+        for (const ServerArrival &arrival : this->platform().arrivals()) {
+            if (arrival.server == ServingStandin::serverName(server))
+                times.push_back(arrival.at);
+        }
+        return times;
+    }
+    template <typename Condition>
+    bool eventually(Condition condition)
+    {
+        const absl::Time end = absl::Now() + kWaitLimit;
+        while (!condition()) {
+            if (absl::Now() > end)
+                return false;
+            absl::SleepFor(absl::Milliseconds(20));
+        }
+        return true;
+    }
+
+    GatewayDeployment deployment;
+    int calls = 0;
+};
+
+TEST_P(ServerWish, AServerThatSaysItLeavesGetsNothingMore)
+{
+    ASSERT_TRUE(this->deployment.waitUntilReady(0));
+    const int leaving = this->firstServer();
+    this->platform().setServerConduct(leaving, ServerConduct::Leave);
+    ASSERT_TRUE(this->eventually([&] {
+        this->call();
+        return this->arrivalsAt(leaving).size() == 1;
+    }));
+    for (const int status : this->callFor(absl::Seconds(1)))
+        EXPECT_EQ(status, 200);
+    EXPECT_EQ(this->arrivalsAt(leaving).size(), 1U);
+
+    // Another life at the same address has not said so.
+    this->platform().setServerConduct(leaving, ServerConduct::Serve);
+    this->platform().setServerConduct(leaving + 1, ServerConduct::Leave);
+    this->platform().restart(leaving);
+    EXPECT_TRUE(this->eventually([&] {
+        this->call();
+        return this->arrivalsAt(leaving).size() > 1;
+    }));
+}
+
+TEST_P(ServerWish, ACallIsRefusedAtOnceWhenAllServersLeave)
+{
+    ASSERT_TRUE(this->deployment.waitUntilReady(0));
+    for (int server = 0; server < kServersOfEach; ++server)
+        this->platform().setServerConduct(this->firstServer() + server, ServerConduct::Leave);
+    ASSERT_TRUE(this->eventually([&] { return this->call().status == 503; }));
+    const CallerAnswer answer = this->call();
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_TRUE(answer.hasHeader("Retry-After:"));
+    EXPECT_LT(answer.took, absl::Milliseconds(800));
+    EXPECT_EQ(this->arrivalsAt(this->firstServer()).size(), 1U);
+    EXPECT_EQ(this->arrivalsAt(this->firstServer() + 1).size(), 1U);
+}
+
+TEST_P(ServerWish, AServerGetsNothingDuringThePauseThatItAsksFor)
+{
+    ASSERT_TRUE(this->deployment.waitUntilReady(0));
+    const int shedding = this->firstServer();
+    this->platform().setServerConduct(shedding, ServerConduct::ShedWithPause);
+    for (const int status : this->callFor(3 * ServingStandin::kPause))
+        EXPECT_EQ(status, 200);
+    // The other server is known to be quick; when it has gone the first one is asked again.
+    this->platform().setServerConduct(shedding + 1, ServerConduct::Leave);
+    this->callFor(2 * ServingStandin::kPause);
+    const std::vector<absl::Time> times = this->arrivalsAt(shedding);
+    ASSERT_GE(times.size(), 2U);
+    for (std::size_t i = 1; i < times.size(); ++i)
+        EXPECT_GE(times[i] - times[i - 1], ServingStandin::kPause - absl::Milliseconds(1));
+}
+
+TEST_P(ServerWish, CallersAreToldWhenAllServersTakeCallsAgain)
+{
+    ASSERT_TRUE(this->deployment.waitUntilReady(0));
+    for (int server = 0; server < kServersOfEach; ++server)
+        this->platform().setServerConduct(this->firstServer() + server,
+                                          ServerConduct::ShedWithPause);
+    this->call();
+    const absl::Time pausedAt = absl::Now();
+    const CallerAnswer answer = this->call();
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_NE(answer.body.find("servers_paused"), std::string::npos) << answer.body;
+    EXPECT_LT(answer.took, absl::Milliseconds(200));
+    const std::size_t at = answer.head.find("Retry-After: ");
+    ASSERT_NE(at, std::string::npos);
+    const double seconds = std::stod(answer.head.substr(at + 13));
+    EXPECT_GE(absl::Now() + absl::Seconds(seconds),
+              pausedAt + ServingStandin::kPause - absl::Milliseconds(300));
+    EXPECT_EQ(this->arrivalsAt(this->firstServer()).size(), 1U);
+    EXPECT_EQ(this->arrivalsAt(this->firstServer() + 1).size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Paths, ServerWish, testing::Values("/stream/a", "/act/a", "/look/a"));
+
+} // namespace
+} // namespace foxtailtally
--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -48,6 +48,12 @@
     return headers;
 }
 
+void addWishes(HttpHeaders &headers, ServerConduct conduct)
+{
+    if (conduct == ServerConduct::Leave)
+        headers.add("Server-Leaving", "1");
+}
+
 evconnlistener *listenAt(event_base *base, const std::string &address, evconnlistener_cb callback,
                          void *object)
 {
@@ -223,6 +229,15 @@
     this->run([&] { this->servers.at(index).conduct = conduct; });
 }
 
+void ServingStandin::restart(int index)
+{
+    this->run([&] {
+        Server &server = this->servers.at(index);
+        this->crash(server);
+        this->startServer(server);
+    });
+}
+
 void ServingStandin::goDark(int index)
 {
     this->run([&] {
@@ -424,17 +439,21 @@
     if (absl::SimpleAtoi(std::string(head.headers.valueOr("Deadline-Ms", "")), &left))
         arrival.deadline = absl::Milliseconds(left);
     arrival.at = absl::Now();
-    arrival.hasRun = server.conduct != ServerConduct::Shed;
+    arrival.hasRun =
+        server.conduct != ServerConduct::Shed && server.conduct != ServerConduct::ShedWithPause;
     this->seen.push_back(arrival);
     if (arrival.hasRun && !this->crashingBody.empty() && arrival.body == this->crashingBody) {
         this->crash(server);
         return;
     }
     switch (server.conduct) {
+    case ServerConduct::ShedWithPause:
     case ServerConduct::Shed: {
         HttpHeaders headers;
         headers.add("Attempt-Id", arrival.callId);
         headers.add("Not-Executed", "1");
+        if (server.conduct == ServerConduct::ShedWithPause)
+            headers.add("Retry-After", absl::StrCat(absl::ToDoubleSeconds(kPause)));
         connection.answer(503, headers, {});
         return;
     }
@@ -456,13 +475,16 @@
         return;
     case ServerConduct::Serve:
     case ServerConduct::BreakMidway:
+    case ServerConduct::Leave:
         break;
     }
-    if (head.path.starts_with("/stream") || head.path.starts_with("/long"))
+    if (head.path.starts_with("/stream") || head.path.starts_with("/long")) {
         this->startStream(connection, arrival, server.conduct);
-    else
-        connection.answer(200, replyHeaders(arrival, "text/plain"),
-                          absl::StrCat("done:", arrival.callId, ":", arrival.body));
+        return;
+    }
+    HttpHeaders headers = replyHeaders(arrival, "text/plain");
+    addWishes(headers, server.conduct);
+    connection.answer(200, headers, absl::StrCat("done:", arrival.callId, ":", arrival.body));
 }
 
 void ServingStandin::answerOrder(InboundConnection &connection, const Server &server)
@@ -490,7 +512,9 @@
         stream.next = last + 1;
     stream.breakAt = conduct == ServerConduct::BreakMidway ? stream.next + 3 : 0;
     stream.dueAt = absl::Now() + this->readTime;
-    connection.startStream(200, replyHeaders(arrival, "text/event-stream"));
+    HttpHeaders headers = replyHeaders(arrival, "text/event-stream");
+    addWishes(headers, conduct);
+    connection.startStream(200, headers);
     this->streams.push_back(stream);
 }
 
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -38,6 +38,10 @@
     CutBody,
     /** Answers with more than a gateway holds. */
     Oversized,
+    /** Serves, and says that it leaves. */
+    Leave,
+    /** Rejects the call, and asks for a pause of ServingStandin::kPause. */
+    ShedWithPause,
 };
 
 enum class StoreConduct { Serve, Refuse, Silent };
@@ -76,6 +80,8 @@
     /** Events of each stream, and the pause between them. */
     static constexpr int kEvents = 12;
     static constexpr absl::Duration kEventPause = absl::Milliseconds(25);
+    /** Pause that servers ask for. */
+    static constexpr absl::Duration kPause = absl::Milliseconds(1500);
 
     /** @p host: an address of the loopback network that nobody else uses. */
     explicit ServingStandin(std::string host);
@@ -100,6 +106,8 @@
      * server is back after @p away as another life. */
     void setCrashingBody(const std::string &body, absl::Duration away);
 
+    /** Server @p index starts anew: another life under the same id and address. */
+    void restart(int index);
     /** Server @p index falls silent: it answers nothing, and connections to it hang. */
     void goDark(int index);
     /** Time before the first event of each stream. */
