Decode and log the rate limits that servers name

The logs of the incident could not tell whether an instance had been told a limit, nor what a server got from it beside placed streams. Server-Limit is now decoded in platform/, from every kind of response, and server_limit logs when a limit is first named, changed or ended, with the calls, prefill parts and reservations that this instance sent in 4 s. stream_placed shows the limit and the sent requests. Nothing is decided by it yet.

Malformed values (negative, NaN, infinite, no number) are counted; the lowest of several values holds. Only a response to a request that was sent after the limit was last named ends it, since responses on several connections overtake each other.

Tests: CallHeaders.DecodesTheRateLimitOfAServer, ServerRateLimits.*, SentRequests.*.

--- a/main/gateway/call_log.cpp
+++ b/main/gateway/call_log.cpp
@@ -24,6 +24,18 @@
             {"server_arrivals", load->second.arrivals}};
 }
 
+/** Limit of the server and the requests that this instance has sent it; empty without a limit. */
+nlohmann::json limitFields(const GatewayContext &context, ServerKey server, absl::Time now)
+{
+    const std::optional<double> limit = context.rateLimits.limitOf(server);
+    if (!limit)
+        return nlohmann::json::object();
+    const auto activity = context.activity.find(server);
+    const bool isUsed = activity != context.activity.end();
+    return {{"limit_per_second", *limit},
+            {"sent_4s", isUsed ? activity->second.sent.total(now) : 0}};
+}
+
 } // namespace
 
 void logAttemptEnd(GatewayContext &context, const ServerCall &call, AttemptEnd end,
@@ -55,22 +67,26 @@
 }
 
 void logPlacement(const GatewayContext &context, const std::string &callId,
-                  const StreamDecision &decision)
+                  const StreamDecision &decision, absl::Time now)
 {
     std::string helpers;
     for (const std::size_t index : decision.plan.helpers)
         absl::StrAppend(&helpers, helpers.empty() ? "" : ",",
                         decision.servers[index]->entry.id.str());
-    logEvent(LogLevel::Info, "stream_placed",
-             {{"request", callId},
-              {"server", decision.servers[decision.plan.server]->entry.id.str()},
-              {"helpers", helpers},
-              {"part_ms", static_cast<int>(decision.plan.partPrefillMs)},
-              {"planned_ms", static_cast<int>(decision.plan.predictedFirstEventMs)},
-              {"harm", static_cast<int>(decision.plan.harm * 100)},
-              {"read_left_ms", static_cast<int>(decision.prefillLeftMs)},
-              {"writers", decision.decodingStreams},
-              {"instances", context.exchange.instanceCount()}});
+    const ServerDirectory::Server &server = *decision.servers[decision.plan.server];
+    nlohmann::json fields = {
+        {"request", callId},
+        {"server", server.entry.id.str()},
+        {"helpers", helpers},
+        {"part_ms", static_cast<int>(decision.plan.partPrefillMs)},
+        {"planned_ms", static_cast<int>(decision.plan.predictedFirstEventMs)},
+        {"harm", static_cast<int>(decision.plan.harm * 100)},
+        {"read_left_ms", static_cast<int>(decision.prefillLeftMs)},
+        {"writers", decision.decodingStreams},
+        {"instances", context.exchange.instanceCount()},
+    };
+    fields.update(limitFields(context, server.key, now));
+    logEvent(LogLevel::Info, "stream_placed", fields);
 }
 
 } // namespace foxtailtally
--- a/main/gateway/call_log.h
+++ b/main/gateway/call_log.h
@@ -27,6 +27,6 @@
 
 /** Logs on which engines a stream is placed, and the figures behind the decision. */
 void logPlacement(const GatewayContext &context, const std::string &callId,
-                  const StreamDecision &decision);
+                  const StreamDecision &decision, absl::Time now);
 
 } // namespace foxtailtally
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -207,6 +207,8 @@
         this->retryPlacement(now);
         return;
     }
+    for (const ServerKey helper : this->placement.helperKeys())
+        this->context.activity[helper].sent.add(RequestKind::PrefillPart, now);
     this->sendTo(this->placement.server(), this->placement.helpers(), now);
     this->checkTimer.start(std::min(kServerSilenceTimeout,
                                     absl::Milliseconds(this->placement.plan().predictedFirstEventMs)
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -9,6 +9,8 @@
 #include "servers/catalog/server_directory.h"
 #include "servers/catalog/serving_config.h"
 #include "servers/catalog/store_source.h"
+#include "servers/limits/sent_requests.h"
+#include "servers/limits/server_rate_limits.h"
 #include "servers/placement/reachability.h"
 #include "servers/placement/server_health.h"
 #include "servers/placement/stream_ledger.h"
@@ -43,6 +45,7 @@
     /** Calls sent in the second that began at secondStartedAt. */
     std::int64_t sentInSecond = 0;
     absl::Time secondStartedAt = absl::InfinitePast();
+    SentRequests sent;
     /** Shortest gap between two events of a stream since the slowdown was last estimated, and the
      * number of gaps since then. */
     double shortestEventGapMs = 0;
@@ -91,6 +94,7 @@
     std::shared_ptr<const ServingConfig> config;
     ConfigFreshness freshness;
     ServerDirectory directory;
+    ServerRateLimits rateLimits;
     StreamLedger ledger;
     ServerHealth health;
     Reachability reachability;
--- a/main/gateway/placed_stream.cpp
+++ b/main/gateway/placed_stream.cpp
@@ -19,7 +19,7 @@
     this->context.ledger.place(
         streamParts(decision.plan, decision.candidates, demand, this->streamId, isResumed, now));
     this->context.exchange.onLedgerChanged();
-    logPlacement(this->context, this->callId, decision);
+    logPlacement(this->context, this->callId, decision, now);
     this->engine = decision.servers[decision.plan.server]->entry;
     this->engines = {decision.candidates[decision.plan.server].server};
     this->prefillHelpers.clear();
--- a/main/gateway/placed_stream.h
+++ b/main/gateway/placed_stream.h
@@ -6,8 +6,11 @@
 #include "platform/call_headers.h"
 
 #include <absl/time/time.h>
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -52,6 +55,11 @@
     const StreamPlan &plan() const { return this->chosen; }
     const ServerEntry &server() const { return this->engine; }
     const std::vector<platform::PrefillHelper> &helpers() const { return this->prefillHelpers; }
+    /** Keys of the helpers. */
+    std::span<const ServerKey> helperKeys() const
+    {
+        return std::span(this->engines).subspan(std::min<std::size_t>(1, this->engines.size()));
+    }
 
     void onFirstEvent();
     /** An event of the stream is late. */
--- a/main/gateway/reservation_set.cpp
+++ b/main/gateway/reservation_set.cpp
@@ -39,6 +39,8 @@
     void send(const std::string &body)
     {
         const absl::Time now = Clock::now();
+        this->sentAt = now;
+        this->context.activity[this->share.engine].sent.add(RequestKind::Reservation, now);
         this->connection =
             this->context.pool.acquire(this->share.address, ConnectionPool::kMaxIdleTime, now);
         OutboundEvents &events = *this;
@@ -55,7 +57,7 @@
     {
         this->status = head.status;
         recordBackpressure(this->context, this->share.engine, platform::decodeServerReply(head),
-                           this->reservationId, Clock::now());
+                           {this->reservationId, this->sentAt}, Clock::now());
     }
     void onResponseBody(OutboundConnection &, std::string_view) override { }
     void onResponseComplete(OutboundConnection &) override
@@ -75,6 +77,7 @@
     Share share;
     std::string reservationId;
     std::unique_ptr<OutboundConnection> connection;
+    absl::Time sentAt;
     int status = 0;
 };
 
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -49,6 +49,7 @@
         activity.sentInSecond = 0;
     }
     ++activity.sentInSecond;
+    activity.sent.add(RequestKind::Call, now);
     if (!this->connection->isConnected())
         this->connectTimer.start(kConnectTimeout);
     this->connection->call(std::move(request), isHeadRequest, platform::callCorrelation(callId),
@@ -75,7 +76,8 @@
     ServerActivity &activity = this->context.activity[this->server.key];
     activity.lastByteAt = now;
     const platform::ServerReply reply = platform::decodeServerReply(head);
-    recordBackpressure(this->context, this->server.key, reply, this->callId, now);
+    recordBackpressure(this->context, this->server.key, reply, {this->callId, this->startedAt},
+                       now);
     this->faultyAddress = reply.faultyServer;
     this->misdirected = reply.isMisdirected;
     this->context.reachability.onConnected(this->server.key, this->server.domain);
--- a/main/gateway/server_evidence.cpp
+++ b/main/gateway/server_evidence.cpp
@@ -38,6 +38,48 @@
         recordOutcome(context, faulty, ServerHealth::Outcome::Lost, now);
 }
 
+std::string_view changeName(RateLimitChange change)
+{
+    switch (change) {
+    case RateLimitChange::None:
+        break;
+    case RateLimitChange::Named:
+        return "named";
+    case RateLimitChange::Changed:
+        return "changed";
+    case RateLimitChange::Ended:
+        return "ended";
+    }
+    return "none";
+}
+
+void recordRateLimit(GatewayContext &context, ServerKey server, const platform::ServerReply &reply,
+                     const AnsweredRequest &request, absl::Time now)
+{
+    if (reply.isRateLimitMalformed)
+        context.metrics.counter("foxtailtally_server_limits_total", {{"news", "malformed"}}).add();
+    RateLimitChange change = RateLimitChange::None;
+    if (reply.rateLimit)
+        change = context.rateLimits.onNamed(server, *reply.rateLimit, now);
+    else if (!reply.isRateLimitMalformed)
+        change = context.rateLimits.onNotNamed(server, request.sentAt);
+    if (change == RateLimitChange::None)
+        return;
+    context.metrics.counter("foxtailtally_server_limits_total", {{"news", changeName(change)}})
+        .add();
+    const ServerDirectory::Server *known = context.directory.findByKey(server);
+    const SentRequests &sent = context.activity[server].sent;
+    logEvent(LogLevel::Info, "server_limit",
+             {{"request", request.id},
+              {"server", known ? known->entry.id.str() : std::string()},
+              {"incarnation", known ? known->entry.incarnation : 0},
+              {"news", changeName(change)},
+              {"per_second", reply.rateLimit.value_or(0.0)},
+              {"calls_4s", sent.count(RequestKind::Call, now)},
+              {"parts_4s", sent.count(RequestKind::PrefillPart, now)},
+              {"reservations_4s", sent.count(RequestKind::Reservation, now)}});
+}
+
 } // namespace
 
 void recordAttemptEnd(GatewayContext &context, const ServerCall &call, AttemptEnd end,
@@ -64,7 +106,7 @@
 }
 
 void recordBackpressure(GatewayContext &context, ServerKey server,
-                        const platform::ServerReply &reply, const std::string &callId,
+                        const platform::ServerReply &reply, const AnsweredRequest &request,
                         absl::Time now)
 {
     // The response comes from another server at this address, not from the one that was called.
@@ -77,7 +119,7 @@
     const auto report = [&](std::string_view wish, absl::Duration pause) {
         context.metrics.counter("foxtailtally_server_wishes_total", {{"wish", wish}}).add();
         logEvent(LogLevel::Info, "server_wish",
-                 {{"request", callId},
+                 {{"request", request.id},
                   {"server", name},
                   {"incarnation", incarnation},
                   {"wish", wish},
@@ -89,6 +131,7 @@
         report("leave", absl::ZeroDuration());
     if (backpressure.onPause(server, reply.requestedPause, now))
         report("pause", std::min(reply.requestedPause, ServerBackpressure::kMaxPause));
+    recordRateLimit(context, server, reply, request, now);
 }
 
 void recordEventGap(GatewayContext &context, ServerKey server, const EngineTiming &engine,
--- a/main/gateway/server_evidence.h
+++ b/main/gateway/server_evidence.h
@@ -14,11 +14,18 @@
 void recordAttemptEnd(GatewayContext &context, const ServerCall &call, AttemptEnd end,
                       absl::Time now);
 
-/** Records what a server requests in the head of a response: no further calls, or none for some
- * time.
- * @p callId: the call or reservation that the response belongs to. */
+/** The request that a response belongs to. */
+struct AnsweredRequest
+{
+    /** Id of the call or of the reservation. */
+    std::string id;
+    absl::Time sentAt;
+};
+
+/** Records what a server requests in the head of a response: no further calls, none for some time,
+ * or a limited rate of requests. */
 void recordBackpressure(GatewayContext &context, ServerKey server,
-                        const platform::ServerReply &reply, const std::string &callId,
+                        const platform::ServerReply &reply, const AnsweredRequest &request,
                         absl::Time now);
 
 /** Estimates the slowdown of an engine from the gaps between the events of its streams. */
--- a/tests/platform/call_headers_test.cpp
+++ b/tests/platform/call_headers_test.cpp
@@ -121,6 +121,44 @@
     EXPECT_FALSE(decodeServerReply(leaving).isDraining);
 }
 
+TEST(CallHeaders, DecodesTheRateLimitOfAServer)
+{
+    struct Case
+    {
+        std::vector<std::string> values;
+        std::optional<double> limit;
+        bool isMalformed;
+    };
+    const std::vector<Case> cases = {
+        {{}, std::nullopt, false},       {{"1.9"}, 1.9, false},
+        {{"0.25"}, 0.25, false},         {{"0"}, 0.0, false},
+        {{"12"}, 12.0, false},           {{"1e1"}, 10.0, false},
+        {{"99999999"}, 1e6, false},      {{"-1"}, std::nullopt, true},
+        {{"nan"}, std::nullopt, true},   {{"inf"}, std::nullopt, true},
+        {{"1e999"}, std::nullopt, true}, {{""}, std::nullopt, true},
+        {{"few"}, std::nullopt, true},   {{"2 a second"}, std::nullopt, true},
+        {{"1,9"}, std::nullopt, true},   {{"3", "1.5", "2"}, 1.5, false},
+        {{"3", "few"}, 3.0, true},
+    };
+    for (const int status : {200, 429, 500, 503}) {
+        for (const Case &entry : cases) {
+            ResponseHead head;
+            head.status = status;
+            for (const std::string &value : entry.values)
+                head.headers.add("server-limit", value);
+            const ServerReply reply = decodeServerReply(head);
+            EXPECT_EQ(reply.rateLimit, entry.limit) << testing::PrintToString(entry.values);
+            EXPECT_EQ(reply.isRateLimitMalformed, entry.isMalformed)
+                << testing::PrintToString(entry.values);
+        }
+    }
+    // The response comes from another server than the one that was called.
+    ResponseHead misdirected;
+    misdirected.status = 421;
+    misdirected.headers.add("Server-Limit", "2");
+    EXPECT_EQ(decodeServerReply(misdirected).rateLimit, std::nullopt);
+}
+
 TEST(CallHeaders, DecodesLoadAndSignature)
 {
     ResponseHead head;
