Show that a server gets more requests than the limit it named

Three gateways as processes, two engines and two servers of a plain service; one server names 2 requests a second under load.

--- /dev/null
+++ b/tests/process/server_limit_test.cpp
@@ -0,0 +1,126 @@
+#include "tests/process/gateway_deployment.h"
+#include "tests/process/http_caller.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace foxtailtally {
+namespace {
+
+constexpr int kGateways = 3;
+constexpr int kCallersPerGateway = 2;
+constexpr int kServersPerService = 2;
+
+/** Window within which the users count the requests of a server with a rate limit. */
+constexpr absl::Duration kWindow = absl::Seconds(4);
+/** Requirement of the users: the most requests in a window, as a multiple of what the limit allows
+ * and a number of requests beyond that. */
+constexpr double kLimitFactor = 1.5;
+constexpr double kLimitSlack = 5;
+/** Time in which all instances learn of a limit. The users allow three seconds and more. */
+constexpr absl::Duration kLearnTime = absl::Seconds(1);
+
+/** Three gateways in three failure domains, with two engines and two servers of a plain service. */
+class ServerLimit : public testing::TestWithParam<const char *>
+{
+protected:
+    ServerLimit()
+        : deployment(kGateways)
+    {
+        this->deployment.configure(1, {"key-1"});
+        for (int index = 0; index < 2 * kServersPerService; ++index)
+            this->platform().addServer(index, index < kServersPerService ? "engine" : "desk",
+                                       absl::StrCat("d", index % kServersPerService),
+                                       this->platform().serverAddress(index));
+        for (int gateway = 0; gateway < kGateways; ++gateway)
+            this->deployment.start(gateway);
+    }
+
+    ServingStandin &platform() { return this->deployment.platform(); }
+    bool waitUntilReady()
+    {
+        for (int gateway = 0; gateway < kGateways; ++gateway) {
+            if (!this->deployment.waitUntilReady(gateway))
+                return false;
+        }
+        return true;
+    }
+    /** Index of the first of the two servers that serve the path. */
+    int firstServer() const
+    {
+        return std::string(this->GetParam()).starts_with("/stream") ? 0 : kServersPerService;
+    }
+    CallerAnswer call(int gateway)
+    {
+        CallerRequest request;
+        request.address = this->deployment.callerAddress(gateway);
+        request.path = this->GetParam();
+        const int number = ++this->calls;
+        request.body = absl::StrCat("body-", number);
+        request.headers = {absl::StrCat("Attempt-Id: call-", number), "Key: key-1",
+                           "Deadline-Ms: 3000", "Token-Usage: 1000,100"};
+        return callGateway(request);
+    }
+    /** Sends calls to all gateways for @p time. */
+    void load(absl::Duration time)
+    {
+        const absl::Time end = absl::Now() + time;
+        std::vector<std::thread> callers;
+        callers.reserve(kGateways * kCallersPerGateway);
+        for (int caller = 0; caller < kGateways * kCallersPerGateway; ++caller) {
+            callers.emplace_back([this, caller, end] {
+                while (absl::Now() < end) {
+                    ++this->answers[this->call(caller % kGateways).status];
+                    absl::SleepFor(absl::Milliseconds(20));
+                }
+            });
+        }
+        for (std::thread &caller : callers)
+            caller.join();
+    }
+    /** Most requests that @p server got in a window that began kLearnTime after it first named a
+     * limit, or later. */
+    std::size_t mostInWindow(int server)
+    {
+        const absl::Time from = this->platform().rateLimitNamedAt(server) + kLearnTime;
+        const std::vector<absl::Time> times = this->platform().requestTimes(server);
+        std::size_t most = 0;
+        for (auto first = std::lower_bound(times.begin(), times.end(), from); first != times.end();
+             ++first) {
+            const auto last = std::upper_bound(first, times.end(), *first + kWindow);
+            most = std::max(most, static_cast<std::size_t>(last - first));
+        }
+        return most;
+    }
+
+    GatewayDeployment deployment;
+    std::atomic<int> calls = 0;
+    std::array<std::atomic<int>, 600> answers {};
+};
+
+// Guards against a fault that users reported: servers got the full rate of calls from all instances
+// although they had named a limit.
+TEST_P(ServerLimit, HoldsOverAllInstances)
+{
+    constexpr double kLimit = 2.0;
+    ASSERT_TRUE(this->waitUntilReady());
+    const int limited = this->firstServer();
+    this->platform().setRateLimit(limited, kLimit);
+    this->load(kLearnTime + 2 * kWindow);
+    ASSERT_LT(this->platform().rateLimitNamedAt(limited), absl::InfiniteFuture());
+    const double allowed = kLimitFactor * kLimit * absl::ToDoubleSeconds(kWindow) + kLimitSlack;
+    EXPECT_LE(static_cast<double>(this->mostInWindow(limited)), allowed);
+    // The other server takes the calls.
+    EXPECT_EQ(this->answers[503], 0);
+    EXPECT_GT(this->answers[200], 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Paths, ServerLimit, testing::Values("/stream/a", "/act/a", "/look/a"));
+
+} // namespace
+} // namespace foxtailtally
--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -40,21 +40,6 @@
     return headers;
 }
 
-HttpHeaders replyHeaders(const ServerArrival &arrival, std::string_view contentType)
-{
-    HttpHeaders headers;
-    headers.add("Attempt-Id", arrival.callId);
-    headers.add("Response-Seal", arrival.server);
-    headers.add("Content-Type", contentType);
-    return headers;
-}
-
-void addLeavingHeader(HttpHeaders &headers, ServerBehavior behavior)
-{
-    if (behavior == ServerBehavior::AnnounceDraining)
-        headers.add("Server-Leaving", "1");
-}
-
 evconnlistener *listenAt(event_base *base, const std::string &address, evconnlistener_cb callback,
                          void *object)
 {
@@ -230,6 +215,57 @@
     this->run([&] { this->servers.at(index).behavior = behavior; });
 }
 
+void ServingStandin::setRateLimit(int index, std::optional<double> requestsPerSecond)
+{
+    this->run([&] { this->servers.at(index).rateLimit = requestsPerSecond; });
+}
+
+absl::Time ServingStandin::rateLimitNamedAt(int index)
+{
+    absl::Time result;
+    this->run([&] { result = this->servers.at(index).rateLimitNamedAt; });
+    return result;
+}
+
+std::vector<absl::Time> ServingStandin::requestTimes(int index)
+{
+    std::vector<absl::Time> times;
+    this->run([&] {
+        for (const ServerArrival &arrival : this->recordedArrivals) {
+            if (arrival.server == serverName(index))
+                times.push_back(arrival.at);
+        }
+        for (const ReservationCommand &command : this->recordedCommands) {
+            if (command.server == serverName(index))
+                times.push_back(command.at);
+        }
+    });
+    std::sort(times.begin(), times.end());
+    return times;
+}
+
+HttpHeaders ServingStandin::serverHeaders(Server &server)
+{
+    HttpHeaders headers;
+    if (server.behavior == ServerBehavior::AnnounceDraining)
+        headers.add("Server-Leaving", "1");
+    if (server.rateLimit) {
+        server.rateLimitNamedAt = std::min(server.rateLimitNamedAt, absl::Now());
+        headers.add("Server-Limit", absl::StrCat(*server.rateLimit));
+    }
+    return headers;
+}
+
+HttpHeaders ServingStandin::replyHeaders(Server &server, const ServerArrival &arrival,
+                                         std::string_view contentType)
+{
+    HttpHeaders headers = this->serverHeaders(server);
+    headers.add("Attempt-Id", arrival.callId);
+    headers.add("Response-Seal", arrival.server);
+    headers.add("Content-Type", contentType);
+    return headers;
+}
+
 void ServingStandin::restart(int index)
 {
     this->run([&] {
@@ -450,7 +486,7 @@
     switch (server.behavior) {
     case ServerBehavior::ShedWithRetryAfter:
     case ServerBehavior::Shed: {
-        HttpHeaders headers;
+        HttpHeaders headers = this->serverHeaders(server);
         headers.add("Attempt-Id", arrival.callId);
         headers.add("Not-Executed", "1");
         if (server.behavior == ServerBehavior::ShedWithRetryAfter)
@@ -459,7 +495,7 @@
         return;
     }
     case ServerBehavior::FailAfterRunning:
-        connection.answer(503, replyHeaders(arrival, "text/plain"), "failed");
+        connection.answer(503, this->replyHeaders(server, arrival, "text/plain"), "failed");
         return;
     case ServerBehavior::Disconnect:
         connection.abort();
@@ -467,12 +503,13 @@
     case ServerBehavior::NoResponse:
         return;
     case ServerBehavior::TruncateBody:
-        connection.startStream(200, replyHeaders(arrival, "text/plain"));
+        connection.startStream(200, this->replyHeaders(server, arrival, "text/plain"));
         connection.sendChunk("only a part");
         connection.abort();
         return;
     case ServerBehavior::Oversized:
-        connection.answer(200, replyHeaders(arrival, "text/plain"), std::string(9U << 20, 'x'));
+        connection.answer(200, this->replyHeaders(server, arrival, "text/plain"),
+                          std::string(9U << 20, 'x'));
         return;
     case ServerBehavior::Serve:
     case ServerBehavior::DisconnectMidStream:
@@ -480,15 +517,14 @@
         break;
     }
     if (head.path.starts_with("/stream") || head.path.starts_with("/long")) {
-        this->startStream(connection, arrival, server.behavior);
+        this->startStream(connection, arrival, server);
         return;
     }
-    HttpHeaders headers = replyHeaders(arrival, "text/plain");
-    addLeavingHeader(headers, server.behavior);
-    connection.answer(200, headers, absl::StrCat("done:", arrival.callId, ":", arrival.body));
+    connection.answer(200, this->replyHeaders(server, arrival, "text/plain"),
+                      absl::StrCat("done:", arrival.callId, ":", arrival.body));
 }
 
-void ServingStandin::answerReservationCommand(InboundConnection &connection, const Server &server)
+void ServingStandin::answerReservationCommand(InboundConnection &connection, Server &server)
 {
     const Json json = Json::parse(connection.body());
     ReservationCommand request;
@@ -498,11 +534,13 @@
     request.hold = absl::Milliseconds(json.value("HoldMs", 0));
     request.at = absl::Now();
     this->recordedCommands.push_back(request);
-    connection.answer(200, jsonHeaders(), "{}");
+    HttpHeaders headers = this->serverHeaders(server);
+    headers.add("Content-Type", "application/json");
+    connection.answer(200, headers, "{}");
 }
 
 void ServingStandin::startStream(InboundConnection &connection, const ServerArrival &arrival,
-                                 ServerBehavior behavior)
+                                 Server &server)
 {
     Stream stream;
     stream.connection = &connection;
@@ -511,11 +549,10 @@
     if (absl::SimpleAtoi(std::string(connection.head().headers.valueOr("Last-Event-Id", "")),
                          &last))
         stream.next = last + 1;
-    stream.breakAt = behavior == ServerBehavior::DisconnectMidStream ? stream.next + 3 : 0;
+    const bool breaks = server.behavior == ServerBehavior::DisconnectMidStream;
+    stream.breakAt = breaks ? stream.next + 3 : 0;
     stream.dueAt = absl::Now() + this->prefillTime;
-    HttpHeaders headers = replyHeaders(arrival, "text/event-stream");
-    addLeavingHeader(headers, behavior);
-    connection.startStream(200, headers);
+    connection.startStream(200, this->replyHeaders(server, arrival, "text/event-stream"));
     this->streams.push_back(stream);
 }
 
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -12,7 +12,9 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -102,6 +104,13 @@
                    const std::string &address);
     static std::string serverName(int index) { return "server-" + std::to_string(index); }
     void setServerBehavior(int index, ServerBehavior behavior);
+    /** Server @p index names @p requestsPerSecond as its rate limit in all responses; nullopt for
+     * none. It does not enforce the limit. */
+    void setRateLimit(int index, std::optional<double> requestsPerSecond);
+    /** When server @p index first named a rate limit; InfiniteFuture before. */
+    absl::Time rateLimitNamedAt(int index);
+    /** Times of all requests at server @p index: calls and reservation commands, in order. */
+    std::vector<absl::Time> requestTimes(int index);
     /** A call with body @p body crashes each server that runs it, together with all calls on that
      * server. The server returns after @p delay as a new incarnation. */
     void setCrashingBody(const std::string &body, absl::Duration delay);
@@ -122,6 +131,8 @@
     {
         std::string name;
         ServerBehavior behavior = ServerBehavior::Serve;
+        std::optional<double> rateLimit;
+        absl::Time rateLimitNamedAt = absl::InfiniteFuture();
         evconnlistener *listener = nullptr;
         ServingStandin *owner = nullptr;
         int index = 0;
@@ -173,10 +184,13 @@
     /** Starts an incarnation of the server and lists it in the store. */
     void startServer(Server &server);
     void crash(Server &server);
-    void answerReservationCommand(InboundConnection &connection, const Server &server);
+    void answerReservationCommand(InboundConnection &connection, Server &server);
     void restartCrashedServers(absl::Time now);
-    void startStream(InboundConnection &connection, const ServerArrival &arrival,
-                     ServerBehavior behavior);
+    void startStream(InboundConnection &connection, const ServerArrival &arrival, Server &server);
+    /** Headers that @p server adds to all its responses. */
+    HttpHeaders serverHeaders(Server &server);
+    HttpHeaders replyHeaders(Server &server, const ServerArrival &arrival,
+                             std::string_view contentType);
     void advanceStreams(absl::Time now);
     void removeWatchesAndStreams(InboundConnection &connection);
 
