--- a/core/error.cpp
+++ b/core/error.cpp
@@ -37,6 +37,8 @@
         return "timeout";
     case Error::ConnectionFailed:
         return "connection_failed";
+    case Error::PermissionExpired:
+        return "permission_expired";
     case Error::ConnectionLost:
         return "connection_lost";
     case Error::ProtocolViolation:
--- a/core/error.h
+++ b/core/error.h
@@ -21,6 +21,7 @@
     Timeout,
     ConnectionFailed,
     ConnectionLost,
+    PermissionExpired,
     ProtocolViolation,
     Unauthorized,
     RateLimited,
--- a/main/gateway/call_log.cpp
+++ b/main/gateway/call_log.cpp
@@ -27,7 +27,7 @@
 /** Limit of the server and the requests that this instance has sent it; empty without a limit. */
 nlohmann::json limitFields(const GatewayContext &context, ServerKey server, absl::Time now)
 {
-    const std::optional<double> limit = context.rateLimits.limitOf(server);
+    const std::optional<double> limit = context.limits.limitOf(server);
     if (!limit)
         return nlohmann::json::object();
     const auto activity = context.activity.find(server);
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -26,9 +26,14 @@
 constexpr absl::Duration kServerSilenceTimeout = absl::Milliseconds(1000);
 constexpr double kSilentPassFactor = 2.0;
 
-/** Share of the time left to its objective for which a call waits for servers that have requested a
- * pause; the rest must suffice for the work. */
-constexpr double kPauseWaitShare = 0.5;
+/** Denied claims for tokens after which a call is refused; each takes a round trip to the issuer.
+ */
+constexpr int kMaxTokenDenials = 4;
+
+/** Value of a call to a plain service, and added value of completing a response that has begun,
+ * where calls compete for tokens. */
+constexpr float kPlainCallWorth = 1.0F;
+constexpr float kBegunResponseWorth = 100.0F;
 
 /** Interval between attempts to find a server, or a plan that harms no other stream. */
 constexpr absl::Duration kReplanInterval = absl::Milliseconds(20);
@@ -120,7 +125,7 @@
     const std::optional<absl::Time> reopensAt =
         this->context.directory.pausedUntil(this->service, now);
     const absl::Duration left = this->call.receivedAt + this->call.route->objective - now;
-    if (!reopensAt || *reopensAt - now > left * kPauseWaitShare)
+    if (!reopensAt || *reopensAt - now > left * kMaxTokenWaitShare)
         return false;
     this->isWaiting = true;
     this->checkTimer.start(*reopensAt - now);
@@ -131,17 +136,30 @@
 {
     const std::optional<absl::Time> reopensAt =
         this->context.directory.pausedUntil(this->service, now);
-    if (!reopensAt) {
+    const double callsPerSecond = this->context.retries.callsPerSecond(this->service, now);
+    if (reopensAt) {
+        this->refuseUntil(*reopensAt, callsPerSecond, "servers_paused", now);
+        return;
+    }
+    const std::optional<TokenForecast> tokens = this->context.limits.forecast(this->service, now);
+    if (!tokens) {
         this->sendLocalReply(503, cause, true);
         return;
     }
+    const double ownShare =
+        tokens->perSecond / static_cast<double>(this->context.exchange.instanceCount());
+    this->refuseUntil(tokens->firstAt, std::min(callsPerSecond, ownShare), "rate_limited", now);
+}
+
+void CallRun::refuseUntil(absl::Time reopensAt, double callsPerSecond, std::string_view cause,
+                          absl::Time now)
+{
     RefusedCall refused;
     refused.service = this->service;
-    refused.reopensAt = *reopensAt;
+    refused.reopensAt = reopensAt;
     refused.usefulUntil = this->call.answerBy;
-    refused.callsPerSecond = this->context.retries.callsPerSecond(this->service, now);
-    this->sendLocalReply(503, "servers_paused", true,
-                         this->context.retryAfterPolicy.retryAfter(refused, now));
+    refused.callsPerSecond = callsPerSecond;
+    this->sendLocalReply(503, cause, true, this->context.retryAfterPolicy.retryAfter(refused, now));
 }
 
 std::vector<ServerKey> CallRun::excludedServers(std::span<const ServerKey> others) const
@@ -180,23 +198,132 @@
         StreamPlanner(this->context).decide(service, this->demand(now), excluded, now);
     this->lastPlan = decision.plan;
     // Completing a response that has begun outweighs any harm to others, and its caller is waiting.
-    if (this->hasAnswerBegun && decision.hasPlan) {
-        this->placement.place(decision, this->demand(now), this->hasAnswerBegun, now);
-        return true;
-    }
-    switch (decision.kind) {
-    case StreamDecision::Kind::NoServer:
-    case StreamDecision::Kind::NotWorthwhile:
-        return false;
-    case StreamDecision::Kind::Wait:
+    const bool mustPlace = this->hasAnswerBegun && decision.hasPlan;
+    if (!mustPlace && decision.kind == StreamDecision::Kind::Wait) {
         this->isWaiting = true;
         this->checkTimer.start(kReplanInterval);
         return true;
-    case StreamDecision::Kind::Place:
+    }
+    if (!mustPlace && decision.kind != StreamDecision::Kind::Place)
+        return false;
+    if (!this->claimTokens(decision, now))
         this->placement.place(decision, this->demand(now), this->hasAnswerBegun, now);
+    return true;
+}
+
+float CallRun::worth() const
+{
+    const float value = this->isStream()
+        ? static_cast<float>(streamValue(this->call.headers.promptTokens))
+        : kPlainCallWorth;
+    return this->hasAnswerBegun ? value + kBegunResponseWorth : value;
+}
+
+absl::Duration CallRun::tokenPatience(absl::Time now) const
+{
+    if (this->hasAnswerBegun)
+        return this->demand(now).callerTimeLeft * kMaxTokenWaitShare;
+    const absl::Duration objective = this->call.route->objective;
+    return foxtailtally::tokenPatience(this->call.receivedAt + objective - now, objective);
+}
+
+bool CallRun::claimTokens(const StreamDecision &decision, absl::Time now)
+{
+    std::vector<std::size_t> engines = {decision.plan.server};
+    engines.insert(engines.end(), decision.plan.helpers.begin(), decision.plan.helpers.end());
+    std::vector<TokenWait::Need> needs;
+    this->unlimitedEngines.clear();
+    for (const std::size_t index : engines) {
+        const EngineCandidate &engine = decision.candidates[index];
+        if (engine.isLimited)
+            needs.push_back({engine.server});
+        else
+            this->unlimitedEngines.push_back(engine.server);
+    }
+    if (needs.empty())
+        return false;
+    if (!decision.limited.empty())
+        needs = {decision.limited};
+    TokenWaitEvents &events = *this;
+    this->tokens = std::make_unique<TokenWait>(this->context, needs, this->worth(),
+                                               this->tokenPatience(now), events);
+    return true;
+}
+
+bool CallRun::claimTokens(const ServiceChoice &choice, absl::Time now)
+{
+    if (choice.limited.empty())
+        return false;
+    TokenWaitEvents &events = *this;
+    this->tokens = std::make_unique<TokenWait>(this->context, std::span(&choice.limited, 1),
+                                               this->worth(), this->tokenPatience(now), events);
+    return true;
+}
+
+void CallRun::onTokensGranted(absl::Time now)
+{
+    if (this->done)
+        return;
+    if (!this->suspicion->isQuarantined(now) && this->dispatchWithTokens(now))
+        return;
+    this->onTokensDenied(now);
+}
+
+void CallRun::onTokensDenied(absl::Time now)
+{
+    if (this->done)
+        return;
+    this->dropTokens(now);
+    if (++this->tokenDenials > kMaxTokenDenials || this->suspicion->isQuarantined(now)
+        || !this->dispatch(now))
+        this->finishWith(fallbackStep(AttemptEnd::NotPermitted, this->progress(now)), now);
+}
+
+bool CallRun::dispatchWithTokens(absl::Time now)
+{
+    const std::vector<ServerKey> granted = this->tokens->granted();
+    const Service *found = this->call.config->findService(this->service);
+    if (!found)
+        return false;
+    if (!found->isEngine || !this->isStream()) {
+        const ServerDirectory::Server *server = this->context.directory.findByKey(granted.front());
+        if (!server)
+            return false;
+        this->sendPlain(*server, now);
         return true;
     }
-    return false;
+    std::vector<ServerKey> engines = this->unlimitedEngines;
+    engines.insert(engines.end(), granted.begin(), granted.end());
+    const StreamDecision decision =
+        StreamPlanner(this->context).decideAmong(*found, this->demand(now), engines, now);
+    this->lastPlan = decision.plan;
+    const bool mustPlace = this->hasAnswerBegun && decision.hasPlan;
+    if (!mustPlace && decision.kind != StreamDecision::Kind::Place)
+        return false;
+    this->placement.place(decision, this->demand(now), this->hasAnswerBegun, now);
+    return true;
+}
+
+void CallRun::dropTokens(absl::Time now)
+{
+    if (!this->tokens)
+        return;
+    this->tokens->release(now);
+    this->context.retired.push_back(std::move(this->tokens));
+}
+
+bool CallRun::mayWrite(ServerCall &call, absl::Time now)
+{
+    const AttemptTarget &target = call.target();
+    if (!this->context.directory.isUsable(target.id, target.incarnation, now))
+        return false;
+    std::vector<ServerKey> servers = {target.key};
+    const std::span<const ServerKey> helpers = this->placement.helperKeys();
+    servers.insert(servers.end(), helpers.begin(), helpers.end());
+    return std::all_of(servers.begin(), servers.end(), [this, now](ServerKey server) {
+        return !this->context.limits.isLimited(server)
+            || (this->tokens && this->tokens->spend(server, now));
+    });
 }
 
 void CallRun::onPlacementReady(absl::Time now)
@@ -226,6 +353,7 @@
 void CallRun::retryPlacement(absl::Time now)
 {
     this->placement.drop();
+    this->dropTokens(now);
     if (++this->rejections > kMaxRejections || this->suspicion->isQuarantined(now)
         || !this->dispatch(now))
         this->finishWith(fallbackStep(AttemptEnd::NotSent, this->progress(now)), now);
@@ -234,16 +362,22 @@
 bool CallRun::dispatchPlain(const Service &service, std::span<const ServerKey> excluded,
                             absl::Time now)
 {
-    const ServerDirectory::Server *best =
-        ServicePlanner(this->context).choose(service, excluded, now);
-    if (!best)
+    const ServiceChoice choice =
+        ServicePlanner(this->context).choose(service, excluded, this->tokenPatience(now), now);
+    if (!choice.server)
         return false;
-    this->sendTo(best->entry, {}, now);
+    if (!this->claimTokens(choice, now))
+        this->sendPlain(*choice.server, now);
+    return true;
+}
+
+void CallRun::sendPlain(const ServerDirectory::Server &server, absl::Time now)
+{
+    this->sendTo(server.entry, {}, now);
     if (this->call.route->kind == CallKind::Idempotent && this->attempts.size() == 1) {
         this->checkTimer.start(
-            hedgeDelay(this->context.health.latency(best->key), this->call.route->objective));
+            hedgeDelay(this->context.health.latency(server.key), this->call.route->objective));
     }
-    return true;
 }
 
 void CallRun::sendTo(const ServerEntry &server, std::vector<platform::PrefillHelper> helpers,
@@ -414,7 +548,8 @@
     std::optional<Attempt> ended = this->takeAttempt(call);
     this->suspicion->onLoss(call.target(), this->crashEvidence(*ended, end, now), now);
     this->context.retired.push_back(std::move(ended->call));
-    if (end == AttemptEnd::NotSent || end == AttemptEnd::Rejected)
+    if (end == AttemptEnd::NotSent || end == AttemptEnd::NotPermitted
+        || end == AttemptEnd::Rejected)
         ++this->rejections;
     else
         ++this->runs;
@@ -434,10 +569,11 @@
     if (!this->attempts.empty())
         return;
     this->placement.drop();
+    this->dropTokens(now);
     const CallProgress state = this->progress(now);
     NextStep step = nextStep(end, state);
     if (step == NextStep::TryElsewhere) {
-        const bool isRetry = end != AttemptEnd::NotSent;
+        const bool isRetry = end != AttemptEnd::NotSent && end != AttemptEnd::NotPermitted;
         const bool allowed = !isRetry
             || this->context.retries.tryRetry(this->service, this->context.exchange.instanceCount(),
                                               now);
@@ -522,6 +658,7 @@
         server = this->attempts.back().call->target().id.str();
     this->cancelAttempts();
     this->placement.drop();
+    this->dropTokens(now);
     const bool hadEvent = this->firstEventAt != absl::InfinitePast();
     this->context.metrics.counter("foxtailtally_calls_total", {{"outcome", outcome}}).add();
     this->context.metrics.distribution("foxtailtally_call_seconds", {{"outcome", outcome}})
@@ -638,7 +775,15 @@
         return;
     if (!this->context.retries.tryRetry(this->service, this->context.exchange.instanceCount(), now))
         return;
-    this->dispatch(now);
+    // The requests of servers with a rate limit are too scarce for second copies.
+    std::vector<ServerKey> limited;
+    for (const ServerDirectory::Server *server :
+         this->context.directory.usable(this->service, now)) {
+        if (this->context.limits.isLimited(server->key))
+            limited.push_back(server->key);
+    }
+    if (const Service *found = this->call.config->findService(this->service))
+        this->dispatchTo(*found, this->excludedServers(limited), now);
 }
 
 void CallRun::cancelAttempts()
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -4,6 +4,9 @@
 #include "main/gateway/gateway_context.h"
 #include "main/gateway/placed_stream.h"
 #include "main/gateway/server_call.h"
+#include "main/gateway/service_planner.h"
+#include "main/gateway/stream_planner.h"
+#include "main/gateway/token_wait.h"
 #include "peers/http/inbound_connection.h"
 #include "peers/http/loop_timer.h"
 #include "platform/call_headers.h"
@@ -38,7 +41,10 @@
 
 /** Executes one call: chooses a server, forwards the response, and retries where that is allowed.
  */
-class CallRun final : public Retirable, private ServerCallEvents, private PlacedStreamEvents
+class CallRun final : public Retirable,
+                      private ServerCallEvents,
+                      private PlacedStreamEvents,
+                      private TokenWaitEvents
 {
 public:
     CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call);
@@ -64,6 +70,7 @@
         absl::Time firstEventAt = absl::InfiniteFuture();
     };
 
+    bool mayWrite(ServerCall &call, absl::Time now) override;
     void onReply(ServerCall &call, const ResponseHead &head,
                  const platform::ServerReply &reply) override;
     void onReplyBody(ServerCall &call, std::string_view data) override;
@@ -78,6 +85,17 @@
     bool dispatchStream(const Service &service, std::span<const ServerKey> excluded,
                         absl::Time now);
     bool dispatchPlain(const Service &service, std::span<const ServerKey> excluded, absl::Time now);
+    /** Longest time to wait for a token. */
+    absl::Duration tokenPatience(absl::Time now) const;
+    /** Claims the tokens that @p decision needs; false if it needs none. */
+    bool claimTokens(const StreamDecision &decision, absl::Time now);
+    bool claimTokens(const ServiceChoice &choice, absl::Time now);
+    void onTokensGranted(absl::Time now) override;
+    void onTokensDenied(absl::Time now) override;
+    /** Sends the call to the servers for which there are tokens; false if that is not possible. */
+    bool dispatchWithTokens(absl::Time now);
+    void dropTokens(absl::Time now);
+    void sendPlain(const ServerDirectory::Server &server, absl::Time now);
     void sendTo(const ServerEntry &server, std::vector<platform::PrefillHelper> helpers,
                 absl::Time now);
     StreamDemand demand(absl::Time now) const;
@@ -93,6 +111,8 @@
     void refuseQuarantined(absl::Time now);
     /** Responds that the call has not run and that no server can take it now. */
     void refuse(std::string_view cause, absl::Time now);
+    void refuseUntil(absl::Time reopensAt, double callsPerSecond, std::string_view cause,
+                     absl::Time now);
     /** Waits for the first server whose requested pause ends; false when that is too late for the
      * caller, or some server has requested none. */
     bool waitForPauseEnd(absl::Time now);
@@ -113,6 +133,8 @@
     std::optional<Attempt> takeAttempt(const ServerCall &call);
     bool isStream() const { return this->call.route->kind == CallKind::Streaming; }
     CallProgress progress(absl::Time now);
+    /** Value of the call, relative to others that need tokens. */
+    float worth() const;
 
     GatewayContext &context;
     InboundConnection *caller;
@@ -128,6 +150,7 @@
     int attemptsSent = 0;
     int runs = 0;
     int rejections = 0;
+    int tokenDenials = 0;
     bool hasAnswerBegun = false;
     bool done = false;
     bool isReadingPaused = false;
@@ -144,6 +167,10 @@
     std::size_t bufferedBytes = 0;
 
     PlacedStream placement;
+    /** Tokens for servers with a rate limit; null if none are needed or they were used up. */
+    std::unique_ptr<TokenWait> tokens;
+    /** Engines of the plan that tokens are claimed for which need none. */
+    std::vector<ServerKey> unlimitedEngines;
     /** The plan that was evaluated last, for the log; it need not have been used. */
     StreamPlan lastPlan;
     absl::Time lastEventAt = absl::InfinitePast();
--- a/main/gateway/exchange_message.cpp
+++ b/main/gateway/exchange_message.cpp
@@ -1,7 +1,7 @@
 #include "main/gateway/exchange_message.h"
 
 #include "core/error.h"
-#include "peers/instance/bounded_archive.h"
+#include "main/gateway/wire_list.h"
 
 #include <algorithm>
 #include <array>
@@ -16,6 +16,8 @@
 
 enum class MessageType : std::uint8_t { Report = 1, Bundle = 2, Quarantine = 3 };
 
+enum HeaderFlags : std::uint8_t { LostStore = 1, KeepsShare = 2 };
+
 enum StreamFlags : std::uint8_t { Decoding = 1, Late = 2, Split = 4 };
 
 /** Age on the wire of a state that was never confirmed. */
@@ -24,32 +26,12 @@
 /** Memory is sent in units of this many tokens; engines hold several hundred thousand. */
 constexpr std::int64_t kTokensPerMemoryUnit = 64;
 
-/** Most elements that a one-byte count allows. */
-constexpr std::size_t kMaxElements = 255;
 /** Most risks of each kind that are sent for a server. */
 constexpr std::size_t kMaxRisksSent = 4;
 
 /** Offset of the echo in a datagram: after format, type and stamp. */
 constexpr std::size_t kEchoOffset = 10;
 
-/** Archives elements after a one-byte count; the archive's own counts take four bytes. */
-template <typename Archive, typename Container>
-void archiveWithByteCount(Archive &archive, Container &container)
-{
-    auto count = static_cast<std::uint8_t>(container.size());
-    archive(count);
-    container.resize(count);
-    for (auto &element : container)
-        archive(element);
-}
-
-template <typename Number>
-Number saturate(double value)
-{
-    return static_cast<Number>(
-        std::clamp(value, 0.0, static_cast<double>(std::numeric_limits<Number>::max())));
-}
-
 std::uint16_t saturatedMs(absl::Duration duration)
 {
     return saturate<std::uint16_t>(absl::ToDoubleMilliseconds(duration));
@@ -83,7 +65,7 @@
     std::uint16_t relayPort = 0;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
-    std::uint8_t hasLostStore = 0;
+    std::uint8_t flags = 0;
     std::array<WireState, kStoreKinds> states;
     std::vector<ServerKey> suspects;
     std::uint64_t quarantineDigest = 0;
@@ -94,7 +76,7 @@
         archive(this->format, this->type, this->stamp, this->echo);
         archiveWithByteCount(archive, this->instance);
         archiveWithByteCount(archive, this->domain);
-        archive(this->relayPort, this->incarnation, this->sequence, this->hasLostStore);
+        archive(this->relayPort, this->incarnation, this->sequence, this->flags);
         for (WireState &state : this->states)
             archive(state);
         archiveWithByteCount(archive, this->suspects);
@@ -218,7 +200,8 @@
     wire.relayPort = header.relayPort;
     wire.incarnation = header.incarnation;
     wire.sequence = header.sequence;
-    wire.hasLostStore = header.hasLostStore ? 1 : 0;
+    wire.flags = static_cast<std::uint8_t>((header.hasLostStore ? LostStore : 0)
+                                           | (header.lendsShare ? 0 : KeepsShare));
     for (std::size_t i = 0; i < kStoreKinds; ++i) {
         const KindState &state = header.states[i];
         wire.states[i].revision = state.contentRevision;
@@ -244,7 +227,8 @@
     header.sequence = wire.sequence;
     header.stamp = wire.stamp;
     header.echo = wire.echo;
-    header.hasLostStore = wire.hasLostStore != 0;
+    header.hasLostStore = (wire.flags & LostStore) != 0;
+    header.lendsShare = (wire.flags & KeepsShare) == 0;
     for (std::size_t i = 0; i < kStoreKinds; ++i) {
         const WireState &state = wire.states[i];
         header.states[i].contentRevision = state.revision;
@@ -369,38 +353,6 @@
     return entry;
 }
 
-template <typename T>
-std::string encoded(T value)
-{
-    BinaryWriter writer;
-    writer(value);
-    return writer.takeBytes();
-}
-
-/** Collects encoded elements of one list as far as they fit into a datagram. */
-class BoundedListWriter
-{
-public:
-    /** Returns false if @p element does not fit. */
-    bool add(const std::string &element, std::size_t remainingBytes)
-    {
-        if (element.size() > remainingBytes || this->count == kMaxElements)
-            return false;
-        this->bytes += element;
-        ++this->count;
-        return true;
-    }
-    std::size_t size() const { return 1 + this->bytes.size(); }
-    std::string text() const
-    {
-        return std::string(1, static_cast<char>(this->count)) + this->bytes;
-    }
-
-private:
-    std::string bytes;
-    std::uint8_t count = 0;
-};
-
 } // namespace
 
 std::string encodeReport(const ReportMessage &message, absl::Time now)
--- a/main/gateway/exchange_message.h
+++ b/main/gateway/exchange_message.h
@@ -38,6 +38,8 @@
     /** Last stamp that the sender got from the receiver; zero before the first. */
     std::uint64_t echo = 0;
     bool hasLostStore = false;
+    /** The receiver may use the sender's share of rate limits until it no longer gets echoes. */
+    bool lendsShare = false;
     /** Times are sent as ages; confirmedAt is InfinitePast where it is unknown. */
     KindStates states;
     std::vector<ServerKey> suspects;
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -117,7 +117,7 @@
     this->tick.start(kTickInterval);
     const absl::Time now = Clock::now();
     this->context.directory.onTick(now);
-    this->context.rateLimits.onTick(now);
+    this->context.limits.onTick(now);
     this->context.ledger.onTick(now);
     this->context.health.onTick(now);
     this->context.quarantine.onTick(now);
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -4,13 +4,13 @@
 #include "core/random.h"
 #include "main/gateway/gateway_settings.h"
 #include "main/gateway/instance_exchange.h"
+#include "main/gateway/limit_exchange.h"
 #include "peers/http/connection_pool.h"
 #include "servers/catalog/config_freshness.h"
 #include "servers/catalog/server_directory.h"
 #include "servers/catalog/serving_config.h"
 #include "servers/catalog/store_source.h"
 #include "servers/limits/sent_requests.h"
-#include "servers/limits/server_rate_limits.h"
 #include "servers/placement/reachability.h"
 #include "servers/placement/server_health.h"
 #include "servers/placement/stream_ledger.h"
@@ -83,6 +83,7 @@
         , storeSource(instanceRecord(settings))
         , exchange(base, instanceRecord(settings), this->ledger, this->health, this->quarantine,
                    this->storeSource)
+        , limits(base, instanceRecord(settings), this->exchange, this->directory, this->metrics)
         , random(stableSeed(settings))
     { }
 
@@ -94,7 +95,6 @@
     std::shared_ptr<const ServingConfig> config;
     ConfigFreshness freshness;
     ServerDirectory directory;
-    ServerRateLimits rateLimits;
     StreamLedger ledger;
     ServerHealth health;
     Reachability reachability;
@@ -106,6 +106,7 @@
     StoreSource storeSource;
     InstanceExchange exchange;
     Metrics metrics;
+    LimitExchange limits;
     Random random;
     absl::flat_hash_map<ServerKey, ServerActivity> activity;
     /** Destroyed at the next tick. */
--- a/main/gateway/instance_exchange.cpp
+++ b/main/gateway/instance_exchange.cpp
@@ -5,6 +5,7 @@
 #include "core/guard.h"
 #include "core/log.h"
 #include "core/socket_address.h"
+#include "main/gateway/limit_message.h"
 
 #include <absl/container/btree_set.h>
 #include <absl/strings/numbers.h>
@@ -90,6 +91,7 @@
     , quarantine(quarantine)
     , storeSource(storeSource)
     , fleet(self)
+    , lending(self.id, Clock::now())
     , tick(base, [this] { this->onTick(); })
     , reportTimer(base, [this] { this->sendReports(false); })
     , bundleTimer(base, [this] { this->sendBundles(false); })
@@ -224,6 +226,7 @@
         this->ledger.dropOtherDomains(domain);
     }
     this->updateTopology();
+    this->updateLending(now);
     if (changed.empty())
         return;
     const InstanceRecord *aggregator = this->fleet.aggregator();
@@ -234,6 +237,19 @@
     this->sendReports(true);
 }
 
+void InstanceExchange::updateLending(absl::Time now)
+{
+    const InstanceRecord *aggregator = this->fleet.aggregator();
+    const InstanceId target = aggregator ? aggregator->id : this->self.id;
+    this->lending.update(target, this->peerStates[target].heardAt, now);
+}
+
+std::size_t InstanceExchange::lenders(absl::Time now) const
+{
+    const bool lendsToSelf = !this->fleet.aggregator() && this->lending.isLent();
+    return this->fleet.lenders(now) + (lendsToSelf ? 1 : 0);
+}
+
 void InstanceExchange::updateTopology()
 {
     StoreSource::Topology topology;
@@ -281,6 +297,7 @@
         message.header = this->header(now);
         message.header.echo = this->peerStates[reportTarget.target.id].stamp;
         if (reportTarget.isOwnDomain) {
+            message.header.lendsShare = !reportTarget.isProbe && this->lending.isLent();
             message.parts = this->ledger.own();
             message.header.suspects = this->suspectsToReport;
         }
@@ -376,8 +393,12 @@
         if (size <= 0)
             return;
         this->senderAddress = addressOf(sender);
-        const std::error_code error = decodeMessage(
-            std::span(buffer.data(), static_cast<std::size_t>(size)), Clock::now(), *this);
+        const std::span<const char> bytes(buffer.data(), static_cast<std::size_t>(size));
+        if (isLimitDatagram(bytes) && this->limitReceiver) {
+            this->limitReceiver->onLimitDatagram(bytes, this->senderAddress, Clock::now());
+            continue;
+        }
+        const std::error_code error = decodeMessage(bytes, Clock::now(), *this);
         if (error)
             logEvent(LogLevel::Warning, "peer_message_malformed",
                      {{"bytes", size}, {"error", errorName(error)}});
@@ -397,6 +418,7 @@
     last.incarnation = header.incarnation;
     last.sequence = header.sequence;
     last.stamp = header.stamp;
+    last.heardAt = Clock::now();
     return true;
 }
 
@@ -412,6 +434,8 @@
     subscriber.exchangeAddress = this->senderAddress;
     subscriber.relayAddress = absl::StrCat(hostOf(this->senderAddress), ":", header.relayPort);
     subscriber.heardAt = now;
+    if (header.lendsShare)
+        subscriber.lendsUntil = this->echoedSendTime(header.echo, now) + ShareLending::kTerm;
     this->fleet.onReport(subscriber);
     if (subscriber.domain == this->self.domain)
         this->ledger.replacePeer(subscriber.id, std::move(message.parts), now);
--- a/main/gateway/instance_exchange.h
+++ b/main/gateway/instance_exchange.h
@@ -5,6 +5,7 @@
 #include "peers/http/loop_timer.h"
 #include "servers/catalog/store_source.h"
 #include "servers/fleet/fleet_view.h"
+#include "servers/limits/share_lending.h"
 #include "servers/placement/load_delta_tracker.h"
 #include "servers/placement/server_health.h"
 #include "servers/placement/stream_ledger.h"
@@ -24,6 +25,16 @@
 
 namespace foxtailtally {
 
+/** Receives the datagrams of other instances about rate limits. */
+class LimitDatagrams
+{
+public:
+    virtual ~LimitDatagrams() = default;
+    /** @p source: exchange address of the sender. */
+    virtual void onLimitDatagram(std::span<const char> bytes, const std::string &source,
+                                 absl::Time now) = 0;
+};
+
 /**
  * Exchanges datagrams with other instances. An instance reports to the aggregator that it follows:
  * the streams that it has placed, the servers that it suspects and the revisions that it holds of
@@ -66,6 +77,12 @@
     void onServed(const ServedReport &served);
 
     const FleetView &view() const { return this->fleet; }
+    /** Sends a datagram that a LimitDatagrams at @p address receives; it may be lost. */
+    void sendTo(const std::string &address, const std::string &datagram);
+    void setLimitReceiver(LimitDatagrams *receiver) { this->limitReceiver = receiver; }
+    /** Instances of the own domain that lend this one their share of rate limits, itself included.
+     */
+    std::size_t lenders(absl::Time now) const;
     /** Instances that take part, this one included. */
     std::size_t instanceCount() const { return this->fleet.instances(); }
 
@@ -75,12 +92,14 @@
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         std::uint64_t stamp = 0;
+        absl::Time heardAt = absl::InfinitePast();
         /** When this instance last sent its full quarantine to that instance. */
         absl::Time quarantineSentAt = absl::InfinitePast();
     };
 
     void onTick();
     void updateTopology();
+    void updateLending(absl::Time now);
     void sendReports(bool isHeartbeat);
     void sendBundles(bool hasStoreChange);
     void sendBundlesTo(bool isOwnDomain, absl::Time now);
@@ -88,7 +107,6 @@
     std::vector<std::string> encoded(const BundleMessage &message, absl::Time now);
     BundleMessage bundle(bool isOwnDomain, bool isFull, absl::Time now);
     MessageHeader header(absl::Time now);
-    void sendTo(const std::string &address, const std::string &datagram);
     void receive();
     void onReport(ReportMessage &message) override;
     void onBundle(BundleMessage &message) override;
@@ -114,6 +132,8 @@
     Quarantine &quarantine;
     StoreSource &storeSource;
     FleetView fleet;
+    ShareLending lending;
+    LimitDatagrams *limitReceiver = nullptr;
     /** Loads last sent: within the domain, those of the domain and of all others; and those of the
      * domain to other domains. */
     LoadDeltaTracker ownDomainSent;
--- a/main/gateway/reservation_set.cpp
+++ b/main/gateway/reservation_set.cpp
@@ -41,6 +41,8 @@
         const absl::Time now = Clock::now();
         this->sentAt = now;
         this->context.activity[this->share.engine].sent.add(RequestKind::Reservation, now);
+        // Memory has to be renewed and released whether there is a token or not.
+        this->context.limits.charge(this->share.engine, now);
         this->connection =
             this->context.pool.acquire(this->share.address, ConnectionPool::kMaxIdleTime, now);
         OutboundEvents &events = *this;
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -49,13 +49,31 @@
         activity.sentInSecond = 0;
     }
     ++activity.sentInSecond;
-    activity.sent.add(RequestKind::Call, now);
-    if (!this->connection->isConnected())
+    if (!this->connection->isConnected()) {
         this->connectTimer.start(kConnectTimeout);
+    } else if (!this->beginWrite(now)) {
+        // Ends the call from the loop, since the caller of this function does not expect it to end.
+        this->isWithheld = true;
+        this->connectTimer.start(absl::ZeroDuration());
+        return;
+    }
     this->connection->call(std::move(request), isHeadRequest, platform::callCorrelation(callId),
                            *this);
 }
 
+bool ServerCall::beginWrite(absl::Time now)
+{
+    if (!this->events.mayWrite(*this, now))
+        return false;
+    this->context.activity[this->server.key].sent.add(RequestKind::Call, now);
+    return true;
+}
+
+bool ServerCall::mayWrite(OutboundConnection &)
+{
+    return this->beginWrite(Clock::now());
+}
+
 void ServerCall::cancel()
 {
     if (!this->connection)
@@ -127,12 +145,22 @@
 void ServerCall::onCallFailed(OutboundConnection &, std::error_code error)
 {
     this->failureCause = error;
-    this->end(error == Error::ConnectionFailed ? AttemptEnd::NotSent : AttemptEnd::Lost);
+    if (error == Error::PermissionExpired)
+        this->end(AttemptEnd::NotPermitted);
+    else
+        this->end(error == Error::ConnectionFailed ? AttemptEnd::NotSent : AttemptEnd::Lost);
 }
 
 void ServerCall::onConnectTimer()
 {
-    if (!this->connection || this->connection->isConnected())
+    if (!this->connection)
+        return;
+    if (this->isWithheld) {
+        this->failureCause = Error::PermissionExpired;
+        this->end(AttemptEnd::NotPermitted);
+        return;
+    }
+    if (this->connection->isConnected())
         return;
     this->connection->cancel();
     this->end(AttemptEnd::NotSent);
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -22,6 +22,8 @@
 {
 public:
     virtual ~ServerCallEvents() = default;
+    /** The call is about to be written. If this returns false, it ends as NotPermitted. */
+    virtual bool mayWrite(ServerCall &call, absl::Time now) = 0;
     /** The server responds to the call; the body follows. */
     virtual void onReply(ServerCall &call, const ResponseHead &head,
                          const platform::ServerReply &reply) = 0;
@@ -72,11 +74,14 @@
     std::error_code failure() const { return this->failureCause; }
 
 private:
+    bool mayWrite(OutboundConnection &connection) override;
     void onResponseHead(OutboundConnection &connection, const ResponseHead &head) override;
     void onResponseBody(OutboundConnection &connection, std::string_view data) override;
     void onResponseComplete(OutboundConnection &connection) override;
     void onCallFailed(OutboundConnection &connection, std::error_code error) override;
 
+    /** Asks for permission to write the call and counts it. */
+    bool beginWrite(absl::Time now);
     void onConnectTimer();
     void end(AttemptEnd end);
     void discardConnection();
@@ -96,6 +101,8 @@
     std::string faultyAddress;
     std::error_code failureCause;
     bool misdirected = false;
+    /** The call was not permitted when it would have been written at once. */
+    bool isWithheld = false;
     bool isConnectionReused = false;
     bool mustRunOnce = false;
 };
--- a/main/gateway/server_evidence.cpp
+++ b/main/gateway/server_evidence.cpp
@@ -38,21 +38,6 @@
         recordOutcome(context, faulty, ServerHealth::Outcome::Lost, now);
 }
 
-std::string_view changeName(RateLimitChange change)
-{
-    switch (change) {
-    case RateLimitChange::None:
-        break;
-    case RateLimitChange::Named:
-        return "named";
-    case RateLimitChange::Changed:
-        return "changed";
-    case RateLimitChange::Ended:
-        return "ended";
-    }
-    return "none";
-}
-
 void recordRateLimit(GatewayContext &context, ServerKey server, const platform::ServerReply &reply,
                      const AnsweredRequest &request, absl::Time now)
 {
@@ -60,12 +45,13 @@
         context.metrics.counter("foxtailtally_server_limits_total", {{"news", "malformed"}}).add();
     RateLimitChange change = RateLimitChange::None;
     if (reply.rateLimit)
-        change = context.rateLimits.onNamed(server, *reply.rateLimit, now);
+        change = context.limits.onNamed(server, *reply.rateLimit, now);
     else if (!reply.isRateLimitMalformed)
-        change = context.rateLimits.onNotNamed(server, request.sentAt);
+        change = context.limits.onNotNamed(server, request.sentAt, now);
     if (change == RateLimitChange::None)
         return;
-    context.metrics.counter("foxtailtally_server_limits_total", {{"news", changeName(change)}})
+    context.metrics
+        .counter("foxtailtally_server_limits_total", {{"news", rateLimitChangeName(change)}})
         .add();
     const ServerDirectory::Server *known = context.directory.findByKey(server);
     const SentRequests &sent = context.activity[server].sent;
@@ -73,7 +59,7 @@
              {{"request", request.id},
               {"server", known ? known->entry.id.str() : std::string()},
               {"incarnation", known ? known->entry.incarnation : 0},
-              {"news", changeName(change)},
+              {"news", rateLimitChangeName(change)},
               {"per_second", reply.rateLimit.value_or(0.0)},
               {"calls_4s", sent.count(RequestKind::Call, now)},
               {"parts_4s", sent.count(RequestKind::PrefillPart, now)},
@@ -99,6 +85,7 @@
     case AttemptEnd::Silent:
         recordOutcome(context, target.key, ServerHealth::Outcome::Silent, now);
         return;
+    case AttemptEnd::NotPermitted:
     case AttemptEnd::ServerFailed:
     case AttemptEnd::Overdue:
         return;
--- a/main/gateway/service_planner.cpp
+++ b/main/gateway/service_planner.cpp
@@ -14,9 +14,8 @@
 
 } // namespace
 
-const ServerDirectory::Server *ServicePlanner::choose(const Service &service,
-                                                      std::span<const ServerKey> tried,
-                                                      absl::Time now) const
+ServiceChoice ServicePlanner::choose(const Service &service, std::span<const ServerKey> tried,
+                                     absl::Duration tokenPatience, absl::Time now) const
 {
     const std::vector<const ServerDirectory::Server *> servers =
         this->context.directory.usable(service.name, now);
@@ -36,11 +35,31 @@
         candidate.exceedsColdRate = exceedsColdRate(this->context, service, *server, 0, now);
         candidate.isUnreachable =
             !this->context.reachability.isReachable(candidate.server, server->entry.domain);
+        candidate.isLimited = this->context.limits.isLimited(candidate.server);
+        candidate.lacksToken = candidate.isLimited
+            && this->context.limits.tokenExpectedAt(candidate.server) > now + tokenPatience;
         candidates.push_back(candidate);
     }
     const std::optional<std::size_t> best =
         chooseServiceServer(candidates, this->context.health, now);
-    return best ? servers[*best] : nullptr;
+    ServiceChoice choice;
+    if (!best)
+        return choice;
+    choice.server = servers[*best];
+    if (!candidates[*best].isLimited)
+        return choice;
+    std::vector<ServerKey> others;
+    const ServerKey chosen = candidates[*best].server;
+    const std::string group = this->context.limits.issuerGroup(chosen);
+    for (const ServiceCandidate &candidate : candidates) {
+        const bool isAlternative = candidate.isLimited && !candidate.lacksToken
+            && !candidate.wasTried && !candidate.isUnreachable && !candidate.exceedsColdRate
+            && this->context.limits.issuerGroup(candidate.server) == group;
+        if (isAlternative && candidate.server != chosen)
+            others.push_back(candidate.server);
+    }
+    choice.limited = serversToClaim(chosen, std::move(others), this->context.random);
+    return choice;
 }
 
 } // namespace foxtailtally
--- a/main/gateway/service_planner.h
+++ b/main/gateway/service_planner.h
@@ -4,23 +4,34 @@
 
 #include <absl/time/time.h>
 #include <span>
+#include <vector>
 
 namespace foxtailtally {
 
+/** Server for a call to a plain service. */
+struct ServiceChoice
+{
+    /** Null when no server may get the call. */
+    const ServerDirectory::Server *server = nullptr;
+    /** If the server has a rate limit: it and others with one, of which a token of any will do. */
+    std::vector<ServerKey> limited;
+};
+
 /** Chooses servers for calls to plain services from what this instance knows about them. */
 class ServicePlanner
 {
 public:
-    explicit ServicePlanner(const GatewayContext &context)
+    explicit ServicePlanner(GatewayContext &context)
         : context(context)
     { }
 
-    /** Null when no server may get the call. @p tried: servers that it has been sent to before. */
-    const ServerDirectory::Server *choose(const Service &service, std::span<const ServerKey> tried,
-                                          absl::Time now) const;
+    /** @p tried: servers that the call has been sent to before. @p tokenPatience: longest time that
+     * it can wait for a token. */
+    ServiceChoice choose(const Service &service, std::span<const ServerKey> tried,
+                         absl::Duration tokenPatience, absl::Time now) const;
 
 private:
-    const GatewayContext &context;
+    GatewayContext &context;
 };
 
 } // namespace foxtailtally
--- a/main/gateway/stream_planner.cpp
+++ b/main/gateway/stream_planner.cpp
@@ -19,6 +19,9 @@
  * longer one would block all requests behind it. */
 constexpr std::int64_t kMaxQueuedPromptTokens = 24000;
 
+/** A call that is late already waits for a token as if this share of its objective were left. */
+constexpr double kMinTokenWaitShare = 0.2;
+
 /** A stream without a plan waits for this share of its objective before it is refused. */
 constexpr double kMaxWaitShare = 0.5;
 
@@ -43,12 +46,38 @@
 
 } // namespace
 
+absl::Duration tokenPatience(absl::Duration left, absl::Duration objective)
+{
+    return std::max(left, objective * kMinTokenWaitShare) * kMaxTokenWaitShare;
+}
+
 StreamDecision StreamPlanner::decide(const Service &service, const StreamDemand &demand,
                                      std::span<const ServerKey> tried, absl::Time now) const
+{
+    const auto wasNotTried = [tried](ServerKey engine) {
+        return std::find(tried.begin(), tried.end(), engine) == tried.end();
+    };
+    return this->decide(service, demand, wasNotTried, false, now);
+}
+
+StreamDecision StreamPlanner::decideAmong(const Service &service, const StreamDemand &demand,
+                                          std::span<const ServerKey> engines, absl::Time now) const
+{
+    const auto isListed = [engines](ServerKey engine) {
+        return std::find(engines.begin(), engines.end(), engine) != engines.end();
+    };
+    return this->decide(service, demand, isListed, true, now);
+}
+
+StreamDecision StreamPlanner::decide(const Service &service, const StreamDemand &demand,
+                                     absl::FunctionRef<bool(ServerKey)> isCandidate, bool hasTokens,
+                                     absl::Time now) const
 {
     StreamDecision decision;
     const ServerLoads loads = this->context.ledger.loads(now);
-    this->collect(service, tried, loads, now, decision);
+    this->collect(service, isCandidate, loads, now, decision);
+    if (!hasTokens)
+        this->excludeWithoutToken(demand, now, decision);
     const StreamPlacement placement(service.engine, demand, now);
     std::optional<StreamPlan> plan = placement.choose(decision.candidates, loads);
     if (!plan) {
@@ -66,8 +95,11 @@
         plan = placement.choose(decision.candidates, loads);
     }
     if (!plan) {
-        const bool mayWait = !decision.candidates.empty()
-            && demand.firstEventDue > demand.objective * (1.0 - kMaxWaitShare);
+        const bool mayChange =
+            std::any_of(decision.candidates.begin(), decision.candidates.end(),
+                        [](const EngineCandidate &candidate) { return !candidate.lacksToken; });
+        const bool mayWait =
+            mayChange && demand.firstEventDue > demand.objective * (1.0 - kMaxWaitShare);
         decision.kind = mayWait ? StreamDecision::Kind::Wait : StreamDecision::Kind::NoServer;
         return decision;
     }
@@ -78,6 +110,7 @@
         decision.prefillLeftMs = load->second.prefillLeftMs;
         decision.decodingStreams = load->second.decodingStreams;
     }
+    this->findAlternatives(loads, decision);
     const double useful = absl::ToDoubleMilliseconds(demand.callerTimeLeft);
     if (plan->predictedFirstEventMs > kMaxFirstEventShare * useful)
         decision.kind = StreamDecision::Kind::NotWorthwhile;
@@ -98,7 +131,35 @@
         < demand.callerTimeLeft * kMigrationTimeoutShare;
 }
 
-void StreamPlanner::collect(const Service &service, std::span<const ServerKey> tried,
+void StreamPlanner::excludeWithoutToken(const StreamDemand &demand, absl::Time now,
+                                        StreamDecision &decision) const
+{
+    const absl::Time latest = now + tokenPatience(demand.firstEventDue, demand.objective);
+    for (EngineCandidate &candidate : decision.candidates)
+        candidate.lacksToken =
+            candidate.isLimited && this->context.limits.tokenExpectedAt(candidate.server) > latest;
+}
+
+void StreamPlanner::findAlternatives(const ServerLoads &loads, StreamDecision &decision) const
+{
+    const EngineCandidate &chosen = decision.candidates[decision.plan.server];
+    if (!chosen.isLimited || !decision.plan.helpers.empty())
+        return;
+    std::vector<ServerKey> others;
+    const std::string group = this->context.limits.issuerGroup(chosen.server);
+    for (const EngineCandidate &candidate : decision.candidates) {
+        const auto load = loads.find(candidate.server);
+        const bool hasSlot = load == loads.end() || load->second.streams < candidate.slots;
+        const bool isAlternative = candidate.isLimited && !candidate.lacksToken
+            && !candidate.isSuspect && !candidate.isUnreachable && !candidate.exceedsColdRate
+            && hasSlot && this->context.limits.issuerGroup(candidate.server) == group;
+        if (isAlternative && candidate.server != chosen.server)
+            others.push_back(candidate.server);
+    }
+    decision.limited = serversToClaim(chosen.server, std::move(others), this->context.random);
+}
+
+void StreamPlanner::collect(const Service &service, absl::FunctionRef<bool(ServerKey)> isCandidate,
                             const ServerLoads &loads, absl::Time now,
                             StreamDecision &decision) const
 {
@@ -106,7 +167,7 @@
          interleavedByDomain(this->context.directory.usable(service.name, now))) {
         EngineCandidate candidate;
         candidate.server = server->key;
-        if (std::find(tried.begin(), tried.end(), candidate.server) != tried.end())
+        if (!isCandidate(candidate.server))
             continue;
         candidate.slots = server->entry.slots;
         candidate.slowdown = this->context.health.slowdown(candidate.server);
@@ -117,6 +178,7 @@
         const auto load = loads.find(candidate.server);
         const std::int64_t arrivals = load == loads.end() ? 0 : load->second.arrivals;
         candidate.exceedsColdRate = exceedsColdRate(this->context, service, *server, arrivals, now);
+        candidate.isLimited = this->context.limits.isLimited(candidate.server);
         candidate.jitterMs =
             this->context.random.uniform() * jitterBoundMs(this->context.exchange.instanceCount());
         decision.candidates.push_back(candidate);
--- a/main/gateway/stream_planner.h
+++ b/main/gateway/stream_planner.h
@@ -4,6 +4,7 @@
 #include "servers/placement/stream_placement.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/functional/function_ref.h>
 #include <absl/time/time.h>
 #include <span>
 #include <string>
@@ -32,6 +33,9 @@
     /** The servers of the candidates, in the same order; plan refers to both by index. */
     std::vector<const ServerDirectory::Server *> servers;
     std::vector<EngineCandidate> candidates;
+    /** If the plan has a single engine, which has a rate limit: it and others with one, of which a
+     * token of any will do. */
+    std::vector<ServerKey> limited;
     /** Load of the chosen engine when the decision was made. */
     double prefillLeftMs = 0;
     std::int64_t decodingStreams = 0;
@@ -41,6 +45,13 @@
  * engine, and within which that engine must deliver the next event. */
 inline constexpr double kMigrationTimeoutShare = 0.6;
 
+/** Share of the time left to its objective for which a call waits for a token or for the end of a
+ * pause; the rest must suffice for the work. */
+inline constexpr double kMaxTokenWaitShare = 0.5;
+
+/** Longest time for which a call waits for a token. @p left: until its objective. */
+absl::Duration tokenPatience(absl::Duration left, absl::Duration objective);
+
 /** Decides on the placement of streams from what this instance knows about the engines. */
 class StreamPlanner
 {
@@ -52,13 +63,23 @@
     /** @p tried: engines that the stream has been sent to before. */
     StreamDecision decide(const Service &service, const StreamDemand &demand,
                           std::span<const ServerKey> tried, absl::Time now) const;
+    /** The same with these engines only, for which there are tokens where they are needed. */
+    StreamDecision decideAmong(const Service &service, const StreamDemand &demand,
+                               std::span<const ServerKey> engines, absl::Time now) const;
     /** An engine would deliver the stream's next event in time. */
     bool hasTimelyPlan(const Service &service, const StreamDemand &demand,
                        std::span<const ServerKey> tried, absl::Time now) const;
 
 private:
-    void collect(const Service &service, std::span<const ServerKey> tried, const ServerLoads &loads,
-                 absl::Time now, StreamDecision &decision) const;
+    StreamDecision decide(const Service &service, const StreamDemand &demand,
+                          absl::FunctionRef<bool(ServerKey)> isCandidate, bool hasTokens,
+                          absl::Time now) const;
+    void collect(const Service &service, absl::FunctionRef<bool(ServerKey)> isCandidate,
+                 const ServerLoads &loads, absl::Time now, StreamDecision &decision) const;
+    /** Excludes the engines of which no token is expected in time. */
+    void excludeWithoutToken(const StreamDemand &demand, absl::Time now,
+                             StreamDecision &decision) const;
+    void findAlternatives(const ServerLoads &loads, StreamDecision &decision) const;
 
     GatewayContext &context;
 };
--- a/peers/http/outbound_connection.cpp
+++ b/peers/http/outbound_connection.cpp
@@ -94,7 +94,23 @@
     this->receivedBytes = 0;
     this->bodyBytes = 0;
     this->beginResponse();
-    bufferevent_write(this->stream, bytes.data(), bytes.size());
+    if (this->state == State::Open)
+        bufferevent_write(this->stream, bytes.data(), bytes.size());
+    else
+        this->request = std::move(bytes);
+}
+
+void OutboundConnection::onConnected()
+{
+    this->state = State::Open;
+    if (!this->events)
+        return;
+    if (!this->events->mayWrite(*this)) {
+        this->fail(Error::PermissionExpired);
+        return;
+    }
+    bufferevent_write(this->stream, this->request.data(), this->request.size());
+    this->request.clear();
 }
 
 void OutboundConnection::cancel()
@@ -259,7 +275,7 @@
 void OutboundConnection::onEvent(short what)
 {
     if (what & BEV_EVENT_CONNECTED) {
-        this->state = State::Open;
+        this->onConnected();
         return;
     }
     if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
--- a/peers/http/outbound_connection.h
+++ b/peers/http/outbound_connection.h
@@ -23,12 +23,19 @@
 {
 public:
     virtual ~OutboundEvents() = default;
+    /**
+     * A connection that was not established at the time of the call is now, and the request is
+     * about to be written. If this returns false, nothing is written and the call fails with
+     * PermissionExpired.
+     */
+    virtual bool mayWrite(OutboundConnection &) { return true; }
     virtual void onResponseHead(OutboundConnection &connection, const ResponseHead &head) = 0;
     virtual void onResponseBody(OutboundConnection &connection, std::string_view data) = 0;
     virtual void onResponseComplete(OutboundConnection &connection) = 0;
     /**
-     * The call failed and the connection is closed. ConnectionFailed: no byte of the call can have
-     * reached the server; ConnectionLost or ProtocolViolation: the call may have reached it.
+     * The call failed and the connection is closed. ConnectionFailed and PermissionExpired: no byte
+     * of the call can have reached the server; ConnectionLost or ProtocolViolation: the call may
+     * have reached it.
      */
     virtual void onCallFailed(OutboundConnection &connection, std::error_code error) = 0;
 };
@@ -64,7 +71,8 @@
         std::string value;
     };
 
-    /** Sends @p bytes, a complete request. @p events is notified until the call ends. */
+    /** Sends @p bytes, a complete request, as soon as the connection is established. @p events is
+     * notified until the call ends. */
     void call(std::string bytes, bool isHeadRequest, const Correlation &correlation,
               OutboundEvents &events);
     /** Drops the call and closes the connection. No callback follows. */
@@ -94,6 +102,7 @@
     template <typename Work>
     static void runCallback(void *object, Work &&work);
 
+    void onConnected();
     void onReadable();
     void onEvent(short what);
     void onDisconnected(bool wasReset);
@@ -113,6 +122,8 @@
     ResponseHead response;
     HeaderCollector collector {this->response.headers};
     Correlation correlation;
+    /** Request that waits for the connection to be established. */
+    std::string request;
     /** Bytes received for the current call: in total, and those of the body passed to events. */
     std::uint64_t receivedBytes = 0;
     std::uint64_t bodyBytes = 0;
--- a/servers/catalog/server_directory.cpp
+++ b/servers/catalog/server_directory.cpp
@@ -17,8 +17,10 @@
     const bool isSameIncarnation = server.entry.incarnation == entry.incarnation;
     const absl::Time coldUntil = now + entry.coldLeft;
     server.coldUntil = isSameIncarnation ? std::max(server.coldUntil, coldUntil) : coldUntil;
+    this->idsByKey.erase(server.key);
     server.entry = entry;
     server.key = serverKey(entry.id, entry.incarnation);
+    this->idsByKey[server.key] = entry.id;
     server.usableUntil = absl::InfiniteFuture();
 }
 
@@ -28,6 +30,7 @@
     if (found == this->servers.end())
         return;
     if (!storeUnsettled || found->second.entry.leaving) {
+        this->idsByKey.erase(found->second.key);
         this->servers.erase(found);
         return;
     }
@@ -60,8 +63,12 @@
 
 void ServerDirectory::onTick(absl::Time now)
 {
-    absl::erase_if(this->servers,
-                   [now](const auto &item) { return item.second.usableUntil < now; });
+    absl::erase_if(this->servers, [this, now](const auto &item) {
+        const bool isExpired = item.second.usableUntil < now;
+        if (isExpired)
+            this->idsByKey.erase(item.second.key);
+        return isExpired;
+    });
     this->serverBackpressure.onTick(now);
 }
 
@@ -104,9 +111,8 @@
 
 const ServerDirectory::Server *ServerDirectory::findByKey(ServerKey key) const
 {
-    const auto found = std::find_if(this->servers.begin(), this->servers.end(),
-                                    [key](const auto &item) { return item.second.key == key; });
-    return found == this->servers.end() ? nullptr : &found->second;
+    const auto found = this->idsByKey.find(key);
+    return found == this->idsByKey.end() ? nullptr : this->find(found->second);
 }
 
 const ServerDirectory::Server *ServerDirectory::findByAddress(const std::string &address) const
--- a/servers/catalog/server_directory.h
+++ b/servers/catalog/server_directory.h
@@ -5,6 +5,7 @@
 
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 #include <cstdint>
 #include <optional>
@@ -93,6 +94,7 @@
     bool isInService(const Server &server, absl::Time now) const;
 
     absl::btree_map<BackendServerId, Server> servers;
+    absl::flat_hash_map<ServerKey, BackendServerId> idsByKey;
     absl::btree_set<FailureDomainId> evacuated;
     ServerBackpressure serverBackpressure;
 };
--- a/servers/fleet/fleet_view.cpp
+++ b/servers/fleet/fleet_view.cpp
@@ -1,6 +1,5 @@
 #include "servers/fleet/fleet_view.h"
 
-#include <absl/container/btree_set.h>
 #include <algorithm>
 
 namespace foxtailtally {
@@ -115,6 +114,16 @@
     return result;
 }
 
+std::vector<const FleetView::Subscriber *> FleetView::subscribers(bool isOwnDomain) const
+{
+    std::vector<const Subscriber *> result;
+    for (const auto &[id, subscriber] : this->subscriptions) {
+        if ((subscriber.domain == this->self.domain) == isOwnDomain)
+            result.push_back(&subscriber);
+    }
+    return result;
+}
+
 const FleetView::Peer *FleetView::followedPeer(const FailureDomainId &domain) const
 {
     const auto selection = this->selections.find(domain);
@@ -130,6 +139,12 @@
     return followed ? &followed->record : nullptr;
 }
 
+const InstanceRecord *FleetView::aggregatorOf(const FailureDomainId &domain) const
+{
+    const Peer *followed = this->followedPeer(domain);
+    return followed ? &followed->record : nullptr;
+}
+
 bool FleetView::isFollowed(const InstanceId &id) const
 {
     return std::any_of(this->selections.begin(), this->selections.end(),
@@ -177,12 +192,20 @@
         }));
 }
 
-std::size_t FleetView::domainCount() const
+absl::btree_set<FailureDomainId> FleetView::domains() const
 {
     absl::btree_set<FailureDomainId> domains = {this->self.domain};
     for (const auto &[id, peer] : this->peers)
         domains.insert(peer.record.domain);
-    return domains.size();
+    return domains;
+}
+
+std::size_t FleetView::lenders(absl::Time now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        this->subscriptions.begin(), this->subscriptions.end(), [this, now](const auto &item) {
+            return item.second.domain == this->self.domain && item.second.lendsUntil > now;
+        }));
 }
 
 } // namespace foxtailtally
--- a/servers/fleet/fleet_view.h
+++ b/servers/fleet/fleet_view.h
@@ -4,6 +4,7 @@
 #include "servers/fleet/instance_record.h"
 
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 #include <cstddef>
@@ -51,6 +52,8 @@
         std::string exchangeAddress;
         std::string relayAddress;
         absl::Time heardAt;
+        /** Until when it lends this instance its share of rate limits. */
+        absl::Time lendsUntil = absl::InfinitePast();
         /** No update has been sent to it yet. */
         bool isNew = true;
     };
@@ -74,11 +77,14 @@
     std::vector<ReportTarget> takeReportTargets(absl::Time now);
     /** Subscribers in the own domain, or in all other domains. */
     std::vector<Subscriber *> subscribers(bool isOwnDomain);
+    std::vector<const Subscriber *> subscribers(bool isOwnDomain) const;
     bool hasSubscribers() const { return !this->subscriptions.empty(); }
 
     /** The instance that is followed in the own domain; null when this one aggregates. */
     const InstanceRecord *aggregator() const;
     bool isFollowed(const InstanceId &id) const;
+    /** The instance that is followed in @p domain, another one than the own; null if none is. */
+    const InstanceRecord *aggregatorOf(const FailureDomainId &domain) const;
     /** The instances that are followed in other domains, ordered by domain. */
     std::vector<const InstanceRecord *> remoteAggregators() const;
 
@@ -88,7 +94,11 @@
     std::size_t instances() const;
     /** Number of records of the own domain that rank before this instance. */
     std::size_t ownRank() const;
-    std::size_t domainCount() const;
+    std::size_t domainCount() const { return this->domains().size(); }
+    /** Domains of the listed instances, including the own one. */
+    absl::btree_set<FailureDomainId> domains() const;
+    /** Instances of the own domain that lend this one their share of rate limits. */
+    std::size_t lenders(absl::Time now) const;
     /** Number of other instances that the store lists. */
     std::size_t recordCount() const { return this->peers.size(); }
 
--- a/servers/placement/service_placement.cpp
+++ b/servers/placement/service_placement.cpp
@@ -13,6 +13,10 @@
 /** Round-trip time that a hop to another failure domain adds, in milliseconds. */
 constexpr double kOtherDomainRoundTripMs = 3.0;
 
+/** Factor on the expected time of a server with a rate limit: its requests are scarce, and a call
+ * there first needs a token. */
+constexpr double kLimitedFactor = 3.0;
+
 /** Weight of the share of failed calls in the expected time: a failed call is retried. */
 constexpr double kFailureWeight = 6.0;
 
@@ -25,7 +29,8 @@
         static_cast<double>(std::max(candidate.outstanding, candidate.reportedCalls))
         / static_cast<double>(candidate.slots);
     const double failures = 1.0 + kFailureWeight * health.failureRatio(candidate.server);
-    return latency * (1.0 + busy) * failures
+    const double limited = candidate.isLimited ? kLimitedFactor : 1.0;
+    return latency * (1.0 + busy) * failures * limited
         + (candidate.isSameDomain ? 0.0 : kOtherDomainRoundTripMs);
 }
 
@@ -38,7 +43,7 @@
     std::tuple<bool, absl::Duration, double> bestRank;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const ServiceCandidate &candidate = candidates[i];
-        if (candidate.wasTried || candidate.exceedsColdRate)
+        if (candidate.wasTried || candidate.exceedsColdRate || candidate.lacksToken)
             continue;
         const std::tuple rank(candidate.isUnreachable, health.suspicionLeft(candidate.server, now),
                               expectedMs(candidate, health));
--- a/servers/placement/service_placement.h
+++ b/servers/placement/service_placement.h
@@ -25,12 +25,16 @@
     bool exceedsColdRate = false;
     /** Recent connections to it have failed. */
     bool isUnreachable = false;
+    /** It has a rate limit, so the call needs a token. */
+    bool isLimited = false;
+    /** No token of it is expected in time. */
+    bool lacksToken = false;
 };
 
 /**
  * Chooses the server of a plain service with the lowest expected response time: the average of its
- * recent responses, raised for calls already there and for the share of failed calls. Suspected and
- * unreachable servers come last.
+ * recent responses, raised for calls already there, for the share of failed calls and for a rate
+ * limit. Suspected and unreachable servers come last.
  */
 std::optional<std::size_t> chooseServiceServer(std::span<const ServiceCandidate> candidates,
                                                const ServerHealth &health, absl::Time now);
--- a/servers/placement/stream_placement.cpp
+++ b/servers/placement/stream_placement.cpp
@@ -100,6 +100,10 @@
 constexpr std::size_t kInstancesWithoutJitter = 12;
 constexpr double kJitterMs = 60.0;
 
+/** Value deducted for a request to an engine with a rate limit, which could have served another
+ * stream; a third of the value of a short one. */
+constexpr double kTokenCost = 0.3;
+
 /** Value deducted for each helper, since its failure would break the stream. */
 constexpr double kHelperCost = 0.01;
 
@@ -218,7 +222,7 @@
         std::vector<Option> options;
         for (std::size_t i = 0; i < candidates.size(); ++i) {
             if (candidates[i].isSuspect || candidates[i].isUnreachable
-                || candidates[i].exceedsColdRate)
+                || candidates[i].exceedsColdRate || candidates[i].lacksToken)
                 continue;
             const auto found = loads.find(candidates[i].server);
             Option option = this->assess(candidates[i], found == loads.end() ? idle : found->second,
@@ -229,6 +233,10 @@
             option.decodingPreference = this->isShort()
                 ? option.preference
                 : -kDecodingOrderPreference * static_cast<double>(i) / candidateCount;
+            if (candidates[i].isLimited) {
+                option.preference -= kTokenCost;
+                option.decodingPreference -= kTokenCost;
+            }
             options.push_back(option);
         }
         if (options.size() < parts)
@@ -273,6 +281,8 @@
             slowest = std::max(slowest, option.waitMs);
             plan.harm += option.harm;
             score -= option.harm + kHelperCost;
+            if (candidates[option.index].isLimited)
+                score -= kTokenCost;
         }
         if (plan.helpers.size() + 1 < parts)
             continue;
--- a/servers/placement/stream_placement.h
+++ b/servers/placement/stream_placement.h
@@ -27,6 +27,10 @@
     bool isSameDomain = true;
     /** Recent connections to it have failed. */
     bool isUnreachable = false;
+    /** It has a rate limit, so each request to it needs a token. */
+    bool isLimited = false;
+    /** No token of it is expected in time. */
+    bool lacksToken = false;
     /** Added to the wait of short streams, so that instances whose load data is slightly stale do
      * not all choose the same engine. */
     double jitterMs = 0;
--- a/servers/retry/attempt_policy.cpp
+++ b/servers/retry/attempt_policy.cpp
@@ -26,6 +26,8 @@
     switch (end) {
     case AttemptEnd::NotSent:
         return "not_sent";
+    case AttemptEnd::NotPermitted:
+        return "not_permitted";
     case AttemptEnd::Rejected:
         return "rejected";
     case AttemptEnd::ServerFailed:
@@ -54,7 +56,8 @@
 {
     if (progress.isQuarantined)
         return fallbackStep(end, progress);
-    if (end == AttemptEnd::NotSent || end == AttemptEnd::Rejected) {
+    if (end == AttemptEnd::NotSent || end == AttemptEnd::NotPermitted
+        || end == AttemptEnd::Rejected) {
         if (progress.rejections < kMaxRejections)
             return NextStep::TryElsewhere;
         return fallbackStep(end, progress);
--- a/servers/retry/attempt_policy.h
+++ b/servers/retry/attempt_policy.h
@@ -11,6 +11,9 @@
 enum class AttemptEnd {
     /** No byte of the call reached the server. */
     NotSent,
+    /** Nothing was sent, since the permission to send expired while the connection was established:
+     * the server drains, has requested a pause, or the token for it has expired. */
+    NotPermitted,
     /** The server reported that it rejected the call and will never run it. */
     Rejected,
     /** The server ran the call and reported a failure. */
--- a/tests/http/outbound_connection_test.cpp
+++ b/tests/http/outbound_connection_test.cpp
@@ -15,6 +15,7 @@
 
 struct Recorder final : OutboundEvents, IdleEvents
 {
+    bool mayWrite(OutboundConnection &) override { return this->isPermitted; }
     void onResponseHead(OutboundConnection &, const ResponseHead &head) override
     {
         this->status = head.status;
@@ -31,6 +32,7 @@
     std::string body;
     bool isComplete = false;
     bool isIdleClosed = false;
+    bool isPermitted = true;
     std::error_code error;
 };
 
@@ -92,6 +94,21 @@
     EXPECT_LT(this->server.accept(), 0);
 }
 
+// A process may be paused between the decision to send a call and the end of the handshake.
+TEST_F(OutboundConnectionTest, WritesNothingOncePermissionHasExpired)
+{
+    OutboundConnection connection(this->loop.base(), this->server.address(), this->events);
+    this->call(connection, "1");
+    this->events.isPermitted = false;
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->isOver(); }));
+    EXPECT_EQ(this->events.error, Error::PermissionExpired);
+    int socket = -1;
+    this->loop.runUntil([&] { return (socket = this->server.accept()) >= 0; });
+    this->loop.runUntil([&] { return isClosedByPeer(socket); });
+    EXPECT_EQ(readAvailable(socket), "");
+    ::close(socket);
+}
+
 TEST_F(OutboundConnectionTest, ReportsConnectionFailedWhenConnectingFails)
 {
     std::string closed;
--- a/tests/process/server_limit_test.cpp
+++ b/tests/process/server_limit_test.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <atomic>
 #include <gtest/gtest.h>
+#include <mutex>
 #include <thread>
 
 namespace foxtailtally {
@@ -22,6 +23,8 @@
  * and a number of requests beyond that. */
 constexpr double kLimitFactor = 1.5;
 constexpr double kLimitSlack = 5;
+/** Share of the limits of all servers that must be used while demand exceeds them. */
+constexpr double kUsedShare = 0.75;
 /** Time in which all instances learn of a limit. The users allow three seconds and more. */
 constexpr absl::Duration kLearnTime = absl::Seconds(1);
 
@@ -75,7 +78,7 @@
         for (int caller = 0; caller < kGateways * kCallersPerGateway; ++caller) {
             callers.emplace_back([this, caller, end] {
                 while (absl::Now() < end) {
-                    ++this->answers[this->call(caller % kGateways).status];
+                    this->record(this->call(caller % kGateways));
                     absl::SleepFor(absl::Milliseconds(20));
                 }
             });
@@ -83,6 +86,14 @@
         for (std::thread &caller : callers)
             caller.join();
     }
+    void record(const CallerAnswer &answer)
+    {
+        ++this->answers[answer.status];
+        if (answer.status != 503)
+            return;
+        const std::lock_guard lock(this->mutex);
+        this->refused.push_back(answer);
+    }
     /** Most requests that @p server got in a window that began kLearnTime after it first named a
      * limit, or later. */
     std::size_t mostInWindow(int server)
@@ -101,6 +112,8 @@
     GatewayDeployment deployment;
     std::atomic<int> calls = 0;
     std::array<std::atomic<int>, 600> answers {};
+    std::mutex mutex;
+    std::vector<CallerAnswer> refused;
 };
 
 // Guards against a fault that users reported: servers got the full rate of calls from all instances
@@ -120,6 +133,59 @@
     EXPECT_GT(this->answers[200], 0);
 }
 
+TEST_P(ServerLimit, CallsAreRefusedAtOnceWhenAllServersHaveReachedTheirLimit)
+{
+    constexpr double kLimit = 3.0;
+    ASSERT_TRUE(this->waitUntilReady());
+    for (int server = 0; server < kServersPerService; ++server)
+        this->platform().setRateLimit(this->firstServer() + server, kLimit);
+    this->load(kLearnTime + 2 * kWindow);
+    const double allowed = kLimitFactor * kLimit * absl::ToDoubleSeconds(kWindow) + kLimitSlack;
+    for (int server = 0; server < kServersPerService; ++server)
+        EXPECT_LE(static_cast<double>(this->mostInWindow(this->firstServer() + server)), allowed);
+    EXPECT_GE(this->answers[200],
+              kUsedShare * kLimit * kServersPerService * absl::ToDoubleSeconds(2 * kWindow));
+    EXPECT_GT(this->answers[503], 0);
+    EXPECT_EQ(this->answers[502] + this->answers[504], 0);
+    for (const CallerAnswer &answer : this->refused) {
+        EXPECT_NE(answer.body.find("rate_limited"), std::string::npos) << answer.body;
+        EXPECT_TRUE(answer.hasHeader("Retry-After:"));
+        // Half of the objective is the longest that a call waits for a token.
+        EXPECT_LT(answer.took, absl::Milliseconds(300));
+    }
+}
+
+// A new incarnation at the same address has named no limit.
+TEST_P(ServerLimit, EndsWithTheIncarnationOfTheServer)
+{
+    constexpr double kLimit = 0.2;
+    ASSERT_TRUE(this->waitUntilReady());
+    const int limited = this->firstServer();
+    this->platform().setRateLimit(limited, kLimit);
+    this->load(absl::Seconds(2));
+    this->platform().setRateLimit(limited, std::nullopt);
+    this->platform().setServerBehavior(limited + 1, ServerBehavior::AnnounceDraining);
+    this->platform().restart(limited);
+    const std::size_t before = this->platform().requestTimes(limited).size();
+    this->load(absl::Seconds(2));
+    EXPECT_GT(this->platform().requestTimes(limited).size(), before + 10);
+}
+
+TEST_P(ServerLimit, EndsWithAResponseThatNamesNone)
+{
+    constexpr double kLimit = 2.0;
+    ASSERT_TRUE(this->waitUntilReady());
+    const int limited = this->firstServer();
+    this->platform().setRateLimit(limited, kLimit);
+    this->load(absl::Seconds(2));
+    this->platform().setRateLimit(limited, std::nullopt);
+    this->platform().setServerBehavior(limited + 1, ServerBehavior::AnnounceDraining);
+    this->load(absl::Seconds(1));
+    const std::size_t before = this->platform().requestTimes(limited).size();
+    this->load(absl::Seconds(2));
+    EXPECT_GT(this->platform().requestTimes(limited).size(), before + 10);
+}
+
 INSTANTIATE_TEST_SUITE_P(Paths, ServerLimit, testing::Values("/stream/a", "/act/a", "/look/a"));
 
 } // namespace
