Measure limits over fleets of 6 to 295 instances and use them fully

`foxtailtally limit-experiment` prints the table and writes it as JSON and as a page with plots.

Found and mended with it: - A token was issued twice: the answers to a claim and to its repetition both granted it, and the claimant returned the second grant of a token that it had spent. Servers got 1.05 times their limit.

Messages: claims go directly to the issuer that answered last, claims list four servers at most, a queued claim is answered when it is repeated, and limits are told when they change.

--- a/load/commands.h
+++ b/load/commands.h
@@ -16,6 +16,15 @@
     std::string htmlFile;
 };
 
+/** Options of the `limit-experiment` command. */
+struct LimitExperimentCommand
+{
+    std::uint64_t seed = 1;
+    /** Report files to write; none if empty. The text report goes to standard output. */
+    std::string jsonFile;
+    std::string htmlFile;
+};
+
 /** Options of the `load` command. */
 struct LoadCommand
 {
@@ -71,6 +80,7 @@
 };
 
 CommandStatus runExperiment(const ExperimentCommand &command);
+CommandStatus runLimitExperimentCommand(const LimitExperimentCommand &command);
 CommandStatus runLoad(const LoadCommand &command);
 CommandStatus runBurnReport(const BurnCommand &command);
 
--- a/main/gateway/exchange_message.cpp
+++ b/main/gateway/exchange_message.cpp
@@ -1,7 +1,6 @@
 #include "main/gateway/exchange_message.h"
 
 #include "core/error.h"
-#include "main/gateway/wire_list.h"
 
 #include <algorithm>
 #include <array>
--- a/main/gateway/exchange_message.h
+++ b/main/gateway/exchange_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/result.h"
+#include "peers/instance/wire_list.h"
 #include "servers/catalog/store_source.h"
 #include "servers/placement/load_table.h"
 #include "servers/placement/stream_part.h"
@@ -15,9 +16,6 @@
 
 namespace foxtailtally {
 
-/** Largest datagram between instances, in bytes; larger ones would be fragmented by the network. */
-inline constexpr std::size_t kMaxDatagram = 1400;
-
 /** Header of every datagram between instances; describes the sender. */
 struct MessageHeader
 {
--- a/main/gateway/instance_exchange.cpp
+++ b/main/gateway/instance_exchange.cpp
@@ -5,7 +5,7 @@
 #include "core/guard.h"
 #include "core/log.h"
 #include "core/socket_address.h"
-#include "main/gateway/limit_message.h"
+#include "peers/instance/limit_message.h"
 
 #include <absl/container/btree_set.h>
 #include <absl/strings/numbers.h>
--- a/main/gateway/limit_exchange.cpp
+++ b/main/gateway/limit_exchange.cpp
@@ -4,7 +4,7 @@
 #include "core/error.h"
 #include "core/hash.h"
 #include "core/log.h"
-#include "main/gateway/limit_message.h"
+#include "peers/instance/limit_message.h"
 
 #include <absl/container/btree_set.h>
 #include <algorithm>
@@ -175,7 +175,7 @@
     for (const auto &[news, change] : this->limiter.onNews(decoded->news, now))
         this->logNews(news, change, source, now);
     this->limiter.onClaims(decoded->claims, now);
-    this->limiter.onReplies(decoded->replies, now);
+    this->limiter.onReplies(decoded->replies, source, now);
     this->send(now);
 }
 
--- a/main/gateway/limit_exchange.h
+++ b/main/gateway/limit_exchange.h
@@ -56,7 +56,7 @@
         return this->limiter.tokenExpectedAt(server);
     }
     /** Equal for servers that a claim may list together. */
-    std::string issuerGroup(ServerKey server) const override;
+    std::string issuerGroup(ServerKey server) const;
     /** nullopt if @p service has a server that may get calls without a token, or none at all. */
     std::optional<TokenForecast> forecast(const std::string &service, absl::Time now) const;
 
--- a/main/lib/tool_commands.cpp
+++ b/main/lib/tool_commands.cpp
@@ -76,6 +76,20 @@
         [options, &exitCode] { exitCode = static_cast<int>(runExperiment(*options)); });
 }
 
+void addLimitExperimentCommand(CLI::App &app, int &exitCode)
+{
+    CLI::App *experiment =
+        app.add_subcommand("limit-experiment",
+                           "Keep rate limits of servers over fleets of 6 to 295 instances, in "
+                           "virtual time");
+    auto options = std::make_shared<LimitExperimentCommand>();
+    experiment->add_option("--seed", options->seed, "Seed of the calls and delays");
+    experiment->add_option("--json", options->jsonFile, "File for the result as JSON");
+    experiment->add_option("--html", options->htmlFile, "File for the page with plots");
+    experiment->callback(
+        [options, &exitCode] { exitCode = static_cast<int>(runLimitExperimentCommand(*options)); });
+}
+
 void addReportCommand(CLI::App &app, int &exitCode)
 {
     CLI::App *report = app.add_subcommand("report", "Reports from the instances' metrics");
@@ -105,6 +119,7 @@
 {
     addLoadCommand(app, exitCode);
     addExperimentCommand(app, exitCode);
+    addLimitExperimentCommand(app, exitCode);
     addReportCommand(app, exitCode);
 }
 
--- a/main/gateway/limit_message.cpp
+++ b/peers/instance/limit_message.cpp
@@ -1,8 +1,8 @@
-#include "main/gateway/limit_message.h"
+#include "peers/instance/limit_message.h"
 
 #include "core/error.h"
 #include "core/socket_address.h"
-#include "main/gateway/wire_list.h"
+#include "peers/instance/wire_list.h"
 
 #include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
@@ -166,7 +166,7 @@
 
 bool isValid(const WireReply &wire)
 {
-    return wire.answer <= static_cast<std::uint8_t>(ClaimAnswer::Denied);
+    return wire.answer <= static_cast<std::uint8_t>(ClaimAnswer::NotIssuer);
 }
 
 bool isValid(const WireNews &wire)
--- a/main/gateway/wire_list.h
+++ b/peers/instance/wire_list.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "main/gateway/exchange_message.h"
 #include "peers/instance/bounded_archive.h"
 
 #include <algorithm>
@@ -12,6 +11,9 @@
 
 namespace foxtailtally {
 
+/** Largest datagram between instances, in bytes; larger ones would be fragmented by the network. */
+inline constexpr std::size_t kMaxDatagram = 1400;
+
 /** Most elements that a one-byte count allows. */
 inline constexpr std::size_t kMaxElements = 255;
 
--- a/servers/limits/limit_messages.h
+++ b/servers/limits/limit_messages.h
@@ -40,11 +40,18 @@
     absl::Duration patience = absl::ZeroDuration();
     /** The claimant's clock, for the claimant alone. */
     std::uint32_t stamp = 0;
-    /** An aggregator has forwarded the claim; it is forwarded once at most. */
+    /** An aggregator has forwarded the claim, or it was sent directly to the instance that answered
+     * the last one; it is not forwarded further. */
     bool isRelayed = false;
 };
 
-enum class ClaimAnswer : std::uint8_t { Granted, Queued, Denied };
+enum class ClaimAnswer : std::uint8_t {
+    Granted,
+    Queued,
+    Denied,
+    /** The receiver does not issue tokens of these servers, or no longer. */
+    NotIssuer,
+};
 
 struct TokenReply
 {
--- a/servers/limits/rate_limiter.cpp
+++ b/servers/limits/rate_limiter.cpp
@@ -15,6 +15,9 @@
 constexpr absl::Duration kInstanceMemory = absl::Seconds(30);
 constexpr absl::Duration kCountInterval = absl::Seconds(1);
 
+/** Time after its last answer for which an issuer is asked directly. */
+constexpr absl::Duration kHintTerm = absl::Milliseconds(500);
+
 /** Wait that is stated when no issuer is known. */
 constexpr absl::Duration kNoIssuerWait = absl::Milliseconds(250);
 
@@ -75,24 +78,45 @@
         this->updateIssuer(now);
         this->deliver(this->issuer.onClaim(claim, now), now);
         return;
-    case LimitTopology::IssuerRoute::Kind::Remote:
-        this->envelopeTo(target.address).claims.push_back(std::move(claim));
+    case LimitTopology::IssuerRoute::Kind::Remote: {
+        const std::string hint = this->hintFor(claim.servers.front(), now);
+        claim.isRelayed = claim.isRelayed || !hint.empty();
+        this->envelopeTo(hint.empty() ? target.address : hint).claims.push_back(std::move(claim));
         return;
+    }
     case LimitTopology::IssuerRoute::Kind::None:
-        this->deny(claim, now);
+        this->answerUnissued(claim, ClaimAnswer::Denied, now);
         return;
     }
 }
 
-void RateLimiter::deny(const TokenClaim &claim, absl::Time now)
+void RateLimiter::answerUnissued(const TokenClaim &claim, ClaimAnswer answer, absl::Time now)
 {
     if (claim.kind != ClaimKind::Request)
         return;
     const AddressedReply reply = {claim.replyAddress,
-                                  {claim.id, ClaimAnswer::Denied, 0, kNoIssuerWait, claim.stamp}};
+                                  {claim.id, answer, 0, kNoIssuerWait, claim.stamp}};
     this->deliver(std::span(&reply, 1), now);
 }
 
+std::string RateLimiter::hintFor(ServerKey server, absl::Time now) const
+{
+    const auto found = this->hints.find(server);
+    if (found == this->hints.end() || now - found->second.answeredAt > kHintTerm)
+        return {};
+    return found->second.address;
+}
+
+void RateLimiter::updateHints(const TokenReply &reply, const std::string &source, absl::Time now)
+{
+    for (const ServerKey server : this->claims.serversOf(reply.id)) {
+        if (reply.answer == ClaimAnswer::NotIssuer)
+            this->hints.erase(server);
+        else
+            this->hints[server] = {source, now};
+    }
+}
+
 void RateLimiter::deliver(std::span<const AddressedReply> replies, absl::Time now)
 {
     for (const AddressedReply &item : replies) {
@@ -136,9 +160,13 @@
         if (claim.servers.empty())
             continue;
         const LimitTopology::IssuerRoute target = this->topology.issuerOf(claim.servers.front());
-        const bool mayForward = !claim.isRelayed && this->topology.isAggregator();
-        if (target.kind == LimitTopology::IssuerRoute::Kind::Remote && !mayForward) {
-            this->deny(claim, now);
+        const bool isIssuer = target.kind == LimitTopology::IssuerRoute::Kind::Self;
+        if (!isIssuer && claim.isRelayed) {
+            this->answerUnissued(claim, ClaimAnswer::NotIssuer, now);
+            continue;
+        }
+        if (!isIssuer && !this->topology.isAggregator()) {
+            this->answerUnissued(claim, ClaimAnswer::Denied, now);
             continue;
         }
         TokenClaim forwarded = claim;
@@ -147,10 +175,13 @@
     }
 }
 
-void RateLimiter::onReplies(std::span<const TokenReply> replies, absl::Time now)
+void RateLimiter::onReplies(std::span<const TokenReply> replies, const std::string &source,
+                            absl::Time now)
 {
-    for (const TokenReply &reply : replies)
+    for (const TokenReply &reply : replies) {
+        this->updateHints(reply, source, now);
         this->handleReply(reply, now);
+    }
 }
 
 void RateLimiter::recordDomainCount(std::size_t instances, absl::Time now)
@@ -195,6 +226,8 @@
 {
     this->limits.onTick(now);
     this->claims.onTick(now);
+    absl::erase_if(this->hints,
+                   [now](const auto &item) { return now - item.second.answeredAt > kHintTerm; });
     this->updateIssuer(now);
     if (this->isIssuing)
         this->deliver(this->issuer.onTick(now), now);
--- a/servers/limits/rate_limiter.h
+++ b/servers/limits/rate_limiter.h
@@ -4,6 +4,7 @@
 #include "servers/limits/token_claims.h"
 #include "servers/limits/token_issuer.h"
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 #include <cstddef>
@@ -37,8 +38,6 @@
 
     virtual ~LimitTopology() = default;
     virtual IssuerRoute issuerOf(ServerKey server) const = 0;
-    /** Equal for servers with the same issuer. */
-    virtual std::string issuerGroup(ServerKey server) const = 0;
     virtual bool isAggregator() const = 0;
     /** Exchange address of the followed aggregator; empty if this instance aggregates. */
     virtual std::string aggregatorAddress() const = 0;
@@ -108,7 +107,8 @@
     std::vector<std::pair<LimitNews, RateLimitChange>> onNews(const NewsMessage &message,
                                                               absl::Time now);
     void onClaims(std::span<const TokenClaim> received, absl::Time now);
-    void onReplies(std::span<const TokenReply> replies, absl::Time now);
+    /** @p source: exchange address of the sender. */
+    void onReplies(std::span<const TokenReply> replies, const std::string &source, absl::Time now);
     /** Periodic work; may be called at any time. */
     void onTick(absl::Time now);
     /** When onTick() next has work. */
@@ -135,7 +135,10 @@
     LimitEnvelope &envelopeTo(const std::string &address);
     /** Handles @p claim here, or sends it on its way to the issuer. */
     void route(TokenClaim claim, absl::Time now);
-    void deny(const TokenClaim &claim, absl::Time now);
+    void answerUnissued(const TokenClaim &claim, ClaimAnswer answer, absl::Time now);
+    void updateHints(const TokenReply &reply, const std::string &source, absl::Time now);
+    /** Address of the instance that lately answered claims for @p server; empty if none did. */
+    std::string hintFor(ServerKey server, absl::Time now) const;
     void deliver(std::span<const AddressedReply> replies, absl::Time now);
     void handleReply(const TokenReply &reply, absl::Time now);
     void updateIssuer(absl::Time now);
@@ -155,6 +158,13 @@
     std::vector<Count> domainCounts;
     std::vector<LimitEnvelope> outgoing;
     std::vector<Repeat> repeats;
+    struct Hint
+    {
+        std::string address;
+        absl::Time answeredAt;
+    };
+    /** Issuers by server, so that claims need not pass through the own aggregator. */
+    absl::flat_hash_map<ServerKey, Hint> hints;
     /** Instances that were sent all news since they became receivers. */
     absl::flat_hash_set<std::string> informed;
 };
--- a/servers/limits/server_rate_limits.cpp
+++ b/servers/limits/server_rate_limits.cpp
@@ -10,9 +10,7 @@
 /** Minimum interval between two reports of a changed limit of a server. */
 constexpr absl::Duration kChangeReportInterval = absl::Seconds(1);
 
-/** Interval after which a limit that is still named is news for other instances, and the relative
- * change of a limit that is news at once. */
-constexpr absl::Duration kRefreshInterval = absl::Seconds(30);
+/** Relative change of a limit that is news for other instances. */
 constexpr double kSignificantChange = 0.05;
 
 /** An end that follows the last naming of a limit within kUnclearEnd is told again when it is
@@ -77,14 +75,13 @@
 std::optional<LimitNews> ServerRateLimits::takeFrom(State &state)
 {
     const double change = std::abs(state.news.requestsPerSecond - state.taken.requestsPerSecond);
-    const bool isRenewed = state.news.isInForce()
-        && (change > kSignificantChange * state.taken.requestsPerSecond
-            || state.news.namedAt - state.taken.namedAt >= kRefreshInterval);
+    const bool isOther =
+        state.news.isInForce() && change > kSignificantChange * state.taken.requestsPerSecond;
     // An end soon after the limit was named may look older than that to other instances.
     const bool isClearer = !state.news.isInForce()
         && state.news.endedAt - state.taken.endedAt >= kClearerEnd
         && state.taken.endedAt - state.news.namedAt < kUnclearEnd;
-    const bool isChanged = !state.wasTaken || isRenewed || isClearer
+    const bool isChanged = !state.wasTaken || isOther || isClearer
         || state.news.isInForce() != state.taken.isInForce();
     if (!isChanged)
         return std::nullopt;
--- a/servers/limits/server_rate_limits.h
+++ b/servers/limits/server_rate_limits.h
@@ -47,8 +47,7 @@
 
     /** Requests a second that @p server accepts; nullopt without a limit. */
     std::optional<double> limitOf(ServerKey server) const;
-    /** News that differ from those taken last: a limit that was named, changed or ended, or is
-     * still named some seconds later. */
+    /** News that differ from those taken last: a limit that was named, changed or ended. */
     std::vector<LimitNews> takeChanges();
     /** The same for one server; nullopt without such news. */
     std::optional<LimitNews> takeChange(ServerKey server);
--- a/servers/limits/token_claims.cpp
+++ b/servers/limits/token_claims.cpp
@@ -5,6 +5,13 @@
 
 namespace foxtailtally {
 
+namespace {
+
+/** Longer than any copy of a grant is under way. */
+constexpr absl::Duration kSpentRetention = absl::Seconds(3);
+
+} // namespace
+
 std::vector<ServerKey> serversToClaim(ServerKey preferred, std::vector<ServerKey> others,
                                       Random &random)
 {
@@ -61,6 +68,7 @@
         return false;
     const bool isValid = found->second.isGranted && now <= found->second.validUntil;
     this->claims.erase(found);
+    this->spent[id] = now;
     return isValid;
 }
 
@@ -90,7 +98,7 @@
 {
     const auto found = this->claims.find(reply.id);
     if (found == this->claims.end()) {
-        if (reply.answer != ClaimAnswer::Granted)
+        if (reply.answer != ClaimAnswer::Granted || this->spent.contains(reply.id))
             return {};
         TokenClaim unused = this->message(reply.id, ClaimKind::Return);
         unused.servers = {reply.server};
@@ -99,6 +107,10 @@
     Claim &claim = found->second;
     if (claim.isGranted)
         return {};
+    if (reply.answer == ClaimAnswer::NotIssuer) {
+        claim.sentAt = absl::InfinitePast();
+        return {};
+    }
     claim.answeredAt = now;
     claim.wait = reply.wait;
     if (reply.answer == ClaimAnswer::Queued)
@@ -125,10 +137,8 @@
 
 void TokenClaims::expectAt(std::span<const ServerKey> servers, absl::Time at)
 {
-    for (const ServerKey server : servers) {
-        absl::Time &expectedAt = this->expected[server];
-        expectedAt = std::max(expectedAt, at);
-    }
+    for (const ServerKey server : servers)
+        this->expected[server] = at;
 }
 
 std::vector<ClaimOutcome> TokenClaims::takeOutcomes(absl::Time now)
@@ -170,9 +180,17 @@
     return found == this->expected.end() ? absl::InfinitePast() : found->second;
 }
 
+std::vector<ServerKey> TokenClaims::serversOf(ClaimId id) const
+{
+    const auto found = this->claims.find(id);
+    return found == this->claims.end() ? std::vector<ServerKey>() : found->second.demand.servers;
+}
+
 void TokenClaims::onTick(absl::Time now)
 {
     absl::erase_if(this->expected, [now](const auto &item) { return item.second <= now; });
+    absl::erase_if(this->spent,
+                   [now](const auto &item) { return now - item.second > kSpentRetention; });
 }
 
 } // namespace foxtailtally
--- a/servers/limits/token_claims.h
+++ b/servers/limits/token_claims.h
@@ -13,7 +13,7 @@
 namespace foxtailtally {
 
 /** Most servers that one claim may list. */
-inline constexpr std::size_t kMaxServersInClaim = 8;
+inline constexpr std::size_t kMaxServersInClaim = 4;
 
 /** Servers to list in a claim: @p preferred and others drawn at random, so that the claims of many
  * instances spread over all servers. */
@@ -49,7 +49,7 @@
 public:
     static constexpr absl::Duration kTokenTerm = absl::Milliseconds(400);
     /** Interval at which a claim is sent again until it is granted or denied. */
-    static constexpr absl::Duration kRenewInterval = absl::Milliseconds(120);
+    static constexpr absl::Duration kRenewInterval = absl::Milliseconds(200);
     /** Time without any answer after which a claim fails. */
     static constexpr absl::Duration kAnswerTimeout = absl::Milliseconds(300);
     /** Time for which no claim is made for the servers of a claim that got no answer. */
@@ -85,6 +85,8 @@
      * against one now. */
     absl::Time expectedAt(ServerKey server) const;
     std::size_t openCount() const { return this->claims.size(); }
+    /** Servers that an open claim lists; empty if there is no such claim. */
+    std::vector<ServerKey> serversOf(ClaimId id) const;
     void onTick(absl::Time now);
 
 private:
@@ -112,6 +114,8 @@
     absl::flat_hash_map<ClaimId, Claim> claims;
     std::vector<ClaimOutcome> outcomes;
     absl::flat_hash_map<ServerKey, absl::Time> expected;
+    /** Claims whose tokens were used up, and when; further copies of the grant mean nothing. */
+    absl::flat_hash_map<ClaimId, absl::Time> spent;
 };
 
 } // namespace foxtailtally
--- a/servers/limits/token_issuer.cpp
+++ b/servers/limits/token_issuer.cpp
@@ -7,8 +7,12 @@
 
 namespace {
 
-/** Every so many grants of a server, one goes to the claim that has waited longest. */
-constexpr int kGrantsPerOldest = 3;
+/** One of so many grants of a server goes to the next claim in the order of arrival. */
+constexpr int kGrantsPerTurn = 3;
+
+/** A claim joins the order of arrival if its turn comes within this time, or if it is the first:
+ * claims that wait longer would fill the queue and leave no turn to the others. */
+constexpr absl::Duration kTurnHorizon = absl::Milliseconds(150);
 
 /** Time without a renewal after which a queued claim is dropped; its claimant has gone. */
 constexpr absl::Duration kRenewTimeout = absl::Milliseconds(500);
@@ -23,6 +27,10 @@
 /** Longest wait that is stated; limits and queues change meanwhile. */
 constexpr absl::Duration kMaxWait = absl::Seconds(30);
 
+/** Added to the time of the next grant, at which rounding may leave a bucket just short of a token.
+ */
+constexpr absl::Duration kGrantRounding = absl::Microseconds(100);
+
 /** Wait that is stated while no share of the limits is lent to this issuer, as after its start. */
 constexpr absl::Duration kNoShareWait = absl::Milliseconds(250);
 
@@ -34,10 +42,13 @@
     return std::find(claim.servers.begin(), claim.servers.end(), server) != claim.servers.end();
 }
 
-bool haveCommonServer(const TokenClaim &a, const TokenClaim &b)
+/** Share of the servers of @p other that @p claim lists too: how likely it is that @p other takes a
+ * token which @p claim could have. */
+double competition(const TokenClaim &other, const TokenClaim &claim)
 {
-    return std::any_of(a.servers.begin(), a.servers.end(),
-                       [&b](ServerKey server) { return lists(b, server); });
+    const auto common = std::count_if(other.servers.begin(), other.servers.end(),
+                                      [&claim](ServerKey server) { return lists(claim, server); });
+    return static_cast<double>(common) / static_cast<double>(other.servers.size());
 }
 
 AddressedReply replyTo(const TokenClaim &claim, ClaimAnswer answer, ServerKey server,
@@ -121,23 +132,28 @@
     const auto known =
         std::find_if(this->pending.begin(), this->pending.end(),
                      [&claim](const Pending &entry) { return entry.claim.id == claim.id; });
-    if (known != this->pending.end()) {
+    const bool isRepeated = known != this->pending.end();
+    if (isRepeated) {
         known->claim = claim;
         known->renewedAt = now;
         known->expiresAt = now + claim.patience;
     } else {
-        const Pending entry = {claim, now, now, now + claim.patience};
+        Pending entry = {claim, now, now, now + claim.patience, false};
+        entry.hasTurn = this->mayTakeTurn(entry, now);
         const absl::Duration wait = this->expectedWait(entry, now);
-        if (wait > claim.patience || this->share <= 0 || this->pending.size() >= kMaxPending)
+        if (wait > claim.patience || this->share <= 0)
             return {replyTo(claim, ClaimAnswer::Denied, 0, wait)};
         this->pending.push_back(entry);
     }
     std::vector<AddressedReply> replies;
+    if (this->pending.size() > kMaxPending)
+        this->denyLeastWorthy(now, replies);
     this->grantReady(now, replies);
     const auto queued =
         std::find_if(this->pending.begin(), this->pending.end(),
                      [&claim](const Pending &entry) { return entry.claim.id == claim.id; });
-    if (queued != this->pending.end())
+    // Most claims are granted before they are repeated; only then the claimant needs an answer.
+    if (isRepeated && queued != this->pending.end())
         replies.push_back(replyTo(claim, ClaimAnswer::Queued, 0, this->expectedWait(*queued, now)));
     return replies;
 }
@@ -168,7 +184,7 @@
     entry = {now, false, 0};
 }
 
-absl::Duration TokenIssuer::expectedWait(const Pending &entry, absl::Time now) const
+TokenIssuer::Outlook TokenIssuer::outlook(const Pending &entry, absl::Time now) const
 {
     double total = 0;
     double level = 0;
@@ -182,39 +198,54 @@
         level += this->levelAt(found->second, now);
     }
     if (!isKnown)
-        return kUnknownServerWait;
+        return {kUnknownServerWait, kUnknownServerWait, 0};
+    if (total <= 0)
+        return {kNoShareWait, kNoShareWait, 0};
     double worthier = 0;
-    double older = 0;
+    double turns = 0;
     for (const Pending &other : this->pending) {
-        if (other.claim.id == entry.claim.id || !haveCommonServer(other.claim, entry.claim))
+        if (other.claim.id == entry.claim.id)
             continue;
+        const double taken = competition(other.claim, entry.claim);
         const bool isOlder = other.queuedAt <= entry.queuedAt;
         const bool isWorthier = other.claim.worth > entry.claim.worth
             || (other.claim.worth == entry.claim.worth && isOlder);
-        worthier += isWorthier ? 1 : 0;
-        older += isOlder ? 1 : 0;
+        worthier += isWorthier ? taken : 0;
+        turns += isOlder && other.hasTurn ? taken : 0;
     }
+    const auto timeFor = [total](double tokens) {
+        return std::min(absl::Seconds(std::max(0.0, tokens) / total), kMaxWait);
+    };
     const double missing = 1.0 - level;
-    const double tokens =
-        std::max(0.0, std::min(worthier + missing, (older + missing) * kGrantsPerOldest));
-    if (tokens == 0)
-        return absl::ZeroDuration();
-    return total > 0 ? std::min(absl::Seconds(tokens / total), kMaxWait) : kNoShareWait;
+    return {timeFor(worthier + missing), timeFor((turns + missing) * kGrantsPerTurn), turns};
+}
+
+absl::Duration TokenIssuer::expectedWait(const Pending &entry, absl::Time now) const
+{
+    const Outlook outlook = this->outlook(entry, now);
+    return entry.hasTurn ? std::min(outlook.byWorth, outlook.byTurn) : outlook.byWorth;
 }
 
-std::optional<std::size_t> TokenIssuer::nextClaim(ServerKey server, bool isOldestFirst) const
+bool TokenIssuer::mayTakeTurn(const Pending &entry, absl::Time now) const
 {
-    std::optional<std::size_t> next;
+    const Outlook outlook = this->outlook(entry, now);
+    return outlook.byTurn <= entry.claim.patience
+        && (outlook.turnsAhead < 1 || outlook.byTurn <= kTurnHorizon);
+}
+
+std::optional<std::size_t> TokenIssuer::nextClaim(ServerKey server, bool isTurn) const
+{
+    std::optional<std::size_t> worthiest;
     for (std::size_t i = 0; i < this->pending.size(); ++i) {
         const Pending &entry = this->pending[i];
         if (!lists(entry.claim, server))
             continue;
-        if (isOldestFirst)
+        if (isTurn && entry.hasTurn)
             return i;
-        if (!next || entry.claim.worth > this->pending[*next].claim.worth)
-            next = i;
+        if (!worthiest || entry.claim.worth > this->pending[*worthiest].claim.worth)
+            worthiest = i;
     }
-    return next;
+    return worthiest;
 }
 
 void TokenIssuer::grantReady(absl::Time now, std::vector<AddressedReply> &replies)
@@ -222,14 +253,15 @@
     for (auto &[server, bucket] : this->buckets) {
         this->refill(bucket, now);
         while (bucket.level >= 1.0) {
-            const bool isOldestFirst = bucket.grantsSinceOldest + 1 >= kGrantsPerOldest;
-            const std::optional<std::size_t> next = this->nextClaim(server, isOldestFirst);
+            const bool isTurn = bucket.grantsSinceTurn + 1 >= kGrantsPerTurn;
+            const std::optional<std::size_t> next = this->nextClaim(server, isTurn);
             if (!next)
                 break;
             const TokenClaim claim = this->pending[*next].claim;
+            const bool wasTurn = isTurn && this->pending[*next].hasTurn;
             this->pending.erase(this->pending.begin() + static_cast<std::ptrdiff_t>(*next));
             bucket.level -= 1;
-            bucket.grantsSinceOldest = isOldestFirst ? 0 : bucket.grantsSinceOldest + 1;
+            bucket.grantsSinceTurn = wasTurn ? 0 : bucket.grantsSinceTurn + 1;
             this->settled[claim.id] = {now, true, server};
             replies.push_back(replyTo(claim, ClaimAnswer::Granted, server, absl::ZeroDuration()));
         }
@@ -252,6 +284,17 @@
     }
 }
 
+void TokenIssuer::denyLeastWorthy(absl::Time now, std::vector<AddressedReply> &replies)
+{
+    // The newest of several, which is the last of them.
+    const auto least = std::min_element(
+        this->pending.rbegin(), this->pending.rend(),
+        [](const Pending &a, const Pending &b) { return a.claim.worth < b.claim.worth; });
+    replies.push_back(
+        replyTo(least->claim, ClaimAnswer::Denied, 0, this->expectedWait(*least, now)));
+    this->pending.erase(std::next(least).base());
+}
+
 std::vector<AddressedReply> TokenIssuer::onTick(absl::Time now)
 {
     std::vector<AddressedReply> replies;
@@ -268,13 +311,11 @@
 {
     absl::Time next = absl::InfiniteFuture();
     for (const auto &[server, bucket] : this->buckets) {
-        const bool isOldestFirst = bucket.grantsSinceOldest + 1 >= kGrantsPerOldest;
-        const std::optional<std::size_t> claim = this->nextClaim(server, isOldestFirst);
         const double rate = this->rate(bucket);
-        if (!claim || rate <= 0)
+        if (rate <= 0 || !this->nextClaim(server, false))
             continue;
         const double missing = 1.0 - this->levelAt(bucket, now);
-        next = std::min(next, now + absl::Seconds(std::max(0.0, missing) / rate));
+        next = std::min(next, now + absl::Seconds(std::max(0.0, missing) / rate) + kGrantRounding);
     }
     return next;
 }
--- a/servers/limits/token_issuer.h
+++ b/servers/limits/token_issuer.h
@@ -26,14 +26,14 @@
  * cannot be granted at once wait in a queue if a token is expected within their patience, and are
  * denied at once otherwise.
  *
- * Two of three tokens go to the claim of the highest worth, the third to the one that
- * waits longest: scarce tokens serve what is worth most, and no claim starves behind worthier ones.
+ * Two of three tokens go to the claim of the highest worth, the third to the next one in the order
+ * of arrival: scarce tokens serve what is worth most, and no claim starves behind worthier ones.
  * Buckets start empty, so a restarted issuer does not issue again what it issued before.
  */
 class TokenIssuer
 {
 public:
-    /** Claims that wait at once; further ones are denied. */
+    /** Claims that wait at once; of more, the least worthy are denied. */
     static constexpr std::size_t kMaxPending = 128;
     /** Rate at which tokens of a server are issued that accepts no requests, in tokens a second: a
      * request now and then finds out when the server accepts some again. */
@@ -65,7 +65,7 @@
         /** Negative after charges. */
         double level = 0;
         absl::Time filledAt;
-        int grantsSinceOldest = 0;
+        int grantsSinceTurn = 0;
     };
     struct Pending
     {
@@ -74,6 +74,17 @@
         /** When the claimant last renewed the claim. */
         absl::Time renewedAt;
         absl::Time expiresAt;
+        /** The claim gets a token in the order of arrival, unless it gets one earlier for its
+         * worth.
+         */
+        bool hasTurn = false;
+    };
+    /** Time until a claim gets a token for its worth, and in the order of arrival. */
+    struct Outlook
+    {
+        absl::Duration byWorth;
+        absl::Duration byTurn;
+        double turnsAhead = 0;
     };
     /** A claim that was granted, charged or returned, so that a copy of it is not handled again. */
     struct Settled
@@ -88,13 +99,17 @@
     double levelAt(const Bucket &bucket, absl::Time now) const;
     void charge(const TokenClaim &claim, absl::Time now);
     void giveBack(const TokenClaim &claim, absl::Time now);
-    /** Time until a token for @p claim is expected. */
-    absl::Duration expectedWait(const Pending &claim, absl::Time now) const;
+    Outlook outlook(const Pending &entry, absl::Time now) const;
+    /** Time until a token for @p entry is expected. */
+    absl::Duration expectedWait(const Pending &entry, absl::Time now) const;
+    bool mayTakeTurn(const Pending &entry, absl::Time now) const;
     /** Grants queued claims while there are tokens. */
     void grantReady(absl::Time now, std::vector<AddressedReply> &replies);
     /** Position in pending of the claim that gets the next token of @p server. */
-    std::optional<std::size_t> nextClaim(ServerKey server, bool isOldestFirst) const;
+    std::optional<std::size_t> nextClaim(ServerKey server, bool isTurn) const;
     void denyHopeless(absl::Time now, std::vector<AddressedReply> &replies);
+    /** Makes room for a worthier claim. */
+    void denyLeastWorthy(absl::Time now, std::vector<AddressedReply> &replies);
 
     double share = 0;
     absl::flat_hash_map<ServerKey, Bucket> buckets;
--- a/tests/limits/limit_message_test.cpp
+++ b/tests/limits/limit_message_test.cpp
@@ -1,7 +1,7 @@
-#include "main/gateway/limit_message.h"
+#include "peers/instance/limit_message.h"
 
 #include "core/random.h"
-#include "main/gateway/exchange_message.h"
+#include "peers/instance/wire_list.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/limits/token_claims_test.cpp
+++ b/tests/limits/token_claims_test.cpp
@@ -125,5 +125,18 @@
     EXPECT_TRUE(this->claims.takeOutcomes(this->now).empty());
 }
 
+// Guards against tokens that are issued again although they were used: the answers to a claim and
+// to its repetition both grant the same token.
+TEST_F(TokenClaimsTest, DoesNotReturnATokenThatWasSpent)
+{
+    const ClaimId id = this->claim();
+    const TokenClaim first = this->claims.takeDue(this->now).front();
+    this->now += TokenClaims::kRenewInterval;
+    const TokenClaim second = this->claims.takeDue(this->now).front();
+    this->claims.onReply(this->reply(first, ClaimAnswer::Granted), this->now);
+    EXPECT_TRUE(this->claims.spend(id, this->now));
+    EXPECT_TRUE(this->claims.onReply(this->reply(second, ClaimAnswer::Granted), this->now).empty());
+}
+
 } // namespace
 } // namespace foxtailtally
