Let servers name rate limits in the soak

Servers name, change and end limits of 0.2 to 2 requests a second at random while gateways, servers, the store and connections fail. The users' rule is checked from what the servers receive, with an allowance for calls that a slow connection holds back and for gateways that have just started. The runs are 12 s long, since a window of the rule is 4 s.

--- a/tests/process/gateway_soak.cpp
+++ b/tests/process/gateway_soak.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <thread>
@@ -24,6 +25,19 @@
 constexpr absl::Duration kMaxFaultDuration = absl::Milliseconds(1500);
 constexpr absl::Duration kMaxFaultInterval = absl::Milliseconds(400);
 
+/** Rate limits that servers name, and how long they do. */
+constexpr double kMinLimit = 0.2;
+constexpr double kMaxLimit = 2.0;
+constexpr absl::Duration kMinLimitTime = absl::Seconds(3);
+constexpr absl::Duration kMaxLimitTime = absl::Seconds(12);
+
+/** The users' rule: at most kLimitFactor times the limit and kLimitSlack requests in kLimitWindow,
+ * once kLearnTime has passed for all gateways to know the limit. */
+constexpr absl::Duration kLimitWindow = absl::Seconds(4);
+constexpr absl::Duration kLearnTime = absl::Seconds(1);
+constexpr double kLimitFactor = 1.5;
+constexpr double kLimitSlack = 5;
+
 } // namespace
 
 GatewaySoak::GatewaySoak(std::uint64_t seed)
@@ -59,13 +73,16 @@
     for (int caller = 0; caller < kCallers; ++caller)
         threads.emplace_back(&GatewaySoak::callLoop, this, random.next(), caller);
     std::thread faults(&GatewaySoak::faultLoop, this, random.next());
+    std::thread limits(&GatewaySoak::limitLoop, this, random.next());
     absl::SleepFor(length);
     this->isStopping = true;
     for (std::thread &thread : threads)
         thread.join();
     faults.join();
+    limits.join();
     this->waitForRecovery();
     this->checkExecutions();
+    this->checkLimits();
 }
 
 void GatewaySoak::callLoop(std::uint64_t callerSeed, int caller)
@@ -157,6 +174,28 @@
     if (process.exitCode() != 0 && process.exitCode() != -SIGKILL && !wasLoading)
         this->report(absl::StrCat("a gateway exited with code ", process.exitCode()));
     this->deployment.start(index);
+    const std::lock_guard lock(this->mutex);
+    this->restarts.push_back(absl::Now());
+}
+
+void GatewaySoak::limitLoop(std::uint64_t limitSeed)
+{
+    Random random(limitSeed);
+    ServingStandin &platform = this->deployment.platform();
+    while (!this->isStopping) {
+        LimitPeriod period;
+        period.server = static_cast<int>(random.below(kServers));
+        period.requestsPerSecond = kMinLimit + (kMaxLimit - kMinLimit) * random.uniform();
+        platform.setRateLimit(period.server, period.requestsPerSecond);
+        period.begin = absl::Now();
+        const absl::Time end =
+            period.begin + kMinLimitTime + (kMaxLimitTime - kMinLimitTime) * random.uniform();
+        while (!this->isStopping && absl::Now() < end)
+            absl::SleepFor(absl::Milliseconds(20));
+        period.end = absl::Now();
+        platform.setRateLimit(period.server, std::nullopt);
+        this->limitPeriods.push_back(period);
+    }
 }
 
 void GatewaySoak::injectServerFault(Random &random)
@@ -236,6 +275,34 @@
     }
 }
 
+void GatewaySoak::checkLimits()
+{
+    for (const LimitPeriod &period : this->limitPeriods) {
+        const std::vector<absl::Time> times =
+            this->deployment.platform().requestTimes(period.server);
+        auto first = std::lower_bound(times.begin(), times.end(), period.begin + kLearnTime);
+        for (; first != times.end() && *first + kLimitWindow <= period.end; ++first) {
+            const absl::Time end = *first + kLimitWindow;
+            const auto requests = std::upper_bound(first, times.end(), end) - first;
+            // A gateway that has just started is told by the responses to its first calls.
+            const auto uninformed =
+                std::count_if(this->restarts.begin(), this->restarts.end(), [&](absl::Time at) {
+                    return at + kLearnTime > *first - kLearnTime && at < end;
+                });
+            // Calls that a slow connection held back arrive together with later ones.
+            const double seconds = absl::ToDoubleSeconds(kLimitWindow + kMaxFaultDuration);
+            const double allowed = kLimitFactor * period.requestsPerSecond * seconds + kLimitSlack
+                + static_cast<double>(uninformed * kCallers);
+            if (static_cast<double>(requests) <= allowed)
+                continue;
+            this->report(absl::StrCat("server ", period.server, " with a limit of ",
+                                      period.requestsPerSecond, " got ", requests,
+                                      " requests in 4 s, allowed ", allowed));
+            break;
+        }
+    }
+}
+
 void GatewaySoak::report(const std::string &problem)
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/process/gateway_soak.h
+++ b/tests/process/gateway_soak.h
@@ -16,8 +16,8 @@
 
 /**
  * Runs gateways as separate processes under load while they are paused, killed, stopped and
- * restarted, and while faults are injected into servers, the store and connections. Checks the
- * responses that callers get and the calls that servers run.
+ * restarted, and while faults are injected into servers, the store and connections and servers name
+ * rate limits. Checks the responses that callers get and the calls that servers get and run.
  */
 class GatewaySoak
 {
@@ -44,14 +44,26 @@
     void checkStream(const std::string &callId, int status, bool isComplete,
                      const std::string &body);
     void faultLoop(std::uint64_t faultSeed);
+    /** Lets servers name, change and end rate limits. */
+    void limitLoop(std::uint64_t limitSeed);
     void injectGatewayFault(Random &random);
     void injectServerFault(Random &random);
     void injectStoreFault(Random &random);
     void injectLinkFault(Random &random);
     void waitForRecovery();
     void checkExecutions();
+    void checkLimits();
     void report(const std::string &problem);
 
+    /** A time during which a server names the same limit. */
+    struct LimitPeriod
+    {
+        int server = 0;
+        double requestsPerSecond = 0;
+        absl::Time begin;
+        absl::Time end = absl::InfiniteFuture();
+    };
+
     std::uint64_t seed;
     GatewayDeployment deployment;
     /** One between each gateway and the store, then one in front of each server. */
@@ -60,6 +72,9 @@
     std::atomic<int> servedCalls = 0;
     std::mutex mutex;
     std::vector<Outcome> outcomes;
+    std::vector<LimitPeriod> limitPeriods;
+    /** When gateways were started again. */
+    std::vector<absl::Time> restarts;
     std::vector<std::string> reportedProblems;
 };
 
--- a/tests/process/gateway_soak_test.cpp
+++ b/tests/process/gateway_soak_test.cpp
@@ -38,7 +38,7 @@
 TEST_P(GatewaySoakTest, KeepsItsPromisesUnderFaults)
 {
     GatewaySoak soak(this->GetParam());
-    soak.run(absl::Seconds(static_cast<int>(numberFrom("FOXTAILTALLY_SOAK_SECONDS", 5))));
+    soak.run(absl::Seconds(static_cast<int>(numberFrom("FOXTAILTALLY_SOAK_SECONDS", 12))));
     for (const std::string &problem : soak.problems())
         ADD_FAILURE() << "seed " << this->GetParam() << ": " << problem;
     EXPECT_GT(soak.served(), 0);
