Hold a token until the other tokens of the same call are granted

The first one expired after 400 ms while the call waited for the last. Evidence: with two engines that take 4 requests a second and prompts that need the memory of both, 17 attempts ended as not_permitted and 2 calls were served in 9 s.

Change: a granted token that is not spent is claimed again every 200 ms, for 2 s at most; the answer proves that the process was not paused. Test: TokenClaimsTest.KeepsATokenThatIsNotSpentYet (the token had expired before).

--- a/servers/limits/token_claims.cpp
+++ b/servers/limits/token_claims.cpp
@@ -81,13 +81,15 @@
 {
     std::vector<TokenClaim> due;
     for (auto &[id, claim] : this->claims) {
-        if (claim.isGranted || claim.expiresAt <= now || now - claim.sentAt < kRenewInterval)
+        const bool isOver =
+            claim.isGranted ? now - claim.grantedAt > kMaxHold : claim.expiresAt <= now;
+        if (isOver || now - claim.sentAt < kRenewInterval)
             continue;
         claim.sentAt = now;
         TokenClaim message = this->message(id, ClaimKind::Request);
         message.servers = claim.demand.servers;
         message.worth = claim.demand.worth;
-        message.patience = claim.expiresAt - now;
+        message.patience = std::max(absl::ZeroDuration(), claim.expiresAt - now);
         message.stamp = this->stampAt(now);
         due.push_back(std::move(message));
     }
@@ -105,7 +107,7 @@
         return {unused};
     }
     Claim &claim = found->second;
-    if (claim.isGranted)
+    if (claim.isGranted && reply.answer != ClaimAnswer::Granted)
         return {};
     if (reply.answer == ClaimAnswer::NotIssuer) {
         claim.sentAt = absl::InfinitePast();
@@ -122,9 +124,12 @@
         // Granted before a pause of this process; the next renewal is answered with a new stamp.
         if (now > sentAt + kTokenTerm)
             return {};
+        claim.validUntil = std::max(claim.validUntil, sentAt + kTokenTerm);
+        if (claim.isGranted)
+            return {};
         claim.isGranted = true;
+        claim.grantedAt = now;
         claim.server = reply.server;
-        claim.validUntil = sentAt + kTokenTerm;
         this->expected.erase(reply.server);
         this->outcomes.push_back({reply.id, true, reply.server});
         return {};
@@ -168,8 +173,9 @@
     absl::Time next = this->outcomes.empty() ? absl::InfiniteFuture() : now;
     for (const auto &[id, claim] : this->claims) {
         if (!claim.isGranted)
-            next = std::min({next, claim.expiresAt, claim.sentAt + kRenewInterval,
-                             claim.answeredAt + kAnswerTimeout});
+            next = std::min({next, claim.expiresAt, claim.answeredAt + kAnswerTimeout});
+        if (!claim.isGranted || now - claim.grantedAt <= kMaxHold)
+            next = std::min(next, claim.sentAt + kRenewInterval);
     }
     return next;
 }
--- a/servers/limits/token_claims.h
+++ b/servers/limits/token_claims.h
@@ -42,14 +42,18 @@
 
 /**
  * The claims of one instance, and the tokens that it was granted. A token expires kTokenTerm after
- * the claim for it was last sent, so a process that was paused meanwhile does not use it.
+ * the answered claim for it was sent, so a process that was paused meanwhile does not use it.
  */
 class TokenClaims
 {
 public:
     static constexpr absl::Duration kTokenTerm = absl::Milliseconds(400);
-    /** Interval at which a claim is sent again until it is granted or denied. */
+    /** Interval at which a claim is sent again until it is granted or denied, and then until its
+     * token is spent or was held for kMaxHold: a call with helpers needs several tokens, which are
+     * not granted at the same time. */
     static constexpr absl::Duration kRenewInterval = absl::Milliseconds(200);
+    /** Shorter than the issuer remembers a grant. */
+    static constexpr absl::Duration kMaxHold = absl::Seconds(2);
     /** Time without any answer after which a claim fails. */
     static constexpr absl::Duration kAnswerTimeout = absl::Milliseconds(300);
     /** Time for which no claim is made for the servers of a claim that got no answer. */
@@ -101,7 +105,8 @@
         absl::Duration wait = absl::ZeroDuration();
         bool isGranted = false;
         ServerKey server = 0;
-        absl::Time validUntil;
+        absl::Time grantedAt;
+        absl::Time validUntil = absl::InfinitePast();
     };
 
     TokenClaim message(ClaimId id, ClaimKind kind) const;
--- a/tests/limits/token_claims_test.cpp
+++ b/tests/limits/token_claims_test.cpp
@@ -125,6 +125,29 @@
     EXPECT_TRUE(this->claims.takeOutcomes(this->now).empty());
 }
 
+// Guards against tokens of a call with helpers that expire while it waits for the last of them.
+TEST_F(TokenClaimsTest, KeepsATokenThatIsNotSpentYet)
+{
+    const ClaimId id = this->claim();
+    for (int i = 0; i < 5; ++i) {
+        for (const TokenClaim &due : this->claims.takeDue(this->now))
+            this->claims.onReply(this->reply(due, ClaimAnswer::Granted), this->now);
+        this->now += TokenClaims::kRenewInterval;
+    }
+    EXPECT_EQ(this->claims.takeOutcomes(this->now).size(), 1U);
+    EXPECT_TRUE(this->claims.spend(id, this->now));
+
+    // It is not held for longer than the issuer remembers it.
+    this->claim();
+    for (absl::Time end = this->now + absl::Seconds(4); this->now < end;
+         this->now += TokenClaims::kRenewInterval) {
+        for (const TokenClaim &due : this->claims.takeDue(this->now))
+            this->claims.onReply(this->reply(due, ClaimAnswer::Granted), this->now);
+    }
+    EXPECT_TRUE(this->claims.takeDue(this->now).empty());
+    EXPECT_FALSE(this->claims.spend(id + 1, this->now));
+}
+
 // Guards against tokens that are issued again although they were used: the answers to a claim and
 // to its repetition both grant the same token.
 TEST_F(TokenClaimsTest, DoesNotReturnATokenThatWasSpent)
