Do not claim a token of the same server again for a call that was denied one

What was seen: once in 9 s of load on four gateways, two calls were refused within a millisecond although another server had no limit (ServerLimit.HoldsOverAllInstances/act, calls 1225 and 1226).

Cause, read from the code, since no log line has the stated wait: a denial states a wait that barely exceeds the call's patience; a moment later it lies within it, so the call claims again, is denied again, and is refused after four denials. The same happens with an issuer that does not know the limit yet.

Change: servers of a denied claim are excluded for that call. The test has four gateways now, two of them in one domain. New process tests: the issuer frozen and killed, and prompts that need the memory of two engines with limits, whose reservations and parts count.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -165,6 +165,7 @@
 std::vector<ServerKey> CallRun::excludedServers(std::span<const ServerKey> others) const
 {
     std::vector<ServerKey> excluded = this->tried;
+    excluded.insert(excluded.end(), this->deniedServers.begin(), this->deniedServers.end());
     excluded.insert(excluded.end(), others.begin(), others.end());
     return excluded;
 }
@@ -273,6 +274,8 @@
 {
     if (this->done)
         return;
+    const std::vector<ServerKey> claimed = this->tokens->claimed();
+    this->deniedServers.insert(this->deniedServers.end(), claimed.begin(), claimed.end());
     this->dropTokens(now);
     if (++this->tokenDenials > kMaxTokenDenials || this->suspicion->isQuarantined(now)
         || !this->dispatch(now))
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -79,7 +79,7 @@
 
     /** Sends the call to a server or waits for one; false when neither is possible. */
     bool dispatch(absl::Time now);
-    /** Servers that the call has been sent to, and @p others. */
+    /** Servers that the call has been sent to or was denied a token of, and @p others. */
     std::vector<ServerKey> excludedServers(std::span<const ServerKey> others) const;
     bool dispatchTo(const Service &service, std::span<const ServerKey> excluded, absl::Time now);
     bool dispatchStream(const Service &service, std::span<const ServerKey> excluded,
@@ -169,6 +169,8 @@
     PlacedStream placement;
     /** Tokens for servers with a rate limit; null if none are needed or they were used up. */
     std::unique_ptr<TokenWait> tokens;
+    /** Servers that the call was denied a token of; it does not claim one of them again. */
+    std::vector<ServerKey> deniedServers;
     /** Engines of the plan that tokens are claimed for which need none. */
     std::vector<ServerKey> unlimitedEngines;
     /** The plan that was evaluated last, for the log; it need not have been used. */
--- a/main/gateway/token_wait.cpp
+++ b/main/gateway/token_wait.cpp
@@ -13,8 +13,10 @@
 {
     const absl::Time now = Clock::now();
     TokenListener &listener = *this;
-    for (const Need &need : needs)
+    for (const Need &need : needs) {
+        this->claimedServers.insert(this->claimedServers.end(), need.begin(), need.end());
         this->waiting.push_back(this->context.limits.claim({need, worth, patience}, listener, now));
+    }
 }
 
 TokenWait::~TokenWait()
--- a/main/gateway/token_wait.h
+++ b/main/gateway/token_wait.h
@@ -34,6 +34,8 @@
 
     /** Gives up claims and returns tokens. No callback follows. */
     void release(absl::Time now);
+    /** All servers that the needs name. */
+    const std::vector<ServerKey> &claimed() const { return this->claimedServers; }
     /** Servers for which there are tokens that have not been spent. */
     std::vector<ServerKey> granted() const;
     /** Uses up the token of @p server; false if there is none or it has expired. */
@@ -45,6 +47,7 @@
 
     GatewayContext &context;
     TokenWaitEvents &events;
+    std::vector<ServerKey> claimedServers;
     std::vector<ClaimId> waiting;
     absl::flat_hash_map<ServerKey, ClaimId> tokens;
 };
--- a/tests/process/server_limit_test.cpp
+++ b/tests/process/server_limit_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <csignal>
 #include <gtest/gtest.h>
 #include <mutex>
 #include <thread>
@@ -13,7 +14,8 @@
 namespace foxtailtally {
 namespace {
 
-constexpr int kGateways = 3;
+/** The last one is in the domain of the first, and follows it or is followed by it. */
+constexpr int kGateways = 4;
 constexpr int kCallersPerGateway = 2;
 constexpr int kServersPerService = 2;
 
@@ -28,12 +30,13 @@
 /** Time in which all instances learn of a limit. The users allow three seconds and more. */
 constexpr absl::Duration kLearnTime = absl::Seconds(1);
 
-/** Three gateways in three failure domains, with two engines and two servers of a plain service. */
-class ServerLimit : public testing::TestWithParam<const char *>
+/** Four gateways in three failure domains, with two engines and two servers of a plain service. */
+class ServerLimitDeployment : public testing::Test
 {
 protected:
-    ServerLimit()
-        : deployment(kGateways)
+    explicit ServerLimitDeployment(std::string path)
+        : path(std::move(path))
+        , deployment(kGateways)
     {
         this->deployment.configure(1, {"key-1"});
         for (int index = 0; index < 2 * kServersPerService; ++index)
@@ -56,17 +59,19 @@
     /** Index of the first of the two servers that serve the path. */
     int firstServer() const
     {
-        return std::string(this->GetParam()).starts_with("/stream") ? 0 : kServersPerService;
+        const bool isEngine = this->path.starts_with("/stream") || this->path.starts_with("/long");
+        return isEngine ? 0 : kServersPerService;
     }
     CallerAnswer call(int gateway)
     {
         CallerRequest request;
         request.address = this->deployment.callerAddress(gateway);
-        request.path = this->GetParam();
+        request.path = this->path;
         const int number = ++this->calls;
         request.body = absl::StrCat("body-", number);
         request.headers = {absl::StrCat("Attempt-Id: call-", number), "Key: key-1",
-                           "Deadline-Ms: 3000", "Token-Usage: 1000,100"};
+                           "Deadline-Ms: 3000",
+                           absl::StrCat("Token-Usage: ", this->promptTokens, ",100")};
         return callGateway(request);
     }
     /** Sends calls to all gateways for @p time. */
@@ -109,13 +114,34 @@
         return most;
     }
 
+    std::string path;
     GatewayDeployment deployment;
+    int promptTokens = 1000;
     std::atomic<int> calls = 0;
     std::array<std::atomic<int>, 600> answers {};
     std::mutex mutex;
     std::vector<CallerAnswer> refused;
 };
 
+class ServerLimit : public ServerLimitDeployment, public testing::WithParamInterface<const char *>
+{
+protected:
+    ServerLimit()
+        : ServerLimitDeployment(GetParam())
+    { }
+};
+
+/** Prompts that need the memory of both engines. */
+class ServerLimitOfLongPrompts : public ServerLimitDeployment
+{
+protected:
+    ServerLimitOfLongPrompts()
+        : ServerLimitDeployment("/long/a")
+    {
+        this->promptTokens = 350000;
+    }
+};
+
 // Guards against a fault that users reported: servers got the full rate of calls from all instances
 // although they had named a limit.
 TEST_P(ServerLimit, HoldsOverAllInstances)
@@ -155,6 +181,49 @@
     }
 }
 
+// Guards against permissions that outlive a pause of the process, and against two instances that
+// both take themselves for the one that issues tokens.
+TEST_P(ServerLimit, HoldsWhileTheIssuerIsFrozenAndKilled)
+{
+    constexpr double kLimit = 4.0;
+    ASSERT_TRUE(this->waitUntilReady());
+    const int limited = this->firstServer();
+    this->platform().setRateLimit(limited, kLimit);
+    std::thread faults([this] {
+        absl::SleepFor(kLearnTime + absl::Seconds(1));
+        for (const int issuer : {0, kGateways - 1}) {
+            ChildProcess &process = this->deployment.process(issuer);
+            process.signal(SIGSTOP);
+            absl::SleepFor(absl::Seconds(2));
+            process.signal(SIGCONT);
+            absl::SleepFor(absl::Seconds(1));
+            process.signal(SIGKILL);
+            process.waitForEnd(absl::Seconds(5));
+            this->deployment.start(issuer);
+        }
+    });
+    this->load(kLearnTime + 2 * kWindow);
+    faults.join();
+    const double allowed = kLimitFactor * kLimit * absl::ToDoubleSeconds(kWindow) + kLimitSlack;
+    EXPECT_LE(static_cast<double>(this->mostInWindow(limited)), allowed);
+    EXPECT_GT(this->answers[200], 0);
+}
+
+// Parts for helpers and requests for reservations count like calls.
+TEST_F(ServerLimitOfLongPrompts, HoldsOverAllInstances)
+{
+    constexpr double kLimit = 4.0;
+    ASSERT_TRUE(this->waitUntilReady());
+    for (int server = 0; server < kServersPerService; ++server)
+        this->platform().setRateLimit(server, kLimit);
+    this->load(kLearnTime + 2 * kWindow);
+    const double allowed = kLimitFactor * kLimit * absl::ToDoubleSeconds(kWindow) + kLimitSlack;
+    for (int server = 0; server < kServersPerService; ++server)
+        EXPECT_LE(static_cast<double>(this->mostInWindow(server)), allowed);
+    EXPECT_FALSE(this->platform().reservationCommands().empty());
+    EXPECT_GT(this->answers[200], 0);
+}
+
 // A new incarnation at the same address has named no limit.
 TEST_P(ServerLimit, EndsWithTheIncarnationOfTheServer)
 {
