--- a/load/limits/limit_experiment.cpp
+++ b/load/limits/limit_experiment.cpp
@@ -280,6 +280,7 @@
     addUsedChart(page, results, "one instance");
     addRuleChart(page, results);
     std::vector<std::vector<std::string>> rows;
+    rows.reserve(results.size());
     for (const LimitScenarioResult &entry : results)
         rows.push_back(rowOf(entry));
     page.addTable(kColumns, rows);
--- a/load/limits/limit_fleet.cpp
+++ b/load/limits/limit_fleet.cpp
@@ -314,7 +314,7 @@
     this->transmit({from, to, heartbeat});
 }
 
-void LimitFleet::transmit(Datagram datagram)
+void LimitFleet::transmit(const Datagram &datagram)
 {
     if (!this->passes(datagram.from, datagram.to)
         || this->random.uniform() < this->options.lossRate)
--- a/load/limits/limit_fleet.h
+++ b/load/limits/limit_fleet.h
@@ -134,7 +134,7 @@
     void work(std::size_t index);
     void sendHeartbeats(std::size_t index);
     void sendHeartbeat(std::size_t from, std::size_t to, bool isReport, bool lendsShare);
-    void transmit(Datagram datagram);
+    void transmit(const Datagram &datagram);
     void receive(const Datagram &datagram);
     void receiveHeartbeat(const Datagram &datagram, const Heartbeat &heartbeat);
     void scheduleWork(std::size_t index);
