Overlap faults in the soak, keep callers' connections, check planned work

Two threads inject faults at once: signals in series (SIGHUP and two SIGTERM, SIGTERM and SIGKILL), pauses, configuration changes, server, store and link faults, servers that shed with a Retry-After. Callers keep their connections until the gateway closes them, by a client of the test that never sends a request twice.

A second kind of run has planned work only: stops, configuration changes, servers that drain and are replaced, pauses. It checks that no call is cut that has reached a server, that a gateway sends nothing to a server later than 2 s after that has told it that it drains, whatever it says later, and no more than two calls during a pause.

--- a/tests/process/gateway_soak.cpp
+++ b/tests/process/gateway_soak.cpp
@@ -1,6 +1,7 @@
 #include "tests/process/gateway_soak.h"
 
 #include "tests/process/http_caller.h"
+#include "tests/process/kept_connection.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/match.h>
@@ -17,6 +18,8 @@
 
 constexpr int kGateways = 3;
 constexpr int kCallers = 6;
+/** Faults that are injected at the same time. */
+constexpr int kFaultThreads = 2;
 constexpr int kEngines = 3;
 constexpr int kServers = 5;
 constexpr absl::Duration kStopLimit = absl::Seconds(20);
@@ -24,6 +27,8 @@
 /** Longest duration of one fault, and longest interval between two. */
 constexpr absl::Duration kMaxFaultDuration = absl::Milliseconds(1500);
 constexpr absl::Duration kMaxFaultInterval = absl::Milliseconds(400);
+/** Interval between the signals of a series. */
+constexpr absl::Duration kSignalInterval = absl::Milliseconds(100);
 
 /** Rate limits that servers name, and how long they do. */
 constexpr double kMinLimit = 0.2;
@@ -31,6 +36,14 @@
 constexpr absl::Duration kMinLimitTime = absl::Seconds(3);
 constexpr absl::Duration kMaxLimitTime = absl::Seconds(12);
 
+/** Time after which a replaced server starts again: the users' bound on calls to a draining server,
+ * and some time for what runs there. */
+constexpr absl::Duration kDrainBound = absl::Seconds(2);
+constexpr absl::Duration kReplaceTime = absl::Seconds(3);
+/** The users' rule on pauses: this long after the response, at most kLateCalls more arrive. */
+constexpr absl::Duration kPauseReactionTime = absl::Milliseconds(500);
+constexpr int kLateCalls = 2;
+
 /** The users' rule: at most kLimitFactor times the limit and kLimitSlack requests in kLimitWindow,
  * once kLearnTime has passed for all gateways to know the limit. */
 constexpr absl::Duration kLimitWindow = absl::Seconds(4);
@@ -40,18 +53,21 @@
 
 } // namespace
 
-GatewaySoak::GatewaySoak(std::uint64_t seed)
+GatewaySoak::GatewaySoak(std::uint64_t seed, SoakFaults faults)
     : seed(seed)
+    , faults(faults)
     , deployment(kGateways)
 {
-    this->deployment.configure(1, {"key-1"});
+    this->deployment.configure(this->configurationVersion, {"key-1"});
     ServingStandin &platform = this->deployment.platform();
     for (int gateway = 0; gateway < kGateways; ++gateway) {
+        this->gatewayLocks.push_back(std::make_unique<std::mutex>());
         this->proxies.push_back(std::make_unique<FaultProxy>(
             this->deployment.spareHost(gateway) + ":8200", platform.storeAddress()));
         this->deployment.setStoreAddress(gateway, this->proxies.back()->address());
     }
     for (int server = 0; server < kServers; ++server) {
+        this->serverLocks.push_back(std::make_unique<std::mutex>());
         this->proxies.push_back(
             std::make_unique<FaultProxy>(this->deployment.spareHost(kGateways + server) + ":8300",
                                          platform.serverAddress(server)));
@@ -65,46 +81,59 @@
     }
 }
 
+GatewaySoak::~GatewaySoak() = default;
+
 void GatewaySoak::run(absl::Duration length)
 {
     Random random(this->seed);
     std::vector<std::thread> threads;
-    threads.reserve(kCallers);
+    threads.reserve(kCallers + kFaultThreads + 1);
     for (int caller = 0; caller < kCallers; ++caller)
         threads.emplace_back(&GatewaySoak::callLoop, this, random.next(), caller);
-    std::thread faults(&GatewaySoak::faultLoop, this, random.next());
-    std::thread limits(&GatewaySoak::limitLoop, this, random.next());
+    for (int i = 0; i < kFaultThreads; ++i)
+        threads.emplace_back(&GatewaySoak::faultLoop, this, random.next());
+    threads.emplace_back(&GatewaySoak::limitLoop, this, random.next());
     absl::SleepFor(length);
     this->isStopping = true;
     for (std::thread &thread : threads)
         thread.join();
-    faults.join();
-    limits.join();
     this->waitForRecovery();
     this->checkExecutions();
     this->checkLimits();
+    if (this->faults == SoakFaults::PlannedWork) {
+        this->checkNothingCut();
+        this->checkBackpressure();
+    }
 }
 
 void GatewaySoak::callLoop(std::uint64_t callerSeed, int caller)
 {
     Random random(callerSeed);
+    std::vector<std::unique_ptr<KeptConnection>> connections;
+    connections.reserve(kGateways);
+    for (int gateway = 0; gateway < kGateways; ++gateway)
+        connections.push_back(
+            std::make_unique<KeptConnection>(this->deployment.callerAddress(gateway)));
     for (int number = 0; !this->isStopping; ++number)
-        this->callOnce(random, absl::StrCat("soak-", caller, "-", number));
+        this->callOnce(random, absl::StrCat("soak-", caller, "-", number), connections);
 }
 
-void GatewaySoak::callOnce(Random &random, const std::string &callId)
+void GatewaySoak::callOnce(Random &random, const std::string &callId,
+                           std::vector<std::unique_ptr<KeptConnection>> &connections)
 {
     constexpr std::array<const char *, 3> kPaths = {"/stream/a", "/act/b", "/look/c"};
     const std::size_t kind = random.below(kPaths.size());
+    const std::size_t gateway = random.below(kGateways);
     CallerRequest request;
-    request.address = this->deployment.callerAddress(static_cast<int>(random.below(kGateways)));
+    request.address = this->deployment.callerAddress(static_cast<int>(gateway));
     request.path = kPaths[kind];
     request.body = "b";
     request.headers = {"Attempt-Id: " + callId, "Key: key-1", "Deadline-Ms: 1500",
-                       "Token-Usage: 1000,100"};
+                       "Token-Usage: 1000,100", absl::StrCat("X-Gateway: ", gateway)};
     // Some callers disconnect before they get a response.
     request.limit = absl::Milliseconds(random.below(8) == 0 ? 60 : 2500);
-    const CallerAnswer answer = callGateway(request);
+    const bool isKept = random.below(4) != 0;
+    const CallerAnswer answer = isKept ? connections[gateway]->call(request) : callGateway(request);
     if (answer.status == 401 || answer.status == 403 || answer.status == 404)
         this->report(
             absl::StrCat(callId, " got status ", answer.status, " although it is permitted"));
@@ -115,7 +144,7 @@
         this->report(absl::StrCat(callId, " got an unexpected body: ", answer.body));
     this->servedCalls += answer.status == 200 && answer.isComplete ? 1 : 0;
     const std::lock_guard lock(this->mutex);
-    this->outcomes.push_back({callId, kind == 1, answer.status});
+    this->outcomes.push_back({callId, kind == 1, answer.status, answer.wasClosedByPeer});
 }
 
 void GatewaySoak::checkStream(const std::string &callId, int status, bool isComplete,
@@ -134,81 +163,148 @@
 {
     Random random(faultSeed);
     while (!this->isStopping) {
-        switch (random.below(5)) {
-        case 0:
-            this->injectServerFault(random);
-            break;
-        case 1:
-            this->injectStoreFault(random);
-            break;
-        case 2:
-            this->injectLinkFault(random);
-            break;
-        default:
-            this->injectGatewayFault(random);
-        }
+        if (this->faults == SoakFaults::Any)
+            this->injectAnyFault(random);
+        else
+            this->injectPlannedWork(random);
         absl::SleepFor(kMaxFaultInterval * random.uniform());
     }
 }
 
-void GatewaySoak::injectGatewayFault(Random &random)
+void GatewaySoak::injectAnyFault(Random &random)
 {
-    const int index = static_cast<int>(random.below(kGateways));
-    ChildProcess &process = this->deployment.process(index);
-    switch (random.below(3)) {
+    const int gateway = static_cast<int>(random.below(kGateways));
+    switch (random.below(10)) {
     case 0:
-        process.signal(SIGSTOP);
-        absl::SleepFor(kMaxFaultDuration * random.uniform());
-        process.signal(SIGCONT);
-        return;
     case 1:
-        process.signal(SIGKILL);
-        break;
+        this->injectServerFault(random);
+        return;
+    case 2:
+        this->injectStoreFault(random);
+        return;
+    case 3:
+    case 4:
+        this->injectLinkFault(random);
+        return;
+    case 5:
+        this->changeConfiguration();
+        return;
+    case 6:
+        this->pauseGateway(gateway, random);
+        return;
+    case 7:
+        this->restartGateway(gateway, {SIGKILL});
+        return;
+    case 8:
+        // A stop that is interrupted.
+        this->restartGateway(gateway, {SIGTERM, SIGKILL});
+        return;
     default:
-        process.signal(SIGTERM);
+        this->restartGateway(gateway, {SIGHUP, SIGTERM, SIGTERM});
+    }
+}
+
+void GatewaySoak::injectPlannedWork(Random &random)
+{
+    switch (random.below(4)) {
+    case 0:
+        this->restartGateway(static_cast<int>(random.below(kGateways)), {SIGHUP, SIGTERM});
+        return;
+    case 1:
+        this->changeConfiguration();
+        return;
+    case 2:
+        this->replaceServer(random);
+        return;
+    default: {
+        const std::size_t server = random.below(kServers);
+        const std::unique_lock lock(*this->serverLocks[server], std::try_to_lock);
+        if (!lock)
+            return;
+        ServingStandin &platform = this->deployment.platform();
+        platform.setServerBehavior(static_cast<int>(server), ServerBehavior::ShedWithRetryAfter);
+        absl::SleepFor(kMaxFaultDuration * random.uniform());
+        platform.setServerBehavior(static_cast<int>(server), ServerBehavior::Serve);
+    }
+    }
+}
+
+void GatewaySoak::pauseGateway(int index, Random &random)
+{
+    const std::unique_lock lock(*this->gatewayLocks[static_cast<std::size_t>(index)],
+                                std::try_to_lock);
+    if (!lock)
+        return;
+    ChildProcess &process = this->deployment.process(index);
+    process.signal(SIGSTOP);
+    absl::SleepFor(kMaxFaultDuration * random.uniform());
+    process.signal(SIGCONT);
+}
+
+void GatewaySoak::restartGateway(int index, const std::vector<int> &signals)
+{
+    const std::unique_lock lock(*this->gatewayLocks[static_cast<std::size_t>(index)],
+                                std::try_to_lock);
+    if (!lock)
+        return;
+    ChildProcess &process = this->deployment.process(index);
+    for (const int number : signals) {
+        process.signal(number);
+        absl::SleepFor(kSignalInterval);
     }
     if (!process.waitForEnd(kStopLimit))
         this->report("a gateway did not exit in time after SIGTERM or SIGKILL");
-    // A process that is still loading does not handle SIGTERM yet, and has accepted no call.
-    const bool wasLoading = process.exitCode() == -SIGTERM && !this->deployment.hasStarted(index);
+    // A process that is still loading does not handle signals yet, and has accepted no call.
+    const bool wasLoading = !this->deployment.hasStarted(index)
+        && (process.exitCode() == -SIGTERM || process.exitCode() == -SIGHUP);
     if (process.exitCode() != 0 && process.exitCode() != -SIGKILL && !wasLoading)
         this->report(absl::StrCat("a gateway exited with code ", process.exitCode()));
     this->deployment.start(index);
-    const std::lock_guard lock(this->mutex);
-    this->restarts.push_back(absl::Now());
+    const std::lock_guard restartLock(this->mutex);
+    this->restarts[std::to_string(index)].push_back(absl::Now());
 }
 
-void GatewaySoak::limitLoop(std::uint64_t limitSeed)
+void GatewaySoak::injectServerFault(Random &random)
 {
-    Random random(limitSeed);
+    constexpr std::array<ServerBehavior, 7> kBehaviors = {ServerBehavior::Shed,
+                                                          ServerBehavior::FailAfterRunning,
+                                                          ServerBehavior::Disconnect,
+                                                          ServerBehavior::DisconnectMidStream,
+                                                          ServerBehavior::NoResponse,
+                                                          ServerBehavior::TruncateBody,
+                                                          ServerBehavior::ShedWithRetryAfter};
+    const std::size_t server = random.below(kServers);
+    const std::unique_lock lock(*this->serverLocks[server], std::try_to_lock);
+    if (!lock)
+        return;
     ServingStandin &platform = this->deployment.platform();
-    while (!this->isStopping) {
-        LimitPeriod period;
-        period.server = static_cast<int>(random.below(kServers));
-        period.requestsPerSecond = kMinLimit + (kMaxLimit - kMinLimit) * random.uniform();
-        platform.setRateLimit(period.server, period.requestsPerSecond);
-        period.begin = absl::Now();
-        const absl::Time end =
-            period.begin + kMinLimitTime + (kMaxLimitTime - kMinLimitTime) * random.uniform();
-        while (!this->isStopping && absl::Now() < end)
-            absl::SleepFor(absl::Milliseconds(20));
-        period.end = absl::Now();
-        platform.setRateLimit(period.server, std::nullopt);
-        this->limitPeriods.push_back(period);
-    }
+    platform.setServerBehavior(static_cast<int>(server),
+                               kBehaviors[random.below(kBehaviors.size())]);
+    absl::SleepFor(kMaxFaultDuration * random.uniform());
+    platform.setServerBehavior(static_cast<int>(server), ServerBehavior::Serve);
 }
 
-void GatewaySoak::injectServerFault(Random &random)
+void GatewaySoak::replaceServer(Random &random)
 {
-    constexpr std::array<ServerBehavior, 6> kBehaviors = {
-        ServerBehavior::Shed,       ServerBehavior::FailAfterRunning,
-        ServerBehavior::Disconnect, ServerBehavior::DisconnectMidStream,
-        ServerBehavior::NoResponse, ServerBehavior::TruncateBody};
-    const int server = static_cast<int>(random.below(kServers));
+    const std::size_t server = random.below(kServers);
+    const std::unique_lock lock(*this->serverLocks[server], std::try_to_lock);
+    if (!lock)
+        return;
     ServingStandin &platform = this->deployment.platform();
-    platform.setServerBehavior(server, kBehaviors[random.below(kBehaviors.size())]);
+    platform.setServerBehavior(static_cast<int>(server), ServerBehavior::AnnounceDraining);
     absl::SleepFor(kMaxFaultDuration * random.uniform());
-    platform.setServerBehavior(server, ServerBehavior::Serve);
+    // What it has said holds although it says so no longer.
+    platform.setServerBehavior(static_cast<int>(server), ServerBehavior::Serve);
+    absl::SleepFor(kReplaceTime);
+    platform.restart(static_cast<int>(server));
+}
+
+void GatewaySoak::changeConfiguration()
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->configurationVersion;
+    this->deployment.configure(this->configurationVersion,
+                               {"key-1", absl::StrCat("key-", this->configurationVersion)});
 }
 
 void GatewaySoak::injectStoreFault(Random &random)
@@ -235,6 +331,26 @@
     proxy.setFault(LinkFault::None);
 }
 
+void GatewaySoak::limitLoop(std::uint64_t limitSeed)
+{
+    Random random(limitSeed);
+    ServingStandin &platform = this->deployment.platform();
+    while (!this->isStopping) {
+        LimitPeriod period;
+        period.server = static_cast<int>(random.below(kServers));
+        period.requestsPerSecond = kMinLimit + (kMaxLimit - kMinLimit) * random.uniform();
+        platform.setRateLimit(period.server, period.requestsPerSecond);
+        period.begin = absl::Now();
+        const absl::Time end =
+            period.begin + kMinLimitTime + (kMaxLimitTime - kMinLimitTime) * random.uniform();
+        while (!this->isStopping && absl::Now() < end)
+            absl::SleepFor(absl::Milliseconds(20));
+        period.end = absl::Now();
+        platform.setRateLimit(period.server, std::nullopt);
+        this->limitPeriods.push_back(period);
+    }
+}
+
 void GatewaySoak::waitForRecovery()
 {
     const absl::Time end = absl::Now() + kRecoveryLimit;
@@ -285,10 +401,11 @@
             const absl::Time end = *first + kLimitWindow;
             const auto requests = std::upper_bound(first, times.end(), end) - first;
             // A gateway that has just started is told by the responses to its first calls.
-            const auto uninformed =
-                std::count_if(this->restarts.begin(), this->restarts.end(), [&](absl::Time at) {
-                    return at + kLearnTime > *first - kLearnTime && at < end;
-                });
+            std::int64_t uninformed = 0;
+            for (int gateway = 0; gateway < kGateways; ++gateway)
+                uninformed +=
+                    this->wasRestarted(std::to_string(gateway), *first - 2 * kLearnTime, end) ? 1
+                                                                                              : 0;
             // Calls that a slow connection held back arrive together with later ones.
             const double seconds = absl::ToDoubleSeconds(kLimitWindow + kMaxFaultDuration);
             const double allowed = kLimitFactor * period.requestsPerSecond * seconds + kLimitSlack
@@ -303,6 +420,48 @@
     }
 }
 
+bool GatewaySoak::wasRestarted(const std::string &name, absl::Time from, absl::Time to) const
+{
+    const auto found = this->restarts.find(name);
+    return found != this->restarts.end()
+        && std::any_of(found->second.begin(), found->second.end(),
+                       [from, to](absl::Time at) { return at > from && at < to; });
+}
+
+void GatewaySoak::checkNothingCut()
+{
+    absl::flat_hash_map<std::string, ServerArrival> reached;
+    for (const ServerArrival &arrival : this->deployment.platform().arrivals())
+        reached[arrival.callId] = arrival;
+    for (const Outcome &outcome : this->outcomes) {
+        const auto found = reached.find(outcome.callId);
+        if (outcome.wasCut && found != reached.end())
+            this->report(absl::StrCat(outcome.callId, " was cut off by gateway ",
+                                      found->second.gateway, " after it had reached ",
+                                      found->second.server));
+    }
+}
+
+void GatewaySoak::checkBackpressure()
+{
+    const std::vector<ServerArrival> arrivals = this->deployment.platform().arrivals();
+    for (auto told = arrivals.begin(); told != arrivals.end(); ++told) {
+        if (!told->saysDraining && !told->requestsPause)
+            continue;
+        const absl::Duration reaction = told->saysDraining ? kDrainBound : kPauseReactionTime;
+        const absl::Time end =
+            told->saysDraining ? absl::InfiniteFuture() : told->at + ServingStandin::kRetryAfter;
+        const auto late = std::count_if(told, arrivals.end(), [&](const ServerArrival &other) {
+            return other.server == told->server && other.startedMs == told->startedMs
+                && other.gateway == told->gateway && other.at > told->at + reaction
+                && other.at < end && !this->wasRestarted(told->gateway, told->at, other.at);
+        });
+        if (late > (told->saysDraining ? 0 : kLateCalls))
+            this->report(absl::StrCat(told->server, " got ", late, " calls from gateway ",
+                                      told->gateway, " after it had told it to send none"));
+    }
+}
+
 void GatewaySoak::report(const std::string &problem)
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/process/gateway_soak_test.cpp
+++ b/tests/process/gateway_soak_test.cpp
@@ -32,16 +32,26 @@
     return result;
 }
 
+void runSoak(std::uint64_t seed, SoakFaults faults)
+{
+    GatewaySoak soak(seed, faults);
+    soak.run(absl::Seconds(static_cast<int>(numberFrom("FOXTAILTALLY_SOAK_SECONDS", 12))));
+    for (const std::string &problem : soak.problems())
+        ADD_FAILURE() << "seed " << seed << ": " << problem;
+    EXPECT_GT(soak.served(), 0);
+}
+
 class GatewaySoakTest : public testing::TestWithParam<std::uint64_t>
 { };
 
 TEST_P(GatewaySoakTest, KeepsItsPromisesUnderFaults)
 {
-    GatewaySoak soak(this->GetParam());
-    soak.run(absl::Seconds(static_cast<int>(numberFrom("FOXTAILTALLY_SOAK_SECONDS", 12))));
-    for (const std::string &problem : soak.problems())
-        ADD_FAILURE() << "seed " << this->GetParam() << ": " << problem;
-    EXPECT_GT(soak.served(), 0);
+    runSoak(this->GetParam(), SoakFaults::Any);
+}
+
+TEST_P(GatewaySoakTest, CutsNothingDuringPlannedWork)
+{
+    runSoak(this->GetParam(), SoakFaults::PlannedWork);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, GatewaySoakTest, testing::ValuesIn(seeds()));
--- a/tests/process/http_caller.h
+++ b/tests/process/http_caller.h
@@ -30,6 +30,8 @@
     /** All header lines. */
     std::string head;
     absl::Duration took = absl::ZeroDuration();
+    /** The gateway closed a KeptConnection before the response was complete. */
+    bool wasClosedByPeer = false;
 
     bool hasHeader(const std::string &line) const
     {
--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -478,6 +478,10 @@
     arrival.at = absl::Now();
     arrival.hasRun = server.behavior != ServerBehavior::Shed
         && server.behavior != ServerBehavior::ShedWithRetryAfter;
+    arrival.startedMs = server.startedMs;
+    arrival.gateway = std::string(head.headers.valueOr("X-Gateway", ""));
+    arrival.saysDraining = server.behavior == ServerBehavior::AnnounceDraining;
+    arrival.requestsPause = server.behavior == ServerBehavior::ShedWithRetryAfter;
     this->recordedArrivals.push_back(arrival);
     if (arrival.hasRun && !this->crashingBody.empty() && arrival.body == this->crashingBody) {
         this->crash(server);
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -59,6 +59,13 @@
     absl::Duration deadline = absl::ZeroDuration();
     absl::Time at;
     bool hasRun = false;
+    /** Start time of the server's incarnation. */
+    std::int64_t startedMs = 0;
+    /** Value of the header X-Gateway, by which a test tells gateways apart. */
+    std::string gateway;
+    /** The response says that the server is draining, or requests a pause of kRetryAfter. */
+    bool saysDraining = false;
+    bool requestsPause = false;
 };
 
 /** A command to reserve or release memory at a backend server. */
