Log why a call is not sent to another server

The line call_not_retried and the counter foxtailtally_calls_not_retried_total tell it apart. No decision is changed.

--- a/main/gateway/call_log.cpp
+++ b/main/gateway/call_log.cpp
@@ -66,6 +66,14 @@
     logEvent(LogLevel::Info, "attempt_ended", fields);
 }
 
+void logNotRetried(GatewayContext &context, const std::string &callId, AttemptEnd end,
+                   std::string_view cause)
+{
+    context.metrics.counter("foxtailtally_calls_not_retried_total", {{"cause", cause}}).add();
+    logEvent(LogLevel::Info, "call_not_retried",
+             {{"request", callId}, {"end", attemptEndName(end)}, {"cause", cause}});
+}
+
 void logPlacement(const GatewayContext &context, const std::string &callId,
                   const StreamDecision &decision, absl::Time now)
 {
--- a/main/gateway/call_log.h
+++ b/main/gateway/call_log.h
@@ -7,6 +7,7 @@
 
 #include <absl/time/time.h>
 #include <string>
+#include <string_view>
 
 namespace foxtailtally {
 
@@ -25,6 +26,11 @@
 void logAttemptEnd(GatewayContext &context, const ServerCall &call, AttemptEnd end,
                    const AttemptRecord &record, absl::Time now);
 
+/** Logs and counts that a call is not sent to another server after an attempt that ended with @p
+ * end. */
+void logNotRetried(GatewayContext &context, const std::string &callId, AttemptEnd end,
+                   std::string_view cause);
+
 /** Logs on which engines a stream is placed, and the figures behind the decision. */
 void logPlacement(const GatewayContext &context, const std::string &callId,
                   const StreamDecision &decision, absl::Time now);
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -582,7 +582,12 @@
                                               now);
         if (allowed && this->dispatch(now))
             return;
+        logNotRetried(this->context, this->call.headers.callId, end,
+                      allowed ? "no_server" : "retry_budget");
         step = fallbackStep(end, state);
+    } else {
+        logNotRetried(this->context, this->call.headers.callId, end,
+                      state.isQuarantined ? "quarantined" : "attempts_used");
     }
     this->finishWith(step, now);
 }
