Show that a stream is cut when its server is silent for a moment

A stand-in engine accepts a stream and sends nothing for 1.7 s, less than the gap after which callers give up, and then goes on; the other engine rejects the stream, fails, disconnects or does not respond.

--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -299,6 +299,23 @@
     });
 }
 
+void ServingStandin::fallSilent(int index, absl::Duration time)
+{
+    this->run([&] { this->servers.at(index).silentUntil = absl::Now() + time; });
+}
+
+void ServingStandin::endSilences(absl::Time now)
+{
+    for (auto &[index, server] : this->servers) {
+        if (server.silentUntil > now)
+            continue;
+        std::vector<InboundConnection *> unanswered;
+        unanswered.swap(server.unanswered);
+        for (InboundConnection *connection : unanswered)
+            this->answerCall(*connection, server);
+    }
+}
+
 void ServingStandin::setPrefillTime(absl::Duration time)
 {
     this->run([&] { this->prefillTime = time; });
@@ -342,6 +359,7 @@
     const absl::Time now = absl::Now();
     this->runTasks();
     this->restartCrashedServers(now);
+    this->endSilences(now);
     this->advanceStreams(now);
     std::vector<Watch> over;
     std::erase_if(this->watches, [&](const Watch &watch) {
@@ -457,6 +475,10 @@
     const RequestHead &head = connection.head();
     if (server.unresponsiveListener >= 0)
         return;
+    if (server.silentUntil > absl::Now()) {
+        server.unanswered.push_back(&connection);
+        return;
+    }
     if (head.path == "/order") {
         this->answerReservationCommand(connection, server);
         return;
@@ -564,7 +586,8 @@
 {
     std::vector<InboundConnection *> broken;
     for (Stream &stream : this->streams) {
-        if (stream.dueAt > now)
+        const Server &server = this->servers.at(this->serverOf.at(stream.connection));
+        if (stream.dueAt > now || server.silentUntil > now)
             continue;
         if (stream.next == stream.breakAt) {
             broken.push_back(stream.connection);
@@ -617,6 +640,8 @@
                   [&](const Watch &watch) { return watch.connection == &connection; });
     std::erase_if(this->streams,
                   [&](const Stream &stream) { return stream.connection == &connection; });
+    for (auto &[index, server] : this->servers)
+        std::erase(server.unanswered, &connection);
 }
 
 } // namespace foxtailtally
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -126,6 +126,9 @@
     void restart(int index);
     /** Makes server @p index unresponsive: it sends nothing more, and new connections hang. */
     void becomeUnresponsive(int index);
+    /** Server @p index sends nothing for @p time and then goes on. It accepts connections and
+     * requests meanwhile. */
+    void fallSilent(int index, absl::Duration time);
     /** Sets the time before the first event of each stream. */
     void setPrefillTime(absl::Duration time);
 
@@ -153,6 +156,9 @@
         int backlogFiller = -1;
         /** When the server is started again after a crash. */
         absl::Time restartsAt = absl::InfiniteFuture();
+        absl::Time silentUntil = absl::InfinitePast();
+        /** Connections with requests that a silent server has received. */
+        std::vector<InboundConnection *> unanswered;
     };
     struct Watch
     {
@@ -199,6 +205,7 @@
     HttpHeaders replyHeaders(Server &server, const ServerArrival &arrival,
                              std::string_view contentType);
     void advanceStreams(absl::Time now);
+    void endSilences(absl::Time now);
     void removeWatchesAndStreams(InboundConnection &connection);
 
     std::string host;
--- a/tests/process/silent_server_test.cpp
+++ b/tests/process/silent_server_test.cpp
@@ -6,7 +6,11 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <map>
+#include <ostream>
+#include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace foxtailtally {
 namespace {
@@ -112,5 +116,97 @@
     EXPECT_EQ(this->deployment.platform().arrivals().size(), 1U);
 }
 
+/** Longer than the time after which a gateway looks for another engine, shorter than the gap after
+ * which callers abandon a stream. */
+constexpr absl::Duration kBriefSilence = absl::Milliseconds(1700);
+
+struct BriefSilenceCase
+{
+    std::string name;
+    /** How the other engine responds to the stream. */
+    ServerBehavior other = ServerBehavior::Serve;
+    /** When the engine that has the stream falls silent, after the stream's arrival there. */
+    absl::Duration after;
+
+    friend void PrintTo(const BriefSilenceCase &silence, std::ostream *out)
+    {
+        *out << silence.name;
+    }
+};
+
+/** One gateway with two engines, of which the one with the stream is silent for a while. */
+class BrieflySilentServer : public testing::TestWithParam<BriefSilenceCase>
+{
+protected:
+    BrieflySilentServer()
+        : deployment(1)
+    {
+        ServingStandin &platform = this->deployment.platform();
+        this->deployment.configure(1, {"key-1"});
+        for (int index = 0; index < 2; ++index)
+            platform.addServer(index, "engine", "d0", platform.serverAddress(index));
+        platform.setPrefillTime(absl::Milliseconds(100));
+        this->deployment.start(0);
+    }
+
+    CallerAnswer stream()
+    {
+        CallerRequest request;
+        request.address = this->deployment.callerAddress(0);
+        request.path = "/stream/a";
+        request.body = "b";
+        request.headers = {"Attempt-Id: brief", "Key: key-1", "Deadline-Ms: 4000",
+                           "Token-Usage: 1000,100"};
+        return callGateway(request);
+    }
+
+    GatewayDeployment deployment;
+};
+
+// Guards against a fault that users reported: a stream whose server was silent for a second was
+// given up before another server could continue it, and its response ended incomplete.
+TEST_P(BrieflySilentServer, DoesNotCutItsStream)
+{
+    ASSERT_TRUE(this->deployment.waitUntilReady(0));
+    ServingStandin &platform = this->deployment.platform();
+    CallerAnswer answer;
+    std::thread caller([&] { answer = this->stream(); });
+    const absl::Time end = absl::Now() + kWaitLimit;
+    while (platform.arrivals().empty() && absl::Now() < end)
+        absl::SleepFor(absl::Milliseconds(2));
+    const std::vector<ServerArrival> arrivals = platform.arrivals();
+    if (!arrivals.empty()) {
+        const int first = arrivals.front().server == ServingStandin::serverName(0) ? 0 : 1;
+        platform.setServerBehavior(1 - first, GetParam().other);
+        absl::SleepFor(GetParam().after);
+        platform.fallSilent(first, kBriefSilence);
+    }
+    caller.join();
+    ASSERT_FALSE(arrivals.empty());
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_TRUE(answer.isComplete);
+    EXPECT_EQ(answer.body, ServingStandin::streamBody("brief"));
+}
+
+std::vector<BriefSilenceCase> briefSilenceCases()
+{
+    const std::vector<std::pair<std::string, ServerBehavior>> behaviors = {
+        {"Serves", ServerBehavior::Serve},
+        {"Rejects", ServerBehavior::Shed},
+        {"Fails", ServerBehavior::FailAfterRunning},
+        {"Disconnects", ServerBehavior::Disconnect},
+        {"DoesNotRespond", ServerBehavior::NoResponse},
+        {"SendsNoStream", ServerBehavior::TruncateBody}};
+    std::vector<BriefSilenceCase> cases;
+    for (const auto &[name, behavior] : behaviors) {
+        cases.push_back({"BeforeAnEventAndTheOther" + name, behavior, absl::ZeroDuration()});
+        cases.push_back({"AfterAnEventAndTheOther" + name, behavior, absl::Milliseconds(220)});
+    }
+    return cases;
+}
+
+INSTANTIATE_TEST_SUITE_P(Cases, BrieflySilentServer, testing::ValuesIn(briefSilenceCases()),
+                         [](const auto &test) { return test.param.name; });
+
 } // namespace
 } // namespace foxtailtally
