Keep a stream at its server until another one has delivered the next event

Cause: the attempt at a silent server was ended as soon as a plan for another engine existed; only then the retry budget, the tokens, the memory and the other engine were asked, and each of them may refuse. An irreversible step was taken on the expectation of a replacement that was not secured.

Change: the stream is sent to the other engine beside its first attempt. The attempt that delivers the next event first goes on, the other one ends as superseded; if the second is rejected, fails or breaks, the first goes on. The event relay takes the bytes of several runs. Each attempt owns its placement.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -57,7 +57,6 @@
     , deadlineTimer(context.base, [this] { this->onDeadline(); })
     , checkTimer(context.base, [this] { this->onCheckTimer(); })
     , relay(this->call.headers.lastEventId)
-    , placement(context, this->call.headers.callId, *this)
 {
     this->deadlineTimer.start(this->call.answerBy - this->call.receivedAt);
 }
@@ -65,7 +64,6 @@
 CallRun::~CallRun()
 {
     this->context.bufferedReplyBytes -= this->bufferedBytes;
-    this->placement.drop();
 }
 
 void CallRun::start(absl::Time now)
@@ -208,10 +206,32 @@
     if (!mustPlace && decision.kind != StreamDecision::Kind::Place)
         return false;
     if (!this->claimTokens(decision, now))
-        this->placement.place(decision, this->demand(now), this->hasAnswerBegun, now);
+        this->place(decision, now);
     return true;
 }
 
+void CallRun::place(const StreamDecision &decision, absl::Time now)
+{
+    this->dropPlacement();
+    PlacedStreamEvents &events = *this;
+    this->placement =
+        std::make_unique<PlacedStream>(this->context, this->call.headers.callId, events);
+    this->placement->place(decision, this->demand(now), this->hasAnswerBegun, now);
+}
+
+void CallRun::dropPlacement()
+{
+    this->retirePlacement(std::move(this->placement));
+}
+
+void CallRun::retirePlacement(std::unique_ptr<PlacedStream> dropped)
+{
+    if (!dropped)
+        return;
+    dropped->drop();
+    this->context.retired.push_back(std::move(dropped));
+}
+
 float CallRun::worth() const
 {
     const float value = this->isStream()
@@ -277,7 +297,12 @@
     const std::vector<ServerKey> claimed = this->tokens->claimed();
     this->deniedServers.insert(this->deniedServers.end(), claimed.begin(), claimed.end());
     this->dropTokens(now);
-    if (++this->tokenDenials > kMaxTokenDenials || this->suspicion->isQuarantined(now)
+    ++this->tokenDenials;
+    if (!this->attempts.empty()) {
+        this->checkTimer.start(kStreamRecheckInterval);
+        return;
+    }
+    if (this->tokenDenials > kMaxTokenDenials || this->suspicion->isQuarantined(now)
         || !this->dispatch(now))
         this->finishWith(fallbackStep(AttemptEnd::NotPermitted, this->progress(now)), now);
 }
@@ -303,7 +328,7 @@
     const bool mustPlace = this->hasAnswerBegun && decision.hasPlan;
     if (!mustPlace && decision.kind != StreamDecision::Kind::Place)
         return false;
-    this->placement.place(decision, this->demand(now), this->hasAnswerBegun, now);
+    this->place(decision, now);
     return true;
 }
 
@@ -321,8 +346,10 @@
     if (!this->context.directory.isUsable(target.id, target.incarnation, now))
         return false;
     std::vector<ServerKey> servers = {target.key};
-    const std::span<const ServerKey> helpers = this->placement.helperKeys();
-    servers.insert(servers.end(), helpers.begin(), helpers.end());
+    if (const Attempt *attempt = this->findAttempt(call); attempt && attempt->placement) {
+        const std::span<const ServerKey> helpers = attempt->placement->helperKeys();
+        servers.insert(servers.end(), helpers.begin(), helpers.end());
+    }
     return std::all_of(servers.begin(), servers.end(), [this, now](ServerKey server) {
         return !this->context.limits.isLimited(server)
             || (this->tokens && this->tokens->spend(server, now));
@@ -333,16 +360,16 @@
 {
     if (this->done)
         return;
-    if (this->suspicion->isQuarantined(now) || !this->placement.isValid(now)) {
+    if (this->suspicion->isQuarantined(now) || !this->placement->isValid(now)) {
         this->retryPlacement(now);
         return;
     }
-    for (const ServerKey helper : this->placement.helperKeys())
+    for (const ServerKey helper : this->placement->helperKeys())
         this->context.activity[helper].sent.add(RequestKind::PrefillPart, now);
-    this->sendTo(this->placement.server(), this->placement.helpers(), now);
-    this->checkTimer.start(std::min(kServerSilenceTimeout,
-                                    absl::Milliseconds(this->placement.plan().predictedFirstEventMs)
-                                        + kStreamProgressSlack));
+    const double predictedMs = this->placement->plan().predictedFirstEventMs;
+    this->sendTo(this->placement->server(), this->placement->helpers(), now);
+    this->checkTimer.start(
+        std::min(kServerSilenceTimeout, absl::Milliseconds(predictedMs) + kStreamProgressSlack));
 }
 
 void CallRun::onPlacementFailed(ServerKey engine, absl::Time now)
@@ -355,9 +382,14 @@
 
 void CallRun::retryPlacement(absl::Time now)
 {
-    this->placement.drop();
+    this->dropPlacement();
     this->dropTokens(now);
-    if (++this->rejections > kMaxRejections || this->suspicion->isQuarantined(now)
+    ++this->rejections;
+    if (!this->attempts.empty()) {
+        this->checkTimer.start(kStreamRecheckInterval);
+        return;
+    }
+    if (this->rejections > kMaxRejections || this->suspicion->isQuarantined(now)
         || !this->dispatch(now))
         this->finishWith(fallbackStep(AttemptEnd::NotSent, this->progress(now)), now);
 }
@@ -401,10 +433,10 @@
     forwarded.customer = this->call.customer;
     forwarded.lastEventId = this->relay.lastEventId();
     forwarded.helpers = std::move(helpers);
-    this->relay.beginRun();
     this->dispatchDelay = now - this->call.receivedAt;
     ServerCallEvents &events = *this;
     Attempt &attempt = this->attempts.emplace_back();
+    attempt.placement = std::move(this->placement);
     attempt.call = std::make_unique<ServerCall>(this->context, std::move(target), events);
     const RequestHead &head = this->caller->head();
     attempt.call->send(platform::encodeForwardedCall(head, this->caller->body(), forwarded),
@@ -444,7 +476,7 @@
 void CallRun::relayEvents(Attempt &attempt, std::string_view data, absl::Time now)
 {
     ServerCall &call = *attempt.call;
-    const Result<std::string> events = this->relay.feed(data);
+    const Result<std::string> events = this->relay.feed(attempt.run, data);
     if (!events.ok()) {
         call.cancel();
         this->onAttemptEnded(call, AttemptEnd::Lost);
@@ -452,11 +484,14 @@
     }
     if (events->empty())
         return;
+    // Until one of several attempts delivers an event, the response is that of the first one.
+    if (!this->relay.hasAdvanced() && &attempt != &this->attempts.front())
+        return;
     if (this->relay.hasAdvanced()) {
         attempt.firstEventAt = std::min(attempt.firstEventAt, now);
         if (now - attempt.firstEventAt > kCrashDelay)
             call.clearSuspicion();
-        this->onStreamEvent(call, now);
+        this->onStreamEvent(attempt, now);
     }
     if (!this->hasAnswerBegun) {
         this->hasAnswerBegun = true;
@@ -468,23 +503,42 @@
         this->isReadingPaused = true;
         call.pauseReading(true);
     }
+    if (this->relay.hasAdvanced())
+        this->endOtherAttempts(call);
+}
+
+void CallRun::endOtherAttempts(const ServerCall &winner)
+{
+    std::vector<ServerCall *> others;
+    for (const Attempt &attempt : this->attempts) {
+        if (attempt.call.get() != &winner)
+            others.push_back(attempt.call.get());
+    }
+    for (ServerCall *other : others) {
+        const AttemptEnd end =
+            this->findAttempt(*other)->replacedFor.value_or(AttemptEnd::Superseded);
+        other->cancel();
+        this->onAttemptEnded(*other, end);
+    }
 }
 
-void CallRun::onStreamEvent(ServerCall &call, absl::Time now)
+void CallRun::onStreamEvent(Attempt &attempt, absl::Time now)
 {
+    const ServerCall &call = *attempt.call;
     this->context.health.onOutcome(call.target().key, ServerHealth::Outcome::Answered, now);
     if (this->firstEventAt == absl::InfinitePast()) {
         this->firstEventAt = now;
-        if (now > this->call.receivedAt + this->call.route->objective)
-            this->placement.onLate();
+        if (attempt.placement && now > this->call.receivedAt + this->call.route->objective)
+            attempt.placement->onLate();
     }
-    if (this->lastEventAt < call.sentAt()) {
-        this->placement.onFirstEvent();
-    } else {
+    const bool isFirstOfAttempt = this->lastEventAt < call.sentAt();
+    if (isFirstOfAttempt && attempt.placement)
+        attempt.placement->onFirstEvent();
+    if (!isFirstOfAttempt) {
         const absl::Duration gap = now - this->lastEventAt;
         this->longestGap = std::max(this->longestGap, gap);
-        if (gap > this->call.route->eventGapObjective)
-            this->placement.onLate();
+        if (attempt.placement && gap > this->call.route->eventGapObjective)
+            attempt.placement->onLate();
         const Service *engine = this->call.config->findService(this->service);
         if (engine)
             recordEventGap(this->context, call.target().key, engine->engine,
@@ -492,8 +546,8 @@
     }
     this->lastEventAt = now;
     const absl::Duration overdue = this->call.route->eventGapObjective * 2 + kStreamProgressSlack;
-    this->checkTimer.start(this->placement.holdsMemory() ? std::min(kServerSilenceTimeout, overdue)
-                                                         : overdue);
+    const bool holdsMemory = attempt.placement && attempt.placement->holdsMemory();
+    this->checkTimer.start(holdsMemory ? std::min(kServerSilenceTimeout, overdue) : overdue);
 }
 
 void CallRun::onReplyComplete(ServerCall &call)
@@ -504,8 +558,9 @@
     const absl::Duration latency = now - call.sentAt();
     // Destroyed later: this function runs in one of its callbacks.
     this->context.retired.push_back(std::move(finished->call));
+    this->retirePlacement(std::move(finished->placement));
     ++this->runs;
-    if (finished->isRelaying && this->relay.isBetweenEvents()) {
+    if (finished->isRelaying && finished->run.isBetweenEvents()) {
         this->suspicion->onServed(now);
         if (!this->hasAnswerBegun)
             this->caller->startStream(finished->reply.status,
@@ -551,12 +606,15 @@
     std::optional<Attempt> ended = this->takeAttempt(call);
     this->suspicion->onLoss(call.target(), this->crashEvidence(*ended, end, now), now);
     this->context.retired.push_back(std::move(ended->call));
+    this->retirePlacement(std::move(ended->placement));
     if (end == AttemptEnd::NotSent || end == AttemptEnd::NotPermitted
         || end == AttemptEnd::Rejected)
         ++this->rejections;
     else
         ++this->runs;
-    recordAttemptEnd(this->context, call, end, now);
+    // Silence was recorded when the stream was also sent to another server.
+    if (end != ended->replacedFor)
+        recordAttemptEnd(this->context, call, end, now);
     AttemptRecord record;
     record.callId = this->call.headers.callId;
     record.fingerprint = this->suspicion->fingerprint();
@@ -569,9 +627,12 @@
 
 void CallRun::afterAttempt(AttemptEnd end, absl::Time now)
 {
-    if (!this->attempts.empty())
+    if (!this->attempts.empty()) {
+        if (this->isStream())
+            this->checkTimer.start(kStreamRecheckInterval);
         return;
-    this->placement.drop();
+    }
+    this->dropPlacement();
     this->dropTokens(now);
     const CallProgress state = this->progress(now);
     NextStep step = nextStep(end, state);
@@ -665,7 +726,7 @@
     if (!this->attempts.empty())
         server = this->attempts.back().call->target().id.str();
     this->cancelAttempts();
-    this->placement.drop();
+    this->dropPlacement();
     this->dropTokens(now);
     const bool hadEvent = this->firstEventAt != absl::InfinitePast();
     this->context.metrics.counter("foxtailtally_calls_total", {{"outcome", outcome}}).add();
@@ -731,46 +792,96 @@
 
 void CallRun::checkStreamProgress(absl::Time now)
 {
-    ServerCall &attempt = *this->attempts.back().call;
-    const AttemptTarget &target = attempt.target();
-    const absl::Time lastProgressAt = std::max(attempt.sentAt(), this->lastEventAt);
-    const absl::Duration silentFor =
+    for (Attempt &attempt : this->attempts) {
+        if (!shouldAbandon(this->migrationEvidence(attempt, now)))
+            continue;
+        ServerCall &call = *attempt.call;
+        call.cancel();
+        this->onAttemptEnded(call, AttemptEnd::Silent);
+        return;
+    }
+    // The timer is started first: the placement of the second attempt may start it again.
+    this->checkTimer.start(kStreamRecheckInterval);
+    const bool isPreparing = this->placement || (this->tokens && this->tokens->isPending());
+    if (this->attempts.size() == 1 && !isPreparing && this->rejections < kMaxRejections)
+        this->migrateStream(now);
+}
+
+MigrationEvidence CallRun::migrationEvidence(const Attempt &attempt, absl::Time now)
+{
+    const AttemptTarget &target = attempt.call->target();
+    const absl::Time lastProgressAt = std::max(attempt.call->sentAt(), this->lastEventAt);
+    MigrationEvidence evidence;
+    evidence.silentFor =
         now - std::max(lastProgressAt, this->context.activity[target.key].lastByteAt);
-    if (silentFor >= kServerSilenceTimeout)
+    if (evidence.silentFor >= kServerSilenceTimeout)
         this->context.reachability.onSilent(target.key, target.domain, now);
-    MigrationEvidence evidence;
     evidence.isRepeatable = this->call.route->isRepeatable() && !this->isReadingPaused;
     evidence.earlierRuns = this->runs;
     evidence.maxRuns = this->call.route->maxAttempts;
     evidence.isOverdue =
         now - lastProgressAt > this->call.route->streamIdleTimeout() * kMigrationTimeoutShare;
-    evidence.isUnresponsive =
-        silentFor >= kServerSilenceTimeout && this->context.reachability.isUnresponsive(target.key);
-    evidence.isSilent = (evidence.isOverdue && silentFor > kServerSilenceTimeout)
-        || (silentFor > kServerSilenceTimeout * 2
-            && silentFor > this->silenceTimeout(target.key, now));
-    evidence.holdsMemory = this->placement.holdsMemory();
-    const Service *engines = this->call.config->findService(this->service);
+    evidence.isUnresponsive = evidence.silentFor >= kServerSilenceTimeout
+        && this->context.reachability.isUnresponsive(target.key);
+    evidence.isSilent = (evidence.isOverdue && evidence.silentFor > kServerSilenceTimeout)
+        || (evidence.silentFor > kServerSilenceTimeout * 2
+            && evidence.silentFor > this->silenceTimeout(attempt, now));
+    evidence.holdsMemory = attempt.placement && attempt.placement->holdsMemory();
+    return evidence;
+}
+
+void CallRun::migrateStream(absl::Time now)
+{
+    Attempt &attempt = this->attempts.front();
+    MigrationEvidence evidence = this->migrationEvidence(attempt, now);
+    const Service *found = this->call.config->findService(this->service);
     const bool hasReason = evidence.isSilent || evidence.isUnresponsive || evidence.isOverdue;
-    evidence.hasBetterServer = engines && hasReason
-        && StreamPlanner(this->context)
-               .hasTimelyPlan(*engines, this->demand(now), this->tried, now);
-    if (!shouldMigrate(evidence)) {
-        this->checkTimer.start(kStreamRecheckInterval);
+    // A second copy of a call that may crash its server could crash another one.
+    if (!found || !hasReason || this->suspicion->nextRun(now) != SuspectRun::None)
+        return;
+    const std::vector<ServerKey> excluded = this->excludedServers({});
+    const StreamDemand demand = this->demand(now);
+    StreamDecision decision;
+    ServiceChoice choice;
+    if (found->isEngine) {
+        decision = StreamPlanner(this->context).decide(*found, demand, excluded, now);
+        evidence.hasBetterServer = StreamPlanner::isTimely(decision, demand);
+    } else {
+        choice =
+            ServicePlanner(this->context).choose(*found, excluded, this->tokenPatience(now), now);
+        evidence.hasBetterServer = choice.server != nullptr;
+    }
+    if (!shouldMigrate(evidence))
+        return;
+    const AttemptEnd reason =
+        evidence.isSilent || evidence.isUnresponsive ? AttemptEnd::Silent : AttemptEnd::Overdue;
+    if (!this->context.retries.tryRetry(this->service, this->context.exchange.instanceCount(),
+                                        now)) {
+        if (!attempt.wasRetryDenied)
+            logNotRetried(this->context, this->call.headers.callId, reason, "retry_budget");
+        attempt.wasRetryDenied = true;
+        return;
+    }
+    attempt.replacedFor = reason;
+    recordAttemptEnd(this->context, *attempt.call, reason, now);
+    this->dropTokens(now);
+    if (!found->isEngine) {
+        if (!this->claimTokens(choice, now))
+            this->sendPlain(*choice.server, now);
         return;
     }
-    attempt.cancel();
-    this->onAttemptEnded(attempt,
-                         evidence.isSilent || evidence.isUnresponsive ? AttemptEnd::Silent
-                                                                      : AttemptEnd::Overdue);
+    this->lastPlan = decision.plan;
+    if (!this->claimTokens(decision, now))
+        this->place(decision, now);
 }
 
-absl::Duration CallRun::silenceTimeout(ServerKey server, absl::Time now) const
+absl::Duration CallRun::silenceTimeout(const Attempt &attempt, absl::Time now) const
 {
-    double planned = this->placement.plan().predictedFirstEventMs;
+    double planned = attempt.placement ? attempt.placement->plan().predictedFirstEventMs : 0.0;
     if (const Service *engine = this->call.config->findService(this->service))
-        planned =
-            std::max(planned, maxExpectedSilenceMs(this->context, engine->engine, server, now));
+        planned = std::max(
+            planned,
+            maxExpectedSilenceMs(this->context, engine->engine, attempt.call->target().key, now));
     return kServerSilenceTimeout * 2 + absl::Milliseconds(planned * kSilentPassFactor);
 }
 
@@ -799,6 +910,7 @@
     for (Attempt &attempt : this->attempts) {
         attempt.call->cancel();
         this->context.retired.push_back(std::move(attempt.call));
+        this->retirePlacement(std::move(attempt.placement));
     }
     this->attempts.clear();
 }
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -63,11 +63,18 @@
     struct Attempt
     {
         std::unique_ptr<ServerCall> call;
+        /** Null for calls that need no engine. */
+        std::unique_ptr<PlacedStream> placement;
+        EventRelay::Run run;
         ResponseHead reply;
         std::string body;
         /** The response is a stream whose events are forwarded as they arrive. */
         bool isRelaying = false;
         absl::Time firstEventAt = absl::InfiniteFuture();
+        /** Why the stream was also sent to another server; none while it was not. */
+        std::optional<AttemptEnd> replacedFor;
+        /** The retry budget has denied a second server since this attempt began. */
+        bool wasRetryDenied = false;
     };
 
     bool mayWrite(ServerCall &call, absl::Time now) override;
@@ -102,9 +109,15 @@
     void onPlacementReady(absl::Time now) override;
     void onPlacementFailed(ServerKey engine, absl::Time now) override;
     void retryPlacement(absl::Time now);
+    void place(const StreamDecision &decision, absl::Time now);
+    /** Gives up the placement of an attempt that has not been sent yet. */
+    void dropPlacement();
+    void retirePlacement(std::unique_ptr<PlacedStream> dropped);
 
     void relayEvents(Attempt &attempt, std::string_view data, absl::Time now);
-    void onStreamEvent(ServerCall &call, absl::Time now);
+    void onStreamEvent(Attempt &attempt, absl::Time now);
+    /** Ends all attempts but the one of @p winner, which has delivered the next event. */
+    void endOtherAttempts(const ServerCall &winner);
     void forwardStoredReply();
     void afterAttempt(AttemptEnd end, absl::Time now);
     void finishWith(NextStep step, absl::Time now);
@@ -125,8 +138,11 @@
     void onDeadline();
     void onCheckTimer();
     void checkStreamProgress(absl::Time now);
-    /** Time without a byte from @p server after which it counts as silent. */
-    absl::Duration silenceTimeout(ServerKey server, absl::Time now) const;
+    MigrationEvidence migrationEvidence(const Attempt &attempt, absl::Time now);
+    /** Sends the stream to another server beside its only attempt if that seems to have stopped. */
+    void migrateStream(absl::Time now);
+    /** Time without a byte from the server of @p attempt after which it counts as silent. */
+    absl::Duration silenceTimeout(const Attempt &attempt, absl::Time now) const;
     void hedge(absl::Time now);
     void cancelAttempts();
     Attempt *findAttempt(const ServerCall &call);
@@ -166,7 +182,8 @@
     /** Response bytes buffered by this call so far; part of GatewayContext::bufferedReplyBytes. */
     std::size_t bufferedBytes = 0;
 
-    PlacedStream placement;
+    /** Placement of an attempt that has not been sent yet; null without one. */
+    std::unique_ptr<PlacedStream> placement;
     /** Tokens for servers with a rate limit; null if none are needed or they were used up. */
     std::unique_ptr<TokenWait> tokens;
     /** Servers that the call was denied a token of; it does not claim one of them again. */
--- a/main/gateway/placed_stream.cpp
+++ b/main/gateway/placed_stream.cpp
@@ -13,7 +13,6 @@
 void PlacedStream::place(const StreamDecision &decision, const StreamDemand &demand, bool isResumed,
                          absl::Time now)
 {
-    this->drop();
     this->chosen = decision.plan;
     this->streamId = this->context.nextStreamId++;
     this->context.ledger.place(
--- a/main/gateway/placed_stream.h
+++ b/main/gateway/placed_stream.h
@@ -30,7 +30,7 @@
  * Placement of a stream on an engine and its prefill helpers: the stream's entry in the load
  * ledger, which is reported to the other instances, and the memory reserved for it.
  */
-class PlacedStream final : private ReservationEvents
+class PlacedStream final : public Retirable, private ReservationEvents
 {
 public:
     PlacedStream(GatewayContext &context, const std::string &callId, PlacedStreamEvents &events)
@@ -39,11 +39,9 @@
         , events(events)
     { }
     ~PlacedStream() override { this->drop(); }
-    PlacedStream(const PlacedStream &) = delete;
-    PlacedStream &operator=(const PlacedStream &) = delete;
 
-    /** Applies the placement of @p decision and gives up an earlier one. @p isResumed: events of
-     * the stream have been forwarded before. */
+    /** Applies the placement of @p decision. @p isResumed: events of the stream have been forwarded
+     * before. */
     void place(const StreamDecision &decision, const StreamDemand &demand, bool isResumed,
                absl::Time now);
     /** Removes the stream from the ledger and releases its memory. */
--- a/main/gateway/server_evidence.cpp
+++ b/main/gateway/server_evidence.cpp
@@ -88,6 +88,7 @@
     case AttemptEnd::NotPermitted:
     case AttemptEnd::ServerFailed:
     case AttemptEnd::Overdue:
+    case AttemptEnd::Superseded:
         return;
     }
 }
--- a/main/gateway/stream_planner.cpp
+++ b/main/gateway/stream_planner.cpp
@@ -122,10 +122,8 @@
     return decision;
 }
 
-bool StreamPlanner::hasTimelyPlan(const Service &service, const StreamDemand &demand,
-                                  std::span<const ServerKey> tried, absl::Time now) const
+bool StreamPlanner::isTimely(const StreamDecision &decision, const StreamDemand &demand)
 {
-    const StreamDecision decision = this->decide(service, demand, tried, now);
     return decision.kind == StreamDecision::Kind::Place
         && absl::Milliseconds(decision.plan.predictedFirstEventMs)
         < demand.callerTimeLeft * kMigrationTimeoutShare;
--- a/main/gateway/stream_planner.h
+++ b/main/gateway/stream_planner.h
@@ -66,9 +66,8 @@
     /** The same with these engines only, for which there are tokens where they are needed. */
     StreamDecision decideAmong(const Service &service, const StreamDemand &demand,
                                std::span<const ServerKey> engines, absl::Time now) const;
-    /** An engine would deliver the stream's next event in time. */
-    bool hasTimelyPlan(const Service &service, const StreamDemand &demand,
-                       std::span<const ServerKey> tried, absl::Time now) const;
+    /** The engine of @p decision would deliver the stream's next event in time. */
+    static bool isTimely(const StreamDecision &decision, const StreamDemand &demand);
 
 private:
     StreamDecision decide(const Service &service, const StreamDemand &demand,
--- a/main/gateway/token_wait.h
+++ b/main/gateway/token_wait.h
@@ -34,6 +34,8 @@
 
     /** Gives up claims and returns tokens. No callback follows. */
     void release(absl::Time now);
+    /** A claim is neither granted nor denied yet. */
+    bool isPending() const { return !this->waiting.empty(); }
     /** All servers that the needs name. */
     const std::vector<ServerKey> &claimed() const { return this->claimedServers; }
     /** Servers for which there are tokens that have not been spent. */
--- a/servers/retry/attempt_policy.cpp
+++ b/servers/retry/attempt_policy.cpp
@@ -38,20 +38,26 @@
         return "silent";
     case AttemptEnd::Overdue:
         return "overdue";
+    case AttemptEnd::Superseded:
+        return "superseded";
     }
     return "unknown";
 }
 
 bool shouldMigrate(const MigrationEvidence &evidence)
 {
-    if (evidence.isUnresponsive && evidence.holdsMemory)
-        return true;
     if (!evidence.isRepeatable || evidence.earlierRuns + 1 >= evidence.maxRuns)
         return false;
     return (evidence.isSilent || evidence.isUnresponsive || evidence.isOverdue)
         && evidence.hasBetterServer;
 }
 
+bool shouldAbandon(const MigrationEvidence &evidence)
+{
+    return evidence.isUnresponsive && evidence.holdsMemory
+        && evidence.silentFor >= kMaxMemoryHoldForSilence;
+}
+
 NextStep nextStep(AttemptEnd end, const CallProgress &progress)
 {
     if (progress.isQuarantined)
--- a/servers/retry/attempt_policy.h
+++ b/servers/retry/attempt_policy.h
@@ -25,6 +25,8 @@
     Silent,
     /** The server makes progress, but too slowly for this call. */
     Overdue,
+    /** Another attempt of the same call has delivered the next event of the stream. */
+    Superseded,
 };
 
 /** Stable snake_case name for logs. */
@@ -72,6 +74,8 @@
     bool isSilent = false;
     /** The server no longer accepts connections. */
     bool isUnresponsive = false;
+    /** Time since the last byte from the server. */
+    absl::Duration silentFor = absl::ZeroDuration();
     /** Other servers have memory reserved for the stream. */
     bool holdsMemory = false;
     /** The stream has had no event for most of Route::streamIdleTimeout(). */
@@ -81,13 +85,22 @@
 };
 
 /**
- * Whether the attempt of a stream is ended so that the stream goes to another server. Silence alone
- * is not enough: an engine is also silent while it prefills a long prompt, and a stream taken from
- * it is lost if no other server can run it in time. If its server is unresponsive and other servers
- * have memory reserved for the stream, the attempt is ended in any case.
+ * Whether a stream is also sent to another server. Silence alone is not enough: an engine is also
+ * silent while it prefills a long prompt. The first attempt goes on until one of the two delivers
+ * the next event, since a silent server may be sound, and the other server may reject the stream or
+ * fail.
  */
 bool shouldMigrate(const MigrationEvidence &evidence);
 
+/** Time without a byte after which an unresponsive server's attempt is ended if other servers have
+ * memory reserved for it. Users require memory to be free four seconds after its last request has
+ * ended. */
+constexpr absl::Duration kMaxMemoryHoldForSilence = absl::Seconds(3);
+
+/** Whether the attempt of a stream is ended although no other server has taken over: only to free
+ * the memory that is reserved for it elsewhere. */
+bool shouldAbandon(const MigrationEvidence &evidence);
+
 /** Time after which an idempotent call is also sent to a second server. @p meanResponseTime: of the
  * first server. */
 absl::Duration hedgeDelay(absl::Duration meanResponseTime, absl::Duration objective);
--- a/servers/retry/event_relay.cpp
+++ b/servers/retry/event_relay.cpp
@@ -52,33 +52,27 @@
         this->last = number;
 }
 
-void EventRelay::beginRun()
+Result<std::string> EventRelay::feed(Run &run, std::string_view data)
 {
-    this->pending.clear();
-    this->idleBytes = 0;
-}
-
-Result<std::string> EventRelay::feed(std::string_view data)
-{
-    this->pending.append(data);
-    this->idleBytes += data.size();
+    run.pending.append(data);
+    run.idleBytes += data.size();
     this->advanced = false;
     std::string completeEvents;
-    std::string_view rest = this->pending;
+    std::string_view rest = run.pending;
     while (true) {
         const std::size_t length = firstEventLength(rest);
         if (length == std::string_view::npos)
             break;
         const std::string_view event = rest.substr(0, length);
-        const EventClass eventClass = this->classify(event);
+        const EventClass eventClass = this->classify(run, event);
         if (eventClass == EventClass::Gap)
             return Error::ProtocolViolation;
         if (eventClass == EventClass::Pass)
             completeEvents.append(event);
         rest.remove_prefix(length);
     }
-    this->pending.erase(0, this->pending.size() - rest.size());
-    if (this->idleBytes > kMaxEventBytes)
+    run.pending.erase(0, run.pending.size() - rest.size());
+    if (run.idleBytes > kMaxEventBytes)
         return Error::ProtocolViolation;
     return completeEvents;
 }
@@ -88,7 +82,7 @@
     return this->last ? std::to_string(*this->last) : std::string();
 }
 
-EventRelay::EventClass EventRelay::classify(std::string_view event)
+EventRelay::EventClass EventRelay::classify(Run &run, std::string_view event)
 {
     const std::optional<std::uint64_t> number = eventNumber(event);
     if (!number)
@@ -98,7 +92,7 @@
     if (this->last && *number != *this->last + 1)
         return EventClass::Gap;
     this->last = number;
-    this->idleBytes = 0;
+    run.idleBytes = 0;
     this->advanced = true;
     return EventClass::Pass;
 }
--- a/servers/retry/event_relay.h
+++ b/servers/retry/event_relay.h
@@ -10,41 +10,49 @@
 namespace foxtailtally {
 
 /**
- * Forwards each event of a stream complete and exactly once, also when another run resumes the
- * stream. Events are numbered consecutively; a run that skips a number cannot resume the stream.
+ * Forwards each event of a stream complete and exactly once, also when other runs resume the stream
+ * or run beside the first one. Events are numbered consecutively; a run that skips a number cannot
+ * resume the stream.
  */
 class EventRelay
 {
 public:
+    /** What one run of the stream has sent since its last complete event. */
+    class Run
+    {
+    public:
+        /** No incomplete event is buffered. */
+        bool isBetweenEvents() const { return this->pending.empty(); }
+
+    private:
+        friend class EventRelay;
+
+        std::string pending;
+        /** Bytes received since the last new event. */
+        std::size_t idleBytes = 0;
+    };
+
     /** @p lastEventId: the event after which the caller asked to resume; may be empty. */
     explicit EventRelay(std::string_view lastEventId);
 
-    /** Starts another run. Events up to the last one forwarded are skipped if the run repeats them.
-     */
-    void beginRun();
     /**
-     * Takes bytes of the current run and returns the bytes of the events that they complete. Fails
-     * with ProtocolViolation when an event number is skipped, or when the run sends more than the
-     * size limit of an event without a new event.
+     * Takes bytes of @p run and returns the bytes of the events that they complete, without those
+     * that were forwarded before. Fails with ProtocolViolation when an event number is skipped, or
+     * when the run sends more than the size limit of an event without a new event.
      */
-    Result<std::string> feed(std::string_view data);
+    Result<std::string> feed(Run &run, std::string_view data);
     /** The last call of feed() completed a new event. Comments, repeated events and parts of an
      * event do not count as progress, however many arrive. */
     bool hasAdvanced() const { return this->advanced; }
 
-    /** No incomplete event is buffered. */
-    bool isBetweenEvents() const { return this->pending.empty(); }
     /** Number of the last event forwarded, or the one given by the caller; empty without either. */
     std::string lastEventId() const;
 
 private:
     enum class EventClass { Pass, Skip, Gap };
 
-    EventClass classify(std::string_view event);
+    EventClass classify(Run &run, std::string_view event);
 
-    std::string pending;
-    /** Bytes received since the last new event. */
-    std::size_t idleBytes = 0;
     bool advanced = false;
     std::optional<std::uint64_t> last;
 };
