Apply the limits of a new configuration to open connections of callers

What callers would see: on a connection that was accepted before a configuration change, a request that only the new limits allow is refused with 413 or 431, and a connection is closed after the old idle time although the new one allows more; a request that crosses this close gets no answer.

Cause: an InboundConnection takes its limits when it is accepted and keeps them.

Change: the gateway gives the limits of an adopted configuration to all open sessions at its next tick, 250 ms at most. An idle connection starts its idle time anew.

Shown: GatewayProcess.AppliesNewLimitsToOpenConnections got 413 before; InboundConnectionTest.AppliesNewLimitsWhileItIsOpen.

--- a/main/gateway/caller_session.cpp
+++ b/main/gateway/caller_session.cpp
@@ -39,6 +39,11 @@
     , connection(context.base, socket, *this, inboundLimits(context.config.get()))
 { }
 
+void CallerSession::applyLimits()
+{
+    this->connection.setLimits(inboundLimits(this->context.config.get()));
+}
+
 void CallerSession::onRequestHead(InboundConnection &connection)
 {
     const absl::Time now = Clock::now();
--- a/main/gateway/caller_session.h
+++ b/main/gateway/caller_session.h
@@ -28,6 +28,8 @@
     CallerSession(GatewayContext &context, int socket, SessionOwner &owner);
 
     void closeWhenIdle() { this->connection.closeWhenIdle(); }
+    /** Applies the limits of the configuration in force to the open connection. */
+    void applyLimits();
 
 private:
     /** A refusal that is sent once the request has been read. */
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -116,6 +116,7 @@
 {
     this->tick.start(kTickInterval);
     const absl::Time now = Clock::now();
+    this->applyConfigToSessions();
     this->context.directory.onTick(now);
     this->context.limits.onTick(now);
     this->context.ledger.onTick(now);
@@ -136,6 +137,15 @@
         this->continueStop(now);
 }
 
+void Gateway::applyConfigToSessions()
+{
+    if (this->appliedConfig == this->context.config)
+        return;
+    this->appliedConfig = this->context.config;
+    for (const auto &[key, session] : this->sessions)
+        session->applyLimits();
+}
+
 void Gateway::beginStop()
 {
     if (this->context.stop.isStopping())
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -38,6 +38,7 @@
     void onAccept(int socket);
     void onSessionClosed(CallerSession &session) override;
     void onTick();
+    void applyConfigToSessions();
     void beginStop();
     void continueStop(absl::Time now);
     bool isReady(absl::Time now) const;
@@ -53,6 +54,8 @@
     evconnlistener *listener = nullptr;
     event *termination = nullptr;
     LoopTimer tick;
+    /** Configuration whose limits the open sessions have. */
+    std::shared_ptr<const ServingConfig> appliedConfig;
     absl::flat_hash_map<CallerSession *, std::unique_ptr<CallerSession>> sessions;
 };
 
--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -148,6 +148,13 @@
     this->close();
 }
 
+void InboundConnection::setLimits(const InboundLimits &limits)
+{
+    this->limits = limits;
+    if (this->state == State::Idle)
+        this->armTimer(this->limits.idleTimeout);
+}
+
 void InboundConnection::closeWhenIdle()
 {
     this->isClosing = true;
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -72,6 +72,8 @@
     /** Closes the connection, so that the caller sees a truncated response. */
     void abort();
 
+    /** Applies @p limits to further input and to the time that the connection may be idle. */
+    void setLimits(const InboundLimits &limits);
     /** Closes the connection after the response to the current request. */
     void closeAfterAnswer() { this->isClosing = true; }
     /** Closes an idle connection now, any other after its next response. */
--- a/tests/http/inbound_connection_test.cpp
+++ b/tests/http/inbound_connection_test.cpp
@@ -217,5 +217,21 @@
     ::close(sockets[0]);
 }
 
+TEST_F(InboundConnectionTest, AppliesNewLimitsWhileItIsOpen)
+{
+    InboundLimits limits;
+    limits.bodyBytes = 8;
+    limits.idleTimeout = absl::Milliseconds(5);
+    this->connection->setLimits(limits);
+    limits.idleTimeout = absl::Seconds(20);
+    limits.bodyBytes = 1000;
+    this->connection->setLimits(limits);
+    this->loop.runEvents();
+    const std::string body(500, 'x');
+    EXPECT_EQ(this->rejection("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 500\r\n\r\n" + body),
+              0);
+    EXPECT_EQ(this->events.body, body);
+}
+
 } // namespace
 } // namespace foxtailtally
--- a/tests/process/gateway_deployment.cpp
+++ b/tests/process/gateway_deployment.cpp
@@ -150,7 +150,7 @@
 }
 
 void GatewayDeployment::configure(int version, const std::vector<std::string> &keys,
-                                  double readTokensPerSecond)
+                                  double readTokensPerSecond, int maxBodyBytes)
 {
     const Json engine = {{"Slots", 16},
                          {"KvCapacity", 405000},
@@ -164,7 +164,7 @@
          {route("s", "/stream", "streaming", "engine"), longRoute(),
           route("n", "/act", "non_idempotent", "desk"), route("i", "/look", "idempotent", "desk")}},
         {"Services", {{{"Name", "engine"}, {"Engine", engine}}, {{"Name", "desk"}}}},
-        {"Limits", {{"MaxBodyBytes", 65536}, {"MaxHeaderBytes", 8192}}},
+        {"Limits", {{"MaxBodyBytes", maxBodyBytes}, {"MaxHeaderBytes", 8192}}},
         {"Tenants", {{{"Name", "customer-1"}, {"ApiKeys", keys}}}}};
     this->standin->putObject(std::string(platform::kConfigKind), std::string(platform::kConfigName),
                              config.dump());
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -41,9 +41,10 @@
     int size() const { return static_cast<int>(this->processes.size()); }
 
     /** Stores configuration @p version: services, routes of each kind, and API keys.
-     * @p readTokensPerSecond: prefill rate of the engines. */
+     * @p readTokensPerSecond: prefill rate of the engines. @p maxBodyBytes: of callers' requests.
+     */
     void configure(int version, const std::vector<std::string> &keys,
-                   double readTokensPerSecond = 154000.0);
+                   double readTokensPerSecond = 154000.0, int maxBodyBytes = 65536);
 
 private:
     std::string host(int number) const;
--- a/tests/process/gateway_process_test.cpp
+++ b/tests/process/gateway_process_test.cpp
@@ -1,5 +1,6 @@
 #include "tests/process/gateway_deployment.h"
 #include "tests/process/http_caller.h"
+#include "tests/process/kept_connection.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
@@ -226,6 +227,27 @@
     EXPECT_EQ(this->call("/act/a", "b", "key-1").status, 401);
 }
 
+// Guards against a fault: a connection kept the limits of the configuration that was in force when
+// it was accepted, so requests that a newer one allows were refused, and idle ones closed too
+// early.
+TEST_F(GatewayProcess, AppliesNewLimitsToOpenConnections)
+{
+    this->startAll();
+    KeptConnection kept(this->deployment.callerAddress(0));
+    CallerRequest request;
+    request.path = "/act/a";
+    request.body = "small";
+    request.headers = {"Attempt-Id: small", "Key: key-1", "Deadline-Ms: 3000"};
+    ASSERT_EQ(kept.call(request).status, 200);
+    this->deployment.configure(2, {"key-1"}, 154000.0, 131072);
+    const std::string large(100000, 'x');
+    ASSERT_TRUE(this->eventually([&] { return this->call("/act/a", large).status == 200; }));
+    absl::SleepFor(absl::Milliseconds(300));
+    request.body = large;
+    request.headers.front() = "Attempt-Id: large";
+    EXPECT_EQ(kept.call(request).status, 200);
+}
+
 TEST_F(GatewayProcess, StopsGracefully)
 {
     this->startAll();
