Let the first attempt of a stream survive whatever becomes of the second

Change: a granted retry stays with the call until a server gets it; a preparation that was granted goes on when the first attempt breaks, and ends when it resumes; while another attempt goes on, only an event shows that one has continued the stream; rejections of second copies are counted by themselves; a suspect call is sent on from an unresponsive server, within the restrictions for suspects.

BrieflySilentServerPair.KeepsItsStreamWhenNoRetryIsAllowed holds the reported cause, an instance whose retry budget is used up. The states with pending reservations and tokens are read, not tested.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -11,6 +11,7 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace foxtailtally {
 
@@ -297,12 +298,12 @@
     const std::vector<ServerKey> claimed = this->tokens->claimed();
     this->deniedServers.insert(this->deniedServers.end(), claimed.begin(), claimed.end());
     this->dropTokens(now);
-    ++this->tokenDenials;
     if (!this->attempts.empty()) {
+        ++this->migrationRejections;
         this->checkTimer.start(kStreamRecheckInterval);
         return;
     }
-    if (this->tokenDenials > kMaxTokenDenials || this->suspicion->isQuarantined(now)
+    if (++this->tokenDenials > kMaxTokenDenials || this->suspicion->isQuarantined(now)
         || !this->dispatch(now))
         this->finishWith(fallbackStep(AttemptEnd::NotPermitted, this->progress(now)), now);
 }
@@ -384,12 +385,12 @@
 {
     this->dropPlacement();
     this->dropTokens(now);
-    ++this->rejections;
     if (!this->attempts.empty()) {
+        ++this->migrationRejections;
         this->checkTimer.start(kStreamRecheckInterval);
         return;
     }
-    if (this->rejections > kMaxRejections || this->suspicion->isQuarantined(now)
+    if (++this->rejections > kMaxRejections || this->suspicion->isQuarantined(now)
         || !this->dispatch(now))
         this->finishWith(fallbackStep(AttemptEnd::NotSent, this->progress(now)), now);
 }
@@ -437,6 +438,7 @@
     ServerCallEvents &events = *this;
     Attempt &attempt = this->attempts.emplace_back();
     attempt.placement = std::move(this->placement);
+    attempt.usedRetryGrant = std::exchange(this->hasRetryGrant, false);
     attempt.call = std::make_unique<ServerCall>(this->context, std::move(target), events);
     const RequestHead &head = this->caller->head();
     attempt.call->send(platform::encodeForwardedCall(head, this->caller->body(), forwarded),
@@ -503,8 +505,15 @@
         this->isReadingPaused = true;
         call.pauseReading(true);
     }
-    if (this->relay.hasAdvanced())
-        this->endOtherAttempts(call);
+    if (!this->relay.hasAdvanced())
+        return;
+    attempt.replacedFor.reset();
+    attempt.wasRetryDenied = false;
+    if (this->isPreparing()) {
+        this->dropPlacement();
+        this->dropTokens(now);
+    }
+    this->endOtherAttempts(call);
 }
 
 void CallRun::endOtherAttempts(const ServerCall &winner)
@@ -560,7 +569,10 @@
     this->context.retired.push_back(std::move(finished->call));
     this->retirePlacement(std::move(finished->placement));
     ++this->runs;
-    if (finished->isRelaying && finished->run.isBetweenEvents()) {
+    // While another attempt goes on, only an event shows that this one has continued the stream.
+    const bool hasContinued =
+        this->attempts.empty() || finished->firstEventAt != absl::InfiniteFuture();
+    if (finished->isRelaying && finished->run.isBetweenEvents() && hasContinued) {
         this->suspicion->onServed(now);
         if (!this->hasAnswerBegun)
             this->caller->startStream(finished->reply.status,
@@ -575,7 +587,8 @@
     }
     this->reply = std::move(finished->reply);
     this->replyBody = std::move(finished->body);
-    if (this->reply.status >= 500) {
+    const bool isStreamElsewhere = this->isStream() && !this->attempts.empty();
+    if (this->reply.status >= 500 || isStreamElsewhere) {
         this->context.health.onOutcome(server, ServerHealth::Outcome::Failed, now);
         this->afterAttempt(AttemptEnd::ServerFailed, now);
         return;
@@ -607,11 +620,15 @@
     this->suspicion->onLoss(call.target(), this->crashEvidence(*ended, end, now), now);
     this->context.retired.push_back(std::move(ended->call));
     this->retirePlacement(std::move(ended->placement));
-    if (end == AttemptEnd::NotSent || end == AttemptEnd::NotPermitted
-        || end == AttemptEnd::Rejected)
-        ++this->rejections;
-    else
+    const bool wasUnsent = end == AttemptEnd::NotSent || end == AttemptEnd::NotPermitted
+        || (end == AttemptEnd::Superseded && !call.wasWritten());
+    this->hasRetryGrant = this->hasRetryGrant || (wasUnsent && ended->usedRetryGrant);
+    if (!wasUnsent && end != AttemptEnd::Rejected)
         ++this->runs;
+    else if (this->isStream() && !this->attempts.empty())
+        ++this->migrationRejections;
+    else
+        ++this->rejections;
     // Silence was recorded when the stream was also sent to another server.
     if (end != ended->replacedFor)
         recordAttemptEnd(this->context, call, end, now);
@@ -627,20 +644,17 @@
 
 void CallRun::afterAttempt(AttemptEnd end, absl::Time now)
 {
-    if (!this->attempts.empty()) {
+    if (!this->attempts.empty() || this->isPreparing()) {
         if (this->isStream())
             this->checkTimer.start(kStreamRecheckInterval);
         return;
     }
-    this->dropPlacement();
     this->dropTokens(now);
     const CallProgress state = this->progress(now);
     NextStep step = nextStep(end, state);
     if (step == NextStep::TryElsewhere) {
         const bool isRetry = end != AttemptEnd::NotSent && end != AttemptEnd::NotPermitted;
-        const bool allowed = !isRetry
-            || this->context.retries.tryRetry(this->service, this->context.exchange.instanceCount(),
-                                              now);
+        const bool allowed = !isRetry || this->takeRetry(now);
         if (allowed && this->dispatch(now))
             return;
         logNotRetried(this->context, this->call.headers.callId, end,
@@ -802,11 +816,24 @@
     }
     // The timer is started first: the placement of the second attempt may start it again.
     this->checkTimer.start(kStreamRecheckInterval);
-    const bool isPreparing = this->placement || (this->tokens && this->tokens->isPending());
-    if (this->attempts.size() == 1 && !isPreparing && this->rejections < kMaxRejections)
+    if (this->attempts.size() == 1 && !this->isPreparing()
+        && this->migrationRejections < kMaxRejections)
         this->migrateStream(now);
 }
 
+bool CallRun::isPreparing() const
+{
+    return this->placement || (this->tokens && this->tokens->isPending());
+}
+
+bool CallRun::takeRetry(absl::Time now)
+{
+    const std::size_t instances = this->context.exchange.instanceCount();
+    this->hasRetryGrant =
+        this->hasRetryGrant || this->context.retries.tryRetry(this->service, instances, now);
+    return this->hasRetryGrant;
+}
+
 MigrationEvidence CallRun::migrationEvidence(const Attempt &attempt, absl::Time now)
 {
     const AttemptTarget &target = attempt.call->target();
@@ -837,9 +864,14 @@
     const Service *found = this->call.config->findService(this->service);
     const bool hasReason = evidence.isSilent || evidence.isUnresponsive || evidence.isOverdue;
     // A second copy of a call that may crash its server could crash another one.
-    if (!found || !hasReason || this->suspicion->nextRun(now) != SuspectRun::None)
+    const bool mayCrashServers = this->suspicion->nextRun(now) != SuspectRun::None;
+    if (!found || !hasReason || (mayCrashServers && !evidence.isUnresponsive))
+        return;
+    const SuspectPlacement restrictions =
+        this->suspicion->restrictions(this->service, this->tried, now);
+    if (restrictions.mustWait || this->suspicion->isQuarantined(now))
         return;
-    const std::vector<ServerKey> excluded = this->excludedServers({});
+    const std::vector<ServerKey> excluded = this->excludedServers(restrictions.forbidden);
     const StreamDemand demand = this->demand(now);
     StreamDecision decision;
     ServiceChoice choice;
@@ -855,8 +887,7 @@
         return;
     const AttemptEnd reason =
         evidence.isSilent || evidence.isUnresponsive ? AttemptEnd::Silent : AttemptEnd::Overdue;
-    if (!this->context.retries.tryRetry(this->service, this->context.exchange.instanceCount(),
-                                        now)) {
+    if (!this->takeRetry(now)) {
         if (!attempt.wasRetryDenied)
             logNotRetried(this->context, this->call.headers.callId, reason, "retry_budget");
         attempt.wasRetryDenied = true;
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -73,8 +73,10 @@
         absl::Time firstEventAt = absl::InfiniteFuture();
         /** Why the stream was also sent to another server; none while it was not. */
         std::optional<AttemptEnd> replacedFor;
-        /** The retry budget has denied a second server since this attempt began. */
+        /** The retry budget has denied a second server since the last event. */
         bool wasRetryDenied = false;
+        /** The retry budget has granted this attempt. */
+        bool usedRetryGrant = false;
     };
 
     bool mayWrite(ServerCall &call, absl::Time now) override;
@@ -137,6 +139,10 @@
 
     void onDeadline();
     void onCheckTimer();
+    /** A second server is being prepared for the call, and nothing has been sent to it yet. */
+    bool isPreparing() const;
+    /** Asks the retry budget, unless it has granted a retry that no server got. */
+    bool takeRetry(absl::Time now);
     void checkStreamProgress(absl::Time now);
     MigrationEvidence migrationEvidence(const Attempt &attempt, absl::Time now);
     /** Sends the stream to another server beside its only attempt if that seems to have stopped. */
@@ -167,6 +173,10 @@
     int runs = 0;
     int rejections = 0;
     int tokenDenials = 0;
+    /** Rejections of second copies of a stream while its first attempt went on. */
+    int migrationRejections = 0;
+    /** The retry budget has granted a retry that no server got yet. */
+    bool hasRetryGrant = false;
     bool hasAnswerBegun = false;
     bool done = false;
     bool isReadingPaused = false;
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -66,6 +66,7 @@
     if (!this->events.mayWrite(*this, now))
         return false;
     this->context.activity[this->server.key].sent.add(RequestKind::Call, now);
+    this->written = true;
     return true;
 }
 
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -66,6 +66,8 @@
 
     const AttemptTarget &target() const { return this->server; }
     absl::Time sentAt() const { return this->startedAt; }
+    /** The call has been written to the connection, so that it may reach the server. */
+    bool wasWritten() const { return this->written; }
     /** Another server, or another incarnation of this one, has the address. */
     bool wasMisdirected() const { return this->misdirected; }
     /** Address of the server that a rejection named as its cause; empty when it named none. */
@@ -105,6 +107,7 @@
     bool isWithheld = false;
     bool isConnectionReused = false;
     bool mustRunOnce = false;
+    bool written = false;
 };
 
 } // namespace foxtailtally
--- a/tests/process/gateway_deployment.cpp
+++ b/tests/process/gateway_deployment.cpp
@@ -101,7 +101,8 @@
                         << index % 3 << "\naddress = " << own << "\ncaller_address = " << own
                         << ":8080\nready_address = " << own
                         << ":8081\ninternal_ports = 7340,7355\n[store]\naddress = " << store
-                        << "\n[keys]\nrevocation_bound = 3 s\n[stop]\nlimit = 4 s\n";
+                        << "\n[keys]\nrevocation_bound = 3 s\n[stop]\nlimit = 4 s\n"
+                        << this->extraSettings;
     const std::string log = this->logFile(index);
     this->logStarts.at(static_cast<std::size_t>(index)) =
         std::filesystem::exists(log) ? std::filesystem::file_size(log) : 0;
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -26,6 +26,8 @@
     /** Sets the store address in the settings of gateway @p index; the store's own by default. */
     void setStoreAddress(int index, const std::string &address);
 
+    /** Appends @p text to the settings of all gateways that are started from now on. */
+    void setExtraSettings(const std::string &text) { this->extraSettings = text; }
     void start(int index);
     ChildProcess &process(int index)
     {
@@ -53,6 +55,7 @@
     std::unique_ptr<ServingStandin> standin;
     std::vector<std::unique_ptr<ChildProcess>> processes;
     std::vector<std::string> storeAddresses;
+    std::string extraSettings;
     /** Size of each gateway's log file at its last start, in bytes. */
     std::vector<std::uintmax_t> logStarts;
 };
--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -537,6 +537,13 @@
         connection.answer(200, this->replyHeaders(server, arrival, "text/plain"),
                           std::string(9U << 20, 'x'));
         return;
+    case ServerBehavior::NotFound:
+        connection.answer(404, this->replyHeaders(server, arrival, "text/plain"), "not found");
+        return;
+    case ServerBehavior::EmptyStream:
+        connection.startStream(200, this->replyHeaders(server, arrival, "text/event-stream"));
+        connection.finishStream();
+        return;
     case ServerBehavior::Serve:
     case ServerBehavior::DisconnectMidStream:
     case ServerBehavior::AnnounceDraining:
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -40,6 +40,10 @@
     TruncateBody,
     /** Sends a longer response body than a gateway buffers. */
     Oversized,
+    /** Runs the call and responds 404. */
+    NotFound,
+    /** Responds with a stream that ends without an event. */
+    EmptyStream,
     /** Serves the call and sets Server-Leaving in the response. */
     AnnounceDraining,
     /** Rejects the call like Shed, with a Retry-After of ServingStandin::kRetryAfter. */
--- a/tests/process/silent_server_test.cpp
+++ b/tests/process/silent_server_test.cpp
@@ -146,7 +146,6 @@
         for (int index = 0; index < 2; ++index)
             platform.addServer(index, "engine", "d0", platform.serverAddress(index));
         platform.setPrefillTime(absl::Milliseconds(100));
-        this->deployment.start(0);
     }
 
     CallerAnswer stream()
@@ -179,10 +178,11 @@
                             public testing::WithParamInterface<BriefSilenceCase>
 { };
 
-// Guards against a fault that users reported: a stream whose server was silent for a second was
-// given up before another server could continue it, and its response ended incomplete.
+// Guards against a stream that is given up while its server is silent for a moment, before another
+// server has continued it, so that its response ends incomplete.
 TEST_P(BrieflySilentServer, DoesNotCutItsStream)
 {
+    this->deployment.start(0);
     ASSERT_TRUE(this->deployment.waitUntilReady(0));
     ServingStandin &platform = this->deployment.platform();
     CallerAnswer answer;
@@ -203,6 +203,7 @@
 // A server that goes on before the other one has delivered anything keeps its stream.
 TEST_F(BrieflySilentServerPair, KeepsItsStreamWhenItGoesOnFirst)
 {
+    this->deployment.start(0);
     ASSERT_TRUE(this->deployment.waitUntilReady(0));
     ServingStandin &platform = this->deployment.platform();
     CallerAnswer answer;
@@ -221,6 +222,26 @@
     EXPECT_EQ(platform.arrivals().size(), 2U);
 }
 
+TEST_F(BrieflySilentServerPair, KeepsItsStreamWhenNoRetryIsAllowed)
+{
+    this->deployment.setExtraSettings("[retries]\nratio = 0\nslack = 0\n");
+    this->deployment.start(0);
+    ASSERT_TRUE(this->deployment.waitUntilReady(0));
+    ServingStandin &platform = this->deployment.platform();
+    CallerAnswer answer;
+    std::thread caller([&] { answer = this->stream(); });
+    const int first = this->waitForFirstArrival();
+    if (first >= 0) {
+        absl::SleepFor(absl::Milliseconds(220));
+        platform.fallSilent(first, kBriefSilence);
+    }
+    caller.join();
+    ASSERT_GE(first, 0);
+    EXPECT_EQ(answer.body, ServingStandin::streamBody("brief"));
+    EXPECT_TRUE(answer.isComplete);
+    EXPECT_EQ(platform.arrivals().size(), 1U);
+}
+
 std::vector<BriefSilenceCase> briefSilenceCases()
 {
     const std::vector<std::pair<std::string, ServerBehavior>> behaviors = {
@@ -229,7 +250,9 @@
         {"Fails", ServerBehavior::FailAfterRunning},
         {"Disconnects", ServerBehavior::Disconnect},
         {"DoesNotRespond", ServerBehavior::NoResponse},
-        {"SendsNoStream", ServerBehavior::TruncateBody}};
+        {"SendsNoStream", ServerBehavior::TruncateBody},
+        {"SendsNoEvent", ServerBehavior::EmptyStream},
+        {"FindsNothing", ServerBehavior::NotFound}};
     std::vector<BriefSilenceCase> cases;
     for (const auto &[name, behavior] : behaviors) {
         cases.push_back({"BeforeAnEventAndTheOther" + name, behavior, absl::ZeroDuration()});
