Free the memory of a silent stream within its bound in all cases

Change: an engine that is no longer listed counts as unresponsive; a silent first attempt ends after 3 s if the stream has been sent to another engine; with two attempts the check comes every 250 ms.

Shown: AttemptPolicy.AbandonsAnAttemptOnlyToFreeReservedMemory failed for the replaced attempt before. The vanished entry is read, not tested with processes.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -369,8 +369,9 @@
         this->context.activity[helper].sent.add(RequestKind::PrefillPart, now);
     const double predictedMs = this->placement->plan().predictedFirstEventMs;
     this->sendTo(this->placement->server(), this->placement->helpers(), now);
-    this->checkTimer.start(
-        std::min(kServerSilenceTimeout, absl::Milliseconds(predictedMs) + kStreamProgressSlack));
+    const absl::Duration progressCheck =
+        std::min(kServerSilenceTimeout, absl::Milliseconds(predictedMs) + kStreamProgressSlack);
+    this->checkTimer.start(this->attempts.size() > 1 ? kStreamRecheckInterval : progressCheck);
 }
 
 void CallRun::onPlacementFailed(ServerKey engine, absl::Time now)
@@ -848,12 +849,14 @@
     evidence.maxRuns = this->call.route->maxAttempts;
     evidence.isOverdue =
         now - lastProgressAt > this->call.route->streamIdleTimeout() * kMigrationTimeoutShare;
-    evidence.isUnresponsive = evidence.silentFor >= kServerSilenceTimeout
-        && this->context.reachability.isUnresponsive(target.key);
+    const bool isGone = this->context.reachability.isUnresponsive(target.key)
+        || !this->context.directory.findByKey(target.key);
+    evidence.isUnresponsive = evidence.silentFor >= kServerSilenceTimeout && isGone;
     evidence.isSilent = (evidence.isOverdue && evidence.silentFor > kServerSilenceTimeout)
         || (evidence.silentFor > kServerSilenceTimeout * 2
             && evidence.silentFor > this->silenceTimeout(attempt, now));
     evidence.holdsMemory = attempt.placement && attempt.placement->holdsMemory();
+    evidence.hasReplacement = this->attempts.size() > 1 && &attempt == &this->attempts.front();
     return evidence;
 }
 
--- a/servers/retry/attempt_policy.cpp
+++ b/servers/retry/attempt_policy.cpp
@@ -54,8 +54,8 @@
 
 bool shouldAbandon(const MigrationEvidence &evidence)
 {
-    return evidence.isUnresponsive && evidence.holdsMemory
-        && evidence.silentFor >= kMaxMemoryHoldForSilence;
+    return evidence.holdsMemory && evidence.silentFor >= kMaxMemoryHoldForSilence
+        && (evidence.isUnresponsive || (evidence.isSilent && evidence.hasReplacement));
 }
 
 NextStep nextStep(AttemptEnd end, const CallProgress &progress)
--- a/servers/retry/attempt_policy.h
+++ b/servers/retry/attempt_policy.h
@@ -80,6 +80,8 @@
     bool holdsMemory = false;
     /** The stream has had no event for most of Route::streamIdleTimeout(). */
     bool isOverdue = false;
+    /** The stream has been sent to another server too. */
+    bool hasReplacement = false;
     /** Another server is expected to send the next event in time. */
     bool hasBetterServer = false;
 };
@@ -92,9 +94,9 @@
  */
 bool shouldMigrate(const MigrationEvidence &evidence);
 
-/** Time without a byte after which an unresponsive server's attempt is ended if other servers have
- * memory reserved for it. Users require memory to be free four seconds after its last request has
- * ended. */
+/** Time without a byte after which an attempt is ended if other servers have memory reserved for it
+ * and its server is unresponsive, or silent and replaced. Users require memory to be free four
+ * seconds after its last request has ended. */
 constexpr absl::Duration kMaxMemoryHoldForSilence = absl::Seconds(3);
 
 /** Whether the attempt of a stream is ended although no other server has taken over: only to free
--- a/tests/retry/retry_test.cpp
+++ b/tests/retry/retry_test.cpp
@@ -110,9 +110,14 @@
     EXPECT_TRUE(shouldAbandon(evidence));
     evidence.silentFor = absl::Milliseconds(2500);
     EXPECT_FALSE(shouldAbandon(evidence));
-    evidence.silentFor = absl::Seconds(10);
+    evidence.silentFor = absl::Milliseconds(3100);
+    EXPECT_TRUE(shouldAbandon(evidence));
     evidence.isUnresponsive = false;
     EXPECT_FALSE(shouldAbandon(evidence));
+    evidence.hasReplacement = true;
+    EXPECT_TRUE(shouldAbandon(evidence));
+    evidence.isSilent = false;
+    EXPECT_FALSE(shouldAbandon(evidence));
     evidence.isUnresponsive = true;
     evidence.earlierRuns = 1;
     evidence.isRepeatable = evidence.hasBetterServer = false;
