Send a whole response to a slow caller before the connection closes

What callers saw in a test: a response of 2 MB with "Connection: close", read at 0.8 MB/s, ended after 0.85 MB.

Cause: the second during which late input is read and dropped began when the response was written to the buffer, and ended the connection with the rest of the response unsent. The last response of a connection during a planned stop was affected in the same way.

Change: the second begins when all output is sent; before, the connection is closed only when the caller has read nothing for 10 s.

Shown: InboundConnectionTest.SendsAWholeResponseToASlowCallerBeforeItCloses failed before (851,968 of 2,097,152 bytes).

--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -28,6 +28,9 @@
  * closing with unread input would send a reset, which can destroy the response in transit. */
 constexpr absl::Duration kLingerTime = absl::Seconds(1);
 
+/** Time after which a connection is closed if the caller has read nothing of its last response. */
+constexpr absl::Duration kStalledOutputTime = absl::Seconds(10);
+
 bool isValidHeaderName(std::string_view name)
 {
     return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
@@ -323,6 +326,7 @@
 {
     if (this->state == State::Lingering) {
         ::shutdown(bufferevent_getfd(this->stream), SHUT_WR);
+        this->armTimer(kLingerTime);
         return;
     }
     if (this->wasCongested) {
@@ -349,10 +353,20 @@
     }
     if (this->state == State::Idle)
         this->linger();
+    else if (this->state == State::Lingering && this->hasSentMore())
+        this->armTimer(kStalledOutputTime);
     else if (this->state == State::Lingering)
         this->close();
 }
 
+bool InboundConnection::hasSentMore()
+{
+    const std::size_t pending = this->pendingOutput();
+    const bool isLess = pending > 0 && pending < this->lingeringOutput;
+    this->lingeringOutput = pending;
+    return isLess;
+}
+
 void InboundConnection::beginRequest()
 {
     http_parser_init(&this->parser, HTTP_REQUEST);
@@ -394,9 +408,10 @@
     this->state = State::Lingering;
     evbuffer *input = bufferevent_get_input(this->stream);
     evbuffer_drain(input, evbuffer_get_length(input));
-    if (this->pendingOutput() == 0)
+    this->lingeringOutput = this->pendingOutput();
+    if (this->lingeringOutput == 0)
         ::shutdown(bufferevent_getfd(this->stream), SHUT_WR);
-    this->armTimer(kLingerTime);
+    this->armTimer(this->lingeringOutput == 0 ? kLingerTime : kStalledOutputTime);
 }
 
 void InboundConnection::close()
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -109,6 +109,9 @@
     void reject(int status);
     void finishAnswer();
     void linger();
+    /** Output has been written since the last call while the connection lingers, and some is left.
+     */
+    bool hasSentMore();
     void close();
     void armTimer(absl::Duration delay);
     std::string encodeHead(int status, const HttpHeaders &headers) const;
@@ -129,6 +132,8 @@
     bool keepsAlive = true;
     bool isClosing = false;
     bool wasCongested = false;
+    /** Output that was pending when the connection began to linger, or at the last check. */
+    std::size_t lingeringOutput = 0;
 };
 
 } // namespace foxtailtally
--- a/tests/http/inbound_connection_test.cpp
+++ b/tests/http/inbound_connection_test.cpp
@@ -233,5 +233,31 @@
     EXPECT_EQ(this->events.body, body);
 }
 
+// Guards against a response that is cut a second after it was written because its caller reads it
+// slowly and the connection closes after it.
+TEST_F(InboundConnectionTest, SendsAWholeResponseToASlowCallerBeforeItCloses)
+{
+    constexpr std::size_t kBodyBytes = std::size_t {2} << 20;
+    constexpr absl::Duration kReadInterval = absl::Milliseconds(80);
+    constexpr std::size_t kReadBytes = std::size_t {64} << 10;
+    this->events.answersAtOnce = false;
+    writeAll(this->caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.requests == 1; }));
+    this->connection->closeAfterAnswer();
+    this->connection->answer(200, {}, std::string(kBodyBytes, 'x'));
+    std::string piece(kReadBytes, '\0');
+    std::size_t total = 0;
+    absl::Time nextRead = absl::Now();
+    EXPECT_TRUE(this->loop.runUntil([&] {
+        if (absl::Now() < nextRead)
+            return false;
+        nextRead = absl::Now() + kReadInterval;
+        const ssize_t size = ::read(this->caller, piece.data(), piece.size());
+        total += size > 0 ? static_cast<std::size_t>(size) : 0;
+        return size == 0;
+    }));
+    EXPECT_GT(total, kBodyBytes);
+}
+
 } // namespace
 } // namespace foxtailtally
