Read no request on a connection that is being closed for idleness

What a caller would see: a whole request on a kept connection gets neither an answer nor a refusal, and the connection is closed.

Cause: an idle connection was closed for writing first, and what arrived was read and dropped for a second. A request that had arrived while the process was busy, for example with the adoption of a large configuration, was dropped in the same way.

Change: a request that is already there is answered, with "Connection: close" if the instance stops; else the connection is closed at once, so that a later request is reset and its caller knows that it was not read. Lingering remains for connections that close after a response.

Shown: InboundConnectionTest.AnswersARequestThatArrivedBeforeAnIdleClose and .ReadsNoRequestAfterAnIdleClose failed before.

--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -10,6 +10,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/util.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -161,8 +162,26 @@
 void InboundConnection::closeWhenIdle()
 {
     this->isClosing = true;
-    if (this->state == State::Idle && evbuffer_get_length(bufferevent_get_input(this->stream)) == 0)
-        this->linger();
+    if (this->state == State::Idle)
+        this->closeIdle();
+}
+
+void InboundConnection::closeIdle()
+{
+    const evutil_socket_t socket = bufferevent_getfd(this->stream);
+    char byte = 0;
+    // A request that has arrived is still answered.
+    const bool hasInput = evbuffer_get_length(bufferevent_get_input(this->stream)) > 0
+        || ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    if (hasInput || this->pendingOutput() > 0) {
+        this->armTimer(this->limits.idleTimeout);
+        return;
+    }
+    // A request that arrives from now on must be refused with a reset, which shows the caller that
+    // it was not read.
+    bufferevent_setfd(this->stream, -1);
+    evutil_closesocket(socket);
+    this->close();
 }
 
 bool InboundConnection::isCongested() const
@@ -352,7 +371,7 @@
         return;
     }
     if (this->state == State::Idle)
-        this->linger();
+        this->closeIdle();
     else if (this->state == State::Lingering && this->hasSentMore())
         this->armTimer(kStalledOutputTime);
     else if (this->state == State::Lingering)
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -108,6 +108,8 @@
     bool acceptHead();
     void reject(int status);
     void finishAnswer();
+    /** Closes the idle connection, unless a request has arrived. */
+    void closeIdle();
     void linger();
     /** Output has been written since the last call while the connection lingers, and some is left.
      */
--- a/tests/http/inbound_connection_test.cpp
+++ b/tests/http/inbound_connection_test.cpp
@@ -159,6 +159,29 @@
     EXPECT_TRUE(this->loop.runUntil([&] { return isClosedByPeer(this->caller); }));
 }
 
+// Guards against a request that is read and dropped without an answer because it arrives while the
+// connection is being closed for idleness.
+TEST_F(InboundConnectionTest, AnswersARequestThatArrivedBeforeAnIdleClose)
+{
+    writeAll(this->caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    this->connection->closeWhenIdle();
+    EXPECT_TRUE(this->answered("done"));
+    EXPECT_NE(this->received.find("Connection: close"), std::string::npos);
+}
+
+// A caller may send a request again if the connection was closed before the request was read.
+TEST_F(InboundConnectionTest, ReadsNoRequestAfterAnIdleClose)
+{
+    writeAll(this->caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->answered("done"));
+    this->connection->closeWhenIdle();
+    const std::string request = "GET /late HTTP/1.1\r\nHost: h\r\n\r\n";
+    const ssize_t sent =
+        ::send(this->caller, request.data(), request.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    EXPECT_LT(sent, 0);
+    EXPECT_EQ(this->events.requests, 1);
+}
+
 TEST_F(InboundConnectionTest, AnswersARunningRequestBeforeAGracefulStopCloses)
 {
     this->events.answersAtOnce = false;
