Take no response without an id for a call on a reused connection

Callers of repeatable calls (lookups, resumable streams) could be told "not run, try again" for a call that a server was running, and could get a 400, 404 or 500 that belonged to an earlier call.

Cause: servers name the call in each response, and responses to other calls are skipped by that id. A response without an id was taken for the call's own on a connection that had carried others: a refusal always, unless the call had to run once, and any other failure without exception. Such a response also set pauses, rate limits, draining and load of the server, and could end a rate limit, since it was credited to the time of the later request.

Sound servers lose nothing. Ruled out: refusals of earlier calls that carry their id, and interim responses, are skipped (.SkipsRefusalsOfOtherCallsAndInterimResponses); an action never shares a connection with an earlier call (.UsesANewConnectionForACallThatMustRunOnce); a call goes to no incarnation of a server twice, so that its id on one connection is that of one attempt.

Change: on a reused connection, a response without an id ends the attempt as lost before anything is read from it; it is logged (`response_unattributed`) and counted. The rule for calls that run once is the rule for all now.

Tests, without the fix: ServerCallTest.TakesNoRefusalWithoutIdOnAReusedConnection failed for 503, 429, 421 and 400, .TakesNoFailureWithoutIdOnAReusedConnection for 500, 404, 400 and 304, and .LearnsNothingFromAResponseThatMayBelongToAnotherCall; with it they pass.

--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -36,7 +36,6 @@
 {
     this->startedAt = now;
     this->callId = callId;
-    this->mustRunOnce = mustRunOnce;
     const absl::Duration maxIdle =
         mustRunOnce ? absl::ZeroDuration() : ConnectionPool::kMaxIdleTime;
     this->connection = this->context.pool.acquire(this->server.address, maxIdle, now);
@@ -94,6 +93,13 @@
     ServerActivity &activity = this->context.activity[this->server.key];
     activity.lastByteAt = now;
     const platform::ServerReply reply = platform::decodeServerReply(head);
+    // A connection that has carried other calls may bring another response to one of them.
+    if (this->isConnectionReused && !reply.hasCallId) {
+        recordUnattributedResponse(this->context, {this->callId, this->startedAt}, this->server,
+                                   head.status);
+        this->loseResponse();
+        return;
+    }
     recordBackpressure(this->context, this->server.key, reply, {this->callId, this->startedAt},
                        now);
     this->faultyAddress = reply.faultyServer;
@@ -105,27 +111,25 @@
     }
     if (reply.coldLeft)
         this->context.directory.onCold(this->server.id, *reply.coldLeft, now);
-    // On a reused connection a rejection without an id may belong to an earlier call.
-    const bool isAmbiguous = !reply.hasCallId && this->isConnectionReused;
-    if (reply.notRun && !(isAmbiguous && this->mustRunOnce)) {
+    if (reply.notRun) {
         this->connection->cancel();
         this->end(AttemptEnd::Rejected);
         return;
     }
-    if (!this->isUsable(head, reply)) {
-        this->failureCause = Error::ProtocolViolation;
-        this->connection->cancel();
-        this->end(AttemptEnd::Lost);
+    const bool isUsable =
+        !reply.isEncoded && (!isSuccess(head.status) || (reply.isSigned && reply.hasCallId));
+    if (!isUsable) {
+        this->loseResponse();
         return;
     }
     this->events.onReply(*this, head, reply);
 }
 
-bool ServerCall::isUsable(const ResponseHead &head, const platform::ServerReply &reply) const
+void ServerCall::loseResponse()
 {
-    if (reply.isEncoded || reply.notRun)
-        return false;
-    return !isSuccess(head.status) || (reply.isSigned && reply.hasCallId);
+    this->failureCause = Error::ProtocolViolation;
+    this->connection->cancel();
+    this->end(AttemptEnd::Lost);
 }
 
 void ServerCall::onResponseBody(OutboundConnection &, std::string_view data)
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -88,8 +88,8 @@
     /** Adds @p change to the number of equally suspect calls at the server. */
     void addSuspectCount(std::int64_t change);
     void uncountCall();
-    /** False when the head does not prove to be the response of this server to this call. */
-    bool isUsable(const ResponseHead &head, const platform::ServerReply &reply) const;
+    /** Ends the call as lost: what arrives does not prove to be the server's response to it. */
+    void loseResponse();
 
     GatewayContext &context;
     AttemptTarget server;
@@ -104,7 +104,6 @@
     /** The call was not permitted when it would have been written at once. */
     bool isWithheld = false;
     bool isConnectionReused = false;
-    bool mustRunOnce = false;
 };
 
 } // namespace foxtailtally
--- a/main/gateway/server_evidence.cpp
+++ b/main/gateway/server_evidence.cpp
@@ -121,6 +121,17 @@
     recordRateLimit(context, server, reply, request, now);
 }
 
+void recordUnattributedResponse(GatewayContext &context, const AnsweredRequest &call,
+                                const AttemptTarget &target, int status)
+{
+    context.metrics.counter("foxtailtally_responses_unattributed_total").add();
+    logEvent(LogLevel::Warning, "response_unattributed",
+             {{"request", call.id},
+              {"server", target.id.str()},
+              {"incarnation", target.incarnation},
+              {"status", status}});
+}
+
 void recordEventGap(GatewayContext &context, ServerKey server, const EngineTiming &engine,
                     std::int64_t promptTokens, absl::Duration gap)
 {
--- a/main/gateway/server_evidence.h
+++ b/main/gateway/server_evidence.h
@@ -28,6 +28,10 @@
                         const platform::ServerReply &reply, const AnsweredRequest &request,
                         absl::Time now);
 
+/** Counts and logs a response to @p call that may as well belong to an earlier call. */
+void recordUnattributedResponse(GatewayContext &context, const AnsweredRequest &call,
+                                const AttemptTarget &target, int status);
+
 /** Estimates the slowdown of an engine from the gaps between the events of its streams. */
 void recordEventGap(GatewayContext &context, ServerKey server, const EngineTiming &engine,
                     std::int64_t promptTokens, absl::Duration gap);
