Reuse no connection on which the server has sent bytes or closed

A call was written to a kept connection on which the server had already sent an extra response, or its close, since the last call: the loop had not read them yet. An extra response then stood where the call's own was expected, and a call on a closed connection was lost, though it had not run.

Cause: the pool looked at the buffer of the connection, which the loop fills, not at the socket.

Change: ConnectionPool::acquire() peeks at the socket before it hands a connection out; one with unread input, an end or an error is discarded.

--- a/peers/http/connection_pool.cpp
+++ b/peers/http/connection_pool.cpp
@@ -30,7 +30,7 @@
             Idle last = std::move(kept.back());
             kept.pop_back();
             const bool isFresh = now - last.since <= maxIdleTime(*last.connection, maxIdle);
-            if (isFresh && last.connection->isReusable())
+            if (isFresh && last.connection->isReusable() && !last.connection->hasUnreadInput())
                 return std::move(last.connection);
             this->discard(std::move(last.connection));
             if (!isFresh)
--- a/peers/http/outbound_connection.cpp
+++ b/peers/http/outbound_connection.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -137,6 +138,14 @@
         && evbuffer_get_length(bufferevent_get_input(this->stream)) == 0;
 }
 
+bool OutboundConnection::hasUnreadInput() const
+{
+    char byte = 0;
+    const ssize_t size =
+        ::recv(bufferevent_getfd(this->stream), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return size >= 0 || errno != EAGAIN;
+}
+
 const http_parser_settings &OutboundConnection::parserSettings()
 {
     static const http_parser_settings settings = [] {
--- a/peers/http/outbound_connection.h
+++ b/peers/http/outbound_connection.h
@@ -84,6 +84,8 @@
     bool hasCall() const { return this->events != nullptr; }
     /** True after a complete response when another call may use the connection. */
     bool isReusable() const;
+    /** The server has sent bytes or closed the connection, and the loop has not noticed yet. */
+    bool hasUnreadInput() const;
     bool hasCompletedCalls() const { return this->completedCalls > 0; }
     /** Idle timeout that the server announced in Keep-Alive; zero when it announced none. */
     absl::Duration announcedIdleTimeout() const { return this->idleTimeout; }
--- a/tests/http/outbound_connection_test.cpp
+++ b/tests/http/outbound_connection_test.cpp
@@ -13,6 +13,8 @@
 namespace foxtailtally {
 namespace {
 
+const absl::Time kNow = absl::UnixEpoch();
+
 struct Recorder final : OutboundEvents, IdleEvents
 {
     bool mayWrite(OutboundConnection &) override { return this->isPermitted; }
@@ -56,6 +58,18 @@
         connection.call(kRequest, false, {"Call", id}, this->events);
     }
     bool isOver() const { return this->events.isComplete || this->events.error; }
+    /** Leaves a connection in @p pool that has carried a call; returns the server's end of it. */
+    int keepConnection(ConnectionPool &pool)
+    {
+        auto connection = pool.acquire(this->server.address(), absl::ZeroDuration(), kNow);
+        this->call(*connection, "1");
+        const int socket = this->acceptAndRead();
+        writeAll(socket, "HTTP/1.1 200 OK\r\nCall: 1\r\nContent-Length: 0\r\n\r\n");
+        this->loop.runUntil([&] { return this->events.isComplete; });
+        pool.release(this->server.address(), std::move(connection), kNow);
+        EXPECT_EQ(pool.idleCount(), 1U);
+        return socket;
+    }
 
     TestLoop loop;
     RawServer server;
@@ -241,6 +255,26 @@
     ::close(socket);
 }
 
+// Guards against a connection that is handed out although the server has sent bytes on it since its
+// last call: the loop has not read them yet.
+TEST_F(OutboundConnectionTest, PoolHandsOutNoConnectionWithUnreadInput)
+{
+    ConnectionPool pool(this->loop.base());
+    const int socket = this->keepConnection(pool);
+    writeAll(socket, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    const auto next = pool.acquire(this->server.address(), ConnectionPool::kMaxIdleTime, kNow);
+    EXPECT_FALSE(next->hasCompletedCalls());
+    ::close(socket);
+}
+
+TEST_F(OutboundConnectionTest, PoolHandsOutNoConnectionThatTheServerHasClosed)
+{
+    ConnectionPool pool(this->loop.base());
+    ::close(this->keepConnection(pool));
+    const auto next = pool.acquire(this->server.address(), ConnectionPool::kMaxIdleTime, kNow);
+    EXPECT_FALSE(next->hasCompletedCalls());
+}
+
 /** Sends its parameter repeatedly until the call ends or kMaxSentBytes bytes have been sent. */
 class EndlessResponse : public OutboundConnectionTest,
                         public ::testing::WithParamInterface<const char *>
