Open a new connection for each call that must run once

Suspected, not seen: a call that must run once asks the pool for a connection that has been idle for no time at all, and got a kept one if that had been released at the same reading of the clock.

Change: a longest idle time of zero always gives a new connection.

Test, without the fix: OutboundConnectionTest.PoolReusesNothingWithoutIdleTime failed.

--- a/peers/http/connection_pool.cpp
+++ b/peers/http/connection_pool.cpp
@@ -29,7 +29,8 @@
         while (!kept.empty()) {
             Idle last = std::move(kept.back());
             kept.pop_back();
-            const bool isFresh = now - last.since <= maxIdleTime(*last.connection, maxIdle);
+            const bool isFresh = maxIdle > absl::ZeroDuration()
+                && now - last.since <= maxIdleTime(*last.connection, maxIdle);
             if (isFresh && last.connection->isReusable() && !last.connection->hasUnreadInput())
                 return std::move(last.connection);
             this->discard(std::move(last.connection));
--- a/peers/http/connection_pool.h
+++ b/peers/http/connection_pool.h
@@ -23,7 +23,8 @@
         : base(base)
     { }
 
-    /** Returns a connection to @p address; reuses one that was idle for at most @p maxIdle. */
+    /** Returns a connection to @p address; reuses one that was idle for at most @p maxIdle. Zero
+     * always gives a new one. */
     std::unique_ptr<OutboundConnection> acquire(const std::string &address, absl::Duration maxIdle,
                                                 absl::Time now);
     /** Returns @p connection to the pool if it can carry another call, otherwise discards it. */
--- a/tests/http/outbound_connection_test.cpp
+++ b/tests/http/outbound_connection_test.cpp
@@ -275,6 +275,16 @@
     EXPECT_FALSE(next->hasCompletedCalls());
 }
 
+// Guards against the reuse of a connection that was released at the very time of the next call.
+TEST_F(OutboundConnectionTest, PoolReusesNothingWithoutIdleTime)
+{
+    ConnectionPool pool(this->loop.base());
+    const int socket = this->keepConnection(pool);
+    const auto fresh = pool.acquire(this->server.address(), absl::ZeroDuration(), kNow);
+    EXPECT_FALSE(fresh->hasCompletedCalls());
+    ::close(socket);
+}
+
 /** Sends its parameter repeatedly until the call ends or kMaxSentBytes bytes have been sent. */
 class EndlessResponse : public OutboundConnectionTest,
                         public ::testing::WithParamInterface<const char *>
