Count no event as forwarded that arrived with a violation

A caller's resumed stream lacked events (ORDER: a piece is missing). When a run sent sound events and a violation of the protocol in one piece, for example events 5 and 7, none of them was forwarded, but event 5 counted as forwarded: the next server was asked to resume behind it.

Cause: EventRelay::feed() moved the number of the last event with each event and dropped the bytes when a later one failed.

Change: a call of feed() that fails leaves the number as it was, so the next run sends these events.

--- a/servers/retry/event_relay.cpp
+++ b/servers/retry/event_relay.cpp
@@ -60,6 +60,7 @@
 
 Result<std::string> EventRelay::feed(std::string_view data)
 {
+    const std::optional<std::uint64_t> lastBefore = this->last;
     this->pending.append(data);
     this->idleBytes += data.size();
     this->advanced = false;
@@ -71,15 +72,19 @@
             break;
         const std::string_view event = rest.substr(0, length);
         const EventClass eventClass = this->classify(event);
-        if (eventClass == EventClass::Gap)
+        if (eventClass == EventClass::Gap) {
+            this->last = lastBefore;
             return Error::ProtocolViolation;
+        }
         if (eventClass == EventClass::Pass)
             completeEvents.append(event);
         rest.remove_prefix(length);
     }
     this->pending.erase(0, this->pending.size() - rest.size());
-    if (this->idleBytes > kMaxEventBytes)
+    if (this->idleBytes > kMaxEventBytes) {
+        this->last = lastBefore;
         return Error::ProtocolViolation;
+    }
     return completeEvents;
 }
 
--- a/servers/retry/event_relay.h
+++ b/servers/retry/event_relay.h
@@ -25,7 +25,7 @@
     /**
      * Takes bytes of the current run and returns the bytes of the events that they complete. Fails
      * with ProtocolViolation when an event number is skipped, or when the run sends more than the
-     * size limit of an event without a new event.
+     * size limit of an event without a new event. None of @p data counts as forwarded then.
      */
     Result<std::string> feed(std::string_view data);
     /** The last call of feed() completed a new event. Comments, repeated events and parts of an
