Read all line ends of event streams

A stream whose lines end with a lone CR was never forwarded, and a blank line behind the last event was taken for the start of another one, so that a complete stream counted as broken off.

Cause: the end of an event was looked for as LF, LF or LF, CRLF. Event streams may end lines with LF, CR or CRLF, and have blank lines between events.

Change: all three line ends, in any mix and cut anywhere; blank lines between events are forwarded.

Tests, without the change: EventRelay.AcceptsAllLineEnds, .ForwardsBlankLinesBetweenEvents failed.

--- a/servers/retry/event_relay.cpp
+++ b/servers/retry/event_relay.cpp
@@ -12,17 +12,31 @@
 /** Size limit of an event, and of what a run may send without a new event. */
 constexpr std::size_t kMaxEventBytes = std::size_t {256} << 10;
 
-/** Length of the first event in @p text including the blank line that ends it; npos if the event is
- * incomplete. */
-std::size_t firstEventLength(std::string_view text)
+/** Length of the line end at the start of @p text: LF, CR or CRLF; 0 if there is none. */
+std::size_t lineEndLength(std::string_view text)
 {
-    for (std::size_t at = text.find('\n'); at != std::string_view::npos;
-         at = text.find('\n', at + 1)) {
-        const std::string_view rest = text.substr(at + 1);
-        if (rest.starts_with('\n'))
-            return at + 2;
-        if (rest.starts_with("\r\n"))
-            return at + 3;
+    if (text.starts_with("\r\n"))
+        return 2;
+    return text.starts_with('\n') || text.starts_with('\r') ? 1 : 0;
+}
+
+bool isLineEnd(char c)
+{
+    return c == '\n' || c == '\r';
+}
+
+/** Length of the first event in @p text including the blank line that ends it, or of a blank line
+ * before it; npos if the event is incomplete. The first @p scanned bytes do not end it. */
+std::size_t firstEventLength(std::string_view text, std::size_t scanned)
+{
+    for (std::size_t at = scanned; at < text.size(); ++at) {
+        if (!isLineEnd(text[at]))
+            continue;
+        const bool isSecondHalf = at > 0 && text[at - 1] == '\r' && text[at] == '\n';
+        const bool isAtLineStart = at == 0 || isLineEnd(text[at - 1]);
+        // After a CR the event ends at once; an LF that follows is a blank line before the next.
+        if (isAtLineStart && !isSecondHalf)
+            return at + lineEndLength(text.substr(at));
     }
     return std::string_view::npos;
 }
@@ -30,15 +44,13 @@
 std::optional<std::uint64_t> eventNumber(std::string_view event)
 {
     while (!event.empty()) {
-        const std::size_t end = event.find('\n');
-        const std::string_view line = event.substr(0, end);
+        const std::string_view line = event.substr(0, event.find_first_of("\r\n"));
+        event.remove_prefix(line.size());
+        event.remove_prefix(lineEndLength(event));
         std::uint64_t number = 0;
         if (line.starts_with("id:")
             && absl::SimpleAtoi(absl::StripAsciiWhitespace(asAbsl(line.substr(3))), &number))
             return number;
-        if (end == std::string_view::npos)
-            break;
-        event.remove_prefix(end + 1);
     }
     return std::nullopt;
 }
@@ -55,6 +67,7 @@
 void EventRelay::beginRun()
 {
     this->pending.clear();
+    this->scannedBytes = 0;
     this->idleBytes = 0;
 }
 
@@ -67,7 +80,8 @@
     std::string completeEvents;
     std::string_view rest = this->pending;
     while (true) {
-        const std::size_t length = firstEventLength(rest);
+        const std::size_t length = firstEventLength(rest, this->scannedBytes);
+        this->scannedBytes = 0;
         if (length == std::string_view::npos)
             break;
         const std::string_view event = rest.substr(0, length);
@@ -81,6 +95,7 @@
         rest.remove_prefix(length);
     }
     this->pending.erase(0, this->pending.size() - rest.size());
+    this->scannedBytes = this->pending.size();
     if (this->idleBytes > kMaxEventBytes) {
         this->last = lastBefore;
         return Error::ProtocolViolation;
--- a/servers/retry/event_relay.h
+++ b/servers/retry/event_relay.h
@@ -43,6 +43,8 @@
     EventClass classify(std::string_view event);
 
     std::string pending;
+    /** Bytes of pending that are known not to end an event. */
+    std::size_t scannedBytes = 0;
     /** Bytes received since the last new event. */
     std::size_t idleBytes = 0;
     bool advanced = false;
