Forward only events of a stream

Texts such as `worker failed` got through as well.

Cause: a response without length has no end but that of its connection. Whatever a faulty server writes behind the events, an extra response included, is part of the body, and EventRelay took any lines up to a blank one for an event. One without a number was forwarded unchecked.

Ruled out: bytes of a response to a second run. Its body is forwarded only if it is a stream, so the next server's error or refusal ends the caller's connection without the end mark in any order.

Change: each line of an event must be a comment or have the form of a field, a name in lower case and a colon. Anything else is a violation of the protocol: the run counts as lost, none of the bytes that came with it is forwarded, and the next run resumes.

--- a/servers/retry/event_relay.cpp
+++ b/servers/retry/event_relay.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
+#include <algorithm>
 
 namespace foxtailtally {
 
@@ -41,18 +42,46 @@
     return std::string_view::npos;
 }
 
-std::optional<std::uint64_t> eventNumber(std::string_view event)
+bool isComment(std::string_view line)
 {
+    return line.starts_with(':');
+}
+
+/** True if @p line has the form of a field; its name need not be known. */
+bool isField(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    if (colon == std::string_view::npos)
+        return name == "data" || name == "event" || name == "id" || name == "retry";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
+        return absl::ascii_islower(static_cast<unsigned char>(c)) || c == '-';
+    });
+}
+
+struct EventFields
+{
+    /** Each line is a field or a comment. */
+    bool isValid = true;
+    std::optional<std::uint64_t> number;
+};
+
+EventFields parseFields(std::string_view event)
+{
+    EventFields fields;
     while (!event.empty()) {
         const std::string_view line = event.substr(0, event.find_first_of("\r\n"));
         event.remove_prefix(line.size());
         event.remove_prefix(lineEndLength(event));
+        if (line.empty() || isComment(line))
+            continue;
+        fields.isValid = fields.isValid && isField(line);
         std::uint64_t number = 0;
-        if (line.starts_with("id:")
+        if (!fields.number && line.starts_with("id:")
             && absl::SimpleAtoi(absl::StripAsciiWhitespace(asAbsl(line.substr(3))), &number))
-            return number;
+            fields.number = number;
     }
-    return std::nullopt;
+    return fields;
 }
 
 } // namespace
@@ -86,7 +115,7 @@
             break;
         const std::string_view event = rest.substr(0, length);
         const EventClass eventClass = this->classify(event);
-        if (eventClass == EventClass::Gap) {
+        if (eventClass == EventClass::Violation) {
             this->last = lastBefore;
             return Error::ProtocolViolation;
         }
@@ -110,13 +139,16 @@
 
 EventRelay::EventClass EventRelay::classify(std::string_view event)
 {
-    const std::optional<std::uint64_t> number = eventNumber(event);
+    const EventFields fields = parseFields(event);
+    if (!fields.isValid)
+        return EventClass::Violation;
+    const std::optional<std::uint64_t> number = fields.number;
     if (!number)
         return EventClass::Pass;
     if (this->last && *number <= *this->last)
         return EventClass::Skip;
     if (this->last && *number != *this->last + 1)
-        return EventClass::Gap;
+        return EventClass::Violation;
     this->last = number;
     this->idleBytes = 0;
     this->advanced = true;
--- a/servers/retry/event_relay.h
+++ b/servers/retry/event_relay.h
@@ -24,8 +24,9 @@
     void beginRun();
     /**
      * Takes bytes of the current run and returns the bytes of the events that they complete. Fails
-     * with ProtocolViolation when an event number is skipped, or when the run sends more than the
-     * size limit of an event without a new event. None of @p data counts as forwarded then.
+     * with ProtocolViolation when an event number is skipped, when the bytes are not events, or
+     * when the run sends more than the size limit of an event without a new event. None of @p data
+     * counts as forwarded then.
      */
     Result<std::string> feed(std::string_view data);
     /** The last call of feed() completed a new event. Comments, repeated events and parts of an
@@ -38,7 +39,7 @@
     std::string lastEventId() const;
 
 private:
-    enum class EventClass { Pass, Skip, Gap };
+    enum class EventClass { Pass, Skip, Violation };
 
     EventClass classify(std::string_view event);
 
--- a/tests/retry/event_relay_test.cpp
+++ b/tests/retry/event_relay_test.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace foxtailtally {
 namespace {
@@ -24,16 +25,32 @@
     return forwarded;
 }
 
+// Guards against the head or the text of another response in a stream without length.
+TEST(EventRelay, ForwardsNothingThatIsNoEvent)
+{
+    for (const char *text :
+         {"HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: x\r\n\r\n", "worker failed\n\n",
+          "{\"error\": \"failed\"}\n\n", "error\n\n", "<html>\n\n", "\1\2\3\n\n", "Data: x\n\n",
+          " data: x\n\n", "id: 2\ndata: xHTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n\r\n"}) {
+        EventRelay relay("");
+        EXPECT_EQ(relay.feed(event(1)).value(), event(1));
+        EXPECT_EQ(feedBytes(relay, text), "violation") << text;
+        EXPECT_EQ(relay.lastEventId(), "1") << text;
+    }
+}
+
 // Guards against events that arrive together with a violation: they were not forwarded, but the
 // next run was asked to resume behind them.
 TEST(EventRelay, CountsNothingAsForwardedWhenItFails)
 {
-    EventRelay relay("");
-    EXPECT_TRUE(relay.feed(event(4)).ok());
-    EXPECT_FALSE(relay.feed(event(5) + event(7)).ok());
-    EXPECT_EQ(relay.lastEventId(), "4");
-    relay.beginRun();
-    EXPECT_EQ(relay.feed(event(5)).value(), event(5));
+    for (const std::string &bad : {event(7), std::string("worker failed\n\n")}) {
+        EventRelay relay("");
+        EXPECT_TRUE(relay.feed(event(4)).ok());
+        EXPECT_FALSE(relay.feed(event(5) + bad).ok());
+        EXPECT_EQ(relay.lastEventId(), "4");
+        relay.beginRun();
+        EXPECT_EQ(relay.feed(event(5)).value(), event(5));
+    }
 }
 
 TEST(EventRelay, AcceptsAllLineEnds)
@@ -65,5 +82,47 @@
     EXPECT_TRUE(relay.isBetweenEvents());
 }
 
+// Any runs, broken off anywhere and followed by any bytes: the caller has a prefix of the stream.
+RC_GTEST_PROP(EventRelay, ForwardsAPrefixOfTheStreamWhateverRunsSend, ())
+{
+    const int count = *rc::gen::inRange(1, 12);
+    std::string whole;
+    for (int number = 1; number <= count; ++number)
+        whole += event(number);
+    EventRelay relay("");
+    std::string forwarded;
+    const int runs = *rc::gen::inRange(1, 5);
+    for (int run = 0; run < runs; ++run) {
+        relay.beginRun();
+        const std::string lastId = relay.lastEventId();
+        const int resumedAt = lastId.empty() ? 1 : std::stoi(lastId) + 1;
+        std::string bytes;
+        for (int number = *rc::gen::inRange(1, resumedAt + 1); number <= count; ++number) {
+            // A server may skip or repeat an event.
+            const int copies = *rc::gen::weightedElement<int>({{1, 0}, {20, 1}, {1, 2}});
+            for (int copy = 0; copy < copies && !(forwarded.empty() && bytes.empty() && number > 1);
+                 ++copy)
+                bytes += event(number);
+        }
+        const bool isBroken = *rc::gen::arbitrary<bool>();
+        if (isBroken)
+            bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+        const bool hasOtherBytes = isBroken && *rc::gen::arbitrary<bool>();
+        if (hasOtherBytes)
+            bytes += "HTTP/1.1 500 Failed\r\nContent-Length: 7\r\n\r\nfailed\n";
+        for (std::size_t at = 0; at < bytes.size();) {
+            const std::size_t size =
+                std::min(bytes.size() - at, *rc::gen::inRange<std::size_t>(1, 40));
+            const Result<std::string> events = relay.feed(bytes.substr(at, size));
+            if (!events.ok())
+                break;
+            forwarded += *events;
+            at += size;
+        }
+        RC_ASSERT(whole.starts_with(forwarded));
+        RC_ASSERT(forwarded.empty() || forwarded.ends_with("\n\n"));
+    }
+}
+
 } // namespace
 } // namespace foxtailtally
