Resume no stream with events that have no number

Also, of two ids in an event the first counted, where the last does for a caller; comments at the start of each run were repeated in the middle of the stream; and an id of the caller that is not a number was dropped, so that its stream began again from the start.

Cause: events without a number were forwarded from any run, without a notion of their place.

Change: EventRelay knows whether a run continues what has been forwarded. Events with data but without a number are forwarded in the first such run only, and make the stream one that no other run can continue; comments pass once a run has continued the stream; the last id of an event counts.

Tests, without the fix: EventRelay.ReadsTheLastIdOfAnEvent, .DoesNotResumeAStreamWithUnnumberedEvents, .RepeatsNoPreambleWhenResumed, .PassesOnAnIdOfTheCallerThatIsNoNumber failed.

--- a/servers/retry/event_relay.cpp
+++ b/servers/retry/event_relay.cpp
@@ -63,6 +63,8 @@
 {
     /** Each line is a field or a comment. */
     bool isValid = true;
+    bool hasData = false;
+    /** From the last line that names one; absent if that is not a number. */
     std::optional<std::uint64_t> number;
 };
 
@@ -75,11 +77,17 @@
         event.remove_prefix(lineEndLength(event));
         if (line.empty() || isComment(line))
             continue;
+        const std::size_t colon = line.find(':');
+        const std::string_view name = line.substr(0, colon);
+        const std::string_view value =
+            colon == std::string_view::npos ? std::string_view() : line.substr(colon + 1);
         fields.isValid = fields.isValid && isField(line);
+        fields.hasData = fields.hasData || name == "data";
+        if (name != "id")
+            continue;
         std::uint64_t number = 0;
-        if (!fields.number && line.starts_with("id:")
-            && absl::SimpleAtoi(absl::StripAsciiWhitespace(asAbsl(line.substr(3))), &number))
-            fields.number = number;
+        const bool isNumber = absl::SimpleAtoi(absl::StripAsciiWhitespace(asAbsl(value)), &number);
+        fields.number = isNumber ? std::optional(number) : std::nullopt;
     }
     return fields;
 }
@@ -87,24 +95,27 @@
 } // namespace
 
 EventRelay::EventRelay(std::string_view lastEventId)
+    : callerEventId(lastEventId)
 {
     std::uint64_t number = 0;
     if (absl::SimpleAtoi(asAbsl(lastEventId), &number))
-        this->last = number;
+        this->progress.last = number;
 }
 
 void EventRelay::beginRun()
 {
     this->pending.clear();
     this->scannedBytes = 0;
-    this->idleBytes = 0;
+    this->progress.idleBytes = 0;
+    this->progress.hasContinued = false;
+    this->isResumed = this->progress.hasForwarded;
 }
 
 Result<std::string> EventRelay::feed(std::string_view data)
 {
-    const std::optional<std::uint64_t> lastBefore = this->last;
+    const Progress before = this->progress;
     this->pending.append(data);
-    this->idleBytes += data.size();
+    this->progress.idleBytes += data.size();
     this->advanced = false;
     std::string completeEvents;
     std::string_view rest = this->pending;
@@ -116,7 +127,7 @@
         const std::string_view event = rest.substr(0, length);
         const EventClass eventClass = this->classify(event);
         if (eventClass == EventClass::Violation) {
-            this->last = lastBefore;
+            this->progress = before;
             return Error::ProtocolViolation;
         }
         if (eventClass == EventClass::Pass)
@@ -125,8 +136,8 @@
     }
     this->pending.erase(0, this->pending.size() - rest.size());
     this->scannedBytes = this->pending.size();
-    if (this->idleBytes > kMaxEventBytes) {
-        this->last = lastBefore;
+    if (this->progress.idleBytes > kMaxEventBytes) {
+        this->progress = before;
         return Error::ProtocolViolation;
     }
     return completeEvents;
@@ -134,7 +145,7 @@
 
 std::string EventRelay::lastEventId() const
 {
-    return this->last ? std::to_string(*this->last) : std::string();
+    return this->progress.last ? std::to_string(*this->progress.last) : this->callerEventId;
 }
 
 EventRelay::EventClass EventRelay::classify(std::string_view event)
@@ -142,15 +153,32 @@
     const EventFields fields = parseFields(event);
     if (!fields.isValid)
         return EventClass::Violation;
-    const std::optional<std::uint64_t> number = fields.number;
-    if (!number)
-        return EventClass::Pass;
-    if (this->last && *number <= *this->last)
+    if (fields.number)
+        return this->classifyNumbered(*fields.number);
+    if (!fields.hasData)
+        return this->isResumed && !this->progress.hasContinued ? EventClass::Skip
+                                                               : EventClass::Pass;
+    if (this->isResumed)
+        return EventClass::Violation;
+    this->progress.hasUnnumbered = true;
+    this->progress.hasForwarded = true;
+    this->progress.hasContinued = true;
+    return EventClass::Pass;
+}
+
+EventRelay::EventClass EventRelay::classifyNumbered(std::uint64_t number)
+{
+    Progress &state = this->progress;
+    if (this->isResumed && state.hasUnnumbered)
+        return EventClass::Violation;
+    if (state.last && number <= *state.last)
         return EventClass::Skip;
-    if (this->last && *number != *this->last + 1)
+    if (state.last && number != *state.last + 1)
         return EventClass::Violation;
-    this->last = number;
-    this->idleBytes = 0;
+    state.last = number;
+    state.idleBytes = 0;
+    state.hasForwarded = true;
+    state.hasContinued = true;
     this->advanced = true;
     return EventClass::Pass;
 }
--- a/servers/retry/event_relay.h
+++ b/servers/retry/event_relay.h
@@ -11,7 +11,8 @@
 
 /**
  * Forwards each event of a stream complete and exactly once, also when another run resumes the
- * stream. Events are numbered consecutively; a run that skips a number cannot resume the stream.
+ * stream. Events are numbered consecutively; a run that skips a number cannot resume the stream,
+ * and a stream with events that have no number cannot be resumed.
  */
 class EventRelay
 {
@@ -41,15 +42,31 @@
 private:
     enum class EventClass { Pass, Skip, Violation };
 
+    /** What has been forwarded, as of the end of a call of feed(). */
+    struct Progress
+    {
+        /** Number of the last event forwarded, or the one given by the caller. */
+        std::optional<std::uint64_t> last;
+        bool hasForwarded = false;
+        /** An event of the current run has been forwarded. */
+        bool hasContinued = false;
+        /** An event without a number has been forwarded. */
+        bool hasUnnumbered = false;
+        /** Bytes received since the last new event. */
+        std::size_t idleBytes = 0;
+    };
+
     EventClass classify(std::string_view event);
+    EventClass classifyNumbered(std::uint64_t number);
 
+    std::string callerEventId;
     std::string pending;
     /** Bytes of pending that are known not to end an event. */
     std::size_t scannedBytes = 0;
-    /** Bytes received since the last new event. */
-    std::size_t idleBytes = 0;
+    Progress progress;
+    /** Events have been forwarded before the current run. */
+    bool isResumed = false;
     bool advanced = false;
-    std::optional<std::uint64_t> last;
 };
 
 } // namespace foxtailtally
--- a/tests/retry/event_relay_test.cpp
+++ b/tests/retry/event_relay_test.cpp
@@ -82,6 +82,65 @@
     EXPECT_TRUE(relay.isBetweenEvents());
 }
 
+TEST(EventRelay, ReadsTheLastIdOfAnEvent)
+{
+    struct Case
+    {
+        const char *text;
+        const char *lastId;
+    };
+    for (const Case &entry :
+         {Case {"id:2\ndata: x\n\n", "2"}, Case {"id: 9\nid: 2\n\n", "2"},
+          Case {"data: x\nid:  2 \n\n", "2"}, Case {"weight-versions: 3\nid: 2\ndata: x\n\n", "2"},
+          Case {"id: 2\nid: x\ndata: x\n\n", "1"}, Case {"id\ndata: x\n\n", "1"},
+          Case {"id:\ndata: x\n\n", "1"}, Case {"id: -2\ndata: x\n\n", "1"},
+          Case {"id: 99999999999999999999\ndata: x\n\n", "1"}}) {
+        EventRelay relay("");
+        EXPECT_TRUE(relay.feed(event(1)).ok());
+        EXPECT_EQ(relay.feed(entry.text).value(), entry.text);
+        EXPECT_EQ(relay.lastEventId(), entry.lastId) << entry.text;
+    }
+    EventRelay relay("");
+    EXPECT_TRUE(relay.feed(event(1)).ok());
+    EXPECT_FALSE(relay.feed("id: 2\nid: 3\ndata: x\n\n").ok());
+}
+
+// Guards against events without a number that come twice, since no run can resume behind them.
+TEST(EventRelay, DoesNotResumeAStreamWithUnnumberedEvents)
+{
+    for (const std::string &first : {std::string("data: a\n\n"), event(1) + "data: a\n\n"}) {
+        EventRelay relay("");
+        EXPECT_EQ(relay.feed(first).value(), first);
+        relay.beginRun();
+        EXPECT_FALSE(relay.feed("data: a\n\n").ok());
+        relay.beginRun();
+        EXPECT_FALSE(relay.feed(event(2)).ok());
+    }
+    EventRelay relay("");
+    relay.beginRun();
+    EXPECT_EQ(relay.feed("data: a\n\ndata: b\n\n").value(), "data: a\n\ndata: b\n\n");
+    EXPECT_TRUE(relay.isBetweenEvents());
+}
+
+TEST(EventRelay, RepeatsNoPreambleWhenResumed)
+{
+    const std::string preamble = ": hello\n\nretry: 100\n\n";
+    EventRelay relay("");
+    EXPECT_EQ(relay.feed(preamble + event(1)).value(), preamble + event(1));
+    relay.beginRun();
+    EXPECT_EQ(relay.feed(preamble + event(1) + preamble + event(2) + ": ping\n\n").value(),
+              event(2) + ": ping\n\n");
+}
+
+// The caller may number its events in a way that only the server understands.
+TEST(EventRelay, PassesOnAnIdOfTheCallerThatIsNoNumber)
+{
+    EventRelay relay("a-12");
+    EXPECT_EQ(relay.lastEventId(), "a-12");
+    EXPECT_EQ(relay.feed(event(13)).value(), event(13));
+    EXPECT_EQ(relay.lastEventId(), "13");
+}
+
 // Any runs, broken off anywhere and followed by any bytes: the caller has a prefix of the stream.
 RC_GTEST_PROP(EventRelay, ForwardsAPrefixOfTheStreamWhateverRunsSend, ())
 {
