Take a stream for complete only where a run of it ends

Cause: any end of a response of a server between two events counted as the end of the stream, whatever that run had sent.

A response that begins after the caller's is forwarded only if it is a stream; otherwise the connection ends without the end mark.

Change: EventRelay::isComplete(). A run that sent numbered events must have reached the last one forwarded; one that sent none must have ended by its length or last chunk, so that a run that is resumed behind the last event may have nothing to send. Only a 200 is relayed as a stream.

EventRelay.IsCompleteOnlyAtTheEndOfARunThatContinuesTheStream fails with the former condition.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -48,6 +48,8 @@
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(250);
 constexpr absl::Duration kRetryAfterJitter = absl::Milliseconds(750);
 
+constexpr int kStatusOk = 200;
+
 } // namespace
 
 CallRun::CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call)
@@ -416,8 +418,7 @@
                       const platform::ServerReply &reply)
 {
     Attempt *attempt = this->findAttempt(call);
-    const bool isSuccess = head.status >= 200 && head.status < 300;
-    attempt->isRelaying = isSuccess && reply.isEventStream && this->isStream();
+    attempt->isRelaying = head.status == kStatusOk && reply.isEventStream && this->isStream();
     attempt->reply = head;
 }
 
@@ -505,7 +506,7 @@
     // Destroyed later: this function runs in one of its callbacks.
     this->context.retired.push_back(std::move(finished->call));
     ++this->runs;
-    if (finished->isRelaying && this->relay.isBetweenEvents()) {
+    if (finished->isRelaying && this->relay.isComplete(finished->reply.isFramed)) {
         this->suspicion->onServed(now);
         if (!this->hasAnswerBegun)
             this->caller->startStream(finished->reply.status,
--- a/servers/retry/event_relay.cpp
+++ b/servers/retry/event_relay.cpp
@@ -107,6 +107,7 @@
     this->pending.clear();
     this->scannedBytes = 0;
     this->progress.idleBytes = 0;
+    this->progress.lastOfRun.reset();
     this->progress.hasContinued = false;
     this->isResumed = this->progress.hasForwarded;
 }
@@ -143,6 +144,16 @@
     return completeEvents;
 }
 
+bool EventRelay::isComplete(bool isFramed) const
+{
+    if (!this->isBetweenEvents())
+        return false;
+    // A run that ends before the events that the caller has is not the rest of this stream.
+    if (this->progress.lastOfRun)
+        return this->progress.lastOfRun == this->progress.last;
+    return isFramed || this->progress.hasContinued;
+}
+
 std::string EventRelay::lastEventId() const
 {
     return this->progress.last ? std::to_string(*this->progress.last) : this->callerEventId;
@@ -171,6 +182,7 @@
     Progress &state = this->progress;
     if (this->isResumed && state.hasUnnumbered)
         return EventClass::Violation;
+    state.lastOfRun = number;
     if (state.last && number <= *state.last)
         return EventClass::Skip;
     if (state.last && number != *state.last + 1)
--- a/servers/retry/event_relay.h
+++ b/servers/retry/event_relay.h
@@ -36,6 +36,12 @@
 
     /** No incomplete event is buffered. */
     bool isBetweenEvents() const { return this->pending.empty(); }
+    /**
+     * Whether the stream is complete when the response of the current run ends here. @p isFramed:
+     * the response has ended by its length or last chunk, so that it may be complete without an
+     * event.
+     */
+    bool isComplete(bool isFramed) const;
     /** Number of the last event forwarded, or the one given by the caller; empty without either. */
     std::string lastEventId() const;
 
@@ -47,6 +53,8 @@
     {
         /** Number of the last event forwarded, or the one given by the caller. */
         std::optional<std::uint64_t> last;
+        /** Number of the last event of the current run, whether forwarded or repeated. */
+        std::optional<std::uint64_t> lastOfRun;
         bool hasForwarded = false;
         /** An event of the current run has been forwarded. */
         bool hasContinued = false;
--- a/tests/retry/event_relay_test.cpp
+++ b/tests/retry/event_relay_test.cpp
@@ -61,7 +61,7 @@
         EventRelay bytes("");
         EXPECT_EQ(feedBytes(bytes, first + second), first + second);
         EXPECT_EQ(bytes.lastEventId(), "2");
-        EXPECT_TRUE(bytes.isBetweenEvents());
+        EXPECT_TRUE(bytes.isComplete(false));
         EventRelay whole("");
         EXPECT_EQ(whole.feed(first + second).value(), first + second);
         EXPECT_EQ(whole.lastEventId(), "2");
@@ -70,7 +70,7 @@
     EventRelay relay("");
     EXPECT_EQ(feedBytes(relay, mixed), mixed);
     EXPECT_EQ(relay.lastEventId(), "3");
-    EXPECT_TRUE(relay.isBetweenEvents());
+    EXPECT_TRUE(relay.isComplete(true));
 }
 
 // Guards against a blank line behind the last event that is taken for the start of another one.
@@ -79,7 +79,7 @@
     EventRelay relay("");
     const std::string text = "\n" + event(1) + "\n\r\n" + event(2) + "\n";
     EXPECT_EQ(relay.feed(text).value(), text);
-    EXPECT_TRUE(relay.isBetweenEvents());
+    EXPECT_TRUE(relay.isComplete(true));
 }
 
 TEST(EventRelay, ReadsTheLastIdOfAnEvent)
@@ -119,7 +119,7 @@
     EventRelay relay("");
     relay.beginRun();
     EXPECT_EQ(relay.feed("data: a\n\ndata: b\n\n").value(), "data: a\n\ndata: b\n\n");
-    EXPECT_TRUE(relay.isBetweenEvents());
+    EXPECT_TRUE(relay.isComplete(false));
 }
 
 TEST(EventRelay, RepeatsNoPreambleWhenResumed)
@@ -132,6 +132,27 @@
               event(2) + ": ping\n\n");
 }
 
+// Guards against a run that ends early and is taken for the rest of the stream.
+TEST(EventRelay, IsCompleteOnlyAtTheEndOfARunThatContinuesTheStream)
+{
+    EventRelay relay("");
+    EXPECT_TRUE(relay.isComplete(true));
+    EXPECT_FALSE(relay.isComplete(false));
+    EXPECT_TRUE(relay.feed(event(1) + event(2)).ok());
+    EXPECT_TRUE(relay.isComplete(true));
+    EXPECT_TRUE(relay.isComplete(false));
+    relay.beginRun();
+    // A run that was asked for what follows the last event may have nothing to send.
+    EXPECT_TRUE(relay.isComplete(true));
+    EXPECT_FALSE(relay.isComplete(false));
+    EXPECT_TRUE(relay.feed(event(1)).ok());
+    EXPECT_FALSE(relay.isComplete(true));
+    EXPECT_TRUE(relay.feed(event(2)).ok());
+    EXPECT_TRUE(relay.isComplete(true));
+    EXPECT_TRUE(relay.feed("id: 3\n").ok());
+    EXPECT_FALSE(relay.isComplete(true));
+}
+
 // The caller may number its events in a way that only the server understands.
 TEST(EventRelay, PassesOnAnIdOfTheCallerThatIsNoNumber)
 {
