Send no body in response to HEAD on a route of streams

The last chunk of a stream was sent behind the head of a response to HEAD, which has no body, so that a caller found it where its next response was due (MIXED: bytes that are no answer). No caller of the users' platform is known to send HEAD to such a route; found by reading.

Cause: the chunked form of a response did not look at the method, as the form with a length does.

Tests, without the fix: InboundConnectionTest.SendsNoStreamInResponseToHead failed. It comes with .TreatsAHalfClosedConnectionAsClosed, which passes as before: a close of the sending half ends the call, since it cannot be told from a close of the connection, after which servers must stop (GONE).

--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -129,7 +129,7 @@
 
 void InboundConnection::sendChunk(std::string_view data)
 {
-    if (data.empty())
+    if (data.empty() || this->request.method == "HEAD")
         return;
     std::string text = absl::StrCat(absl::Hex(data.size()), "\r\n");
     text += data;
@@ -139,7 +139,8 @@
 
 void InboundConnection::finishStream()
 {
-    this->write("0\r\n\r\n");
+    if (this->request.method != "HEAD")
+        this->write("0\r\n\r\n");
     this->finishAnswer();
 }
 
--- a/tests/http/inbound_connection_test.cpp
+++ b/tests/http/inbound_connection_test.cpp
@@ -151,6 +151,36 @@
     EXPECT_TRUE(this->loop.runUntil([&] { return this->events.isClosed; }));
 }
 
+// A close of the sending half cannot be told from a close of the connection, after which the
+// servers must stop. It counts as a close also when it arrives together with the request.
+TEST_F(InboundConnectionTest, TreatsAHalfClosedConnectionAsClosed)
+{
+    this->events.answersAtOnce = false;
+    writeAll(this->caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ::shutdown(this->caller, SHUT_WR);
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.isClosed; }));
+    EXPECT_EQ(this->events.requests, 1);
+    EXPECT_TRUE(this->events.isGone);
+    this->connection->answer(200, {}, "late");
+    EXPECT_EQ(readAvailable(this->caller), "");
+}
+
+// Guards against the end mark of a stream behind a response that has no body: it was the start of
+// the next response on the connection.
+TEST_F(InboundConnectionTest, SendsNoStreamInResponseToHead)
+{
+    this->events.answersAtOnce = false;
+    writeAll(this->caller, "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.requests == 1; }));
+    this->connection->startStream(200, {});
+    this->connection->sendChunk("event");
+    this->connection->finishStream();
+    ASSERT_TRUE(this->answered("chunked\r\n\r\n"));
+    this->loop.runEvents();
+    EXPECT_TRUE((this->received + readAvailable(this->caller)).ends_with("chunked\r\n\r\n"));
+    EXPECT_TRUE(this->connection->isIdle());
+}
+
 TEST_F(InboundConnectionTest, ClosesAnIdleConnectionOnGracefulStop)
 {
     writeAll(this->caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
