Draw repeated responses and broken streams in the soak

The stand-in's servers also repeat a refusal or a failure without an id on connections that have carried a call, cut streams inside an event, and fail streams that are resumed. The soak draws these, reports a response to an earlier call, and checks that no call of any kind that has run is answered as not run; it had checked that for actions only.

--- a/tests/process/gateway_soak.cpp
+++ b/tests/process/gateway_soak.cpp
@@ -137,6 +137,8 @@
     if (answer.status == 401 || answer.status == 403 || answer.status == 404)
         this->report(
             absl::StrCat(callId, " got status ", answer.status, " although it is permitted"));
+    if (answer.body == ServingStandin::kEarlierBody)
+        this->report(absl::StrCat(callId, " got the response to an earlier call"));
     if (kind == 0)
         this->checkStream(callId, answer.status, answer.isComplete, answer.body);
     else if (answer.status == 200 && answer.isComplete
@@ -266,13 +268,16 @@
 
 void GatewaySoak::injectServerFault(Random &random)
 {
-    constexpr std::array<ServerBehavior, 7> kBehaviors = {ServerBehavior::Shed,
-                                                          ServerBehavior::FailAfterRunning,
-                                                          ServerBehavior::Disconnect,
-                                                          ServerBehavior::DisconnectMidStream,
-                                                          ServerBehavior::NoResponse,
-                                                          ServerBehavior::TruncateBody,
-                                                          ServerBehavior::ShedWithRetryAfter};
+    constexpr std::array<ServerBehavior, 10> kBehaviors = {ServerBehavior::Shed,
+                                                           ServerBehavior::FailAfterRunning,
+                                                           ServerBehavior::Disconnect,
+                                                           ServerBehavior::DisconnectMidStream,
+                                                           ServerBehavior::DisconnectInsideEvent,
+                                                           ServerBehavior::FailResumedStream,
+                                                           ServerBehavior::NoResponse,
+                                                           ServerBehavior::TruncateBody,
+                                                           ServerBehavior::RepeatEarlierResponse,
+                                                           ServerBehavior::ShedWithRetryAfter};
     const std::size_t server = random.below(kServers);
     const std::unique_lock lock(*this->serverLocks[server], std::try_to_lock);
     if (!lock)
@@ -378,10 +383,8 @@
     for (const ServerArrival &arrival : this->deployment.platform().arrivals())
         runs[arrival.callId] += arrival.hasRun ? 1 : 0;
     for (const Outcome &outcome : this->outcomes) {
-        if (!outcome.isAction)
-            continue;
         const int count = runs[outcome.callId];
-        if (count > 1)
+        if (outcome.isAction && count > 1)
             this->report(absl::StrCat(outcome.callId, " was run ", count, " times"));
         const bool saysNotRun = outcome.status == 503 || outcome.status == 429
             || outcome.status == 408 || outcome.status == 421;
--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -454,7 +454,8 @@
 
 void ServingStandin::answerCall(InboundConnection &connection, Server &server)
 {
-    const RequestHead &head = connection.head();
+    // A copy, since a response ends the request.
+    const RequestHead head = connection.head();
     if (server.unresponsiveListener >= 0)
         return;
     if (head.path == "/order") {
@@ -487,6 +488,7 @@
         this->crash(server);
         return;
     }
+    const bool isKept = !this->used.insert(&connection).second;
     switch (server.behavior) {
     case ServerBehavior::ShedWithRetryAfter:
     case ServerBehavior::Shed: {
@@ -515,13 +517,19 @@
         connection.answer(200, this->replyHeaders(server, arrival, "text/plain"),
                           std::string(9U << 20, 'x'));
         return;
+    case ServerBehavior::RepeatEarlierResponse:
+        if (isKept)
+            this->repeatEarlierResponse(connection);
+        break;
     case ServerBehavior::Serve:
     case ServerBehavior::DisconnectMidStream:
+    case ServerBehavior::DisconnectInsideEvent:
+    case ServerBehavior::FailResumedStream:
     case ServerBehavior::AnnounceDraining:
         break;
     }
     if (head.path.starts_with("/stream") || head.path.starts_with("/long")) {
-        this->startStream(connection, arrival, server);
+        this->startStream(connection, arrival, server, head.headers.valueOr("Last-Event-Id", ""));
         return;
     }
     connection.answer(200, this->replyHeaders(server, arrival, "text/plain"),
@@ -543,17 +551,32 @@
     connection.answer(200, headers, "{}");
 }
 
+void ServingStandin::repeatEarlierResponse(InboundConnection &connection)
+{
+    const bool isRejection = this->recordedArrivals.size() % 2 == 0;
+    HttpHeaders headers;
+    if (isRejection)
+        headers.add("Not-Executed", "1");
+    connection.answer(isRejection ? 503 : 404, headers, kEarlierBody);
+}
+
 void ServingStandin::startStream(InboundConnection &connection, const ServerArrival &arrival,
-                                 Server &server)
+                                 Server &server, std::string_view lastEventId)
 {
     Stream stream;
     stream.connection = &connection;
     stream.callId = arrival.callId;
     int last = 0;
-    if (absl::SimpleAtoi(std::string(connection.head().headers.valueOr("Last-Event-Id", "")),
-                         &last))
+    const bool isResumed = absl::SimpleAtoi(std::string(lastEventId), &last);
+    if (isResumed)
         stream.next = last + 1;
-    const bool breaks = server.behavior == ServerBehavior::DisconnectMidStream;
+    if (isResumed && server.behavior == ServerBehavior::FailResumedStream) {
+        connection.answer(500, this->replyHeaders(server, arrival, "text/plain"), "failed");
+        return;
+    }
+    stream.breaksInsideEvent = server.behavior == ServerBehavior::DisconnectInsideEvent;
+    const bool breaks =
+        stream.breaksInsideEvent || server.behavior == ServerBehavior::DisconnectMidStream;
     stream.breakAt = breaks ? stream.next + 3 : 0;
     stream.dueAt = absl::Now() + this->prefillTime;
     connection.startStream(200, this->replyHeaders(server, arrival, "text/event-stream"));
@@ -566,6 +589,13 @@
     for (Stream &stream : this->streams) {
         if (stream.dueAt > now)
             continue;
+        if (stream.next == stream.breakAt && stream.breaksInsideEvent) {
+            stream.breaksInsideEvent = false;
+            const std::string event = eventText(stream.callId, stream.next);
+            stream.connection->sendChunk(std::string_view(event).substr(0, event.size() / 2));
+            stream.dueAt = now + kEventInterval;
+            continue;
+        }
         if (stream.next == stream.breakAt) {
             broken.push_back(stream.connection);
             continue;
@@ -608,6 +638,7 @@
 {
     this->removeWatchesAndStreams(connection);
     this->serverOf.erase(&connection);
+    this->used.erase(&connection);
     this->closed.push_back(&connection);
 }
 
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -6,6 +6,7 @@
 #include "platform/store_objects.h"
 
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 #include <absl/time/time.h>
 #include <cstdint>
 #include <functional>
@@ -44,6 +45,13 @@
     AnnounceDraining,
     /** Rejects the call like Shed, with a Retry-After of ServingStandin::kRetryAfter. */
     ShedWithRetryAfter,
+    /** Serves the call; on a connection that has carried another one, it first repeats a rejection
+     * or a failure without an id. */
+    RepeatEarlierResponse,
+    /** Closes the connection in the middle of an event. */
+    DisconnectInsideEvent,
+    /** Runs a stream that resumes another one and responds with a failure. */
+    FailResumedStream,
 };
 
 enum class StoreBehavior { Serve, Refuse, NoResponse };
@@ -91,6 +99,8 @@
     static constexpr absl::Duration kEventInterval = absl::Milliseconds(25);
     /** Retry-After of servers with ServerBehavior::ShedWithRetryAfter. */
     static constexpr absl::Duration kRetryAfter = absl::Milliseconds(1500);
+    /** Body of responses that ServerBehavior::RepeatEarlierResponse repeats. */
+    static constexpr std::string_view kEarlierBody = "earlier";
 
     /** @p host: an otherwise unused IP address of the loopback network. */
     explicit ServingStandin(std::string host);
@@ -167,6 +177,7 @@
         std::string callId;
         int next = 1;
         int breakAt = 0;
+        bool breaksInsideEvent = false;
         absl::Time dueAt;
     };
 
@@ -193,7 +204,10 @@
     void crash(Server &server);
     void answerReservationCommand(InboundConnection &connection, Server &server);
     void restartCrashedServers(absl::Time now);
-    void startStream(InboundConnection &connection, const ServerArrival &arrival, Server &server);
+    void startStream(InboundConnection &connection, const ServerArrival &arrival, Server &server,
+                     std::string_view lastEventId);
+    /** Sends a rejection or a failure without an id, as if to an earlier call. */
+    void repeatEarlierResponse(InboundConnection &connection);
     /** Headers that @p server adds to all its responses. */
     HttpHeaders serverHeaders(Server &server);
     HttpHeaders replyHeaders(Server &server, const ServerArrival &arrival,
@@ -215,6 +229,8 @@
     std::vector<std::unique_ptr<InboundConnection>> connections;
     /** Server index of each connection; connections to the store have no entry. */
     absl::btree_map<InboundConnection *, int> serverOf;
+    /** Connections that have carried a call. */
+    absl::btree_set<InboundConnection *> used;
     std::vector<InboundConnection *> closed;
     std::vector<ServerArrival> recordedArrivals;
     std::vector<ReservationCommand> recordedCommands;
