Send no reservation request where another one could be answered again

An engine that sent the response to a reservation request once more on a kept connection granted the next reservation on it, of memory that the engine had not set aside.

Cause: responses to reservation requests carry no id. Those of calls do and are skipped; a copy of an earlier reservation response cannot be told from the awaited one. Nothing was leaked, and no rule of the users broken: reservations expire, and a rejected stream is sent elsewhere.

Change: a reservation request goes on a new connection or on a kept one that has carried calls only, whose responses have ids. Calls still use all kept connections.

Test, without the fix: ReservationSetTest.IgnoresARepeatedResponseToAnEarlierRequest failed, the second reservation counted as granted.

--- a/main/gateway/reservation_set.cpp
+++ b/main/gateway/reservation_set.cpp
@@ -43,10 +43,11 @@
         this->context.activity[this->share.engine].sent.add(RequestKind::Reservation, now);
         // Memory has to be renewed and released whether there is a token or not.
         this->context.limits.charge(this->share.engine, now);
-        this->connection =
-            this->context.pool.acquire(this->share.address, ConnectionPool::kMaxIdleTime, now);
+        // A late response to an earlier request on this connection must not be taken for this
+        // one's.
+        this->connection = this->context.pool.acquireForUnidentified(
+            this->share.address, ConnectionPool::kMaxIdleTime, now);
         OutboundEvents &events = *this;
-        // A late response to an earlier call on this connection must not be taken for this one's.
         this->connection->call(platform::encodeReservationRequest(this->share.address, body), false,
                                platform::callCorrelation({}), events);
     }
--- a/peers/http/connection_pool.cpp
+++ b/peers/http/connection_pool.cpp
@@ -21,14 +21,33 @@
 
 std::unique_ptr<OutboundConnection> ConnectionPool::acquire(const std::string &address,
                                                             absl::Duration maxIdle, absl::Time now)
+{
+    return this->acquire(address, maxIdle, now, [](const OutboundConnection &) { return true; });
+}
+
+std::unique_ptr<OutboundConnection>
+ConnectionPool::acquireForUnidentified(const std::string &address, absl::Duration maxIdle,
+                                       absl::Time now)
+{
+    return this->acquire(address, maxIdle, now, [](const OutboundConnection &connection) {
+        return !connection.hasUnidentifiedCalls();
+    });
+}
+
+template <typename Condition>
+std::unique_ptr<OutboundConnection> ConnectionPool::acquire(const std::string &address,
+                                                            absl::Duration maxIdle, absl::Time now,
+                                                            Condition isAllowed)
 {
     const auto found = this->idle.find(address);
     if (found != this->idle.end()) {
         std::vector<Idle> &kept = found->second;
         // The most recently used connection is the least likely to have been closed by the server.
-        while (!kept.empty()) {
-            Idle last = std::move(kept.back());
-            kept.pop_back();
+        for (std::size_t index = kept.size(); index-- > 0;) {
+            if (!isAllowed(*kept[index].connection))
+                continue;
+            Idle last = std::move(kept[index]);
+            kept.erase(kept.begin() + static_cast<std::ptrdiff_t>(index));
             const bool isFresh = maxIdle > absl::ZeroDuration()
                 && now - last.since <= maxIdleTime(*last.connection, maxIdle);
             if (isFresh && last.connection->isReusable() && !last.connection->hasUnreadInput())
--- a/peers/http/connection_pool.h
+++ b/peers/http/connection_pool.h
@@ -27,6 +27,10 @@
      * always gives a new one. */
     std::unique_ptr<OutboundConnection> acquire(const std::string &address, absl::Duration maxIdle,
                                                 absl::Time now);
+    /** As acquire(), for a call whose response carries no id: returns no connection that has
+     * carried such a call, whose response might arrive once more. */
+    std::unique_ptr<OutboundConnection>
+    acquireForUnidentified(const std::string &address, absl::Duration maxIdle, absl::Time now);
     /** Returns @p connection to the pool if it can carry another call, otherwise discards it. */
     void release(const std::string &address, std::unique_ptr<OutboundConnection> connection,
                  absl::Time now);
@@ -45,6 +49,10 @@
     };
 
     void onIdleClosed(OutboundConnection &connection) override;
+    /** As the public functions; reuses only connections for which @p isAllowed returns true. */
+    template <typename Condition>
+    std::unique_ptr<OutboundConnection> acquire(const std::string &address, absl::Duration maxIdle,
+                                                absl::Time now, Condition isAllowed);
 
     event_base *base;
     absl::flat_hash_map<std::string, std::vector<Idle>> idle;
--- a/peers/http/outbound_connection.cpp
+++ b/peers/http/outbound_connection.cpp
@@ -90,6 +90,7 @@
 {
     this->events = &events;
     this->correlation = correlation;
+    this->hadUnidentifiedCall = this->hadUnidentifiedCall || correlation.value.empty();
     this->isHeadRequest = isHeadRequest;
     this->wasCancelled = false;
     this->receivedBytes = 0;
--- a/peers/http/outbound_connection.h
+++ b/peers/http/outbound_connection.h
@@ -87,6 +87,8 @@
     /** The server has sent bytes or closed the connection, and the loop has not noticed yet. */
     bool hasUnreadInput() const;
     bool hasCompletedCalls() const { return this->completedCalls > 0; }
+    /** A call was sent whose response carries no id, so that a copy of it cannot be recognised. */
+    bool hasUnidentifiedCalls() const { return this->hadUnidentifiedCall; }
     /** Idle timeout that the server announced in Keep-Alive; zero when it announced none. */
     absl::Duration announcedIdleTimeout() const { return this->idleTimeout; }
 
@@ -134,6 +136,7 @@
     bool hasStartedResponse = false;
     bool keepsAlive = false;
     int completedCalls = 0;
+    bool hadUnidentifiedCall = false;
     absl::Duration idleTimeout = absl::ZeroDuration();
     /** Set by cancel(); stops the parser when one of its callbacks cancelled the call. */
     bool wasCancelled = false;
--- a/tests/gateway/reservation_set_test.cpp
+++ b/tests/gateway/reservation_set_test.cpp
@@ -89,6 +89,37 @@
     ::close(this->socket);
 }
 
+// Guards against the response to an earlier reservation request that an engine sends once more: it
+// was taken for the grant of memory that the engine did not have.
+TEST_F(ReservationSetTest, IgnoresARepeatedResponseToAnEarlierRequest)
+{
+    const std::string granted = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"Free\":5}";
+    const std::vector<ReservationSet::Share> shares = {{7, this->server.address()}};
+    Outcome earlier;
+    ReservationSet first(this->context, "r1", 1000, shares, earlier);
+    this->loop.runUntil([this] { return (this->socket = this->server.accept()) >= 0; });
+    this->awaitRequest();
+    writeAll(this->socket, granted);
+    ASSERT_TRUE(this->loop.runUntil([&] { return earlier.isReserved; }));
+
+    Outcome outcome;
+    ReservationSet second(this->context, "r2", 1000, shares, outcome);
+    int next = -1;
+    this->loop.runUntil([&] {
+        next = std::max(next, this->server.accept());
+        return next >= 0 || !readAvailable(this->socket).empty();
+    });
+    writeAll(this->socket, granted);
+    this->loop.runEvents();
+    EXPECT_FALSE(outcome.isReserved);
+    ::close(this->socket);
+    this->socket = next;
+    this->awaitRequest();
+    writeAll(this->socket, granted);
+    EXPECT_TRUE(this->loop.runUntil([&] { return outcome.isReserved; }));
+    ::close(this->socket);
+}
+
 TEST_F(ReservationSetTest, IsCompleteWhenAllEnginesGrant)
 {
     Outcome outcome;
