Take no headers of a request from behind its body

A server could get headers that were sent behind the last chunk of a caller's request as headers of that request, a second `Model` for example (UNASKED), without the checks that the head goes through. Found by reading; no caller of the users' platform is known to send such headers.

Cause: the parser reports headers behind the body by the same callbacks as those of the head, and all but the last one were added to the request.

Change: they are dropped. The protocol names no header that may stand there.

Test, without the fix: InboundConnectionTest.TakesNoHeaderFromBehindTheBody failed, the request had the header `Model`.

--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -191,14 +191,17 @@
 int InboundConnection::onHeaderField(http_parser *parser, const char *data, std::size_t size)
 {
     InboundConnection &connection = self(parser);
-    connection.collector.onName({data, size});
+    // Headers behind the body have not been checked with the head.
+    if (connection.state == State::ReadingHead)
+        connection.collector.onName({data, size});
     return 0;
 }
 
 int InboundConnection::onHeaderValue(http_parser *parser, const char *data, std::size_t size)
 {
     InboundConnection &connection = self(parser);
-    connection.collector.onValue({data, size});
+    if (connection.state == State::ReadingHead)
+        connection.collector.onValue({data, size});
     return 0;
 }
 
--- a/tests/http/inbound_connection_test.cpp
+++ b/tests/http/inbound_connection_test.cpp
@@ -130,6 +130,21 @@
         413);
 }
 
+// Guards against headers behind the body, which no check of the head has seen, that were forwarded
+// as headers of the request.
+TEST_F(InboundConnectionTest, TakesNoHeaderFromBehindTheBody)
+{
+    writeAll(this->caller,
+             "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+             "1\r\nx\r\n0\r\nModel: m\r\nX: 1\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    this->events.answersAtOnce = false;
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.requests == 1; }));
+    EXPECT_EQ(this->connection->head().headers.find("Model"), nullptr);
+    this->connection->answer(200, {}, "");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.requests == 2; }));
+    EXPECT_EQ(this->connection->head().headers.all().size(), 1U);
+}
+
 TEST_F(InboundConnectionTest, RejectsHeadersOverTheLimit)
 {
     EXPECT_EQ(this->rejection("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(2000, 'x')), 431);
