--- a/tests/http/outbound_connection_test.cpp
+++ b/tests/http/outbound_connection_test.cpp
@@ -163,6 +163,19 @@
     ::close(socket);
 }
 
+TEST_F(OutboundConnectionTest, ReportsABodyWithoutLengthThatIsResetAsConnectionLost)
+{
+    OutboundConnection connection(this->loop.base(), this->server.address(), this->events);
+    this->call(connection, "1");
+    const int socket = this->acceptAndRead();
+    writeAll(socket, "HTTP/1.1 200 OK\r\nCall: 1\r\n\r\nabc");
+    ASSERT_TRUE(this->loop.runUntil([&] { return !this->events.body.empty(); }));
+    resetConnection(socket);
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->isOver(); }));
+    EXPECT_FALSE(this->events.isComplete);
+    EXPECT_EQ(this->events.error, Error::ConnectionLost);
+}
+
 TEST_F(OutboundConnectionTest, RejectsBytesThatAreNoResponse)
 {
     OutboundConnection connection(this->loop.base(), this->server.address(), this->events);
