--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -49,6 +49,8 @@
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(250);
 constexpr absl::Duration kRetryAfterJitter = absl::Milliseconds(750);
 
+constexpr int kStatusOk = 200;
+
 } // namespace
 
 CallRun::CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call)
@@ -439,6 +441,7 @@
     ServerCallEvents &events = *this;
     Attempt &attempt = this->attempts.emplace_back();
     attempt.placement = std::move(this->placement);
+    attempt.run = this->relay.beginRun(this->attempts.size() > 1);
     attempt.usedRetryGrant = std::exchange(this->hasRetryGrant, false);
     attempt.call = std::make_unique<ServerCall>(this->context, std::move(target), events);
     const RequestHead &head = this->caller->head();
@@ -451,8 +454,7 @@
                       const platform::ServerReply &reply)
 {
     Attempt *attempt = this->findAttempt(call);
-    const bool isSuccess = head.status >= 200 && head.status < 300;
-    attempt->isRelaying = isSuccess && reply.isEventStream && this->isStream();
+    attempt->isRelaying = head.status == kStatusOk && reply.isEventStream && this->isStream();
     attempt->reply = head;
 }
 
@@ -487,9 +489,6 @@
     }
     if (events->empty())
         return;
-    // Until one of several attempts delivers an event, the response is that of the first one.
-    if (!this->relay.hasAdvanced() && &attempt != &this->attempts.front())
-        return;
     if (this->relay.hasAdvanced()) {
         attempt.firstEventAt = std::min(attempt.firstEventAt, now);
         if (now - attempt.firstEventAt > kCrashDelay)
@@ -573,7 +572,8 @@
     // While another attempt goes on, only an event shows that this one has continued the stream.
     const bool hasContinued =
         this->attempts.empty() || finished->firstEventAt != absl::InfiniteFuture();
-    if (finished->isRelaying && finished->run.isBetweenEvents() && hasContinued) {
+    if (finished->isRelaying && hasContinued
+        && this->relay.isComplete(finished->run, finished->reply.isFramed)) {
         this->suspicion->onServed(now);
         if (!this->hasAnswerBegun)
             this->caller->startStream(finished->reply.status,
--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -133,7 +133,7 @@
 
 void InboundConnection::sendChunk(std::string_view data)
 {
-    if (data.empty())
+    if (data.empty() || this->request.method == "HEAD")
         return;
     std::string text = absl::StrCat(absl::Hex(data.size()), "\r\n");
     text += data;
@@ -143,7 +143,8 @@
 
 void InboundConnection::finishStream()
 {
-    this->write("0\r\n\r\n");
+    if (this->request.method != "HEAD")
+        this->write("0\r\n\r\n");
     this->finishAnswer();
 }
 
@@ -219,14 +220,17 @@
 int InboundConnection::onHeaderField(http_parser *parser, const char *data, std::size_t size)
 {
     InboundConnection &connection = self(parser);
-    connection.collector.onName({data, size});
+    // Headers behind the body have not been checked with the head.
+    if (connection.state == State::ReadingHead)
+        connection.collector.onName({data, size});
     return 0;
 }
 
 int InboundConnection::onHeaderValue(http_parser *parser, const char *data, std::size_t size)
 {
     InboundConnection &connection = self(parser);
-    connection.collector.onValue({data, size});
+    if (connection.state == State::ReadingHead)
+        connection.collector.onValue({data, size});
     return 0;
 }
 
--- a/servers/retry/event_relay.cpp
+++ b/servers/retry/event_relay.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
+#include <algorithm>
 
 namespace foxtailtally {
 
@@ -12,87 +13,180 @@
 /** Size limit of an event, and of what a run may send without a new event. */
 constexpr std::size_t kMaxEventBytes = std::size_t {256} << 10;
 
-/** Length of the first event in @p text including the blank line that ends it; npos if the event is
- * incomplete. */
-std::size_t firstEventLength(std::string_view text)
+/** Length of the line end at the start of @p text: LF, CR or CRLF; 0 if there is none. */
+std::size_t lineEndLength(std::string_view text)
 {
-    for (std::size_t at = text.find('\n'); at != std::string_view::npos;
-         at = text.find('\n', at + 1)) {
-        const std::string_view rest = text.substr(at + 1);
-        if (rest.starts_with('\n'))
-            return at + 2;
-        if (rest.starts_with("\r\n"))
-            return at + 3;
+    if (text.starts_with("\r\n"))
+        return 2;
+    return text.starts_with('\n') || text.starts_with('\r') ? 1 : 0;
+}
+
+bool isLineEnd(char c)
+{
+    return c == '\n' || c == '\r';
+}
+
+/** Length of the first event in @p text including the blank line that ends it, or of a blank line
+ * before it; npos if the event is incomplete. The first @p scanned bytes do not end it. */
+std::size_t firstEventLength(std::string_view text, std::size_t scanned)
+{
+    for (std::size_t at = scanned; at < text.size(); ++at) {
+        if (!isLineEnd(text[at]))
+            continue;
+        const bool isSecondHalf = at > 0 && text[at - 1] == '\r' && text[at] == '\n';
+        const bool isAtLineStart = at == 0 || isLineEnd(text[at - 1]);
+        // After a CR the event ends at once; an LF that follows is a blank line before the next.
+        if (isAtLineStart && !isSecondHalf)
+            return at + lineEndLength(text.substr(at));
     }
     return std::string_view::npos;
 }
 
-std::optional<std::uint64_t> eventNumber(std::string_view event)
+bool isComment(std::string_view line)
+{
+    return line.starts_with(':');
+}
+
+/** True if @p line has the form of a field; its name need not be known. */
+bool isField(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    if (colon == std::string_view::npos)
+        return name == "data" || name == "event" || name == "id" || name == "retry";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
+        return absl::ascii_islower(static_cast<unsigned char>(c)) || c == '-';
+    });
+}
+
+struct EventFields
+{
+    /** Each line is a field or a comment. */
+    bool isValid = true;
+    bool hasData = false;
+    /** From the last line that names one; absent if that is not a number. */
+    std::optional<std::uint64_t> number;
+};
+
+EventFields parseFields(std::string_view event)
 {
+    EventFields fields;
     while (!event.empty()) {
-        const std::size_t end = event.find('\n');
-        const std::string_view line = event.substr(0, end);
+        const std::string_view line = event.substr(0, event.find_first_of("\r\n"));
+        event.remove_prefix(line.size());
+        event.remove_prefix(lineEndLength(event));
+        if (line.empty() || isComment(line))
+            continue;
+        const std::size_t colon = line.find(':');
+        const std::string_view name = line.substr(0, colon);
+        const std::string_view value =
+            colon == std::string_view::npos ? std::string_view() : line.substr(colon + 1);
+        fields.isValid = fields.isValid && isField(line);
+        fields.hasData = fields.hasData || name == "data";
+        if (name != "id")
+            continue;
         std::uint64_t number = 0;
-        if (line.starts_with("id:")
-            && absl::SimpleAtoi(absl::StripAsciiWhitespace(asAbsl(line.substr(3))), &number))
-            return number;
-        if (end == std::string_view::npos)
-            break;
-        event.remove_prefix(end + 1);
+        const bool isNumber = absl::SimpleAtoi(absl::StripAsciiWhitespace(asAbsl(value)), &number);
+        fields.number = isNumber ? std::optional(number) : std::nullopt;
     }
-    return std::nullopt;
+    return fields;
 }
 
 } // namespace
 
 EventRelay::EventRelay(std::string_view lastEventId)
+    : callerEventId(lastEventId)
 {
     std::uint64_t number = 0;
     if (absl::SimpleAtoi(asAbsl(lastEventId), &number))
-        this->last = number;
+        this->progress.last = number;
+}
+
+EventRelay::Run EventRelay::beginRun(bool isBesideOthers) const
+{
+    Run run;
+    run.isResumed = this->progress.hasForwarded || isBesideOthers;
+    return run;
 }
 
 Result<std::string> EventRelay::feed(Run &run, std::string_view data)
 {
+    const Progress before = this->progress;
     run.pending.append(data);
     run.idleBytes += data.size();
     this->advanced = false;
     std::string completeEvents;
     std::string_view rest = run.pending;
     while (true) {
-        const std::size_t length = firstEventLength(rest);
+        const std::size_t length = firstEventLength(rest, run.scannedBytes);
+        run.scannedBytes = 0;
         if (length == std::string_view::npos)
             break;
         const std::string_view event = rest.substr(0, length);
         const EventClass eventClass = this->classify(run, event);
-        if (eventClass == EventClass::Gap)
+        if (eventClass == EventClass::Violation) {
+            this->progress = before;
             return Error::ProtocolViolation;
+        }
         if (eventClass == EventClass::Pass)
             completeEvents.append(event);
         rest.remove_prefix(length);
     }
     run.pending.erase(0, run.pending.size() - rest.size());
-    if (run.idleBytes > kMaxEventBytes)
+    run.scannedBytes = run.pending.size();
+    if (run.idleBytes > kMaxEventBytes) {
+        this->progress = before;
         return Error::ProtocolViolation;
+    }
     return completeEvents;
 }
 
+bool EventRelay::isComplete(const Run &run, bool isFramed) const
+{
+    if (!run.isBetweenEvents())
+        return false;
+    // A run that ends before the events that the caller has is not the rest of this stream.
+    if (run.lastEvent)
+        return run.lastEvent == this->progress.last;
+    return isFramed || run.hasContinued;
+}
+
 std::string EventRelay::lastEventId() const
 {
-    return this->last ? std::to_string(*this->last) : std::string();
+    return this->progress.last ? std::to_string(*this->progress.last) : this->callerEventId;
 }
 
 EventRelay::EventClass EventRelay::classify(Run &run, std::string_view event)
 {
-    const std::optional<std::uint64_t> number = eventNumber(event);
-    if (!number)
-        return EventClass::Pass;
-    if (this->last && *number <= *this->last)
+    const EventFields fields = parseFields(event);
+    if (!fields.isValid)
+        return EventClass::Violation;
+    if (fields.number)
+        return this->classifyNumbered(run, *fields.number);
+    if (!fields.hasData)
+        return run.isResumed && !run.hasContinued ? EventClass::Skip : EventClass::Pass;
+    if (run.isResumed)
+        return EventClass::Violation;
+    this->progress.hasUnnumbered = true;
+    this->progress.hasForwarded = true;
+    run.hasContinued = true;
+    return EventClass::Pass;
+}
+
+EventRelay::EventClass EventRelay::classifyNumbered(Run &run, std::uint64_t number)
+{
+    Progress &state = this->progress;
+    if (run.isResumed && state.hasUnnumbered)
+        return EventClass::Violation;
+    run.lastEvent = number;
+    if (state.last && number <= *state.last)
         return EventClass::Skip;
-    if (this->last && *number != *this->last + 1)
-        return EventClass::Gap;
-    this->last = number;
+    if (state.last && number != *state.last + 1)
+        return EventClass::Violation;
+    state.last = number;
+    state.hasForwarded = true;
     run.idleBytes = 0;
+    run.hasContinued = true;
     this->advanced = true;
     return EventClass::Pass;
 }
--- a/tests/retry/retry_test.cpp
+++ b/tests/retry/retry_test.cpp
@@ -137,7 +137,7 @@
     std::string relayed;
     bool isComplete = false;
     while (!isComplete) {
-        EventRelay::Run run;
+        EventRelay::Run run = relay.beginRun(false);
         const bool fromStart = *rc::gen::arbitrary<bool>();
         const std::string lastId = relay.lastEventId();
         const int first = fromStart || lastId.empty() ? 1 : std::stoi(lastId) + 1;
@@ -168,7 +168,7 @@
     const int last = *rc::gen::inRange(1, 30);
     EventRelay relay("");
     std::string relayed;
-    std::array<EventRelay::Run, 2> runs;
+    std::array<EventRelay::Run, 2> runs = {relay.beginRun(false), relay.beginRun(true)};
     std::array<std::string, 2> bytes;
     for (std::string &text : bytes) {
         for (int number = 1; number <= last; ++number)
@@ -194,16 +194,16 @@
 TEST(EventRelay, RefusesARunThatSkipsAnEvent)
 {
     EventRelay relay("4");
-    EventRelay::Run first;
-    EventRelay::Run second;
+    EventRelay::Run first = relay.beginRun(false);
     EXPECT_EQ(relay.feed(first, event(5)).value(), event(5));
+    EventRelay::Run second = relay.beginRun(false);
     EXPECT_FALSE(relay.feed(second, event(7)).ok());
 }
 
 TEST(EventRelay, HoldsBackAnIncompleteEvent)
 {
     EventRelay relay("");
-    EventRelay::Run run;
+    EventRelay::Run run = relay.beginRun(false);
     EXPECT_EQ(relay.feed(run, "id: 1\ndata: a").value(), "");
     EXPECT_FALSE(run.isBetweenEvents());
     EXPECT_EQ(relay.feed(run, "b\n\nid: 2").value(), "id: 1\ndata: ab\n\n");
@@ -214,7 +214,7 @@
 TEST(EventRelay, CountsOnlyANewEventAsProgress)
 {
     EventRelay relay("");
-    EventRelay::Run run;
+    EventRelay::Run run = relay.beginRun(false);
     EXPECT_TRUE(relay.feed(run, event(1)).ok());
     EXPECT_TRUE(relay.hasAdvanced());
     EXPECT_EQ(relay.feed(run, ": still there\n\n").value(), ": still there\n\n");
@@ -232,7 +232,7 @@
 {
     for (const std::string &piece : {std::string(": ping\n\n"), event(1), std::string("x")}) {
         EventRelay relay("");
-        EventRelay::Run run;
+        EventRelay::Run run = relay.beginRun(false);
         EXPECT_TRUE(relay.feed(run, event(1)).ok());
         std::size_t sent = 0;
         while (relay.feed(run, piece).ok() && sent < (std::size_t {1} << 20))
