Log the prompt parts of lost calls

The list of a prompt's parts was forwarded and not decoded, so the logs could not tell whether lost calls share one. platform/call_headers decodes the ids of all parts but the last, which belongs to the call or its session: at most 64, of at most 64 digits, in lower case and without repetitions. Entries that are not of the form ID:TOKENS are left out, longer lists are cut; both are counted in foxtailtally_prompt_lists_total. attempt_ended lists up to 16 of the ids for lost and silent attempts. The call is forwarded unchanged.

--- a/main/gateway/call_log.cpp
+++ b/main/gateway/call_log.cpp
@@ -5,12 +5,17 @@
 #include "core/log.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace foxtailtally {
 
 namespace {
 
+/** Most parts of a prompt that are logged for a lost attempt. */
+constexpr std::size_t kMaxPartsLogged = 16;
+
 /** Load of the server, as far as this instance knows; empty for servers without streams. */
 nlohmann::json loadFields(const GatewayContext &context, ServerKey server, absl::Time now)
 {
@@ -61,6 +66,10 @@
         {"server_cold", server && server->coldUntil > now},
         {"domain_cut", context.reachability.isDomainUnreachable(target.domain)},
     };
+    if (end == AttemptEnd::Lost || end == AttemptEnd::Silent) {
+        const std::size_t logged = std::min(record.sharedParts.size(), kMaxPartsLogged);
+        fields["parts"] = absl::StrJoin(record.sharedParts.first(logged), ",");
+    }
     if (end == AttemptEnd::Lost)
         fields.update(loadFields(context, target.key, now));
     logEvent(LogLevel::Info, "attempt_ended", fields);
--- a/main/gateway/call_log.h
+++ b/main/gateway/call_log.h
@@ -6,6 +6,7 @@
 #include "main/gateway/stream_planner.h"
 
 #include <absl/time/time.h>
+#include <span>
 #include <string>
 
 namespace foxtailtally {
@@ -15,6 +16,8 @@
 {
     std::string callId;
     Fingerprint fingerprint {};
+    /** Ids of the parts of the prompt that other calls may share. */
+    std::span<const std::string> sharedParts;
     int runs = 0;
     int rejections = 0;
     /** The attempt delivered an event of the stream before it ended. */
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -48,6 +48,17 @@
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(250);
 constexpr absl::Duration kRetryAfterJitter = absl::Milliseconds(750);
 
+void countPromptList(GatewayContext &context, const platform::PromptParts &prompt)
+{
+    const auto count = [&context](std::string_view fault) {
+        context.metrics.counter("foxtailtally_prompt_lists_total", {{"fault", fault}}).add();
+    };
+    if (prompt.isMalformed)
+        count("malformed");
+    if (prompt.isTruncated)
+        count("truncated");
+}
+
 } // namespace
 
 CallRun::CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call)
@@ -76,6 +87,7 @@
         CallContent {this->call.customer, this->caller->head().path, this->caller->body()});
     this->service = std::string(targetService(*this->call.route, this->call.headers.callId));
     this->context.retries.onCall(this->service, now);
+    countPromptList(this->context, this->call.headers.prompt);
     if (this->suspicion->isQuarantined(now)) {
         this->refuseQuarantined(now);
         return;
@@ -560,6 +572,7 @@
     AttemptRecord record;
     record.callId = this->call.headers.callId;
     record.fingerprint = this->suspicion->fingerprint();
+    record.sharedParts = this->call.headers.prompt.sharedParts;
     record.runs = this->runs;
     record.rejections = this->rejections;
     record.hadEvent = this->lastEventAt >= call.sentAt();
--- a/tests/platform/call_headers_test.cpp
+++ b/tests/platform/call_headers_test.cpp
@@ -1,6 +1,8 @@
 #include "platform/call_headers.h"
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace foxtailtally::platform {
 namespace {
@@ -35,6 +37,70 @@
     EXPECT_EQ(call.maxAnswerTokens, 80);
 }
 
+PromptParts promptOf(const std::vector<std::string> &lists)
+{
+    HttpHeaders headers;
+    for (const std::string &list : lists)
+        headers.add("Prompt-Prefix", list);
+    return decodeCallHeaders(headers).prompt;
+}
+
+TEST(CallHeaders, DecodesTheSharedPartsOfAPrompt)
+{
+    struct Case
+    {
+        std::vector<std::string> lists;
+        std::vector<std::string> shared;
+        bool isMalformed = false;
+    };
+    const std::vector<Case> cases = {
+        {{}, {}},
+        {{"5c1e07a2:800"}, {}},
+        {{"5c1e07a2:800,91bd3f06:410,e4402b7d:250"}, {"5c1e07a2", "91bd3f06"}},
+        {{" 5C1E:8 , 91bd:4 ,e4:2"}, {"5c1e", "91bd"}},
+        {{"5c1e:8", "91bd:4,e4:2"}, {"5c1e", "91bd"}},
+        {{"5c1e:8,5c1e:8,91bd:4"}, {"5c1e"}},
+        {{"5c1e:99999999999999999999999,91bd:4"}, {"5c1e"}},
+        {{""}, {}, true},
+        {{"5c1e:8,,91bd:4"}, {"5c1e"}, true},
+        {{"5c1e,91bd:4"}, {}, true},
+        {{"5c1e:,91bd:4"}, {}, true},
+        {{":8,91bd:4"}, {}, true},
+        {{"5c1e:-8,91bd:4"}, {}, true},
+        {{"xyz:8,5c1e:8,91bd:4"}, {"5c1e"}, true},
+        {{"5c1e:8,91bd"}, {"5c1e"}, true},
+        {{std::string(kMaxPartIdLength + 1, 'a') + ":8,5c1e:8,91bd:4"}, {"5c1e"}, true},
+    };
+    for (const Case &entry : cases) {
+        const PromptParts prompt = promptOf(entry.lists);
+        EXPECT_EQ(prompt.sharedParts, entry.shared) << testing::PrintToString(entry.lists);
+        EXPECT_EQ(prompt.isMalformed, entry.isMalformed) << testing::PrintToString(entry.lists);
+        EXPECT_FALSE(prompt.isTruncated);
+    }
+}
+
+TEST(CallHeaders, BoundsTheSharedPartsOfAPrompt)
+{
+    std::string list;
+    for (int number = 0; number < 5000; ++number)
+        list += absl::StrCat(absl::Hex(number), ":1,");
+    const PromptParts prompt = promptOf({list + "ffff:1"});
+    EXPECT_EQ(prompt.sharedParts.size(), kMaxSharedParts);
+    EXPECT_EQ(prompt.sharedParts.back(), "3f");
+    EXPECT_TRUE(prompt.isTruncated);
+    EXPECT_FALSE(prompt.isMalformed);
+}
+
+RC_GTEST_PROP(CallHeaders, DecodesAnyListOfParts, (const std::vector<std::string> &lists))
+{
+    const PromptParts prompt = promptOf(lists);
+    RC_ASSERT(prompt.sharedParts.size() <= kMaxSharedParts);
+    for (const std::string &id : prompt.sharedParts) {
+        RC_ASSERT(!id.empty() && id.size() <= kMaxPartIdLength);
+        RC_ASSERT(id.find_first_not_of("0123456789abcdef") == std::string::npos);
+    }
+}
+
 TEST(CallHeaders, OverridesGatewayHeadersSentByTheCaller)
 {
     ForwardedCall call;
