--- /dev/null
+++ b/benchmarks/quarantine_benchmark.cpp
@@ -0,0 +1,88 @@
+#include "core/hash.h"
+#include "servers/quarantine/quarantine.h"
+
+#include <absl/strings/str_cat.h>
+#include <benchmark/benchmark.h>
+
+namespace foxtailtally {
+
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1000000);
+constexpr int kParts = 10;
+
+CallFingerprints anyCall()
+{
+    CallFingerprints call;
+    call.call = fingerprintOf("call");
+    for (int i = 0; i < kParts; ++i)
+        call.parts.push_back(fingerprintOf(absl::StrCat("part ", i)));
+    return call;
+}
+
+/** A table with @p suspects fingerprints that have died once, and one that is quarantined. */
+Quarantine tableWith(std::int64_t suspects)
+{
+    QuarantineOptions options;
+    options.maxFingerprints = 20000;
+    Quarantine table(options);
+    for (std::int64_t i = 0; i < suspects; ++i) {
+        const BackendServerId server(absl::StrCat("server-", i % 300));
+        table.onCrashReport({fingerprintOf(absl::StrCat("suspect ", i)), server, 1, kStart},
+                            kStart);
+    }
+    if (suspects > 0) {
+        for (int i = 0; i < 3; ++i)
+            table.onCrashReport(
+                {fingerprintOf("deadly"), BackendServerId(absl::StrCat(i)), 1, kStart}, kStart);
+    }
+    return table;
+}
+
+/** What a call costs before it is sent: whether it is quarantined or suspect. */
+void BM_CheckCall(benchmark::State &state)
+{
+    const Quarantine table = tableWith(state.range(0));
+    const CallFingerprints call = anyCall();
+    for (auto _ : state) {
+        if (table.isEmpty())
+            continue;
+        bool isRestricted = table.refuses(call, kStart);
+        for (const Fingerprint &part : call.parts)
+            isRestricted |= table.nextRun(part, kStart) == SuspectRun::Last;
+        benchmark::DoNotOptimize(isRestricted);
+    }
+}
+
+/** What a call costs when it is served: fingerprints of its parts, and their acquittal. */
+void BM_RecordServedCall(benchmark::State &state)
+{
+    Quarantine table = tableWith(state.range(0));
+    std::int64_t number = 0;
+    for (auto _ : state) {
+        const CallFingerprints call = anyCall();
+        const absl::Time now = kStart + absl::Milliseconds(++number);
+        benchmark::DoNotOptimize(table.recordPartsServed(call.parts, now, now));
+    }
+}
+
+/** A report, and the verdicts that the next call needs. */
+void BM_JudgeAfterReport(benchmark::State &state)
+{
+    Quarantine table = tableWith(state.range(0));
+    Incarnation incarnation = 1;
+    for (auto _ : state) {
+        table.onCrashReport(
+            {fingerprintOf("suspect 1"), BackendServerId("server-1"), ++incarnation, kStart},
+            kStart);
+        benchmark::DoNotOptimize(table.check(fingerprintOf("suspect 1"), kStart));
+    }
+}
+
+BENCHMARK(BM_CheckCall)->Arg(0)->Arg(10)->Arg(10000);
+BENCHMARK(BM_RecordServedCall)->Arg(0)->Arg(10)->Arg(10000);
+BENCHMARK(BM_JudgeAfterReport)->Arg(10)->Arg(10000);
+
+} // namespace
+
+} // namespace foxtailtally
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -82,9 +82,10 @@
 void CallRun::start(absl::Time now)
 {
     this->hasStarted = true;
-    this->suspicion.emplace(
-        this->context, this->call.headers.callId,
-        CallContent {this->call.customer, this->caller->head().path, this->caller->body()});
+    this->suspicion.emplace(this->context, this->call.headers.callId,
+                            CallContent {this->call.customer, this->caller->head().path,
+                                         this->caller->body(),
+                                         this->call.headers.prompt.sharedParts});
     this->service = std::string(targetService(*this->call.route, this->call.headers.callId));
     this->context.retries.onCall(this->service, now);
     countPromptList(this->context, this->call.headers.prompt);
@@ -190,7 +191,7 @@
     return this->dispatchPlain(service, excluded, now);
 }
 
-StreamDemand CallRun::demand(absl::Time now) const
+StreamDemand CallRun::demand(absl::Time now)
 {
     StreamDemand demand;
     demand.promptTokens = this->call.headers.promptTokens;
@@ -199,6 +200,8 @@
     demand.objective = this->call.route->objective;
     demand.eventGapObjective = this->call.route->eventGapObjective;
     const absl::Time lastProgressAt = std::max(this->call.receivedAt, this->lastEventAt);
+    // A crash also stalls the work of the engines that help.
+    demand.usesFewestEngines = this->suspicion->nextRun(now) == SuspectRun::Last;
     demand.callerTimeLeft =
         std::min(this->call.answerBy, lastProgressAt + this->call.route->streamIdleTimeout()) - now;
     return demand;
@@ -232,7 +235,7 @@
     return this->hasAnswerBegun ? value + kBegunResponseWorth : value;
 }
 
-absl::Duration CallRun::tokenPatience(absl::Time now) const
+absl::Duration CallRun::tokenPatience(absl::Time now)
 {
     if (this->hasAnswerBegun)
         return this->demand(now).callerTimeLeft * kMaxTokenWaitShare;
@@ -405,6 +408,7 @@
     target.address = server.address;
     target.domain = server.domain;
     target.suspicion = this->suspicion->nextRun(now);
+    target.suspectParts = this->suspicion->suspectParts(now);
     this->tried.push_back(target.key);
     ++this->attemptsSent;
     platform::ForwardedCall forwarded;
@@ -466,8 +470,11 @@
         return;
     if (this->relay.hasAdvanced()) {
         attempt.firstEventAt = std::min(attempt.firstEventAt, now);
-        if (now - attempt.firstEventAt > kCrashDelay)
+        if (!attempt.hasSurvived && now - attempt.firstEventAt > kCrashDelay) {
+            attempt.hasSurvived = true;
             call.clearSuspicion();
+            this->suspicion->onSurvived(attempt.firstEventAt, now);
+        }
         this->onStreamEvent(call, now);
     }
     if (!this->hasAnswerBegun) {
@@ -519,6 +526,7 @@
     ++this->runs;
     if (finished->isRelaying && this->relay.isBetweenEvents()) {
         this->suspicion->onServed(now);
+        this->suspicion->onSurvived(std::min(finished->firstEventAt, now), now);
         if (!this->hasAnswerBegun)
             this->caller->startStream(finished->reply.status,
                                       platform::callerHeaders(finished->reply.headers));
@@ -539,8 +547,10 @@
     }
     this->context.health.onOutcome(server, ServerHealth::Outcome::Answered, now);
     this->context.health.onLatency(server, latency);
-    if (this->reply.status < 400)
+    if (this->reply.status < 400) {
         this->suspicion->onServed(now);
+        this->suspicion->onSurvived(now, now);
+    }
     this->forwardStoredReply();
 }
 
@@ -628,6 +638,7 @@
 
 void CallRun::refuseQuarantined(absl::Time now)
 {
+    this->suspicion->logQuarantine(now);
     this->sendLocalReply(503, "quarantined", true, this->suspicion->quarantineLeft(now));
 }
 
@@ -641,6 +652,9 @@
     evidence.isConnectionBroken = isBroken || isUnresponsive;
     evidence.hasAnswerBegun = !this->isStream() && attempt.reply.status != 0;
     evidence.streamingFor = std::max(absl::ZeroDuration(), now - attempt.firstEventAt);
+    const ServerActivity &activity = this->context.activity[attempt.call->target().key];
+    if (isUnresponsive)
+        evidence.silentFor = now - std::max(activity.lastByteAt, attempt.call->sentAt());
     return evidence;
 }
 
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -68,6 +68,8 @@
         /** The response is a stream whose events are forwarded as they arrive. */
         bool isRelaying = false;
         absl::Time firstEventAt = absl::InfiniteFuture();
+        /** The server has run the call for longer than kCrashDelay. */
+        bool hasSurvived = false;
     };
 
     bool mayWrite(ServerCall &call, absl::Time now) override;
@@ -86,7 +88,7 @@
                         absl::Time now);
     bool dispatchPlain(const Service &service, std::span<const ServerKey> excluded, absl::Time now);
     /** Longest time to wait for a token. */
-    absl::Duration tokenPatience(absl::Time now) const;
+    absl::Duration tokenPatience(absl::Time now);
     /** Claims the tokens that @p decision needs; false if it needs none. */
     bool claimTokens(const StreamDecision &decision, absl::Time now);
     bool claimTokens(const ServiceChoice &choice, absl::Time now);
@@ -98,7 +100,7 @@
     void sendPlain(const ServerDirectory::Server &server, absl::Time now);
     void sendTo(const ServerEntry &server, std::vector<platform::PrefillHelper> helpers,
                 absl::Time now);
-    StreamDemand demand(absl::Time now) const;
+    StreamDemand demand(absl::Time now);
     void onPlacementReady(absl::Time now) override;
     void onPlacementFailed(ServerKey engine, absl::Time now) override;
     void retryPlacement(absl::Time now);
--- a/main/gateway/call_suspicion.cpp
+++ b/main/gateway/call_suspicion.cpp
@@ -9,22 +9,49 @@
 
 namespace foxtailtally {
 
+namespace {
+
+/** Separates the fingerprints of parts of prompts from those of calls. */
+constexpr std::string_view kPartLabel = "prompt part";
+
+} // namespace
+
 bool CallSuspicion::isQuarantined(absl::Time now)
 {
     const Quarantine &quarantine = this->context.quarantine;
-    return !quarantine.isEmpty()
-        && quarantine.check(this->fingerprint(), now) == QuarantineState::Quarantined;
+    return !quarantine.isEmpty() && quarantine.refuses(this->fingerprints(), now);
 }
 
 SuspectRun CallSuspicion::nextRun(absl::Time now)
 {
     const Quarantine &quarantine = this->context.quarantine;
-    return quarantine.isEmpty() ? SuspectRun::None : quarantine.nextRun(this->fingerprint(), now);
+    if (quarantine.isEmpty())
+        return SuspectRun::None;
+    // Many calls share a part, so a single death shows too little to restrict all of them.
+    return this->suspectParts(now).empty() ? quarantine.nextRun(this->fingerprint(), now)
+                                           : SuspectRun::Last;
+}
+
+std::vector<Fingerprint> CallSuspicion::suspectParts(absl::Time now)
+{
+    const Quarantine &quarantine = this->context.quarantine;
+    std::vector<Fingerprint> suspects;
+    if (quarantine.isEmpty())
+        return suspects;
+    for (const Fingerprint &part : this->fingerprints().parts) {
+        if (quarantine.nextRun(part, now) == SuspectRun::Last)
+            suspects.push_back(part);
+    }
+    return suspects;
 }
 
 absl::Duration CallSuspicion::quarantineLeft(absl::Time now)
 {
-    return this->context.quarantine.retryAfter(this->fingerprint(), now);
+    const Quarantine &quarantine = this->context.quarantine;
+    absl::Duration left = quarantine.retryAfter(this->fingerprint(), now);
+    for (const Fingerprint &part : this->fingerprints().parts)
+        left = std::max(left, quarantine.retryAfter(part, now));
+    return left;
 }
 
 SuspectPlacement CallSuspicion::restrictions(const std::string &service,
@@ -33,6 +60,13 @@
     const SuspectRun run = this->nextRun(now);
     if (run == SuspectRun::None)
         return {};
+    SuspectPlacement wait;
+    wait.mustWait = true;
+    for (const Fingerprint &part : this->suspectParts(now)) {
+        // One run shows as much as several do, and costs one server.
+        if (this->context.suspectPartRuns.contains(part))
+            return wait;
+    }
     std::vector<SuspectCandidate> candidates;
     for (const ServerDirectory::Server *server : this->context.directory.usable(service, now)) {
         const bool wasTried = std::find(tried.begin(), tried.end(), server->key) != tried.end();
@@ -55,9 +89,8 @@
     if (!mayHaveCrashedServer(evidence))
         return;
     Quarantine &quarantine = this->context.quarantine;
-    const std::array<Fingerprint, 1> running = {this->fingerprint()};
-    std::vector<CrashReport> deaths =
-        quarantine.onServerDeath(target.id, target.incarnation, running, now);
+    std::vector<CrashReport> deaths = quarantine.onCallLost(
+        target.id, target.incarnation, this->fingerprints(), commonCauseSince(evidence, now), now);
     if (deaths.empty())
         return;
     logEvent(LogLevel::Info, "call_suspected",
@@ -65,24 +98,61 @@
               {"fingerprint", fingerprintText(this->fingerprint())},
               {"server", target.id.str()},
               {"incarnation", target.incarnation},
-              {"deaths", quarantine.deathsSeen(this->fingerprint(), now)}});
+              {"deaths", quarantine.deathsSeen(this->fingerprint(), now)},
+              {"parts", this->partDeaths(now)}});
     this->context.exchange.onServerDeaths(std::move(deaths));
 }
 
+void CallSuspicion::logQuarantine(absl::Time now)
+{
+    logEvent(LogLevel::Info, "call_quarantined",
+             {{"request", this->callId},
+              {"fingerprint", fingerprintText(this->fingerprint())},
+              {"deaths", this->context.quarantine.deathsSeen(this->fingerprint(), now)},
+              {"parts", this->partDeaths(now)}});
+}
+
+nlohmann::json CallSuspicion::partDeaths(absl::Time now)
+{
+    nlohmann::json fields = nlohmann::json::object();
+    const std::vector<Fingerprint> &parts = this->fingerprints().parts;
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        const std::uint32_t deaths = this->context.quarantine.deathsSeen(parts[i], now);
+        if (deaths > 0)
+            fields[this->content.sharedParts[i]] = {{"fingerprint", fingerprintText(parts[i])},
+                                                    {"deaths", deaths}};
+    }
+    return fields;
+}
+
+void CallSuspicion::onSurvived(absl::Time beganAt, absl::Time now)
+{
+    std::vector<ServedReport> served =
+        this->context.quarantine.recordPartsServed(this->fingerprints().parts, beganAt, now);
+    if (!served.empty())
+        this->context.exchange.onServed(std::move(served));
+}
+
 void CallSuspicion::onServed(absl::Time now)
 {
     if (this->context.quarantine.recordServed(this->fingerprint(), now))
-        this->context.exchange.onServed({this->fingerprint(), now});
+        this->context.exchange.onServed({{this->fingerprint(), now}});
 }
 
-const Fingerprint &CallSuspicion::fingerprint()
+const CallFingerprints &CallSuspicion::fingerprints()
 {
-    if (!this->knownFingerprint) {
-        const std::array<std::string_view, 3> parts = {this->content.customer, this->content.path,
-                                                       this->content.body};
-        this->knownFingerprint = fingerprintOf(parts);
+    if (this->knownFingerprints)
+        return *this->knownFingerprints;
+    const std::array<std::string_view, 3> content = {this->content.customer, this->content.path,
+                                                     this->content.body};
+    CallFingerprints known;
+    known.call = fingerprintOf(content);
+    for (const std::string &part : this->content.sharedParts) {
+        const std::array<std::string_view, 2> text = {kPartLabel, part};
+        known.parts.push_back(fingerprintOf(text));
     }
-    return *this->knownFingerprint;
+    this->knownFingerprints = std::move(known);
+    return *this->knownFingerprints;
 }
 
 } // namespace foxtailtally
--- a/main/gateway/call_suspicion.h
+++ b/main/gateway/call_suspicion.h
@@ -7,6 +7,7 @@
 #include "servers/quarantine/suspect_placement.h"
 
 #include <absl/time/time.h>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <span>
 #include <string>
@@ -22,6 +23,8 @@
     std::string_view customer;
     std::string_view path;
     std::string_view body;
+    /** Ids of the parts of the prompt that other calls may share. */
+    std::span<const std::string> sharedParts;
 };
 
 /** Tells from this instance's quarantine whether a call may crash the servers that execute it. */
@@ -34,12 +37,15 @@
         , content(content)
     { }
 
-    /** Several servers have crashed under calls with this content; no further one may get it. */
+    /** Several servers have crashed under calls with this content, or with a part of its prompt; no
+     * further one may get it. */
     bool isQuarantined(absl::Time now);
     /** How far the next run of the call is suspected of crashing its server. */
     SuspectRun nextRun(absl::Time now);
     /** Time until calls with this content may run again. */
     absl::Duration quarantineLeft(absl::Time now);
+    /** Parts of the prompt that the next death would quarantine. */
+    std::vector<Fingerprint> suspectParts(absl::Time now);
 
     /** Which servers of @p service the call may be sent to; all when it is not suspect. */
     SuspectPlacement restrictions(const std::string &service, std::span<const ServerKey> tried,
@@ -47,17 +53,26 @@
 
     /** Records a crash that the call may have caused, and reports it to the other instances. */
     void onLoss(const AttemptTarget &target, const CrashEvidence &evidence, absl::Time now);
+    /** A server that began to run the call at @p beganAt did not crash. */
+    void onSurvived(absl::Time beganAt, absl::Time now);
     /** A server has executed the call successfully. */
     void onServed(absl::Time now);
 
-    const Fingerprint &fingerprint();
+    /** Logs why the call must not run. */
+    void logQuarantine(absl::Time now);
+
+    const Fingerprint &fingerprint() { return this->fingerprints().call; }
 
 private:
+    const CallFingerprints &fingerprints();
+    /** Ids of the suspect parts of the prompt with their deaths, for the log. */
+    nlohmann::json partDeaths(absl::Time now);
+
     GatewayContext &context;
     const std::string &callId;
     CallContent content;
     /** Computed on first use. */
-    std::optional<Fingerprint> knownFingerprint;
+    std::optional<CallFingerprints> knownFingerprints;
 };
 
 } // namespace foxtailtally
--- a/main/gateway/death_recorder.cpp
+++ b/main/gateway/death_recorder.cpp
@@ -65,6 +65,12 @@
     return key;
 }
 
+bool DeathRecorder::isObjectOf(std::string_view name, const Fingerprint &fingerprint)
+{
+    const std::optional<CrashKey> death = parseObjectName(name);
+    return death && death->fingerprint == fingerprint;
+}
+
 void DeathRecorder::onStored(const std::string &name, absl::Time expiry)
 {
     this->stored[name] = expiry;
@@ -90,6 +96,7 @@
             continue;
         const absl::Time expiry = report.diedAt + kQuarantineDuration;
         report.diedAt += wallNow - now;
+        report.causeSince += wallNow - now;
         this->ownDeaths[name] = key;
         this->pending.push_back({false, name, platform::encodeCrashReport(name, report), expiry});
     }
--- a/main/gateway/death_recorder.h
+++ b/main/gateway/death_recorder.h
@@ -32,6 +32,9 @@
     /** Inverse of objectName(); nothing if @p name is not such a name. */
     static std::optional<CrashKey> parseObjectName(std::string_view name);
 
+    /** Whether @p name is that of a death of @p fingerprint. */
+    static bool isObjectOf(std::string_view name, const Fingerprint &fingerprint);
+
     /** The store holds the object @p name, which is valid until @p expiry. */
     void onStored(const std::string &name, absl::Time expiry);
     void onRemoved(const std::string &name);
--- a/main/gateway/exchange_message.cpp
+++ b/main/gateway/exchange_message.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint8_t kFormatVersion = 5;
+constexpr std::uint8_t kFormatVersion = 6;
 
 enum class MessageType : std::uint8_t { Report = 1, Bundle = 2, Quarantine = 3 };
 
@@ -166,13 +166,15 @@
     std::string server;
     std::uint64_t incarnation = 0;
     std::uint32_t ageMs = 0;
+    /** Time from CrashReport::causeSince to the death. */
+    std::uint16_t commonCauseMs = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
         archive(this->fingerprint);
         archiveWithByteCount(archive, this->server);
-        archive(this->incarnation, this->ageMs);
+        archive(this->incarnation, this->ageMs, this->commonCauseMs);
     }
 };
 
@@ -180,11 +182,12 @@
 {
     Fingerprint fingerprint {};
     std::uint32_t ageMs = 0;
+    std::uint32_t trustedMs = 0;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->fingerprint, this->ageMs);
+        archive(this->fingerprint, this->ageMs, this->trustedMs);
     }
 };
 
@@ -424,13 +427,16 @@
         for (; nextDeath < message.deaths.size(); ++nextDeath) {
             const CrashReport &report = message.deaths[nextDeath];
             const WireDeath wire = {report.fingerprint, report.server.str().substr(0, kMaxElements),
-                                    report.incarnation, saturatedAgeMs(report.diedAt, now)};
+                                    report.incarnation, saturatedAgeMs(report.diedAt, now),
+                                    saturatedMs(report.diedAt - report.causeSince)};
             if (!deaths.add(encoded(wire), remainingBytes()))
                 break;
         }
         for (; nextServed < message.served.size(); ++nextServed) {
             const ServedReport &report = message.served[nextServed];
-            const WireServed wire = {report.fingerprint, saturatedAgeMs(report.servedAt, now)};
+            const WireServed wire = {
+                report.fingerprint, saturatedAgeMs(report.servedAt, now),
+                saturate<std::uint32_t>(absl::ToDoubleMilliseconds(report.trustedFor))};
             if (!served.add(encoded(wire), remainingBytes()))
                 break;
         }
@@ -480,13 +486,15 @@
             std::vector<WireServed> served;
             archiveWithByteCount(reader, deaths);
             archiveWithByteCount(reader, served);
-            for (const WireDeath &wire : deaths)
+            for (const WireDeath &wire : deaths) {
+                const absl::Time diedAt = now - absl::Milliseconds(wire.ageMs);
                 quarantine.deaths.push_back({wire.fingerprint, BackendServerId(wire.server),
-                                             wire.incarnation,
-                                             now - absl::Milliseconds(wire.ageMs)});
+                                             wire.incarnation, diedAt,
+                                             diedAt - absl::Milliseconds(wire.commonCauseMs)});
+            }
             for (const WireServed &wire : served)
-                quarantine.served.push_back(
-                    {wire.fingerprint, now - absl::Milliseconds(wire.ageMs)});
+                quarantine.served.push_back({wire.fingerprint, now - absl::Milliseconds(wire.ageMs),
+                                             absl::Milliseconds(wire.trustedMs)});
         } else {
             return Error::MessageTagInvalid;
         }
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -109,6 +109,8 @@
     LimitExchange limits;
     Random random;
     absl::flat_hash_map<ServerKey, ServerActivity> activity;
+    /** Running calls of this instance with each suspect part of a prompt. */
+    absl::flat_hash_map<Fingerprint, std::int64_t> suspectPartRuns;
     /** Destroyed at the next tick. */
     std::vector<std::unique_ptr<Retirable>> retired;
     std::vector<Lingering> lingeringObjects;
--- a/main/gateway/instance_exchange.cpp
+++ b/main/gateway/instance_exchange.cpp
@@ -16,6 +16,7 @@
 #include <cerrno>
 #include <event2/event.h>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -170,10 +171,10 @@
     this->broadcastQuarantineReports(std::move(message), {}, Clock::now());
 }
 
-void InstanceExchange::onServed(const ServedReport &served)
+void InstanceExchange::onServed(std::vector<ServedReport> served)
 {
     QuarantineMessage message;
-    message.served = {served};
+    message.served = std::move(served);
     this->broadcastQuarantineReports(std::move(message), {}, Clock::now());
 }
 
@@ -484,10 +485,10 @@
     QuarantineMessage newReports;
     QuarantineMessage contradiction;
     for (const CrashReport &report : message.deaths) {
-        if (this->quarantine.wasServedRecently(report.fingerprint, now)) {
-            const ServedReport served = {report.fingerprint, now};
-            this->quarantine.onServed(served, now);
-            contradiction.served.push_back(served);
+        if (const std::optional<ServedReport> served =
+                this->quarantine.contradictionOf(report, now)) {
+            this->quarantine.onServed(*served, now);
+            contradiction.served.push_back(*served);
         } else if (this->quarantine.onCrashReport(report, now)) {
             newReports.deaths.push_back(report);
         }
--- a/main/gateway/instance_exchange.h
+++ b/main/gateway/instance_exchange.h
@@ -74,7 +74,7 @@
     void onSuspicion(ServerKey server);
     /** Sends at once what this instance has learned of calls that crash servers. */
     void onServerDeaths(std::vector<CrashReport> deaths);
-    void onServed(const ServedReport &served);
+    void onServed(std::vector<ServedReport> served);
 
     const FleetView &view() const { return this->fleet; }
     /** Sends a datagram that a LimitDatagrams at @p address receives; it may be lost. */
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -183,6 +183,7 @@
 {
     this->addSuspectCount(-1);
     this->server.suspicion = SuspectRun::None;
+    this->server.suspectParts.clear();
 }
 
 void ServerCall::addSuspectCount(std::int64_t change)
@@ -192,6 +193,12 @@
         activity.earlySuspects += change;
     if (this->server.suspicion == SuspectRun::Last)
         activity.lastSuspects += change;
+    for (const Fingerprint &part : this->server.suspectParts) {
+        const auto runs = this->context.suspectPartRuns.try_emplace(part, 0).first;
+        runs->second += change;
+        if (runs->second <= 0)
+            this->context.suspectPartRuns.erase(runs);
+    }
 }
 
 void ServerCall::uncountCall()
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <system_error>
+#include <vector>
 
 namespace foxtailtally {
 
@@ -43,6 +44,8 @@
     FailureDomainId domain;
     /** How far the call is suspected of crashing the server. */
     SuspectRun suspicion = SuspectRun::None;
+    /** Suspect parts of its prompt. */
+    std::vector<Fingerprint> suspectParts;
 };
 
 /** One attempt of a call at one server. */
@@ -85,7 +88,8 @@
     void onConnectTimer();
     void end(AttemptEnd end);
     void discardConnection();
-    /** Adds @p change to the number of equally suspect calls at the server. */
+    /** Adds @p change to the number of equally suspect calls at the server, and of running calls
+     * with the same suspect parts. */
     void addSuspectCount(std::int64_t change);
     void uncountCall();
     /** False when the head does not prove to be the response of this server to this call. */
--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace foxtailtally {
 
@@ -216,17 +217,16 @@
             listed.insert(object.name);
             this->adopt(object, now);
         }
-        for (const std::string &name : this->known) {
-            if (!listed.contains(name))
+        const absl::btree_set<std::string> before = std::exchange(this->known, std::move(listed));
+        for (const std::string &name : before) {
+            if (!this->known.contains(name))
                 this->withdraw(name, now);
         }
-        this->known = std::move(listed);
     }
     void onChange(const ObjectChange &change, bool, absl::Time now) override
     {
         if (change.isDeleted) {
             this->withdraw(change.object.name, now);
-            this->known.erase(change.object.name);
             return;
         }
         this->known.insert(change.object.name);
@@ -242,7 +242,9 @@
             return;
         }
         const absl::Duration age = Clock::wallNow() - report->diedAt;
-        report->diedAt = now - std::max(age, absl::ZeroDuration());
+        const absl::Time diedAt = now - std::max(age, absl::ZeroDuration());
+        report->causeSince += diedAt - report->diedAt;
+        report->diedAt = diedAt;
         this->sync.recorder.onStored(object.name, report->diedAt + kQuarantineDuration);
         this->context.quarantine.onCrashReport(*report, now);
     }
@@ -250,8 +252,19 @@
     void withdraw(const std::string &name, absl::Time now)
     {
         this->sync.recorder.onRemoved(name);
-        if (const std::optional<CrashKey> death = DeathRecorder::parseObjectName(name))
-            this->context.quarantine.withdraw(*death, now);
+        this->known.erase(name);
+        if (const std::optional<CrashKey> death = DeathRecorder::parseObjectName(name)) {
+            Quarantine &quarantine = this->context.quarantine;
+            quarantine.withdraw(*death, now);
+            // The store need not hold all deaths; the others must not keep it quarantined.
+            const bool isLifted =
+                quarantine.check(death->fingerprint, now) == QuarantineState::Quarantined
+                && std::none_of(this->known.begin(), this->known.end(), [&](const auto &other) {
+                       return DeathRecorder::isObjectOf(other, death->fingerprint);
+                   });
+            if (isLifted)
+                quarantine.withdrawAll(death->fingerprint, now);
+        }
         logEvent(LogLevel::Info, "death_withdrawn", {{"name", name}});
     }
 
--- a/servers/placement/stream_placement.cpp
+++ b/servers/placement/stream_placement.cpp
@@ -217,11 +217,15 @@
     const double prefillPrice = this->isShort() ? 0.0 : prefillPricePerMs(candidates, loads);
     std::optional<StreamPlan> best;
     double bestScore = 0;
+    std::size_t fewest = kPartCounts.back();
     for (const std::size_t parts : kPartCounts) {
         if (parts > candidates.size() || (parts > 1 && this->isShort()))
             break;
         if (parts < this->memoryShares())
             continue;
+        if (this->demand.usesFewestEngines && parts > fewest)
+            break;
+        fewest = std::min(fewest, parts);
         const double partMs = this->wholePrefillMs / static_cast<double>(parts);
         std::vector<Option> options;
         for (std::size_t i = 0; i < candidates.size(); ++i) {
--- a/servers/placement/stream_placement.h
+++ b/servers/placement/stream_placement.h
@@ -49,6 +49,8 @@
     absl::Duration objective = absl::ZeroDuration();
     /** Time left until the caller abandons the call. */
     absl::Duration callerTimeLeft = absl::ZeroDuration();
+    /** No engine may help that the prompt's memory does not need. */
+    bool usesFewestEngines = false;
 };
 
 struct StreamPlan
--- a/servers/quarantine/crash_evidence.h
+++ b/servers/quarantine/crash_evidence.h
@@ -13,6 +13,9 @@
     bool hasAnswerBegun = false;
     /** Time since the first event of a stream; zero before it. */
     absl::Duration streamingFor = absl::ZeroDuration();
+    /** Time since the last byte from a server that accepts no further connections; it may have
+     * crashed at any moment since. */
+    absl::Duration silentFor = absl::ZeroDuration();
 };
 
 /** Longest time from the first event of a stream to a crash that the call may have caused. A call
@@ -20,6 +23,18 @@
  * the connection breaks. */
 inline constexpr absl::Duration kCrashDelay = absl::Milliseconds(200);
 
+/** Crashes with one cause, such as a power failure, are noticed within this time of each other.
+ * Long enough for another call to be sent and served, which shows that what it has in common with
+ * the lost ones does not crash servers. */
+inline constexpr absl::Duration kCommonCauseWindow = absl::Seconds(1);
+
+/** Start of the time in which a crash of another server may have had the same cause as the one that
+ * is noticed at @p now. */
+inline absl::Time commonCauseSince(const CrashEvidence &evidence, absl::Time now)
+{
+    return now - kCommonCauseWindow - evidence.silentFor;
+}
+
 /** Whether the server may have crashed because it began to run the call. */
 inline bool mayHaveCrashedServer(const CrashEvidence &evidence)
 {
--- a/servers/quarantine/quarantine.cpp
+++ b/servers/quarantine/quarantine.cpp
@@ -2,8 +2,10 @@
 
 #include "core/hash.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace foxtailtally {
 
@@ -59,6 +61,21 @@
     return newReports;
 }
 
+std::vector<CrashReport> Quarantine::onCallLost(const BackendServerId &server,
+                                                Incarnation incarnation,
+                                                const CallFingerprints &call, absl::Time causeSince,
+                                                absl::Time now)
+{
+    std::vector<CrashReport> newReports =
+        this->onServerDeath(server, incarnation, {&call.call, 1}, now);
+    for (const Fingerprint &part : call.parts) {
+        const CrashReport report {part, server, incarnation, now, causeSince};
+        if (this->addDeath(report, true, now))
+            newReports.push_back(report);
+    }
+    return newReports;
+}
+
 bool Quarantine::onCrashReport(const CrashReport &report, absl::Time now)
 {
     return this->addDeath(report, false, now);
@@ -69,27 +86,36 @@
     const absl::Time diedAt = report.diedAt;
     if (!isCredible(diedAt, now) || this->withdrawn.contains(crashKey(report)))
         return false;
+    const std::optional<absl::Time> partServedAt =
+        this->recentlyServedParts.servedAt(hashOf(report.fingerprint), now);
+    if (partServedAt && diedAt <= *partServedAt)
+        return false;
     Entry &entry = this->entries[report.fingerprint];
     if (diedAt <= entry.servedAt + kServedRetention)
         return false;
     Deaths &deaths = entry.deaths;
-    const Death death {report.server, report.incarnation, diedAt, isLocal};
-    const auto same = std::find_if(deaths.begin(), deaths.end(), [&](const Death &known) {
-        return known.server == death.server && known.incarnation == death.incarnation;
-    });
-    if (same != deaths.end()) {
+    const Death death {report.server, report.incarnation, diedAt,
+                       std::min(report.causeSince, diedAt), isLocal};
+    const auto find = [&deaths, &death] {
+        return std::find_if(deaths.begin(), deaths.end(), [&death](const Death &known) {
+            return known.server == death.server && known.incarnation == death.incarnation;
+        });
+    };
+    if (const auto same = find(); same != deaths.end()) {
         // Instances see one death at different times; all keep the latest of these times. With the
         // earliest one the result of a merge would depend on which deaths were dropped before.
-        same->diedAt = std::max(same->diedAt, diedAt);
+        const auto times = std::max(std::pair(same->diedAt, same->causeSince),
+                                    std::pair(death.diedAt, death.causeSince));
+        std::tie(same->diedAt, same->causeSince) = times;
         std::sort(deaths.begin(), deaths.end(), isNewer);
+        this->cachedVerdicts = {};
         return false;
     }
     deaths.push_back(death);
     std::sort(deaths.begin(), deaths.end(), isNewer);
-    const bool isKept = deaths.size() <= kMaxDeaths || deaths.back().server != death.server
-        || deaths.back().incarnation != death.incarnation;
     if (deaths.size() > kMaxDeaths)
-        deaths.pop_back();
+        deaths.erase(deaths.begin() + static_cast<std::ptrdiff_t>(leastUseful(deaths)));
+    const bool isKept = find() != deaths.end();
     this->onChanged();
     return isKept && this->entries.contains(report.fingerprint);
 }
@@ -105,10 +131,51 @@
     return this->recentlyServed.contains(hashOf(fingerprint), now);
 }
 
+std::vector<ServedReport> Quarantine::recordPartsServed(std::span<const Fingerprint> parts,
+                                                        absl::Time servedAt, absl::Time now)
+{
+    std::vector<ServedReport> news;
+    for (const Fingerprint &part : parts) {
+        if (this->onPartServed(part, servedAt, now))
+            news.push_back({part, servedAt, absl::ZeroDuration()});
+    }
+    return news;
+}
+
+bool Quarantine::onPartServed(const Fingerprint &part, absl::Time servedAt, absl::Time now)
+{
+    this->recentlyServedParts.add(hashOf(part), servedAt, now);
+    const auto entry = this->entries.find(part);
+    if (entry == this->entries.end())
+        return false;
+    const std::size_t cleared = std::erase_if(
+        entry->second.deaths, [servedAt](const Death &death) { return death.diedAt <= servedAt; });
+    if (cleared == 0)
+        return false;
+    if (entry->second.deaths.empty() && entry->second.servedAt == absl::InfinitePast())
+        this->entries.erase(entry);
+    this->onChanged();
+    return true;
+}
+
+std::optional<ServedReport> Quarantine::contradictionOf(const CrashReport &report,
+                                                        absl::Time now) const
+{
+    if (this->wasServedRecently(report.fingerprint, now))
+        return ServedReport {report.fingerprint, now};
+    const std::optional<absl::Time> partServedAt =
+        this->recentlyServedParts.servedAt(hashOf(report.fingerprint), now);
+    if (partServedAt && report.diedAt <= *partServedAt)
+        return ServedReport {report.fingerprint, *partServedAt, absl::ZeroDuration()};
+    return std::nullopt;
+}
+
 bool Quarantine::onServed(const ServedReport &report, absl::Time now)
 {
     if (!isCredible(report.servedAt, now))
         return false;
+    if (report.trustedFor == absl::ZeroDuration())
+        return this->onPartServed(report.fingerprint, std::min(report.servedAt, now), now);
     Entry &entry = this->entries[report.fingerprint];
     const bool isFirst = entry.servedAt == absl::InfinitePast();
     entry.servedAt = std::max(entry.servedAt, report.servedAt);
@@ -151,6 +218,16 @@
     this->onChanged();
 }
 
+void Quarantine::withdrawAll(const Fingerprint &fingerprint, absl::Time now)
+{
+    const auto found = this->entries.find(fingerprint);
+    if (found == this->entries.end())
+        return;
+    const Deaths deaths = found->second.deaths;
+    for (const Death &death : deaths)
+        this->withdraw({fingerprint, incarnationHash(death.server, death.incarnation)}, now);
+}
+
 std::vector<CrashReport> Quarantine::deathsToRecord(absl::Time now) const
 {
     std::vector<CrashReport> reports;
@@ -159,7 +236,8 @@
             continue;
         for (const Death &death : entry.deaths) {
             if (death.isLocal && isCurrent(death.diedAt, now))
-                reports.push_back({fingerprint, death.server, death.incarnation, death.diedAt});
+                reports.push_back(
+                    {fingerprint, death.server, death.incarnation, death.diedAt, death.causeSince});
         }
     }
     return reports;
@@ -185,6 +263,11 @@
         const std::uint64_t key = hashOf(fingerprint);
         if (entry.servedAt != absl::InfinitePast())
             digest ^= stableHash("served", key);
+        // Instances may have dropped different deaths.
+        if (entry.deaths.size() >= kMaxDeaths) {
+            digest ^= stableHash("full", key);
+            continue;
+        }
         for (const Death &death : entry.deaths)
             digest ^= stableHash("death", key ^ incarnationHash(death.server, death.incarnation));
     }
@@ -197,15 +280,16 @@
     while (this->entries.size() > this->options.maxFingerprints)
         this->evictOne();
     this->cachedDigest.reset();
+    this->cachedVerdicts = {};
 }
 
 void Quarantine::evictOne()
 {
     auto victim = this->entries.begin();
     const auto rank = [this](const Entry &entry) {
-        return std::tuple(distinctDeathTimes(entry.deaths, absl::InfinitePast()).size()
-                              >= this->options.deaths,
-                          entry.newestTime());
+        const Deaths counted =
+            countedDeaths(entry.deaths, absl::InfinitePast(), [](const Death &) { return false; });
+        return std::tuple(counted.size() >= this->options.deaths, entry.newestTime());
     };
     for (auto entry = this->entries.begin(); entry != this->entries.end(); ++entry) {
         if (rank(entry->second) < rank(victim->second))
@@ -214,30 +298,122 @@
     this->entries.erase(victim);
 }
 
-std::vector<absl::Time> Quarantine::distinctDeathTimes(const Deaths &deaths, absl::Time now)
+Quarantine::Deaths Quarantine::countedDeaths(const Deaths &deaths, absl::Time now,
+                                             absl::FunctionRef<bool(const Death &)> isExplained)
+{
+    Deaths distinct;
+    for (auto death = deaths.begin(); death != deaths.end(); ++death) {
+        const bool isSame = std::any_of(deaths.begin(), death, [&death](const Death &newer) {
+            return newer.server == death->server && newer.diedAt - death->diedAt < kSameDeathWindow;
+        });
+        if (!isSame && isCurrent(death->diedAt, now) && !isExplained(*death))
+            distinct.push_back(*death);
+    }
+    // The deaths that end first leave most room for others.
+    Deaths counted;
+    for (auto death = distinct.rbegin(); death != distinct.rend(); ++death) {
+        if (counted.empty() || death->causeSince >= counted.back().diedAt)
+            counted.push_back(*death);
+    }
+    std::reverse(counted.begin(), counted.end());
+    return counted;
+}
+
+std::size_t Quarantine::leastUseful(const Deaths &deaths)
+{
+    absl::Time lastCounted = absl::InfinitePast();
+    std::size_t victim = deaths.size() - 1;
+    for (std::size_t i = deaths.size(); i-- > 0;) {
+        if (deaths[i].causeSince >= lastCounted)
+            lastCounted = deaths[i].diedAt;
+        else
+            victim = i;
+    }
+    return victim;
+}
+
+Quarantine::Verdicts Quarantine::judged(absl::Time now) const
 {
-    std::vector<absl::Time> times;
-    for (std::size_t i = 0; i < deaths.size(); ++i) {
-        if (!isCurrent(deaths[i].diedAt, now))
+    struct Suspect
+    {
+        const Fingerprint *fingerprint = nullptr;
+        const Entry *entry = nullptr;
+        /** Servers that died, by incarnation. */
+        absl::flat_hash_set<std::uint64_t> servers;
+    };
+    Verdicts verdicts;
+    verdicts.validFrom = now;
+    verdicts.validUntil = absl::InfiniteFuture();
+    std::vector<Suspect> suspects;
+    for (const auto &[fingerprint, entry] : this->entries) {
+        Verdict &verdict = verdicts.byFingerprint[fingerprint];
+        verdict.counted = countedDeaths(entry.deaths, now, [](const Death &) { return false; });
+        std::size_t currentDeaths = 0;
+        for (const Death &death : entry.deaths) {
+            if (!isCurrent(death.diedAt, now))
+                continue;
+            ++currentDeaths;
+            verdict.deathsHash ^= incarnationHash(death.server, death.incarnation);
+            verdicts.validUntil = std::min(verdicts.validUntil, death.diedAt + kQuarantineDuration);
+        }
+        if (currentDeaths == 0 || verdict.counted.size() < this->options.deaths)
             continue;
-        const bool isSame =
-            std::any_of(deaths.begin(), deaths.begin() + static_cast<std::ptrdiff_t>(i),
-                        [&](const Death &newer) {
-                            return newer.server == deaths[i].server
-                                && newer.diedAt - deaths[i].diedAt < kSameDeathWindow;
-                        });
-        if (!isSame)
-            times.push_back(deaths[i].diedAt);
+        Suspect &suspect = suspects.emplace_back(Suspect {&fingerprint, &entry, {}});
+        for (const Death &death : entry.deaths) {
+            if (isCurrent(death.diedAt, now))
+                suspect.servers.insert(incarnationHash(death.server, death.incarnation));
+        }
     }
-    return times;
+    if (suspects.empty())
+        return verdicts;
+    std::stable_sort(suspects.begin(), suspects.end(), [](const Suspect &a, const Suspect &b) {
+        return a.servers.size() > b.servers.size();
+    });
+    std::vector<const Suspect *> culprits;
+    const auto dropExplained = [&](const Fingerprint &fingerprint, const Entry &entry) {
+        const auto isExplained = [&](const Death &death) {
+            const std::uint64_t server = incarnationHash(death.server, death.incarnation);
+            return std::any_of(culprits.begin(), culprits.end(), [&](const Suspect *culprit) {
+                return culprit->servers.size() > entry.deaths.size()
+                    && culprit->servers.contains(server);
+            });
+        };
+        Verdict &verdict = verdicts.byFingerprint[fingerprint];
+        verdict.counted = countedDeaths(entry.deaths, now, isExplained);
+        return verdict.counted.size();
+    };
+    for (const Suspect &suspect : suspects) {
+        if (dropExplained(*suspect.fingerprint, *suspect.entry) < this->options.deaths)
+            continue;
+        culprits.push_back(&suspect);
+        ++verdicts.quarantined[verdicts.byFingerprint[*suspect.fingerprint].deathsHash];
+    }
+    for (const auto &[fingerprint, entry] : this->entries)
+        dropExplained(fingerprint, entry);
+    return verdicts;
+}
+
+const Quarantine::Verdicts &Quarantine::verdicts(absl::Time now) const
+{
+    if (now < this->cachedVerdicts.validFrom || now >= this->cachedVerdicts.validUntil)
+        this->cachedVerdicts = this->judged(now);
+    return this->cachedVerdicts;
+}
+
+const Quarantine::Verdict *Quarantine::verdictOf(const Fingerprint &fingerprint,
+                                                 absl::Time now) const
+{
+    if (!this->entries.contains(fingerprint))
+        return nullptr;
+    const Verdicts &all = this->verdicts(now);
+    const auto found = all.byFingerprint.find(fingerprint);
+    return found == all.byFingerprint.end() ? nullptr : &found->second;
 }
 
 std::uint32_t Quarantine::deathsSeen(const Fingerprint &fingerprint, absl::Time now) const
 {
-    const auto found = this->entries.find(fingerprint);
-    return found == this->entries.end()
-        ? 0
-        : static_cast<std::uint32_t>(distinctDeathTimes(found->second.deaths, now).size());
+    const Verdict *verdict = this->verdictOf(fingerprint, now);
+    return verdict ? static_cast<std::uint32_t>(verdict->counted.size()) : 0;
 }
 
 QuarantineState Quarantine::check(const Fingerprint &fingerprint, absl::Time now) const
@@ -248,6 +424,25 @@
     return deaths > 0 ? QuarantineState::Suspect : QuarantineState::Clear;
 }
 
+bool Quarantine::refuses(const CallFingerprints &call, absl::Time now) const
+{
+    if (this->entries.empty())
+        return false;
+    // Quarantined fingerprints of the call, by their deaths.
+    absl::flat_hash_map<std::uint64_t, std::size_t> held;
+    const auto add = [&](const Fingerprint &fingerprint) {
+        if (this->check(fingerprint, now) == QuarantineState::Quarantined)
+            ++held[this->verdictOf(fingerprint, now)->deathsHash];
+    };
+    add(call.call);
+    std::for_each(call.parts.begin(), call.parts.end(), add);
+    const absl::flat_hash_map<std::uint64_t, std::size_t> &all = this->verdicts(now).quarantined;
+    return std::any_of(held.begin(), held.end(), [&all](const auto &item) {
+        const auto sharing = all.find(item.first);
+        return sharing == all.end() || item.second >= sharing->second;
+    });
+}
+
 SuspectRun Quarantine::nextRun(const Fingerprint &fingerprint, absl::Time now) const
 {
     const std::uint32_t deaths = this->deathsSeen(fingerprint, now);
@@ -261,9 +456,8 @@
     if (this->check(fingerprint, now) != QuarantineState::Quarantined)
         return absl::ZeroDuration();
     // The quarantine ends when too few deaths still count.
-    const std::vector<absl::Time> times =
-        distinctDeathTimes(this->entries.find(fingerprint)->second.deaths, now);
-    return times[this->options.deaths - 1] + kQuarantineDuration - now;
+    const Deaths &counted = this->verdictOf(fingerprint, now)->counted;
+    return counted[this->options.deaths - 1].diedAt + kQuarantineDuration - now;
 }
 
 std::vector<CrashReport> Quarantine::reports(absl::Time now) const
@@ -272,7 +466,8 @@
     for (const auto &[fingerprint, entry] : this->entries) {
         for (const Death &death : entry.deaths) {
             if (isCurrent(death.diedAt, now))
-                all.push_back({fingerprint, death.server, death.incarnation, death.diedAt});
+                all.push_back(
+                    {fingerprint, death.server, death.incarnation, death.diedAt, death.causeSince});
         }
     }
     return all;
--- a/servers/quarantine/quarantine.h
+++ b/servers/quarantine/quarantine.h
@@ -8,6 +8,8 @@
 #include "servers/quarantine/suspect_placement.h"
 
 #include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/functional/function_ref.h>
 #include <absl/time/time.h>
 #include <cstddef>
 #include <cstdint>
@@ -26,15 +28,16 @@
  * have been repaired. */
 constexpr absl::Duration kQuarantineDuration = absl::Hours(1);
 
-/** Time for which a call that was served is trusted not to crash servers. It is limited because the
- * servers may be replaced later by others that the call does crash. */
-constexpr absl::Duration kServedRetention = absl::Minutes(1);
+/** Time for which it is remembered when a part of a prompt was served last; reports of crashes are
+ * late by less than this. */
+constexpr absl::Duration kServedPartRetention = absl::Seconds(10);
 
 struct QuarantineOptions
 {
     std::size_t deaths = kQuarantineDeaths;
     std::size_t maxFingerprints = 4096;
-    /** Number of served calls that are remembered for kServedRetention. */
+    /** Number of served calls that are remembered for kServedRetention, and of parts of prompts
+     * that are remembered for kServedPartRetention. */
     std::size_t maxServed = 4096;
     /** Time after which a server that has ended is no longer in the platform's list. */
     absl::Duration listRemovalDelay = absl::Seconds(6);
@@ -52,29 +55,39 @@
 };
 
 /**
- * Requests that were running when a backend server died. An instance holds a set of deaths
- * (fingerprint, server, incarnation); instances merge their sets, so order and repetition of
- * reports do not matter. A fingerprint is quarantined after QuarantineOptions::deaths deaths of
- * different server incarnations. A death is forgotten kQuarantineDuration after it happened.
- * Instances may know different incarnations of a server at the time of one death, so deaths of one
- * server within kSameDeathWindow count once.
+ * Requests, and parts of prompts, that were running when a backend server died. An instance holds a
+ * set of deaths (fingerprint, server, incarnation); instances merge their sets, so order and
+ * repetition of reports do not matter. A fingerprint is quarantined after QuarantineOptions::deaths
+ * deaths of different server incarnations. A death is forgotten kQuarantineDuration after it
+ * happened. Instances may know different incarnations of a server at the time of one death, so
+ * deaths of one server within kSameDeathWindow count once.
+ *
+ * Many requests share a part of a prompt, so many servers that fail together were running it. The
+ * deaths that count for a part therefore exclude each other: each lies before the causeSince of the
+ * next one.
+ *
+ * A server dies of one cause. Deaths with a quarantined fingerprint do not count for a fingerprint
+ * that has fewer deaths: its requests were only running on the same servers.
  *
  * A request that was served does not crash servers: its earlier deaths and those within
  * kServedRetention after it was served do not count. So a frequent request is not suspected when
- * many servers end together. A reported death is wrong if the platform goes on listing the server.
+ * many servers end together. For a part only the deaths before it was served are dropped. A
+ * reported death is wrong if the platform goes on listing the server.
  *
  * The table is bounded. When it is full, the entry whose newest event is oldest is evicted first;
- * quarantined fingerprints are evicted only when there are no others left. Only the newest
- * kMaxDeaths deaths of a fingerprint are kept.
+ * quarantined fingerprints are evicted only when there are no others left. At most kMaxDeaths
+ * deaths of a fingerprint are kept: the newest of those that do not count is dropped, then the
+ * oldest.
  */
 class Quarantine
 {
 public:
-    static constexpr std::size_t kMaxDeaths = 8;
+    static constexpr std::size_t kMaxDeaths = 16;
 
     explicit Quarantine(const QuarantineOptions &options = {})
         : options(options)
         , recentlyServed(kServedRetention, options.maxServed)
+        , recentlyServedParts(kServedPartRetention, options.maxServed)
     { }
 
     /**
@@ -85,6 +98,12 @@
     std::vector<CrashReport> onServerDeath(const BackendServerId &server, Incarnation incarnation,
                                            std::span<const Fingerprint> running, absl::Time now);
 
+    /** The same for one call that this instance had running on the server, and for the parts of its
+     * prompt. @p causeSince: see CrashReport; it applies to the parts. */
+    std::vector<CrashReport> onCallLost(const BackendServerId &server, Incarnation incarnation,
+                                        const CallFingerprints &call, absl::Time causeSince,
+                                        absl::Time now);
+
     /** Merges a report of another instance; true when it was new and should be forwarded. */
     bool onCrashReport(const CrashReport &report, absl::Time now);
 
@@ -92,6 +111,12 @@
     bool recordServed(const Fingerprint &fingerprint, absl::Time now);
     /** Whether this instance served the request within about kServedRetention. */
     bool wasServedRecently(const Fingerprint &fingerprint, absl::Time now) const;
+    /** Records that this instance served a request with these parts, which the server began to run
+     * at @p servedAt. Returns the reports that the other instances must get. */
+    std::vector<ServedReport> recordPartsServed(std::span<const Fingerprint> parts,
+                                                absl::Time servedAt, absl::Time now);
+    /** What contradicts the report of another instance, as far as this one knows. */
+    std::optional<ServedReport> contradictionOf(const CrashReport &report, absl::Time now) const;
     /** Merges a report that a request was served; true when it was new and should be forwarded. */
     bool onServed(const ServedReport &report, absl::Time now);
 
@@ -100,6 +125,14 @@
     void withdrawDeathsOfListed(const ServerListing &listing);
     /** Removes a death; later reports of it are ignored for kQuarantineDuration. */
     void withdraw(const CrashKey &death, absl::Time now);
+    /** Removes all deaths of @p fingerprint in the same way. */
+    void withdrawAll(const Fingerprint &fingerprint, absl::Time now);
+
+    /**
+     * A call with these fingerprints must not run. Fingerprints with the same deaths cannot be told
+     * apart, so a call that has only some of them may run once more, to find out which it is.
+     */
+    bool refuses(const CallFingerprints &call, absl::Time now) const;
 
     QuarantineState check(const Fingerprint &fingerprint, absl::Time now) const;
     /** Deaths that count for @p fingerprint; the value for RequestProfile::deathsSeen. */
@@ -132,6 +165,7 @@
         BackendServerId server;
         Incarnation incarnation = 0;
         absl::Time diedAt;
+        absl::Time causeSince;
         /** Seen by this instance, not reported by another. */
         bool isLocal = false;
     };
@@ -145,10 +179,35 @@
         absl::Time newestTime() const;
     };
 
-    /** Times of the deaths that are distinct by kSameDeathWindow, newest first. */
-    static std::vector<absl::Time> distinctDeathTimes(const Deaths &deaths, absl::Time now);
+    /** What the deaths of a fingerprint amount to. */
+    struct Verdict
+    {
+        /** Deaths that count, newest first. */
+        Deaths counted;
+        /** Equal for fingerprints with the same deaths. */
+        std::uint64_t deathsHash = 0;
+    };
+    struct Verdicts
+    {
+        absl::flat_hash_map<Fingerprint, Verdict> byFingerprint;
+        /** Quarantined fingerprints by Verdict::deathsHash. */
+        absl::flat_hash_map<std::uint64_t, std::size_t> quarantined;
+        /** Deaths expire, so the verdicts hold for calls with a time in between only. */
+        absl::Time validFrom = absl::InfiniteFuture();
+        absl::Time validUntil = absl::InfinitePast();
+    };
+
+    /** The deaths that count, newest first, without those that @p isExplained. */
+    static Deaths countedDeaths(const Deaths &deaths, absl::Time now,
+                                absl::FunctionRef<bool(const Death &)> isExplained);
     static bool isNewer(const Death &a, const Death &b);
+    /** Index of the death to drop when there are too many. */
+    static std::size_t leastUseful(const Deaths &deaths);
     bool addDeath(const CrashReport &report, bool isLocal, absl::Time now);
+    bool onPartServed(const Fingerprint &part, absl::Time servedAt, absl::Time now);
+    const Verdicts &verdicts(absl::Time now) const;
+    Verdicts judged(absl::Time now) const;
+    const Verdict *verdictOf(const Fingerprint &fingerprint, absl::Time now) const;
     void onChanged();
     void evictOne();
 
@@ -156,10 +215,12 @@
     /** Ordered, so that equal tables evict the same entries on all instances. */
     absl::btree_map<Fingerprint, Entry> entries;
     ServedCallCache recentlyServed;
+    ServedCallCache recentlyServedParts;
     /** Withdrawn deaths with the time until which reports of them are ignored. */
     absl::btree_map<CrashKey, absl::Time> withdrawn;
     /** Empty after a change; computed again on the next call of digest(). */
     mutable std::optional<std::uint64_t> cachedDigest;
+    mutable Verdicts cachedVerdicts;
 };
 
 } // namespace foxtailtally
--- a/servers/quarantine/served_call_cache.h
+++ b/servers/quarantine/served_call_cache.h
@@ -1,13 +1,16 @@
 #pragma once
 
-#include <absl/container/flat_hash_set.h>
+#include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace foxtailtally {
 
-/** Bounded set of recently served calls, identified by a hash of their content. */
+/** Bounded set of recently served calls, or parts of prompts, identified by a hash of their
+ * content.
+ */
 class ServedCallCache
 {
 public:
@@ -18,15 +21,19 @@
         , capacity(capacity)
     { }
 
-    void add(std::uint64_t call, absl::Time now);
+    void add(std::uint64_t call, absl::Time now) { this->add(call, now, now); }
+    void add(std::uint64_t call, absl::Time servedAt, absl::Time now);
     bool contains(std::uint64_t call, absl::Time now) const;
+    /** The latest time at which the call was served; none if it is not remembered. */
+    std::optional<absl::Time> servedAt(std::uint64_t call, absl::Time now) const;
     std::size_t size() const { return this->current.size() + this->previous.size(); }
 
 private:
     absl::Duration retention;
     std::size_t capacity;
-    absl::flat_hash_set<std::uint64_t> current;
-    absl::flat_hash_set<std::uint64_t> previous;
+    /** Time at which each call was served last. */
+    absl::flat_hash_map<std::uint64_t, absl::Time> current;
+    absl::flat_hash_map<std::uint64_t, absl::Time> previous;
     absl::Time currentSince = absl::InfinitePast();
 };
 
--- a/tests/placement/exchange_message_test.cpp
+++ b/tests/placement/exchange_message_test.cpp
@@ -244,7 +244,8 @@
 CrashReport suspectReport(int number)
 {
     return {fingerprintOf(std::to_string(number)), BackendServerId("i-0123456789"),
-            1'700'000'000'000, kNow - absl::Milliseconds(number)};
+            1'700'000'000'000, kNow - absl::Milliseconds(number),
+            kNow - absl::Milliseconds(number + number % 3 * 500)};
 }
 
 TEST(ExchangeMessage, SplitsQuarantineReportsIntoDatagrams)
@@ -254,10 +255,11 @@
     message.header.quarantineDigest = 77;
     for (int number = 0; number < 300; ++number) {
         message.deaths.push_back(suspectReport(number));
-        message.served.push_back({fingerprintOf(std::to_string(number)), kNow});
+        message.served.push_back({fingerprintOf(std::to_string(number)), kNow,
+                                  number % 2 == 0 ? kServedRetention : absl::ZeroDuration()});
     }
     std::vector<CrashReport> deaths;
-    std::size_t served = 0;
+    std::vector<ServedReport> served;
     std::uint64_t sequence = message.header.sequence;
     for (const std::string &datagram : encodeQuarantine(message, kNow)) {
         EXPECT_LE(datagram.size(), kMaxDatagram);
@@ -267,7 +269,8 @@
         EXPECT_EQ(messages.quarantine->header.quarantineDigest, 77U);
         deaths.insert(deaths.end(), messages.quarantine->deaths.begin(),
                       messages.quarantine->deaths.end());
-        served += messages.quarantine->served.size();
+        served.insert(served.end(), messages.quarantine->served.begin(),
+                      messages.quarantine->served.end());
     }
     ASSERT_EQ(deaths.size(), message.deaths.size());
     for (std::size_t i = 0; i < deaths.size(); ++i) {
@@ -275,8 +278,13 @@
         EXPECT_EQ(deaths[i].server, message.deaths[i].server);
         EXPECT_EQ(deaths[i].incarnation, message.deaths[i].incarnation);
         EXPECT_EQ(kLater - deaths[i].diedAt, kNow - message.deaths[i].diedAt);
+        EXPECT_EQ(kLater - deaths[i].causeSince, kNow - message.deaths[i].causeSince);
+    }
+    ASSERT_EQ(served.size(), message.served.size());
+    for (std::size_t i = 0; i < served.size(); ++i) {
+        EXPECT_EQ(served[i].fingerprint, message.served[i].fingerprint);
+        EXPECT_EQ(served[i].trustedFor, message.served[i].trustedFor);
     }
-    EXPECT_EQ(served, message.served.size());
     EXPECT_TRUE(encodeQuarantine({header(), {}, {}}, kNow).empty());
 }
 
--- a/tests/platform/store_objects_test.cpp
+++ b/tests/platform/store_objects_test.cpp
@@ -1,6 +1,9 @@
 #include "platform/store_objects.h"
 
+#include "core/hash.h"
+
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace foxtailtally::platform {
 namespace {
@@ -97,6 +100,25 @@
     EXPECT_FALSE((*config)->findRoute("h", "/")->isRepeatable());
 }
 
+TEST(StoreObjects, RoundTripsACrashReport)
+{
+    const absl::Time diedAt = absl::FromUnixMillis(1'700'000'000'123);
+    CrashReport report = {fingerprintOf("call"), BackendServerId("i-7"), 3, diedAt,
+                          diedAt - absl::Milliseconds(700)};
+    const auto decoded = [&report] {
+        const std::string written = encodeCrashReport("name", report);
+        const std::string spec = nlohmann::json::parse(written).at("Spec").dump();
+        return decodeCrashReport({"name", 1, spec}).value();
+    };
+    EXPECT_EQ(decoded().fingerprint, report.fingerprint);
+    EXPECT_EQ(decoded().server, report.server);
+    EXPECT_EQ(decoded().incarnation, report.incarnation);
+    EXPECT_EQ(decoded().diedAt, report.diedAt);
+    EXPECT_EQ(decoded().causeSince, report.causeSince);
+    report.causeSince = absl::InfiniteFuture();
+    EXPECT_EQ(decoded().causeSince, report.diedAt);
+}
+
 TEST(StoreObjects, RoundTripsAnInstanceEntry)
 {
     const InstanceRecord entry {InstanceId("n1"), FailureDomainId("east"), "10.0.0.1:7340",
--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <absl/time/clock.h>
 #include <algorithm>
 #include <event2/event.h>
@@ -182,6 +183,7 @@
     evconnlistener_free(server.listener);
     server.listener = nullptr;
     server.restartsAt = absl::Now() + this->restartDelay;
+    this->recordedCrashes.push_back(absl::Now());
     server.startedMs += kRestartIncrementMs;
     std::vector<InboundConnection *> open;
     for (const auto &[connection, index] : this->serverOf) {
@@ -210,6 +212,30 @@
     });
 }
 
+void ServingStandin::setCrashingPart(const std::string &id, absl::Duration delay)
+{
+    this->run([&] {
+        this->crashingPart = id;
+        this->restartDelay = delay;
+    });
+}
+
+std::vector<absl::Time> ServingStandin::crashTimes()
+{
+    std::vector<absl::Time> result;
+    this->run([&] { result = this->recordedCrashes; });
+    return result;
+}
+
+bool ServingStandin::hasCrashingPart(const ServerArrival &arrival) const
+{
+    const std::vector<std::string> entries = absl::StrSplit(arrival.promptParts, ',');
+    return !this->crashingPart.empty()
+        && std::any_of(entries.begin(), entries.end() - 1, [this](const std::string &entry) {
+               return entry.substr(0, entry.find(':')) == this->crashingPart;
+           });
+}
+
 void ServingStandin::setServerBehavior(int index, ServerBehavior behavior)
 {
     this->run([&] { this->servers.at(index).behavior = behavior; });
@@ -343,6 +369,7 @@
     this->runTasks();
     this->restartCrashedServers(now);
     this->advanceStreams(now);
+    this->crashServersOfStreams(now);
     std::vector<Watch> over;
     std::erase_if(this->watches, [&](const Watch &watch) {
         if (watch.until > now)
@@ -472,6 +499,7 @@
     arrival.path = head.target;
     arrival.customer = std::string(head.headers.valueOr("Tenant", ""));
     arrival.body = connection.body();
+    arrival.promptParts = std::string(head.headers.valueOr("Prompt-Prefix", ""));
     std::int64_t left = 0;
     if (absl::SimpleAtoi(std::string(head.headers.valueOr("Deadline-Ms", "")), &left))
         arrival.deadline = absl::Milliseconds(left);
@@ -556,6 +584,8 @@
     const bool breaks = server.behavior == ServerBehavior::DisconnectMidStream;
     stream.breakAt = breaks ? stream.next + 3 : 0;
     stream.dueAt = absl::Now() + this->prefillTime;
+    if (this->hasCrashingPart(arrival))
+        stream.crashesAt = stream.dueAt + kPartCrashDelay;
     connection.startStream(200, this->replyHeaders(server, arrival, "text/event-stream"));
     this->streams.push_back(stream);
 }
@@ -591,6 +621,20 @@
     }
 }
 
+void ServingStandin::crashServersOfStreams(absl::Time now)
+{
+    std::vector<int> crashing;
+    for (const Stream &stream : this->streams) {
+        if (stream.crashesAt <= now)
+            crashing.push_back(this->serverOf.at(stream.connection));
+    }
+    for (const int index : crashing) {
+        Server &server = this->servers.at(index);
+        if (server.listener)
+            this->crash(server);
+    }
+}
+
 void ServingStandin::onCallerGone(InboundConnection &connection)
 {
     this->removeWatchesAndStreams(connection);
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -56,6 +56,8 @@
     std::string path;
     std::string customer;
     std::string body;
+    /** The list of the prompt's parts, as it was sent. */
+    std::string promptParts;
     absl::Duration deadline = absl::ZeroDuration();
     absl::Time at;
     bool hasRun = false;
@@ -91,6 +93,7 @@
     static constexpr absl::Duration kEventInterval = absl::Milliseconds(25);
     /** Retry-After of servers with ServerBehavior::ShedWithRetryAfter. */
     static constexpr absl::Duration kRetryAfter = absl::Milliseconds(1500);
+    static constexpr absl::Duration kPartCrashDelay = absl::Milliseconds(50);
 
     /** @p host: an otherwise unused IP address of the loopback network. */
     explicit ServingStandin(std::string host);
@@ -121,6 +124,11 @@
     /** A call with body @p body crashes each server that runs it, together with all calls on that
      * server. The server returns after @p delay as a new incarnation. */
     void setCrashingBody(const std::string &body, absl::Duration delay);
+    /** A call whose prompt has the part @p id, but not as its last one, crashes each server that
+     * begins to write its answer, kPartCrashDelay after that. */
+    void setCrashingPart(const std::string &id, absl::Duration delay);
+    /** Times at which servers crashed, in order. */
+    std::vector<absl::Time> crashTimes();
 
     /** Restarts server @p index: a new incarnation with the same id and address. */
     void restart(int index);
@@ -168,6 +176,8 @@
         int next = 1;
         int breakAt = 0;
         absl::Time dueAt;
+        /** When the stream crashes its server. */
+        absl::Time crashesAt = absl::InfiniteFuture();
     };
 
     void onRequestHead(InboundConnection &connection) override;
@@ -199,6 +209,9 @@
     HttpHeaders replyHeaders(Server &server, const ServerArrival &arrival,
                              std::string_view contentType);
     void advanceStreams(absl::Time now);
+    void crashServersOfStreams(absl::Time now);
+    /** Whether the prompt has the crashing part, but not as its last one. */
+    bool hasCrashingPart(const ServerArrival &arrival) const;
     void removeWatchesAndStreams(InboundConnection &connection);
 
     std::string host;
@@ -219,6 +232,8 @@
     std::vector<ServerArrival> recordedArrivals;
     std::vector<ReservationCommand> recordedCommands;
     std::string crashingBody;
+    std::string crashingPart;
+    std::vector<absl::Time> recordedCrashes;
     absl::Duration restartDelay = absl::ZeroDuration();
     absl::Duration prefillTime = kEventInterval;
     int calls = 0;
