Quarantine a part of a prompt after five deaths of two causes

With three deaths that exclude each other the decision took up to 4.4 s.

Two deaths that exclude each other suffice now if five servers have died in all. A sound part that is frequent enough to be present at five deaths is also served in the second between them. A call that is suspect for a part is placed like other suspects and no longer waits for a server without any; it still runs one at a time at each instance.

PromptPart.IsQuarantinedAfterFiveDeathsOfTwoCauses is new and needs the change: the third death that excludes the others never comes in it.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -201,7 +201,7 @@
     demand.eventGapObjective = this->call.route->eventGapObjective;
     const absl::Time lastProgressAt = std::max(this->call.receivedAt, this->lastEventAt);
     // A crash also stalls the work of the engines that help.
-    demand.usesFewestEngines = this->suspicion->nextRun(now) == SuspectRun::Last;
+    demand.usesFewestEngines = !this->suspicion->suspectParts(now).empty();
     demand.callerTimeLeft =
         std::min(this->call.answerBy, lastProgressAt + this->call.route->streamIdleTimeout()) - now;
     return demand;
--- a/main/gateway/call_suspicion.cpp
+++ b/main/gateway/call_suspicion.cpp
@@ -28,8 +28,8 @@
     if (quarantine.isEmpty())
         return SuspectRun::None;
     // Many calls share a part, so a single death shows too little to restrict all of them.
-    return this->suspectParts(now).empty() ? quarantine.nextRun(this->fingerprint(), now)
-                                           : SuspectRun::Last;
+    const SuspectRun run = quarantine.nextRun(this->fingerprint(), now);
+    return this->suspectParts(now).empty() ? run : std::max(run, SuspectRun::Early);
 }
 
 std::vector<Fingerprint> CallSuspicion::suspectParts(absl::Time now)
--- a/servers/quarantine/quarantine.cpp
+++ b/servers/quarantine/quarantine.cpp
@@ -13,6 +13,9 @@
 // Clocks of instances differ by less than this; reports from further in the future are ignored.
 constexpr absl::Duration kMaxClockSkew = absl::Minutes(1);
 
+// Any number of deaths of one common cause shows nothing.
+constexpr std::size_t kMinCountedDeaths = 2;
+
 bool isCurrent(absl::Time happenedAt, absl::Time now)
 {
     return happenedAt + kQuarantineDuration > now;
@@ -298,25 +301,45 @@
     this->entries.erase(victim);
 }
 
-Quarantine::Deaths Quarantine::countedDeaths(const Deaths &deaths, absl::Time now,
-                                             absl::FunctionRef<bool(const Death &)> isExplained)
+Quarantine::Verdict Quarantine::judge(const Deaths &deaths, const Culprits &culprits,
+                                      absl::Time now)
 {
+    const auto isExplained = [&](const Death &death) {
+        const std::uint64_t server = incarnationHash(death.server, death.incarnation);
+        return std::any_of(culprits.servers.begin(), culprits.servers.end(),
+                           [&](const DeadServers &servers) {
+                               return servers.size() > deaths.size() && servers.contains(server);
+                           });
+    };
+    Verdict verdict;
     Deaths distinct;
     for (auto death = deaths.begin(); death != deaths.end(); ++death) {
+        if (!isCurrent(death->diedAt, now))
+            continue;
+        verdict.deathsHash ^= incarnationHash(death->server, death->incarnation);
         const bool isSame = std::any_of(deaths.begin(), death, [&death](const Death &newer) {
             return newer.server == death->server && newer.diedAt - death->diedAt < kSameDeathWindow;
         });
-        if (!isSame && isCurrent(death->diedAt, now) && !isExplained(*death))
+        if (!isSame && !isExplained(*death)) {
             distinct.push_back(*death);
+            verdict.deathTimes.push_back(death->diedAt);
+        }
     }
     // The deaths that end first leave most room for others.
-    Deaths counted;
     for (auto death = distinct.rbegin(); death != distinct.rend(); ++death) {
-        if (counted.empty() || death->causeSince >= counted.back().diedAt)
-            counted.push_back(*death);
+        if (verdict.counted.empty() || death->causeSince >= verdict.counted.back().diedAt)
+            verdict.counted.push_back(*death);
     }
-    std::reverse(counted.begin(), counted.end());
-    return counted;
+    std::reverse(verdict.counted.begin(), verdict.counted.end());
+    return verdict;
+}
+
+bool Quarantine::isQuarantined(const Verdict &verdict) const
+{
+    const std::size_t counted = verdict.counted.size();
+    return counted >= this->options.deaths
+        || (counted >= kMinCountedDeaths && counted + 1 >= this->options.deaths
+            && verdict.deathTimes.size() >= this->options.deathsOfAnyCause);
 }
 
 std::size_t Quarantine::leastUseful(const Deaths &deaths)
@@ -334,27 +357,8 @@
 
 bool Quarantine::isSuspectedCulprit(const Entry &entry, absl::Time now) const
 {
-    return entry.deaths.size() >= this->options.deaths
-        && countedDeaths(entry.deaths, now, [](const Death &) { return false; }).size()
-        >= this->options.deaths;
-}
-
-Quarantine::Verdict Quarantine::judge(const Entry &entry, const Culprits &culprits, absl::Time now)
-{
-    const auto isExplained = [&](const Death &death) {
-        const std::uint64_t server = incarnationHash(death.server, death.incarnation);
-        return std::any_of(
-            culprits.servers.begin(), culprits.servers.end(), [&](const DeadServers &servers) {
-                return servers.size() > entry.deaths.size() && servers.contains(server);
-            });
-    };
-    Verdict verdict;
-    verdict.counted = countedDeaths(entry.deaths, now, isExplained);
-    for (const Death &death : entry.deaths) {
-        if (isCurrent(death.diedAt, now))
-            verdict.deathsHash ^= incarnationHash(death.server, death.incarnation);
-    }
-    return verdict;
+    return entry.deaths.size() >= std::min(this->options.deaths, this->options.deathsOfAnyCause)
+        && this->isQuarantined(judge(entry.deaths, {}, now));
 }
 
 Quarantine::Culprits Quarantine::findCulprits(absl::Time now) const
@@ -379,8 +383,8 @@
         return a.second.size() > b.second.size();
     });
     for (auto &[entry, servers] : suspected) {
-        const Verdict verdict = judge(*entry, culprits, now);
-        if (verdict.counted.size() < this->options.deaths)
+        const Verdict verdict = judge(entry->deaths, culprits, now);
+        if (!this->isQuarantined(verdict))
             continue;
         culprits.servers.push_back(std::move(servers));
         ++culprits.sharing[verdict.deathsHash];
@@ -400,7 +404,7 @@
     const auto entry = this->entries.find(fingerprint);
     if (entry == this->entries.end() || entry->second.deaths.empty())
         return {};
-    return judge(entry->second, this->culprits(now), now);
+    return judge(entry->second.deaths, this->culprits(now), now);
 }
 
 std::uint32_t Quarantine::deathsSeen(const Fingerprint &fingerprint, absl::Time now) const
@@ -410,10 +414,10 @@
 
 QuarantineState Quarantine::check(const Fingerprint &fingerprint, absl::Time now) const
 {
-    const std::uint32_t deaths = this->deathsSeen(fingerprint, now);
-    if (deaths >= this->options.deaths)
+    const Verdict verdict = this->verdictOf(fingerprint, now);
+    if (this->isQuarantined(verdict))
         return QuarantineState::Quarantined;
-    return deaths > 0 ? QuarantineState::Suspect : QuarantineState::Clear;
+    return verdict.counted.empty() ? QuarantineState::Clear : QuarantineState::Suspect;
 }
 
 bool Quarantine::refuses(const CallFingerprints &call, absl::Time now) const
@@ -424,7 +428,7 @@
     absl::flat_hash_map<std::uint64_t, std::size_t> held;
     const auto add = [&](const Fingerprint &fingerprint) {
         const Verdict verdict = this->verdictOf(fingerprint, now);
-        if (verdict.counted.size() >= this->options.deaths)
+        if (this->isQuarantined(verdict))
             ++held[verdict.deathsHash];
     };
     add(call.call);
@@ -446,11 +450,15 @@
 
 absl::Duration Quarantine::retryAfter(const Fingerprint &fingerprint, absl::Time now) const
 {
-    if (this->check(fingerprint, now) != QuarantineState::Quarantined)
+    const Verdict verdict = this->verdictOf(fingerprint, now);
+    if (!this->isQuarantined(verdict))
         return absl::ZeroDuration();
     // The quarantine ends when too few deaths still count.
-    const Deaths counted = this->verdictOf(fingerprint, now).counted;
-    return counted[this->options.deaths - 1].diedAt + kQuarantineDuration - now;
+    if (verdict.counted.size() >= this->options.deaths)
+        return verdict.counted[this->options.deaths - 1].diedAt + kQuarantineDuration - now;
+    const absl::Time first = std::min(verdict.counted[this->options.deaths - 2].diedAt,
+                                      verdict.deathTimes[this->options.deathsOfAnyCause - 1]);
+    return first + kQuarantineDuration - now;
 }
 
 std::vector<CrashReport> Quarantine::reports(absl::Time now) const
--- a/servers/quarantine/quarantine.h
+++ b/servers/quarantine/quarantine.h
@@ -36,6 +36,9 @@
 struct QuarantineOptions
 {
     std::size_t deaths = kQuarantineDeaths;
+    /** If as many servers have died, also of common causes, one death less suffices. A part of a
+     * prompt that is frequent enough for so many deaths would have been served in between. */
+    std::size_t deathsOfAnyCause = 5;
     std::size_t maxFingerprints = 4096;
     /** Number of served calls that are remembered for kServedRetention, and of parts of prompts
      * that are remembered for kServedPartRetention. */
@@ -185,6 +188,8 @@
     {
         /** Deaths that count, newest first. */
         Deaths counted;
+        /** Times of all deaths, newest first; those of one server within kSameDeathWindow once. */
+        std::vector<absl::Time> deathTimes;
         /** Equal for fingerprints with the same deaths. */
         std::uint64_t deathsHash = 0;
     };
@@ -202,9 +207,9 @@
         absl::Time validUntil = absl::InfinitePast();
     };
 
-    /** The deaths that count, newest first, without those that @p isExplained. */
-    static Deaths countedDeaths(const Deaths &deaths, absl::Time now,
-                                absl::FunctionRef<bool(const Death &)> isExplained);
+    /** Considers the deaths that are not explained by @p culprits. */
+    static Verdict judge(const Deaths &deaths, const Culprits &culprits, absl::Time now);
+    bool isQuarantined(const Verdict &verdict) const;
     static bool isNewer(const Death &a, const Death &b);
     /** Index of the death to drop when there are too many. */
     static std::size_t leastUseful(const Deaths &deaths);
@@ -215,7 +220,6 @@
     bool isSuspectedCulprit(const Entry &entry, absl::Time now) const;
     const Culprits &culprits(absl::Time now) const;
     Culprits findCulprits(absl::Time now) const;
-    static Verdict judge(const Entry &entry, const Culprits &culprits, absl::Time now);
     Verdict verdictOf(const Fingerprint &fingerprint, absl::Time now) const;
     void onChanged();
     void evictOne();
--- a/tests/quarantine/prompt_part_test.cpp
+++ b/tests/quarantine/prompt_part_test.cpp
@@ -90,6 +90,24 @@
     EXPECT_FALSE(table.refuses(LostCalls::call({"common"}), at(700)));
 }
 
+// Guards against waiting for a third cause while one server after the other crashes.
+TEST(PromptPart, IsQuarantinedAfterFiveDeathsOfTwoCauses)
+{
+    Quarantine table(threeDeaths());
+    LostCalls lost(table);
+    for (int i = 0; i < 4; ++i)
+        lost.lose(LostCalls::call({"deadly"}), at(i * 100));
+    EXPECT_FALSE(table.refuses(LostCalls::call({"deadly"}), at(400)));
+    lost.lose(LostCalls::call({"deadly"}), at(999));
+    EXPECT_FALSE(table.refuses(LostCalls::call({"deadly"}), at(999)));
+    lost.lose(LostCalls::call({"deadly"}), at(1000));
+    EXPECT_TRUE(table.refuses(LostCalls::call({"deadly"}), at(1000)));
+    EXPECT_EQ(table.retryAfter(part("deadly"), at(1000)),
+              kQuarantineDuration - absl::Milliseconds(1000));
+    table.recordPartsServed({{part("deadly")}}, at(500), at(1100));
+    EXPECT_FALSE(table.refuses(LostCalls::call({"deadly"}), at(1100)));
+}
+
 // A server that is cut off is noticed long after those that reset their connections.
 TEST(PromptPart, ThatAllCallsHaveIsNotQuarantinedWhenServersFallSilentTogether)
 {
