Merge the quarantine of prompt parts that crash servers

Joined by hand: an attempt that has survived kCrashDelay acquits the parts of its call also where a second attempt runs beside it.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -51,6 +51,17 @@
 
 constexpr int kStatusOk = 200;
 
+void countPromptList(GatewayContext &context, const platform::PromptParts &prompt)
+{
+    const auto count = [&context](std::string_view fault) {
+        context.metrics.counter("foxtailtally_prompt_lists_total", {{"fault", fault}}).add();
+    };
+    if (prompt.isMalformed)
+        count("malformed");
+    if (prompt.isTruncated)
+        count("truncated");
+}
+
 } // namespace
 
 CallRun::CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call)
@@ -72,11 +83,13 @@
 void CallRun::start(absl::Time now)
 {
     this->hasStarted = true;
-    this->suspicion.emplace(
-        this->context, this->call.headers.callId,
-        CallContent {this->call.customer, this->caller->head().path, this->caller->body()});
+    this->suspicion.emplace(this->context, this->call.headers.callId,
+                            CallContent {this->call.customer, this->caller->head().path,
+                                         this->caller->body(),
+                                         this->call.headers.prompt.sharedParts});
     this->service = std::string(targetService(*this->call.route, this->call.headers.callId));
     this->context.retries.onCall(this->service, now);
+    countPromptList(this->context, this->call.headers.prompt);
     if (this->suspicion->isQuarantined(now)) {
         this->refuseQuarantined(now);
         return;
@@ -179,7 +192,7 @@
     return this->dispatchPlain(service, excluded, now);
 }
 
-StreamDemand CallRun::demand(absl::Time now) const
+StreamDemand CallRun::demand(absl::Time now)
 {
     StreamDemand demand;
     demand.promptTokens = this->call.headers.promptTokens;
@@ -188,6 +201,8 @@
     demand.objective = this->call.route->objective;
     demand.eventGapObjective = this->call.route->eventGapObjective;
     const absl::Time lastProgressAt = std::max(this->call.receivedAt, this->lastEventAt);
+    // A crash also stalls the work of the engines that help.
+    demand.usesFewestEngines = !this->suspicion->suspectParts(now).empty();
     demand.callerTimeLeft =
         std::min(this->call.answerBy, lastProgressAt + this->call.route->streamIdleTimeout()) - now;
     return demand;
@@ -243,7 +258,7 @@
     return this->hasAnswerBegun ? value + kBegunResponseWorth : value;
 }
 
-absl::Duration CallRun::tokenPatience(absl::Time now) const
+absl::Duration CallRun::tokenPatience(absl::Time now)
 {
     if (this->hasAnswerBegun)
         return this->demand(now).callerTimeLeft * kMaxTokenWaitShare;
@@ -429,6 +444,7 @@
     target.address = server.address;
     target.domain = server.domain;
     target.suspicion = this->suspicion->nextRun(now);
+    target.suspectParts = this->suspicion->suspectParts(now);
     this->tried.push_back(target.key);
     ++this->attemptsSent;
     platform::ForwardedCall forwarded;
@@ -491,8 +507,11 @@
         return;
     if (this->relay.hasAdvanced()) {
         attempt.firstEventAt = std::min(attempt.firstEventAt, now);
-        if (now - attempt.firstEventAt > kCrashDelay)
+        if (!attempt.hasSurvived && now - attempt.firstEventAt > kCrashDelay) {
+            attempt.hasSurvived = true;
             call.clearSuspicion();
+            this->suspicion->onSurvived(attempt.firstEventAt, now);
+        }
         this->onStreamEvent(attempt, now);
     }
     if (!this->hasAnswerBegun) {
@@ -575,6 +594,7 @@
     if (finished->isRelaying && hasContinued
         && this->relay.isComplete(finished->run, finished->reply.isFramed)) {
         this->suspicion->onServed(now);
+        this->suspicion->onSurvived(std::min(finished->firstEventAt, now), now);
         if (!this->hasAnswerBegun)
             this->caller->startStream(finished->reply.status,
                                       platform::callerHeaders(finished->reply.headers));
@@ -596,8 +616,10 @@
     }
     this->context.health.onOutcome(server, ServerHealth::Outcome::Answered, now);
     this->context.health.onLatency(server, latency);
-    if (this->reply.status < 400)
+    if (this->reply.status < 400) {
         this->suspicion->onServed(now);
+        this->suspicion->onSurvived(now, now);
+    }
     this->forwardStoredReply();
 }
 
@@ -636,6 +658,7 @@
     AttemptRecord record;
     record.callId = this->call.headers.callId;
     record.fingerprint = this->suspicion->fingerprint();
+    record.sharedParts = this->call.headers.prompt.sharedParts;
     record.runs = this->runs;
     record.rejections = this->rejections;
     record.hadEvent = this->lastEventAt >= call.sentAt();
@@ -696,6 +719,7 @@
 
 void CallRun::refuseQuarantined(absl::Time now)
 {
+    this->suspicion->logQuarantine(now);
     this->sendLocalReply(503, "quarantined", true, this->suspicion->quarantineLeft(now));
 }
 
@@ -709,6 +733,9 @@
     evidence.isConnectionBroken = isBroken || isUnresponsive;
     evidence.hasAnswerBegun = !this->isStream() && attempt.reply.status != 0;
     evidence.streamingFor = std::max(absl::ZeroDuration(), now - attempt.firstEventAt);
+    const ServerActivity &activity = this->context.activity[attempt.call->target().key];
+    if (isUnresponsive)
+        evidence.silentFor = now - std::max(activity.lastByteAt, attempt.call->sentAt());
     return evidence;
 }
 
--- a/servers/quarantine/quarantine.cpp
+++ b/servers/quarantine/quarantine.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace foxtailtally {
 
@@ -12,6 +13,9 @@
 // Clocks of instances differ by less than this; reports from further in the future are ignored.
 constexpr absl::Duration kMaxClockSkew = absl::Minutes(1);
 
+// Any number of deaths of one common cause shows nothing.
+constexpr std::size_t kMinCountedDeaths = 2;
+
 bool isCurrent(absl::Time happenedAt, absl::Time now)
 {
     return happenedAt + kQuarantineDuration > now;
@@ -59,6 +63,21 @@
     return newReports;
 }
 
+std::vector<CrashReport> Quarantine::onCallLost(const BackendServerId &server,
+                                                Incarnation incarnation,
+                                                const CallFingerprints &call, absl::Time causeSince,
+                                                absl::Time now)
+{
+    std::vector<CrashReport> newReports =
+        this->onServerDeath(server, incarnation, {&call.call, 1}, now);
+    for (const Fingerprint &part : call.parts) {
+        const CrashReport report {part, server, incarnation, now, causeSince};
+        if (this->addDeath(report, true, now))
+            newReports.push_back(report);
+    }
+    return newReports;
+}
+
 bool Quarantine::onCrashReport(const CrashReport &report, absl::Time now)
 {
     return this->addDeath(report, false, now);
@@ -69,27 +88,36 @@
     const absl::Time diedAt = report.diedAt;
     if (!isCredible(diedAt, now) || this->withdrawn.contains(crashKey(report)))
         return false;
+    const std::optional<absl::Time> partServedAt =
+        this->recentlyServedParts.servedAt(hashOf(report.fingerprint), now);
+    if (partServedAt && diedAt <= *partServedAt)
+        return false;
     Entry &entry = this->entries[report.fingerprint];
     if (diedAt <= entry.servedAt + kServedRetention)
         return false;
     Deaths &deaths = entry.deaths;
-    const Death death {report.server, report.incarnation, diedAt, isLocal};
-    const auto same = std::find_if(deaths.begin(), deaths.end(), [&](const Death &known) {
-        return known.server == death.server && known.incarnation == death.incarnation;
-    });
-    if (same != deaths.end()) {
+    const Death death {report.server, report.incarnation, diedAt,
+                       std::min(report.causeSince, diedAt), isLocal};
+    const auto find = [&deaths, &death] {
+        return std::find_if(deaths.begin(), deaths.end(), [&death](const Death &known) {
+            return known.server == death.server && known.incarnation == death.incarnation;
+        });
+    };
+    if (const auto same = find(); same != deaths.end()) {
         // Instances see one death at different times; all keep the latest of these times. With the
         // earliest one the result of a merge would depend on which deaths were dropped before.
-        same->diedAt = std::max(same->diedAt, diedAt);
+        const auto times = std::max(std::pair(same->diedAt, same->causeSince),
+                                    std::pair(death.diedAt, death.causeSince));
+        std::tie(same->diedAt, same->causeSince) = times;
         std::sort(deaths.begin(), deaths.end(), isNewer);
+        this->cachedCulprits = {};
         return false;
     }
     deaths.push_back(death);
     std::sort(deaths.begin(), deaths.end(), isNewer);
-    const bool isKept = deaths.size() <= kMaxDeaths || deaths.back().server != death.server
-        || deaths.back().incarnation != death.incarnation;
     if (deaths.size() > kMaxDeaths)
-        deaths.pop_back();
+        deaths.erase(deaths.begin() + static_cast<std::ptrdiff_t>(leastUseful(deaths)));
+    const bool isKept = find() != deaths.end();
     this->onChanged();
     return isKept && this->entries.contains(report.fingerprint);
 }
@@ -105,10 +133,51 @@
     return this->recentlyServed.contains(hashOf(fingerprint), now);
 }
 
+std::vector<ServedReport> Quarantine::recordPartsServed(std::span<const Fingerprint> parts,
+                                                        absl::Time servedAt, absl::Time now)
+{
+    std::vector<ServedReport> news;
+    for (const Fingerprint &part : parts) {
+        if (this->onPartServed(part, servedAt, now))
+            news.push_back({part, servedAt, absl::ZeroDuration()});
+    }
+    return news;
+}
+
+bool Quarantine::onPartServed(const Fingerprint &part, absl::Time servedAt, absl::Time now)
+{
+    this->recentlyServedParts.add(hashOf(part), servedAt, now);
+    const auto entry = this->entries.find(part);
+    if (entry == this->entries.end())
+        return false;
+    const std::size_t cleared = std::erase_if(
+        entry->second.deaths, [servedAt](const Death &death) { return death.diedAt <= servedAt; });
+    if (cleared == 0)
+        return false;
+    if (entry->second.deaths.empty() && entry->second.servedAt == absl::InfinitePast())
+        this->entries.erase(entry);
+    this->onChanged();
+    return true;
+}
+
+std::optional<ServedReport> Quarantine::contradictionOf(const CrashReport &report,
+                                                        absl::Time now) const
+{
+    if (this->wasServedRecently(report.fingerprint, now))
+        return ServedReport {report.fingerprint, now};
+    const std::optional<absl::Time> partServedAt =
+        this->recentlyServedParts.servedAt(hashOf(report.fingerprint), now);
+    if (partServedAt && report.diedAt <= *partServedAt)
+        return ServedReport {report.fingerprint, *partServedAt, absl::ZeroDuration()};
+    return std::nullopt;
+}
+
 bool Quarantine::onServed(const ServedReport &report, absl::Time now)
 {
     if (!isCredible(report.servedAt, now))
         return false;
+    if (report.trustedFor == absl::ZeroDuration())
+        return this->onPartServed(report.fingerprint, std::min(report.servedAt, now), now);
     Entry &entry = this->entries[report.fingerprint];
     const bool isFirst = entry.servedAt == absl::InfinitePast();
     entry.servedAt = std::max(entry.servedAt, report.servedAt);
@@ -151,6 +220,16 @@
     this->onChanged();
 }
 
+void Quarantine::withdrawAll(const Fingerprint &fingerprint, absl::Time now)
+{
+    const auto found = this->entries.find(fingerprint);
+    if (found == this->entries.end())
+        return;
+    const Deaths deaths = found->second.deaths;
+    for (const Death &death : deaths)
+        this->withdraw({fingerprint, incarnationHash(death.server, death.incarnation)}, now);
+}
+
 std::vector<CrashReport> Quarantine::deathsToRecord(absl::Time now) const
 {
     std::vector<CrashReport> reports;
@@ -159,7 +238,8 @@
             continue;
         for (const Death &death : entry.deaths) {
             if (death.isLocal && isCurrent(death.diedAt, now))
-                reports.push_back({fingerprint, death.server, death.incarnation, death.diedAt});
+                reports.push_back(
+                    {fingerprint, death.server, death.incarnation, death.diedAt, death.causeSince});
         }
     }
     return reports;
@@ -185,6 +265,11 @@
         const std::uint64_t key = hashOf(fingerprint);
         if (entry.servedAt != absl::InfinitePast())
             digest ^= stableHash("served", key);
+        // Instances may have dropped different deaths.
+        if (entry.deaths.size() >= kMaxDeaths) {
+            digest ^= stableHash("full", key);
+            continue;
+        }
         for (const Death &death : entry.deaths)
             digest ^= stableHash("death", key ^ incarnationHash(death.server, death.incarnation));
     }
@@ -197,55 +282,162 @@
     while (this->entries.size() > this->options.maxFingerprints)
         this->evictOne();
     this->cachedDigest.reset();
+    this->cachedCulprits = {};
 }
 
 void Quarantine::evictOne()
 {
-    auto victim = this->entries.begin();
     const auto rank = [this](const Entry &entry) {
-        return std::tuple(distinctDeathTimes(entry.deaths, absl::InfinitePast()).size()
-                              >= this->options.deaths,
-                          entry.newestTime());
+        return std::pair(this->isSuspectedCulprit(entry, absl::InfinitePast()), entry.newestTime());
     };
-    for (auto entry = this->entries.begin(); entry != this->entries.end(); ++entry) {
-        if (rank(entry->second) < rank(victim->second))
+    auto victim = this->entries.begin();
+    auto lowest = rank(victim->second);
+    for (auto entry = std::next(victim); entry != this->entries.end(); ++entry) {
+        if (const auto next = rank(entry->second); next < lowest) {
             victim = entry;
+            lowest = next;
+        }
     }
     this->entries.erase(victim);
 }
 
-std::vector<absl::Time> Quarantine::distinctDeathTimes(const Deaths &deaths, absl::Time now)
+Quarantine::Verdict Quarantine::judge(const Deaths &deaths, const Culprits &culprits,
+                                      absl::Time now)
 {
-    std::vector<absl::Time> times;
-    for (std::size_t i = 0; i < deaths.size(); ++i) {
-        if (!isCurrent(deaths[i].diedAt, now))
+    const auto isExplained = [&](const Death &death) {
+        const std::uint64_t server = incarnationHash(death.server, death.incarnation);
+        return std::any_of(culprits.servers.begin(), culprits.servers.end(),
+                           [&](const DeadServers &servers) {
+                               return servers.size() > deaths.size() && servers.contains(server);
+                           });
+    };
+    Verdict verdict;
+    Deaths distinct;
+    for (auto death = deaths.begin(); death != deaths.end(); ++death) {
+        if (!isCurrent(death->diedAt, now))
             continue;
-        const bool isSame =
-            std::any_of(deaths.begin(), deaths.begin() + static_cast<std::ptrdiff_t>(i),
-                        [&](const Death &newer) {
-                            return newer.server == deaths[i].server
-                                && newer.diedAt - deaths[i].diedAt < kSameDeathWindow;
-                        });
-        if (!isSame)
-            times.push_back(deaths[i].diedAt);
+        verdict.deathsHash ^= incarnationHash(death->server, death->incarnation);
+        const bool isSame = std::any_of(deaths.begin(), death, [&death](const Death &newer) {
+            return newer.server == death->server && newer.diedAt - death->diedAt < kSameDeathWindow;
+        });
+        if (!isSame && !isExplained(*death)) {
+            distinct.push_back(*death);
+            verdict.deathTimes.push_back(death->diedAt);
+        }
+    }
+    // The deaths that end first leave most room for others.
+    for (auto death = distinct.rbegin(); death != distinct.rend(); ++death) {
+        if (verdict.counted.empty() || death->causeSince >= verdict.counted.back().diedAt)
+            verdict.counted.push_back(*death);
+    }
+    std::reverse(verdict.counted.begin(), verdict.counted.end());
+    return verdict;
+}
+
+bool Quarantine::isQuarantined(const Verdict &verdict) const
+{
+    const std::size_t counted = verdict.counted.size();
+    return counted >= this->options.deaths
+        || (counted >= kMinCountedDeaths && counted + 1 >= this->options.deaths
+            && verdict.deathTimes.size() >= this->options.deathsOfAnyCause);
+}
+
+std::size_t Quarantine::leastUseful(const Deaths &deaths)
+{
+    absl::Time lastCounted = absl::InfinitePast();
+    std::size_t victim = deaths.size() - 1;
+    for (std::size_t i = deaths.size(); i-- > 0;) {
+        if (deaths[i].causeSince >= lastCounted)
+            lastCounted = deaths[i].diedAt;
+        else
+            victim = i;
     }
-    return times;
+    return victim;
+}
+
+bool Quarantine::isSuspectedCulprit(const Entry &entry, absl::Time now) const
+{
+    return entry.deaths.size() >= std::min(this->options.deaths, this->options.deathsOfAnyCause)
+        && this->isQuarantined(judge(entry.deaths, {}, now));
+}
+
+Quarantine::Culprits Quarantine::findCulprits(absl::Time now) const
+{
+    Culprits culprits;
+    culprits.validFrom = now;
+    culprits.validUntil = absl::InfiniteFuture();
+    std::vector<std::pair<const Entry *, DeadServers>> suspected;
+    for (const auto &[fingerprint, entry] : this->entries) {
+        if (!this->isSuspectedCulprit(entry, now))
+            continue;
+        DeadServers servers;
+        for (const Death &death : entry.deaths) {
+            if (!isCurrent(death.diedAt, now))
+                continue;
+            servers.insert(incarnationHash(death.server, death.incarnation));
+            culprits.validUntil = std::min(culprits.validUntil, death.diedAt + kQuarantineDuration);
+        }
+        suspected.emplace_back(&entry, std::move(servers));
+    }
+    std::stable_sort(suspected.begin(), suspected.end(), [](const auto &a, const auto &b) {
+        return a.second.size() > b.second.size();
+    });
+    for (auto &[entry, servers] : suspected) {
+        const Verdict verdict = judge(entry->deaths, culprits, now);
+        if (!this->isQuarantined(verdict))
+            continue;
+        culprits.servers.push_back(std::move(servers));
+        ++culprits.sharing[verdict.deathsHash];
+    }
+    return culprits;
+}
+
+const Quarantine::Culprits &Quarantine::culprits(absl::Time now) const
+{
+    if (now < this->cachedCulprits.validFrom || now >= this->cachedCulprits.validUntil)
+        this->cachedCulprits = this->findCulprits(now);
+    return this->cachedCulprits;
+}
+
+Quarantine::Verdict Quarantine::verdictOf(const Fingerprint &fingerprint, absl::Time now) const
+{
+    const auto entry = this->entries.find(fingerprint);
+    if (entry == this->entries.end() || entry->second.deaths.empty())
+        return {};
+    return judge(entry->second.deaths, this->culprits(now), now);
 }
 
 std::uint32_t Quarantine::deathsSeen(const Fingerprint &fingerprint, absl::Time now) const
 {
-    const auto found = this->entries.find(fingerprint);
-    return found == this->entries.end()
-        ? 0
-        : static_cast<std::uint32_t>(distinctDeathTimes(found->second.deaths, now).size());
+    return static_cast<std::uint32_t>(this->verdictOf(fingerprint, now).counted.size());
 }
 
 QuarantineState Quarantine::check(const Fingerprint &fingerprint, absl::Time now) const
 {
-    const std::uint32_t deaths = this->deathsSeen(fingerprint, now);
-    if (deaths >= this->options.deaths)
+    const Verdict verdict = this->verdictOf(fingerprint, now);
+    if (this->isQuarantined(verdict))
         return QuarantineState::Quarantined;
-    return deaths > 0 ? QuarantineState::Suspect : QuarantineState::Clear;
+    return verdict.counted.empty() ? QuarantineState::Clear : QuarantineState::Suspect;
+}
+
+bool Quarantine::refuses(const CallFingerprints &call, absl::Time now) const
+{
+    if (this->entries.empty())
+        return false;
+    // Quarantined fingerprints of the call, by their deaths.
+    absl::flat_hash_map<std::uint64_t, std::size_t> held;
+    const auto add = [&](const Fingerprint &fingerprint) {
+        const Verdict verdict = this->verdictOf(fingerprint, now);
+        if (this->isQuarantined(verdict))
+            ++held[verdict.deathsHash];
+    };
+    add(call.call);
+    std::for_each(call.parts.begin(), call.parts.end(), add);
+    const absl::flat_hash_map<std::uint64_t, std::size_t> &all = this->culprits(now).sharing;
+    return std::any_of(held.begin(), held.end(), [&all](const auto &item) {
+        const auto sharing = all.find(item.first);
+        return sharing == all.end() || item.second >= sharing->second;
+    });
 }
 
 SuspectRun Quarantine::nextRun(const Fingerprint &fingerprint, absl::Time now) const
@@ -258,12 +450,15 @@
 
 absl::Duration Quarantine::retryAfter(const Fingerprint &fingerprint, absl::Time now) const
 {
-    if (this->check(fingerprint, now) != QuarantineState::Quarantined)
+    const Verdict verdict = this->verdictOf(fingerprint, now);
+    if (!this->isQuarantined(verdict))
         return absl::ZeroDuration();
     // The quarantine ends when too few deaths still count.
-    const std::vector<absl::Time> times =
-        distinctDeathTimes(this->entries.find(fingerprint)->second.deaths, now);
-    return times[this->options.deaths - 1] + kQuarantineDuration - now;
+    if (verdict.counted.size() >= this->options.deaths)
+        return verdict.counted[this->options.deaths - 1].diedAt + kQuarantineDuration - now;
+    const absl::Time first = std::min(verdict.counted[this->options.deaths - 2].diedAt,
+                                      verdict.deathTimes[this->options.deathsOfAnyCause - 1]);
+    return first + kQuarantineDuration - now;
 }
 
 std::vector<CrashReport> Quarantine::reports(absl::Time now) const
@@ -272,7 +467,8 @@
     for (const auto &[fingerprint, entry] : this->entries) {
         for (const Death &death : entry.deaths) {
             if (isCurrent(death.diedAt, now))
-                all.push_back({fingerprint, death.server, death.incarnation, death.diedAt});
+                all.push_back(
+                    {fingerprint, death.server, death.incarnation, death.diedAt, death.causeSince});
         }
     }
     return all;
