Refuse JSON that is nested too deep instead of ending the process

What callers saw: another writer left one entry in the store whose Spec was nested very deep. Every instance that read the list ended, and ended again after each restart; calls in progress were lost.

Cause: storedObject() writes each Spec out again with nlohmann::json::dump(), which is recursive, and does so before anything has been checked. JsonReader::array() copies values, which is recursive as well. Parsing and destruction are not: both keep their own stack (nlohmann 3.11).

Change: parseJson() counts the nesting of the text first, without recursion, and refuses more than 64 levels.

--- a/peers/http/json_reader.cpp
+++ b/peers/http/json_reader.cpp
@@ -1,5 +1,7 @@
 #include "peers/http/json_reader.h"
 
+#include "peers/http/json_text.h"
+
 #include <cctype>
 #include <limits>
 #include <utility>
@@ -7,7 +9,7 @@
 namespace foxtailtally {
 
 JsonReader::JsonReader(std::string_view text)
-    : object(nlohmann::json::parse(text, nullptr, false))
+    : object(parseJson(text))
     , failed(!this->object.is_object())
 { }
 
--- a/tests/platform/store_objects_test.cpp
+++ b/tests/platform/store_objects_test.cpp
@@ -65,6 +65,20 @@
     EXPECT_FALSE(decodeChanges(R"({"StoreRevision":1})").ok());
 }
 
+// One Spec that was nested 100,000 deep ended every process that read the list.
+TEST(StoreObjects, ADeeplyNestedEntryDoesNotEndTheProcess)
+{
+    constexpr std::size_t kDepth = 100000;
+    const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    const std::string odd = R"({"Metadata":{"Name":"odd"},"Spec":)" + nested + "}";
+    decodePage(R"({"Entries":[)" + odd + R"(],"StoreRevision":9})");
+    decodeChanges(R"({"events":[{"Object":)" + odd + R"(}],"StoreRevision":9})");
+    EXPECT_FALSE(decodeSpec(nested).ok());
+    EXPECT_FALSE(decodeConfig(nested).ok());
+    EXPECT_FALSE(decodeInstance({"n1", 1, nested}).ok());
+    EXPECT_FALSE(decodeCrashReport({"c1", 1, nested}).ok());
+}
+
 TEST(StoreObjects, DecodesTheConfiguration)
 {
     const auto config = decodeConfig(
