Decode each entry of a list and each change of a watch by itself

What callers saw: one odd entry in the store, such as a number of 1e999, refused the page with all good entries on every read. Instances kept the servers that they knew and never learned of new or lost ones; an instance that started beside such an entry never had a server.

Cause: decodePage() and decodeChanges() parsed the whole body as one document, and one value that cannot be parsed fails the document.

The name, the revision and the flag Deleted are read apart from the Spec, so that an odd Spec still replaces or removes the object of that name. A Spec that cannot be parsed is kept as none, and relaying instances pass it on as none: an instance of an earlier version that follows one of this version gets a page that it can read. Entries without a readable name are left out and counted; the revision is followed in any case. All kinds count what they cannot decode in foxtailtally_foreign_entries_total (only servers did), with at most five log lines a second for each kind.

--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -217,6 +217,8 @@
         this->onFailure("unreadable list", true);
         return;
     }
+    if (page->unnamed > 0)
+        this->events.onUnnamed(page->unnamed);
     for (platform::StoredObject &object : page->objects)
         this->listedSoFar.push_back(std::move(object));
     if (page->hasMore && !this->listedSoFar.empty()) {
@@ -247,7 +249,10 @@
     if (this->consecutiveFailures > 0)
         logEvent(LogLevel::Info, "store_regained", {{"kind", this->kindName}});
     this->consecutiveFailures = 0;
+    if (changes->unnamed > 0)
+        this->events.onUnnamed(changes->unnamed);
     const bool hasChanged = !changes->changes.empty();
+    const bool isEmpty = !hasChanged && changes->unnamed == 0;
     if (hasChanged)
         this->objectCache.apply(changes->changes, changes->revision);
     else
@@ -257,12 +262,12 @@
     this->revision = std::max(this->revision, changes->revision);
     // An empty response was sent when the requested wait was over; one with changes, at any time
     // since the call.
-    const bool waitedFully = !hasChanged && now - this->sentAt >= this->watchTime;
+    const bool waitedFully = isEmpty && now - this->sentAt >= this->watchTime;
     const absl::Time answeredAfter = waitedFully ? this->sentAt + this->watchTime : this->sentAt;
     this->confirm(answeredAfter - this->relayFreshness.age);
     if (hasChanged)
         this->events.onCacheChanged();
-    this->becomeIdleFor(hasChanged ? this->timing.batchDelay : absl::ZeroDuration());
+    this->becomeIdleFor(isEmpty ? absl::ZeroDuration() : this->timing.batchDelay);
 }
 
 void KindWatcher::confirm(absl::Time moment)
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -7,6 +7,7 @@
 #include "servers/catalog/store_source.h"
 
 #include <absl/time/time.h>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -24,6 +25,8 @@
                            absl::Time now) = 0;
     virtual void onChange(const platform::ObjectChange &change, bool storeUnsettled,
                           absl::Time now) = 0;
+    /** @p count entries or changes had no readable name and were left out. */
+    virtual void onUnnamed(std::size_t count) = 0;
     /** All changes up to @p moment have been reported. */
     virtual void onConfirmed(absl::Time moment) = 0;
     /** Called after the events above when the watcher's cache has changed. */
--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace foxtailtally {
 
@@ -45,6 +46,10 @@
 
 constexpr int kStatusConflict = 409;
 
+/** Log lines a second for entries of one kind that cannot be decoded; there may be thousands. */
+constexpr int kMaxUnreadableLines = 5;
+constexpr std::size_t kMaxLoggedNameBytes = 100;
+
 } // namespace
 
 /** Base of the event receivers; announces changes of one kind to other instances. */
@@ -58,6 +63,10 @@
     { }
 
     void onConfirmed(absl::Time) override { }
+    void onUnnamed(std::size_t count) final
+    {
+        this->countUnreadable(count, LogLevel::Warning, "entries_unnamed", {{"kind", this->kind}});
+    }
     void onCacheChanged() final
     {
         this->sync.relay.onChanged(this->kind);
@@ -65,11 +74,39 @@
     }
 
 protected:
+    /** The entry @p object, of another writer or of another version, cannot be decoded. */
+    void reportUnreadable(LogLevel level, std::string_view event, const StoredObject &object)
+    {
+        this->countUnreadable(
+            1, level, event,
+            {{"name", object.name.substr(0, kMaxLoggedNameBytes)}, {"revision", object.revision}});
+    }
+
     StoreSync &sync;
     GatewayContext &context;
 
 private:
+    void countUnreadable(std::size_t count, LogLevel level, std::string_view event,
+                         nlohmann::json fields)
+    {
+        this->context.metrics.counter("foxtailtally_foreign_entries_total").add(count);
+        const absl::Time now = Clock::now();
+        if (now - this->linesSince > absl::Seconds(1)) {
+            this->linesSince = now;
+            this->lines = 0;
+        }
+        this->unlogged += count;
+        if (this->lines++ >= kMaxUnreadableLines)
+            return;
+        fields["count"] = std::exchange(this->unlogged, 0);
+        logEvent(level, event, fields);
+    }
+
     std::string kind;
+    /** Entries that have been counted but not logged. */
+    std::size_t unlogged = 0;
+    absl::Time linesSince = absl::InfinitePast();
+    int lines = 0;
 };
 
 class StoreSync::ConfigEvents final : public RelayedKindEvents
@@ -102,7 +139,7 @@
             return;
         Result<std::shared_ptr<const ServingConfig>> config = platform::decodeConfig(object.spec);
         if (!config.ok()) {
-            logEvent(LogLevel::Error, "config_unreadable", {{"revision", object.revision}});
+            this->reportUnreadable(LogLevel::Error, "config_unreadable", object);
             return;
         }
         // Versions never go back while this process runs.
@@ -170,10 +207,8 @@
     Result<ServerEntry> decode(const StoredObject &object)
     {
         Result<ServerEntry> entry = platform::decodeServer(object);
-        if (!entry.ok()) {
-            this->context.metrics.counter("foxtailtally_foreign_entries_total").add();
-            logEvent(LogLevel::Warning, "server_entry_unreadable", {{"name", object.name}});
-        }
+        if (!entry.ok())
+            this->reportUnreadable(LogLevel::Warning, "server_entry_unreadable", object);
         return entry;
     }
 };
@@ -238,7 +273,7 @@
     {
         Result<CrashReport> report = platform::decodeCrashReport(object);
         if (!report.ok()) {
-            logEvent(LogLevel::Warning, "death_entry_unreadable", {{"name", object.name}});
+            this->reportUnreadable(LogLevel::Warning, "death_entry_unreadable", object);
             return;
         }
         const absl::Duration age = Clock::wallNow() - report->diedAt;
@@ -291,7 +326,7 @@
         if (record.ok())
             this->context.exchange.setRecord(*record);
         else
-            logEvent(LogLevel::Warning, "instance_entry_unreadable", {{"name", object.name}});
+            this->reportUnreadable(LogLevel::Warning, "instance_entry_unreadable", object);
         return record;
     }
 };
--- a/tests/platform/store_objects_test.cpp
+++ b/tests/platform/store_objects_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/store_objects.h"
 
+#include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
 namespace foxtailtally::platform {
@@ -65,18 +66,124 @@
     EXPECT_FALSE(decodeChanges(R"({"StoreRevision":1})").ok());
 }
 
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/** Specs of other writers, which cannot be parsed or are nested too deep. */
+std::vector<std::string> oddSpecs()
+{
+    return {nested(100000),
+            R"({"Slots":1e999})",
+            R"({"Slots":NaN})",
+            "-Infinity",
+            "\"\xff\xfe\"",
+            R"("\ud800")",
+            R"({"a":1,})",
+            "[1 2]",
+            R"({"Slots":)" + std::string(400, '9') + "}"};
+}
+
+std::string objectJson(const std::string &name, const std::string &spec)
+{
+    return absl::StrCat(R"({"Metadata":{"Name":")", name, R"(","Revision":7},"Spec":)", spec, "}");
+}
+
 // One Spec that was nested 100,000 deep ended every process that read the list.
 TEST(StoreObjects, ADeeplyNestedEntryDoesNotEndTheProcess)
 {
-    constexpr std::size_t kDepth = 100000;
-    const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
-    const std::string odd = R"({"Metadata":{"Name":"odd"},"Spec":)" + nested + "}";
-    decodePage(R"({"Entries":[)" + odd + R"(],"StoreRevision":9})");
-    decodeChanges(R"({"events":[{"Object":)" + odd + R"(}],"StoreRevision":9})");
-    EXPECT_FALSE(decodeSpec(nested).ok());
-    EXPECT_FALSE(decodeConfig(nested).ok());
-    EXPECT_FALSE(decodeInstance({"n1", 1, nested}).ok());
-    EXPECT_FALSE(decodeCrashReport({"c1", 1, nested}).ok());
+    const std::string deep = nested(100000);
+    const std::string odd = objectJson("odd", deep);
+    EXPECT_TRUE(decodePage(R"({"Entries":[)" + odd + R"(],"StoreRevision":9})").ok());
+    EXPECT_TRUE(decodeChanges(R"({"events":[{"Object":)" + odd + R"(}],"StoreRevision":9})").ok());
+    EXPECT_FALSE(decodeSpec(deep).ok());
+    EXPECT_FALSE(decodeConfig(deep).ok());
+    EXPECT_FALSE(decodeInstance({"n1", 1, deep}).ok());
+    EXPECT_FALSE(decodeCrashReport({"c1", 1, deep}).ok());
+}
+
+// One 1e999 in an entry refused the page with all good entries, on every read, so that the list
+// stood still.
+TEST(StoreObjects, AnOddEntryDoesNotAffectOtherEntries)
+{
+    const std::string good = objectJson("good", std::string(kServerSpec));
+    for (const std::string &spec : oddSpecs()) {
+        const std::string odd = objectJson("odd", spec);
+        const std::string label = spec.substr(0, 20);
+        const Result<ObjectPage> page = decodePage(
+            absl::StrCat(R"({"Entries":[)", good, ",", odd, ",", good, R"(],"StoreRevision":9})"));
+        ASSERT_TRUE(page.ok()) << label;
+        ASSERT_EQ(page->objects.size(), 3U) << label;
+        EXPECT_TRUE(decodeServer(page->objects[0]).ok() && decodeServer(page->objects[2]).ok());
+        EXPECT_EQ(page->objects[1].name, "odd") << label;
+        EXPECT_FALSE(decodeServer(page->objects[1]).ok()) << label;
+        // Instances that follow this one get the odd entry as one without content.
+        const Result<ObjectPage> relayed = decodePage(encodePage(*page));
+        ASSERT_TRUE(relayed.ok()) << label;
+        EXPECT_EQ(relayed->objects.size(), 3U) << label;
+
+        const Result<ObjectChanges> changes = decodeChanges(
+            absl::StrCat(R"({"events":[{"Object":)", odd, R"(,"Deleted":true},{"Object":)", good,
+                         R"(,"Deleted":false}],"StoreRevision":12})"));
+        ASSERT_TRUE(changes.ok()) << label;
+        ASSERT_EQ(changes->changes.size(), 2U) << label;
+        EXPECT_TRUE(changes->changes[0].isDeleted) << label;
+        EXPECT_TRUE(decodeServer(changes->changes[1].object).ok()) << label;
+        EXPECT_EQ(changes->revision, 12) << label;
+        EXPECT_TRUE(decodeChanges(encodeChanges(*changes)).ok()) << label;
+    }
+}
+
+TEST(StoreObjects, CountsEntriesWithoutAName)
+{
+    const std::string good = objectJson("good", "{}");
+    const std::vector<std::string> odd = {
+        "7",
+        "null",
+        "[]",
+        "{}",
+        R"({"Metadata":null})",
+        R"({"Metadata":[1]})",
+        R"({"Metadata":{"Revision":4}})",
+        R"({"Metadata":{"Name":7}})",
+        R"({"Metadata":{"Name":""}})",
+        R"({"Metadata":{"Name":"a","Revision":1e999}})",
+        R"({"Metadata":{"Name":"a","Revision":-1}})",
+        "{\"Metadata\":{\"Name\":\"\xff\"}}",
+        "{\"Metadata\":" + nested(100000) + "}",
+    };
+    for (const std::string &entry : odd) {
+        const Result<ObjectPage> page = decodePage(
+            absl::StrCat(R"({"Entries":[)", entry, ",", good, R"(],"StoreRevision":9})"));
+        ASSERT_TRUE(page.ok()) << entry.substr(0, 50);
+        EXPECT_EQ(page->unnamed, 1U) << entry.substr(0, 50);
+        EXPECT_EQ(page->objects.size(), 1U) << entry.substr(0, 50);
+        const Result<ObjectChanges> changes =
+            decodeChanges(absl::StrCat(R"({"events":[{"Object":)", entry, R"(},{"Object":)", good,
+                                       R"(}],"StoreRevision":12})"));
+        ASSERT_TRUE(changes.ok()) << entry.substr(0, 50);
+        EXPECT_EQ(changes->unnamed, 1U) << entry.substr(0, 50);
+        EXPECT_EQ(changes->changes.size(), 1U) << entry.substr(0, 50);
+        EXPECT_EQ(changes->revision, 12) << entry.substr(0, 50);
+    }
+}
+
+// A page that ends early, or that is no list, must not pass for a shorter list.
+TEST(StoreObjects, RefusesAPageThatIsNotWhole)
+{
+    const std::string page = absl::StrCat(R"({"Entries":[)", objectJson("a", "{}"),
+                                          R"(],"More":false,"StoreRevision":9})");
+    ASSERT_TRUE(decodePage(page).ok());
+    for (std::size_t size = 0; size < page.size(); ++size)
+        EXPECT_FALSE(decodePage(page.substr(0, size)).ok()) << size;
+    EXPECT_FALSE(decodePage(page + "x").ok());
+    EXPECT_FALSE(decodePage(R"({"Entries":null,"StoreRevision":9})").ok());
+    EXPECT_FALSE(decodePage(R"({"Entries":{"a":{}},"StoreRevision":9})").ok());
+    EXPECT_FALSE(decodePage(R"({"Entries":[]})").ok());
+    EXPECT_FALSE(decodePage(R"({"Entries":[],"StoreRevision":-4})").ok());
+    EXPECT_FALSE(decodePage(R"({"Entries":[],"StoreRevision":18446744073709551615})").ok());
+    EXPECT_FALSE(decodePage(R"({"Entries":[],"More":1,"StoreRevision":9})").ok());
 }
 
 TEST(StoreObjects, DecodesTheConfiguration)
