--- a/tests/platform/store_objects_test.cpp
+++ b/tests/platform/store_objects_test.cpp
@@ -48,6 +48,34 @@
     EXPECT_FALSE(decodeSpec(with("1700000000123", "1.5")).ok());
 }
 
+// A server with such an address got calls that could not be sent; such numbers overflowed where
+// load and times are computed, and such ids split a header.
+TEST(StoreObjects, RejectsServersWithValuesOutOfRange)
+{
+    const auto with = [](const std::string &from, const std::string &to) {
+        std::string spec(kServerSpec);
+        spec.replace(spec.find(from), from.size(), to);
+        return spec;
+    };
+    for (const std::string address :
+         {"127.0.0.1:99999", ":", "127.0.0.1:", "127.0.0.1:0", "127.0.0.1:65616", "127.0.0.1:-1",
+          "127.0.0.1: 80", "127.0.0.1:+80", "127.0.0.1:80x", ":80", "host:80", "1.2.3:80",
+          "127.0.0.1:80\\r\\nX: y", "127.0.0.1:80,10.0.0.1:80"})
+        EXPECT_FALSE(decodeSpec(with("10.0.0.9:8080", address)).ok()) << address;
+    for (const std::string slots : {"9223372036854775807", "18446744073709551615", "1000001", "-1"})
+        EXPECT_FALSE(decodeSpec(with("16", slots)).ok()) << slots;
+    for (const std::string born : {"18446744073709551615", "-1"})
+        EXPECT_FALSE(decodeSpec(with("1700000000123", born)).ok()) << born;
+    EXPECT_FALSE(decodeSpec(with("250", "1e300")).ok());
+    EXPECT_FALSE(decodeSpec(with("east", std::string(256, 'e'))).ok());
+    EXPECT_FALSE(decodeSpec(with("desk", std::string(256, 'd'))).ok());
+    for (const std::string &id :
+         {std::string(), std::string(256, 'i'), std::string("i 1"), std::string("i\r\nX: y")})
+        EXPECT_FALSE(decodeServer({id, 3, std::string(kServerSpec)}).ok()) << id;
+    EXPECT_TRUE(decodeSpec(with("10.0.0.9:8080", "127.0.0.1:65535")).ok());
+    EXPECT_TRUE(decodeServer({std::string(255, 'i'), 3, std::string(kServerSpec)}).ok());
+}
+
 TEST(StoreObjects, DecodesPagesAndChanges)
 {
     const Result<ObjectPage> page =
