--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -108,6 +108,7 @@
 void KindWatcher::list(const std::string &address, std::string_view after)
 {
     this->phase = Phase::Listing;
+    this->listedAfter = std::string(after);
     if (after.empty()) {
         this->listedSoFar.clear();
         this->listStartedAt = Clock::now();
@@ -219,11 +220,15 @@
     }
     if (page->unnamed > 0)
         this->events.onUnnamed(page->unnamed);
+    const std::string lastName = page->objects.empty() ? std::string() : page->objects.back().name;
     for (platform::StoredObject &object : page->objects)
         this->listedSoFar.push_back(std::move(object));
-    if (page->hasMore && !this->listedSoFar.empty()) {
-        const std::string after = this->listedSoFar.back().name;
-        this->list(this->sourceAddress, after);
+    if (page->hasMore) {
+        // A page without names leaves nothing to continue from.
+        if (lastName.empty() || lastName == this->listedAfter)
+            this->onFailure("list cannot be continued", true);
+        else
+            this->list(this->sourceAddress, lastName);
         return;
     }
     this->revision = page->revision;
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -112,6 +112,8 @@
     int status = 0;
     std::string body;
     std::vector<platform::StoredObject> listedSoFar;
+    /** Name after which the page in flight begins; empty for the first page. */
+    std::string listedAfter;
     std::int64_t revision = 0;
     absl::Time sentAt = absl::InfinitePast();
     absl::Time listStartedAt = absl::InfinitePast();
