--- a/tests/platform/call_headers_test.cpp
+++ b/tests/platform/call_headers_test.cpp
@@ -159,6 +159,49 @@
     EXPECT_EQ(decodeServerReply(misdirected).rateLimit, std::nullopt);
 }
 
+// Such values overflowed where load, memory and times are added up.
+TEST(CallHeaders, BoundsNumbersOfCallersAndServers)
+{
+    struct Case
+    {
+        std::string text;
+        std::optional<absl::Duration> time;
+        std::int64_t count;
+    };
+    const std::string longest = "9223372036854775807";
+    const std::vector<Case> cases = {
+        {"12", absl::Milliseconds(12), 12},
+        {"0", absl::ZeroDuration(), 0},
+        {"2.5", absl::Microseconds(2500), 0},
+        {"-1", std::nullopt, 0},
+        {"-" + longest, std::nullopt, 0},
+        {"", std::nullopt, 0},
+        {"soon", std::nullopt, 0},
+        {"nan", std::nullopt, 0},
+        {"-inf", std::nullopt, 0},
+        {"inf", absl::Hours(24), 0},
+        {"1e999", absl::Hours(24), 0},
+        {longest, absl::Hours(24), 1000000000},
+        {"99999999999999999999", absl::Hours(24), 0},
+        {std::string(4000, '9'), absl::Hours(24), 0},
+    };
+    for (const Case &entry : cases) {
+        RequestHead request;
+        request.headers.add("Deadline-Ms", entry.text);
+        request.headers.add("Token-Usage", entry.text + "," + entry.text);
+        const CallHeaders call = decodeCallHeaders(request.headers);
+        EXPECT_EQ(call.deadline, entry.time) << entry.text;
+        EXPECT_EQ(call.promptTokens, entry.count) << entry.text;
+        EXPECT_EQ(call.maxAnswerTokens, entry.count) << entry.text;
+        ResponseHead response;
+        response.headers.add("Cold-Ms", entry.text);
+        response.headers.add("Worker-Load", entry.text + "," + entry.text + ",8");
+        const ServerReply reply = decodeServerReply(response);
+        EXPECT_EQ(reply.coldLeft, entry.time) << entry.text;
+        EXPECT_EQ(reply.outstanding.value_or(0), 2 * entry.count) << entry.text;
+    }
+}
+
 TEST(CallHeaders, DecodesLoadAndSignature)
 {
     ResponseHead head;
