Bound the numbers of configurations, instances and crash reports

What callers saw: nothing known; found by reading all decoders of bytes from others.

Cause: numbers were cast without a check of their range. MaxAttempts of 2^32+1 became 1, MaxBodyBytes of -1 lifted the limit, Slots, chunk, Stride or read_per_s of 0 are divided by, KvCapacity of 2^63-1 overflows where memory is added up; an object passed for an array of services. Instances and crash reports had any address, capacity, time and length of ids: an instance at `:` was followed and asked for the list.

Change: each number has a range. A configuration out of range is refused as a whole, as one of a wrong type was, and the one before stays in force.

--- a/tests/platform/store_objects_test.cpp
+++ b/tests/platform/store_objects_test.cpp
@@ -236,6 +236,74 @@
     EXPECT_EQ((*config)->findCustomer("k")->id, CustomerId("c"));
 }
 
+// Such numbers wrapped, divided by zero or lifted a limit; one configuration is refused, and the
+// one before stays in force.
+TEST(StoreObjects, RejectsConfigurationsWithValuesOutOfRange)
+{
+    const std::string good =
+        R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/","Kind":"streaming",)"
+        R"("Service":"s","Priority":1,"MaxAttempts":2}],"Services":[{"Name":"s","MaxConns":9,)"
+        R"("ColdPerS":36.0,"Engine":{"Slots":16,"KvCapacity":405000,"Stride":34,"chunk":2048,)"
+        R"("read_per_s":154000.0,"step_ms":1.31}}],"Limits":{"MaxBodyBytes":100}})";
+    ASSERT_TRUE(decodeConfig(good).ok());
+    const std::vector<std::pair<std::string, std::string>> odd = {
+        {R"("Version":7)", R"("Version":18446744073709551615)"},
+        {R"("Priority":1)", R"("Priority":4294967296)"},
+        {R"("MaxAttempts":2)", R"("MaxAttempts":4294967297)"},
+        {R"("MaxAttempts":2)", R"("MaxAttempts":-1)"},
+        {R"("MaxConns":9)", R"("MaxConns":-9)"},
+        {R"("ColdPerS":36.0)", R"("ColdPerS":-1)"},
+        {R"("Slots":16)", R"("Slots":0)"},
+        {R"("KvCapacity":405000)", R"("KvCapacity":9223372036854775807)"},
+        {R"("Stride":34)", R"("Stride":0)"},
+        {R"("chunk":2048)", R"("chunk":0)"},
+        {R"("read_per_s":154000.0)", R"("read_per_s":0)"},
+        {R"("step_ms":1.31)", R"("step_ms":-1)"},
+        {R"("MaxBodyBytes":100)", R"("MaxBodyBytes":-1)"},
+        {R"("Services":[)", R"("Services":{"a":[)"},
+    };
+    for (const auto &[from, to] : odd) {
+        std::string text = good;
+        text.replace(text.find(from), from.size(), to);
+        if (to.ends_with("{\"a\":["))
+            text.replace(text.find(R"(],"Limits")"), 1, "]}");
+        EXPECT_FALSE(decodeConfig(text).ok()) << to;
+    }
+}
+
+// An instance with such an address was followed and asked for the list in vain.
+TEST(StoreObjects, RejectsInstancesAndCrashReportsWithValuesOutOfRange)
+{
+    const auto instance = [](const std::string &name, const std::string &domain,
+                             const std::string &address, const std::string &capacity) {
+        return decodeInstance(
+            {name, 1,
+             absl::StrCat(R"({"domain":")", domain, R"(","address":")", address,
+                          R"(","relay":"10.0.0.1:7342","capacity":)", capacity, "}")});
+    };
+    EXPECT_TRUE(instance("n1", "east", "10.0.0.1:7340", "24").ok());
+    EXPECT_FALSE(instance("", "east", "10.0.0.1:7340", "24").ok());
+    EXPECT_FALSE(instance(std::string(256, 'n'), "east", "10.0.0.1:7340", "24").ok());
+    EXPECT_FALSE(instance("n1", std::string(256, 'e'), "10.0.0.1:7340", "24").ok());
+    EXPECT_FALSE(instance("n1", "east", ":", "24").ok());
+    EXPECT_FALSE(instance("n1", "east", "10.0.0.1:99999", "24").ok());
+    EXPECT_FALSE(instance("n1", "east", "10.0.0.1:7340", "-1").ok());
+
+    const auto crash = [](const std::string &server, const std::string &incarnation,
+                          const std::string &endedAt) {
+        return decodeCrashReport(
+            {"c1", 1,
+             absl::StrCat(R"({"fingerprint":")", std::string(32, '0'), R"(","server":")", server,
+                          R"(","incarnation":)", incarnation, R"(,"ended_at_ms":)", endedAt, "}")});
+    };
+    EXPECT_TRUE(crash("s", "7", "1700000000123").ok());
+    EXPECT_FALSE(crash(std::string(256, 's'), "7", "1700000000123").ok());
+    EXPECT_FALSE(crash("s", "-1", "1700000000123").ok());
+    EXPECT_FALSE(crash("s", "18446744073709551615", "1700000000123").ok());
+    EXPECT_FALSE(crash("s", "7", "-1").ok());
+    EXPECT_FALSE(crash("s", "7", "18446744073709551615").ok());
+}
+
 // A call of a kind that this version does not know must not be retried.
 TEST(StoreObjects, TreatsAnUnknownKindAsNonIdempotent)
 {
