Do not take relayed data for newer than the request for it

Cause: a negative Confirmed-Age-Ms was taken as it is, and moved the time at which the copy is known to be current into the future; keys that the operator removes would then be accepted for longer.

--- a/tests/platform/store_objects_test.cpp
+++ b/tests/platform/store_objects_test.cpp
@@ -304,6 +304,14 @@
     EXPECT_FALSE(crash("s", "7", "18446744073709551615").ok());
 }
 
+// A negative age made relayed data newer than the request for it.
+TEST(StoreObjects, ReadsNoNegativeAgeOfRelayedData)
+{
+    HttpHeaders headers;
+    headers.add("Confirmed-Age-Ms", "-5000");
+    EXPECT_EQ(decodeRelayFreshness(headers).age, absl::ZeroDuration());
+}
+
 // A call of a kind that this version does not know must not be retried.
 TEST(StoreObjects, TreatsAnUnknownKindAsNonIdempotent)
 {
