Keep no content of stored objects that is longer than its kind needs

Cause: each instance kept the whole Spec of each entry of another writer in its copy and in the 256 changes for its followers. A value of the store may have a megabyte, and the weakest instance has 160 MB.

Change: a Spec is kept up to 16 KiB, a configuration up to 4 MiB, as long as a response may be; names up to 1,024 bytes. What is longer counts as an entry without content, or without a name.

The memory of a gateway beside thousands of such entries was not measured.

--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -213,7 +213,7 @@
 
 void KindWatcher::onPage(absl::Time now)
 {
-    Result<platform::ObjectPage> page = platform::decodePage(this->body);
+    Result<platform::ObjectPage> page = platform::decodePage(this->body, this->kindName);
     if (!page.ok()) {
         this->onFailure("unreadable list", true);
         return;
@@ -246,7 +246,7 @@
 
 void KindWatcher::onChanges(absl::Time now)
 {
-    const Result<platform::ObjectChanges> changes = platform::decodeChanges(this->body);
+    const Result<platform::ObjectChanges> changes = platform::decodeChanges(this->body, this->kindName);
     if (!changes.ok()) {
         this->onFailure("unreadable changes", true);
         return;
--- a/tests/platform/store_objects_test.cpp
+++ b/tests/platform/store_objects_test.cpp
@@ -197,6 +197,29 @@
     }
 }
 
+// Thousands of entries of a megabyte each do not fit into the memory of a weak instance.
+TEST(StoreObjects, KeepsNoContentThatIsTooLong)
+{
+    const std::string longText = '"' + std::string(1000000, 'x') + '"';
+    const std::string entries =
+        absl::StrCat(objectJson("long", longText), ",", objectJson("a", "{}"), ",",
+                     objectJson(std::string(2000, 'n'), "{}"));
+    const std::string page = R"({"Entries":[)" + entries + R"(],"StoreRevision":9})";
+    const Result<ObjectPage> servers = decodePage(page, kServerKind);
+    ASSERT_TRUE(servers.ok());
+    ASSERT_EQ(servers->objects.size(), 2U);
+    EXPECT_EQ(servers->unnamed, 1U);
+    EXPECT_EQ(servers->objects[0].name, "long");
+    EXPECT_EQ(servers->objects[0].spec, "");
+    EXPECT_EQ(servers->objects[1].spec, "{}");
+    EXPECT_EQ(decodePage(page, kConfigKind)->objects[0].spec, longText);
+    const Result<ObjectChanges> changes = decodeChanges(
+        R"({"events":[{"Object":)" + objectJson("long", longText) + R"(}],"StoreRevision":9})",
+        kCrashReportKind);
+    ASSERT_TRUE(changes.ok());
+    EXPECT_EQ(changes->changes.at(0).object.spec, "");
+}
+
 // A page that ends early, or that is no list, must not pass for a shorter list.
 TEST(StoreObjects, RefusesAPageThatIsNotWhole)
 {
