Keep and relay little of the entries that cannot be decoded

What callers saw: nothing known; found with 500 entries of 15 kB that are valid JSON and describe no server. An instance that starts and follows another one could not read the list from it.

Cause: the relay sends its whole copy in one page, content of other writers included; instances accept 4 MiB. Each instance kept all of it, too.

With more instances than may read the store, the rest would wait.

Change: the receivers of objects drop content of more than 1,024 bytes that they cannot decode, before the copy is made. Shorter content stays: an instance of a later version that follows may be able to decode it. The Spec of evacuations and of configurations that are not `main` is never used and never kept. The stand-in's store has pages of 500 objects or 1 MB now, as on the users' page.

--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -236,8 +236,8 @@
     if (this->consecutiveFailures > 0)
         logEvent(LogLevel::Info, "store_regained", {{"kind", this->kindName}});
     this->consecutiveFailures = 0;
-    this->objectCache.replace(this->listedSoFar, this->revision);
     this->events.onObjects(this->listedSoFar, !this->isSettled(now), now);
+    this->objectCache.replace(this->listedSoFar, this->revision);
     this->listedSoFar.clear();
     this->confirm(this->listStartedAt - this->relayFreshness.age);
     this->events.onCacheChanged();
@@ -246,7 +246,7 @@
 
 void KindWatcher::onChanges(absl::Time now)
 {
-    const Result<platform::ObjectChanges> changes = platform::decodeChanges(this->body, this->kindName);
+    Result<platform::ObjectChanges> changes = platform::decodeChanges(this->body, this->kindName);
     if (!changes.ok()) {
         this->onFailure("unreadable changes", true);
         return;
@@ -258,12 +258,12 @@
         this->events.onUnnamed(changes->unnamed);
     const bool hasChanged = !changes->changes.empty();
     const bool isEmpty = !hasChanged && changes->unnamed == 0;
+    for (platform::ObjectChange &change : changes->changes)
+        this->events.onChange(change, !this->isSettled(now), now);
     if (hasChanged)
         this->objectCache.apply(changes->changes, changes->revision);
     else
         this->objectCache.advance(changes->revision);
-    for (const platform::ObjectChange &change : changes->changes)
-        this->events.onChange(change, !this->isSettled(now), now);
     this->revision = std::max(this->revision, changes->revision);
     // An empty response was sent when the requested wait was over; one with changes, at any time
     // since the call.
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -15,16 +15,16 @@
 
 namespace foxtailtally {
 
-/** Receives the changes of one kind of object in the store. */
+/** Receives the changes of one kind of object in the store. An implementation may clear the content
+ * of objects that it cannot use, which is then neither kept nor relayed. */
 class KindEvents
 {
 public:
     virtual ~KindEvents() = default;
     /** The complete list. @p storeUnsettled: the store failed within the settle time. */
-    virtual void onObjects(const std::vector<platform::StoredObject> &objects, bool storeUnsettled,
+    virtual void onObjects(std::vector<platform::StoredObject> &objects, bool storeUnsettled,
                            absl::Time now) = 0;
-    virtual void onChange(const platform::ObjectChange &change, bool storeUnsettled,
-                          absl::Time now) = 0;
+    virtual void onChange(platform::ObjectChange &change, bool storeUnsettled, absl::Time now) = 0;
     /** @p count entries or changes had no readable name and were left out. */
     virtual void onUnnamed(std::size_t count) = 0;
     /** All changes up to @p moment have been reported. */
--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -48,8 +48,18 @@
 
 /** Log lines a second for entries of one kind that cannot be decoded; there may be thousands. */
 constexpr int kMaxUnreadableLines = 5;
+/** Longest content of such an entry that is kept for other instances, in bytes. */
+constexpr std::size_t kMaxUnreadableSpecBytes = 1024;
 constexpr std::size_t kMaxLoggedNameBytes = 100;
 
+/** Drops the content of an object that cannot be decoded, unless it is short: an instance of a
+ * later version may be able to decode it. */
+void dropLongContent(StoredObject &object)
+{
+    if (object.spec.size() > kMaxUnreadableSpecBytes)
+        object.spec.clear();
+}
+
 } // namespace
 
 /** Base of the event receivers; announces changes of one kind to other instances. */
@@ -116,12 +126,12 @@
         : RelayedKindEvents(sync, platform::kConfigKind)
     { }
 
-    void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time) override
+    void onObjects(std::vector<StoredObject> &objects, bool, absl::Time) override
     {
-        for (const StoredObject &object : objects)
+        for (StoredObject &object : objects)
             this->adopt(object);
     }
-    void onChange(const ObjectChange &change, bool, absl::Time) override
+    void onChange(ObjectChange &change, bool, absl::Time) override
     {
         if (!change.isDeleted)
             this->adopt(change.object);
@@ -133,9 +143,13 @@
     }
 
 private:
-    void adopt(const StoredObject &object)
+    void adopt(StoredObject &object)
     {
-        if (object.name != platform::kConfigName || object.revision <= this->revision)
+        if (object.name != platform::kConfigName) {
+            object.spec.clear();
+            return;
+        }
+        if (object.revision <= this->revision)
             return;
         Result<std::shared_ptr<const ServingConfig>> config = platform::decodeConfig(object.spec);
         if (!config.ok()) {
@@ -163,11 +177,10 @@
         : RelayedKindEvents(sync, platform::kServerKind)
     { }
 
-    void onObjects(const std::vector<StoredObject> &objects, bool unsettled,
-                   absl::Time now) override
+    void onObjects(std::vector<StoredObject> &objects, bool unsettled, absl::Time now) override
     {
         std::vector<ServerEntry> entries;
-        for (const StoredObject &object : objects) {
+        for (StoredObject &object : objects) {
             if (const Result<ServerEntry> entry = this->decode(object); entry.ok())
                 entries.push_back(*entry);
         }
@@ -176,7 +189,7 @@
         logEvent(LogLevel::Info, "servers_listed",
                  {{"servers", entries.size()}, {"unsettled", unsettled}});
     }
-    void onChange(const ObjectChange &change, bool unsettled, absl::Time now) override
+    void onChange(ObjectChange &change, bool unsettled, absl::Time now) override
     {
         const BackendServerId id(change.object.name);
         if (change.isDeleted) {
@@ -204,11 +217,13 @@
     }
 
 private:
-    Result<ServerEntry> decode(const StoredObject &object)
+    Result<ServerEntry> decode(StoredObject &object)
     {
         Result<ServerEntry> entry = platform::decodeServer(object);
-        if (!entry.ok())
+        if (!entry.ok()) {
             this->reportUnreadable(LogLevel::Warning, "server_entry_unreadable", object);
+            dropLongContent(object);
+        }
         return entry;
     }
 };
@@ -220,15 +235,18 @@
         : RelayedKindEvents(sync, platform::kEvacuationKind)
     { }
 
-    void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time) override
+    void onObjects(std::vector<StoredObject> &objects, bool, absl::Time) override
     {
         absl::btree_set<FailureDomainId> domains;
-        for (const StoredObject &object : objects)
+        for (StoredObject &object : objects) {
             domains.insert(FailureDomainId(object.name));
+            object.spec.clear();
+        }
         this->context.directory.replaceEvacuated(std::move(domains));
     }
-    void onChange(const ObjectChange &change, bool, absl::Time) override
+    void onChange(ObjectChange &change, bool, absl::Time) override
     {
+        change.object.spec.clear();
         this->context.directory.setEvacuated(FailureDomainId(change.object.name),
                                              !change.isDeleted);
         logEvent(LogLevel::Info, "domain_evacuation",
@@ -244,10 +262,10 @@
         : RelayedKindEvents(sync, platform::kCrashReportKind)
     { }
 
-    void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time now) override
+    void onObjects(std::vector<StoredObject> &objects, bool, absl::Time now) override
     {
         absl::btree_set<std::string> listed;
-        for (const StoredObject &object : objects) {
+        for (StoredObject &object : objects) {
             listed.insert(object.name);
             this->adopt(object, now);
         }
@@ -257,7 +275,7 @@
         }
         this->known = std::move(listed);
     }
-    void onChange(const ObjectChange &change, bool, absl::Time now) override
+    void onChange(ObjectChange &change, bool, absl::Time now) override
     {
         if (change.isDeleted) {
             this->withdraw(change.object.name, now);
@@ -269,11 +287,12 @@
     }
 
 private:
-    void adopt(const StoredObject &object, absl::Time now)
+    void adopt(StoredObject &object, absl::Time now)
     {
         Result<CrashReport> report = platform::decodeCrashReport(object);
         if (!report.ok()) {
             this->reportUnreadable(LogLevel::Warning, "death_entry_unreadable", object);
+            dropLongContent(object);
             return;
         }
         const absl::Duration age = Clock::wallNow() - report->diedAt;
@@ -300,10 +319,10 @@
         : RelayedKindEvents(sync, platform::kInstanceKind)
     { }
 
-    void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time now) override
+    void onObjects(std::vector<StoredObject> &objects, bool, absl::Time now) override
     {
         std::optional<InstanceRecord> ownRecord;
-        for (const StoredObject &object : objects) {
+        for (StoredObject &object : objects) {
             const Result<InstanceRecord> record = this->adopt(object);
             if (record.ok() && record->id == this->context.settings.id)
                 ownRecord = *record;
@@ -311,7 +330,7 @@
         this->context.exchange.chooseLinks(now);
         this->sync.onInstancesListed(ownRecord);
     }
-    void onChange(const ObjectChange &change, bool, absl::Time) override
+    void onChange(ObjectChange &change, bool, absl::Time) override
     {
         if (change.isDeleted)
             this->context.exchange.removeRecord(InstanceId(change.object.name));
@@ -320,13 +339,15 @@
     }
 
 private:
-    Result<InstanceRecord> adopt(const StoredObject &object)
+    Result<InstanceRecord> adopt(StoredObject &object)
     {
         Result<InstanceRecord> record = platform::decodeInstance(object);
-        if (record.ok())
+        if (record.ok()) {
             this->context.exchange.setRecord(*record);
-        else
+        } else {
             this->reportUnreadable(LogLevel::Warning, "instance_entry_unreadable", object);
+            dropLongContent(object);
+        }
         return record;
     }
 };
--- a/tests/gateway/kind_watcher_test.cpp
+++ b/tests/gateway/kind_watcher_test.cpp
@@ -15,12 +15,12 @@
 class RecordedEvents final : public KindEvents
 {
 public:
-    void onObjects(const std::vector<platform::StoredObject> &objects, bool, absl::Time) override
+    void onObjects(std::vector<platform::StoredObject> &objects, bool, absl::Time) override
     {
         ++this->lists;
         this->listed = objects.size();
     }
-    void onChange(const platform::ObjectChange &, bool, absl::Time) override { ++this->changes; }
+    void onChange(platform::ObjectChange &, bool, absl::Time) override { ++this->changes; }
     void onUnnamed(std::size_t count) override { this->unnamed += count; }
     void onConfirmed(absl::Time) override { }
     void onCacheChanged() override { }
--- a/tests/process/odd_entries_test.cpp
+++ b/tests/process/odd_entries_test.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
+#include <fstream>
 #include <gtest/gtest.h>
 
 namespace foxtailtally {
@@ -116,6 +117,17 @@
             && value > 0;
     }
 
+    /** Lines in the log of @p gateway that contain @p text. */
+    std::size_t logged(int gateway, const std::string &text) const
+    {
+        std::ifstream log(this->deployment.logFile(gateway));
+        std::string line;
+        std::size_t lines = 0;
+        while (std::getline(log, line))
+            lines += line.find(text) != std::string::npos ? 1 : 0;
+        return lines;
+    }
+
     GatewayDeployment deployment;
     int calls = 0;
 };
@@ -160,5 +172,25 @@
         EXPECT_FALSE(this->deployment.process(gateway).waitForEnd(absl::ZeroDuration())) << gateway;
 }
 
+// The instance that reads the store relayed all content of other writers in one page, which was too
+// long for an instance that follows it.
+TEST_F(OddEntries, DoNotFillThePageOfFollowers)
+{
+    const std::string content = R"({"note":")" + std::string(15000, 'x') + "\"}";
+    for (int number = 0; number < 500; ++number)
+        this->deployment.platform().putObject("servers", absl::StrCat("note-", number), content);
+    const int follower = kGateways - 1;
+    for (int gateway = 0; gateway < follower; ++gateway)
+        this->deployment.start(gateway);
+    for (int gateway = 0; gateway < follower; ++gateway)
+        ASSERT_TRUE(this->deployment.waitUntilReady(gateway)) << gateway;
+    absl::SleepFor(absl::Seconds(2));
+    this->deployment.start(follower);
+    ASSERT_TRUE(this->deployment.waitUntilReady(follower));
+    EXPECT_EQ(this->call(follower, "key-1").status, 200);
+    EXPECT_TRUE(this->hasCounted(follower, "foxtailtally_foreign_entries_total"));
+    EXPECT_EQ(this->logged(follower, "\"store_lost\""), 0U);
+}
+
 } // namespace
 } // namespace foxtailtally
--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -28,6 +28,27 @@
  * times of all incarnations differ. */
 constexpr std::int64_t kRestartIncrementMs = 1000;
 
+/** Limits of a page of the store. */
+constexpr std::size_t kMaxPageObjects = 500;
+constexpr std::size_t kMaxPageBytes = 1000000;
+
+/** Objects whose names come after @p after, up to the limits of a page. */
+platform::ObjectPage pageAfter(const KindCache &kind, std::string_view after)
+{
+    platform::ObjectPage page;
+    std::size_t bytes = 0;
+    for (const platform::StoredObject &object : kind.page().objects) {
+        if (object.name <= after)
+            continue;
+        page.hasMore = page.objects.size() == kMaxPageObjects || bytes > kMaxPageBytes;
+        if (page.hasMore)
+            break;
+        bytes += object.spec.size();
+        page.objects.push_back(object);
+    }
+    return page;
+}
+
 std::string eventText(const std::string &callId, int number)
 {
     return absl::StrCat("id: ", number, "\ndata: ", callId, "-", number, "\n\n");
@@ -392,7 +413,11 @@
     }
     const KindCache &kind = this->kinds[query.kind];
     if (!query.watchFrom) {
-        platform::ObjectPage page = kind.page();
+        const std::size_t mark = head.target.find("After=");
+        platform::ObjectPage page =
+            pageAfter(kind,
+                      mark == std::string::npos ? std::string_view()
+                                                : std::string_view(head.target).substr(mark + 6));
         page.revision = this->revision;
         connection.answer(200, jsonHeaders(), platform::encodePage(page));
         return;
