Count datagrams between instances that cannot be decoded

A malformed datagram was logged and not counted, and log lines are dropped beyond 500 a second. foxtailtally_malformed_datagrams_total counts those of both formats.

OddEntries.MalformedDatagramsAreCounted sends a thousand random datagrams to a gateway, two thirds of them with the first byte of a real one: it goes on serving and counts them. The counter did not exist before, so the test failed by construction; that the gateway survives such datagrams was so before.

--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -82,7 +82,7 @@
         , pool(base)
         , storeSource(instanceRecord(settings))
         , exchange(base, instanceRecord(settings), this->ledger, this->health, this->quarantine,
-                   this->storeSource)
+                   this->storeSource, this->metrics)
         , limits(base, instanceRecord(settings), this->exchange, this->directory, this->metrics)
         , random(stableSeed(settings))
     { }
--- a/main/gateway/instance_exchange.cpp
+++ b/main/gateway/instance_exchange.cpp
@@ -83,13 +83,15 @@
 
 InstanceExchange::InstanceExchange(event_base *base, const InstanceRecord &self,
                                    StreamLedger &ledger, ServerHealth &health,
-                                   Quarantine &quarantine, StoreSource &storeSource)
+                                   Quarantine &quarantine, StoreSource &storeSource,
+                                   Metrics &metrics)
     : base(base)
     , self(self)
     , ledger(ledger)
     , health(health)
     , quarantine(quarantine)
     , storeSource(storeSource)
+    , metrics(metrics)
     , fleet(self)
     , lending(self.id, Clock::now())
     , tick(base, [this] { this->onTick(); })
@@ -399,9 +401,11 @@
             continue;
         }
         const std::error_code error = decodeMessage(bytes, Clock::now(), *this);
-        if (error)
+        if (error) {
+            this->metrics.counter(kMalformedDatagrams).add();
             logEvent(LogLevel::Warning, "peer_message_malformed",
                      {{"bytes", size}, {"error", errorName(error)}});
+        }
     }
 }
 
--- a/main/gateway/instance_exchange.h
+++ b/main/gateway/instance_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/metrics.h"
 #include "main/gateway/exchange_message.h"
 #include "peers/http/loop_timer.h"
 #include "servers/catalog/store_source.h"
@@ -25,6 +26,9 @@
 
 namespace foxtailtally {
 
+/** Counter of datagrams that could not be decoded. */
+inline constexpr std::string_view kMalformedDatagrams = "foxtailtally_malformed_datagrams_total";
+
 /** Receives the datagrams of other instances about rate limits. */
 class LimitDatagrams
 {
@@ -46,7 +50,8 @@
 {
 public:
     InstanceExchange(event_base *base, const InstanceRecord &self, StreamLedger &ledger,
-                     ServerHealth &health, Quarantine &quarantine, StoreSource &storeSource);
+                     ServerHealth &health, Quarantine &quarantine, StoreSource &storeSource,
+                     Metrics &metrics);
     ~InstanceExchange() override;
     InstanceExchange(const InstanceExchange &) = delete;
     InstanceExchange &operator=(const InstanceExchange &) = delete;
@@ -131,6 +136,7 @@
     ServerHealth &health;
     Quarantine &quarantine;
     StoreSource &storeSource;
+    Metrics &metrics;
     FleetView fleet;
     ShareLending lending;
     LimitDatagrams *limitReceiver = nullptr;
--- a/main/gateway/limit_exchange.cpp
+++ b/main/gateway/limit_exchange.cpp
@@ -168,6 +168,7 @@
 {
     const Result<LimitEnvelope> decoded = decodeLimitEnvelope(bytes, now);
     if (!decoded.ok()) {
+        this->metrics.counter(kMalformedDatagrams).add();
         logEvent(LogLevel::Warning, "peer_message_malformed",
                  {{"bytes", bytes.size()}, {"error", errorName(decoded.error())}});
         return;
--- a/tests/process/odd_entries_test.cpp
+++ b/tests/process/odd_entries_test.cpp
@@ -1,3 +1,5 @@
+#include "core/random.h"
+#include "core/socket_address.h"
 #include "tests/process/gateway_deployment.h"
 #include "tests/process/http_caller.h"
 
@@ -6,6 +8,8 @@
 #include <absl/time/clock.h>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace foxtailtally {
 namespace {
@@ -172,6 +176,34 @@
         EXPECT_FALSE(this->deployment.process(gateway).waitForEnd(absl::ZeroDuration())) << gateway;
 }
 
+TEST_F(OddEntries, MalformedDatagramsAreCounted)
+{
+    this->deployment.start(0);
+    ASSERT_TRUE(this->deployment.waitUntilReady(0));
+    std::string host = this->deployment.callerAddress(0);
+    host.resize(host.find(':'));
+    sockaddr_in gateway {};
+    ASSERT_TRUE(parseAddress(host + ":7340", gateway));
+    const int socket = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    Random random(1);
+    for (int i = 0; i < 1000; ++i) {
+        std::string bytes(random.below(1400), '\0');
+        for (char &byte : bytes)
+            byte = static_cast<char>(random.next());
+        // Formats of the two sorts of datagrams.
+        if (!bytes.empty() && i % 3 > 0)
+            bytes.front() = i % 3 == 1 ? 5 : 16;
+        ::sendto(socket, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr *>(&gateway),
+                 sizeof gateway);
+    }
+    ::close(socket);
+    EXPECT_EQ(this->call(0, "key-1").status, 200);
+    const absl::Time end = absl::Now() + kChangeLimit;
+    while (!this->hasCounted(0, "foxtailtally_malformed_datagrams_total") && absl::Now() < end)
+        absl::SleepFor(absl::Milliseconds(50));
+    EXPECT_TRUE(this->hasCounted(0, "foxtailtally_malformed_datagrams_total"));
+}
+
 // The instance that reads the store relayed all content of other writers in one page, which was too
 // long for an instance that follows it.
 TEST_F(OddEntries, DoNotFillThePageOfFollowers)
