--- a/benchmarks/store_objects_benchmark.cpp
+++ b/benchmarks/store_objects_benchmark.cpp
@@ -34,6 +34,19 @@
 }
 BENCHMARK(decodeServerPage)->Arg(25)->Arg(500);
 
+/** A page with one entry of a megabyte that is nested as deep as possible. */
+void decodeNestedPage(benchmark::State &state)
+{
+    constexpr std::size_t kDepth = 500000;
+    const std::string body =
+        absl::StrCat(R"({"Entries":[{"Metadata":{"Name":"a"},"Spec":)", std::string(kDepth, '['),
+                     std::string(kDepth, ']'), R"(}],"StoreRevision":5000})");
+    for (auto _ : state)
+        benchmark::DoNotOptimize(platform::decodePage(body));
+    state.SetBytesProcessed(state.iterations() * static_cast<std::int64_t>(body.size()));
+}
+BENCHMARK(decodeNestedPage);
+
 void encodeServerPage(benchmark::State &state)
 {
     const Result<platform::ObjectPage> page = platform::decodePage(serverPage(state.range(0)));
