Remove the headers that a Connection header names in one pass

Cause: each name in Connection was compared with each header. A head of a server may have 80 kB, one of a caller 16 KiB by default; 20,000 names and 10,000 headers took 0.94 s of processor time, 4,000 and 2,000 took 0.05 s. The weakest instances have 0.12 of a core, and all calls wait meanwhile.

Change: the names are collected in a set, and the headers are passed once.

--- a/peers/http/http_head.cpp
+++ b/peers/http/http_head.cpp
@@ -2,6 +2,7 @@
 
 #include "core/text.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_split.h>
@@ -23,6 +24,12 @@
     "Upgrade",    "Proxy-Authorization", "Transfer-Encoding", "Expect",
 };
 
+bool isHopByHop(std::string_view name)
+{
+    return std::any_of(kHopByHop.begin(), kHopByHop.end(),
+                       [name](std::string_view other) { return sameName(name, other); });
+}
+
 } // namespace
 
 void HttpHeaders::add(std::string_view name, std::string_view value)
@@ -60,17 +67,17 @@
 
 void HttpHeaders::removeHopByHop()
 {
-    std::vector<std::string> named;
+    absl::flat_hash_set<std::string> named;
     for (const HttpHeader &header : this->entries) {
         if (!sameName(header.name, "Connection"))
             continue;
         for (absl::string_view token : absl::StrSplit(header.value, ','))
-            named.emplace_back(absl::StripAsciiWhitespace(token));
+            named.insert(absl::AsciiStrToLower(absl::StripAsciiWhitespace(token)));
     }
-    for (const std::string &name : named)
-        this->remove(name);
-    for (std::string_view name : kHopByHop)
-        this->remove(name);
+    std::erase_if(this->entries, [&named](const HttpHeader &header) {
+        return isHopByHop(header.name)
+            || (!named.empty() && named.contains(absl::AsciiStrToLower(header.name)));
+    });
 }
 
 std::string_view reasonPhrase(int status)
