Start the timer of a watch again when it was early

Cause: becomeIdleFor() starts a timer and notes the end of the pause by Clock. startNextCall() returned when that end was not reached, without starting the timer again. The timers of libevent use a coarser clock: in a loop that is polled, as the test's is, and as a busy gateway's may be, 53 of 100 timers of 60 ms were early, by up to 1.6 ms. In a loop that only waits for its timer none of 40 was. Then nothing goes on until another instance sends a datagram; an instance without others would never read the store again. Not shown with a running gateway.

Change: an early timer is started again for the rest of the pause.

--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -75,8 +75,13 @@
 void KindWatcher::startNextCall()
 {
     const absl::Time now = Clock::now();
-    if (!this->hasStarted || this->phase != Phase::Idle || now < this->pausedUntil)
+    if (!this->hasStarted || this->phase != Phase::Idle)
         return;
+    if (now < this->pausedUntil) {
+        // The loop's clock is coarser than ours, and the timer may be early.
+        this->timer.start(this->pausedUntil - now);
+        return;
+    }
     this->retiredConnection.reset();
     const StoreSource::Step step = this->source.next(this->kind, now);
     switch (step.action) {
--- a/tests/gateway/kind_watcher_test.cpp
+++ b/tests/gateway/kind_watcher_test.cpp
@@ -145,5 +145,24 @@
     EXPECT_EQ(this->watcher.cache().revision(), 16);
 }
 
+// A timer that was early by a millisecond was not started again: the watch stood still until
+// another instance sent something.
+TEST_F(KindWatcherTest, GoesOnAfterAnEarlyTimer)
+{
+    constexpr std::int64_t kChanges = 25;
+    KindWatcher slow(this->loop.base(), this->store.address(), this->source, StoreKind::Servers,
+                     "servers", {absl::Milliseconds(60)}, this->events);
+    slow.start();
+    std::int64_t revision = 9;
+    const auto respond = [&](const std::string &line) -> std::string {
+        if (line.find("Watch=") == std::string::npos)
+            return R"({"Entries":[],"StoreRevision":9})";
+        ++revision;
+        return absl::StrCat(R"({"events":[{"Object":{"Metadata":{"Name":"a"}}}],"StoreRevision":)",
+                            revision, "}");
+    };
+    EXPECT_TRUE(this->runUntil(respond, [this] { return this->events.changes >= kChanges; }));
+}
+
 } // namespace
 } // namespace foxtailtally
