--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -75,8 +75,13 @@
 void KindWatcher::startNextCall()
 {
     const absl::Time now = Clock::now();
-    if (!this->hasStarted || this->phase != Phase::Idle || now < this->pausedUntil)
+    if (!this->hasStarted || this->phase != Phase::Idle)
         return;
+    if (now < this->pausedUntil) {
+        // The loop's clock is coarser than ours, and the timer may be early.
+        this->timer.start(this->pausedUntil - now);
+        return;
+    }
     this->retiredConnection.reset();
     const StoreSource::Step step = this->source.next(this->kind, now);
     switch (step.action) {
@@ -108,6 +113,7 @@
 void KindWatcher::list(const std::string &address, std::string_view after)
 {
     this->phase = Phase::Listing;
+    this->listedAfter = std::string(after);
     if (after.empty()) {
         this->listedSoFar.clear();
         this->listStartedAt = Clock::now();
@@ -212,16 +218,22 @@
 
 void KindWatcher::onPage(absl::Time now)
 {
-    Result<platform::ObjectPage> page = platform::decodePage(this->body);
+    Result<platform::ObjectPage> page = platform::decodePage(this->body, this->kindName);
     if (!page.ok()) {
         this->onFailure("unreadable list", true);
         return;
     }
+    if (page->unnamed > 0)
+        this->events.onUnnamed(page->unnamed);
+    const std::string lastName = page->objects.empty() ? std::string() : page->objects.back().name;
     for (platform::StoredObject &object : page->objects)
         this->listedSoFar.push_back(std::move(object));
-    if (page->hasMore && !this->listedSoFar.empty()) {
-        const std::string after = this->listedSoFar.back().name;
-        this->list(this->sourceAddress, after);
+    if (page->hasMore) {
+        // A page without names leaves nothing to continue from.
+        if (lastName.empty() || lastName == this->listedAfter)
+            this->onFailure("list cannot be continued", true);
+        else
+            this->list(this->sourceAddress, lastName);
         return;
     }
     this->revision = page->revision;
@@ -229,8 +241,8 @@
     if (this->consecutiveFailures > 0)
         logEvent(LogLevel::Info, "store_regained", {{"kind", this->kindName}});
     this->consecutiveFailures = 0;
-    this->objectCache.replace(this->listedSoFar, this->revision);
     this->events.onObjects(this->listedSoFar, !this->isSettled(now), now);
+    this->objectCache.replace(this->listedSoFar, this->revision);
     this->listedSoFar.clear();
     this->confirm(this->listStartedAt - this->relayFreshness.age);
     this->events.onCacheChanged();
@@ -239,7 +251,7 @@
 
 void KindWatcher::onChanges(absl::Time now)
 {
-    const Result<platform::ObjectChanges> changes = platform::decodeChanges(this->body);
+    Result<platform::ObjectChanges> changes = platform::decodeChanges(this->body, this->kindName);
     if (!changes.ok()) {
         this->onFailure("unreadable changes", true);
         return;
@@ -247,22 +259,25 @@
     if (this->consecutiveFailures > 0)
         logEvent(LogLevel::Info, "store_regained", {{"kind", this->kindName}});
     this->consecutiveFailures = 0;
+    if (changes->unnamed > 0)
+        this->events.onUnnamed(changes->unnamed);
     const bool hasChanged = !changes->changes.empty();
+    const bool isEmpty = !hasChanged && changes->unnamed == 0;
+    for (platform::ObjectChange &change : changes->changes)
+        this->events.onChange(change, !this->isSettled(now), now);
     if (hasChanged)
         this->objectCache.apply(changes->changes, changes->revision);
     else
         this->objectCache.advance(changes->revision);
-    for (const platform::ObjectChange &change : changes->changes)
-        this->events.onChange(change, !this->isSettled(now), now);
     this->revision = std::max(this->revision, changes->revision);
     // An empty response was sent when the requested wait was over; one with changes, at any time
     // since the call.
-    const bool waitedFully = !hasChanged && now - this->sentAt >= this->watchTime;
+    const bool waitedFully = isEmpty && now - this->sentAt >= this->watchTime;
     const absl::Time answeredAfter = waitedFully ? this->sentAt + this->watchTime : this->sentAt;
     this->confirm(answeredAfter - this->relayFreshness.age);
     if (hasChanged)
         this->events.onCacheChanged();
-    this->becomeIdleFor(hasChanged ? this->timing.batchDelay : absl::ZeroDuration());
+    this->becomeIdleFor(isEmpty ? absl::ZeroDuration() : this->timing.batchDelay);
 }
 
 void KindWatcher::confirm(absl::Time moment)
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -7,6 +7,7 @@
 #include "servers/catalog/store_source.h"
 
 #include <absl/time/time.h>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -14,16 +15,18 @@
 
 namespace foxtailtally {
 
-/** Receives the changes of one kind of object in the store. */
+/** Receives the changes of one kind of object in the store. An implementation may clear the content
+ * of objects that it cannot use, which is then neither kept nor relayed. */
 class KindEvents
 {
 public:
     virtual ~KindEvents() = default;
     /** The complete list. @p storeUnsettled: the store failed within the settle time. */
-    virtual void onObjects(const std::vector<platform::StoredObject> &objects, bool storeUnsettled,
+    virtual void onObjects(std::vector<platform::StoredObject> &objects, bool storeUnsettled,
                            absl::Time now) = 0;
-    virtual void onChange(const platform::ObjectChange &change, bool storeUnsettled,
-                          absl::Time now) = 0;
+    virtual void onChange(platform::ObjectChange &change, bool storeUnsettled, absl::Time now) = 0;
+    /** @p count entries or changes had no readable name and were left out. */
+    virtual void onUnnamed(std::size_t count) = 0;
     /** All changes up to @p moment have been reported. */
     virtual void onConfirmed(absl::Time moment) = 0;
     /** Called after the events above when the watcher's cache has changed. */
@@ -109,6 +112,8 @@
     int status = 0;
     std::string body;
     std::vector<platform::StoredObject> listedSoFar;
+    /** Name after which the page in flight begins; empty for the first page. */
+    std::string listedAfter;
     std::int64_t revision = 0;
     absl::Time sentAt = absl::InfinitePast();
     absl::Time listStartedAt = absl::InfinitePast();
--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -46,6 +46,20 @@
 
 constexpr int kStatusConflict = 409;
 
+/** Log lines a second for entries of one kind that cannot be decoded; there may be thousands. */
+constexpr int kMaxUnreadableLines = 5;
+/** Longest content of such an entry that is kept for other instances, in bytes. */
+constexpr std::size_t kMaxUnreadableSpecBytes = 1024;
+constexpr std::size_t kMaxLoggedNameBytes = 100;
+
+/** Drops the content of an object that cannot be decoded, unless it is short: an instance of a
+ * later version may be able to decode it. */
+void dropLongContent(StoredObject &object)
+{
+    if (object.spec.size() > kMaxUnreadableSpecBytes)
+        object.spec.clear();
+}
+
 } // namespace
 
 /** Base of the event receivers; announces changes of one kind to other instances. */
@@ -59,6 +73,10 @@
     { }
 
     void onConfirmed(absl::Time) override { }
+    void onUnnamed(std::size_t count) final
+    {
+        this->countUnreadable(count, LogLevel::Warning, "entries_unnamed", {{"kind", this->kind}});
+    }
     void onCacheChanged() final
     {
         this->sync.relay.onChanged(this->kind);
@@ -66,11 +84,39 @@
     }
 
 protected:
+    /** The entry @p object, of another writer or of another version, cannot be decoded. */
+    void reportUnreadable(LogLevel level, std::string_view event, const StoredObject &object)
+    {
+        this->countUnreadable(
+            1, level, event,
+            {{"name", object.name.substr(0, kMaxLoggedNameBytes)}, {"revision", object.revision}});
+    }
+
     StoreSync &sync;
     GatewayContext &context;
 
 private:
+    void countUnreadable(std::size_t count, LogLevel level, std::string_view event,
+                         nlohmann::json fields)
+    {
+        this->context.metrics.counter("foxtailtally_foreign_entries_total").add(count);
+        const absl::Time now = Clock::now();
+        if (now - this->linesSince > absl::Seconds(1)) {
+            this->linesSince = now;
+            this->lines = 0;
+        }
+        this->unlogged += count;
+        if (this->lines++ >= kMaxUnreadableLines)
+            return;
+        fields["count"] = std::exchange(this->unlogged, 0);
+        logEvent(level, event, fields);
+    }
+
     std::string kind;
+    /** Entries that have been counted but not logged. */
+    std::size_t unlogged = 0;
+    absl::Time linesSince = absl::InfinitePast();
+    int lines = 0;
 };
 
 class StoreSync::ConfigEvents final : public RelayedKindEvents
@@ -80,12 +126,12 @@
         : RelayedKindEvents(sync, platform::kConfigKind)
     { }
 
-    void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time) override
+    void onObjects(std::vector<StoredObject> &objects, bool, absl::Time) override
     {
-        for (const StoredObject &object : objects)
+        for (StoredObject &object : objects)
             this->adopt(object);
     }
-    void onChange(const ObjectChange &change, bool, absl::Time) override
+    void onChange(ObjectChange &change, bool, absl::Time) override
     {
         if (!change.isDeleted)
             this->adopt(change.object);
@@ -97,13 +143,17 @@
     }
 
 private:
-    void adopt(const StoredObject &object)
+    void adopt(StoredObject &object)
     {
-        if (object.name != platform::kConfigName || object.revision <= this->revision)
+        if (object.name != platform::kConfigName) {
+            object.spec.clear();
+            return;
+        }
+        if (object.revision <= this->revision)
             return;
         Result<std::shared_ptr<const ServingConfig>> config = platform::decodeConfig(object.spec);
         if (!config.ok()) {
-            logEvent(LogLevel::Error, "config_unreadable", {{"revision", object.revision}});
+            this->reportUnreadable(LogLevel::Error, "config_unreadable", object);
             return;
         }
         // Versions never go back while this process runs.
@@ -127,11 +177,10 @@
         : RelayedKindEvents(sync, platform::kServerKind)
     { }
 
-    void onObjects(const std::vector<StoredObject> &objects, bool unsettled,
-                   absl::Time now) override
+    void onObjects(std::vector<StoredObject> &objects, bool unsettled, absl::Time now) override
     {
         std::vector<ServerEntry> entries;
-        for (const StoredObject &object : objects) {
+        for (StoredObject &object : objects) {
             if (const Result<ServerEntry> entry = this->decode(object); entry.ok())
                 entries.push_back(*entry);
         }
@@ -140,7 +189,7 @@
         logEvent(LogLevel::Info, "servers_listed",
                  {{"servers", entries.size()}, {"unsettled", unsettled}});
     }
-    void onChange(const ObjectChange &change, bool unsettled, absl::Time now) override
+    void onChange(ObjectChange &change, bool unsettled, absl::Time now) override
     {
         const BackendServerId id(change.object.name);
         if (change.isDeleted) {
@@ -168,12 +217,12 @@
     }
 
 private:
-    Result<ServerEntry> decode(const StoredObject &object)
+    Result<ServerEntry> decode(StoredObject &object)
     {
         Result<ServerEntry> entry = platform::decodeServer(object);
         if (!entry.ok()) {
-            this->context.metrics.counter("foxtailtally_foreign_entries_total").add();
-            logEvent(LogLevel::Warning, "server_entry_unreadable", {{"name", object.name}});
+            this->reportUnreadable(LogLevel::Warning, "server_entry_unreadable", object);
+            dropLongContent(object);
         }
         return entry;
     }
@@ -186,15 +235,18 @@
         : RelayedKindEvents(sync, platform::kEvacuationKind)
     { }
 
-    void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time) override
+    void onObjects(std::vector<StoredObject> &objects, bool, absl::Time) override
     {
         absl::btree_set<FailureDomainId> domains;
-        for (const StoredObject &object : objects)
+        for (StoredObject &object : objects) {
             domains.insert(FailureDomainId(object.name));
+            object.spec.clear();
+        }
         this->context.directory.replaceEvacuated(std::move(domains));
     }
-    void onChange(const ObjectChange &change, bool, absl::Time) override
+    void onChange(ObjectChange &change, bool, absl::Time) override
     {
+        change.object.spec.clear();
         this->context.directory.setEvacuated(FailureDomainId(change.object.name),
                                              !change.isDeleted);
         logEvent(LogLevel::Info, "domain_evacuation",
@@ -210,10 +262,10 @@
         : RelayedKindEvents(sync, platform::kCrashReportKind)
     { }
 
-    void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time now) override
+    void onObjects(std::vector<StoredObject> &objects, bool, absl::Time now) override
     {
         absl::btree_set<std::string> listed;
-        for (const StoredObject &object : objects) {
+        for (StoredObject &object : objects) {
             listed.insert(object.name);
             this->adopt(object, now);
         }
@@ -223,7 +275,7 @@
                 this->withdraw(name, now);
         }
     }
-    void onChange(const ObjectChange &change, bool, absl::Time now) override
+    void onChange(ObjectChange &change, bool, absl::Time now) override
     {
         if (change.isDeleted) {
             this->withdraw(change.object.name, now);
@@ -234,11 +286,12 @@
     }
 
 private:
-    void adopt(const StoredObject &object, absl::Time now)
+    void adopt(StoredObject &object, absl::Time now)
     {
         Result<CrashReport> report = platform::decodeCrashReport(object);
         if (!report.ok()) {
-            logEvent(LogLevel::Warning, "death_entry_unreadable", {{"name", object.name}});
+            this->reportUnreadable(LogLevel::Warning, "death_entry_unreadable", object);
+            dropLongContent(object);
             return;
         }
         const absl::Duration age = Clock::wallNow() - report->diedAt;
@@ -278,10 +331,10 @@
         : RelayedKindEvents(sync, platform::kInstanceKind)
     { }
 
-    void onObjects(const std::vector<StoredObject> &objects, bool, absl::Time now) override
+    void onObjects(std::vector<StoredObject> &objects, bool, absl::Time now) override
     {
         std::optional<InstanceRecord> ownRecord;
-        for (const StoredObject &object : objects) {
+        for (StoredObject &object : objects) {
             const Result<InstanceRecord> record = this->adopt(object);
             if (record.ok() && record->id == this->context.settings.id)
                 ownRecord = *record;
@@ -289,7 +342,7 @@
         this->context.exchange.chooseLinks(now);
         this->sync.onInstancesListed(ownRecord);
     }
-    void onChange(const ObjectChange &change, bool, absl::Time) override
+    void onChange(ObjectChange &change, bool, absl::Time) override
     {
         if (change.isDeleted)
             this->context.exchange.removeRecord(InstanceId(change.object.name));
@@ -298,13 +351,15 @@
     }
 
 private:
-    Result<InstanceRecord> adopt(const StoredObject &object)
+    Result<InstanceRecord> adopt(StoredObject &object)
     {
         Result<InstanceRecord> record = platform::decodeInstance(object);
-        if (record.ok())
+        if (record.ok()) {
             this->context.exchange.setRecord(*record);
-        else
-            logEvent(LogLevel::Warning, "instance_entry_unreadable", {{"name", object.name}});
+        } else {
+            this->reportUnreadable(LogLevel::Warning, "instance_entry_unreadable", object);
+            dropLongContent(object);
+        }
         return record;
     }
 };
