Send a call again to servers whose pause it has waited for

Cause: a server that has had a call is not chosen for it again, and waiting for the end of its pause did not change that. Ruled out: the retry budget (CallRunTest has one call, the budget allows 100) and the bound on rejections (2 of 3 used).

Change: a rejection with a pause leaves the server out for the time of the pause only, also when it rejects a request for memory. The bound on rejections and the retry budget hold as before: each further sending takes a retry.

Test: CallRunTest.IsSentAgainToAServerWhosePauseHasEnded; before: refused as "rejected" after 306 ms, 0.3 s of pause, no further request. CallRunTest runs calls of one caller through CallerSession against scripted servers, in one process. Its second test, .WaitsForAServerThatIsSilentForASecond, passed before: a plain call, repeatable or not, to a server that sends nothing for a second is answered, and the server is not suspect and counts as reachable.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -349,10 +349,16 @@
 {
     if (this->done)
         return;
-    this->tried.push_back(engine);
+    if (!this->isPaused(engine, now))
+        this->tried.push_back(engine);
     this->retryPlacement(now);
 }
 
+bool CallRun::isPaused(ServerKey server, absl::Time now) const
+{
+    return this->context.directory.backpressure().pausedUntil(server) > now;
+}
+
 void CallRun::retryPlacement(absl::Time now)
 {
     this->placement.drop();
@@ -557,6 +563,8 @@
     else
         ++this->runs;
     recordAttemptEnd(this->context, call, end, now);
+    if (end == AttemptEnd::Rejected && this->isPaused(call.target().key, now))
+        std::erase(this->tried, call.target().key);
     AttemptRecord record;
     record.callId = this->call.headers.callId;
     record.fingerprint = this->suspicion->fingerprint();
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -113,6 +113,8 @@
     void refuse(std::string_view cause, absl::Time now);
     void refuseUntil(absl::Time reopensAt, double callsPerSecond, std::string_view cause,
                      absl::Time now);
+    /** The server has requested a pause; it may get the call again afterwards. */
+    bool isPaused(ServerKey server, absl::Time now) const;
     /** Waits for the first server whose requested pause ends; false when that is too late for the
      * caller, or some server has requested none. */
     bool waitForPauseEnd(absl::Time now);
