--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -318,7 +318,8 @@
 bool CallRun::mayWrite(ServerCall &call, absl::Time now)
 {
     const AttemptTarget &target = call.target();
-    if (!this->context.directory.isUsable(target.id, target.incarnation, now))
+    if (!this->context.directory.isUsable(target.id, target.incarnation, now)
+        || !this->placement.isValid(now))
         return false;
     std::vector<ServerKey> servers = {target.key};
     const std::span<const ServerKey> helpers = this->placement.helperKeys();
--- a/main/gateway/placed_stream.h
+++ b/main/gateway/placed_stream.h
@@ -49,7 +49,7 @@
     /** Removes the stream from the ledger and releases its memory. */
     void drop();
 
-    /** Every engine of the placement may still get work. */
+    /** Every engine of the placement may still get work; true without a placement. */
     bool isValid(absl::Time now) const;
     bool holdsMemory() const { return this->reservations != nullptr; }
     const StreamPlan &plan() const { return this->chosen; }
--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -70,6 +70,7 @@
 
 const char *const kServed = "HTTP/1.1 200 OK\r\nAttempt-Id: call\r\nResponse-Seal: s\r\n"
                             "Content-Length: 4\r\n\r\ndone";
+const char *const kReserved = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"Free\":5}";
 
 /** Calls of one caller at a gateway that knows two servers of each service. */
 class CallRunTest : public testing::Test, private SessionOwner
@@ -195,6 +196,21 @@
     EXPECT_TRUE(this->isAnswered("200 OK"));
 }
 
+// Regression: a prompt was handed to a helper that had announced draining while the connection to
+// the engine was established.
+TEST_F(CallRunTest, IsNotWrittenIfAHelperDrainsBefore)
+{
+    this->call("/stream/a", 350000);
+    const std::size_t helper = this->waitForRequest();
+    ASSERT_LT(helper, 2U);
+    const std::size_t engine = 1 - helper;
+    this->servers[helper].answer(kReserved);
+    ASSERT_TRUE(this->loop.runStepwiseUntil([&] { return this->servers[engine].accept(); }));
+    this->context.directory.backpressure().onDraining(this->key(helper), Clock::now());
+    EXPECT_TRUE(this->isAnswered("503 "));
+    EXPECT_FALSE(this->servers[engine].hasRequest());
+}
+
 // A sound server may be silent for a second: that is no evidence against it, and a call that must
 // run once waits for its response.
 TEST_F(CallRunTest, WaitsForAServerThatIsSilentForASecond)
--- a/tests/http/test_loop.h
+++ b/tests/http/test_loop.h
@@ -23,14 +23,13 @@
     template <typename Condition>
     bool runUntil(Condition condition)
     {
-        const absl::Time end = absl::Now() + absl::Seconds(20);
-        while (!condition()) {
-            if (absl::Now() > end)
-                return false;
-            event_base_loop(this->loop, EVLOOP_NONBLOCK);
-            absl::SleepFor(absl::Milliseconds(1));
-        }
-        return true;
+        return this->run(EVLOOP_NONBLOCK, condition);
+    }
+    /** Like runUntil(), but @p condition is checked before events run that other ones caused. */
+    template <typename Condition>
+    bool runStepwiseUntil(Condition condition)
+    {
+        return this->run(EVLOOP_ONCE | EVLOOP_NONBLOCK, condition);
     }
     /** Runs the loop for about 30 ms, to check that something does not happen. */
     void runEvents()
@@ -42,6 +41,19 @@
     }
 
 private:
+    template <typename Condition>
+    bool run(int flags, Condition condition)
+    {
+        const absl::Time end = absl::Now() + absl::Seconds(20);
+        while (!condition()) {
+            if (absl::Now() > end)
+                return false;
+            event_base_loop(this->loop, flags);
+            absl::SleepFor(absl::Milliseconds(1));
+        }
+        return true;
+    }
+
     event_base *loop;
 };
 
