Check engines when a request for memory is written

Change: the first request of a reservation asks the directory once more when it is written; a removed, draining, paused or evacuated engine fails the reservation, so the stream is placed anew. Renewals and releases are written in any case: memory of running streams must be kept, and freed. A release is sent only to engines that a request was written to. Requests count for the rate limits when they are written, no longer when they are queued.

Test: ReservationSetTest.RequestsNoMemoryIfTheEngineDrainsBefore; before: the engine got the request and no failure was reported. The engines of these tests are listed now, since an engine that is not listed gets no request.

--- a/main/gateway/reservation_set.cpp
+++ b/main/gateway/reservation_set.cpp
@@ -27,10 +27,13 @@
 class ReservationSet::Request final : public Retirable, private OutboundEvents
 {
 public:
-    Request(GatewayContext &context, ReservationSet *owner, const Share &share,
+    enum class Kind { Reserve, Renew, Release };
+
+    Request(GatewayContext &context, ReservationSet *owner, Kind kind, const Share &share,
             const std::string &reservationId)
         : context(context)
         , owner(owner)
+        , kind(kind)
         , share(share)
         , reservationId(reservationId)
     { }
@@ -40,11 +43,10 @@
     {
         const absl::Time now = Clock::now();
         this->sentAt = now;
-        this->context.activity[this->share.engine].sent.add(RequestKind::Reservation, now);
-        // Memory has to be renewed and released whether there is a token or not.
-        this->context.limits.charge(this->share.engine, now);
         this->connection =
             this->context.pool.acquire(this->share.address, ConnectionPool::kMaxIdleTime, now);
+        if (this->connection->isConnected())
+            this->beginWrite(now);
         OutboundEvents &events = *this;
         // A late response to an earlier call on this connection must not be taken for this one's.
         this->connection->call(platform::encodeReservationRequest(this->share.address, body), false,
@@ -55,6 +57,31 @@
     const Share &target() const { return this->share; }
 
 private:
+    bool mayWrite(OutboundConnection &) override
+    {
+        const absl::Time now = Clock::now();
+        if (!this->isWanted(now))
+            return false;
+        this->beginWrite(now);
+        return true;
+    }
+    /** False if the engine may no longer get new work since it was decided to send the request. */
+    bool isWanted(absl::Time now) const
+    {
+        if (this->kind != Kind::Reserve)
+            return true;
+        const ServerDirectory::Server *engine =
+            this->context.directory.findByKey(this->share.engine);
+        return engine && this->context.directory.mayGetWork(*engine, now);
+    }
+    void beginWrite(absl::Time now)
+    {
+        this->context.activity[this->share.engine].sent.add(RequestKind::Reservation, now);
+        // Memory has to be renewed and released whether there is a token or not.
+        this->context.limits.charge(this->share.engine, now);
+        if (this->owner)
+            this->owner->onRequestWritten(this->share.engine, now);
+    }
     void onResponseHead(OutboundConnection &, const ResponseHead &head) override
     {
         this->status = head.status;
@@ -76,6 +103,7 @@
 
     GatewayContext &context;
     ReservationSet *owner;
+    Kind kind;
     Share share;
     std::string reservationId;
     std::unique_ptr<OutboundConnection> connection;
@@ -93,10 +121,9 @@
     , renewTimer(context.base, [this] { this->onRenew(); })
     , answerTimer(context.base, [this] { this->onTimeout(); })
 {
-    const absl::Time now = Clock::now();
-    this->renewedAt.assign(this->shares.size(), now);
+    this->requestedAt.assign(this->shares.size(), absl::InfinitePast());
     for (std::size_t i = 0; i < this->shares.size(); ++i)
-        this->sendReserve(i, now);
+        this->sendReserve(i);
     this->answerTimer.start(kReserveTimeout);
 }
 
@@ -118,9 +145,11 @@
         this->context.retired.push_back(std::move(request));
     }
     this->requests.clear();
-    for (const Share &share : this->shares) {
-        auto request =
-            std::make_unique<Request>(this->context, nullptr, share, this->reservationId);
+    for (std::size_t i = 0; i < this->shares.size(); ++i) {
+        if (this->requestedAt[i] == absl::InfinitePast())
+            continue;
+        auto request = std::make_unique<Request>(this->context, nullptr, Request::Kind::Release,
+                                                 this->shares[i], this->reservationId);
         request->send(platform::encodeReleaseBody(this->reservationId));
         // Keeps the connection alive to deliver the request, although no one waits for the
         // response.
@@ -128,15 +157,23 @@
     }
 }
 
-void ReservationSet::sendReserve(std::size_t index, absl::Time now)
+void ReservationSet::sendReserve(std::size_t index)
 {
-    const Share &share = this->shares[index];
-    this->renewedAt[index] = now;
-    auto request = std::make_unique<Request>(this->context, this, share, this->reservationId);
+    const Request::Kind kind = this->isComplete ? Request::Kind::Renew : Request::Kind::Reserve;
+    auto request = std::make_unique<Request>(this->context, this, kind, this->shares[index],
+                                             this->reservationId);
     request->send(platform::encodeReserveBody(this->reservationId, this->tokens, kReservationTtl));
     this->requests.push_back(std::move(request));
 }
 
+void ReservationSet::onRequestWritten(ServerKey engine, absl::Time now)
+{
+    for (std::size_t i = 0; i < this->shares.size(); ++i) {
+        if (this->shares[i].engine == engine)
+            this->requestedAt[i] = now;
+    }
+}
+
 void ReservationSet::onRequestDone(Request &request, bool isGranted)
 {
     const ServerKey engine = request.target().engine;
@@ -174,7 +211,7 @@
     const absl::Time now = Clock::now();
     for (std::size_t i = 0; i < this->shares.size(); ++i) {
         if (this->mustRenew(i, now))
-            this->sendReserve(i, now);
+            this->sendReserve(i);
     }
     this->renewTimer.start(kRenewInterval);
 }
@@ -186,7 +223,7 @@
     if (pausedUntil <= now)
         return true;
     // A paused engine keeps the memory until the reservation expires that was last requested.
-    return this->renewedAt[share] + kReservationTtl < now + 2 * kRenewInterval;
+    return this->requestedAt[share] + kReservationTtl < now + 2 * kRenewInterval;
 }
 
 void ReservationSet::onTimeout()
--- a/main/gateway/reservation_set.h
+++ b/main/gateway/reservation_set.h
@@ -51,10 +51,11 @@
 private:
     class Request;
 
-    void sendReserve(std::size_t index, absl::Time now);
+    void sendReserve(std::size_t index);
     /** False while the engine of @p share has requested a pause and its reservation lasts long
      * enough. */
     bool mustRenew(std::size_t share, absl::Time now) const;
+    void onRequestWritten(ServerKey engine, absl::Time now);
     void onRequestDone(Request &request, bool isGranted);
     void onRenew();
     void onTimeout();
@@ -63,8 +64,8 @@
     std::string reservationId;
     std::int64_t tokens;
     std::vector<Share> shares;
-    /** When each share was last requested. */
-    std::vector<absl::Time> renewedAt;
+    /** When each share was last requested; InfinitePast if it was not. */
+    std::vector<absl::Time> requestedAt;
     ReservationEvents *events;
     LoopTimer renewTimer;
     LoopTimer answerTimer;
--- a/tests/gateway/reservation_set_test.cpp
+++ b/tests/gateway/reservation_set_test.cpp
@@ -40,8 +40,18 @@
 
     ReservationSetTest()
         : context(this->loop.base(), GatewaySettings())
+        , first(this->addEngine("first"))
+        , second(this->addEngine("second"))
     { }
 
+    ServerKey addEngine(const std::string &id)
+    {
+        ServerEntry entry;
+        entry.id = BackendServerId(id);
+        this->context.directory.onEntry(entry, Clock::now());
+        return this->context.directory.find(entry.id)->key;
+    }
+
     /** Leaves a connection in the pool that has carried call 1. */
     void keepConnection()
     {
@@ -68,6 +78,8 @@
     TestLoop loop;
     RawServer server;
     GatewayContext context;
+    ServerKey first;
+    ServerKey second;
     int socket = -1;
 };
 
@@ -77,7 +89,7 @@
 {
     this->keepConnection();
     Outcome outcome;
-    const std::vector<ReservationSet::Share> shares = {{7, this->server.address()}};
+    const std::vector<ReservationSet::Share> shares = {{this->first, this->server.address()}};
     ReservationSet set(this->context, "r", 1000, shares, outcome);
     this->awaitRequest();
     writeAll(this->socket, kAnswer);
@@ -92,7 +104,7 @@
 TEST_F(ReservationSetTest, IsCompleteWhenAllEnginesGrant)
 {
     Outcome outcome;
-    const std::vector<ReservationSet::Share> shares = {{7, this->server.address()}};
+    const std::vector<ReservationSet::Share> shares = {{this->first, this->server.address()}};
     ReservationSet set(this->context, "r", 1000, shares, outcome);
     this->loop.runUntil([this] { return (this->socket = this->server.accept()) >= 0; });
     this->awaitRequest();
@@ -163,7 +175,7 @@
 {
     ScriptedEngine engine(this->loop);
     Outcome outcome;
-    const std::vector<ReservationSet::Share> shares = {{7, engine.address()}};
+    const std::vector<ReservationSet::Share> shares = {{this->first, engine.address()}};
     ReservationSet set(this->context, "r", 1000, shares, outcome);
     engine.runEvents(absl::Milliseconds(200), true);
     ASSERT_TRUE(outcome.isReserved);
@@ -183,11 +195,11 @@
 {
     ScriptedEngine engine(this->loop);
     Outcome outcome;
-    const std::vector<ReservationSet::Share> shares = {{7, engine.address()}};
+    const std::vector<ReservationSet::Share> shares = {{this->first, engine.address()}};
     ReservationSet set(this->context, "r", 1000, shares, outcome);
     engine.runEvents(absl::Milliseconds(200), true);
     ASSERT_TRUE(outcome.isReserved);
-    this->context.directory.backpressure().onPause(7, absl::Seconds(10), Clock::now());
+    this->context.directory.backpressure().onPause(this->first, absl::Seconds(10), Clock::now());
     engine.runEvents(absl::Milliseconds(1900), true);
     EXPECT_EQ(engine.requests().size(), 1U);
     // The first request reserved the memory for 3.5 s.
@@ -195,13 +207,27 @@
     EXPECT_EQ(engine.requests().size(), 2U);
 }
 
+// Regression: memory was requested from an engine that had announced draining while the connection
+// to it was established.
+TEST_F(ReservationSetTest, RequestsNoMemoryIfTheEngineDrainsBefore)
+{
+    ScriptedEngine engine(this->loop);
+    Outcome outcome;
+    const std::vector<ReservationSet::Share> shares = {{this->first, engine.address()}};
+    ReservationSet set(this->context, "r", 1000, shares, outcome);
+    this->context.directory.backpressure().onDraining(this->first, Clock::now());
+    engine.runEvents(absl::Milliseconds(100), true);
+    EXPECT_TRUE(engine.requests().empty());
+    EXPECT_TRUE(outcome.hasFailed);
+}
+
 TEST_F(ReservationSetTest, ReleasesEverywhereWhenOneEngineDoesNotAnswer)
 {
     ScriptedEngine good(this->loop);
     ScriptedEngine unresponsive(this->loop);
     Outcome outcome;
-    const std::vector<ReservationSet::Share> shares = {{7, good.address()},
-                                                       {8, unresponsive.address()}};
+    const std::vector<ReservationSet::Share> shares = {{this->first, good.address()},
+                                                       {this->second, unresponsive.address()}};
     ReservationSet set(this->context, "r", 1000, shares, outcome);
     for (int i = 0; i < 10; ++i) {
         good.runEvents(absl::Milliseconds(30), true);
