Write no request for memory that was given up

What engines saw: a placement that is dropped before its connections are established (a response of another engine failed, the caller left, 150 ms passed) sent its releases at once, and its requests for memory a moment later, as their connections live on until the next tick. The memory was then set aside until the reservation expired, 3.5 s later, with nobody to use or free it.

Cause: an abandoned request drops its owner, but not its unwritten bytes. Change: a request for memory without an owner is not written.

Test: ReservationSetTest.RequestsNoMemoryAfterTheRelease; on the engine got commands of a set that had been released before its connection was established.

--- a/main/gateway/reservation_set.cpp
+++ b/main/gateway/reservation_set.cpp
@@ -65,14 +65,17 @@
         this->beginWrite(now);
         return true;
     }
-    /** False if the engine may no longer get new work since it was decided to send the request. */
+    /** False if the request was given up, or the engine may no longer get new work, since it was
+     * decided to send it. */
     bool isWanted(absl::Time now) const
     {
-        if (this->kind != Kind::Reserve)
+        if (this->kind == Kind::Release)
             return true;
         const ServerDirectory::Server *engine =
             this->context.directory.findByKey(this->share.engine);
-        return engine && this->context.directory.mayGetWork(*engine, now);
+        const bool isNewWork = this->kind == Kind::Reserve;
+        return this->owner
+            && (!isNewWork || (engine && this->context.directory.mayGetWork(*engine, now)));
     }
     void beginWrite(absl::Time now)
     {
--- a/tests/gateway/reservation_set_test.cpp
+++ b/tests/gateway/reservation_set_test.cpp
@@ -221,6 +221,19 @@
     EXPECT_TRUE(outcome.hasFailed);
 }
 
+// Regression: a request that was given up while its connection was established was written
+// nevertheless, and reserved memory after it had been released.
+TEST_F(ReservationSetTest, RequestsNoMemoryAfterTheRelease)
+{
+    ScriptedEngine engine(this->loop);
+    Outcome outcome;
+    const std::vector<ReservationSet::Share> shares = {{this->first, engine.address()}};
+    ReservationSet set(this->context, "r", 1000, shares, outcome);
+    set.release();
+    engine.runEvents(absl::Milliseconds(100), true);
+    EXPECT_TRUE(engine.requests().empty());
+}
+
 TEST_F(ReservationSetTest, ReleasesEverywhereWhenOneEngineDoesNotAnswer)
 {
     ScriptedEngine good(this->loop);
