Watch the store from the revision of a list's first page

A server that announces in the store that it drains, after its page was read and before the last page, kept its old state here for as long as it did not change again: the watch began at the revision of the last page, which is later. Deployments with fewer servers have one page.

Cause: each page has the store's revision of its own moment; the last one was taken for the list's. Change: the watch begins at the revision of the first page. Changes that later pages already contain are reported once more, which changes nothing.

Test: KindWatcherTest.WatchesFromTheRevisionOfTheFirstPage; before: "Watch=7" after pages of revisions 5 and 7.

--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -217,6 +217,9 @@
         this->onFailure("unreadable list", true);
         return;
     }
+    // Objects of earlier pages may have changed since; a watch from here reports these changes.
+    if (this->listedSoFar.empty())
+        this->listRevision = page->revision;
     for (platform::StoredObject &object : page->objects)
         this->listedSoFar.push_back(std::move(object));
     if (page->hasMore && !this->listedSoFar.empty()) {
@@ -224,7 +227,7 @@
         this->list(this->sourceAddress, after);
         return;
     }
-    this->revision = page->revision;
+    this->revision = this->listRevision;
     this->mustList = false;
     if (this->consecutiveFailures > 0)
         logEvent(LogLevel::Info, "store_regained", {{"kind", this->kindName}});
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -109,6 +109,8 @@
     int status = 0;
     std::string body;
     std::vector<platform::StoredObject> listedSoFar;
+    /** Store revision of the first page of the list in progress. */
+    std::int64_t listRevision = 0;
     std::int64_t revision = 0;
     absl::Time sentAt = absl::InfinitePast();
     absl::Time listStartedAt = absl::InfinitePast();
--- /dev/null
+++ b/tests/gateway/kind_watcher_test.cpp
@@ -0,0 +1,100 @@
+#include "main/gateway/kind_watcher.h"
+
+#include "tests/http/raw_peer.h"
+#include "tests/http/test_loop.h"
+
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+namespace foxtailtally {
+namespace {
+
+struct Ignored final : KindEvents
+{
+    void onObjects(const std::vector<platform::StoredObject> &, bool, absl::Time) override { }
+    void onChange(const platform::ObjectChange &, bool, absl::Time) override { }
+    void onConfirmed(absl::Time) override { }
+    void onCacheChanged() override { }
+};
+
+/** The store or another instance; the test writes its responses. */
+class Source
+{
+public:
+    explicit Source(TestLoop &loop)
+        : loop(loop)
+    { }
+    ~Source() { ::close(this->socket); }
+
+    std::string address() const { return this->server.address(); }
+    /** Runs the loop until a request has arrived and returns its first line. */
+    std::string waitForRequest()
+    {
+        this->received.clear();
+        EXPECT_TRUE(this->loop.runUntil([this] { return this->hasRequest(); }));
+        return this->received.substr(0, this->received.find("\r\n"));
+    }
+    bool hasRequest()
+    {
+        if (this->socket < 0)
+            this->socket = this->server.accept();
+        if (this->socket >= 0)
+            this->received += readAvailable(this->socket);
+        return this->received.find("\r\n\r\n") != std::string::npos;
+    }
+    void answer(const std::string &body) const
+    {
+        writeAll(
+            this->socket,
+            absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n\r\n", body));
+    }
+
+private:
+    TestLoop &loop;
+    RawServer server;
+    int socket = -1;
+    std::string received;
+};
+
+class KindWatcherTest : public testing::Test
+{
+protected:
+    KindWatcherTest()
+        : store(this->loop)
+        , source(InstanceRecord {InstanceId("self")})
+        , watcher(this->loop.base(), this->store.address(), this->source, StoreKind::Servers,
+                  platform::kServerKind, {absl::ZeroDuration()}, this->events)
+    {
+        this->watcher.start();
+    }
+
+    static platform::ObjectPage page(const std::string &name, std::int64_t revision, bool hasMore)
+    {
+        platform::ObjectPage page;
+        page.objects = {{name, revision, "{}"}};
+        page.revision = revision;
+        page.hasMore = hasMore;
+        return page;
+    }
+
+    TestLoop loop;
+    Ignored events;
+    Source store;
+    StoreSource source;
+    KindWatcher watcher;
+};
+
+// Regression: objects that changed while further pages of the list were read kept their old state.
+TEST_F(KindWatcherTest, WatchesFromTheRevisionOfTheFirstPage)
+{
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("a", 5, true)));
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("b", 7, false)));
+    const std::string watch = this->store.waitForRequest();
+    EXPECT_NE(watch.find("Watch=5"), std::string::npos) << watch;
+}
+
+} // namespace
+} // namespace foxtailtally
