Fetch an announced change when the store has not reported it in time

A watch takes 1 s and is given up after another 0.9 s; the probe that follows a failure starts 250 ms later and takes 0.9 s again. While the store was silent to it, an instance did not fetch what others announced. An aggregator whose watch began just before the change was deaf for 1.9 s, or for 3.05 s if no one had announced the change by 2.15 s, and its followers with it; a follower two ranks behind reads the store 1.7 s after the last confirmation. Ruled out: dates of announcements (each is dated back to the last report that it answers), ages in responses of other instances (counted from the start of the fetch), watches that return early.

Change: a watch that is unanswered 0.3 s after its time is given up as soon as another instance announces a later revision, which is then fetched. A slow store answers within a quarter of a second. Ruled out: giving the watch up at once. A restarted instance announces the revision of its list, which is later than others' although nothing has changed, so each restart would cost all of them a watch.

--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -17,6 +17,9 @@
  * second while it is slow. */
 constexpr absl::Duration kStoreAnswerTimeout = absl::Milliseconds(900);
 
+/** The same if another instance has announced a change that the store should have reported. */
+constexpr absl::Duration kOvertakenAnswerTimeout = absl::Milliseconds(300);
+
 /** Timeout until a response of another instance begins, and between two parts of it. */
 constexpr absl::Duration kRelayAnswerTimeout = absl::Milliseconds(400);
 
@@ -64,9 +67,20 @@
     const absl::Time confirmedAt = this->source.confirmedByOthers(this->kind);
     if (confirmedAt > this->objectCache.lastConfirmedAt())
         this->confirm(confirmedAt);
+    this->shortenAnswerTimeout(Clock::now());
     this->startNextCall();
 }
 
+void KindWatcher::shortenAnswerTimeout(absl::Time now)
+{
+    const bool isUnanswered =
+        this->phase == Phase::Watching && this->connection->hasCall() && this->status == 0;
+    if (!isUnanswered || !this->source.isOvertaken(this->kind, now))
+        return;
+    const absl::Duration left = this->sentAt + this->watchTime + kOvertakenAnswerTimeout - now;
+    this->timer.start(std::max(absl::ZeroDuration(), left));
+}
+
 bool KindWatcher::isSettled(absl::Time now) const
 {
     return now - this->storeFailedAt > kSettleTime;
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -83,6 +83,8 @@
     void onChanges(absl::Time now);
     void onFailure(std::string_view cause, bool mustList);
     void restartAnswerTimeout();
+    /** Gives up a call to the store that is overdue when another instance is ahead. */
+    void shortenAnswerTimeout(absl::Time now);
     void confirm(absl::Time moment);
     void reportState();
     void onTimer();
--- a/servers/catalog/store_source.cpp
+++ b/servers/catalog/store_source.cpp
@@ -53,9 +53,8 @@
         && now - this->storeFailedAt < kStoreLostPeriod;
 }
 
-StoreSource::Step StoreSource::next(StoreKind kind, absl::Time now)
+const StoreSource::Announcer *StoreSource::newestAnnouncer(StoreKind kind, absl::Time now) const
 {
-    this->startedAt = std::min(this->startedAt, now);
     const KindState &own = this->held[indexOf(kind)];
     const Announcer *newest = nullptr;
     for (const auto &[instance, announcer] : this->announcers) {
@@ -68,7 +67,13 @@
         if (!newest || announced.contentRevision > newest->states[indexOf(kind)].contentRevision)
             newest = &announcer;
     }
-    if (newest)
+    return newest;
+}
+
+StoreSource::Step StoreSource::next(StoreKind kind, absl::Time now)
+{
+    this->startedAt = std::min(this->startedAt, now);
+    if (const Announcer *newest = this->newestAnnouncer(kind, now))
         return {Action::Fetch, newest->relayAddress, absl::ZeroDuration()};
     if (!this->mayReadStore(kind, now))
         return {};
--- a/servers/catalog/store_source.h
+++ b/servers/catalog/store_source.h
@@ -145,6 +145,11 @@
 
     /** What to do for @p kind now. */
     Step next(StoreKind kind, absl::Time now);
+    /** Another instance holds a later revision of @p kind, which can be fetched. */
+    bool isOvertaken(StoreKind kind, absl::Time now) const
+    {
+        return this->newestAnnouncer(kind, now) != nullptr;
+    }
     /** Latest time at which another instance confirmed that the copy of @p kind is the newest. */
     absl::Time confirmedByOthers(StoreKind kind) const;
 
@@ -158,6 +163,8 @@
         absl::Time fetchFailedAt = absl::InfinitePast();
     };
 
+    /** The instance that announces the latest revision of @p kind; null if none is ahead. */
+    const Announcer *newestAnnouncer(StoreKind kind, absl::Time now) const;
     /** Number of instances that read the store in preference to this one; zero for the one that
      * watches it. */
     std::size_t position(absl::Time now) const;
--- a/tests/gateway/kind_watcher_test.cpp
+++ b/tests/gateway/kind_watcher_test.cpp
@@ -1,5 +1,6 @@
 #include "main/gateway/kind_watcher.h"
 
+#include "core/clock.h"
 #include "tests/http/raw_peer.h"
 #include "tests/http/test_loop.h"
 
@@ -62,6 +63,7 @@
 protected:
     KindWatcherTest()
         : store(this->loop)
+        , other(this->loop)
         , source(InstanceRecord {InstanceId("self")})
         , watcher(this->loop.base(), this->store.address(), this->source, StoreKind::Servers,
                   platform::kServerKind, {absl::ZeroDuration()}, this->events)
@@ -77,10 +79,20 @@
         page.hasMore = hasMore;
         return page;
     }
+    /** Another instance announces the change with revision @p revision. */
+    void announce(std::int64_t revision)
+    {
+        KindStates states;
+        states[static_cast<std::size_t>(StoreKind::Servers)] = {revision, revision, Clock::now()};
+        this->source.onPeerUpdate(InstanceId("other"), this->other.address(), false, states,
+                                  Clock::now());
+        this->watcher.onPeerUpdate();
+    }
 
     TestLoop loop;
     Ignored events;
     Source store;
+    Source other;
     StoreSource source;
     KindWatcher watcher;
 };
@@ -96,5 +108,21 @@
     EXPECT_NE(watch.find("Watch=5"), std::string::npos) << watch;
 }
 
+// Regression: an instance that waited for a store that does not answer fetched a change that
+// another instance had announced only after the time-out of its call.
+TEST_F(KindWatcherTest, FetchesAnAnnouncedChangeWhileTheStoreIsSilent)
+{
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("a", 5, false)));
+    this->store.waitForRequest();
+    const absl::Time watchedAt = Clock::now();
+    ASSERT_TRUE(this->loop.runUntil([this] {
+        this->announce(9);
+        return this->other.hasRequest();
+    }));
+    EXPECT_GT(Clock::now() - watchedAt, StoreSource::kWatchTime);
+    EXPECT_LT(Clock::now() - watchedAt, StoreSource::kWatchTime + absl::Milliseconds(600));
+}
+
 } // namespace
 } // namespace foxtailtally
