--- a/main/gateway/call_log.cpp
+++ b/main/gateway/call_log.cpp
@@ -89,4 +89,16 @@
     logEvent(LogLevel::Info, "stream_placed", fields);
 }
 
+void logRateLimitRefusal(const std::string &callId, const std::string &service,
+                         const TokenForecast &tokens, absl::Duration retryAfter, absl::Time now)
+{
+    logEvent(LogLevel::Info, "call_rate_limited",
+             {{"request", callId},
+              {"service", service},
+              {"servers", tokens.servers},
+              {"per_second", tokens.perSecond},
+              {"token_in_ms", absl::ToInt64Milliseconds(tokens.firstAt - now)},
+              {"retry_after_ms", absl::ToInt64Milliseconds(retryAfter)}});
+}
+
 } // namespace foxtailtally
--- a/main/gateway/call_log.h
+++ b/main/gateway/call_log.h
@@ -29,4 +29,8 @@
 void logPlacement(const GatewayContext &context, const std::string &callId,
                   const StreamDecision &decision, absl::Time now);
 
+/** Logs the rate limits that a call to @p service is refused for. */
+void logRateLimitRefusal(const std::string &callId, const std::string &service,
+                         const TokenForecast &tokens, absl::Duration retryAfter, absl::Time now);
+
 } // namespace foxtailtally
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -138,7 +138,8 @@
         this->context.directory.pausedUntil(this->service, now);
     const double callsPerSecond = this->context.retries.callsPerSecond(this->service, now);
     if (reopensAt) {
-        this->refuseUntil(*reopensAt, callsPerSecond, "servers_paused", now);
+        this->sendLocalReply(503, "servers_paused", true,
+                             this->spacedRetryAfter(*reopensAt, callsPerSecond, now));
         return;
     }
     const std::optional<TokenForecast> tokens = this->context.limits.forecast(this->service, now);
@@ -148,18 +149,21 @@
     }
     const double ownShare =
         tokens->perSecond / static_cast<double>(this->context.exchange.instanceCount());
-    this->refuseUntil(tokens->firstAt, std::min(callsPerSecond, ownShare), "rate_limited", now);
+    const absl::Duration retryAfter =
+        this->spacedRetryAfter(tokens->firstAt, std::min(callsPerSecond, ownShare), now);
+    logRateLimitRefusal(this->call.headers.callId, this->service, *tokens, retryAfter, now);
+    this->sendLocalReply(503, "rate_limited", true, retryAfter);
 }
 
-void CallRun::refuseUntil(absl::Time reopensAt, double callsPerSecond, std::string_view cause,
-                          absl::Time now)
+absl::Duration CallRun::spacedRetryAfter(absl::Time reopensAt, double callsPerSecond,
+                                         absl::Time now)
 {
     RefusedCall refused;
     refused.service = this->service;
     refused.reopensAt = reopensAt;
     refused.usefulUntil = this->call.answerBy;
     refused.callsPerSecond = callsPerSecond;
-    this->sendLocalReply(503, cause, true, this->context.retryAfterPolicy.retryAfter(refused, now));
+    return this->context.retryAfterPolicy.retryAfter(refused, now);
 }
 
 std::vector<ServerKey> CallRun::excludedServers(std::span<const ServerKey> others) const
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -111,8 +111,8 @@
     void refuseQuarantined(absl::Time now);
     /** Responds that the call has not run and that no server can take it now. */
     void refuse(std::string_view cause, absl::Time now);
-    void refuseUntil(absl::Time reopensAt, double callsPerSecond, std::string_view cause,
-                     absl::Time now);
+    /** Retry-After of a call that a server can take from @p reopensAt on. */
+    absl::Duration spacedRetryAfter(absl::Time reopensAt, double callsPerSecond, absl::Time now);
     /** The server has requested a pause; it may get the call again afterwards. */
     bool isPaused(ServerKey server, absl::Time now) const;
     /** Waits for the first server whose requested pause ends; false when that is too late for the
--- a/main/gateway/limit_exchange.cpp
+++ b/main/gateway/limit_exchange.cpp
@@ -205,6 +205,7 @@
         const std::optional<double> limit = this->limitOf(server->key);
         if (!limit)
             return std::nullopt;
+        ++forecast.servers;
         forecast.perSecond += *limit;
         forecast.firstAt = std::min(forecast.firstAt, this->tokenExpectedAt(server->key));
     }
--- a/main/gateway/limit_exchange.h
+++ b/main/gateway/limit_exchange.h
@@ -8,6 +8,7 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -32,6 +33,7 @@
 struct TokenForecast
 {
     absl::Time firstAt;
+    std::size_t servers = 0;
     /** Sum of the limits. */
     double perSecond = 0;
 };
--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -211,6 +211,24 @@
     EXPECT_FALSE(this->servers[engine].hasRequest());
 }
 
+// An operator must be able to tell which limits were behind a refusal, and when it would end.
+TEST_F(CallRunTest, LogsTheLimitsBehindARefusal)
+{
+    for (const std::size_t server : {2U, 3U})
+        this->context.limits.onNamed(this->key(server), 0.2, Clock::now());
+    testing::internal::CaptureStdout();
+    this->call("/act/a", 0);
+    const bool isRefused = this->isAnswered("rate_limited");
+    const std::string log = testing::internal::GetCapturedStdout();
+    EXPECT_TRUE(isRefused);
+    const std::size_t begin = log.find("\"event\":\"call_rate_limited\"");
+    ASSERT_NE(begin, std::string::npos) << log;
+    const std::string line = log.substr(begin, log.find('\n', begin) - begin);
+    EXPECT_NE(line.find("\"per_second\":0.4"), std::string::npos) << line;
+    EXPECT_NE(line.find("\"servers\":2"), std::string::npos) << line;
+    EXPECT_NE(line.find("\"token_in_ms\":"), std::string::npos) << line;
+}
+
 // A sound server may be silent for a second: that is no evidence against it, and a call that must
 // run once waits for its response.
 TEST_F(CallRunTest, WaitsForAServerThatIsSilentForASecond)
