Let a failure domain that is lost twice return once in the simulation

Trace: the draw loses domain 2 from 1.072 s to 1.633 s and from 1.236 s to 2.991 s. Each end started the domain's engines and, 11 s later, gave its groups a new owner: at 12.633 s, and once more at 13.991 s, in place of an owner that had been serving for 1.4 s. The second one knew nothing of the permits of the first and granted the cold limit once more; engine 11 had 3 requests and ended at 14.711 s. The owners of the program are not concerned: a new one waits until the loans of the former have expired and for a report of what its engines run. The fault is one of the simulation.

Change: losses of a domain are counted. It returns when the last one ends, and a takeover that was begun before another loss is dropped. The checks of the tests are untouched.

--- a/load/experiment/simulation.h
+++ b/load/experiment/simulation.h
@@ -46,6 +46,13 @@
     PolicyResult run();
 
 private:
+    /** Losses of a failure domain, which may overlap. */
+    struct DomainLosses
+    {
+        int active = 0;
+        int total = 0;
+    };
+
     struct Entry;
     struct Group;
     struct Flow;
@@ -100,6 +107,7 @@
     EngineFleet fleet;
     std::vector<Entry> entries;
     std::vector<Group> groups;
+    absl::flat_hash_map<int, DomainLosses> domainLosses;
     std::vector<Flow> flows;
     /** Number of requests that have not ended. */
     std::size_t openRequests = 0;
--- a/load/experiment/simulation_faults.cpp
+++ b/load/experiment/simulation_faults.cpp
@@ -43,6 +43,8 @@
 
 void Simulation::loseDomain(int domain)
 {
+    ++this->domainLosses[domain].active;
+    ++this->domainLosses[domain].total;
     for (Group &group : this->groups)
         group.isLost = group.isLost || group.domain == domain;
     for (Entry &entry : this->entries) {
@@ -79,6 +81,8 @@
 
 void Simulation::restoreDomain(int domain)
 {
+    if (--this->domainLosses[domain].active > 0)
+        return;
     for (std::size_t server = 0; server < this->fleet.servers().size(); ++server) {
         if (this->fleet.servers()[server].domain == domainName(domain))
             this->fleet.restart(server);
@@ -89,7 +93,10 @@
         entry.isLost = false;
         entry.balancedUntil = absl::InfiniteFuture();
     }
-    this->loop.after(kTakeoverDelay, [this, domain]() {
+    const int losses = this->domainLosses[domain].total;
+    this->loop.after(kTakeoverDelay, [this, domain, losses]() {
+        if (losses != this->domainLosses[domain].total)
+            return;
         for (Group &group : this->groups) {
             if (group.domain != domain)
                 continue;
