Read the store when no instance that announces a change can be reached

Cause: an announcement of a later revision went before the store whatever had become of the fetches. Change: after two failed fetches of a kind in a row the store is read once, whatever the rank; then fetches are tried again. The pauses after a failed call to the store hold as before.

Tests: Fleet.ReadsTheStoreWhenNoOtherInstanceCanBeReached; before, instances lacked a change after 2 s, the shortest bound of the users.

--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -208,6 +208,8 @@
     }
     if (this->isSourceStore())
         this->source.onStoreAnswered();
+    else
+        this->source.onFetched(this->kind);
     if (this->phase == Phase::Listing)
         this->onPage(now);
     else
@@ -316,7 +318,7 @@
         this->storeFailedAt = now;
         this->source.onStoreFailed(now);
     } else {
-        this->source.onFetchFailed(this->sourceAddress, now);
+        this->source.onFetchFailed(this->kind, this->sourceAddress, now);
     }
     if (this->consecutiveFailures++ == 0)
         logEvent(LogLevel::Warning, "store_lost",
--- a/servers/catalog/store_source.cpp
+++ b/servers/catalog/store_source.cpp
@@ -33,8 +33,9 @@
     }
 }
 
-void StoreSource::onFetchFailed(const std::string &address, absl::Time now)
+void StoreSource::onFetchFailed(StoreKind kind, const std::string &address, absl::Time now)
 {
+    ++this->fetchFailures[indexOf(kind)];
     for (auto &[instance, announcer] : this->announcers) {
         if (announcer.relayAddress == address)
             announcer.fetchFailedAt = now;
@@ -73,9 +74,14 @@
 StoreSource::Step StoreSource::next(StoreKind kind, absl::Time now)
 {
     this->startedAt = std::min(this->startedAt, now);
-    if (const Announcer *newest = this->newestAnnouncer(kind, now))
+    int &failures = this->fetchFailures[indexOf(kind)];
+    const bool cannotFetch = failures >= kFetchFailuresUntilStoreRead && this->mayCallStore(now);
+    if (cannotFetch)
+        failures = 0;
+    const Announcer *newest = cannotFetch ? nullptr : this->newestAnnouncer(kind, now);
+    if (newest)
         return {Action::Fetch, newest->relayAddress, absl::ZeroDuration()};
-    if (!this->mayReadStore(kind, now))
+    if (!cannotFetch && !this->mayReadStore(kind, now))
         return {};
     // After a failure the store is read without waiting, so that a time-out is noticed sooner.
     const bool isProbe = this->storeFailures > 0;
@@ -98,10 +104,6 @@
 
 bool StoreSource::mayReadStore(StoreKind kind, absl::Time now)
 {
-    if (this->storeFailures > 0) {
-        if (now - this->storeFailedAt < this->retryDelay())
-            return false;
-    }
     const std::size_t position = this->position(now);
     const bool follows = this->topology.aggregator.has_value();
     if (follows && position > kMaxStoreReaders)
@@ -116,7 +118,14 @@
         if (now - freshAt <= takeoverDelay)
             return false;
     }
-    return this->storeFailures == 0 || this->mayProbeStore(now);
+    return this->mayCallStore(now);
+}
+
+bool StoreSource::mayCallStore(absl::Time now)
+{
+    if (this->storeFailures == 0)
+        return true;
+    return now - this->storeFailedAt >= this->retryDelay() && this->mayProbeStore(now);
 }
 
 absl::Duration StoreSource::watchTime(StoreKind kind)
--- a/servers/catalog/store_source.h
+++ b/servers/catalog/store_source.h
@@ -70,6 +70,9 @@
     static constexpr absl::Duration kAnnouncementLifetime = absl::Seconds(1);
     /** Time for which nothing is fetched from an instance after a failed fetch. */
     static constexpr absl::Duration kFetchFailureBackoff = absl::Milliseconds(500);
+    /** Consecutive failed fetches of a kind after which the store is read, whatever the rank: other
+     * instances may be heard and yet be out of reach. */
+    static constexpr int kFetchFailuresUntilStoreRead = 2;
 
     /** Consecutive failures after which the store counts as lost; a single interrupted watch is not
      * significant. */
@@ -137,7 +140,8 @@
     }
     const KindStates &states() const { return this->held; }
 
-    void onFetchFailed(const std::string &address, absl::Time now);
+    void onFetchFailed(StoreKind kind, const std::string &address, absl::Time now);
+    void onFetched(StoreKind kind) { this->fetchFailures[static_cast<std::size_t>(kind)] = 0; }
     void onStoreFailed(absl::Time now);
     void onStoreAnswered() { this->storeFailures = 0; }
     /** The store does not answer this instance; others read it instead. */
@@ -172,6 +176,8 @@
     bool hasLost(const InstanceRecord &other) const;
     absl::Duration retryDelay() const;
     bool mayReadStore(StoreKind kind, absl::Time now);
+    /** The store has not failed lately, or may be called again after a failure. */
+    bool mayCallStore(absl::Time now);
     static absl::Duration watchTime(StoreKind kind);
     /** Allows a single call that probes whether a failed store answers again. */
     bool mayProbeStore(absl::Time now);
@@ -179,6 +185,7 @@
     InstanceRecord self;
     Topology topology;
     KindStates held;
+    std::array<int, kStoreKinds> fetchFailures {};
     absl::flat_hash_map<InstanceId, Announcer> announcers;
     absl::Time startedAt = absl::InfiniteFuture();
     absl::Time storeFailedAt = absl::InfinitePast();
--- a/tests/catalog/store_source_test.cpp
+++ b/tests/catalog/store_source_test.cpp
@@ -63,7 +63,7 @@
     EXPECT_EQ(step.action, Action::Fetch);
     EXPECT_EQ(step.address, kStronger.relayAddress);
     EXPECT_EQ(source.confirmedByOthers(StoreKind::Config), absl::InfinitePast());
-    source.onFetchFailed(kStronger.relayAddress, kNow);
+    source.onFetchFailed(StoreKind::Config, kStronger.relayAddress, kNow);
     EXPECT_NE(source.next(StoreKind::Config, kNow).action, Action::Fetch);
     source.setHeldState(StoreKind::Config, {7, 7, kNow});
     EXPECT_EQ(source.confirmedByOthers(StoreKind::Config), kNow);
@@ -86,7 +86,7 @@
     StoreSource source = second();
     for (absl::Time now = kNow; now < kNow + absl::Seconds(2); now += absl::Milliseconds(100)) {
         source.onPeerUpdate(kStronger.id, kStronger.relayAddress, false, confirmedAt(7, now), now);
-        source.onFetchFailed(kStronger.relayAddress, now);
+        source.onFetchFailed(StoreKind::Config, kStronger.relayAddress, now);
         EXPECT_NE(source.next(StoreKind::Config, now).action, Action::Fetch);
     }
     EXPECT_EQ(source.next(StoreKind::Config, kNow + absl::Seconds(2)).action, Action::ReadStore);
--- a/tests/fleet/fleet_model.cpp
+++ b/tests/fleet/fleet_model.cpp
@@ -221,9 +221,10 @@
     if (call == Call::Fetch) {
         const Node &target = this->nodes[node.callTarget];
         if (node.callFails || !target.isRunning) {
-            node.source->onFetchFailed(target.record.relayAddress, this->time);
+            node.source->onFetchFailed(kKind, target.record.relayAddress, this->time);
             return;
         }
+        node.source->onFetched(kKind);
         KindState state = target.held;
         state.currentRevision = std::max(node.held.currentRevision, state.currentRevision);
         state.contentRevision = std::max(node.held.contentRevision, state.contentRevision);
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -176,6 +176,29 @@
     expectAllCurrent(fleet);
 }
 
+// Regression: instances that hear the others, but can't reach them, tried to fetch a change from
+// one after another and did not read the store.
+TEST(Fleet, ReadsTheStoreWhenNoOtherInstanceCanBeReached)
+{
+    FleetModel fleet({3, 3, 3});
+    const auto cut = [&fleet](bool fromFirst) {
+        fleet.setLinks([&fleet, fromFirst](std::size_t a, std::size_t b) {
+            const bool isBetween = (fleet.domainOf(a) == 0) != (fleet.domainOf(b) == 0);
+            return !isBetween || (fleet.domainOf(a) == 0) != fromFirst;
+        });
+    };
+    fleet.run(absl::Seconds(5));
+    for (int round = 0; round < 10; ++round) {
+        cut(false);
+        fleet.run(absl::Milliseconds(3000 + 130 * round));
+        cut(true);
+        fleet.run(absl::Milliseconds(170 * round));
+        fleet.change();
+        fleet.run(kApplyBound);
+        expectAllCurrent(fleet);
+    }
+}
+
 // A domain still receives changes when all of its listed instances are gone.
 TEST(Fleet, UnlistedInstancesReadTheStoreThemselves)
 {
@@ -255,6 +278,13 @@
                 fleet.change();
                 RC_ASSERT(fleet.wronglyConfirmed().empty());
             }
+            // Cuts between instances do not excuse those that reach the store.
+            if (kind == 4 || kind == 5) {
+                fleet.change();
+                fleet.run(kApplyBound);
+                for (std::size_t i = 0; i < fleet.size(); ++i)
+                    RC_ASSERT(fleet.lag(i) == absl::ZeroDuration());
+            }
             fleet.run(absl::Milliseconds(*rc::gen::inRange(10, 3000)));
             RC_ASSERT(fleet.wronglyConfirmed().empty());
             fleet.setStoreForAll(StoreAnswer::Serve);
