Name draining servers as the cause of a refusal

It is "servers_draining" now, by responses or by the store.

Test: CallRunTest.IsRefusedAtOnceWhenAllServersDrain, which failed before (cause "no_server").

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -144,7 +144,8 @@
     }
     const std::optional<TokenForecast> tokens = this->context.limits.forecast(this->service, now);
     if (!tokens) {
-        this->sendLocalReply(503, cause, true);
+        const bool isDraining = this->context.directory.areAllDraining(this->service);
+        this->sendLocalReply(503, isDraining ? "servers_draining" : cause, true);
         return;
     }
     const double ownShare =
--- a/servers/catalog/server_directory.cpp
+++ b/servers/catalog/server_directory.cpp
@@ -138,6 +138,24 @@
     return earliest;
 }
 
+bool ServerDirectory::areAllDraining(const std::string &service) const
+{
+    bool isListed = false;
+    for (const auto &[id, server] : this->servers) {
+        if (server.entry.service != service)
+            continue;
+        if (!this->isDraining(server))
+            return false;
+        isListed = true;
+    }
+    return isListed;
+}
+
+bool ServerDirectory::isDraining(const Server &server) const
+{
+    return server.entry.leaving || this->serverBackpressure.isLeaving(server.key);
+}
+
 bool ServerDirectory::mayGetWork(const Server &server, absl::Time now) const
 {
     return this->isInService(server, now) && this->serverBackpressure.mayGetWork(server.key, now);
@@ -145,8 +163,8 @@
 
 bool ServerDirectory::isInService(const Server &server, absl::Time now) const
 {
-    return !server.entry.leaving && !this->serverBackpressure.isLeaving(server.key)
-        && server.usableUntil >= now && !this->evacuated.contains(server.entry.domain);
+    return !this->isDraining(server) && server.usableUntil >= now
+        && !this->evacuated.contains(server.entry.domain);
 }
 
 } // namespace foxtailtally
--- a/servers/catalog/server_directory.h
+++ b/servers/catalog/server_directory.h
@@ -75,6 +75,9 @@
      * now or when there is no server. */
     std::optional<absl::Time> pausedUntil(const std::string &service, absl::Time now) const;
 
+    /** Servers of @p service are listed, and all of them drain. */
+    bool areAllDraining(const std::string &service) const;
+
     void setEvacuated(const FailureDomainId &domain, bool isEvacuated);
     void replaceEvacuated(absl::btree_set<FailureDomainId> domains);
 
@@ -89,6 +92,7 @@
     std::size_t size() const { return this->servers.size(); }
 
 private:
+    bool isDraining(const Server &server) const;
     /** Listed, not draining, and not in an evacuated domain; it may have asked for a
      * pause. */
     bool isInService(const Server &server, absl::Time now) const;
--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -211,6 +211,19 @@
     EXPECT_FALSE(this->servers[engine].hasRequest());
 }
 
+// A call that no server can take is refused at once, with a cause that names the draining servers.
+TEST_F(CallRunTest, IsRefusedAtOnceWhenAllServersDrain)
+{
+    for (const std::size_t server : {2U, 3U})
+        this->context.directory.backpressure().onDraining(this->key(server), Clock::now());
+    const absl::Time calledAt = Clock::now();
+    this->call("/act/a", 0);
+    EXPECT_TRUE(this->isAnswered("servers_draining"));
+    EXPECT_LT(Clock::now() - calledAt, kObjective / 2);
+    EXPECT_NE(this->received.find("Retry-After: "), std::string::npos);
+    EXPECT_FALSE(this->servers[2].hasRequest() || this->servers[3].hasRequest());
+}
+
 // An operator must be able to tell which limits were behind a refusal, and when it would end.
 TEST_F(CallRunTest, LogsTheLimitsBehindARefusal)
 {
