Call the store again after every delay between two calls

What servers saw: with all servers limited, twice their limits: 24 requests in 4 s, where 12 are named and 23 allowed (ServerLimit.CallsAreRefusedAtOnceWhenAllServersHaveReachedTheirLimit/2, in the run of all tests and in 2 of 16 further runs of this test, four at a time). What an instance alone in its domain could suffer is graver: it learns of no further configuration, key or server (CONFIG, DRAIN).

Trace: in each such run the gateway that started first knew none of the others for the whole run, so two gateways of one domain took themselves for its only issuer of tokens. Its watch of the instances had returned its own registration and was never sent again. Cause: after a change the next call waits for a delay, kept as a time and as a timer. Timers of the loop count from the beginning of its current pass, so one that is set after some work fires early by the time of that work. The timer found the delay not over and was not set again. Announcements of other instances start the call as well, which hid the fault; an instance that nobody reports to has none. Ruled out: the limits (served calls were exact multiples of them), failures of the store (no log line).

Change: a timer that fires before the end of the delay is set again for the rest.

Tests: KindWatcherTest.WatchesAgainAfterAChangeThatTookLong; before, no request within 20 s. The limit test above passes 20 of 20 runs, four at a time.

--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -89,8 +89,13 @@
 void KindWatcher::startNextCall()
 {
     const absl::Time now = Clock::now();
-    if (!this->hasStarted || this->phase != Phase::Idle || now < this->pausedUntil)
+    if (!this->hasStarted || this->phase != Phase::Idle)
         return;
+    if (now < this->pausedUntil) {
+        // Timers of the loop may fire early, as it counts from the beginning of its last pass.
+        this->timer.start(this->pausedUntil - now);
+        return;
+    }
     this->retiredConnection.reset();
     const StoreSource::Step step = this->source.next(this->kind, now);
     switch (step.action) {
--- a/tests/gateway/kind_watcher_test.cpp
+++ b/tests/gateway/kind_watcher_test.cpp
@@ -14,9 +14,14 @@
 struct Ignored final : KindEvents
 {
     void onObjects(const std::vector<platform::StoredObject> &, bool, absl::Time) override { }
-    void onChange(const platform::ObjectChange &, bool, absl::Time) override { }
+    void onChange(const platform::ObjectChange &, bool, absl::Time) override
+    {
+        absl::SleepFor(this->changeDuration);
+    }
     void onConfirmed(absl::Time) override { }
     void onCacheChanged() override { }
+
+    absl::Duration changeDuration = absl::ZeroDuration();
 };
 
 /** The store or another instance; the test writes its responses. */
@@ -58,6 +63,8 @@
     std::string received;
 };
 
+constexpr absl::Duration kBatchDelay = absl::Milliseconds(20);
+
 class KindWatcherTest : public testing::Test
 {
 protected:
@@ -66,7 +73,7 @@
         , other(this->loop)
         , source(InstanceRecord {InstanceId("self")})
         , watcher(this->loop.base(), this->store.address(), this->source, StoreKind::Servers,
-                  platform::kServerKind, {absl::ZeroDuration()}, this->events)
+                  platform::kServerKind, {kBatchDelay}, this->events)
     {
         this->watcher.start();
     }
@@ -108,6 +115,18 @@
     EXPECT_NE(watch.find("Watch=5"), std::string::npos) << watch;
 }
 
+// Regression: after a change that took some time to apply, an instance that no other one reports to
+// never called the store again, as its timer fired before the end of the delay.
+TEST_F(KindWatcherTest, WatchesAgainAfterAChangeThatTookLong)
+{
+    this->events.changeDuration = kBatchDelay / 2;
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("a", 5, false)));
+    this->store.waitForRequest();
+    this->store.answer(platform::encodeChanges({{{{"a", 6, "{}"}, false}}, 6}));
+    EXPECT_NE(this->store.waitForRequest().find("Watch=6"), std::string::npos);
+}
+
 // Regression: an instance that waited for a store that does not answer fetched a change that
 // another instance had announced only after the time-out of its call.
 TEST_F(KindWatcherTest, FetchesAnAnnouncedChangeWhileTheStoreIsSilent)
