--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -152,28 +152,33 @@
         this->context.directory.pausedUntil(this->service, now);
     const double callsPerSecond = this->context.retries.callsPerSecond(this->service, now);
     if (reopensAt) {
-        this->refuseUntil(*reopensAt, callsPerSecond, "servers_paused", now);
+        this->sendLocalReply(503, "servers_paused", true,
+                             this->spacedRetryAfter(*reopensAt, callsPerSecond, now));
         return;
     }
     const std::optional<TokenForecast> tokens = this->context.limits.forecast(this->service, now);
     if (!tokens) {
-        this->sendLocalReply(503, cause, true);
+        const bool isDraining = this->context.directory.areAllDraining(this->service);
+        this->sendLocalReply(503, isDraining ? "servers_draining" : cause, true);
         return;
     }
     const double ownShare =
         tokens->perSecond / static_cast<double>(this->context.exchange.instanceCount());
-    this->refuseUntil(tokens->firstAt, std::min(callsPerSecond, ownShare), "rate_limited", now);
+    const absl::Duration retryAfter =
+        this->spacedRetryAfter(tokens->firstAt, std::min(callsPerSecond, ownShare), now);
+    logRateLimitRefusal(this->call.headers.callId, this->service, *tokens, retryAfter, now);
+    this->sendLocalReply(503, "rate_limited", true, retryAfter);
 }
 
-void CallRun::refuseUntil(absl::Time reopensAt, double callsPerSecond, std::string_view cause,
-                          absl::Time now)
+absl::Duration CallRun::spacedRetryAfter(absl::Time reopensAt, double callsPerSecond,
+                                         absl::Time now)
 {
     RefusedCall refused;
     refused.service = this->service;
     refused.reopensAt = reopensAt;
     refused.usefulUntil = this->call.answerBy;
     refused.callsPerSecond = callsPerSecond;
-    this->sendLocalReply(503, cause, true, this->context.retryAfterPolicy.retryAfter(refused, now));
+    return this->context.retryAfterPolicy.retryAfter(refused, now);
 }
 
 std::vector<ServerKey> CallRun::excludedServers(std::span<const ServerKey> others) const
@@ -365,6 +370,8 @@
         return false;
     std::vector<ServerKey> servers = {target.key};
     if (const Attempt *attempt = this->findAttempt(call); attempt && attempt->placement) {
+        if (!attempt->placement->isValid(now))
+            return false;
         const std::span<const ServerKey> helpers = attempt->placement->helperKeys();
         servers.insert(servers.end(), helpers.begin(), helpers.end());
     }
@@ -395,10 +402,16 @@
 {
     if (this->done)
         return;
-    this->tried.push_back(engine);
+    if (!this->isPaused(engine, now))
+        this->tried.push_back(engine);
     this->retryPlacement(now);
 }
 
+bool CallRun::isPaused(ServerKey server, absl::Time now) const
+{
+    return this->context.directory.backpressure().pausedUntil(server) > now;
+}
+
 void CallRun::retryPlacement(absl::Time now)
 {
     this->dropPlacement();
@@ -655,6 +668,8 @@
     // Silence was recorded when the stream was also sent to another server.
     if (end != ended->replacedFor)
         recordAttemptEnd(this->context, call, end, now);
+    if (end == AttemptEnd::Rejected && this->isPaused(call.target().key, now))
+        std::erase(this->tried, call.target().key);
     AttemptRecord record;
     record.callId = this->call.headers.callId;
     record.fingerprint = this->suspicion->fingerprint();
--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -17,6 +17,9 @@
  * second while it is slow. */
 constexpr absl::Duration kStoreAnswerTimeout = absl::Milliseconds(900);
 
+/** The same if another instance has announced a change that the store should have reported. */
+constexpr absl::Duration kOvertakenAnswerTimeout = absl::Milliseconds(300);
+
 /** Timeout until a response of another instance begins, and between two parts of it. */
 constexpr absl::Duration kRelayAnswerTimeout = absl::Milliseconds(400);
 
@@ -64,9 +67,20 @@
     const absl::Time confirmedAt = this->source.confirmedByOthers(this->kind);
     if (confirmedAt > this->objectCache.lastConfirmedAt())
         this->confirm(confirmedAt);
+    this->shortenAnswerTimeout(Clock::now());
     this->startNextCall();
 }
 
+void KindWatcher::shortenAnswerTimeout(absl::Time now)
+{
+    const bool isUnanswered =
+        this->phase == Phase::Watching && this->connection->hasCall() && this->status == 0;
+    if (!isUnanswered || !this->source.isOvertaken(this->kind, now))
+        return;
+    const absl::Duration left = this->sentAt + this->watchTime + kOvertakenAnswerTimeout - now;
+    this->timer.start(std::max(absl::ZeroDuration(), left));
+}
+
 bool KindWatcher::isSettled(absl::Time now) const
 {
     return now - this->storeFailedAt > kSettleTime;
@@ -78,7 +92,7 @@
     if (!this->hasStarted || this->phase != Phase::Idle)
         return;
     if (now < this->pausedUntil) {
-        // The loop's clock is coarser than ours, and the timer may be early.
+        // Timers of the loop may fire early, as it counts from the beginning of its last pass.
         this->timer.start(this->pausedUntil - now);
         return;
     }
@@ -200,6 +214,8 @@
     }
     if (this->isSourceStore())
         this->source.onStoreAnswered();
+    else
+        this->source.onFetched(this->kind);
     if (this->phase == Phase::Listing)
         this->onPage(now);
     else
@@ -225,6 +241,9 @@
     }
     if (page->unnamed > 0)
         this->events.onUnnamed(page->unnamed);
+    // Objects of earlier pages may have changed since; a watch from here reports these changes.
+    if (this->listedAfter.empty())
+        this->listRevision = page->revision;
     const std::string lastName = page->objects.empty() ? std::string() : page->objects.back().name;
     for (platform::StoredObject &object : page->objects)
         this->listedSoFar.push_back(std::move(object));
@@ -236,7 +255,7 @@
             this->list(this->sourceAddress, lastName);
         return;
     }
-    this->revision = page->revision;
+    this->revision = this->listRevision;
     this->mustList = false;
     if (this->consecutiveFailures > 0)
         logEvent(LogLevel::Info, "store_regained", {{"kind", this->kindName}});
@@ -314,7 +333,7 @@
         this->storeFailedAt = now;
         this->source.onStoreFailed(now);
     } else {
-        this->source.onFetchFailed(this->sourceAddress, now);
+        this->source.onFetchFailed(this->kind, this->sourceAddress, now);
     }
     if (this->consecutiveFailures++ == 0)
         logEvent(LogLevel::Warning, "store_lost",
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -86,6 +86,8 @@
     void onChanges(absl::Time now);
     void onFailure(std::string_view cause, bool mustList);
     void restartAnswerTimeout();
+    /** Gives up a call to the store that is overdue when another instance is ahead. */
+    void shortenAnswerTimeout(absl::Time now);
     void confirm(absl::Time moment);
     void reportState();
     void onTimer();
@@ -114,6 +116,8 @@
     std::vector<platform::StoredObject> listedSoFar;
     /** Name after which the page in flight begins; empty for the first page. */
     std::string listedAfter;
+    /** Store revision of the first page of the list in progress. */
+    std::int64_t listRevision = 0;
     std::int64_t revision = 0;
     absl::Time sentAt = absl::InfinitePast();
     absl::Time listStartedAt = absl::InfinitePast();
--- a/tests/fuzz/decoder_fuzz_test.cpp
+++ b/tests/fuzz/decoder_fuzz_test.cpp
@@ -291,10 +291,11 @@
 void runEvents(const std::string &bytes)
 {
     EventRelay relay("12");
-    relay.beginRun();
+    EventRelay::Run run = relay.beginRun(false);
     std::size_t forwarded = 0;
     for (std::size_t at = 0; at < bytes.size(); at += 1000) {
-        const Result<std::string> events = relay.feed(std::string_view(bytes).substr(at, 1000));
+        const Result<std::string> events =
+            relay.feed(run, std::string_view(bytes).substr(at, 1000));
         if (!events.ok())
             return;
         forwarded += events->size();
@@ -306,8 +307,9 @@
 void runDeflate(const std::string &bytes)
 {
     constexpr std::size_t kLimit = 100000;
-    if (const Result<std::string> whole = decompressDeflate(bytes, kLimit); whole.ok())
+    if (const Result<std::string> whole = decompressDeflate(bytes, kLimit); whole.ok()) {
         EXPECT_LE(whole->size(), kLimit);
+    }
 }
 
 void runSettings(const std::string &bytes)
@@ -499,8 +501,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Decoders, DecoderFuzzTest, testing::ValuesIn(targets()),
-                         [](const testing::TestParamInfo<FuzzTarget> &info) {
-                             return info.param.name;
+                         [](const testing::TestParamInfo<FuzzTarget> &test) {
+                             return test.param.name;
                          });
 
 } // namespace
