Add a position in the history of the store

A store that is restored from an older copy gives revisions out again, so a revision alone does not order its changes. StorePosition holds the era, which rises with each restore, before the revision, and is the one place where positions are compared. platform::decodeStoreEra() reads the era of a response; without the header it is 0. KindEvents::onRestored() announces a list of a later era. Nothing uses them yet.

--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -4,6 +4,7 @@
 #include "peers/http/loop_timer.h"
 #include "peers/http/outbound_connection.h"
 #include "platform/store_objects.h"
+#include "servers/catalog/store_position.h"
 #include "servers/catalog/store_source.h"
 
 #include <absl/time/time.h>
@@ -21,6 +22,12 @@
 {
 public:
     virtual ~KindEvents() = default;
+    /** The store came back from an older copy: the list that onObjects() reports next may lack
+     * objects and changes that were reported before, and deletions. @p held: position of what was
+     * reported last; @p found: position of the list. */
+    virtual void onRestored(const StorePosition & /*held*/, const StorePosition & /*found*/,
+                            absl::Time /*now*/)
+    { }
     /** The complete list. @p storeUnsettled: the store failed within the settle time. */
     virtual void onObjects(std::vector<platform::StoredObject> &objects, bool storeUnsettled,
                            absl::Time now) = 0;
--- a/tests/platform/store_objects_test.cpp
+++ b/tests/platform/store_objects_test.cpp
@@ -338,6 +338,25 @@
     EXPECT_EQ(decodeRelayFreshness(headers).age, absl::ZeroDuration());
 }
 
+// A store whose responses name no era works as before, and a value that is no era is not taken for
+// era 0, which would make the response look older than it is.
+TEST(StoreObjects, ReadsTheEraOfTheStore)
+{
+    const auto era = [](std::string_view value) {
+        HttpHeaders headers;
+        headers.add("store-era", value);
+        return decodeStoreEra(headers);
+    };
+    EXPECT_EQ(*decodeStoreEra({}), 0);
+    EXPECT_EQ(*era("7"), 7);
+    EXPECT_EQ(*era("4294967295"), kMaxStoreEra);
+    for (const std::string_view value : {"", "-1", "x", "7x", "1.5", "4294967296"})
+        EXPECT_FALSE(era(value).ok()) << value;
+    HttpHeaders headers;
+    addStoreEra(headers, 12);
+    EXPECT_EQ(*decodeStoreEra(headers), 12);
+}
+
 // A call of a kind that this version does not know must not be retried.
 TEST(StoreObjects, TreatsAnUnknownKindAsNonIdempotent)
 {
