--- a/main/gateway/exchange_message.cpp
+++ b/main/gateway/exchange_message.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::uint8_t kFormatVersion = 6;
+constexpr std::uint8_t kFormatVersion = 7;
 
 enum class MessageType : std::uint8_t { Report = 1, Bundle = 2, Quarantine = 3 };
 
@@ -19,6 +19,8 @@
 
 enum StreamFlags : std::uint8_t { Decoding = 1, Late = 2, Split = 4 };
 
+constexpr std::size_t kConfigIndex = static_cast<std::size_t>(StoreKind::Config);
+
 /** Age on the wire of a state that was never confirmed. */
 constexpr std::uint32_t kUnconfirmedAgeMs = std::numeric_limits<std::uint32_t>::max();
 
@@ -43,13 +45,14 @@
 
 struct WireState
 {
-    std::int64_t revision = -1;
+    std::uint32_t era = 0;
+    std::int64_t revision = StorePosition::kNoRevision;
     std::uint32_t ageMs = kUnconfirmedAgeMs;
 
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->revision, this->ageMs);
+        archive(this->era, this->revision, this->ageMs);
     }
 };
 
@@ -66,6 +69,8 @@
     std::uint64_t sequence = 0;
     std::uint8_t flags = 0;
     std::array<WireState, kStoreKinds> states;
+    /** Other kinds have no versions. */
+    std::int64_t configVersion = 0;
     std::vector<ServerKey> suspects;
     std::uint64_t quarantineDigest = 0;
 
@@ -78,6 +83,7 @@
         archive(this->relayPort, this->incarnation, this->sequence, this->flags);
         for (WireState &state : this->states)
             archive(state);
+        archive(this->configVersion);
         archiveWithByteCount(archive, this->suspects);
         archive(this->quarantineDigest);
     }
@@ -206,12 +212,14 @@
                                            | (header.lendsShare ? 0 : KeepsShare));
     for (std::size_t i = 0; i < kStoreKinds; ++i) {
         const KindState &state = header.states[i];
-        wire.states[i].revision = state.contentRevision;
+        wire.states[i].era = static_cast<std::uint32_t>(state.content.era);
+        wire.states[i].revision = state.content.revision;
         if (state.confirmedAt != absl::InfinitePast())
             // Rounded up: a state that is sent as fresher than it is would be trusted for too long.
             wire.states[i].ageMs =
                 saturate<std::uint32_t>(absl::ToDoubleMilliseconds(now - state.confirmedAt) + 1.0);
     }
+    wire.configVersion = header.states[kConfigIndex].version;
     const std::size_t suspects = std::min(header.suspects.size(), kMaxElements);
     wire.suspects.assign(header.suspects.begin(),
                          header.suspects.begin() + static_cast<std::ptrdiff_t>(suspects));
@@ -233,10 +241,11 @@
     header.lendsShare = (wire.flags & KeepsShare) == 0;
     for (std::size_t i = 0; i < kStoreKinds; ++i) {
         const WireState &state = wire.states[i];
-        header.states[i].contentRevision = state.revision;
+        header.states[i].content = {state.era, state.revision};
         if (state.ageMs != kUnconfirmedAgeMs)
             header.states[i].confirmedAt = now - absl::Milliseconds(state.ageMs);
     }
+    header.states[kConfigIndex].version = wire.configVersion;
     header.suspects = std::move(wire.suspects);
     header.quarantineDigest = wire.quarantineDigest;
     return header;
--- a/main/gateway/kind_cache.cpp
+++ b/main/gateway/kind_cache.cpp
@@ -3,28 +3,29 @@
 namespace foxtailtally {
 
 void KindCache::replace(const std::vector<platform::StoredObject> &listed,
-                        std::int64_t listRevision)
+                        const StorePosition &listPosition)
 {
     this->objects.clear();
     for (const platform::StoredObject &object : listed)
         this->objects[object.name] = object;
     this->log.clear();
-    this->currentRevision = std::max(this->currentRevision, listRevision);
-    this->logStart = this->currentRevision;
-    this->lastChange = this->currentRevision;
+    this->currentPosition = std::max(this->currentPosition, listPosition);
+    this->logStart = this->currentPosition.revision;
+    this->lastChange = this->currentPosition;
     this->known = true;
 }
 
-void KindCache::apply(const std::vector<platform::ObjectChange> &changes, std::int64_t newRevision)
+void KindCache::apply(const std::vector<platform::ObjectChange> &changes,
+                      const StorePosition &newPosition)
 {
-    this->currentRevision = std::max(this->currentRevision, newRevision);
-    this->lastChange = this->currentRevision;
+    this->currentPosition = std::max(this->currentPosition, newPosition);
+    this->lastChange = this->currentPosition;
     for (const platform::ObjectChange &change : changes) {
         if (change.isDeleted)
             this->objects.erase(change.object.name);
         else
             this->objects[change.object.name] = change.object;
-        this->log.push_back({this->currentRevision, change});
+        this->log.push_back({this->currentPosition.revision, change});
     }
     while (this->log.size() > kMaxKeptChanges) {
         this->logStart = this->log.front().revision;
@@ -35,21 +36,21 @@
 platform::ObjectPage KindCache::page() const
 {
     platform::ObjectPage page;
-    page.revision = this->currentRevision;
+    page.revision = this->currentPosition.revision;
     for (const auto &[name, object] : this->objects)
         page.objects.push_back(object);
     return page;
 }
 
-std::optional<platform::ObjectChanges> KindCache::changesSince(std::int64_t from) const
+std::optional<platform::ObjectChanges> KindCache::changesSince(const StorePosition &from) const
 {
-    if (from < this->logStart)
+    if (from.era != this->currentPosition.era || from.revision < this->logStart)
         return std::nullopt;
     // An instance that has read the store itself may be ahead of this one.
     platform::ObjectChanges changes;
-    changes.revision = std::max(from, this->currentRevision);
+    changes.revision = std::max(from.revision, this->currentPosition.revision);
     for (const LoggedChange &logged : this->log) {
-        if (logged.revision > from)
+        if (logged.revision > from.revision)
             changes.changes.push_back(logged.change);
     }
     return changes;
--- a/main/gateway/kind_cache.h
+++ b/main/gateway/kind_cache.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "platform/store_objects.h"
+#include "servers/catalog/store_position.h"
 
 #include <absl/container/btree_map.h>
 #include <absl/time/time.h>
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -19,26 +21,31 @@
     /** Changes that are kept for other instances; one that lags further behind must list again. */
     static constexpr std::size_t kMaxKeptChanges = 256;
 
-    void replace(const std::vector<platform::StoredObject> &listed, std::int64_t listRevision);
-    void apply(const std::vector<platform::ObjectChange> &changes, std::int64_t newRevision);
-    /** Nothing has changed up to @p newRevision. */
-    void advance(std::int64_t newRevision)
+    /** @p listed: the objects at @p listPosition; a list of a later era replaces all that is held
+     * from an earlier one. */
+    void replace(const std::vector<platform::StoredObject> &listed,
+                 const StorePosition &listPosition);
+    /** @p changes and @p newPosition are of the era that is held. */
+    void apply(const std::vector<platform::ObjectChange> &changes,
+               const StorePosition &newPosition);
+    /** Nothing has changed up to @p newPosition, in the era that is held. */
+    void advance(const StorePosition &newPosition)
     {
-        this->currentRevision = std::max(this->currentRevision, newRevision);
+        this->currentPosition = std::max(this->currentPosition, newPosition);
     }
     void confirm(absl::Time moment) { this->confirmedAt = std::max(this->confirmedAt, moment); }
 
     /** False until the kind has been listed. */
     bool isKnown() const { return this->known; }
-    /** All changes up to this revision are known. */
-    std::int64_t revision() const { return this->currentRevision; }
-    /** Revision of the last list, or of the last change since. */
-    std::int64_t contentRevision() const { return this->lastChange; }
+    /** All changes up to this position are known. */
+    const StorePosition &position() const { return this->currentPosition; }
+    /** Position of the last list, or of the last change since. */
+    const StorePosition &contentPosition() const { return this->lastChange; }
     absl::Time lastConfirmedAt() const { return this->confirmedAt; }
     absl::Duration age(absl::Time now) const { return now - this->confirmedAt; }
     platform::ObjectPage page() const;
-    /** Changes after @p from; nothing when they are no longer kept. */
-    std::optional<platform::ObjectChanges> changesSince(std::int64_t from) const;
+    /** Changes after @p from; nothing when they are no longer kept or @p from is of another era. */
+    std::optional<platform::ObjectChanges> changesSince(const StorePosition &from) const;
 
 private:
     struct LoggedChange
@@ -49,9 +56,9 @@
 
     absl::btree_map<std::string, platform::StoredObject> objects;
     std::deque<LoggedChange> log;
-    std::int64_t currentRevision = 0;
-    std::int64_t lastChange = 0;
-    /** Changes after this revision are in the log. */
+    StorePosition currentPosition;
+    StorePosition lastChange;
+    /** Changes after this revision of the current era are in the log. */
     std::int64_t logStart = 0;
     absl::Time confirmedAt = absl::InfinitePast();
     bool known = false;
--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -37,6 +37,9 @@
 /** Largest response body; pages and values of the store are limited to a megabyte each. */
 constexpr std::size_t kMaxBodyBytes = std::size_t {4} << 20;
 
+/** Delay after a response of an earlier era; the same source may send it again. */
+constexpr absl::Duration kOutdatedResponseDelay = absl::Milliseconds(100);
+
 constexpr int kStatusGone = 410;
 
 } // namespace
@@ -67,10 +70,29 @@
     const absl::Time confirmedAt = this->source.confirmedByOthers(this->kind);
     if (confirmedAt > this->objectCache.lastConfirmedAt())
         this->confirm(confirmedAt);
-    this->shortenAnswerTimeout(Clock::now());
+    const absl::Time now = Clock::now();
+    if (this->isWaitingInVain(now)) {
+        if (this->connection->hasCall())
+            this->connection->cancel();
+        this->becomeIdleFor(absl::ZeroDuration());
+    }
+    this->shortenAnswerTimeout(now);
     this->startNextCall();
 }
 
+bool KindWatcher::isWaitingInVain(absl::Time now) const
+{
+    if (this->phase != Phase::Watching && this->phase != Phase::Fetching)
+        return false;
+    // The store would answer this watch at its next change, with what it lists in the new era.
+    if (this->isOutdated())
+        return true;
+    return this->phase == Phase::Watching && this->status == 0
+        && now - this->sentAt > kOvertakenAnswerTimeout
+        && this->source.isVersionOvertaken(this->kind, now)
+        && this->source.isOvertaken(this->kind, now);
+}
+
 void KindWatcher::shortenAnswerTimeout(absl::Time now)
 {
     const bool isUnanswered =
@@ -103,13 +125,13 @@
         this->timer.start(kSourceCheckInterval);
         return;
     case StoreSource::Action::Fetch:
-        if (this->mustList)
+        if (this->mustList || step.mustList || this->isOutdated())
             this->list(step.address, {});
         else
             this->watch(step.address, absl::ZeroDuration());
         return;
     case StoreSource::Action::ReadStore:
-        if (this->mustList)
+        if (this->mustList || this->isOutdated())
             this->list(this->storeAddress, {});
         else
             this->watch(this->storeAddress, step.watch);
@@ -133,8 +155,9 @@
         this->listStartedAt = Clock::now();
     }
     const bool isStore = address == this->storeAddress;
-    this->send(address,
-               platform::listTarget(this->kindName, after, isStore && this->timing.allowsStaleList),
+    // A stale list may show the state before a restore.
+    const bool allowsStale = isStore && this->timing.allowsStaleList && !this->isOutdated();
+    this->send(address, platform::listTarget(this->kindName, after, allowsStale),
                isStore ? kStoreAnswerTimeout : kRelayAnswerTimeout);
 }
 
@@ -143,7 +166,7 @@
     const bool isStore = address == this->storeAddress;
     this->phase = isStore ? Phase::Watching : Phase::Fetching;
     this->watchTime = wait;
-    this->send(address, platform::watchTarget(this->kindName, this->revision, wait),
+    this->send(address, platform::watchTarget(this->kindName, this->position.revision, wait),
                wait + (isStore ? kStoreAnswerTimeout : kRelayAnswerTimeout));
 }
 
@@ -163,8 +186,16 @@
     this->body.clear();
     this->sentAt = Clock::now();
     this->timer.start(timeout);
-    this->connection->call(absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", address, "\r\n\r\n"),
-                           false, {}, *this);
+    this->responseEra.reset();
+    std::string request = absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", address, "\r\n");
+    if (!this->isSourceStore()) {
+        HttpHeaders headers;
+        platform::addStoreEra(headers, this->position.era);
+        for (const HttpHeader &header : headers.all())
+            absl::StrAppend(&request, header.name, ": ", header.value, "\r\n");
+    }
+    request += "\r\n";
+    this->connection->call(request, false, {}, *this);
 }
 
 void KindWatcher::onResponseHead(OutboundConnection &, const ResponseHead &head)
@@ -172,6 +203,8 @@
     this->status = head.status;
     this->restartAnswerTimeout();
     this->relayFreshness = platform::decodeRelayFreshness(head.headers);
+    if (const Result<std::int64_t> era = platform::decodeStoreEra(head.headers); era.ok())
+        this->responseEra = *era;
     this->isDeflated = head.headers.valueOr("Content-Encoding", "") == "deflate";
 }
 
@@ -196,12 +229,24 @@
     const absl::Time now = Clock::now();
     if (this->relayFreshness.isUnsettled)
         this->storeFailedAt = now;
-    if (this->status == kStatusGone) {
-        this->onHistoryGone(now);
+    if (this->status != 200 && this->status != kStatusGone) {
+        this->onFailure(absl::StrCat("status ", this->status), false);
         return;
     }
-    if (this->status != 200) {
-        this->onFailure(absl::StrCat("status ", this->status), false);
+    if (!this->responseEra) {
+        this->onFailure("unreadable era", false);
+        return;
+    }
+    if (*this->responseEra < this->source.era()) {
+        this->onOutdatedResponse(now);
+        return;
+    }
+    if (*this->responseEra > this->source.era()) {
+        this->source.onEra(*this->responseEra);
+        this->events.onLaterEra();
+    }
+    if (this->status == kStatusGone) {
+        this->onHistoryGone(now);
         return;
     }
     if (this->isDeflated) {
@@ -216,12 +261,37 @@
         this->source.onStoreAnswered();
     else
         this->source.onFetched(this->kind);
-    if (this->phase == Phase::Listing)
+    const bool isFirstPage = this->phase == Phase::Listing && this->listedAfter.empty();
+    const std::int64_t callEra =
+        this->phase == Phase::Listing ? this->listPosition.era : this->position.era;
+    if (!isFirstPage && *this->responseEra != callEra)
+        this->onLaterEra();
+    else if (this->phase == Phase::Listing)
         this->onPage(now);
     else
         this->onChanges(now);
 }
 
+void KindWatcher::onOutdatedResponse(absl::Time now)
+{
+    logEvent(LogLevel::Info, "store_answer_outdated",
+             {{"kind", this->kindName},
+              {"source", this->sourceAddress},
+              {"era", *this->responseEra},
+              {"known_era", this->source.era()}});
+    if (!this->isSourceStore())
+        this->source.onFetchFailed(this->kind, this->sourceAddress, now);
+    // The next call uses a new connection; this one may lead to a process that is gone.
+    this->sourceAddress.clear();
+    this->becomeIdleFor(kOutdatedResponseDelay);
+}
+
+void KindWatcher::onLaterEra()
+{
+    this->mustList = true;
+    this->becomeIdleFor(absl::ZeroDuration());
+}
+
 void KindWatcher::onHistoryGone(absl::Time now)
 {
     logEvent(LogLevel::Info, "store_history_gone",
@@ -243,7 +313,7 @@
         this->events.onUnnamed(page->unnamed);
     // Objects of earlier pages may have changed since; a watch from here reports these changes.
     if (this->listedAfter.empty())
-        this->listRevision = page->revision;
+        this->listPosition = {*this->responseEra, page->revision};
     const std::string lastName = page->objects.empty() ? std::string() : page->objects.back().name;
     for (platform::StoredObject &object : page->objects)
         this->listedSoFar.push_back(std::move(object));
@@ -255,13 +325,26 @@
             this->list(this->sourceAddress, lastName);
         return;
     }
-    this->revision = this->listRevision;
+    const StorePosition held = this->objectCache.position();
+    const bool isRestored = this->objectCache.isKnown() && this->listPosition.era > held.era;
+    this->position = this->listPosition;
     this->mustList = false;
     if (this->consecutiveFailures > 0)
         logEvent(LogLevel::Info, "store_regained", {{"kind", this->kindName}});
     this->consecutiveFailures = 0;
+    if (isRestored)
+        this->events.onRestored(held, this->position, now);
     this->events.onObjects(this->listedSoFar, !this->isSettled(now), now);
-    this->objectCache.replace(this->listedSoFar, this->revision);
+    if (isRestored)
+        logEvent(LogLevel::Warning, "store_era",
+                 {{"kind", this->kindName},
+                  {"old_era", held.era},
+                  {"new_era", this->position.era},
+                  {"held_revision", held.revision},
+                  {"found_revision", this->position.revision},
+                  {"listed", this->listedSoFar.size()},
+                  {"retained", this->events.retainedObjects()}});
+    this->objectCache.replace(this->listedSoFar, this->position);
     this->listedSoFar.clear();
     this->confirm(this->listStartedAt - this->relayFreshness.age);
     this->events.onCacheChanged();
@@ -284,11 +367,12 @@
     const bool isEmpty = !hasChanged && changes->unnamed == 0;
     for (platform::ObjectChange &change : changes->changes)
         this->events.onChange(change, !this->isSettled(now), now);
+    const StorePosition reached = {*this->responseEra, changes->revision};
     if (hasChanged)
-        this->objectCache.apply(changes->changes, changes->revision);
+        this->objectCache.apply(changes->changes, reached);
     else
-        this->objectCache.advance(changes->revision);
-    this->revision = std::max(this->revision, changes->revision);
+        this->objectCache.advance(reached);
+    this->position = std::max(this->position, reached);
     // An empty response was sent when the requested wait was over; one with changes, at any time
     // since the call.
     const bool waitedFully = isEmpty && now - this->sentAt >= this->watchTime;
@@ -301,18 +385,22 @@
 
 void KindWatcher::confirm(absl::Time moment)
 {
-    this->objectCache.confirm(moment);
+    const bool isNewest =
+        this->events.isNewest() && !this->source.isVersionOvertaken(this->kind, Clock::now());
+    if (isNewest)
+        this->objectCache.confirm(moment);
     this->reportState();
-    this->events.onConfirmed(moment);
+    if (isNewest)
+        this->events.onConfirmed(moment);
 }
 
 void KindWatcher::reportState()
 {
     if (this->objectCache.isKnown())
         this->source.setHeldState(this->kind,
-                                  {this->objectCache.contentRevision(),
-                                   this->objectCache.revision(),
-                                   this->objectCache.lastConfirmedAt()});
+                                  {this->objectCache.contentPosition(),
+                                   this->objectCache.position(),
+                                   this->objectCache.lastConfirmedAt(), this->events.version()});
 }
 
 void KindWatcher::onCallFailed(OutboundConnection &, std::error_code error)
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,8 +35,17 @@
     virtual void onChange(platform::ObjectChange &change, bool storeUnsettled, absl::Time now) = 0;
     /** @p count entries or changes had no readable name and were left out. */
     virtual void onUnnamed(std::size_t count) = 0;
-    /** All changes up to @p moment have been reported. */
+    /** All changes up to @p moment have been reported, and isNewest() holds. */
     virtual void onConfirmed(absl::Time moment) = 0;
+    /** False while the store shows an older state than the one that is kept; what is kept is not
+     * confirmed to be the newest then. */
+    virtual bool isNewest() const { return true; }
+    /** Version that the objects carry themselves; 0 for kinds without one. */
+    virtual std::int64_t version() const { return 0; }
+    /** Number of objects that are kept although the last list lacked them or held older ones. */
+    virtual std::size_t retainedObjects() const { return 0; }
+    /** A response has shown a later era of the store than was known: all kinds must be listed. */
+    virtual void onLaterEra() { }
     /** Called after the events above when the watcher's cache has changed. */
     virtual void onCacheChanged() = 0;
 };
@@ -87,6 +97,15 @@
     void list(const std::string &address, std::string_view after);
     void watch(const std::string &address, absl::Duration wait);
     void send(const std::string &address, const std::string &target, absl::Duration timeout);
+    /** True while a call waits for changes of an earlier era, or for the store although another
+     * instance holds a newer version. */
+    bool isWaitingInVain(absl::Time now) const;
+    /** What is held is of an earlier era than the store's. */
+    bool isOutdated() const { return this->position.era < this->source.era(); }
+    /** The response is of an earlier era; it is neither used nor taken for a confirmation. */
+    void onOutdatedResponse(absl::Time now);
+    /** The response is of a later era than the call. */
+    void onLaterEra();
     /** The store, or an instance, no longer has the changes since the known revision. */
     void onHistoryGone(absl::Time now);
     void onPage(absl::Time now);
@@ -113,6 +132,8 @@
     KindCache objectCache;
     std::string sourceAddress;
     platform::RelayFreshness relayFreshness;
+    /** Era of the response; empty if its header cannot be decoded. */
+    std::optional<std::int64_t> responseEra;
     bool isDeflated = false;
     absl::Duration watchTime = absl::ZeroDuration();
     Phase phase = Phase::Idle;
@@ -123,9 +144,10 @@
     std::vector<platform::StoredObject> listedSoFar;
     /** Name after which the page in flight begins; empty for the first page. */
     std::string listedAfter;
-    /** Store revision of the first page of the list in progress. */
-    std::int64_t listRevision = 0;
-    std::int64_t revision = 0;
+    /** Position of the first page of the list in progress. */
+    StorePosition listPosition;
+    /** Position from which the next watch continues. */
+    StorePosition position;
     absl::Time sentAt = absl::InfinitePast();
     absl::Time listStartedAt = absl::InfinitePast();
     absl::Time storeFailedAt = absl::InfinitePast();
--- a/main/gateway/store_relay.cpp
+++ b/main/gateway/store_relay.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr int kStatusBadRequest = 400;
 constexpr int kStatusGone = 410;
 constexpr int kStatusUnavailable = 503;
 
@@ -57,10 +58,18 @@
         connection.answer(kStatusUnavailable, {}, {});
         return;
     }
+    const Result<std::int64_t> era = platform::decodeStoreEra(connection.head().headers);
+    if (!era.ok()) {
+        connection.answer(kStatusBadRequest, {}, {});
+        return;
+    }
     const KindCache &cache = found->second->cache();
     const absl::Duration wait =
         query.watchFrom ? std::min(query.wait, kMaxWatchTime) : kMaxListWait;
-    const PendingRequest request = {&connection, query.kind, query.watchFrom, now + wait};
+    std::optional<StorePosition> watchFrom;
+    if (query.watchFrom)
+        watchFrom = StorePosition {*era, *query.watchFrom};
+    const PendingRequest request = {&connection, query.kind, watchFrom, now + wait};
     if (this->canAnswer(request, cache)) {
         this->answerRequest(request, now);
         return;
@@ -133,6 +142,7 @@
     }
     const platform::RelayFreshness freshness = {cache.age(now), !watcher.isSettled(now)};
     HttpHeaders headers = platform::relayHeaders(freshness);
+    platform::addStoreEra(headers, cache.position().era);
     const EncodedAnswer *encodedBody = this->encodedAnswer(request, cache);
     if (!encodedBody) {
         request.connection->answer(kStatusGone, headers, {});
@@ -148,11 +158,11 @@
 {
     std::deque<EncodedAnswer> &kept = this->encodedAnswers[request.kind];
     const auto same = std::find_if(kept.begin(), kept.end(), [&](const EncodedAnswer &answer) {
-        return answer.from == request.watchFrom && answer.to == cache.revision();
+        return answer.from == request.watchFrom && answer.to == cache.position();
     });
     if (same != kept.end())
         return &*same;
-    EncodedAnswer answer = {request.watchFrom, cache.revision(), {}, false};
+    EncodedAnswer answer = {request.watchFrom, cache.position(), {}, false};
     if (request.watchFrom) {
         const std::optional<platform::ObjectChanges> changes =
             cache.changesSince(*request.watchFrom);
--- a/main/gateway/store_relay.h
+++ b/main/gateway/store_relay.h
@@ -23,7 +23,7 @@
 /**
  * Serves this instance's copy of the store to the instances that follow it, over the store's own
  * protocol: lists, and watches that are answered with the next change or when their time is over.
- * Each response states how long ago its content was known to be current.
+ * Each response states the era of its content and how long ago it was known to be current.
  */
 class StoreRelay final : private InboundEvents
 {
@@ -43,17 +43,17 @@
     {
         InboundConnection *connection = nullptr;
         std::string kind;
-        /** Revision from which changes are watched; absent for a list. */
-        std::optional<std::int64_t> watchFrom;
+        /** Position from which changes are watched; absent for a list. */
+        std::optional<StorePosition> watchFrom;
         absl::Time until;
     };
 
     /** Encoded response, kept for other instances that ask for the same. */
     struct EncodedAnswer
     {
-        /** Revision after which the response lists changes; absent for a list. */
-        std::optional<std::int64_t> from;
-        std::int64_t to = -1;
+        /** Position after which the response lists changes; absent for a list. */
+        std::optional<StorePosition> from;
+        StorePosition to;
         std::string body;
         bool isDeflated = false;
     };
--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/log.h"
 #include "core/text.h"
+#include "main/gateway/held_config.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -73,6 +74,7 @@
     { }
 
     void onConfirmed(absl::Time) override { }
+    void onLaterEra() final { this->sync.eraTimer.start(absl::ZeroDuration()); }
     void onUnnamed(std::size_t count) final
     {
         this->countUnreadable(count, LogLevel::Warning, "entries_unnamed", {{"kind", this->kind}});
@@ -130,17 +132,26 @@
     {
         for (StoredObject &object : objects)
             this->adopt(object);
+        this->held.addIfMissing(objects);
     }
     void onChange(ObjectChange &change, bool, absl::Time) override
     {
         if (!change.isDeleted)
             this->adopt(change.object);
+        else if (change.object.name == platform::kConfigName)
+            this->held.onDeleted(change);
     }
     void onConfirmed(absl::Time moment) override
     {
         if (this->context.config)
             this->context.freshness.confirm(moment);
     }
+    bool isNewest() const override { return this->held.isShown(); }
+    std::int64_t version() const override { return this->held.version(); }
+    std::size_t retainedObjects() const override
+    {
+        return this->held.config() && !this->held.isShown() ? 1 : 0;
+    }
 
 private:
     void adopt(StoredObject &object)
@@ -149,25 +160,28 @@
             object.spec.clear();
             return;
         }
-        if (object.revision <= this->revision)
+        switch (this->held.adopt(object)) {
+        case HeldConfig::Outcome::Unchanged:
             return;
-        Result<std::shared_ptr<const ServingConfig>> config = platform::decodeConfig(object.spec);
-        if (!config.ok()) {
+        case HeldConfig::Outcome::Unreadable:
             this->reportUnreadable(LogLevel::Error, "config_unreadable", object);
             return;
-        }
-        // Versions never go back while this process runs.
-        if (this->context.config && (*config)->version() < this->context.config->version())
+        case HeldConfig::Outcome::Retained:
+            logEvent(LogLevel::Warning, "config_retained",
+                     {{"version", this->held.version()}, {"revision", object.revision}});
             return;
-        this->revision = object.revision;
-        this->context.config = std::move(*config);
-        logEvent(LogLevel::Info, "config_adopted",
-                 {{"version", this->context.config->version()},
-                  {"revision", object.revision},
-                  {"routes", this->context.config->routeCount()}});
+        case HeldConfig::Outcome::Adopted:
+            this->context.config = this->held.config();
+            logEvent(LogLevel::Info, "config_adopted",
+                     {{"version", this->held.version()},
+                      {"revision", object.revision},
+                      {"retained", object.isRetained},
+                      {"routes", this->context.config->routeCount()}});
+            return;
+        }
     }
 
-    std::int64_t revision = -1;
+    HeldConfig held;
 };
 
 class StoreSync::ServerEvents final : public RelayedKindEvents
@@ -455,6 +469,7 @@
     , deathEvents(std::make_unique<DeathEvents>(*this))
     , instanceEvents(std::make_unique<InstanceEvents>(*this))
     , startTimer(context.base, [this] { this->onStartTimer(); })
+    , eraTimer(context.base, [this] { this->onPeerUpdate(); })
     , registration(std::make_unique<Registration>(context, instanceRecord(this->context.settings)))
 {
     const auto follow = [this](StoreKind kind, std::string_view name,
--- a/main/gateway/store_sync.h
+++ b/main/gateway/store_sync.h
@@ -70,6 +70,8 @@
     const KindWatcher *serverWatcher = nullptr;
     /** Delays the first reads when all instances start at once. */
     LoopTimer startTimer;
+    /** Lets all kinds know of a later era after the callback that has seen it. */
+    LoopTimer eraTimer;
     std::unique_ptr<Registration> registration;
 };
 
--- a/servers/catalog/store_position.h
+++ b/servers/catalog/store_position.h
@@ -27,7 +27,7 @@
     {
         return this->isKnown() && this->era == other.era && this->revision <= other.revision;
     }
-    auto operator<=>(const StorePosition &) const = default;
+    auto operator<=>(const StorePosition &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace foxtailtally
--- a/servers/catalog/store_source.cpp
+++ b/servers/catalog/store_source.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace foxtailtally {
 
@@ -25,11 +26,15 @@
     for (std::size_t i = 0; i < kStoreKinds; ++i) {
         const KindState &announced = states[i];
         KindState &known = announcer.states[i];
-        // After a restart the instance may hold an older revision than before.
-        const bool isSame = known.contentRevision == announced.contentRevision;
+        // After a restart the instance may hold an older position than before.
+        const bool isSame =
+            known.content == announced.content && known.version == announced.version;
         known.confirmedAt =
             isSame ? std::max(known.confirmedAt, announced.confirmedAt) : announced.confirmedAt;
-        known.contentRevision = announced.contentRevision;
+        known.content = announced.content;
+        known.version = announced.version;
+        if (announced.content.isKnown())
+            this->onEra(announced.content.era);
     }
 }
 
@@ -57,20 +62,40 @@
 const StoreSource::Announcer *StoreSource::newestAnnouncer(StoreKind kind, absl::Time now) const
 {
     const KindState &own = this->held[indexOf(kind)];
+    const auto stateOf = [kind](const Announcer &announcer) -> const KindState & {
+        return announcer.states[indexOf(kind)];
+    };
     const Announcer *newest = nullptr;
     for (const auto &[instance, announcer] : this->announcers) {
-        const KindState &announced = announcer.states[indexOf(kind)];
-        const bool isUsable = now - announcer.announcedAt < kAnnouncementLifetime
-            && now - announcer.fetchFailedAt >= kFetchFailureBackoff
-            && announced.contentRevision > own.currentRevision;
-        if (!isUsable)
+        const KindState &announced = stateOf(announcer);
+        const bool isReachable = now - announcer.announcedAt < kAnnouncementLifetime
+            && now - announcer.fetchFailedAt >= kFetchFailureBackoff;
+        // An instance that still holds the history before a restore does not lead.
+        const bool isOfThisEra =
+            announced.content.isKnown() && announced.content.era == this->latestEra;
+        const bool isAhead = announced.content > own.current
+            || (announced.version > own.version
+                && now - announcer.versionFetchedAt >= kVersionFetchInterval);
+        if (!isReachable || !isOfThisEra || !isAhead)
             continue;
-        if (!newest || announced.contentRevision > newest->states[indexOf(kind)].contentRevision)
+        if (!newest
+            || std::tie(announced.version, announced.content)
+                > std::tie(stateOf(*newest).version, stateOf(*newest).content))
             newest = &announcer;
     }
     return newest;
 }
 
+bool StoreSource::isVersionOvertaken(StoreKind kind, absl::Time now) const
+{
+    return std::any_of(this->announcers.begin(), this->announcers.end(),
+                       [&](const auto &announcer) {
+                           return now - announcer.second.announcedAt < kAnnouncementLifetime
+                               && announcer.second.states[indexOf(kind)].version
+                               > this->held[indexOf(kind)].version;
+                       });
+}
+
 StoreSource::Step StoreSource::next(StoreKind kind, absl::Time now)
 {
     this->startedAt = std::min(this->startedAt, now);
@@ -80,12 +105,25 @@
         failures = 0;
     const Announcer *newest = cannotFetch ? nullptr : this->newestAnnouncer(kind, now);
     if (newest)
-        return {Action::Fetch, newest->relayAddress, absl::ZeroDuration()};
+        return this->fetchFrom(*newest, kind, now);
     if (!cannotFetch && !this->mayReadStore(kind, now))
         return {};
     // After a failure the store is read without waiting, so that a time-out is noticed sooner.
     const bool isProbe = this->storeFailures > 0;
-    return {Action::ReadStore, {}, isProbe ? absl::ZeroDuration() : watchTime(kind)};
+    return {Action::ReadStore, {}, false, isProbe ? absl::ZeroDuration() : watchTime(kind)};
+}
+
+StoreSource::Step StoreSource::fetchFrom(const Announcer &announcer, StoreKind kind, absl::Time now)
+{
+    const bool hasNewerVersion =
+        announcer.states[indexOf(kind)].version > this->held[indexOf(kind)].version;
+    if (hasNewerVersion) {
+        for (auto &[instance, known] : this->announcers) {
+            if (&known == &announcer)
+                known.versionFetchedAt = now;
+        }
+    }
+    return {Action::Fetch, announcer.relayAddress, hasNewerVersion, absl::ZeroDuration()};
 }
 
 absl::Time StoreSource::confirmedByOthers(StoreKind kind) const
@@ -93,10 +131,10 @@
     absl::Time latest = absl::InfinitePast();
     for (const auto &[instance, announcer] : this->announcers) {
         const KindState &announced = announcer.states[indexOf(kind)];
-        // An instance with later changes does not confirm the revision held here.
-        const bool isCovered = announced.contentRevision >= 0
-            && announced.contentRevision <= this->held[indexOf(kind)].currentRevision;
-        if (isCovered)
+        // An instance with later changes, of another era or with another version does not confirm
+        // what is held here.
+        const KindState &own = this->held[indexOf(kind)];
+        if (announced.content.isCoveredBy(own.current) && announced.version == own.version)
             latest = std::max(latest, announced.confirmedAt);
     }
     return latest;
@@ -110,7 +148,7 @@
         return false;
     if (position > 0) {
         const auto later = static_cast<std::int64_t>(position - 1);
-        const bool isKnown = this->held[indexOf(kind)].currentRevision >= 0;
+        const bool isKnown = this->held[indexOf(kind)].current.isKnown();
         const absl::Duration takeoverDelay = isKnown
             ? watchTime(kind) + kTakeoverDelay + kTakeoverDelayStep * later
             : kStartupTakeoverDelay + kStartupTakeoverDelayStep * later;
--- a/servers/catalog/store_source.h
+++ b/servers/catalog/store_source.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "core/ids.h"
+#include "servers/catalog/store_position.h"
 #include "servers/fleet/instance_record.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -23,12 +25,15 @@
 /** Version of the objects of one kind that an instance holds. */
 struct KindState
 {
-    /** Revision of the last change that it holds; -1 before it has read the kind. */
-    std::int64_t contentRevision = -1;
-    /** Revision up to which it holds all changes; not announced to other instances. */
-    std::int64_t currentRevision = -1;
+    /** Position of the last change that it holds; unknown before it has read the kind. */
+    StorePosition content;
+    /** Position up to which it holds all changes; not announced to other instances. */
+    StorePosition current;
     /** Latest time at which this was known to be the newest version. */
     absl::Time confirmedAt = absl::InfinitePast();
+    /** Version that the objects carry themselves; it may be newer than what the store shows at this
+     * position. 0 for kinds without one. */
+    std::int64_t version = 0;
 };
 
 using KindStates = std::array<KindState, kStoreKinds>;
@@ -70,6 +75,9 @@
     static constexpr absl::Duration kAnnouncementLifetime = absl::Seconds(1);
     /** Time for which nothing is fetched from an instance after a failed fetch. */
     static constexpr absl::Duration kFetchFailureBackoff = absl::Milliseconds(500);
+    /** Time for which a newer version is not fetched again from an instance: the objects that it
+     * relays may turn out not to be readable here. */
+    static constexpr absl::Duration kVersionFetchInterval = absl::Milliseconds(500);
     /** Consecutive failed fetches of a kind after which the store is read, whatever the rank: other
      * instances may be heard and yet be out of reach. */
     static constexpr int kFetchFailuresUntilStoreRead = 2;
@@ -95,7 +103,7 @@
     enum class Action {
         /** Nothing to do until another instance announces something or time has passed. */
         Wait,
-        /** Fetch the objects from another instance, which holds a later revision. */
+        /** Fetch the objects from another instance, which holds a later position or version. */
         Fetch,
         ReadStore,
     };
@@ -104,6 +112,8 @@
         Action action = Action::Wait;
         /** Relay address of the instance to fetch from. */
         std::string address;
+        /** The objects must be listed: no change of position leads to them. */
+        bool mustList = false;
         /** Time for which a watch may wait for a change at the store. */
         absl::Duration watch = absl::ZeroDuration();
     };
@@ -137,6 +147,7 @@
     void setHeldState(StoreKind kind, const KindState &state)
     {
         this->held[static_cast<std::size_t>(kind)] = state;
+        this->onEra(state.content.era);
     }
     const KindStates &states() const { return this->held; }
 
@@ -147,13 +158,22 @@
     /** The store does not answer this instance; others read it instead. */
     bool isStoreLost(absl::Time now) const;
 
+    /** The store or an instance has shown that the store is in @p era. */
+    void onEra(std::int64_t era) { this->latestEra = std::max(this->latestEra, era); }
+    /** Latest era of the store that is known. What is held from an earlier one must be listed
+     * again, and responses of an earlier one are outdated. */
+    std::int64_t era() const { return this->latestEra; }
+
     /** What to do for @p kind now. */
     Step next(StoreKind kind, absl::Time now);
-    /** Another instance holds a later revision of @p kind, which can be fetched. */
+    /** Another instance holds a later position or version of @p kind, which can be fetched. */
     bool isOvertaken(StoreKind kind, absl::Time now) const
     {
         return this->newestAnnouncer(kind, now) != nullptr;
     }
+    /** An instance has announced a newer version of @p kind than the one held here, which is
+     * therefore not the newest. */
+    bool isVersionOvertaken(StoreKind kind, absl::Time now) const;
     /** Latest time at which another instance confirmed that the copy of @p kind is the newest. */
     absl::Time confirmedByOthers(StoreKind kind) const;
 
@@ -165,10 +185,14 @@
         KindStates states;
         absl::Time announcedAt = absl::InfinitePast();
         absl::Time fetchFailedAt = absl::InfinitePast();
+        /** When a newer version was last fetched from it. */
+        absl::Time versionFetchedAt = absl::InfinitePast();
     };
 
-    /** The instance that announces the latest revision of @p kind; null if none is ahead. */
+    /** The instance that announces the newest version of @p kind, or the latest position of that
+     * version; null if none is ahead. */
     const Announcer *newestAnnouncer(StoreKind kind, absl::Time now) const;
+    Step fetchFrom(const Announcer &announcer, StoreKind kind, absl::Time now);
     /** Number of instances that read the store in preference to this one; zero for the one that
      * watches it. */
     std::size_t position(absl::Time now) const;
@@ -187,6 +211,7 @@
     KindStates held;
     std::array<int, kStoreKinds> fetchFailures {};
     absl::flat_hash_map<InstanceId, Announcer> announcers;
+    std::int64_t latestEra = 0;
     absl::Time startedAt = absl::InfiniteFuture();
     absl::Time storeFailedAt = absl::InfinitePast();
     int storeFailures = 0;
--- a/tests/catalog/store_source_test.cpp
+++ b/tests/catalog/store_source_test.cpp
@@ -22,7 +22,7 @@
 KindStates confirmedAt(std::int64_t revision, absl::Time moment)
 {
     KindStates states;
-    states[0] = {revision, revision, moment};
+    states[0] = {{0, revision}, {0, revision}, moment};
     return states;
 }
 
@@ -34,7 +34,7 @@
     place.others = {kStronger};
     place.domains = 2;
     source.setTopology(place);
-    source.setHeldState(StoreKind::Config, {5, 5, kNow});
+    source.setHeldState(StoreKind::Config, {{0, 5}, {0, 5}, kNow});
     source.onPeerUpdate(kStronger.id, kStronger.relayAddress, false, confirmedAt(5, kNow), kNow);
     return source;
 }
@@ -65,7 +65,7 @@
     EXPECT_EQ(source.confirmedByOthers(StoreKind::Config), absl::InfinitePast());
     source.onFetchFailed(StoreKind::Config, kStronger.relayAddress, kNow);
     EXPECT_NE(source.next(StoreKind::Config, kNow).action, Action::Fetch);
-    source.setHeldState(StoreKind::Config, {7, 7, kNow});
+    source.setHeldState(StoreKind::Config, {{0, 7}, {0, 7}, kNow});
     EXPECT_EQ(source.confirmedByOthers(StoreKind::Config), kNow);
 }
 
@@ -134,5 +134,91 @@
     EXPECT_EQ(source.confirmedByOthers(StoreKind::Config), absl::InfinitePast());
 }
 
+KindState state(const StorePosition &position, std::int64_t version = 0)
+{
+    return {position, position, kNow, version};
+}
+
+KindStates configState(const KindState &config)
+{
+    KindStates states;
+    states[static_cast<std::size_t>(StoreKind::Config)] = config;
+    return states;
+}
+
+// The instance with the highest revision holds the lost history after a restore; it led the others
+// back and confirmed what they held.
+TEST(StoreSource, NeitherFollowsNorTrustsAnEarlierEra)
+{
+    StoreSource source = second();
+    source.setHeldState(StoreKind::Config, state({2, 5}));
+    source.onPeerUpdate(kStronger.id, kStronger.relayAddress, false, configState(state({1, 900})),
+                        kNow);
+    EXPECT_NE(source.next(StoreKind::Config, kNow).action, Action::Fetch);
+    EXPECT_EQ(source.confirmedByOthers(StoreKind::Config), absl::InfinitePast());
+    source.onPeerUpdate(kStronger.id, kStronger.relayAddress, false, configState(state({1, 3})),
+                        kNow);
+    EXPECT_EQ(source.confirmedByOthers(StoreKind::Config), absl::InfinitePast());
+}
+
+TEST(StoreSource, FollowsALaterEraUnderALowerRevision)
+{
+    StoreSource source = second();
+    source.setHeldState(StoreKind::Config, state({1, 900}));
+    source.onPeerUpdate(kStronger.id, kStronger.relayAddress, false, configState(state({2, 5})),
+                        kNow);
+    EXPECT_EQ(source.era(), 2);
+    EXPECT_EQ(source.next(StoreKind::Config, kNow).action, Action::Fetch);
+    EXPECT_EQ(source.confirmedByOthers(StoreKind::Config), absl::InfinitePast());
+}
+
+// Whoever holds what the store lacks must not be fetched from before it has listed the new era: its
+// answer would be ignored, again and again.
+TEST(StoreSource, DoesNotFetchFromAnInstanceThatLagsBehindTheKnownEra)
+{
+    StoreSource source = second();
+    source.setHeldState(StoreKind::Config, state({1, 5}, 10));
+    source.onEra(2);
+    source.onPeerUpdate(kStronger.id, kStronger.relayAddress, false,
+                        configState(state({1, 900}, 11)), kNow);
+    EXPECT_NE(source.next(StoreKind::Config, kNow).action, Action::Fetch);
+}
+
+// An instance that started while the store showed an older configuration kept it, although others
+// held the newer one at the same position.
+TEST(StoreSource, FetchesANewerVersionAtTheSamePosition)
+{
+    StoreSource source = second();
+    source.setHeldState(StoreKind::Config, state({2, 5}, 10));
+    source.onPeerUpdate(kStronger.id, kStronger.relayAddress, false, configState(state({2, 5}, 12)),
+                        kNow);
+    EXPECT_TRUE(source.isVersionOvertaken(StoreKind::Config, kNow));
+    const StoreSource::Step step = source.next(StoreKind::Config, kNow);
+    EXPECT_EQ(step.action, Action::Fetch);
+    EXPECT_TRUE(step.mustList);
+    // The version may not be readable here; it must not be fetched in a loop.
+    EXPECT_NE(source.next(StoreKind::Config, kNow).action, Action::Fetch);
+    const absl::Time later = kNow + StoreSource::kVersionFetchInterval;
+    EXPECT_EQ(source.next(StoreKind::Config, later).action, Action::Fetch);
+    source.setHeldState(StoreKind::Config, state({2, 5}, 12));
+    EXPECT_FALSE(source.isVersionOvertaken(StoreKind::Config, later));
+    EXPECT_NE(source.next(StoreKind::Config, later).action, Action::Fetch);
+}
+
+// An instance with the older version, which the store shows, confirmed the newer one held here.
+TEST(StoreSource, IsConfirmedOnlyByInstancesWithTheSameVersion)
+{
+    StoreSource source = second();
+    source.setHeldState(StoreKind::Config, state({2, 5}, 12));
+    for (const std::int64_t version : {10, 13}) {
+        source.onPeerUpdate(kStronger.id, kStronger.relayAddress, false,
+                            configState(state({2, 5}, version)), kNow);
+        EXPECT_EQ(source.confirmedByOthers(StoreKind::Config), absl::InfinitePast());
+    }
+    source.onPeerUpdate(kStronger.id, kStronger.relayAddress, false, configState(state({2, 5}, 12)),
+                        kNow);
+    EXPECT_EQ(source.confirmedByOthers(StoreKind::Config), kNow);
+}
+
 } // namespace
 } // namespace foxtailtally
--- a/tests/fleet/fleet_model.cpp
+++ b/tests/fleet/fleet_model.cpp
@@ -172,7 +172,7 @@
                               states, this->time);
     KindState held = node.held;
     held.confirmedAt = std::max(held.confirmedAt, node.source->confirmedByOthers(kKind));
-    if (held.currentRevision >= 0)
+    if (held.current.isKnown())
         this->adopt(node, held);
 }
 
@@ -203,7 +203,7 @@
     ++this->calls;
     node.call = Call::Watch;
     node.callFails = node.store != StoreAnswer::Serve;
-    const bool hasNewRevision = node.held.currentRevision < this->revisionAt(this->time);
+    const bool hasNewRevision = node.held.current.revision < this->revisionAt(this->time);
     node.watch = next.watch;
     absl::Duration wait = hasNewRevision ? kStep : std::max(kStep, node.watch);
     if (node.store == StoreAnswer::Refuse)
@@ -226,8 +226,8 @@
         }
         node.source->onFetched(kKind);
         KindState state = target.held;
-        state.currentRevision = std::max(node.held.currentRevision, state.currentRevision);
-        state.contentRevision = std::max(node.held.contentRevision, state.contentRevision);
+        state.current.revision = std::max(node.held.current.revision, state.current.revision);
+        state.content.revision = std::max(node.held.content.revision, state.content.revision);
         state.confirmedAt = std::max(node.held.confirmedAt,
                                      node.callSentAt - (this->time - target.held.confirmedAt));
         this->adopt(node, state);
@@ -240,11 +240,11 @@
     node.source->onStoreAnswered();
     const std::int64_t newest = this->revisionAt(this->time);
     KindState state = node.held;
-    if (newest > state.currentRevision)
-        state.contentRevision = newest;
+    if (newest > state.current.revision)
+        state.content.revision = newest;
     const bool waitedFully =
-        newest == state.currentRevision && this->time - node.callSentAt >= StoreSource::kWatchTime;
-    state.currentRevision = newest;
+        newest == state.current.revision && this->time - node.callSentAt >= StoreSource::kWatchTime;
+    state.current.revision = newest;
     state.confirmedAt =
         std::max(state.confirmedAt, waitedFully ? node.callSentAt + node.watch : node.callSentAt);
     this->adopt(node, state);
@@ -263,7 +263,7 @@
 
 absl::Duration FleetModel::lag(std::size_t node) const
 {
-    const auto next = static_cast<std::size_t>(this->nodes[node].held.currentRevision + 1);
+    const auto next = static_cast<std::size_t>(this->nodes[node].held.current.revision + 1);
     if (next >= this->revisions.size())
         return absl::ZeroDuration();
     return this->time - this->revisions[next];
@@ -275,7 +275,7 @@
     for (std::size_t i = 0; i < this->nodes.size(); ++i) {
         const KindState &held = this->nodes[i].held;
         if (held.confirmedAt != absl::InfinitePast()
-            && held.currentRevision < this->revisionAt(held.confirmedAt))
+            && held.current.revision < this->revisionAt(held.confirmedAt))
             result.push_back(i);
     }
     return result;
--- a/tests/gateway/kind_watcher_source_test.cpp
+++ b/tests/gateway/kind_watcher_source_test.cpp
@@ -7,21 +7,39 @@
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 #include <unistd.h>
+#include <utility>
+#include <vector>
 
 namespace foxtailtally {
 namespace {
 
 struct Ignored final : KindEvents
 {
-    void onObjects(std::vector<platform::StoredObject> &, bool, absl::Time) override { }
+    void onRestored(const StorePosition &held, const StorePosition &found, absl::Time) override
+    {
+        this->restores.push_back({held, found});
+    }
+    void onObjects(std::vector<platform::StoredObject> &objects, bool, absl::Time) override
+    {
+        ++this->lists;
+        this->listed = objects.size();
+    }
     void onChange(platform::ObjectChange &, bool, absl::Time) override
     {
+        ++this->changes;
         absl::SleepFor(this->changeDuration);
     }
     void onUnnamed(std::size_t) override { }
-    void onConfirmed(absl::Time) override { }
+    void onConfirmed(absl::Time moment) override { this->confirmedAt = moment; }
     void onCacheChanged() override { }
+    bool isNewest() const override { return this->newest; }
 
+    bool newest = true;
+    int lists = 0;
+    std::size_t listed = 0;
+    int changes = 0;
+    absl::Time confirmedAt = absl::InfinitePast();
+    std::vector<std::pair<StorePosition, StorePosition>> restores;
     absl::Duration changeDuration = absl::ZeroDuration();
 };
 
@@ -32,7 +50,12 @@
     explicit Source(TestLoop &loop)
         : loop(loop)
     { }
-    ~Source() { ::close(this->socket); }
+    ~Source()
+    {
+        ::close(this->socket);
+        for (const int earlier : this->earlierSockets)
+            ::close(earlier);
+    }
 
     std::string address() const { return this->server.address(); }
     /** Runs the loop until a request has arrived and returns its first line. */
@@ -44,23 +67,27 @@
     }
     bool hasRequest()
     {
-        if (this->socket < 0)
-            this->socket = this->server.accept();
+        if (const int accepted = this->server.accept(); accepted >= 0)
+            this->earlierSockets.push_back(std::exchange(this->socket, accepted));
         if (this->socket >= 0)
             this->received += readAvailable(this->socket);
         return this->received.find("\r\n\r\n") != std::string::npos;
     }
-    void answer(const std::string &body) const
+    /** @p era: no header with 0, like a store that does not count its restores. */
+    void answer(const std::string &body, std::int64_t era = 0) const
     {
-        writeAll(
-            this->socket,
-            absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n\r\n", body));
+        const std::string header = era > 0 ? absl::StrCat("Store-Era: ", era, "\r\n") : "";
+        writeAll(this->socket,
+                 absl::StrCat("HTTP/1.1 200 OK\r\n", header, "Content-Length: ", body.size(),
+                              "\r\n\r\n", body));
     }
+    const std::string &request() const { return this->received; }
 
 private:
     TestLoop &loop;
     RawServer server;
     int socket = -1;
+    std::vector<int> earlierSockets;
     std::string received;
 };
 
@@ -88,10 +115,11 @@
         return page;
     }
     /** Another instance announces the change with revision @p revision. */
-    void announce(std::int64_t revision)
+    void announce(std::int64_t revision) { this->announce({0, revision}); }
+    void announce(const StorePosition &position, StoreKind kind = StoreKind::Servers)
     {
         KindStates states;
-        states[static_cast<std::size_t>(StoreKind::Servers)] = {revision, revision, Clock::now()};
+        states[static_cast<std::size_t>(kind)] = {position, position, Clock::now()};
         this->source.onPeerUpdate(InstanceId("other"), this->other.address(), false, states,
                                   Clock::now());
         this->watcher.onPeerUpdate();
@@ -144,5 +172,96 @@
     EXPECT_LT(Clock::now() - watchedAt, StoreSource::kWatchTime + absl::Milliseconds(600));
 }
 
+bool isWatch(const std::string &requestLine)
+{
+    return requestLine.find("Watch=") != std::string::npos;
+}
+
+// A watch from a revision that the restored store has given out again reports only what changed
+// after it: the changes before were skipped.
+TEST_F(KindWatcherSourceTest, ListsAgainWhenAWatchIsAnsweredInALaterEra)
+{
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("a", 50, false)), 3);
+    ASSERT_TRUE(isWatch(this->store.waitForRequest()));
+    this->store.answer(platform::encodeChanges({{{{"b", 51, "{}"}, false}}, 51}), 4);
+    EXPECT_FALSE(isWatch(this->store.waitForRequest()));
+    EXPECT_EQ(this->events.changes, 0);
+    this->store.answer(platform::encodePage(page("c", 20, false)), 4);
+    EXPECT_NE(this->store.waitForRequest().find("Watch=20"), std::string::npos);
+    EXPECT_EQ(this->watcher.cache().position(), (StorePosition {4, 20}));
+    ASSERT_EQ(this->events.restores.size(), 1U);
+    EXPECT_EQ(this->events.restores.front().first, (StorePosition {3, 50}));
+    EXPECT_EQ(this->events.restores.front().second, (StorePosition {4, 20}));
+}
+
+// Objects of two histories were mixed when the store was restored between two pages.
+TEST_F(KindWatcherSourceTest, StartsAListAnewWhenItsPagesAreOfTwoEras)
+{
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("a", 50, true)), 3);
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("b", 40, false)), 4);
+    const std::string again = this->store.waitForRequest();
+    EXPECT_EQ(again.find("After="), std::string::npos) << again;
+    EXPECT_EQ(this->events.lists, 0);
+    this->store.answer(platform::encodePage(page("c", 40, false)), 4);
+    EXPECT_NE(this->store.waitForRequest().find("Watch=40"), std::string::npos);
+    EXPECT_EQ(this->events.listed, 1U);
+}
+
+// An answer of the lost history that arrived late brought back what the restore had undone, and
+// confirmed it.
+TEST_F(KindWatcherSourceTest, IgnoresAnAnswerOfAnEarlierEra)
+{
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("a", 20, false)), 4);
+    this->store.waitForRequest();
+    const absl::Time confirmedAt = this->events.confirmedAt;
+    this->store.answer(platform::encodeChanges({{{{"b", 90, "{}"}, false}}, 90}), 3);
+    EXPECT_NE(this->store.waitForRequest().find("Watch=20"), std::string::npos);
+    EXPECT_EQ(this->events.changes, 0);
+    EXPECT_EQ(this->events.confirmedAt, confirmedAt);
+    EXPECT_EQ(this->watcher.cache().position(), (StorePosition {4, 20}));
+}
+
+// A watch of ten seconds went on although another kind had shown that the store was restored.
+TEST_F(KindWatcherSourceTest, ListsAtOnceWhenALaterEraIsAnnounced)
+{
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("a", 50, false)), 3);
+    this->store.waitForRequest();
+    const absl::Time announcedAt = Clock::now();
+    this->announce({4, 7}, StoreKind::Config);
+    EXPECT_FALSE(isWatch(this->store.waitForRequest()));
+    EXPECT_LT(Clock::now() - announcedAt, StoreSource::kWatchTime / 2);
+}
+
+// A relay cannot tell from the revision alone that a request is of another history.
+TEST_F(KindWatcherSourceTest, NamesItsEraWhenItFetches)
+{
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("a", 50, false)), 3);
+    this->store.waitForRequest();
+    ASSERT_TRUE(this->loop.runUntil([this] {
+        this->announce({3, 60});
+        return this->other.hasRequest();
+    }));
+    EXPECT_NE(this->other.request().find("Watch=50"), std::string::npos);
+    EXPECT_NE(this->other.request().find("Store-Era: 3\r\n"), std::string::npos);
+}
+
+// A restored store that showed an older configuration confirmed the newer one that was held, so
+// that a key that had been revoked meanwhile stayed valid.
+TEST_F(KindWatcherSourceTest, ConfirmsNothingWhileTheStoreShowsAnOlderState)
+{
+    this->events.newest = false;
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("a", 50, false)), 3);
+    this->store.waitForRequest();
+    EXPECT_EQ(this->events.confirmedAt, absl::InfinitePast());
+    EXPECT_EQ(this->watcher.cache().lastConfirmedAt(), absl::InfinitePast());
+}
+
 } // namespace
 } // namespace foxtailtally
--- a/tests/gateway/kind_watcher_test.cpp
+++ b/tests/gateway/kind_watcher_test.cpp
@@ -142,7 +142,7 @@
     ASSERT_TRUE(this->runUntil(respond, [this] { return this->events.changes == 2; }));
     EXPECT_EQ(this->events.lists, 1);
     EXPECT_EQ(this->events.unnamed, 2U);
-    EXPECT_EQ(this->watcher.cache().revision(), 16);
+    EXPECT_EQ(this->watcher.cache().position().revision, 16);
 }
 
 // A timer that was early by a millisecond was not started again: the watch stood still until
--- a/tests/placement/exchange_message_test.cpp
+++ b/tests/placement/exchange_message_test.cpp
@@ -69,7 +69,8 @@
     result.stamp = 345;
     result.echo = 678;
     result.hasLostStore = true;
-    result.states[1] = {530, 531, kNow - absl::Milliseconds(250)};
+    result.states[1] = {{3, 530}, {3, 531}, kNow - absl::Milliseconds(250)};
+    result.states[0].version = 17;
     result.suspects = {200, 201};
     return result;
 }
@@ -112,8 +113,9 @@
     EXPECT_TRUE(read.hasLostStore);
     EXPECT_FALSE(read.lendsShare);
     EXPECT_EQ(read.suspects, sent.header.suspects);
-    EXPECT_EQ(read.states[1].contentRevision, 530);
-    EXPECT_EQ(read.states[0].contentRevision, -1);
+    EXPECT_EQ(read.states[1].content, (StorePosition {3, 530}));
+    EXPECT_EQ(read.states[0].version, 17);
+    EXPECT_FALSE(read.states[0].content.isKnown());
     EXPECT_EQ(read.states[0].confirmedAt, absl::InfinitePast());
     ASSERT_EQ(messages.report->parts.size(), sent.parts.size());
     for (std::size_t i = 0; i < sent.parts.size(); ++i) {
@@ -149,7 +151,7 @@
 {
     MessageHeader sent = header();
     for (int micros = 0; micros < 3000; micros += 137) {
-        sent.states[0] = {1, 1, kNow - absl::Microseconds(micros)};
+        sent.states[0] = {{0, 1}, {0, 1}, kNow - absl::Microseconds(micros)};
         const DecodedMessages messages = decoded(encodeReport({sent, {}}, kNow), kLater);
         EXPECT_GE(kLater - messages.report->header.states[0].confirmedAt,
                   absl::Microseconds(micros));
--- a/tests/platform/kind_cache_test.cpp
+++ b/tests/platform/kind_cache_test.cpp
@@ -12,13 +12,13 @@
 {
     KindCache cache;
     EXPECT_FALSE(cache.isKnown());
-    cache.replace({{"a", 1, "{}"}}, 10);
-    cache.apply({ObjectChange {{"b", 12, "{}"}, false}}, 12);
-    cache.apply({ObjectChange {{"a", 13, ""}, true}}, 13);
-    ASSERT_TRUE(cache.changesSince(12));
-    EXPECT_EQ(cache.changesSince(12)->changes.size(), 1U);
-    EXPECT_EQ(cache.changesSince(10)->changes.size(), 2U);
-    EXPECT_EQ(cache.changesSince(13)->changes.size(), 0U);
+    cache.replace({{"a", 1, "{}"}}, {0, 10});
+    cache.apply({ObjectChange {{"b", 12, "{}"}, false}}, {0, 12});
+    cache.apply({ObjectChange {{"a", 13, ""}, true}}, {0, 13});
+    ASSERT_TRUE(cache.changesSince({0, 12}));
+    EXPECT_EQ(cache.changesSince({0, 12})->changes.size(), 1U);
+    EXPECT_EQ(cache.changesSince({0, 10})->changes.size(), 2U);
+    EXPECT_EQ(cache.changesSince({0, 13})->changes.size(), 0U);
     EXPECT_EQ(cache.page().objects.size(), 1U);
     EXPECT_EQ(cache.page().revision, 13);
 }
@@ -27,14 +27,14 @@
 TEST(KindCache, RequiresANewListForChangesThatAreNotKept)
 {
     KindCache cache;
-    cache.replace({}, 10);
-    EXPECT_FALSE(cache.changesSince(9));
+    cache.replace({}, {0, 10});
+    EXPECT_FALSE(cache.changesSince({0, 9}));
     for (std::int64_t revision = 11; revision < 600; ++revision)
-        cache.apply({ObjectChange {{"x", revision, "{}"}, false}}, revision);
-    EXPECT_FALSE(cache.changesSince(20));
-    EXPECT_TRUE(cache.changesSince(590));
-    cache.replace({}, 700);
-    EXPECT_FALSE(cache.changesSince(599));
+        cache.apply({ObjectChange {{"x", revision, "{}"}, false}}, {0, revision});
+    EXPECT_FALSE(cache.changesSince({0, 20}));
+    EXPECT_TRUE(cache.changesSince({0, 590}));
+    cache.replace({}, {0, 700});
+    EXPECT_FALSE(cache.changesSince({0, 599}));
 }
 
 // Guards against instances that have listed the store themselves, and so are ahead of the cache,
@@ -42,14 +42,33 @@
 TEST(KindCache, ReturnsNoChangesToAnInstanceThatIsAhead)
 {
     KindCache cache;
-    cache.replace({}, 10);
-    ASSERT_TRUE(cache.changesSince(11));
-    EXPECT_TRUE(cache.changesSince(11)->changes.empty());
-    EXPECT_EQ(cache.changesSince(11)->revision, 11);
-    cache.advance(14);
-    EXPECT_EQ(cache.changesSince(12)->revision, 14);
-    cache.apply({ObjectChange {{"a", 15, "{}"}, false}}, 15);
-    EXPECT_EQ(cache.changesSince(12)->changes.size(), 1U);
+    cache.replace({}, {0, 10});
+    ASSERT_TRUE(cache.changesSince({0, 11}));
+    EXPECT_TRUE(cache.changesSince({0, 11})->changes.empty());
+    EXPECT_EQ(cache.changesSince({0, 11})->revision, 11);
+    cache.advance({0, 14});
+    EXPECT_EQ(cache.changesSince({0, 12})->revision, 14);
+    cache.apply({ObjectChange {{"a", 15, "{}"}, false}}, {0, 15});
+    EXPECT_EQ(cache.changesSince({0, 12})->changes.size(), 1U);
+}
+
+// The cache kept the highest revision it had seen: after a restore it claimed to hold changes that
+// it lacked, and sent others changes of a history that no longer exists.
+TEST(KindCache, ReplacesAnEarlierEra)
+{
+    KindCache cache;
+    cache.replace({{"a", 90, "{}"}}, {1, 90});
+    cache.apply({ObjectChange {{"b", 91, "{}"}, false}}, {1, 91});
+    cache.replace({{"c", 40, "{}"}}, {2, 40});
+    EXPECT_EQ(cache.position(), (StorePosition {2, 40}));
+    EXPECT_EQ(cache.contentPosition(), (StorePosition {2, 40}));
+    EXPECT_EQ(cache.page().revision, 40);
+    EXPECT_EQ(cache.page().objects.size(), 1U);
+    cache.apply({ObjectChange {{"d", 41, "{}"}, false}}, {2, 41});
+    EXPECT_FALSE(cache.changesSince({1, 40}));
+    EXPECT_FALSE(cache.changesSince({3, 40}));
+    ASSERT_TRUE(cache.changesSince({2, 40}));
+    EXPECT_EQ(cache.changesSince({2, 40})->changes.size(), 1U);
 }
 
 TEST(KindCache, ItsAgeIsThatOfTheNewestConfirmation)
@@ -72,11 +91,13 @@
         platform::parseStoreTarget(platform::listTarget("servers", ""));
     EXPECT_FALSE(list.watchFrom);
     platform::ObjectPage page;
-    page.objects = {{"a", 5, R"({"x":1})"}};
+    page.objects = {{"a", 5, R"({"x":1})"}, {"b", 0, "{}", true}};
     page.revision = 9;
     const auto decoded = platform::decodePage(platform::encodePage(page));
     ASSERT_TRUE(decoded.ok());
     EXPECT_EQ(decoded->objects.at(0).spec, R"({"x":1})");
+    EXPECT_FALSE(decoded->objects.at(0).isRetained);
+    EXPECT_TRUE(decoded->objects.at(1).isRetained);
     EXPECT_EQ(decoded->revision, 9);
     const platform::RelayFreshness note =
         platform::decodeRelayFreshness(platform::relayHeaders({absl::Milliseconds(1234), true}));
