Let the stand-in's store go back to an older copy

It takes a copy of its objects and counter, resets its connections while it is away, returns with the copy and a higher Store-Era (option: without the header), gives revisions out again, answers 410 to a watch from a revision that it does not have, and repeats the writes of the operator and of the servers in an order, after a delay and at an interval that the test gives. It can lose the answers of writes, or execute them later. It also knows PUT, which it took for a list before. Servers can report that they drain.

--- a/tests/process/gateway_deployment.cpp
+++ b/tests/process/gateway_deployment.cpp
@@ -159,7 +159,7 @@
                          {"step_ms", 1.31},
                          {"read_per_s", readTokensPerSecond},
                          {"chunk", 2048}};
-    const Json config = {
+    Json config = {
         {"Version", version},
         {"Routes",
          {route("s", "/stream", "streaming", "engine"), longRoute(),
@@ -167,6 +167,8 @@
         {"Services", {{{"Name", "engine"}, {"Engine", engine}}, {{"Name", "desk"}}}},
         {"Limits", {{"MaxBodyBytes", maxBodyBytes}, {"MaxHeaderBytes", 8192}}},
         {"Tenants", {{{"Name", "customer-1"}, {"ApiKeys", keys}}}}};
+    for (const std::string &prefix : this->addedRoutes)
+        config["Routes"].push_back(route("added " + prefix, prefix, "idempotent", "desk"));
     this->standin->putObject(std::string(platform::kConfigKind), std::string(platform::kConfigName),
                              config.dump());
 }
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -47,6 +47,8 @@
      */
     void configure(int version, const std::vector<std::string> &keys,
                    double readTokensPerSecond = 154000.0, int maxBodyBytes = 65536);
+    /** Adds an idempotent route for @p prefix to the configurations that are stored from now on. */
+    void addRoute(const std::string &prefix) { this->addedRoutes.push_back(prefix); }
 
 private:
     std::string host(int number) const;
@@ -56,6 +58,7 @@
     std::vector<std::unique_ptr<ChildProcess>> processes;
     std::vector<std::string> storeAddresses;
     std::string extraSettings;
+    std::vector<std::string> addedRoutes;
     /** Size of each gateway's log file at its last start, in bytes. */
     std::vector<std::uintmax_t> logStarts;
 };
--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -29,39 +29,11 @@
  * times of all incarnations differ. */
 constexpr std::int64_t kRestartIncrementMs = 1000;
 
-/** Limits of a page of the store. */
-constexpr std::size_t kMaxPageObjects = 500;
-constexpr std::size_t kMaxPageBytes = 1000000;
-
-/** Objects whose names come after @p after, up to the limits of a page. */
-platform::ObjectPage pageAfter(const KindCache &kind, std::string_view after)
-{
-    platform::ObjectPage page;
-    std::size_t bytes = 0;
-    for (const platform::StoredObject &object : kind.page().objects) {
-        if (object.name <= after)
-            continue;
-        page.hasMore = page.objects.size() == kMaxPageObjects || bytes > kMaxPageBytes;
-        if (page.hasMore)
-            break;
-        bytes += object.spec.size();
-        page.objects.push_back(object);
-    }
-    return page;
-}
-
 std::string eventText(const std::string &callId, int number)
 {
     return absl::StrCat("id: ", number, "\ndata: ", callId, "-", number, "\n\n");
 }
 
-HttpHeaders jsonHeaders()
-{
-    HttpHeaders headers;
-    headers.add("Content-Type", "application/json");
-    return headers;
-}
-
 evconnlistener *listenAt(event_base *base, const std::string &address, evconnlistener_cb callback,
                          void *object)
 {
@@ -144,27 +116,29 @@
 void ServingStandin::putObject(const std::string &kind, const std::string &name,
                                const std::string &spec)
 {
-    this->run([&] { this->change(kind, {{name, 0, spec}, false}); });
+    this->run([&] { this->store.put(kind, name, spec); });
 }
 
 void ServingStandin::removeObject(const std::string &kind, const std::string &name)
 {
-    this->run([&] { this->change(kind, {{name, 0, "{}"}, true}); });
+    this->run([&] { this->store.remove(kind, name); });
 }
 
 std::vector<std::string> ServingStandin::objectNames(const std::string &kind)
 {
     std::vector<std::string> names;
-    this->run([&] {
-        for (const platform::StoredObject &object : this->kinds[kind].page().objects)
-            names.push_back(object.name);
-    });
+    this->run([&] { names = this->store.names(kind); });
     return names;
 }
 
 void ServingStandin::setStoreBehavior(StoreBehavior behavior)
 {
-    this->run([&] { this->storeBehavior = behavior; });
+    this->run([&] { this->store.setBehavior(behavior); });
+}
+
+void ServingStandin::withStore(const std::function<void(RestorableStore &)> &task)
+{
+    this->run([&] { task(this->store); });
 }
 
 void ServingStandin::addServer(int index, const std::string &service, const std::string &domain,
@@ -193,10 +167,25 @@
             own->owner->accept(socket, own->index);
         },
         &server);
-    const Json spec = {{"Service", server.service}, {"Address", server.address},
-                       {"Zone", server.domain},     {"Slots", 16},
-                       {"State", "ready"},          {"born", server.startedMs}};
-    this->change(std::string(platform::kServerKind), {{server.name, 0, spec.dump()}, false});
+    server.sequence = 0;
+    this->listServer(server, "ready");
+}
+
+void ServingStandin::listServer(Server &server, const std::string &state)
+{
+    const Json spec = {{"Service", server.service},
+                       {"Address", server.address},
+                       {"Zone", server.domain},
+                       {"Slots", 16},
+                       {"State", state},
+                       {"born", server.startedMs},
+                       {"Sequence", ++server.sequence}};
+    this->store.put(std::string(platform::kServerKind), server.name, spec.dump());
+}
+
+void ServingStandin::startDraining(int index)
+{
+    this->run([&] { this->listServer(this->servers.at(index), "draining"); });
 }
 
 void ServingStandin::crash(Server &server)
@@ -385,7 +374,7 @@
 int ServingStandin::storeCalls()
 {
     int result = 0;
-    this->run([&] { result = this->calls; });
+    this->run([&] { result = this->store.calls(); });
     return result;
 }
 
@@ -409,15 +398,7 @@
     this->endSilences(now);
     this->advanceStreams(now);
     this->crashServersOfStreams(now);
-    std::vector<Watch> over;
-    std::erase_if(this->watches, [&](const Watch &watch) {
-        if (watch.until > now)
-            return false;
-        over.push_back(watch);
-        return true;
-    });
-    for (const Watch &watch : over)
-        watch.connection->answer(200, jsonHeaders(), platform::encodeChanges({{}, this->revision}));
+    this->store.onTick(now);
     std::erase_if(this->connections, [this](const auto &connection) {
         return std::find(this->closed.begin(), this->closed.end(), connection.get())
             != this->closed.end();
@@ -432,96 +413,11 @@
 {
     const auto found = this->serverOf.find(&connection);
     if (found == this->serverOf.end())
-        this->answerStore(connection);
+        this->store.onRequest(connection, absl::Now());
     else
         this->answerCall(connection, this->servers.at(found->second));
 }
 
-void ServingStandin::answerStore(InboundConnection &connection)
-{
-    ++this->calls;
-    if (this->storeBehavior == StoreBehavior::NoResponse)
-        return;
-    const RequestHead &head = connection.head();
-    const platform::StoreQuery query = platform::parseStoreTarget(head.target);
-    if (this->storeBehavior == StoreBehavior::Refuse || query.kind.empty()) {
-        connection.answer(503, {}, {});
-        return;
-    }
-    if (head.method == "POST") {
-        this->createObject(connection, query.kind);
-        return;
-    }
-    if (head.method == "DELETE") {
-        this->deleteObject(connection, query.kind);
-        return;
-    }
-    const KindCache &kind = this->kinds[query.kind];
-    if (!query.watchFrom) {
-        const std::size_t mark = head.target.find("After=");
-        platform::ObjectPage page =
-            pageAfter(kind,
-                      mark == std::string::npos ? std::string_view()
-                                                : std::string_view(head.target).substr(mark + 6));
-        page.revision = this->revision;
-        connection.answer(200, jsonHeaders(), platform::encodePage(page));
-        return;
-    }
-    const auto changes = kind.changesSince(*query.watchFrom);
-    if (!changes)
-        connection.answer(410, {}, {});
-    else if (!changes->changes.empty())
-        connection.answer(200, jsonHeaders(), platform::encodeChanges(*changes));
-    else
-        this->watches.push_back(
-            {&connection, query.kind, *query.watchFrom, absl::Now() + query.wait});
-}
-
-void ServingStandin::createObject(InboundConnection &connection, const std::string &kind)
-{
-    const Json json = Json::parse(connection.body());
-    const std::string name = json.at("Metadata").at("Name");
-    for (const platform::StoredObject &object : this->kinds[kind].page().objects) {
-        if (object.name == name) {
-            connection.answer(409, {}, {});
-            return;
-        }
-    }
-    connection.answer(200, jsonHeaders(), "{}");
-    this->change(kind, {{name, 0, json.at("Spec").dump()}, false});
-}
-
-void ServingStandin::deleteObject(InboundConnection &connection, const std::string &path)
-{
-    const std::size_t slash = path.find('/');
-    const std::string kind = path.substr(0, slash);
-    const std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
-    const std::vector<platform::StoredObject> objects = this->kinds[kind].page().objects;
-    const bool exists = std::any_of(objects.begin(), objects.end(),
-                                    [&name](const auto &object) { return object.name == name; });
-    connection.answer(exists ? 200 : 404, jsonHeaders(), "{}");
-    if (exists)
-        this->change(kind, {{name, 0, "{}"}, true});
-}
-
-void ServingStandin::change(const std::string &kind, const platform::ObjectChange &change)
-{
-    platform::ObjectChange stamped = change;
-    stamped.object.revision = ++this->revision;
-    KindCache &cache = this->kinds[kind];
-    cache.apply({stamped}, this->revision);
-    std::vector<Watch> ready;
-    std::erase_if(this->watches, [&](const Watch &watch) {
-        if (watch.kind != kind)
-            return false;
-        ready.push_back(watch);
-        return true;
-    });
-    for (const Watch &watch : ready)
-        watch.connection->answer(200, jsonHeaders(),
-                                 platform::encodeChanges(*cache.changesSince(watch.from)));
-}
-
 void ServingStandin::answerCall(InboundConnection &connection, Server &server)
 {
     // A copy, since a response ends the request.
@@ -743,8 +639,7 @@
 
 void ServingStandin::removeWatchesAndStreams(InboundConnection &connection)
 {
-    std::erase_if(this->watches,
-                  [&](const Watch &watch) { return watch.connection == &connection; });
+    this->store.forget(connection);
     std::erase_if(this->streams,
                   [&](const Stream &stream) { return stream.connection == &connection; });
     for (auto &[index, server] : this->servers)
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "main/gateway/kind_cache.h"
 #include "peers/http/inbound_connection.h"
 #include "peers/http/loop_timer.h"
 #include "platform/store_objects.h"
+#include "tests/process/restorable_store.h"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
@@ -58,8 +58,6 @@
     FailResumedStream,
 };
 
-enum class StoreBehavior { Serve, Refuse, NoResponse };
-
 /** One arrival of a call at a backend server. */
 struct ServerArrival
 {
@@ -122,10 +120,14 @@
     void removeObject(const std::string &kind, const std::string &name);
     std::vector<std::string> objectNames(const std::string &kind);
     void setStoreBehavior(StoreBehavior behavior);
+    /** Runs @p task on the thread of the stand-in and waits until it is done. */
+    void withStore(const std::function<void(RestorableStore &)> &task);
 
     /** Starts server @p index of @p service and lists it in the store under @p address. */
     void addServer(int index, const std::string &service, const std::string &domain,
                    const std::string &address);
+    /** Server @p index reports that it is draining, and goes on serving. */
+    void startDraining(int index);
     static std::string serverName(int index) { return "server-" + std::to_string(index); }
     void setServerBehavior(int index, ServerBehavior behavior);
     /** Server @p index names @p requestsPerSecond as its rate limit in all responses; nullopt for
@@ -173,6 +175,8 @@
         std::string domain;
         std::string address;
         std::int64_t startedMs = 0;
+        /** Writes of the server to its entry. */
+        std::int64_t sequence = 0;
         /** Listener of an unresponsive server, and a connection that fills its backlog. */
         int unresponsiveListener = -1;
         int backlogFiller = -1;
@@ -182,13 +186,6 @@
         /** Connections with requests that a silent server has received. */
         std::vector<InboundConnection *> unanswered;
     };
-    struct Watch
-    {
-        InboundConnection *connection = nullptr;
-        std::string kind;
-        std::int64_t from = 0;
-        absl::Time until;
-    };
     struct Stream
     {
         InboundConnection *connection = nullptr;
@@ -213,14 +210,11 @@
     void runTasks();
     void onTick();
     void accept(int socket, int server);
-    void answerStore(InboundConnection &connection);
-    void createObject(InboundConnection &connection, const std::string &kind);
-    /** @p path: kind and name of the object. */
-    void deleteObject(InboundConnection &connection, const std::string &path);
-    void change(const std::string &kind, const platform::ObjectChange &change);
     void answerCall(InboundConnection &connection, Server &server);
     /** Starts an incarnation of the server and lists it in the store. */
     void startServer(Server &server);
+    /** Writes the entry of the server into the store. */
+    void listServer(Server &server, const std::string &state);
     void crash(Server &server);
     void answerReservationCommand(InboundConnection &connection, Server &server);
     void restartCrashedServers(absl::Time now);
@@ -243,12 +237,9 @@
     event_base *base;
     evconnlistener *storeListener = nullptr;
     LoopTimer tick;
-    StoreBehavior storeBehavior = StoreBehavior::Serve;
-    std::int64_t revision = 1;
-    absl::btree_map<std::string, KindCache> kinds;
+    RestorableStore store;
     /** Listeners hold pointers to their servers, so the entries must not move. */
     std::map<int, Server> servers;
-    std::vector<Watch> watches;
     std::vector<Stream> streams;
     std::vector<std::unique_ptr<InboundConnection>> connections;
     /** Server index of each connection; connections to the store have no entry. */
@@ -263,7 +254,6 @@
     std::vector<absl::Time> recordedCrashes;
     absl::Duration restartDelay = absl::ZeroDuration();
     absl::Duration prefillTime = kEventInterval;
-    int calls = 0;
     std::mutex mutex;
     /** Tasks for the next tick; guarded by the mutex. */
     std::vector<std::function<void()>> tasks;
