--- a/tests/fuzz/decoder_fuzz_test.cpp
+++ b/tests/fuzz/decoder_fuzz_test.cpp
@@ -92,7 +92,7 @@
     for (const platform::StoredObject &object : page->objects)
         decodeObject(object);
     KindCache cache;
-    cache.replace(page->objects, page->revision);
+    cache.replace(page->objects, {0, page->revision});
     const auto relayed =
         platform::decodePage(platform::encodePage(cache.page()), platform::kServerKind);
     ASSERT_TRUE(relayed.ok());
@@ -113,16 +113,16 @@
     EXPECT_EQ(relayed->changes.size(), changes->changes.size());
     EXPECT_EQ(relayed->revision, changes->revision);
     KindCache cache;
-    cache.apply(changes->changes, changes->revision);
+    cache.apply(changes->changes, {0, changes->revision});
 }
 
 void runStoreTarget(const std::string &bytes)
 {
     const platform::StoreQuery query = platform::parseStoreTarget(bytes);
     KindCache cache;
-    cache.replace({}, 10);
+    cache.replace({}, {0, 10});
     if (query.watchFrom)
-        cache.changesSince(*query.watchFrom);
+        cache.changesSince({0, *query.watchFrom});
 }
 
 /** Uses decoded messages as InstanceExchange does. */
@@ -259,6 +259,8 @@
         EXPECT_GE(reply.requestedPause, absl::ZeroDuration());
         EXPECT_GE(reply.rateLimit.value_or(0), 0);
         EXPECT_GE(platform::decodeRelayFreshness(head.headers).age, absl::ZeroDuration());
+        const Result<std::int64_t> era = platform::decodeStoreEra(head.headers);
+        EXPECT_TRUE(!era.ok() || (*era >= 0 && *era <= platform::kMaxStoreEra));
         platform::callerHeaders(head.headers);
     }
     void onResponseBody(OutboundConnection &, std::string_view) override { }
@@ -367,7 +369,7 @@
     header.relayPort = 7342;
     header.incarnation = 7;
     header.sequence = 12;
-    header.states[1] = {530, 531, kNow - absl::Milliseconds(250)};
+    header.states[1] = {{3, 530}, {3, 531}, kNow - absl::Milliseconds(250)};
     header.suspects = {200, 201};
     return header;
 }
