Fetch a newer configuration as a change where the position leads to it

With the version in announcements, every change of the configuration was fetched as a list, which drops the log of changes that a relay keeps for others; only a version at a position that is held already needs a list. Retained objects are taken from instances only, and an odd value of the field does not cost the entry.

--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -297,6 +297,9 @@
     logEvent(LogLevel::Info, "store_history_gone",
              {{"kind", this->kindName}, {"source", this->sourceAddress}});
     this->mustList = true;
+    // The store has answered: a list need not wait like a call after a failure.
+    if (this->isSourceStore())
+        this->source.onStoreAnswered();
     const bool isRepeated = now - this->historyGoneAt < kRepeatedHistoryGoneWindow;
     this->historyGoneAt = now;
     this->becomeIdleFor(isRepeated ? kHistoryGoneDelay : absl::ZeroDuration());
@@ -315,8 +318,11 @@
     if (this->listedAfter.empty())
         this->listPosition = {*this->responseEra, page->revision};
     const std::string lastName = page->objects.empty() ? std::string() : page->objects.back().name;
-    for (platform::StoredObject &object : page->objects)
+    for (platform::StoredObject &object : page->objects) {
+        // Only instances retain objects.
+        object.isRetained = object.isRetained && !this->isSourceStore();
         this->listedSoFar.push_back(std::move(object));
+    }
     if (page->hasMore) {
         // A page without names leaves nothing to continue from.
         if (lastName.empty() || lastName == this->listedAfter)
@@ -365,8 +371,10 @@
         this->events.onUnnamed(changes->unnamed);
     const bool hasChanged = !changes->changes.empty();
     const bool isEmpty = !hasChanged && changes->unnamed == 0;
-    for (platform::ObjectChange &change : changes->changes)
+    for (platform::ObjectChange &change : changes->changes) {
+        change.object.isRetained = change.object.isRetained && !this->isSourceStore();
         this->events.onChange(change, !this->isSettled(now), now);
+    }
     const StorePosition reached = {*this->responseEra, changes->revision};
     if (hasChanged)
         this->objectCache.apply(changes->changes, reached);
--- a/servers/catalog/store_source.cpp
+++ b/servers/catalog/store_source.cpp
@@ -115,15 +115,16 @@
 
 StoreSource::Step StoreSource::fetchFrom(const Announcer &announcer, StoreKind kind, absl::Time now)
 {
-    const bool hasNewerVersion =
-        announcer.states[indexOf(kind)].version > this->held[indexOf(kind)].version;
-    if (hasNewerVersion) {
+    // Changes lead to a later position; only a list shows what is retained at the same one.
+    const bool mustList =
+        announcer.states[indexOf(kind)].content <= this->held[indexOf(kind)].current;
+    if (mustList) {
         for (auto &[instance, known] : this->announcers) {
             if (&known == &announcer)
                 known.versionFetchedAt = now;
         }
     }
-    return {Action::Fetch, announcer.relayAddress, hasNewerVersion, absl::ZeroDuration()};
+    return {Action::Fetch, announcer.relayAddress, mustList, absl::ZeroDuration()};
 }
 
 absl::Time StoreSource::confirmedByOthers(StoreKind kind) const
--- a/tests/catalog/store_source_test.cpp
+++ b/tests/catalog/store_source_test.cpp
@@ -203,6 +203,11 @@
     source.setHeldState(StoreKind::Config, state({2, 5}, 12));
     EXPECT_FALSE(source.isVersionOvertaken(StoreKind::Config, later));
     EXPECT_NE(source.next(StoreKind::Config, later).action, Action::Fetch);
+    // An ordinary change is fetched as a change.
+    source.onPeerUpdate(kStronger.id, kStronger.relayAddress, false, configState(state({2, 6}, 14)),
+                        later);
+    EXPECT_EQ(source.next(StoreKind::Config, later).action, Action::Fetch);
+    EXPECT_FALSE(source.next(StoreKind::Config, later).mustList);
 }
 
 // An instance with the older version, which the store shows, confirmed the newer one held here.
