Show the store's era and the configuration in the metrics

After a drill that restores the store, an operator sees from the metrics page of each instance whether it is on the new era and which configuration is in force. Without a configuration the kind is confirmed as before: nothing is held that the store could show in an older version.

--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/guard.h"
 #include "core/log.h"
+#include "core/text.h"
 #include "main/gateway/listener.h"
 
 #include <absl/strings/str_cat.h>
@@ -184,6 +185,15 @@
     std::string text = this->context.metrics.exposition();
     absl::StrAppend(&text, "foxtailtally_log_lines_dropped_total ", droppedLogLines(),
                     "\nfoxtailtally_unexpected_errors_total ", unexpectedErrorCount(), "\n");
+    for (const KindWatcher *watcher : this->store.kinds()) {
+        if (watcher->cache().isKnown())
+            absl::StrAppend(&text, "foxtailtally_store_era{kind=\"", asAbsl(watcher->name()),
+                            "\"} ", watcher->cache().position().era, "\n");
+    }
+    if (this->context.config)
+        absl::StrAppend(&text, "foxtailtally_config_version ", this->context.config->version(),
+                        "\nfoxtailtally_config_confirmed_age_seconds ",
+                        absl::ToDoubleSeconds(this->context.freshness.age(Clock::now())), "\n");
     return {200, "text/plain; version=0.0.4", text};
 }
 
--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -146,7 +146,7 @@
         if (this->context.config)
             this->context.freshness.confirm(moment);
     }
-    bool isNewest() const override { return this->held.isShown(); }
+    bool isNewest() const override { return !this->held.config() || this->held.isShown(); }
     std::int64_t version() const override { return this->held.version(); }
     std::size_t retainedObjects() const override
     {
@@ -530,6 +530,14 @@
         this->registration->start(false);
 }
 
+std::vector<const KindWatcher *> StoreSync::kinds() const
+{
+    std::vector<const KindWatcher *> result = {this->instanceWatcher.get()};
+    for (const auto &watcher : this->watchers)
+        result.push_back(watcher.get());
+    return result;
+}
+
 void StoreSync::onPeerUpdate()
 {
     this->instanceWatcher->onPeerUpdate();
--- a/main/gateway/store_sync.h
+++ b/main/gateway/store_sync.h
@@ -31,6 +31,8 @@
     void onTick(absl::Time now);
     /** The list of servers has been read. */
     bool hasServers() const { return this->serversListed; }
+    /** The copies of all kinds. */
+    std::vector<const KindWatcher *> kinds() const;
 
 private:
     class RelayedKindEvents;
