Record the crash of a server that ends a stream without a length

Callers saw servers crash for longer than needed: a response without a length ends with its connection, so a server that crashes and closes its connections properly seems to complete the stream. A stream that ended inside an event was retried, but its call and the parts of its prompt were not suspected. One that ended right behind its first event even counted as served, which cleared the earlier crashes under its parts, and those of the call for a minute.

Such a stream now counts as lost when it is incomplete, and as survived only if it has gone on for kCrashDelay after its first event. A complete stream without a length that is shorter than that shows neither. A failure that a server reports without a length is no crash.

Ruled out: responses with a length or chunks (the parser reports a connection that breaks before their end), and calls that are not streams (a response that has begun excludes them, as before).

CallRunTest.RecordsACrashThatEndsAStreamWithoutLength (0 deaths instead of 1) and .TakesNoShortStreamWithoutLengthForASignOfSurvival (0 instead of 1) failed before. .TakesNoFailureWithoutLengthForACrash guards the bound of the change.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -604,10 +604,14 @@
     // While another attempt goes on, only an event shows that this one has continued the stream.
     const bool hasContinued =
         this->attempts.empty() || finished->firstEventAt != absl::InfiniteFuture();
+    // The end of a response without a length may also be that of its server.
+    const bool hasSurvived = finished->reply.isFramed || now - finished->firstEventAt > kCrashDelay;
     if (finished->isRelaying && hasContinued
         && this->relay.isComplete(finished->run, finished->reply.isFramed)) {
-        this->suspicion->onServed(now);
-        this->suspicion->onSurvived(std::min(finished->firstEventAt, now), now);
+        if (hasSurvived) {
+            this->suspicion->onServed(now);
+            this->suspicion->onSurvived(std::min(finished->firstEventAt, now), now);
+        }
         if (!this->hasAnswerBegun)
             this->caller->startStream(finished->reply.status,
                                       platform::callerHeaders(finished->reply.headers));
@@ -616,6 +620,9 @@
         return;
     }
     if (finished->isRelaying || this->hasAnswerBegun) {
+        if (finished->isRelaying && !hasSurvived)
+            this->suspicion->onLoss(call.target(), this->crashEvidence(call, *finished, true, now),
+                                    now);
         this->afterAttempt(AttemptEnd::Lost, now);
         return;
     }
@@ -653,7 +660,11 @@
 {
     const absl::Time now = Clock::now();
     std::optional<Attempt> ended = this->takeAttempt(call);
-    this->suspicion->onLoss(call.target(), this->crashEvidence(*ended, end, now), now);
+    const bool isBroken = end == AttemptEnd::Lost && call.failure() == Error::ConnectionLost;
+    const bool isUnresponsive =
+        end == AttemptEnd::Silent && this->context.reachability.isUnresponsive(call.target().key);
+    this->suspicion->onLoss(
+        call.target(), this->crashEvidence(call, *ended, isBroken || isUnresponsive, now), now);
     this->context.retired.push_back(std::move(ended->call));
     this->retirePlacement(std::move(ended->placement));
     const bool wasUnsent = end == AttemptEnd::NotSent || end == AttemptEnd::NotPermitted
@@ -738,19 +749,17 @@
     this->sendLocalReply(503, "quarantined", true, this->suspicion->quarantineLeft(now));
 }
 
-CrashEvidence CallRun::crashEvidence(const Attempt &attempt, AttemptEnd end, absl::Time now) const
+CrashEvidence CallRun::crashEvidence(const ServerCall &call, const Attempt &attempt,
+                                     bool isConnectionBroken, absl::Time now) const
 {
     CrashEvidence evidence;
-    const bool isBroken =
-        end == AttemptEnd::Lost && attempt.call->failure() == Error::ConnectionLost;
-    const bool isUnresponsive = end == AttemptEnd::Silent
-        && this->context.reachability.isUnresponsive(attempt.call->target().key);
-    evidence.isConnectionBroken = isBroken || isUnresponsive;
+    evidence.isConnectionBroken = isConnectionBroken;
     evidence.hasAnswerBegun = !this->isStream() && attempt.reply.status != 0;
     evidence.streamingFor = std::max(absl::ZeroDuration(), now - attempt.firstEventAt);
-    const ServerActivity &activity = this->context.activity[attempt.call->target().key];
-    if (isUnresponsive)
-        evidence.silentFor = now - std::max(activity.lastByteAt, attempt.call->sentAt());
+    const ServerKey server = call.target().key;
+    if (this->context.reachability.isUnresponsive(server))
+        evidence.silentFor =
+            now - std::max(this->context.activity[server].lastByteAt, call.sentAt());
     return evidence;
 }
 
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -135,7 +135,8 @@
     /** Waits for the first server whose requested pause ends; false when that is too late for the
      * caller, or some server has requested none. */
     bool waitForPauseEnd(absl::Time now);
-    CrashEvidence crashEvidence(const Attempt &attempt, AttemptEnd end, absl::Time now) const;
+    CrashEvidence crashEvidence(const ServerCall &call, const Attempt &attempt,
+                                bool isConnectionBroken, absl::Time now) const;
     void sendLocalReply(int status, std::string_view cause, bool notRun);
     void sendLocalReply(int status, std::string_view cause, bool notRun,
                         std::optional<absl::Duration> retryAfter);
--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -1,10 +1,13 @@
 #include "main/gateway/caller_session.h"
 
 #include "core/clock.h"
+#include "core/hash.h"
+#include "servers/quarantine/crash_evidence.h"
 #include "tests/http/raw_peer.h"
 #include "tests/http/test_loop.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <array>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
@@ -55,6 +58,15 @@
         }
     }
 
+    /** Sends @p bytes in response to the last request. */
+    void send(const std::string &bytes) { writeAll(this->connections.back().socket, bytes); }
+    void closeConnections()
+    {
+        for (const Connection &connection : this->connections)
+            ::close(connection.socket);
+        this->connections.clear();
+    }
+
 private:
     struct Connection
     {
@@ -70,6 +82,8 @@
 
 const char *const kServed = "HTTP/1.1 200 OK\r\nAttempt-Id: call\r\nResponse-Seal: s\r\n"
                             "Content-Length: 4\r\n\r\ndone";
+/** Part of a prompt that other calls share. */
+const std::string kPart = "5c1e";
 const char *const kReserved = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"Free\":5}";
 
 /** Calls of one caller at a gateway that knows two servers of each service. */
@@ -109,6 +123,31 @@
                  absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: h\r\nAttempt-Id: call\r\n",
                               "Token-Usage: ", promptTokens, ",100\r\nContent-Length: 1\r\n\r\nb"));
     }
+    /** Sends a stream whose prompt has the shared part part(). */
+    void callWithPart(const std::string &path = "/stream/a")
+    {
+        writeAll(this->caller,
+                 absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: h\r\nAttempt-Id: call\r\n",
+                              "Token-Usage: 100,100\r\nPrompt-Prefix: ", kPart, ":40,91bd:60\r\n",
+                              "Content-Length: 1\r\n\r\nb"));
+    }
+    static Fingerprint part()
+    {
+        const std::array<std::string_view, 2> text = {"prompt part", kPart};
+        return fingerprintOf(text);
+    }
+    std::uint32_t deathsOfPart() const
+    {
+        return this->context.quarantine.deathsSeen(part(), Clock::now());
+    }
+    /** A server has died under another call with the shared part. */
+    void recordDeathOfPart(absl::Time diedAt = Clock::now())
+    {
+        static int servers = 0;
+        const BackendServerId server(absl::StrCat("gone-", ++servers));
+        this->context.quarantine.onCallLost(server, 1, {fingerprintOf("other call"), {part()}},
+                                            diedAt - kCommonCauseWindow, diedAt);
+    }
     /** Runs the loop until a request waits at a server; returns the server's index. */
     std::size_t waitForRequest()
     {
@@ -130,6 +169,7 @@
             return this->received.find(text) != std::string::npos;
         });
     }
+    void disconnectCaller() { ::shutdown(this->caller, SHUT_RDWR); }
     ServerKey key(std::size_t server) const
     {
         return this->context.directory.find(BackendServerId(absl::StrCat("server-", server)))->key;
@@ -139,6 +179,9 @@
     std::array<ScriptedServer, 4> servers;
     GatewayContext context;
     std::string received;
+    int caller = -1;
+    /** The connection to the caller has been closed. */
+    bool isBrokenOff = false;
 
 private:
     static GatewaySettings settings()
@@ -174,12 +217,16 @@
                                                            : "/act/";
             route.targets = {{kind == CallKind::Streaming ? "engine" : "desk"}};
             builder.addRoute(route);
+            if (kind != CallKind::Streaming)
+                continue;
+            route.pathPrefix = "/resume/";
+            route.canResume = true;
+            builder.addRoute(route);
         }
         return builder.build();
     }
-    void onSessionClosed(CallerSession &) override { }
+    void onSessionClosed(CallerSession &) override { this->isBrokenOff = true; }
 
-    int caller = -1;
     std::unique_ptr<CallerSession> session;
 };
 
@@ -260,5 +307,49 @@
     }
 }
 
+const char *const kStreamHead = "HTTP/1.1 200 OK\r\nAttempt-Id: call\r\nResponse-Seal: s\r\n"
+                                "Content-Type: text/event-stream\r\n\r\n";
+
+// Guards against a crash that leaves no evidence: a stream without length ended inside an event
+// when its server closed the connection.
+TEST_F(CallRunTest, RecordsACrashThatEndsAStreamWithoutLength)
+{
+    this->callWithPart();
+    ScriptedServer &server = this->servers[this->waitForRequest()];
+    server.send(std::string(kStreamHead) + "id: 1\nda");
+    server.closeConnections();
+    EXPECT_TRUE(this->isAnswered("502"));
+    EXPECT_EQ(this->deathsOfPart(), 1U);
+}
+
+// Guards against a deadly part that is cleared: a crash behind the first event of a stream without
+// length looks like its end.
+TEST_F(CallRunTest, TakesNoShortStreamWithoutLengthForASignOfSurvival)
+{
+    this->recordDeathOfPart();
+    this->callWithPart();
+    ScriptedServer &server = this->servers[this->waitForRequest()];
+    server.send(std::string(kStreamHead) + "id: 1\ndata: x\n\n");
+    server.closeConnections();
+    EXPECT_TRUE(this->isAnswered("0\r\n\r\n"));
+    EXPECT_EQ(this->deathsOfPart(), 1U);
+}
+
+// Guards against taking a failure that a server reports without a length for its crash.
+TEST_F(CallRunTest, TakesNoFailureWithoutLengthForACrash)
+{
+    this->callWithPart("/resume/a");
+    ScriptedServer &first = this->servers[this->waitForRequest()];
+    first.send(std::string(kStreamHead) + "id: 1\ndata: x\n\nid: 2\nda");
+    ASSERT_TRUE(this->isAnswered("data: x"));
+    first.closeConnections();
+    ScriptedServer &second = this->servers[this->waitForRequest()];
+    second.send("HTTP/1.1 500 S\r\nAttempt-Id: call\r\n\r\nfailed");
+    second.closeConnections();
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->isBrokenOff; }));
+    // The call and its part, at the first server only.
+    EXPECT_EQ(this->context.quarantine.reports(Clock::now()).size(), 2U);
+}
+
 } // namespace
 } // namespace foxtailtally
