Record the crash of an unresponsive server that the caller gave up

A server that loses power sends nothing, so its crash shows only by silence. Evidence was recorded when an attempt ended as silent, but not when the caller disconnected or its deadline passed before that: a call that crashes such servers left no trace and reached the next one.

What is still running when a call ends now counts as lost under it if it has been written and its server accepts no connections. Calls that have not reached the server are left out; so are servers that are only silent.

Sound parts: the deaths date back to the last byte from the server, so servers that lose power together count once, and calls that others serve clear them.

CallRunTest.RecordsTheCrashOfAnUnresponsiveServerThatTheCallerGaveUp failed before (0 deaths instead of 1).

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -791,7 +791,7 @@
     std::string server;
     if (!this->attempts.empty())
         server = this->attempts.back().call->target().id.str();
-    this->cancelAttempts();
+    this->cancelAttempts(now);
     this->dropPlacement();
     this->dropTokens(now);
     const bool hadEvent = this->firstEventAt != absl::InfinitePast();
@@ -990,9 +990,14 @@
         this->dispatchTo(*found, this->excludedServers(limited), now);
 }
 
-void CallRun::cancelAttempts()
+void CallRun::cancelAttempts(absl::Time now)
 {
     for (Attempt &attempt : this->attempts) {
+        // The caller may give a call up whose server has crashed without closing the connection.
+        const ServerCall &ended = *attempt.call;
+        if (ended.wasWritten() && this->context.reachability.isUnresponsive(ended.target().key))
+            this->suspicion->onLoss(ended.target(), this->crashEvidence(ended, attempt, true, now),
+                                    now);
         attempt.call->cancel();
         this->context.retired.push_back(std::move(attempt.call));
         this->retirePlacement(std::move(attempt.placement));
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -155,7 +155,7 @@
     /** Time without a byte from the server of @p attempt after which it counts as silent. */
     absl::Duration silenceTimeout(const Attempt &attempt, absl::Time now) const;
     void hedge(absl::Time now);
-    void cancelAttempts();
+    void cancelAttempts(absl::Time now);
     Attempt *findAttempt(const ServerCall &call);
     std::optional<Attempt> takeAttempt(const ServerCall &call);
     bool isStream() const { return this->call.route->kind == CallKind::Streaming; }
--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -351,5 +351,37 @@
     EXPECT_EQ(this->context.quarantine.reports(Clock::now()).size(), 2U);
 }
 
+// Guards against a crash that leaves no evidence: the caller gives up while the server of its
+// stream is silent and accepts no connections.
+TEST_F(CallRunTest, RecordsTheCrashOfAnUnresponsiveServerThatTheCallerGaveUp)
+{
+    this->callWithPart();
+    const std::size_t server = this->waitForRequest();
+    for (int i = 0; i < 3; ++i)
+        this->context.reachability.onConnectFailed(this->key(server), FailureDomainId("east"),
+                                                   Clock::now());
+    this->disconnectCaller();
+    this->loop.runEvents();
+    EXPECT_EQ(this->deathsOfPart(), 1U);
+}
+
+// Guards against blaming a call for the crash of a server that it has not reached: its connection
+// was not established yet when the caller gave up.
+TEST_F(CallRunTest, RecordsNoCrashOfAServerThatTheCallHasNotReached)
+{
+    this->callWithPart();
+    this->disconnectCaller();
+    const auto isCalled = [this](std::size_t server) {
+        return this->context.activity[this->key(server)].outstanding > 0;
+    };
+    ASSERT_TRUE(this->loop.runStepwiseUntil([&] { return isCalled(0) || isCalled(1); }));
+    const ServerKey called = this->key(isCalled(0) ? 0 : 1);
+    for (int i = 0; i < 3; ++i)
+        this->context.reachability.onConnectFailed(called, FailureDomainId("east"), Clock::now());
+    ASSERT_TRUE(this->loop.runStepwiseUntil([&] { return !isCalled(0) && !isCalled(1); }));
+    EXPECT_EQ(this->context.activity[called].sent.count(RequestKind::Call, Clock::now()), 0);
+    EXPECT_EQ(this->deathsOfPart(), 0U);
+}
+
 } // namespace
 } // namespace foxtailtally
