Date events that waited in a paused process back

An instance that was paused read the events of its streams when it went on and dated their first event to that moment. The stream counted as survived since then, which cleared the crashes that other instances had reported during the pause, and it contradicted their reports for ten seconds: a part of a prompt that had become deadly meanwhile stayed unsuspected for longer.

Events and responses now date back to the last tick but one, which lies before the pause until everything that had arrived has been read. Without a pause that is at most 100 ms; the next served call clears what a call in that time left.

CallRunTest.DatesEventsThatWaitedInAPausedProcessBack fails if firstEventAt or the present time is used as before.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -519,11 +519,14 @@
     if (events->empty())
         return;
     if (this->relay.hasAdvanced()) {
-        attempt.firstEventAt = std::min(attempt.firstEventAt, now);
+        if (attempt.firstEventAt == absl::InfiniteFuture()) {
+            attempt.firstEventAt = now;
+            attempt.firstEventSince = this->context.inputSince;
+        }
         if (!attempt.hasSurvived && now - attempt.firstEventAt > kCrashDelay) {
             attempt.hasSurvived = true;
             call.clearSuspicion();
-            this->suspicion->onSurvived(attempt.firstEventAt, now);
+            this->suspicion->onSurvived(attempt.firstEventSince, now);
         }
         this->onStreamEvent(attempt, now);
     }
@@ -610,7 +613,8 @@
         && this->relay.isComplete(finished->run, finished->reply.isFramed)) {
         if (hasSurvived) {
             this->suspicion->onServed(now);
-            this->suspicion->onSurvived(std::min(finished->firstEventAt, now), now);
+            this->suspicion->onSurvived(
+                std::min(finished->firstEventSince, this->context.inputSince), now);
         }
         if (!this->hasAnswerBegun)
             this->caller->startStream(finished->reply.status,
@@ -638,7 +642,7 @@
     this->context.health.onLatency(server, latency);
     if (this->reply.status < 400) {
         this->suspicion->onServed(now);
-        this->suspicion->onSurvived(now, now);
+        this->suspicion->onSurvived(this->context.inputSince, now);
     }
     this->forwardStoredReply();
 }
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -71,6 +71,8 @@
         /** The response is a stream whose events are forwarded as they arrive. */
         bool isRelaying = false;
         absl::Time firstEventAt = absl::InfiniteFuture();
+        /** GatewayContext::inputSince when the first event was read. */
+        absl::Time firstEventSince = absl::InfiniteFuture();
         /** Why the stream was also sent to another server; none while it was not. */
         std::optional<AttemptEnd> replacedFor;
         /** The retry budget has denied a second server since the last event. */
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -117,6 +117,7 @@
 {
     this->tick.start(kTickInterval);
     const absl::Time now = Clock::now();
+    this->context.onTick(now);
     this->applyConfigToSessions();
     this->context.directory.onTick(now);
     this->context.limits.onTick(now);
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clock.h"
 #include "core/metrics.h"
 #include "core/random.h"
 #include "main/gateway/gateway_settings.h"
@@ -85,10 +86,14 @@
                    this->storeSource, this->metrics)
         , limits(base, instanceRecord(settings), this->exchange, this->directory, this->metrics)
         , random(stableSeed(settings))
+        , inputSince(Clock::now())
+        , tickedAt(inputSince)
     { }
 
     static std::uint64_t stableSeed(const GatewaySettings &settings);
 
+    void onTick(absl::Time now);
+
     event_base *base;
     GatewaySettings settings;
     /** Null until the first configuration is known. */
@@ -114,6 +119,10 @@
     /** Destroyed at the next tick. */
     std::vector<std::unique_ptr<Retirable>> retired;
     std::vector<Lingering> lingeringObjects;
+    /** Data that is read now has arrived since then. It may have waited for longer than it seems
+     * if the process was paused. */
+    absl::Time inputSince;
+    absl::Time tickedAt;
     std::uint32_t nextStreamId = 1;
     /** Bytes of responses that calls buffer until they are complete. */
     std::size_t bufferedReplyBytes = 0;
--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -383,5 +383,25 @@
     EXPECT_EQ(this->deathsOfPart(), 0U);
 }
 
+// Guards against a deadly part that is cleared by an instance that was paused: events that had
+// arrived before the pause were taken for newer than the crashes meanwhile.
+TEST_F(CallRunTest, DatesEventsThatWaitedInAPausedProcessBack)
+{
+    const absl::Time beforePause = Clock::now() - absl::Seconds(5);
+    for (const char *path : {"/stream/a", "/look/a"}) {
+        this->received.clear();
+        this->callWithPart(path);
+        ScriptedServer &server = this->servers[this->waitForRequest()];
+        this->context.onTick(beforePause);
+        this->context.onTick(Clock::now());
+        this->recordDeathOfPart();
+        server.answer("HTTP/1.1 200 OK\r\nAttempt-Id: call\r\nResponse-Seal: s\r\n"
+                      "Content-Length: 15\r\nContent-Type: text/event-stream\r\n\r\n"
+                      "id: 1\ndata: x\n\n");
+        EXPECT_TRUE(this->isAnswered("data: x"));
+        EXPECT_EQ(this->deathsOfPart(), 1U) << path;
+    }
+}
+
 } // namespace
 } // namespace foxtailtally
