Date the crash of an unreachable server back to its last byte

Servers that lose power together close no connection. Those of calls that had not been acknowledged time out after two seconds, each by its own clock, or are reset when their server has returned. Such a break was dated to itself, so servers that had failed together seemed to fail one after the other, and a part of a prompt that all calls have could collect deaths that exclude each other.

A broken connection now dates back to the last byte, as an attempt that ends as silent does, if the last connection to the server failed. One failed connection suffices; three, which mark a server as unresponsive, take longer than the time-out.

Crashes of servers that accept connections are still dated to the break.

CallRunTest.DatesTheBrokenConnectionOfAnUnreachableServerBackToTheLastByte failed before (1 s instead of at least 1.4 s). .DatesTheBrokenConnectionOfAReachableServerToTheBreak and the second new test, of servers that return one after the other, guard the bounds of the change and passed before.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -760,10 +760,11 @@
     evidence.isConnectionBroken = isConnectionBroken;
     evidence.hasAnswerBegun = !this->isStream() && attempt.reply.status != 0;
     evidence.streamingFor = std::max(absl::ZeroDuration(), now - attempt.firstEventAt);
-    const ServerKey server = call.target().key;
-    if (this->context.reachability.isUnresponsive(server))
+    const AttemptTarget &target = call.target();
+    // A server that loses power resets its connections only when it has returned, or they time out.
+    if (!this->context.reachability.isReachable(target.key, target.domain))
         evidence.silentFor =
-            now - std::max(this->context.activity[server].lastByteAt, call.sentAt());
+            now - std::max(this->context.activity[target.key].lastByteAt, call.sentAt());
     return evidence;
 }
 
--- a/servers/quarantine/crash_evidence.h
+++ b/servers/quarantine/crash_evidence.h
@@ -13,8 +13,9 @@
     bool hasAnswerBegun = false;
     /** Time since the first event of a stream; zero before it. */
     absl::Duration streamingFor = absl::ZeroDuration();
-    /** Time since the last byte from a server that accepts no further connections; it may have
-     * crashed at any moment since. */
+    /** Time since the last byte from a server that did not accept the last connection, or since the
+     * call was sent to it; it may have crashed at any moment since. Zero for other servers: their
+     * connections break when they crash. */
     absl::Duration silentFor = absl::ZeroDuration();
 };
 
--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -7,7 +7,6 @@
 #include "tests/http/test_loop.h"
 
 #include <absl/strings/str_cat.h>
-#include <algorithm>
 #include <array>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
@@ -82,6 +81,8 @@
 
 const char *const kServed = "HTTP/1.1 200 OK\r\nAttempt-Id: call\r\nResponse-Seal: s\r\n"
                             "Content-Length: 4\r\n\r\ndone";
+constexpr absl::Duration kSilenceBeforeBreak = absl::Milliseconds(400);
+
 /** Part of a prompt that other calls share. */
 const std::string kPart = "5c1e";
 const char *const kReserved = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"Free\":5}";
@@ -148,6 +149,26 @@
         this->context.quarantine.onCallLost(server, 1, {fingerprintOf("other call"), {part()}},
                                             diedAt - kCommonCauseWindow, diedAt);
     }
+    /** Breaks the connection of a call some time after it was sent. Returns the time in which
+     * another death may have had the same cause. */
+    absl::Duration breakConnection(bool isUnreachable)
+    {
+        this->callWithPart();
+        const std::size_t server = this->waitForRequest();
+        const absl::Time end = Clock::now() + kSilenceBeforeBreak;
+        this->loop.runUntil([end] { return Clock::now() >= end; });
+        if (isUnreachable)
+            this->context.reachability.onConnectFailed(this->key(server), FailureDomainId("east"),
+                                                       Clock::now());
+        this->servers[server].closeConnections();
+        EXPECT_TRUE(this->isAnswered("502"));
+        for (const CrashReport &report : this->context.quarantine.reports(Clock::now())) {
+            if (report.fingerprint == part())
+                return report.diedAt - report.causeSince;
+        }
+        ADD_FAILURE() << "no death was recorded";
+        return absl::ZeroDuration();
+    }
     /** Runs the loop until a request waits at a server; returns the server's index. */
     std::size_t waitForRequest()
     {
@@ -403,5 +424,20 @@
     }
 }
 
+// Guards against a part that all calls have: servers that lost power together time out or reset
+// their connections one after the other, which are no crashes of these moments.
+TEST_F(CallRunTest, DatesTheBrokenConnectionOfAnUnreachableServerBackToTheLastByte)
+{
+    EXPECT_GE(this->breakConnection(true), kCommonCauseWindow + kSilenceBeforeBreak);
+}
+
+// Guards against a late decision: a server that reads a long prompt is silent before it crashes,
+// and crashes that date back to the sending of their calls seem to have a common cause for longer
+// than users allow.
+TEST_F(CallRunTest, DatesTheBrokenConnectionOfAReachableServerToTheBreak)
+{
+    EXPECT_EQ(this->breakConnection(false), kCommonCauseWindow);
+}
+
 } // namespace
 } // namespace foxtailtally
--- a/tests/quarantine/prompt_part_test.cpp
+++ b/tests/quarantine/prompt_part_test.cpp
@@ -241,6 +241,23 @@
     }
 }
 
+// Guards against a part that all calls have: servers that lost power together return one after the
+// other, and each resets the connections that it does not know.
+TEST(PromptPart, ThatAllCallsHaveIsNotQuarantinedWhenServersReturnAfterAPowerFailure)
+{
+    Quarantine table(threeDeaths());
+    for (int server = 0; server < 9; ++server) {
+        CrashEvidence evidence;
+        evidence.isConnectionBroken = true;
+        const absl::Duration outage = absl::Milliseconds(3000 + server * 400);
+        evidence.silentFor = outage;
+        table.onCallLost(BackendServerId(absl::StrCat("server-", server)), 1,
+                         LostCalls::call({"common"}), commonCauseSince(evidence, kNow + outage),
+                         kNow + outage);
+    }
+    EXPECT_FALSE(table.refuses(LostCalls::call({"common"}), at(7000)));
+}
+
 struct Event
 {
     bool isServed = false;
