Count the deaths of a server that has returned

Deaths of one server within 5 s counted once, since instances may know different incarnations of it at one death. A server may be back under its id sooner than that. If each of its deaths was followed by another within 5 s, only the newest counted: a service with two servers that are back after 2 s never had more than two deaths, and a part of a prompt that crashed them in turn was never quarantined.

The window is 1 s now. Instances notice a reset connection within milliseconds of each other. Where one notices the death by silence later, its death dates back to the last byte, so it excludes no other; that it may count once more among the deaths of any cause is accepted.

PromptPart.IsQuarantinedWhenItCrashesTheSameServersAgain failed before (10 deaths, not quarantined, instead of 3).

--- a/servers/quarantine/quarantine.h
+++ b/servers/quarantine/quarantine.h
@@ -47,9 +47,9 @@
     absl::Duration listRemovalDelay = absl::Seconds(6);
 };
 
-/** Deaths of a server within this time are the same death: a server takes longer to restart and to
- * receive the request again. */
-constexpr absl::Duration kSameDeathWindow = absl::Seconds(5);
+/** Deaths of a server within this time are the same death, whatever incarnations instances know. A
+ * server takes longer to restart and to receive the request again. */
+constexpr absl::Duration kSameDeathWindow = absl::Seconds(1);
 
 enum class QuarantineState : std::uint8_t {
     Clear,
--- a/tests/quarantine/prompt_part_test.cpp
+++ b/tests/quarantine/prompt_part_test.cpp
@@ -258,6 +258,19 @@
     EXPECT_FALSE(table.refuses(LostCalls::call({"common"}), at(7000)));
 }
 
+// Guards against a service with few servers, each of which is back under its id after some seconds:
+// all deaths of one server counted once, and the part was never quarantined.
+TEST(PromptPart, IsQuarantinedWhenItCrashesTheSameServersAgain)
+{
+    Quarantine table(threeDeaths());
+    int deaths = 0;
+    for (; deaths < 10 && !table.refuses(LostCalls::call({"deadly"}), at(deaths * 1300)); ++deaths)
+        table.onCallLost(BackendServerId(absl::StrCat("server-", deaths % 2)),
+                         static_cast<Incarnation>(1 + deaths / 2), LostCalls::call({"deadly"}),
+                         commonCauseSince({}, at(deaths * 1300)), at(deaths * 1300));
+    EXPECT_EQ(deaths, 3);
+}
+
 struct Event
 {
     bool isServed = false;
