Keep more deaths of a quarantined part of a prompt

Sound calls with a rare part were refused as quarantined after their servers had crashed under another, deadly part. Deaths under a quarantined part explain those of parts with fewer deaths, but an entry kept 16 deaths. A part that crashed 40 servers within three seconds had lost most of them, so a sound part that was running on 10 of these servers kept deaths that nothing explained.

Entries keep 64 deaths. The table is bounded by 4,096 fingerprints of 64 deaths of 80 bytes, 21 MB (computed), instead of 5 MB.

PromptPart.ExplainsTheDeathsOfOthersThoughItHasMany failed before (the sound part was refused).

--- a/benchmarks/quarantine_benchmark.cpp
+++ b/benchmarks/quarantine_benchmark.cpp
@@ -79,8 +79,22 @@
     }
 }
 
+/** What a call costs that is refused for a part with many deaths. */
+void refuseCall(benchmark::State &state)
+{
+    Quarantine table;
+    CallFingerprints call = anyCall();
+    for (std::int64_t i = 0; i < state.range(0); ++i) {
+        const BackendServerId server(absl::StrCat("server-", i));
+        table.onCrashReport({call.parts[1], server, 1, kStart + absl::Milliseconds(i)}, kStart);
+    }
+    for (auto _ : state)
+        benchmark::DoNotOptimize(table.refuses(call, kStart));
+}
+
 BENCHMARK(checkCall)->Arg(0)->Arg(10)->Arg(10000);
 BENCHMARK(recordServedCall)->Arg(0)->Arg(10)->Arg(10000);
+BENCHMARK(refuseCall)->Arg(3)->Arg(16)->Arg(Quarantine::kMaxDeaths);
 BENCHMARK(judgeAfterReport)->Arg(10)->Arg(10000);
 
 } // namespace
--- a/servers/quarantine/quarantine.h
+++ b/servers/quarantine/quarantine.h
@@ -86,7 +86,9 @@
 class Quarantine
 {
 public:
-    static constexpr std::size_t kMaxDeaths = 16;
+    /** Many servers may crash in the second before a part of a prompt is quarantined, and deaths
+     * that were dropped do not explain those of other fingerprints. */
+    static constexpr std::size_t kMaxDeaths = 64;
 
     explicit Quarantine(const QuarantineOptions &options = {})
         : options(options)
--- a/tests/quarantine/prompt_part_test.cpp
+++ b/tests/quarantine/prompt_part_test.cpp
@@ -271,6 +271,22 @@
     EXPECT_EQ(deaths, 3);
 }
 
+// Guards against a sound part that is refused because it was running on some of many servers that
+// crashed: the deadly part's deaths there had been dropped, so they explained nothing.
+TEST(PromptPart, ExplainsTheDeathsOfOthersThoughItHasMany)
+{
+    Quarantine table(threeDeaths());
+    LostCalls lost(table);
+    for (int death = 0; death < 40; ++death) {
+        std::vector<CallFingerprints> calls = {LostCalls::call({"deadly"})};
+        if (death % 4 == 0)
+            calls.push_back(LostCalls::call({"sound"}));
+        lost.loseAll(calls, at(death * 80));
+    }
+    EXPECT_TRUE(table.refuses(LostCalls::call({"deadly"}), at(3300)));
+    EXPECT_FALSE(table.refuses(LostCalls::call({"sound"}), at(3300)));
+}
+
 struct Event
 {
     bool isServed = false;
