Bound the wait for a run with the same suspect part of a prompt

Callers whose prompts shared a part with two deaths waited, all of them, until the only call with the part at their instance ended. If its server was silent, or read a long prompt, sound calls waited for seconds and missed their deadlines, although other servers were free.

A further call with the part now runs when the last one was sent a second ago. One that is served clears the part at this instance, and the others follow. One call a second bounds what a part that does crash servers costs meanwhile; it would not do to release all waiting calls after a second, each at its own server. The wait also ended no stream at an unresponsive server: its own first run held it up, and does so for a second only.

CallRunTest.WaitsABoundedTimeForARunWithTheSameSuspectPart failed before (had to wait at any time while a run was in flight).

--- a/main/gateway/call_suspicion.cpp
+++ b/main/gateway/call_suspicion.cpp
@@ -63,8 +63,7 @@
     SuspectPlacement wait;
     wait.mustWait = true;
     for (const Fingerprint &part : this->suspectParts(now)) {
-        // One run shows as much as several do, and costs one server.
-        if (this->context.suspectPartRuns.contains(part))
+        if (this->context.suspectPartRuns.mustWait(part, now))
             return wait;
     }
     std::vector<SuspectCandidate> candidates;
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -16,6 +16,7 @@
 #include "servers/placement/server_health.h"
 #include "servers/placement/stream_ledger.h"
 #include "servers/quarantine/quarantine.h"
+#include "servers/quarantine/suspect_part_runs.h"
 #include "servers/retry/retry_after_policy.h"
 #include "servers/retry/retry_budget.h"
 #include "servers/retry/stop_policy.h"
@@ -114,8 +115,7 @@
     LimitExchange limits;
     Random random;
     absl::flat_hash_map<ServerKey, ServerActivity> activity;
-    /** Running calls of this instance with each suspect part of a prompt. */
-    absl::flat_hash_map<Fingerprint, std::int64_t> suspectPartRuns;
+    SuspectPartRuns suspectPartRuns;
     /** Destroyed at the next tick. */
     std::vector<std::unique_ptr<Retirable>> retired;
     std::vector<Lingering> lingeringObjects;
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -198,12 +198,10 @@
         activity.earlySuspects += change;
     if (this->server.suspicion == SuspectRun::Last)
         activity.lastSuspects += change;
-    for (const Fingerprint &part : this->server.suspectParts) {
-        const auto runs = this->context.suspectPartRuns.try_emplace(part, 0).first;
-        runs->second += change;
-        if (runs->second <= 0)
-            this->context.suspectPartRuns.erase(runs);
-    }
+    if (change > 0)
+        this->context.suspectPartRuns.add(this->server.suspectParts, this->startedAt);
+    else
+        this->context.suspectPartRuns.remove(this->server.suspectParts);
 }
 
 void ServerCall::uncountCall()
--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -2,7 +2,9 @@
 
 #include "core/clock.h"
 #include "core/hash.h"
+#include "main/gateway/call_suspicion.h"
 #include "servers/quarantine/crash_evidence.h"
+#include "servers/quarantine/suspect_part_runs.h"
 #include "tests/http/raw_peer.h"
 #include "tests/http/test_loop.h"
 
@@ -439,5 +441,47 @@
     EXPECT_EQ(this->breakConnection(false), kCommonCauseWindow);
 }
 
+/** Ignores what happens to a run. */
+class IgnoredRun final : public ServerCallEvents
+{
+public:
+    bool mayWrite(ServerCall &, absl::Time) override { return true; }
+    void onReply(ServerCall &, const ResponseHead &, const platform::ServerReply &) override { }
+    void onReplyBody(ServerCall &, std::string_view) override { }
+    void onReplyComplete(ServerCall &) override { }
+    void onAttemptEnded(ServerCall &, AttemptEnd) override { }
+};
+
+// Guards against sound calls that wait for each other: a call with a suspect part ran at a silent
+// server, and all others with this part waited until it ended.
+TEST_F(CallRunTest, WaitsABoundedTimeForARunWithTheSameSuspectPart)
+{
+    const absl::Time now = Clock::now();
+    for (const absl::Duration age : {absl::Seconds(5), absl::Seconds(2)})
+        this->recordDeathOfPart(now - age);
+    const std::string id = "call";
+    const std::vector<std::string> parts = {kPart};
+    CallSuspicion suspicion(this->context, id, {"", "/stream/a", "b", parts});
+    ASSERT_EQ(suspicion.suspectParts(now).size(), 1U);
+    const auto mustWait = [&](absl::Duration delay) {
+        return suspicion.restrictions("engine", {}, now + delay).mustWait;
+    };
+    EXPECT_FALSE(mustWait(absl::ZeroDuration()));
+    IgnoredRun events;
+    std::vector<std::unique_ptr<ServerCall>> runs;
+    for (const absl::Duration sentAfter : {absl::ZeroDuration(), kMaxSuspectRunWait}) {
+        AttemptTarget target;
+        target.address = this->servers[0].address();
+        target.suspectParts = {part()};
+        runs.push_back(std::make_unique<ServerCall>(this->context, target, events));
+        runs.back()->send("", false, id, true, now + sentAfter);
+        // One run shows as much as several do, and costs one server.
+        EXPECT_TRUE(mustWait(sentAfter + kMaxSuspectRunWait - absl::Milliseconds(1)));
+        EXPECT_FALSE(mustWait(sentAfter + kMaxSuspectRunWait));
+    }
+    runs.clear();
+    EXPECT_FALSE(mustWait(absl::ZeroDuration()));
+}
+
 } // namespace
 } // namespace foxtailtally
