--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -519,11 +519,14 @@
     if (events->empty())
         return;
     if (this->relay.hasAdvanced()) {
-        attempt.firstEventAt = std::min(attempt.firstEventAt, now);
+        if (attempt.firstEventAt == absl::InfiniteFuture()) {
+            attempt.firstEventAt = now;
+            attempt.firstEventSince = this->context.inputSince;
+        }
         if (!attempt.hasSurvived && now - attempt.firstEventAt > kCrashDelay) {
             attempt.hasSurvived = true;
             call.clearSuspicion();
-            this->suspicion->onSurvived(attempt.firstEventAt, now);
+            this->suspicion->onSurvived(attempt.firstEventSince, now);
         }
         this->onStreamEvent(attempt, now);
     }
@@ -604,10 +607,15 @@
     // While another attempt goes on, only an event shows that this one has continued the stream.
     const bool hasContinued =
         this->attempts.empty() || finished->firstEventAt != absl::InfiniteFuture();
+    // The end of a response without a length may also be that of its server.
+    const bool hasSurvived = finished->reply.isFramed || now - finished->firstEventAt > kCrashDelay;
     if (finished->isRelaying && hasContinued
         && this->relay.isComplete(finished->run, finished->reply.isFramed)) {
-        this->suspicion->onServed(now);
-        this->suspicion->onSurvived(std::min(finished->firstEventAt, now), now);
+        if (hasSurvived) {
+            this->suspicion->onServed(now);
+            this->suspicion->onSurvived(
+                std::min(finished->firstEventSince, this->context.inputSince), now);
+        }
         if (!this->hasAnswerBegun)
             this->caller->startStream(finished->reply.status,
                                       platform::callerHeaders(finished->reply.headers));
@@ -616,6 +624,9 @@
         return;
     }
     if (finished->isRelaying || this->hasAnswerBegun) {
+        if (finished->isRelaying && !hasSurvived)
+            this->suspicion->onLoss(call.target(), this->crashEvidence(call, *finished, true, now),
+                                    now);
         this->afterAttempt(AttemptEnd::Lost, now);
         return;
     }
@@ -631,7 +642,7 @@
     this->context.health.onLatency(server, latency);
     if (this->reply.status < 400) {
         this->suspicion->onServed(now);
-        this->suspicion->onSurvived(now, now);
+        this->suspicion->onSurvived(this->context.inputSince, now);
     }
     this->forwardStoredReply();
 }
@@ -653,7 +664,11 @@
 {
     const absl::Time now = Clock::now();
     std::optional<Attempt> ended = this->takeAttempt(call);
-    this->suspicion->onLoss(call.target(), this->crashEvidence(*ended, end, now), now);
+    const bool isBroken = end == AttemptEnd::Lost && call.failure() == Error::ConnectionLost;
+    const bool isUnresponsive =
+        end == AttemptEnd::Silent && this->context.reachability.isUnresponsive(call.target().key);
+    this->suspicion->onLoss(
+        call.target(), this->crashEvidence(call, *ended, isBroken || isUnresponsive, now), now);
     this->context.retired.push_back(std::move(ended->call));
     this->retirePlacement(std::move(ended->placement));
     const bool wasUnsent = end == AttemptEnd::NotSent || end == AttemptEnd::NotPermitted
@@ -738,19 +753,18 @@
     this->sendLocalReply(503, "quarantined", true, this->suspicion->quarantineLeft(now));
 }
 
-CrashEvidence CallRun::crashEvidence(const Attempt &attempt, AttemptEnd end, absl::Time now) const
+CrashEvidence CallRun::crashEvidence(const ServerCall &call, const Attempt &attempt,
+                                     bool isConnectionBroken, absl::Time now) const
 {
     CrashEvidence evidence;
-    const bool isBroken =
-        end == AttemptEnd::Lost && attempt.call->failure() == Error::ConnectionLost;
-    const bool isUnresponsive = end == AttemptEnd::Silent
-        && this->context.reachability.isUnresponsive(attempt.call->target().key);
-    evidence.isConnectionBroken = isBroken || isUnresponsive;
+    evidence.isConnectionBroken = isConnectionBroken;
     evidence.hasAnswerBegun = !this->isStream() && attempt.reply.status != 0;
     evidence.streamingFor = std::max(absl::ZeroDuration(), now - attempt.firstEventAt);
-    const ServerActivity &activity = this->context.activity[attempt.call->target().key];
-    if (isUnresponsive)
-        evidence.silentFor = now - std::max(activity.lastByteAt, attempt.call->sentAt());
+    const AttemptTarget &target = call.target();
+    // A server that loses power resets its connections only when it has returned, or they time out.
+    if (!this->context.reachability.isReachable(target.key, target.domain))
+        evidence.silentFor =
+            now - std::max(this->context.activity[target.key].lastByteAt, call.sentAt());
     return evidence;
 }
 
@@ -782,7 +796,7 @@
     std::string server;
     if (!this->attempts.empty())
         server = this->attempts.back().call->target().id.str();
-    this->cancelAttempts();
+    this->cancelAttempts(now);
     this->dropPlacement();
     this->dropTokens(now);
     const bool hadEvent = this->firstEventAt != absl::InfinitePast();
@@ -981,9 +995,14 @@
         this->dispatchTo(*found, this->excludedServers(limited), now);
 }
 
-void CallRun::cancelAttempts()
+void CallRun::cancelAttempts(absl::Time now)
 {
     for (Attempt &attempt : this->attempts) {
+        // The caller may give a call up whose server has crashed without closing the connection.
+        const ServerCall &ended = *attempt.call;
+        if (ended.wasWritten() && this->context.reachability.isUnresponsive(ended.target().key))
+            this->suspicion->onLoss(ended.target(), this->crashEvidence(ended, attempt, true, now),
+                                    now);
         attempt.call->cancel();
         this->context.retired.push_back(std::move(attempt.call));
         this->retirePlacement(std::move(attempt.placement));
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -71,6 +71,8 @@
         /** The response is a stream whose events are forwarded as they arrive. */
         bool isRelaying = false;
         absl::Time firstEventAt = absl::InfiniteFuture();
+        /** GatewayContext::inputSince when the first event was read. */
+        absl::Time firstEventSince = absl::InfiniteFuture();
         /** Why the stream was also sent to another server; none while it was not. */
         std::optional<AttemptEnd> replacedFor;
         /** The retry budget has denied a second server since the last event. */
@@ -135,7 +137,8 @@
     /** Waits for the first server whose requested pause ends; false when that is too late for the
      * caller, or some server has requested none. */
     bool waitForPauseEnd(absl::Time now);
-    CrashEvidence crashEvidence(const Attempt &attempt, AttemptEnd end, absl::Time now) const;
+    CrashEvidence crashEvidence(const ServerCall &call, const Attempt &attempt,
+                                bool isConnectionBroken, absl::Time now) const;
     void sendLocalReply(int status, std::string_view cause, bool notRun);
     void sendLocalReply(int status, std::string_view cause, bool notRun,
                         std::optional<absl::Duration> retryAfter);
@@ -154,7 +157,7 @@
     /** Time without a byte from the server of @p attempt after which it counts as silent. */
     absl::Duration silenceTimeout(const Attempt &attempt, absl::Time now) const;
     void hedge(absl::Time now);
-    void cancelAttempts();
+    void cancelAttempts(absl::Time now);
     Attempt *findAttempt(const ServerCall &call);
     std::optional<Attempt> takeAttempt(const ServerCall &call);
     bool isStream() const { return this->call.route->kind == CallKind::Streaming; }
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clock.h"
 #include "core/metrics.h"
 #include "core/random.h"
 #include "main/gateway/gateway_settings.h"
@@ -15,6 +16,7 @@
 #include "servers/placement/server_health.h"
 #include "servers/placement/stream_ledger.h"
 #include "servers/quarantine/quarantine.h"
+#include "servers/quarantine/suspect_part_runs.h"
 #include "servers/retry/retry_after_policy.h"
 #include "servers/retry/retry_budget.h"
 #include "servers/retry/stop_policy.h"
@@ -85,10 +87,14 @@
                    this->storeSource, this->metrics)
         , limits(base, instanceRecord(settings), this->exchange, this->directory, this->metrics)
         , random(stableSeed(settings))
+        , inputSince(Clock::now())
+        , tickedAt(inputSince)
     { }
 
     static std::uint64_t stableSeed(const GatewaySettings &settings);
 
+    void onTick(absl::Time now);
+
     event_base *base;
     GatewaySettings settings;
     /** Null until the first configuration is known. */
@@ -109,11 +115,14 @@
     LimitExchange limits;
     Random random;
     absl::flat_hash_map<ServerKey, ServerActivity> activity;
-    /** Running calls of this instance with each suspect part of a prompt. */
-    absl::flat_hash_map<Fingerprint, std::int64_t> suspectPartRuns;
+    SuspectPartRuns suspectPartRuns;
     /** Destroyed at the next tick. */
     std::vector<std::unique_ptr<Retirable>> retired;
     std::vector<Lingering> lingeringObjects;
+    /** Data that is read now has arrived since then. It may have waited for longer than it seems
+     * if the process was paused. */
+    absl::Time inputSince;
+    absl::Time tickedAt;
     std::uint32_t nextStreamId = 1;
     /** Bytes of responses that calls buffer until they are complete. */
     std::size_t bufferedReplyBytes = 0;
--- a/main/gateway/store_sync.h
+++ b/main/gateway/store_sync.h
@@ -31,6 +31,8 @@
     void onTick(absl::Time now);
     /** The list of servers has been read. */
     bool hasServers() const { return this->serversListed; }
+    /** The copies of all kinds. */
+    std::vector<const KindWatcher *> kinds() const;
 
 private:
     class RelayedKindEvents;
@@ -70,6 +72,8 @@
     const KindWatcher *serverWatcher = nullptr;
     /** Delays the first reads when all instances start at once. */
     LoopTimer startTimer;
+    /** Lets all kinds know of a later era after the callback that has seen it. */
+    LoopTimer eraTimer;
     std::unique_ptr<Registration> registration;
 };
 
--- a/servers/quarantine/quarantine.h
+++ b/servers/quarantine/quarantine.h
@@ -47,9 +47,9 @@
     absl::Duration listRemovalDelay = absl::Seconds(6);
 };
 
-/** Deaths of a server within this time are the same death: a server takes longer to restart and to
- * receive the request again. */
-constexpr absl::Duration kSameDeathWindow = absl::Seconds(5);
+/** Deaths of a server within this time are the same death, whatever incarnations instances know. A
+ * server takes longer to restart and to receive the request again. */
+constexpr absl::Duration kSameDeathWindow = absl::Seconds(1);
 
 enum class QuarantineState : std::uint8_t {
     Clear,
@@ -86,7 +86,9 @@
 class Quarantine
 {
 public:
-    static constexpr std::size_t kMaxDeaths = 16;
+    /** Many servers may crash in the second before a part of a prompt is quarantined, and deaths
+     * that were dropped do not explain those of other fingerprints. */
+    static constexpr std::size_t kMaxDeaths = 64;
 
     explicit Quarantine(const QuarantineOptions &options = {})
         : options(options)
--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -1,6 +1,10 @@
 #include "main/gateway/caller_session.h"
 
 #include "core/clock.h"
+#include "core/hash.h"
+#include "main/gateway/call_suspicion.h"
+#include "servers/quarantine/crash_evidence.h"
+#include "servers/quarantine/suspect_part_runs.h"
 #include "tests/http/raw_peer.h"
 #include "tests/http/test_loop.h"
 
@@ -55,6 +59,15 @@
         }
     }
 
+    /** Sends @p bytes in response to the last request. */
+    void send(const std::string &bytes) { writeAll(this->connections.back().socket, bytes); }
+    void closeConnections()
+    {
+        for (const Connection &connection : this->connections)
+            ::close(connection.socket);
+        this->connections.clear();
+    }
+
 private:
     struct Connection
     {
@@ -70,6 +83,10 @@
 
 const char *const kServed = "HTTP/1.1 200 OK\r\nAttempt-Id: call\r\nResponse-Seal: s\r\n"
                             "Content-Length: 4\r\n\r\ndone";
+constexpr absl::Duration kSilenceBeforeBreak = absl::Milliseconds(400);
+
+/** Part of a prompt that other calls share. */
+const std::string kPart = "5c1e";
 const char *const kReserved = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"Free\":5}";
 
 /** Calls of one caller at a gateway that knows two servers of each service. */
@@ -109,6 +126,51 @@
                  absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: h\r\nAttempt-Id: call\r\n",
                               "Token-Usage: ", promptTokens, ",100\r\nContent-Length: 1\r\n\r\nb"));
     }
+    /** Sends a stream whose prompt has the shared part part(). */
+    void callWithPart(const std::string &path = "/stream/a")
+    {
+        writeAll(this->caller,
+                 absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: h\r\nAttempt-Id: call\r\n",
+                              "Token-Usage: 100,100\r\nPrompt-Prefix: ", kPart, ":40,91bd:60\r\n",
+                              "Content-Length: 1\r\n\r\nb"));
+    }
+    static Fingerprint part()
+    {
+        const std::array<std::string_view, 2> text = {"prompt part", kPart};
+        return fingerprintOf(text);
+    }
+    std::uint32_t deathsOfPart() const
+    {
+        return this->context.quarantine.deathsSeen(part(), Clock::now());
+    }
+    /** A server has died under another call with the shared part. */
+    void recordDeathOfPart(absl::Time diedAt = Clock::now())
+    {
+        static int servers = 0;
+        const BackendServerId server(absl::StrCat("gone-", ++servers));
+        this->context.quarantine.onCallLost(server, 1, {fingerprintOf("other call"), {part()}},
+                                            diedAt - kCommonCauseWindow, diedAt);
+    }
+    /** Breaks the connection of a call some time after it was sent. Returns the time in which
+     * another death may have had the same cause. */
+    absl::Duration breakConnection(bool isUnreachable)
+    {
+        this->callWithPart();
+        const std::size_t server = this->waitForRequest();
+        const absl::Time end = Clock::now() + kSilenceBeforeBreak;
+        this->loop.runUntil([end] { return Clock::now() >= end; });
+        if (isUnreachable)
+            this->context.reachability.onConnectFailed(this->key(server), FailureDomainId("east"),
+                                                       Clock::now());
+        this->servers[server].closeConnections();
+        EXPECT_TRUE(this->isAnswered("502"));
+        for (const CrashReport &report : this->context.quarantine.reports(Clock::now())) {
+            if (report.fingerprint == part())
+                return report.diedAt - report.causeSince;
+        }
+        ADD_FAILURE() << "no death was recorded";
+        return absl::ZeroDuration();
+    }
     /** Runs the loop until a request waits at a server; returns the server's index. */
     std::size_t waitForRequest()
     {
@@ -130,6 +192,7 @@
             return this->received.find(text) != std::string::npos;
         });
     }
+    void disconnectCaller() { ::shutdown(this->caller, SHUT_RDWR); }
     ServerKey key(std::size_t server) const
     {
         return this->context.directory.find(BackendServerId(absl::StrCat("server-", server)))->key;
@@ -139,6 +202,9 @@
     std::array<ScriptedServer, 4> servers;
     GatewayContext context;
     std::string received;
+    int caller = -1;
+    /** The connection to the caller has been closed. */
+    bool isBrokenOff = false;
 
 private:
     static GatewaySettings settings()
@@ -174,12 +240,16 @@
                                                            : "/act/";
             route.targets = {{kind == CallKind::Streaming ? "engine" : "desk"}};
             builder.addRoute(route);
+            if (kind != CallKind::Streaming)
+                continue;
+            route.pathPrefix = "/resume/";
+            route.canResume = true;
+            builder.addRoute(route);
         }
         return builder.build();
     }
-    void onSessionClosed(CallerSession &) override { }
+    void onSessionClosed(CallerSession &) override { this->isBrokenOff = true; }
 
-    int caller = -1;
     std::unique_ptr<CallerSession> session;
 };
 
@@ -260,5 +330,158 @@
     }
 }
 
+const char *const kStreamHead = "HTTP/1.1 200 OK\r\nAttempt-Id: call\r\nResponse-Seal: s\r\n"
+                                "Content-Type: text/event-stream\r\n\r\n";
+
+// Guards against a crash that leaves no evidence: a stream without length ended inside an event
+// when its server closed the connection.
+TEST_F(CallRunTest, RecordsACrashThatEndsAStreamWithoutLength)
+{
+    this->callWithPart();
+    ScriptedServer &server = this->servers[this->waitForRequest()];
+    server.send(std::string(kStreamHead) + "id: 1\nda");
+    server.closeConnections();
+    EXPECT_TRUE(this->isAnswered("502"));
+    EXPECT_EQ(this->deathsOfPart(), 1U);
+}
+
+// Guards against a deadly part that is cleared: a crash behind the first event of a stream without
+// length looks like its end.
+TEST_F(CallRunTest, TakesNoShortStreamWithoutLengthForASignOfSurvival)
+{
+    this->recordDeathOfPart();
+    this->callWithPart();
+    ScriptedServer &server = this->servers[this->waitForRequest()];
+    server.send(std::string(kStreamHead) + "id: 1\ndata: x\n\n");
+    server.closeConnections();
+    EXPECT_TRUE(this->isAnswered("0\r\n\r\n"));
+    EXPECT_EQ(this->deathsOfPart(), 1U);
+}
+
+// Guards against taking a failure that a server reports without a length for its crash.
+TEST_F(CallRunTest, TakesNoFailureWithoutLengthForACrash)
+{
+    this->callWithPart("/resume/a");
+    ScriptedServer &first = this->servers[this->waitForRequest()];
+    first.send(std::string(kStreamHead) + "id: 1\ndata: x\n\nid: 2\nda");
+    ASSERT_TRUE(this->isAnswered("data: x"));
+    first.closeConnections();
+    ScriptedServer &second = this->servers[this->waitForRequest()];
+    second.send("HTTP/1.1 500 S\r\nAttempt-Id: call\r\n\r\nfailed");
+    second.closeConnections();
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->isBrokenOff; }));
+    // The call and its part, at the first server only.
+    EXPECT_EQ(this->context.quarantine.reports(Clock::now()).size(), 2U);
+}
+
+// Guards against a crash that leaves no evidence: the caller gives up while the server of its
+// stream is silent and accepts no connections.
+TEST_F(CallRunTest, RecordsTheCrashOfAnUnresponsiveServerThatTheCallerGaveUp)
+{
+    this->callWithPart();
+    const std::size_t server = this->waitForRequest();
+    for (int i = 0; i < 3; ++i)
+        this->context.reachability.onConnectFailed(this->key(server), FailureDomainId("east"),
+                                                   Clock::now());
+    this->disconnectCaller();
+    this->loop.runEvents();
+    EXPECT_EQ(this->deathsOfPart(), 1U);
+}
+
+// Guards against blaming a call for the crash of a server that it has not reached: its connection
+// was not established yet when the caller gave up.
+TEST_F(CallRunTest, RecordsNoCrashOfAServerThatTheCallHasNotReached)
+{
+    this->callWithPart();
+    this->disconnectCaller();
+    const auto isCalled = [this](std::size_t server) {
+        return this->context.activity[this->key(server)].outstanding > 0;
+    };
+    ASSERT_TRUE(this->loop.runStepwiseUntil([&] { return isCalled(0) || isCalled(1); }));
+    const ServerKey called = this->key(isCalled(0) ? 0 : 1);
+    for (int i = 0; i < 3; ++i)
+        this->context.reachability.onConnectFailed(called, FailureDomainId("east"), Clock::now());
+    ASSERT_TRUE(this->loop.runStepwiseUntil([&] { return !isCalled(0) && !isCalled(1); }));
+    EXPECT_EQ(this->context.activity[called].sent.count(RequestKind::Call, Clock::now()), 0);
+    EXPECT_EQ(this->deathsOfPart(), 0U);
+}
+
+// Guards against a deadly part that is cleared by an instance that was paused: events that had
+// arrived before the pause were taken for newer than the crashes meanwhile.
+TEST_F(CallRunTest, DatesEventsThatWaitedInAPausedProcessBack)
+{
+    const absl::Time beforePause = Clock::now() - absl::Seconds(5);
+    for (const char *path : {"/stream/a", "/look/a"}) {
+        this->received.clear();
+        this->callWithPart(path);
+        ScriptedServer &server = this->servers[this->waitForRequest()];
+        this->context.onTick(beforePause);
+        this->context.onTick(Clock::now());
+        this->recordDeathOfPart();
+        server.answer("HTTP/1.1 200 OK\r\nAttempt-Id: call\r\nResponse-Seal: s\r\n"
+                      "Content-Length: 15\r\nContent-Type: text/event-stream\r\n\r\n"
+                      "id: 1\ndata: x\n\n");
+        EXPECT_TRUE(this->isAnswered("data: x"));
+        EXPECT_EQ(this->deathsOfPart(), 1U) << path;
+    }
+}
+
+// Guards against a part that all calls have: servers that lost power together time out or reset
+// their connections one after the other, which are no crashes of these moments.
+TEST_F(CallRunTest, DatesTheBrokenConnectionOfAnUnreachableServerBackToTheLastByte)
+{
+    EXPECT_GE(this->breakConnection(true), kCommonCauseWindow + kSilenceBeforeBreak);
+}
+
+// Guards against a late decision: a server that reads a long prompt is silent before it crashes,
+// and crashes that date back to the sending of their calls seem to have a common cause for longer
+// than users allow.
+TEST_F(CallRunTest, DatesTheBrokenConnectionOfAReachableServerToTheBreak)
+{
+    EXPECT_EQ(this->breakConnection(false), kCommonCauseWindow);
+}
+
+/** Ignores what happens to a run. */
+class IgnoredRun final : public ServerCallEvents
+{
+public:
+    bool mayWrite(ServerCall &, absl::Time) override { return true; }
+    void onReply(ServerCall &, const ResponseHead &, const platform::ServerReply &) override { }
+    void onReplyBody(ServerCall &, std::string_view) override { }
+    void onReplyComplete(ServerCall &) override { }
+    void onAttemptEnded(ServerCall &, AttemptEnd) override { }
+};
+
+// Guards against sound calls that wait for each other: a call with a suspect part ran at a silent
+// server, and all others with this part waited until it ended.
+TEST_F(CallRunTest, WaitsABoundedTimeForARunWithTheSameSuspectPart)
+{
+    const absl::Time now = Clock::now();
+    for (const absl::Duration age : {absl::Seconds(5), absl::Seconds(2)})
+        this->recordDeathOfPart(now - age);
+    const std::string id = "call";
+    const std::vector<std::string> parts = {kPart};
+    CallSuspicion suspicion(this->context, id, {"", "/stream/a", "b", parts});
+    ASSERT_EQ(suspicion.suspectParts(now).size(), 1U);
+    const auto mustWait = [&](absl::Duration delay) {
+        return suspicion.restrictions("engine", {}, now + delay).mustWait;
+    };
+    EXPECT_FALSE(mustWait(absl::ZeroDuration()));
+    IgnoredRun events;
+    std::vector<std::unique_ptr<ServerCall>> runs;
+    for (const absl::Duration sentAfter : {absl::ZeroDuration(), kMaxSuspectRunWait}) {
+        AttemptTarget target;
+        target.address = this->servers[0].address();
+        target.suspectParts = {part()};
+        runs.push_back(std::make_unique<ServerCall>(this->context, target, events));
+        runs.back()->send("", false, id, true, now + sentAfter);
+        // One run shows as much as several do, and costs one server.
+        EXPECT_TRUE(mustWait(sentAfter + kMaxSuspectRunWait - absl::Milliseconds(1)));
+        EXPECT_FALSE(mustWait(sentAfter + kMaxSuspectRunWait));
+    }
+    runs.clear();
+    EXPECT_FALSE(mustWait(absl::ZeroDuration()));
+}
+
 } // namespace
 } // namespace foxtailtally
--- a/tests/quarantine/prompt_part_test.cpp
+++ b/tests/quarantine/prompt_part_test.cpp
@@ -241,6 +241,52 @@
     }
 }
 
+// Guards against a part that all calls have: servers that lost power together return one after the
+// other, and each resets the connections that it does not know.
+TEST(PromptPart, ThatAllCallsHaveIsNotQuarantinedWhenServersReturnAfterAPowerFailure)
+{
+    Quarantine table(threeDeaths());
+    for (int server = 0; server < 9; ++server) {
+        CrashEvidence evidence;
+        evidence.isConnectionBroken = true;
+        const absl::Duration outage = absl::Milliseconds(3000 + server * 400);
+        evidence.silentFor = outage;
+        table.onCallLost(BackendServerId(absl::StrCat("server-", server)), 1,
+                         LostCalls::call({"common"}), commonCauseSince(evidence, kNow + outage),
+                         kNow + outage);
+    }
+    EXPECT_FALSE(table.refuses(LostCalls::call({"common"}), at(7000)));
+}
+
+// Guards against a service with few servers, each of which is back under its id after some seconds:
+// all deaths of one server counted once, and the part was never quarantined.
+TEST(PromptPart, IsQuarantinedWhenItCrashesTheSameServersAgain)
+{
+    Quarantine table(threeDeaths());
+    int deaths = 0;
+    for (; deaths < 10 && !table.refuses(LostCalls::call({"deadly"}), at(deaths * 1300)); ++deaths)
+        table.onCallLost(BackendServerId(absl::StrCat("server-", deaths % 2)),
+                         static_cast<Incarnation>(1 + deaths / 2), LostCalls::call({"deadly"}),
+                         commonCauseSince({}, at(deaths * 1300)), at(deaths * 1300));
+    EXPECT_EQ(deaths, 3);
+}
+
+// Guards against a sound part that is refused because it was running on some of many servers that
+// crashed: the deadly part's deaths there had been dropped, so they explained nothing.
+TEST(PromptPart, ExplainsTheDeathsOfOthersThoughItHasMany)
+{
+    Quarantine table(threeDeaths());
+    LostCalls lost(table);
+    for (int death = 0; death < 40; ++death) {
+        std::vector<CallFingerprints> calls = {LostCalls::call({"deadly"})};
+        if (death % 4 == 0)
+            calls.push_back(LostCalls::call({"sound"}));
+        lost.loseAll(calls, at(death * 80));
+    }
+    EXPECT_TRUE(table.refuses(LostCalls::call({"deadly"}), at(3300)));
+    EXPECT_FALSE(table.refuses(LostCalls::call({"sound"}), at(3300)));
+}
+
 struct Event
 {
     bool isServed = false;
