Hold the operator's evacuations through a restore of the store

What callers would see: after a restore, calls reach an evacuated domain until the operator has written the evacuation again, and a domain whose evacuation had been taken back loses its work.

Cause: the list of evacuated domains was replaced by whatever the store listed. A copy that is some seconds old is not the operator's last word.

EvacuationTable keeps the last word from before the restore: a domain that the copy lacks stays evacuated for 10 s; one whose evacuation had ended is not evacuated again for 3 s. After 3 s the entry counts, since the operator may have written it again in the new era without a visible change, and such an evacuation must be in force within 5 s. Following it at once would be safe for EVAC as well but may empty the only domain with servers of a service. Any write or removal of the new era decides at once. Ends are remembered for a minute.

--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -249,23 +249,43 @@
         : RelayedKindEvents(sync, platform::kEvacuationKind)
     { }
 
-    void onObjects(std::vector<StoredObject> &objects, bool, absl::Time) override
+    void onRestored(const StorePosition &, const StorePosition &, absl::Time now) override
+    {
+        this->context.directory.evacuations().onRestored(now);
+        this->isRestored = true;
+    }
+    void onObjects(std::vector<StoredObject> &objects, bool, absl::Time now) override
     {
         absl::btree_set<FailureDomainId> domains;
         for (StoredObject &object : objects) {
             domains.insert(FailureDomainId(object.name));
             object.spec.clear();
         }
-        this->context.directory.replaceEvacuated(std::move(domains));
+        EvacuationTable &evacuations = this->context.directory.evacuations();
+        evacuations.onList(domains, now);
+        if (!std::exchange(this->isRestored, false))
+            return;
+        for (const FailureDomainId &domain : evacuations.heldAgainstStore(now))
+            logEvent(LogLevel::Info, "evacuation_kept_against_copy",
+                     {{"domain", domain.str()},
+                      {"out", evacuations.isEvacuated(domain, now)},
+                      {"grace_ms",
+                       absl::ToInt64Milliseconds(domains.contains(domain)
+                                                     ? EvacuationTable::kEndedGrace
+                                                     : EvacuationTable::kMissingGrace)}});
     }
-    void onChange(ObjectChange &change, bool, absl::Time) override
+    void onChange(ObjectChange &change, bool, absl::Time now) override
     {
         change.object.spec.clear();
-        this->context.directory.setEvacuated(FailureDomainId(change.object.name),
-                                             !change.isDeleted);
+        this->context.directory.evacuations().onChange(FailureDomainId(change.object.name),
+                                                       !change.isDeleted, now);
         logEvent(LogLevel::Info, "domain_evacuation",
                  {{"domain", change.object.name}, {"out", !change.isDeleted}});
     }
+
+private:
+    /** The next list is the first one after a restore. */
+    bool isRestored = false;
 };
 
 /** Server deaths under calls; they are stored to outlive the instances that saw them. */
--- a/servers/catalog/server_directory.cpp
+++ b/servers/catalog/server_directory.cpp
@@ -69,22 +69,10 @@
             this->idsByKey.erase(item.second.key);
         return isExpired;
     });
+    this->evacuationTable.onTick(now);
     this->serverBackpressure.onTick(now);
 }
 
-void ServerDirectory::setEvacuated(const FailureDomainId &domain, bool isEvacuated)
-{
-    if (isEvacuated)
-        this->evacuated.insert(domain);
-    else
-        this->evacuated.erase(domain);
-}
-
-void ServerDirectory::replaceEvacuated(absl::btree_set<FailureDomainId> domains)
-{
-    this->evacuated = std::move(domains);
-}
-
 std::vector<const ServerDirectory::Server *> ServerDirectory::usable(const std::string &service,
                                                                      absl::Time now) const
 {
@@ -164,7 +152,7 @@
 bool ServerDirectory::isInService(const Server &server, absl::Time now) const
 {
     return !this->isDraining(server) && server.usableUntil >= now
-        && !this->evacuated.contains(server.entry.domain);
+        && !this->evacuationTable.isEvacuated(server.entry.domain, now);
 }
 
 } // namespace foxtailtally
--- a/servers/catalog/server_directory.h
+++ b/servers/catalog/server_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "servers/catalog/evacuation_table.h"
 #include "servers/catalog/server_backpressure.h"
 
 #include <absl/container/btree_map.h>
@@ -78,8 +79,9 @@
     /** Servers of @p service are listed, and all of them drain. */
     bool areAllDraining(const std::string &service) const;
 
-    void setEvacuated(const FailureDomainId &domain, bool isEvacuated);
-    void replaceEvacuated(absl::btree_set<FailureDomainId> domains);
+    /** Servers of evacuated domains are not usable. */
+    EvacuationTable &evacuations() { return this->evacuationTable; }
+    const EvacuationTable &evacuations() const { return this->evacuationTable; }
 
     /** Servers of @p service that may get new work, in the order of their ids. */
     std::vector<const Server *> usable(const std::string &service, absl::Time now) const;
@@ -99,7 +101,7 @@
 
     absl::btree_map<BackendServerId, Server> servers;
     absl::flat_hash_map<ServerKey, BackendServerId> idsByKey;
-    absl::btree_set<FailureDomainId> evacuated;
+    EvacuationTable evacuationTable;
     ServerBackpressure serverBackpressure;
 };
 
--- a/tests/catalog/server_directory_test.cpp
+++ b/tests/catalog/server_directory_test.cpp
@@ -75,9 +75,9 @@
 {
     ServerDirectory directory;
     directory.onEntry(entry("a"), kStart);
-    directory.setEvacuated(FailureDomainId("east"), true);
+    directory.evacuations().onChange(FailureDomainId("east"), true, kStart);
     EXPECT_TRUE(directory.usable("desk", kStart).empty());
-    directory.replaceEvacuated({});
+    directory.evacuations().onList({}, kStart);
     EXPECT_EQ(directory.usable("desk", kStart).size(), 1U);
 }
 
--- /dev/null
+++ b/tests/process/restored_store_test.cpp
@@ -0,0 +1,198 @@
+#include "tests/process/gateway_deployment.h"
+#include "tests/process/http_caller.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <gtest/gtest.h>
+#include <map>
+#include <thread>
+
+namespace foxtailtally {
+namespace {
+
+/** Two of them share a failure domain. */
+constexpr int kGateways = 4;
+/** Shortest ApplyMs of the users' deployments. */
+constexpr absl::Duration kApplyBound = absl::Seconds(2);
+/** Time after which a change of the store is in force while nothing is disturbed. */
+constexpr absl::Duration kCalmApplyTime = absl::Seconds(1);
+constexpr absl::Duration kPollInterval = absl::Milliseconds(30);
+/** Revisions that are lost in addition to those of the change under test. */
+constexpr int kRevisionsLost = 10;
+
+const std::string kKey = "key-1";
+const std::string kEvacuations(platform::kEvacuationKind);
+const std::string kDeaths(platform::kCrashReportKind);
+const std::string kInstances(platform::kInstanceKind);
+const std::string kServers(platform::kServerKind);
+
+/** Four gateways, and a store that is restored from a copy. */
+class RestoredStore : public testing::Test
+{
+protected:
+    RestoredStore()
+        : deployment(kGateways)
+    {
+        this->deployment.configure(1, {kKey});
+        this->addServer(0, "d0");
+        this->addServer(1, "d1");
+    }
+
+    ServingStandin &platform() { return this->deployment.platform(); }
+    void addServer(int index, const std::string &domain)
+    {
+        this->platform().addServer(index, "desk", domain, this->platform().serverAddress(index));
+    }
+    void startAll()
+    {
+        for (int gateway = 0; gateway < kGateways; ++gateway)
+            this->deployment.start(gateway);
+        for (int gateway = 0; gateway < kGateways; ++gateway)
+            ASSERT_TRUE(this->deployment.waitUntilReady(gateway)) << gateway;
+        absl::SleepFor(kCalmApplyTime);
+    }
+    void takeCopy()
+    {
+        this->platform().withStore([](RestorableStore &store) { store.takeCopy(); });
+    }
+    void restore(const RestorableStore::Restore &how)
+    {
+        this->platform().withStore(
+            [&how](RestorableStore &store) { store.restore(how, absl::Now()); });
+    }
+    void waitForReturn()
+    {
+        bool isAway = true;
+        while (isAway) {
+            this->platform().withStore(
+                [&isAway](const RestorableStore &store) { isAway = store.isAway(); });
+            absl::SleepFor(absl::Milliseconds(5));
+        }
+    }
+    std::int64_t revision()
+    {
+        std::int64_t result = 0;
+        this->platform().withStore(
+            [&result](const RestorableStore &store) { result = store.revision(); });
+        return result;
+    }
+    void advanceTo(std::int64_t revision)
+    {
+        this->platform().withStore(
+            [revision](RestorableStore &store) { store.advanceTo(revision); });
+    }
+
+    CallerAnswer call(int gateway, const std::string &path, const std::string &key = kKey,
+                      const std::string &body = "b")
+    {
+        CallerRequest request;
+        request.address = this->deployment.callerAddress(gateway);
+        request.path = path;
+        request.body = body;
+        request.headers = {absl::StrCat("Attempt-Id: call-", ++this->calls), "Key: " + key,
+                           "Deadline-Ms: 1500"};
+        return callGateway(request);
+    }
+    /** Statuses of calls that are sent to all gateways for @p time, with their numbers. */
+    std::map<int, int> statusesFor(absl::Duration time, const std::string &path,
+                                   const std::string &key = kKey, const std::string &body = "b")
+    {
+        std::map<int, int> statuses;
+        const absl::Time end = absl::Now() + time;
+        while (absl::Now() < end) {
+            for (int gateway = 0; gateway < kGateways; ++gateway)
+                ++statuses[this->call(gateway, path, key, body).status];
+            absl::SleepFor(kPollInterval);
+        }
+        return statuses;
+    }
+    /** True when @p condition holds within @p limit. */
+    template <typename Condition>
+    static bool holdsWithin(absl::Duration limit, Condition condition)
+    {
+        const absl::Time end = absl::Now() + limit;
+        while (!condition()) {
+            if (absl::Now() > end)
+                return false;
+            absl::SleepFor(kPollInterval);
+        }
+        return true;
+    }
+    bool allAnswer(int status, const std::string &path, const std::string &key = kKey,
+                   const std::string &body = "b")
+    {
+        for (int gateway = 0; gateway < kGateways; ++gateway) {
+            if (this->call(gateway, path, key, body).status != status)
+                return false;
+        }
+        return true;
+    }
+    /** Calls that reached server @p index after @p begin. */
+    long arrivalsAfter(absl::Time begin, int index)
+    {
+        const std::vector<ServerArrival> arrivals = this->platform().arrivals();
+        return std::count_if(arrivals.begin(), arrivals.end(), [&](const ServerArrival &arrival) {
+            return arrival.at > begin && arrival.server == ServingStandin::serverName(index);
+        });
+    }
+    /** Makes a call with @p body crash servers until all gateways refuse it. */
+    void quarantine(const std::string &body)
+    {
+        this->platform().setCrashingBody(body, absl::Milliseconds(500));
+        ASSERT_TRUE(holdsWithin(absl::Seconds(10), [&] {
+            return this->allAnswer(503, "/look/a", kKey, body)
+                && this->platform().objectNames(kDeaths).size() >= 2;
+        }));
+        this->platform().setCrashingBody("", absl::Milliseconds(500));
+        absl::SleepFor(kCalmApplyTime);
+    }
+
+    GatewayDeployment deployment;
+    std::atomic<int> calls = 0;
+};
+
+const std::map<int, int> kNone;
+
+/** The statuses but for @p status. */
+std::map<int, int> without(std::map<int, int> statuses, int status)
+{
+    statuses.erase(status);
+    return statuses;
+}
+
+// The copy lacks the evacuation until the operator has written it again.
+TEST_F(RestoredStore, KeepsADomainEvacuated)
+{
+    this->startAll();
+    this->takeCopy();
+    this->platform().putObject(kEvacuations, "d0", "{}");
+    absl::SleepFor(kCalmApplyTime);
+    const absl::Time evacuated = absl::Now();
+    this->restore({absl::Milliseconds(500), absl::Seconds(3)});
+    EXPECT_EQ(without(this->statusesFor(absl::Seconds(6), "/look/a"), 200), kNone);
+    EXPECT_EQ(this->arrivalsAfter(evacuated, 0), 0);
+    this->platform().removeObject(kEvacuations, "d0");
+    absl::SleepFor(kCalmApplyTime);
+    this->statusesFor(absl::Seconds(1), "/look/a");
+    EXPECT_GT(this->arrivalsAfter(evacuated, 0), 0);
+}
+
+// The copy has an evacuation that was taken back; no server of the only other domain is left.
+TEST_F(RestoredStore, DoesNotStartAnEvacuationAgainThatWasTakenBack)
+{
+    this->platform().putObject(kEvacuations, "d0", "{}");
+    this->startAll();
+    this->takeCopy();
+    this->platform().removeObject(kEvacuations, "d0");
+    absl::SleepFor(kCalmApplyTime);
+    this->platform().removeObject(kServers, ServingStandin::serverName(1));
+    absl::SleepFor(kCalmApplyTime);
+    this->restore({absl::Milliseconds(500), absl::Seconds(1)});
+    EXPECT_EQ(without(this->statusesFor(absl::Seconds(4), "/look/a"), 200), kNone);
+}
+
+} // namespace
+} // namespace foxtailtally
