Order backend servers by incarnation and sequence after a restore

Cause: the directory took each list for the newest state.

A server that was known to be draining stays so in its incarnation. One that has gone is remembered for a minute with its incarnation and Sequence: if it had drained, it gets no work in that incarnation; otherwise none for 6 s after the restore, since the store removes silent servers within 3.6 s, or until it has written a later Sequence. An entry of an older incarnation is ignored and counts as missing. A server that the copy lacks has lapsed, as after an outage, and a second restore starts that grace again. Before the first restore nothing changes. The quarantine withdraws no death because a restored list still has the server: the list counts as confirmed from the restore on only.

--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -191,6 +191,10 @@
         : RelayedKindEvents(sync, platform::kServerKind)
     { }
 
+    void onRestored(const StorePosition &, const StorePosition &, absl::Time now) override
+    {
+        this->context.directory.onRestored(now);
+    }
     void onObjects(std::vector<StoredObject> &objects, bool unsettled, absl::Time now) override
     {
         std::vector<ServerEntry> entries;
@@ -201,7 +205,9 @@
         this->context.directory.onList(entries, unsettled, now);
         this->sync.serversListed = true;
         logEvent(LogLevel::Info, "servers_listed",
-                 {{"servers", entries.size()}, {"unsettled", unsettled}});
+                 {{"servers", entries.size()},
+                  {"unsettled", unsettled},
+                  {"held_against_store", this->context.directory.heldAgainstStore(now)}});
     }
     void onChange(ObjectChange &change, bool unsettled, absl::Time now) override
     {
@@ -412,7 +418,11 @@
         const ServerDirectory::Server *found = this->directory.find(server);
         return found && found->entry.incarnation == incarnation;
     }
-    absl::Time confirmedFrom() const override { return this->watcher.lastStoreFailureAt(); }
+    absl::Time confirmedFrom() const override
+    {
+        // A restored list has servers that have ended, until the store misses them again.
+        return std::max(this->watcher.lastStoreFailureAt(), this->directory.lastRestoredAt());
+    }
     absl::Time confirmedUntil() const override { return this->watcher.cache().lastConfirmedAt(); }
 
 private:
--- a/servers/catalog/server_directory.cpp
+++ b/servers/catalog/server_directory.cpp
@@ -11,16 +11,66 @@
     return static_cast<ServerKey>(stableHash(id.str(), incarnation));
 }
 
-void ServerDirectory::onEntry(const ServerEntry &entry, absl::Time now)
-{
-    Server &server = this->servers[entry.id];
-    const bool isSameIncarnation = server.entry.incarnation == entry.incarnation;
-    const absl::Time coldUntil = now + entry.coldLeft;
+std::optional<ServerEntry> ServerDirectory::orderedEntry(const ServerEntry &entry) const
+{
+    // An entry without the time of the server's start cannot be ordered.
+    if (entry.incarnation == 0)
+        return entry;
+    const auto found = this->servers.find(entry.id);
+    if (found != this->servers.end()) {
+        const Server &known = found->second;
+        if (!known.predatesRestore || entry.incarnation > known.entry.incarnation)
+            return entry;
+        if (entry.incarnation < known.entry.incarnation)
+            return std::nullopt;
+        ServerEntry ordered = entry.sequence < known.entry.sequence ? known.entry : entry;
+        ordered.leaving = entry.leaving || known.entry.leaving;
+        return ordered;
+    }
+    const DepartedServers::Departure *departure = this->departed.find(entry.id);
+    if (!departure || this->restoredAt == absl::InfinitePast()
+        || entry.incarnation > departure->incarnation)
+        return entry;
+    if (entry.incarnation < departure->incarnation)
+        return std::nullopt;
+    if (departure->at > this->restoredAt)
+        return entry;
+    ServerEntry ordered = entry;
+    ordered.sequence = std::max(entry.sequence, departure->sequence);
+    ordered.leaving = entry.leaving || departure->cause == DepartedServers::Cause::Drained;
+    return ordered;
+}
+
+void ServerDirectory::onEntry(const ServerEntry &received, absl::Time now)
+{
+    const std::optional<ServerEntry> entry = this->orderedEntry(received);
+    if (!entry)
+        return;
+    const DepartedServers::Departure *departure = this->departed.find(entry->id);
+    const bool isBroughtBack = departure && departure->at <= this->restoredAt
+        && departure->incarnation == entry->incarnation;
+    const auto [found, isNew] = this->servers.try_emplace(entry->id);
+    Server &server = found->second;
+    const bool isSameIncarnation = server.entry.incarnation == entry->incarnation;
+    const absl::Time coldUntil = now + entry->coldLeft;
     server.coldUntil = isSameIncarnation ? std::max(server.coldUntil, coldUntil) : coldUntil;
+    if (!isNew && !isSameIncarnation) {
+        server.predatesRestore = false;
+        server.usableFrom = absl::InfinitePast();
+    }
+    if (isBroughtBack) {
+        server.predatesRestore = true;
+        // An entry with a later sequence was written after the removal.
+        const bool isRemoved = departure->cause == DepartedServers::Cause::Removed
+            && entry->sequence <= departure->sequence;
+        if (isRemoved)
+            server.usableFrom = this->restoredAt + kRemovedGrace;
+    }
+    this->departed.remove(entry->id);
     this->idsByKey.erase(server.key);
-    server.entry = entry;
-    server.key = serverKey(entry.id, entry.incarnation);
-    this->idsByKey[server.key] = entry.id;
+    server.entry = *entry;
+    server.key = serverKey(entry->id, entry->incarnation);
+    this->idsByKey[server.key] = entry->id;
     server.usableUntil = absl::InfiniteFuture();
 }
 
@@ -29,19 +79,34 @@
     const auto found = this->servers.find(id);
     if (found == this->servers.end())
         return;
-    if (!storeUnsettled || found->second.entry.leaving) {
-        this->idsByKey.erase(found->second.key);
-        this->servers.erase(found);
-        return;
-    }
-    found->second.usableUntil = std::min(found->second.usableUntil, now + kLapseGrace);
+    Server &server = found->second;
+    if (server.entry.leaving)
+        this->drop(found, DepartedServers::Cause::Drained, now);
+    else if (!storeUnsettled || now < server.usableFrom)
+        this->drop(found, DepartedServers::Cause::Removed, now);
+    else
+        server.usableUntil = std::min(server.usableUntil, now + kLapseGrace);
+}
+
+void ServerDirectory::drop(absl::btree_map<BackendServerId, Server>::iterator server,
+                           DepartedServers::Cause cause, absl::Time now)
+{
+    const ServerEntry &entry = server->second.entry;
+    this->departed.add(entry.id, {entry.incarnation, entry.sequence, cause, now});
+    this->idsByKey.erase(server->second.key);
+    this->servers.erase(server);
 }
 
 void ServerDirectory::onList(const std::vector<ServerEntry> &entries, bool storeUnsettled,
                              absl::Time now)
 {
+    const bool isUnsettled = storeUnsettled || this->isRestoredListDue;
+    this->isRestoredListDue = false;
     absl::btree_set<BackendServerId> listed;
     for (const ServerEntry &entry : entries) {
+        // A server whose older incarnation is listed has not registered again yet.
+        if (!this->orderedEntry(entry))
+            continue;
         listed.insert(entry.id);
         this->onEntry(entry, now);
     }
@@ -51,7 +116,29 @@
             missing.push_back(id);
     }
     for (const BackendServerId &id : missing)
-        this->onRemoved(id, storeUnsettled, now);
+        this->onRemoved(id, isUnsettled, now);
+}
+
+void ServerDirectory::onRestored(absl::Time now)
+{
+    this->isRestoredListDue = true;
+    this->restoredAt = now;
+    for (auto &[id, server] : this->servers) {
+        server.predatesRestore = true;
+        // Servers that the store had lost before have to register once more.
+        server.usableUntil = absl::InfiniteFuture();
+        if (server.usableFrom > now)
+            server.usableFrom = now + kRemovedGrace;
+    }
+}
+
+std::size_t ServerDirectory::heldAgainstStore(absl::Time now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->servers.begin(), this->servers.end(), [now](const auto &item) {
+            const Server &server = item.second;
+            return server.predatesRestore && (server.entry.leaving || now < server.usableFrom);
+        }));
 }
 
 void ServerDirectory::onCold(const BackendServerId &id, absl::Duration left, absl::Time now)
@@ -63,12 +150,14 @@
 
 void ServerDirectory::onTick(absl::Time now)
 {
-    absl::erase_if(this->servers, [this, now](const auto &item) {
-        const bool isExpired = item.second.usableUntil < now;
-        if (isExpired)
-            this->idsByKey.erase(item.second.key);
-        return isExpired;
-    });
+    std::vector<BackendServerId> expired;
+    for (const auto &[id, server] : this->servers) {
+        if (server.usableUntil < now)
+            expired.push_back(id);
+    }
+    for (const BackendServerId &id : expired)
+        this->drop(this->servers.find(id), DepartedServers::Cause::Lapsed, now);
+    this->departed.onTick(now);
     this->evacuationTable.onTick(now);
     this->serverBackpressure.onTick(now);
 }
@@ -151,7 +240,7 @@
 
 bool ServerDirectory::isInService(const Server &server, absl::Time now) const
 {
-    return !this->isDraining(server) && server.usableUntil >= now
+    return !this->isDraining(server) && server.usableFrom <= now && server.usableUntil >= now
         && !this->evacuationTable.isEvacuated(server.entry.domain, now);
 }
 
--- a/servers/catalog/server_directory.h
+++ b/servers/catalog/server_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "servers/catalog/departed_servers.h"
 #include "servers/catalog/evacuation_table.h"
 #include "servers/catalog/server_backpressure.h"
 
@@ -26,6 +27,8 @@
     BackendServerId id;
     /** Changes when the server restarts with the same id. */
     Incarnation incarnation = 0;
+    /** Rises with the writes of one incarnation. */
+    std::int64_t sequence = 0;
     std::string service;
     std::string address;
     FailureDomainId domain;
@@ -40,6 +43,11 @@
  * unless the entry expired while the store was unavailable: such an entry stays usable for
  * kLapseGrace after the store is available again, because live servers register again within that
  * time.
+ *
+ * A store that was restored from an older copy lists servers as they were. Entries are then ordered
+ * by incarnation and sequence: one that was known to be draining or gone stays so in that
+ * incarnation, an older incarnation does not replace a newer one, and a server that the copy lacks
+ * has lapsed.
  */
 class ServerDirectory
 {
@@ -47,6 +55,10 @@
     /** Servers are back in the list about two seconds after the store has recovered; shorter than
      * the drain bound. */
     static constexpr absl::Duration kLapseGrace = absl::Milliseconds(1800);
+    /** Time after a restore for which a server gets no work that was removed before it without
+     * having drained. The store removes it again after three heartbeat intervals of silence, within
+     * 3.6 s; one that is listed for longer is alive. */
+    static constexpr absl::Duration kRemovedGrace = absl::Seconds(6);
 
     struct Server
     {
@@ -56,6 +68,10 @@
         absl::Time coldUntil;
         /** InfiniteFuture while the platform lists the server. */
         absl::Time usableUntil = absl::InfiniteFuture();
+        /** The restored list brought the server back, which had been removed before. */
+        absl::Time usableFrom = absl::InfinitePast();
+        /** The server was listed before the store was restored. */
+        bool predatesRestore = false;
     };
 
     /** Adds or replaces an entry. */
@@ -64,6 +80,12 @@
     void onRemoved(const BackendServerId &id, bool storeUnsettled, absl::Time now);
     /** Replaces the list; entries that are not in @p entries are removed. */
     void onList(const std::vector<ServerEntry> &entries, bool storeUnsettled, absl::Time now);
+    /** The store came back from an older copy; its list follows. */
+    void onRestored(absl::Time now);
+    /** InfinitePast before the first restore. */
+    absl::Time lastRestoredAt() const { return this->restoredAt; }
+    /** Servers that the restored list has as ready, and that get no work. */
+    std::size_t heldAgainstStore(absl::Time now) const;
     /** The server reported that it stays cold for @p left. */
     void onCold(const BackendServerId &id, absl::Duration left, absl::Time now);
     /** Drops expired entries after kLapseGrace. */
@@ -94,6 +116,11 @@
     std::size_t size() const { return this->servers.size(); }
 
 private:
+    /** What of an entry counts, given what was known before a restore; nullopt for an entry of an
+     * older incarnation than the known one. */
+    std::optional<ServerEntry> orderedEntry(const ServerEntry &entry) const;
+    void drop(absl::btree_map<BackendServerId, Server>::iterator server,
+              DepartedServers::Cause cause, absl::Time now);
     bool isDraining(const Server &server) const;
     /** Listed, not draining, and not in an evacuated domain; it may have asked for a
      * pause. */
@@ -101,7 +128,11 @@
 
     absl::btree_map<BackendServerId, Server> servers;
     absl::flat_hash_map<ServerKey, BackendServerId> idsByKey;
+    DepartedServers departed;
     EvacuationTable evacuationTable;
+    absl::Time restoredAt = absl::InfinitePast();
+    /** The next list is the first one after a restore. */
+    bool isRestoredListDue = false;
     ServerBackpressure serverBackpressure;
 };
 
--- a/tests/platform/store_objects_test.cpp
+++ b/tests/platform/store_objects_test.cpp
@@ -24,6 +24,7 @@
     ASSERT_TRUE(entry.ok());
     EXPECT_EQ(entry->id, BackendServerId("i-1"));
     EXPECT_EQ(entry->incarnation, 1700000000123U);
+    EXPECT_EQ(entry->sequence, 4);
     EXPECT_EQ(entry->slots, 16);
     EXPECT_FALSE(entry->leaving);
     EXPECT_EQ(entry->coldLeft, absl::Milliseconds(250));
@@ -69,6 +70,9 @@
         EXPECT_FALSE(decodeSpec(with("16", slots)).ok()) << slots;
     for (const std::string born : {"18446744073709551615", "-1"})
         EXPECT_FALSE(decodeSpec(with("1700000000123", born)).ok()) << born;
+    for (const std::string sequence : {"18446744073709551615", "-1", "\"4\"", "4.5"})
+        EXPECT_FALSE(decodeSpec(with("\"Sequence\":4", "\"Sequence\":" + sequence)).ok())
+            << sequence;
     EXPECT_FALSE(decodeSpec(with("250", "1e300")).ok());
     EXPECT_FALSE(decodeSpec(with("east", std::string(256, 'e'))).ok());
     EXPECT_FALSE(decodeSpec(with("desk", std::string(256, 'd'))).ok());
--- a/tests/process/restored_store_test.cpp
+++ b/tests/process/restored_store_test.cpp
@@ -163,6 +163,48 @@
     return statuses;
 }
 
+// The copy lists the server as ready.
+TEST_F(RestoredStore, GivesNoCallToAServerThatDrainsSinceTheCopy)
+{
+    this->startAll();
+    this->takeCopy();
+    this->platform().startDraining(0);
+    absl::SleepFor(kCalmApplyTime);
+    const absl::Time drained = absl::Now();
+    this->restore({absl::Milliseconds(500), absl::Seconds(3)});
+    EXPECT_EQ(without(this->statusesFor(absl::Seconds(6), "/look/a"), 200), kNone);
+    EXPECT_EQ(this->arrivalsAfter(drained, 0), 0);
+}
+
+// Some servers never report that they drain: their entry is removed, and the copy has it.
+TEST_F(RestoredStore, GivesNoCallToAServerThatLeftSinceTheCopy)
+{
+    this->startAll();
+    this->takeCopy();
+    this->platform().removeObject(kServers, ServingStandin::serverName(0));
+    absl::SleepFor(kCalmApplyTime);
+    const absl::Time left = absl::Now();
+    this->restore({absl::Milliseconds(500), absl::Seconds(3)});
+    EXPECT_EQ(without(this->statusesFor(absl::Seconds(6), "/look/a"), 200), kNone);
+    EXPECT_EQ(this->arrivalsAfter(left, 0), 0);
+}
+
+// Without the servers that the copy lacks, none would be left.
+TEST_F(RestoredStore, KeepsServersThatTheCopyLacks)
+{
+    this->startAll();
+    this->takeCopy();
+    this->addServer(2, "d0");
+    this->addServer(3, "d1");
+    absl::SleepFor(kCalmApplyTime);
+    for (const int index : {0, 1})
+        this->platform().removeObject(kServers, ServingStandin::serverName(index));
+    absl::SleepFor(kCalmApplyTime);
+    this->restore({absl::Milliseconds(500), absl::Seconds(1)});
+    EXPECT_EQ(without(this->statusesFor(absl::Seconds(4), "/look/a"), 200), kNone);
+    EXPECT_GT(this->arrivalsAfter(absl::InfinitePast(), 2), 0);
+}
+
 // The copy lacks the evacuation until the operator has written it again.
 TEST_F(RestoredStore, KeepsADomainEvacuated)
 {
@@ -194,5 +236,16 @@
     EXPECT_EQ(without(this->statusesFor(absl::Seconds(4), "/look/a"), 200), kNone);
 }
 
+// A store without the header may be restored too; the rules for calm times then hold.
+TEST_F(RestoredStore, OfAnOlderStoreWithoutErasDoesNotStopInstances)
+{
+    this->platform().withStore([](RestorableStore &store) { store.setSendsEra(false); });
+    this->startAll();
+    this->takeCopy();
+    this->advanceTo(this->revision() + kRevisionsLost);
+    this->restore({absl::Milliseconds(500), absl::Milliseconds(200)});
+    EXPECT_EQ(without(this->statusesFor(absl::Seconds(3), "/look/a"), 200), kNone);
+}
+
 } // namespace
 } // namespace foxtailtally
