Keep the quarantine through a restore of the store

Cause: DeathEvents took the absence of an object for an operator's lifting, also when the store had come back from a copy without it; nobody wrote the object again, and nobody removed one that was back.

StoredReports decides what absence means: in the first list after a restore, that the store has lost the report. The instance that saw the crash writes it again. A withdrawn report that is in the store again is removed by the instances that read the store. A write in flight when the store was restored is repeated.

Writes without an answer that are executed in the next era: the name of an object is that of one crash. A late removal removes what was withdrawn or has expired. A late creation overwrites nothing, and is removed again if the report was withdrawn meanwhile.

--- a/main/gateway/death_recorder.cpp
+++ b/main/gateway/death_recorder.cpp
@@ -82,6 +82,15 @@
     this->ownDeaths.erase(name);
 }
 
+void DeathRecorder::onRestored(const absl::btree_set<std::string> &listed)
+{
+    const auto isLost = [&listed](const auto &item) { return !listed.contains(item.first); };
+    absl::erase_if(this->stored, isLost);
+    absl::erase_if(this->ownDeaths,
+                   [&](const auto &item) { return isLost(item) && !this->isPending(item.first); });
+    this->mustRepeat = this->isBusy;
+}
+
 void DeathRecorder::onTick(const Quarantine &quarantine, absl::Time now, absl::Time wallNow)
 {
     // No other instance has a reason to remove these objects.
@@ -108,11 +117,15 @@
     return this->stored.contains(name) || this->ownDeaths.contains(name);
 }
 
+bool DeathRecorder::isPending(const std::string &name) const
+{
+    return std::any_of(this->pending.begin(), this->pending.end(),
+                       [&name](const Write &item) { return item.name == name; });
+}
+
 void DeathRecorder::remove(const std::string &name)
 {
-    const bool isPending = std::any_of(this->pending.begin(), this->pending.end(),
-                                       [&name](const Write &item) { return item.name == name; });
-    if (!isPending && this->pending.size() < kMaxPendingWrites)
+    if (!this->isPending(name) && this->pending.size() < kMaxPendingWrites)
         this->pending.push_back({true, name, {}, {}});
 }
 
@@ -121,6 +134,7 @@
     if (this->isBusy || this->pending.empty())
         return;
     this->isBusy = true;
+    this->mustRepeat = false;
     const Write &next = this->pending.front();
     if (next.isRemoval)
         this->writer.send("DELETE", platform::objectTarget(platform::kCrashReportKind, next.name),
@@ -139,6 +153,10 @@
         return;
     }
     this->retryDelay = kInitialRetryDelay;
+    if (this->mustRepeat) {
+        this->retryTimer.start(absl::ZeroDuration());
+        return;
+    }
     this->pending.pop_front();
     if (done.isRemoval) {
         this->onRemoved(done.name);
--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "core/text.h"
 #include "main/gateway/held_config.h"
+#include "servers/quarantine/stored_reports.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -302,6 +303,11 @@
         : RelayedKindEvents(sync, platform::kCrashReportKind)
     { }
 
+    void onRestored(const StorePosition &, const StorePosition &, absl::Time) override
+    {
+        this->reports.onRestored();
+        this->isRestored = true;
+    }
     void onObjects(std::vector<StoredObject> &objects, bool, absl::Time now) override
     {
         absl::btree_set<std::string> listed;
@@ -309,21 +315,26 @@
             listed.insert(object.name);
             this->adopt(object, now);
         }
-        const absl::btree_set<std::string> before = std::exchange(this->known, std::move(listed));
-        for (const std::string &name : before) {
-            if (!this->known.contains(name))
-                this->withdraw(name, now);
+        const std::vector<std::string> removed = this->reports.onList(listed, now);
+        if (std::exchange(this->isRestored, false)) {
+            this->sync.recorder.onRestored(listed);
+            logEvent(LogLevel::Info, "deaths_restored",
+                     {{"listed", listed.size()}, {"lost", this->reports.lostCount()}});
         }
+        for (const std::string &name : removed)
+            this->withdraw(name, now);
     }
     void onChange(ObjectChange &change, bool, absl::Time now) override
     {
         if (change.isDeleted) {
+            this->reports.onRemoved(change.object.name);
             this->withdraw(change.object.name, now);
             return;
         }
-        this->known.insert(change.object.name);
+        this->reports.onStored(change.object.name);
         this->adopt(change.object, now);
     }
+    void onTick(absl::Time now) { this->reports.onTick(now); }
 
 private:
     void adopt(StoredObject &object, absl::Time now)
@@ -339,20 +350,34 @@
         report->causeSince += diedAt - report->diedAt;
         report->diedAt = diedAt;
         this->sync.recorder.onStored(object.name, report->diedAt + kQuarantineDuration);
+        const std::optional<CrashKey> death = DeathRecorder::parseObjectName(object.name);
+        if (death && this->context.quarantine.isWithdrawn(*death)) {
+            this->removeAgain(object.name);
+            return;
+        }
         this->context.quarantine.onCrashReport(*report, now);
     }
+    /** The object was removed before, and is in the store again: the store was restored from an
+     * older copy, or executed a write late. Only instances that read the store remove it, so that
+     * not all do. */
+    void removeAgain(const std::string &name)
+    {
+        logEvent(LogLevel::Info, "withdrawn_death_in_store", {{"name", name}});
+        if (!this->context.exchange.view().aggregator())
+            this->sync.recorder.removeWithdrawn(name);
+    }
     /** The object was removed by an operator or by the instance that wrote it. */
     void withdraw(const std::string &name, absl::Time now)
     {
         this->sync.recorder.onRemoved(name);
-        this->known.erase(name);
         if (const std::optional<CrashKey> death = DeathRecorder::parseObjectName(name)) {
             Quarantine &quarantine = this->context.quarantine;
             quarantine.withdraw(*death, now);
             // The store need not hold all deaths; the others must not keep it quarantined.
+            const absl::btree_set<std::string> names = this->reports.names();
             const bool isLifted =
                 quarantine.check(death->fingerprint, now) == QuarantineState::Quarantined
-                && std::none_of(this->known.begin(), this->known.end(), [&](const auto &other) {
+                && std::none_of(names.begin(), names.end(), [&](const auto &other) {
                        return DeathRecorder::isObjectOf(other, death->fingerprint);
                    });
             if (isLifted)
@@ -361,7 +386,9 @@
         logEvent(LogLevel::Info, "death_withdrawn", {{"name", name}});
     }
 
-    absl::btree_set<std::string> known;
+    StoredReports reports;
+    /** The next list is the first one after a restore. */
+    bool isRestored = false;
 };
 
 class StoreSync::InstanceEvents final : public RelayedKindEvents
@@ -548,6 +575,7 @@
     if (this->serversListed)
         this->context.quarantine.withdrawDeathsOfListed(
             ListedServers(this->context.directory, *this->serverWatcher));
+    this->deathEvents->onTick(now);
     this->recorder.onTick(this->context.quarantine, now, Clock::wallNow());
     const bool isUnlistedAggregator = this->hasStarted && !this->context.exchange.isListedInStore()
         && !this->context.exchange.view().aggregator();
--- a/servers/quarantine/quarantine.h
+++ b/servers/quarantine/quarantine.h
@@ -132,6 +132,9 @@
     /** Removes all deaths of @p fingerprint in the same way. */
     void withdrawAll(const Fingerprint &fingerprint, absl::Time now);
 
+    /** Whether the death was removed by withdraw() less than kQuarantineDuration ago. */
+    bool isWithdrawn(const CrashKey &death) const { return this->withdrawn.contains(death); }
+
     /**
      * A call with these fingerprints must not run. Fingerprints with the same deaths cannot be told
      * apart, so a call that has only some of them may run once more, to find out which it is.
--- a/tests/process/restored_store_test.cpp
+++ b/tests/process/restored_store_test.cpp
@@ -236,6 +236,79 @@
     EXPECT_EQ(without(this->statusesFor(absl::Seconds(4), "/look/a"), 200), kNone);
 }
 
+// The absence of the objects was taken for an operator's lifting.
+TEST_F(RestoredStore, KeepsACallQuarantined)
+{
+    for (int index = 2; index < 6; ++index)
+        this->addServer(index, absl::StrCat("d", index % 3));
+    this->startAll();
+    this->takeCopy();
+    this->quarantine("crashes");
+    this->restore({absl::Milliseconds(500), absl::InfiniteDuration()});
+    EXPECT_EQ(without(this->statusesFor(absl::Seconds(4), "/look/a", kKey, "crashes"), 503), kNone);
+    EXPECT_TRUE(holdsWithin(absl::Seconds(3),
+                            [&] { return this->platform().objectNames(kDeaths).size() >= 2; }));
+    for (int gateway = 0; gateway < kGateways; ++gateway)
+        this->deployment.process(gateway).signal(SIGKILL);
+    for (int gateway = 0; gateway < kGateways; ++gateway)
+        ASSERT_TRUE(this->deployment.process(gateway).waitForEnd(absl::Seconds(3)));
+    this->startAll();
+    EXPECT_TRUE(this->allAnswer(503, "/look/a", kKey, "crashes"));
+}
+
+// The copy has the objects that the operator had removed.
+TEST_F(RestoredStore, DoesNotQuarantineACallAgainThatWasLifted)
+{
+    for (int index = 2; index < 6; ++index)
+        this->addServer(index, absl::StrCat("d", index % 3));
+    this->startAll();
+    this->quarantine("crashes");
+    this->takeCopy();
+    for (const std::string &name : this->platform().objectNames(kDeaths))
+        this->platform().removeObject(kDeaths, name);
+    ASSERT_TRUE(holdsWithin(absl::Seconds(3),
+                            [&] { return this->allAnswer(200, "/look/a", kKey, "crashes"); }));
+    this->restore({absl::Milliseconds(500), absl::InfiniteDuration()});
+    EXPECT_EQ(without(this->statusesFor(absl::Seconds(4), "/look/a", kKey, "crashes"), 200), kNone);
+    EXPECT_TRUE(holdsWithin(absl::Seconds(5),
+                            [&] { return this->platform().objectNames(kDeaths).empty(); }));
+}
+
+// A write of a crash report without an answer, executed after the operator had lifted the
+// quarantine and the store was restored, would quarantine the call at instances that start later.
+TEST_F(RestoredStore, RemovesACrashReportThatIsWrittenLateAfterTheQuarantineWasLifted)
+{
+    for (int index = 2; index < 6; ++index)
+        this->addServer(index, absl::StrCat("d", index % 3));
+    this->startAll();
+    this->takeCopy();
+    this->quarantine("crashes");
+    const std::vector<std::string> names = this->platform().objectNames(kDeaths);
+    this->platform().withStore(
+        [](RestorableStore &store) { store.setWriteBehavior(StoreWriteBehavior::Delay); });
+    this->restore({absl::Milliseconds(500), absl::InfiniteDuration()});
+    std::size_t delayed = 0;
+    ASSERT_TRUE(holdsWithin(absl::Seconds(8), [&] {
+        this->platform().withStore(
+            [&delayed](const RestorableStore &store) { delayed = store.delayedWrites(); });
+        return delayed > 0;
+    }));
+    // The operator lifts the quarantine as soon as the objects are back.
+    this->platform().withStore(
+        [](RestorableStore &store) { store.setWriteBehavior(StoreWriteBehavior::Serve); });
+    ASSERT_TRUE(holdsWithin(absl::Seconds(10), [&] {
+        return this->platform().objectNames(kDeaths).size() >= names.size();
+    }));
+    absl::SleepFor(kCalmApplyTime);
+    for (const std::string &name : names)
+        this->platform().removeObject(kDeaths, name);
+    absl::SleepFor(kCalmApplyTime);
+    this->platform().withStore([](RestorableStore &store) { store.executeDelayedWrites(); });
+    EXPECT_TRUE(holdsWithin(absl::Seconds(5),
+                            [&] { return this->platform().objectNames(kDeaths).empty(); }));
+    EXPECT_TRUE(this->allAnswer(200, "/look/a", kKey, "crashes"));
+}
+
 // A store without the header may be restored too; the rules for calm times then hold.
 TEST_F(RestoredStore, OfAnOlderStoreWithoutErasDoesNotStopInstances)
 {
