Register instances again whose entry is gone

What was seen: instances whose entries a restored copy lacks, or that somebody removes, did not register again while their lists went on; a new instance then finds nobody to follow and reads everything from the store.

Cause: an instance looked for its own entry in lists only, and not in changes.

A change of the own entry that is not the instance's own record, or its removal, registers the instance again, and so does the list after a restore. A write in flight when the store was restored is repeated. In the first list after a restore the record of an earlier process does not replace that of an instance that is heard; lists never remove records.

Writes without an answer that are executed in the next era: a late creation changes no entry that exists; a late creation or replacement by an earlier process of the instance is overwritten when its event arrives.

--- a/main/gateway/instance_exchange.h
+++ b/main/gateway/instance_exchange.h
@@ -59,6 +59,10 @@
     /** Binds the address in this instance's record. */
     std::error_code start();
     void setRecord(const InstanceRecord &record) { this->fleet.setRecord(record); }
+    void setRestoredRecord(const InstanceRecord &record, absl::Time now)
+    {
+        this->fleet.setRestoredRecord(record, now);
+    }
     void removeRecord(const InstanceId &instance);
     /** Chooses the instances to follow among the records that were set. */
     void chooseLinks(absl::Time now);
--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -398,37 +398,52 @@
         : RelayedKindEvents(sync, platform::kInstanceKind)
     { }
 
+    void onRestored(const StorePosition &, const StorePosition &, absl::Time) override
+    {
+        this->sync.onInstancesRestored();
+        this->isRestored = true;
+    }
     void onObjects(std::vector<StoredObject> &objects, bool, absl::Time now) override
     {
         std::optional<InstanceRecord> ownRecord;
+        const bool isRestoredList = std::exchange(this->isRestored, false);
         for (StoredObject &object : objects) {
-            const Result<InstanceRecord> record = this->adopt(object);
+            const Result<InstanceRecord> record = this->adopt(object, isRestoredList, now);
             if (record.ok() && record->id == this->context.settings.id)
                 ownRecord = *record;
         }
         this->context.exchange.chooseLinks(now);
         this->sync.onInstancesListed(ownRecord);
     }
-    void onChange(ObjectChange &change, bool, absl::Time) override
+    void onChange(ObjectChange &change, bool, absl::Time now) override
     {
+        std::optional<InstanceRecord> record;
         if (change.isDeleted)
             this->context.exchange.removeRecord(InstanceId(change.object.name));
-        else
-            this->adopt(change.object);
+        else if (const Result<InstanceRecord> adopted = this->adopt(change.object, false, now);
+                 adopted.ok())
+            record = *adopted;
+        if (change.object.name == this->context.settings.id.str())
+            this->sync.onOwnRecord(record);
     }
 
 private:
-    Result<InstanceRecord> adopt(StoredObject &object)
+    Result<InstanceRecord> adopt(StoredObject &object, bool isRestoredList, absl::Time now)
     {
         Result<InstanceRecord> record = platform::decodeInstance(object);
-        if (record.ok()) {
-            this->context.exchange.setRecord(*record);
-        } else {
+        if (!record.ok()) {
             this->reportUnreadable(LogLevel::Warning, "instance_entry_unreadable", object);
             dropLongContent(object);
+        } else if (isRestoredList) {
+            this->context.exchange.setRestoredRecord(*record, now);
+        } else {
+            this->context.exchange.setRecord(*record);
         }
         return record;
     }
+
+    /** The next list is the first one after a restore. */
+    bool isRestored = false;
 };
 
 /** The store's list of backend servers, for the quarantine. */
@@ -457,7 +472,11 @@
     const KindWatcher &watcher;
 };
 
-/** Registers this instance in the store. */
+/**
+ * Registers this instance in the store. A write without an answer may be executed seconds later,
+ * also after a restart of the instance or a restore of the store. A late creation changes no entry
+ * that exists. An entry of this instance that is not its own record, or missing, is written again.
+ */
 class StoreSync::Registration final : private StoreWriterEvents
 {
 public:
@@ -477,10 +496,13 @@
         this->entryExists = entryExists;
         this->send();
     }
+    /** The store came back from an older copy, which may lack a write in flight. */
+    void onRestored() { this->mustRepeat = this->isInFlight; }
 
 private:
     void send()
     {
+        this->mustRepeat = false;
         const std::string body = platform::encodeInstance(this->record);
         if (this->entryExists)
             this->writer.send(
@@ -494,7 +516,7 @@
     {
         // The entry exists already if the response to an earlier call was lost.
         this->entryExists = status == kStatusConflict;
-        const bool isRegistered = status < 300;
+        const bool isRegistered = status < 300 && !this->mustRepeat;
         logEvent(isRegistered ? LogLevel::Info : LogLevel::Warning, "instance_registration",
                  {{"status", status}});
         this->isInFlight = !isRegistered;
@@ -514,6 +536,8 @@
     LoopTimer timer;
     bool isInFlight = false;
     bool entryExists = false;
+    /** The store was restored after the write in flight was sent. */
+    bool mustRepeat = false;
 };
 
 StoreSync::StoreSync(GatewayContext &context)
@@ -604,12 +628,22 @@
 }
 
 void StoreSync::onInstancesListed(const std::optional<InstanceRecord> &ownRecord)
+{
+    this->onOwnRecord(ownRecord);
+    this->startWatchersOrWait();
+}
+
+void StoreSync::onInstancesRestored()
+{
+    this->registration->onRestored();
+}
+
+void StoreSync::onOwnRecord(const std::optional<InstanceRecord> &ownRecord)
 {
     const bool isListed = ownRecord == instanceRecord(this->context.settings);
     this->context.exchange.setListed(isListed);
     if (!isListed && this->context.exchange.view().ownRank() < kEnoughListedPeers)
         this->registration->start(ownRecord.has_value());
-    this->startWatchersOrWait();
 }
 
 void StoreSync::onStartTimer()
--- a/main/gateway/store_sync.h
+++ b/main/gateway/store_sync.h
@@ -46,6 +46,11 @@
 
     /** Called when instances have been listed. @p ownRecord: the record of this one, if any. */
     void onInstancesListed(const std::optional<InstanceRecord> &ownRecord);
+    /** The store came back from an older copy; its list of instances follows. */
+    void onInstancesRestored();
+    /** The record of this instance in the store, which registers it again if it differs or is
+     * missing. */
+    void onOwnRecord(const std::optional<InstanceRecord> &ownRecord);
     void onStartTimer();
     void startWatchersOrWait();
     /** Another instance has announced which revisions it holds. */
--- a/servers/fleet/fleet_view.cpp
+++ b/servers/fleet/fleet_view.cpp
@@ -15,6 +15,16 @@
     this->selections.try_emplace(record.domain);
 }
 
+void FleetView::setRestoredRecord(const InstanceRecord &record, absl::Time now)
+{
+    const auto found = this->peers.find(record.id);
+    const bool isHeard = found != this->peers.end()
+        && (now - found->second.heardAt <= kSubscriptionTimeout
+            || this->subscriptions.contains(record.id));
+    if (!isHeard)
+        this->setRecord(record);
+}
+
 void FleetView::removeRecord(const InstanceId &id)
 {
     this->peers.erase(id);
--- a/servers/fleet/fleet_view.h
+++ b/servers/fleet/fleet_view.h
@@ -63,6 +63,9 @@
     { }
 
     void setRecord(const InstanceRecord &record);
+    /** The same for a record in a store that was restored from an older copy. It may be the one of
+     * an earlier process, so it does not replace that of an instance that was heard lately. */
+    void setRestoredRecord(const InstanceRecord &record, absl::Time now);
     void removeRecord(const InstanceId &id);
 
     /** An update arrived from an instance that is followed or was probed. */
--- a/tests/fleet/fleet_view_test.cpp
+++ b/tests/fleet/fleet_view_test.cpp
@@ -56,6 +56,19 @@
     EXPECT_FALSE(view.aggregator());
 }
 
+// The copy of a restored store may have the address of an earlier process of the instance.
+TEST(FleetView, KeepsTheRecordOfAnInstanceThatIsHeardAgainstARestoredOne)
+{
+    FleetView view = viewOf(record("self", kEast, 1));
+    view.onPeerUpdate(InstanceId("strong"), 3, kNow);
+    InstanceRecord earlier = record("strong", kEast, 9);
+    earlier.exchangeAddress = "earlier";
+    view.setRestoredRecord(earlier, kNow);
+    EXPECT_EQ(view.aggregator()->exchangeAddress, "strong");
+    view.setRestoredRecord(earlier, kNow + absl::Minutes(1));
+    EXPECT_EQ(view.aggregator()->exchangeAddress, "earlier");
+}
+
 // Guards against following a failed instance again before it answers, which costs another
 // kAggregatorTimeout without updates.
 TEST(FleetView, ReturnsToAFailedInstanceOnceItAnswersAProbe)
--- a/tests/process/restored_store_test.cpp
+++ b/tests/process/restored_store_test.cpp
@@ -309,6 +309,34 @@
     EXPECT_TRUE(this->allAnswer(200, "/look/a", kKey, "crashes"));
 }
 
+// The copy lacks all instances; without their entries a new instance finds nobody to follow.
+TEST_F(RestoredStore, RegistersInstancesAgainThatTheCopyLacks)
+{
+    this->takeCopy();
+    this->startAll();
+    const std::vector<std::string> before = this->platform().objectNames(kInstances);
+    ASSERT_FALSE(before.empty());
+    this->restore({absl::Milliseconds(500), absl::Milliseconds(500)});
+    this->waitForReturn();
+    EXPECT_TRUE(holdsWithin(absl::Seconds(6), [&] {
+        return this->platform().objectNames(kInstances).size() >= before.size();
+    }));
+    EXPECT_EQ(without(this->statusesFor(absl::Seconds(1), "/look/a"), 200), kNone);
+}
+
+// An entry that somebody removes is not followed by a list.
+TEST_F(RestoredStore, RegistersAnInstanceAgainWhoseEntryIsRemoved)
+{
+    this->startAll();
+    const std::vector<std::string> before = this->platform().objectNames(kInstances);
+    ASSERT_FALSE(before.empty());
+    for (const std::string &name : before)
+        this->platform().removeObject(kInstances, name);
+    EXPECT_TRUE(holdsWithin(absl::Seconds(6), [&] {
+        return this->platform().objectNames(kInstances).size() >= before.size();
+    }));
+}
+
 // A store without the header may be restored too; the rules for calm times then hold.
 TEST_F(RestoredStore, OfAnOlderStoreWithoutErasDoesNotStopInstances)
 {
