Log what instances keep against the copy of a restored store

store_era names in "retained" how many servers, evacuations and crash reports are kept although the copy has them otherwise or not at all; it named only the configuration before. The line for crash reports alone goes.

--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -196,6 +196,10 @@
     {
         this->context.directory.onRestored(now);
     }
+    std::size_t retainedObjects() const override
+    {
+        return this->context.directory.heldAgainstStore(Clock::now());
+    }
     void onObjects(std::vector<StoredObject> &objects, bool unsettled, absl::Time now) override
     {
         std::vector<ServerEntry> entries;
@@ -261,6 +265,10 @@
         this->context.directory.evacuations().onRestored(now);
         this->isRestored = true;
     }
+    std::size_t retainedObjects() const override
+    {
+        return this->context.directory.evacuations().heldAgainstStore(Clock::now()).size();
+    }
     void onObjects(std::vector<StoredObject> &objects, bool, absl::Time now) override
     {
         absl::btree_set<FailureDomainId> domains;
@@ -308,6 +316,7 @@
         this->reports.onRestored();
         this->isRestored = true;
     }
+    std::size_t retainedObjects() const override { return this->reports.lostCount(); }
     void onObjects(std::vector<StoredObject> &objects, bool, absl::Time now) override
     {
         absl::btree_set<std::string> listed;
@@ -316,11 +325,8 @@
             this->adopt(object, now);
         }
         const std::vector<std::string> removed = this->reports.onList(listed, now);
-        if (std::exchange(this->isRestored, false)) {
+        if (std::exchange(this->isRestored, false))
             this->sync.recorder.onRestored(listed);
-            logEvent(LogLevel::Info, "deaths_restored",
-                     {{"listed", listed.size()}, {"lost", this->reports.lostCount()}});
-        }
         for (const std::string &name : removed)
             this->withdraw(name, now);
     }
