Test a configuration and a second restore with whole processes

RestoredStore also shows a route that was added after the copy, a key that was revoked after it, and a second restore before the operator and the servers have written again; ChangeAfterRestore a change whose revision lies below, at and past the lost one. The tests of servers and evacuations take the server that gets the calls: the other one would get none in any case.

--- a/tests/process/restored_store_test.cpp
+++ b/tests/process/restored_store_test.cpp
@@ -24,6 +24,9 @@
 constexpr int kRevisionsLost = 10;
 
 const std::string kKey = "key-1";
+/** RevokeMs of the users' deployments. The version of the copy confirms no keys, so that calls are
+ * refused when it is served for longer. */
+const std::string kRevocationBound = "[keys]\nrevocation_bound = 5 s\n";
 const std::string kEvacuations(platform::kEvacuationKind);
 const std::string kDeaths(platform::kCrashReportKind);
 const std::string kInstances(platform::kInstanceKind);
@@ -36,6 +39,7 @@
     RestoredStore()
         : deployment(kGateways)
     {
+        this->deployment.setExtraSettings(kRevocationBound);
         this->deployment.configure(1, {kKey});
         this->addServer(0, "d0");
         this->addServer(1, "d1");
@@ -138,6 +142,17 @@
             return arrival.at > begin && arrival.server == ServingStandin::serverName(index);
         });
     }
+    /** The server that gets the calls when nothing keeps them from it. */
+    int preferredServer()
+    {
+        this->statusesFor(absl::Milliseconds(500), "/look/a");
+        const int preferred = this->arrivalsAfter(absl::InfinitePast(), 0)
+                > this->arrivalsAfter(absl::InfinitePast(), 1)
+            ? 0
+            : 1;
+        EXPECT_GT(this->arrivalsAfter(absl::InfinitePast(), preferred), 0);
+        return preferred;
+    }
     /** Makes a call with @p body crash servers until all gateways refuse it. */
     void quarantine(const std::string &body)
     {
@@ -163,30 +178,81 @@
     return statuses;
 }
 
+// Guards against instances that go back to the version of the copy.
+TEST_F(RestoredStore, ServesARouteThatWasAddedAfterTheCopy)
+{
+    this->startAll();
+    this->takeCopy();
+    this->deployment.addRoute("/new/");
+    this->deployment.configure(2, {kKey});
+    ASSERT_TRUE(holdsWithin(kApplyBound, [&] { return this->allAnswer(200, "/new/a"); }));
+    this->restore({absl::Milliseconds(500), absl::Seconds(2)});
+    EXPECT_EQ(without(this->statusesFor(absl::Seconds(4), "/new/a"), 200), kNone);
+}
+
+// The version of the copy still holds the key.
+TEST_F(RestoredStore, RefusesAKeyThatWasRevokedAfterTheCopy)
+{
+    this->deployment.configure(1, {kKey, "key-2"});
+    this->startAll();
+    this->takeCopy();
+    this->deployment.configure(2, {kKey});
+    ASSERT_TRUE(holdsWithin(kApplyBound, [&] { return this->allAnswer(401, "/look/a", "key-2"); }));
+    this->restore({absl::Milliseconds(500), absl::Seconds(2)});
+    EXPECT_EQ(without(this->statusesFor(absl::Seconds(4), "/look/a", "key-2"), 401), kNone);
+}
+
+/** Change after the return of the store, at a revision that depends on the lost one. */
+class ChangeAfterRestore : public RestoredStore, public testing::WithParamInterface<int>
+{ };
+
+// A change was ignored until the counter of the restored store had passed the revision of the lost
+// version; a watch from a revision that was given out again skipped it.
+TEST_P(ChangeAfterRestore, IsInForceInTime)
+{
+    this->startAll();
+    this->takeCopy();
+    this->advanceTo(this->revision() + kRevisionsLost);
+    this->deployment.configure(2, {kKey});
+    absl::SleepFor(kCalmApplyTime);
+    const std::int64_t lost = this->revision();
+    this->restore({absl::Milliseconds(500), absl::InfiniteDuration()});
+    this->waitForReturn();
+    this->advanceTo(lost + GetParam() - 1);
+    this->deployment.addRoute("/new/");
+    this->deployment.configure(3, {kKey});
+    EXPECT_TRUE(holdsWithin(kApplyBound, [&] { return this->allAnswer(200, "/new/a"); }));
+}
+
+INSTANTIATE_TEST_SUITE_P(BelowAtAndPastTheLostRevision, ChangeAfterRestore,
+                         testing::Values(-3, 0, 1));
+
 // The copy lists the server as ready.
 TEST_F(RestoredStore, GivesNoCallToAServerThatDrainsSinceTheCopy)
 {
     this->startAll();
+    const int server = this->preferredServer();
     this->takeCopy();
-    this->platform().startDraining(0);
+    this->platform().startDraining(server);
     absl::SleepFor(kCalmApplyTime);
     const absl::Time drained = absl::Now();
     this->restore({absl::Milliseconds(500), absl::Seconds(3)});
     EXPECT_EQ(without(this->statusesFor(absl::Seconds(6), "/look/a"), 200), kNone);
-    EXPECT_EQ(this->arrivalsAfter(drained, 0), 0);
+    EXPECT_EQ(this->arrivalsAfter(drained, server), 0);
 }
 
 // Some servers never report that they drain: their entry is removed, and the copy has it.
 TEST_F(RestoredStore, GivesNoCallToAServerThatLeftSinceTheCopy)
 {
     this->startAll();
+    const int server = this->preferredServer();
     this->takeCopy();
-    this->platform().removeObject(kServers, ServingStandin::serverName(0));
+    this->platform().removeObject(kServers, ServingStandin::serverName(server));
     absl::SleepFor(kCalmApplyTime);
     const absl::Time left = absl::Now();
     this->restore({absl::Milliseconds(500), absl::Seconds(3)});
     EXPECT_EQ(without(this->statusesFor(absl::Seconds(6), "/look/a"), 200), kNone);
-    EXPECT_EQ(this->arrivalsAfter(left, 0), 0);
+    EXPECT_EQ(this->arrivalsAfter(left, server), 0);
 }
 
 // Without the servers that the copy lacks, none would be left.
@@ -209,17 +275,19 @@
 TEST_F(RestoredStore, KeepsADomainEvacuated)
 {
     this->startAll();
+    const int server = this->preferredServer();
+    const std::string domain = absl::StrCat("d", server);
     this->takeCopy();
-    this->platform().putObject(kEvacuations, "d0", "{}");
+    this->platform().putObject(kEvacuations, domain, "{}");
     absl::SleepFor(kCalmApplyTime);
     const absl::Time evacuated = absl::Now();
     this->restore({absl::Milliseconds(500), absl::Seconds(3)});
     EXPECT_EQ(without(this->statusesFor(absl::Seconds(6), "/look/a"), 200), kNone);
-    EXPECT_EQ(this->arrivalsAfter(evacuated, 0), 0);
-    this->platform().removeObject(kEvacuations, "d0");
+    EXPECT_EQ(this->arrivalsAfter(evacuated, server), 0);
+    this->platform().removeObject(kEvacuations, domain);
     absl::SleepFor(kCalmApplyTime);
-    this->statusesFor(absl::Seconds(1), "/look/a");
-    EXPECT_GT(this->arrivalsAfter(evacuated, 0), 0);
+    this->statusesFor(absl::Milliseconds(500), "/look/a");
+    EXPECT_GT(this->arrivalsAfter(evacuated, server), 0);
 }
 
 // The copy has an evacuation that was taken back; no server of the only other domain is left.
@@ -337,6 +405,32 @@
     }));
 }
 
+// A second restore before the operator and the servers have written again what the first one lost.
+TEST_F(RestoredStore, KeepsTheStateThroughASecondRestoreWithinTheRecoveryOfTheFirst)
+{
+    this->startAll();
+    const int server = this->preferredServer();
+    this->addServer(2, "d2");
+    this->takeCopy();
+    this->deployment.addRoute("/new/");
+    this->deployment.configure(2, {kKey});
+    this->platform().startDraining(server);
+    this->platform().putObject(kEvacuations, "d2", "{}");
+    ASSERT_TRUE(holdsWithin(kApplyBound, [&] { return this->allAnswer(200, "/new/a"); }));
+    absl::SleepFor(kCalmApplyTime);
+    const absl::Time drained = absl::Now();
+    std::map<int, int> statuses;
+    std::thread callers([&] { statuses = this->statusesFor(absl::Seconds(7), "/new/a"); });
+    // Both together are shorter than the time for which keys are accepted without a confirmation.
+    this->restore({absl::Milliseconds(500), absl::Seconds(1)});
+    absl::SleepFor(absl::Seconds(1));
+    this->restore({absl::Milliseconds(500), absl::Seconds(1), absl::Milliseconds(20), 2});
+    callers.join();
+    EXPECT_EQ(without(statuses, 200), kNone);
+    EXPECT_EQ(this->arrivalsAfter(drained, server), 0);
+    EXPECT_EQ(this->arrivalsAfter(drained, 2), 0);
+}
+
 // A store without the header may be restored too; the rules for calm times then hold.
 TEST_F(RestoredStore, OfAnOlderStoreWithoutErasDoesNotStopInstances)
 {
