--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "core/text.h"
 #include "main/gateway/held_config.h"
+#include "servers/quarantine/stored_reports.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -191,6 +192,14 @@
         : RelayedKindEvents(sync, platform::kServerKind)
     { }
 
+    void onRestored(const StorePosition &, const StorePosition &, absl::Time now) override
+    {
+        this->context.directory.onRestored(now);
+    }
+    std::size_t retainedObjects() const override
+    {
+        return this->context.directory.heldAgainstStore(Clock::now());
+    }
     void onObjects(std::vector<StoredObject> &objects, bool unsettled, absl::Time now) override
     {
         std::vector<ServerEntry> entries;
@@ -201,7 +210,9 @@
         this->context.directory.onList(entries, unsettled, now);
         this->sync.serversListed = true;
         logEvent(LogLevel::Info, "servers_listed",
-                 {{"servers", entries.size()}, {"unsettled", unsettled}});
+                 {{"servers", entries.size()},
+                  {"unsettled", unsettled},
+                  {"held_against_store", this->context.directory.heldAgainstStore(now)}});
     }
     void onChange(ObjectChange &change, bool unsettled, absl::Time now) override
     {
@@ -249,23 +260,47 @@
         : RelayedKindEvents(sync, platform::kEvacuationKind)
     { }
 
-    void onObjects(std::vector<StoredObject> &objects, bool, absl::Time) override
+    void onRestored(const StorePosition &, const StorePosition &, absl::Time now) override
+    {
+        this->context.directory.evacuations().onRestored(now);
+        this->isRestored = true;
+    }
+    std::size_t retainedObjects() const override
+    {
+        return this->context.directory.evacuations().heldAgainstStore(Clock::now()).size();
+    }
+    void onObjects(std::vector<StoredObject> &objects, bool, absl::Time now) override
     {
         absl::btree_set<FailureDomainId> domains;
         for (StoredObject &object : objects) {
             domains.insert(FailureDomainId(object.name));
             object.spec.clear();
         }
-        this->context.directory.replaceEvacuated(std::move(domains));
+        EvacuationTable &evacuations = this->context.directory.evacuations();
+        evacuations.onList(domains, now);
+        if (!std::exchange(this->isRestored, false))
+            return;
+        for (const FailureDomainId &domain : evacuations.heldAgainstStore(now))
+            logEvent(LogLevel::Info, "evacuation_kept_against_copy",
+                     {{"domain", domain.str()},
+                      {"out", evacuations.isEvacuated(domain, now)},
+                      {"grace_ms",
+                       absl::ToInt64Milliseconds(domains.contains(domain)
+                                                     ? EvacuationTable::kEndedGrace
+                                                     : EvacuationTable::kMissingGrace)}});
     }
-    void onChange(ObjectChange &change, bool, absl::Time) override
+    void onChange(ObjectChange &change, bool, absl::Time now) override
     {
         change.object.spec.clear();
-        this->context.directory.setEvacuated(FailureDomainId(change.object.name),
-                                             !change.isDeleted);
+        this->context.directory.evacuations().onChange(FailureDomainId(change.object.name),
+                                                       !change.isDeleted, now);
         logEvent(LogLevel::Info, "domain_evacuation",
                  {{"domain", change.object.name}, {"out", !change.isDeleted}});
     }
+
+private:
+    /** The next list is the first one after a restore. */
+    bool isRestored = false;
 };
 
 /** Server deaths under calls; they are stored to outlive the instances that saw them. */
@@ -276,6 +311,12 @@
         : RelayedKindEvents(sync, platform::kCrashReportKind)
     { }
 
+    void onRestored(const StorePosition &, const StorePosition &, absl::Time) override
+    {
+        this->reports.onRestored();
+        this->isRestored = true;
+    }
+    std::size_t retainedObjects() const override { return this->reports.lostCount(); }
     void onObjects(std::vector<StoredObject> &objects, bool, absl::Time now) override
     {
         absl::btree_set<std::string> listed;
@@ -283,21 +324,23 @@
             listed.insert(object.name);
             this->adopt(object, now);
         }
-        const absl::btree_set<std::string> before = std::exchange(this->known, std::move(listed));
-        for (const std::string &name : before) {
-            if (!this->known.contains(name))
-                this->withdraw(name, now);
-        }
+        const std::vector<std::string> removed = this->reports.onList(listed, now);
+        if (std::exchange(this->isRestored, false))
+            this->sync.recorder.onRestored(listed);
+        for (const std::string &name : removed)
+            this->withdraw(name, now);
     }
     void onChange(ObjectChange &change, bool, absl::Time now) override
     {
         if (change.isDeleted) {
+            this->reports.onRemoved(change.object.name);
             this->withdraw(change.object.name, now);
             return;
         }
-        this->known.insert(change.object.name);
+        this->reports.onStored(change.object.name);
         this->adopt(change.object, now);
     }
+    void onTick(absl::Time now) { this->reports.onTick(now); }
 
 private:
     void adopt(StoredObject &object, absl::Time now)
@@ -313,20 +356,34 @@
         report->causeSince += diedAt - report->diedAt;
         report->diedAt = diedAt;
         this->sync.recorder.onStored(object.name, report->diedAt + kQuarantineDuration);
+        const std::optional<CrashKey> death = DeathRecorder::parseObjectName(object.name);
+        if (death && this->context.quarantine.isWithdrawn(*death)) {
+            this->removeAgain(object.name);
+            return;
+        }
         this->context.quarantine.onCrashReport(*report, now);
     }
+    /** The object was removed before, and is in the store again: the store was restored from an
+     * older copy, or executed a write late. Only instances that read the store remove it, so that
+     * not all do. */
+    void removeAgain(const std::string &name)
+    {
+        logEvent(LogLevel::Info, "withdrawn_death_in_store", {{"name", name}});
+        if (!this->context.exchange.view().aggregator())
+            this->sync.recorder.removeWithdrawn(name);
+    }
     /** The object was removed by an operator or by the instance that wrote it. */
     void withdraw(const std::string &name, absl::Time now)
     {
         this->sync.recorder.onRemoved(name);
-        this->known.erase(name);
         if (const std::optional<CrashKey> death = DeathRecorder::parseObjectName(name)) {
             Quarantine &quarantine = this->context.quarantine;
             quarantine.withdraw(*death, now);
             // The store need not hold all deaths; the others must not keep it quarantined.
+            const absl::btree_set<std::string> names = this->reports.names();
             const bool isLifted =
                 quarantine.check(death->fingerprint, now) == QuarantineState::Quarantined
-                && std::none_of(this->known.begin(), this->known.end(), [&](const auto &other) {
+                && std::none_of(names.begin(), names.end(), [&](const auto &other) {
                        return DeathRecorder::isObjectOf(other, death->fingerprint);
                    });
             if (isLifted)
@@ -335,7 +392,9 @@
         logEvent(LogLevel::Info, "death_withdrawn", {{"name", name}});
     }
 
-    absl::btree_set<std::string> known;
+    StoredReports reports;
+    /** The next list is the first one after a restore. */
+    bool isRestored = false;
 };
 
 class StoreSync::InstanceEvents final : public RelayedKindEvents
@@ -345,37 +404,52 @@
         : RelayedKindEvents(sync, platform::kInstanceKind)
     { }
 
+    void onRestored(const StorePosition &, const StorePosition &, absl::Time) override
+    {
+        this->sync.onInstancesRestored();
+        this->isRestored = true;
+    }
     void onObjects(std::vector<StoredObject> &objects, bool, absl::Time now) override
     {
         std::optional<InstanceRecord> ownRecord;
+        const bool isRestoredList = std::exchange(this->isRestored, false);
         for (StoredObject &object : objects) {
-            const Result<InstanceRecord> record = this->adopt(object);
+            const Result<InstanceRecord> record = this->adopt(object, isRestoredList, now);
             if (record.ok() && record->id == this->context.settings.id)
                 ownRecord = *record;
         }
         this->context.exchange.chooseLinks(now);
         this->sync.onInstancesListed(ownRecord);
     }
-    void onChange(ObjectChange &change, bool, absl::Time) override
+    void onChange(ObjectChange &change, bool, absl::Time now) override
     {
+        std::optional<InstanceRecord> record;
         if (change.isDeleted)
             this->context.exchange.removeRecord(InstanceId(change.object.name));
-        else
-            this->adopt(change.object);
+        else if (const Result<InstanceRecord> adopted = this->adopt(change.object, false, now);
+                 adopted.ok())
+            record = *adopted;
+        if (change.object.name == this->context.settings.id.str())
+            this->sync.onOwnRecord(record);
     }
 
 private:
-    Result<InstanceRecord> adopt(StoredObject &object)
+    Result<InstanceRecord> adopt(StoredObject &object, bool isRestoredList, absl::Time now)
     {
         Result<InstanceRecord> record = platform::decodeInstance(object);
-        if (record.ok()) {
-            this->context.exchange.setRecord(*record);
-        } else {
+        if (!record.ok()) {
             this->reportUnreadable(LogLevel::Warning, "instance_entry_unreadable", object);
             dropLongContent(object);
+        } else if (isRestoredList) {
+            this->context.exchange.setRestoredRecord(*record, now);
+        } else {
+            this->context.exchange.setRecord(*record);
         }
         return record;
     }
+
+    /** The next list is the first one after a restore. */
+    bool isRestored = false;
 };
 
 /** The store's list of backend servers, for the quarantine. */
@@ -392,7 +466,11 @@
         const ServerDirectory::Server *found = this->directory.find(server);
         return found && found->entry.incarnation == incarnation;
     }
-    absl::Time confirmedFrom() const override { return this->watcher.lastStoreFailureAt(); }
+    absl::Time confirmedFrom() const override
+    {
+        // A restored list has servers that have ended, until the store misses them again.
+        return std::max(this->watcher.lastStoreFailureAt(), this->directory.lastRestoredAt());
+    }
     absl::Time confirmedUntil() const override { return this->watcher.cache().lastConfirmedAt(); }
 
 private:
@@ -400,7 +478,11 @@
     const KindWatcher &watcher;
 };
 
-/** Registers this instance in the store. */
+/**
+ * Registers this instance in the store. A write without an answer may be executed seconds later,
+ * also after a restart of the instance or a restore of the store. A late creation changes no entry
+ * that exists. An entry of this instance that is not its own record, or missing, is written again.
+ */
 class StoreSync::Registration final : private StoreWriterEvents
 {
 public:
@@ -420,10 +502,13 @@
         this->entryExists = entryExists;
         this->send();
     }
+    /** The store came back from an older copy, which may lack a write in flight. */
+    void onRestored() { this->mustRepeat = this->isInFlight; }
 
 private:
     void send()
     {
+        this->mustRepeat = false;
         const std::string body = platform::encodeInstance(this->record);
         if (this->entryExists)
             this->writer.send(
@@ -437,7 +522,7 @@
     {
         // The entry exists already if the response to an earlier call was lost.
         this->entryExists = status == kStatusConflict;
-        const bool isRegistered = status < 300;
+        const bool isRegistered = status < 300 && !this->mustRepeat;
         logEvent(isRegistered ? LogLevel::Info : LogLevel::Warning, "instance_registration",
                  {{"status", status}});
         this->isInFlight = !isRegistered;
@@ -457,6 +542,8 @@
     LoopTimer timer;
     bool isInFlight = false;
     bool entryExists = false;
+    /** The store was restored after the write in flight was sent. */
+    bool mustRepeat = false;
 };
 
 StoreSync::StoreSync(GatewayContext &context)
@@ -518,6 +605,7 @@
     if (this->serversListed)
         this->context.quarantine.withdrawDeathsOfListed(
             ListedServers(this->context.directory, *this->serverWatcher));
+    this->deathEvents->onTick(now);
     this->recorder.onTick(this->context.quarantine, now, Clock::wallNow());
     const bool isUnlistedAggregator = this->hasStarted && !this->context.exchange.isListedInStore()
         && !this->context.exchange.view().aggregator();
@@ -546,12 +634,22 @@
 }
 
 void StoreSync::onInstancesListed(const std::optional<InstanceRecord> &ownRecord)
+{
+    this->onOwnRecord(ownRecord);
+    this->startWatchersOrWait();
+}
+
+void StoreSync::onInstancesRestored()
+{
+    this->registration->onRestored();
+}
+
+void StoreSync::onOwnRecord(const std::optional<InstanceRecord> &ownRecord)
 {
     const bool isListed = ownRecord == instanceRecord(this->context.settings);
     this->context.exchange.setListed(isListed);
     if (!isListed && this->context.exchange.view().ownRank() < kEnoughListedPeers)
         this->registration->start(ownRecord.has_value());
-    this->startWatchersOrWait();
 }
 
 void StoreSync::onStartTimer()
