Log dropped requests, applied limits and route timeouts

A connection that closes after a response reads and drops what follows, without a line; which limits and which route timeout a request had was not logged either.

request_dropped gives the bytes that were read behind the last response of a closing connection and got no answer (with the counter foxtailtally_request_drops_total), limits_applied the limits that open connections have from then on, and call_done the route's timeout and the time that the call was allowed. No change of behaviour.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -809,6 +809,8 @@
          {"pause_ms", absl::ToInt64Milliseconds(this->longestGap)},
          {"total_ms", absl::ToInt64Milliseconds(now - this->call.receivedAt)},
          {"objective_ms", absl::ToInt64Milliseconds(this->call.route->objective)},
+         {"timeout_ms", absl::ToInt64Milliseconds(this->call.route->timeout)},
+         {"allowed_ms", absl::ToInt64Milliseconds(this->call.answerBy - this->call.receivedAt)},
          {"config", this->call.config->version()}});
 }
 
--- a/main/gateway/caller_session.cpp
+++ b/main/gateway/caller_session.cpp
@@ -146,8 +146,12 @@
     connection.answer(status, platform::localReplyHeaders({}, std::nullopt), body.dump());
 }
 
-void CallerSession::onClosed(InboundConnection &)
+void CallerSession::onClosed(InboundConnection &connection)
 {
+    if (connection.droppedBytes() > 0) {
+        this->context.metrics.counter("foxtailtally_request_drops_total").add();
+        logEvent(LogLevel::Warning, "request_dropped", {{"bytes", connection.droppedBytes()}});
+    }
     if (this->run && !this->run->isDone())
         this->run->onCallerGone();
     this->retireRun();
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -144,6 +144,14 @@
     this->appliedConfig = this->context.config;
     for (const auto &[key, session] : this->sessions)
         session->applyLimits();
+    const CallerLimits &limits = this->appliedConfig->limits();
+    logEvent(LogLevel::Info, "limits_applied",
+             {{"version", this->appliedConfig->version()},
+              {"sessions", this->sessions.size()},
+              {"header_bytes", limits.headerBytes},
+              {"body_bytes", limits.bodyBytes},
+              {"header_timeout_ms", absl::ToInt64Milliseconds(limits.headerTimeout)},
+              {"idle_timeout_ms", absl::ToInt64Milliseconds(limits.idleTimeout)}});
 }
 
 void Gateway::beginStop()
--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -302,12 +302,10 @@
 
 void InboundConnection::onReadable()
 {
-    if (this->state == State::Lingering) {
-        evbuffer *input = bufferevent_get_input(this->stream);
-        evbuffer_drain(input, evbuffer_get_length(input));
-        return;
-    }
-    this->parseInput();
+    if (this->state == State::Lingering)
+        this->dropInput();
+    else
+        this->parseInput();
 }
 
 void InboundConnection::parseInput()
@@ -429,14 +427,22 @@
 void InboundConnection::linger()
 {
     this->state = State::Lingering;
-    evbuffer *input = bufferevent_get_input(this->stream);
-    evbuffer_drain(input, evbuffer_get_length(input));
+    this->dropInput();
     this->lingeringOutput = this->pendingOutput();
     if (this->lingeringOutput == 0)
         ::shutdown(bufferevent_getfd(this->stream), SHUT_WR);
     this->armTimer(this->lingeringOutput == 0 ? kLingerTime : kStalledOutputTime);
 }
 
+void InboundConnection::dropInput()
+{
+    evbuffer *input = bufferevent_get_input(this->stream);
+    // What follows a request that was refused early is the rest of it.
+    if (this->keepsAlive)
+        this->droppedInput += evbuffer_get_length(input);
+    evbuffer_drain(input, evbuffer_get_length(input));
+}
+
 void InboundConnection::close()
 {
     if (this->state == State::Closed)
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -81,6 +81,8 @@
     bool isCongested() const;
     /** True when no byte of a request has been read since the last response. */
     bool isIdle() const { return this->state == State::Idle; }
+    /** Bytes behind the last request that were read and dropped since the connection closes. */
+    std::size_t droppedBytes() const { return this->droppedInput; }
     /** Output bytes that have not been written to the socket yet. */
     std::size_t pendingOutput() const;
 
@@ -111,6 +113,7 @@
     /** Closes the idle connection, unless a request has arrived. */
     void closeIdle();
     void linger();
+    void dropInput();
     /** Output has been written since the last call while the connection lingers, and some is left.
      */
     bool hasSentMore();
@@ -136,6 +139,7 @@
     bool wasCongested = false;
     /** Output that was pending when the connection began to linger, or at the last check. */
     std::size_t lingeringOutput = 0;
+    std::size_t droppedInput = 0;
 };
 
 } // namespace foxtailtally
