Answer or leave unread what follows a response without Connection: close

Cause: a connection that is to close lingers after its response and drops what it reads. That is right only if the response said that the connection closes. The head of a stream is sent long before its end, so a stop that began meanwhile closed the connection unannounced. A request that had been read ahead of the response was dropped in the same way, also behind a plain response. It is the class of fault of: a connection is closed for writing before it is known that no request is there.

Change: only a response that announced the close, or ended a request that could not be read to its end, is followed by lingering. After any other one the connection goes idle and is closed like an idle one: a request that has arrived is answered, and one that arrives later is not read, so that its caller may send it again. A response announces the close only if no further request has been read.

Evidence: InboundConnectionTest.AnswersARequestBehindAStreamThatAnnouncedNoClose, .ReadsNothingAfterAStreamThatAnnouncedNoClose and .AnswersAPipelinedRequestBeforeItCloses failed on the code before (no answer within 20 s; the send after the close succeeded) and pass now.

--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -350,6 +350,10 @@
         this->armTimer(kLingerTime);
         return;
     }
+    if (this->isClosing && this->state == State::Idle) {
+        this->closeIdle();
+        return;
+    }
     if (this->wasCongested) {
         this->wasCongested = false;
         this->events.onWritable(*this);
@@ -399,6 +403,7 @@
     this->rejectStatus = 0;
     this->isBodyDiscarded = false;
     this->keepsAlive = true;
+    this->hasAnnouncedClose = false;
 }
 
 void InboundConnection::reject(int status)
@@ -411,13 +416,15 @@
 
 void InboundConnection::finishAnswer()
 {
-    if (!this->keepsAlive || this->isClosing) {
+    if (this->hasAnnouncedClose) {
         this->linger();
         return;
     }
     this->beginRequest();
     this->state = State::Idle;
-    this->armTimer(this->limits.idleTimeout);
+    // Closed from the loop, since the listener may not expect onClosed() in its call.
+    const bool closesNow = this->isClosing && this->pendingOutput() == 0;
+    this->armTimer(closesNow ? absl::ZeroDuration() : this->limits.idleTimeout);
     // The next request may already be buffered; parse it from the loop, not from this call.
     if (evbuffer_get_length(bufferevent_get_input(this->stream)) > 0)
         bufferevent_trigger(this->stream, EV_READ,
@@ -459,12 +466,20 @@
     event_add(this->timer, &interval);
 }
 
-std::string InboundConnection::encodeHead(int status, const HttpHeaders &headers) const
+bool InboundConnection::isLastAnswer() const
+{
+    // A pipelined request that has been read must be answered too.
+    const bool hasInput = evbuffer_get_length(bufferevent_get_input(this->stream)) > 0;
+    return !this->keepsAlive || (this->isClosing && !hasInput);
+}
+
+std::string InboundConnection::encodeHead(int status, const HttpHeaders &headers)
 {
     std::string text = absl::StrCat("HTTP/1.1 ", status, " ", asAbsl(reasonPhrase(status)), "\r\n");
     for (const HttpHeader &header : headers.all())
         absl::StrAppend(&text, header.name, ": ", header.value, "\r\n");
-    if (!this->keepsAlive || this->isClosing)
+    this->hasAnnouncedClose = this->isLastAnswer();
+    if (this->hasAnnouncedClose)
         text += "Connection: close\r\n";
     return text;
 }
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -76,7 +76,8 @@
     void setLimits(const InboundLimits &limits);
     /** Closes the connection after the response to the current request. */
     void closeAfterAnswer() { this->isClosing = true; }
-    /** Closes an idle connection now, any other after its next response. */
+    /** Closes an idle connection now, any other after the responses to the requests that it has
+     * received. */
     void closeWhenIdle();
     bool isCongested() const;
     /** True when no byte of a request has been read since the last response. */
@@ -114,12 +115,15 @@
     void closeIdle();
     void linger();
     void dropInput();
+    /** Whether the response that begins now is the last one on the connection. */
+    bool isLastAnswer() const;
     /** Output has been written since the last call while the connection lingers, and some is left.
      */
     bool hasSentMore();
     void close();
     void armTimer(absl::Duration delay);
-    std::string encodeHead(int status, const HttpHeaders &headers) const;
+    /** Also decides whether the connection closes after this response. */
+    std::string encodeHead(int status, const HttpHeaders &headers);
     void write(std::string_view data);
 
     InboundEvents &events;
@@ -136,6 +140,8 @@
     bool isBodyDiscarded = false;
     bool keepsAlive = true;
     bool isClosing = false;
+    /** The head of the current response says that the connection closes. */
+    bool hasAnnouncedClose = false;
     bool wasCongested = false;
     /** Output that was pending when the connection began to linger, or at the last check. */
     std::size_t lingeringOutput = 0;
--- a/tests/http/inbound_connection_test.cpp
+++ b/tests/http/inbound_connection_test.cpp
@@ -327,5 +327,55 @@
     EXPECT_GT(total, kBodyBytes);
 }
 
+// Guards against the next request on a connection being read and dropped: the connection closed
+// after a stream whose head had not announced that.
+TEST_F(InboundConnectionTest, AnswersARequestBehindAStreamThatAnnouncedNoClose)
+{
+    this->events.answersAtOnce = false;
+    writeAll(this->caller, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.requests == 1; }));
+    this->connection->startStream(200, {});
+    this->connection->closeWhenIdle();
+    this->connection->finishStream();
+    this->events.answersAtOnce = true;
+    writeAll(this->caller, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(this->answered("done"));
+    EXPECT_EQ(this->events.path, "/next");
+    EXPECT_NE(this->received.find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(this->loop.runUntil([&] { return this->events.isClosed; }));
+}
+
+// Guards against reading a request that cannot be answered any more; its caller could not tell
+// whether it may send it again.
+TEST_F(InboundConnectionTest, ReadsNothingAfterAStreamThatAnnouncedNoClose)
+{
+    this->events.answersAtOnce = false;
+    writeAll(this->caller, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.requests == 1; }));
+    this->connection->startStream(200, {});
+    this->connection->closeWhenIdle();
+    this->connection->finishStream();
+    EXPECT_TRUE(this->loop.runUntil([&] { return this->events.isClosed; }));
+    EXPECT_TRUE(this->answered("0\r\n\r\n"));
+    const std::string request = "GET /late HTTP/1.1\r\nHost: h\r\n\r\n";
+    EXPECT_LT(::send(this->caller, request.data(), request.size(), MSG_NOSIGNAL | MSG_DONTWAIT), 0);
+    EXPECT_EQ(this->events.requests, 1);
+}
+
+// Guards against a pipelined request being read and dropped behind the response to an earlier one.
+TEST_F(InboundConnectionTest, AnswersAPipelinedRequestBeforeItCloses)
+{
+    this->events.answersAtOnce = false;
+    writeAll(this->caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.requests == 1; }));
+    this->connection->closeWhenIdle();
+    this->events.answersAtOnce = true;
+    this->connection->answer(200, {}, "first");
+    EXPECT_TRUE(this->answered("done"));
+    EXPECT_EQ(this->events.path, "/b");
+    EXPECT_TRUE(this->received.ends_with("done"));
+    EXPECT_TRUE(this->loop.runUntil([&] { return this->events.isClosed; }));
+}
+
 } // namespace
 } // namespace foxtailtally
