Keep the limits under which a request began

What callers saw: a request that the configuration allowed when it was sent was refused with 413, 431 or 408, because a version with smaller limits came into force while it was received. One that had become allowed meanwhile could be refused with 408, since the time for its head was not extended.

Cause: setLimits() replaced the limits in the middle of a request. Limits bound what a caller may send, and callers know the version that was in force when they began.

Change: a request is judged by the largest limits in force since it began; the next one by the limits in force then.

Evidence: InboundConnectionTest.KeepsTheLimitsUnderWhichARequestBegan failed before with 413, .AppliesLargerLimitsToARequestThatHasBegun with 408; both pass now.

--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -156,8 +156,14 @@
 void InboundConnection::setLimits(const InboundLimits &limits)
 {
     this->limits = limits;
+    InboundLimits &kept = this->requestLimits;
+    if (this->state == State::ReadingHead && limits.headerTimeout > kept.headerTimeout)
+        this->armTimer(limits.headerTimeout);
     if (this->state == State::Idle)
-        this->armTimer(this->limits.idleTimeout);
+        this->armTimer(limits.idleTimeout);
+    kept.headerBytes = std::max(kept.headerBytes, limits.headerBytes);
+    kept.bodyBytes = std::max(kept.bodyBytes, limits.bodyBytes);
+    kept.headerTimeout = std::max(kept.headerTimeout, limits.headerTimeout);
 }
 
 void InboundConnection::closeWhenIdle()
@@ -250,7 +256,7 @@
     InboundConnection &connection = self(parser);
     if (connection.isBodyDiscarded)
         return 0;
-    if (connection.requestBody.size() + size > connection.limits.bodyBytes) {
+    if (connection.requestBody.size() + size > connection.requestLimits.bodyBytes) {
         connection.rejectStatus = 413;
         return -1;
     }
@@ -289,7 +295,7 @@
     head.path = std::string(target.substr(0, target.find_first_of("?#")));
     std::uint64_t length = 0;
     if (const std::string *text = head.headers.find("Content-Length");
-        text && absl::SimpleAtoi(*text, &length) && length > this->limits.bodyBytes) {
+        text && absl::SimpleAtoi(*text, &length) && length > this->requestLimits.bodyBytes) {
         this->rejectStatus = 413;
         return false;
     }
@@ -318,7 +324,8 @@
             return;
         if (this->state == State::Idle) {
             this->state = State::ReadingHead;
-            this->armTimer(this->limits.headerTimeout);
+            this->requestLimits = this->limits;
+            this->armTimer(this->requestLimits.headerTimeout);
         }
         const bool wasReadingHead = this->state == State::ReadingHead;
         const char *data =
@@ -328,7 +335,8 @@
         evbuffer_drain(input, parsed);
         if (wasReadingHead) {
             this->headBytes += parsed;
-            if (this->state == State::ReadingHead && this->headBytes > this->limits.headerBytes)
+            if (this->state == State::ReadingHead
+                && this->headBytes > this->requestLimits.headerBytes)
                 this->rejectStatus = 431;
             if (this->state != State::ReadingHead)
                 event_del(this->timer);
@@ -401,6 +409,7 @@
     this->collector.clear();
     this->headBytes = 0;
     this->rejectStatus = 0;
+    this->requestLimits = this->limits;
     this->isBodyDiscarded = false;
     this->keepsAlive = true;
     this->hasAnnouncedClose = false;
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -72,7 +72,7 @@
     /** Closes the connection, so that the caller sees a truncated response. */
     void abort();
 
-    /** Applies @p limits to further input and to the time that the connection may be idle. */
+    /** Applies @p limits. A request that has begun keeps earlier limits where those allow more. */
     void setLimits(const InboundLimits &limits);
     /** Closes the connection after the response to the current request. */
     void closeAfterAnswer() { this->isClosing = true; }
@@ -128,6 +128,8 @@
 
     InboundEvents &events;
     InboundLimits limits;
+    /** The largest limits since the current request began. */
+    InboundLimits requestLimits;
     bufferevent *stream = nullptr;
     event *timer = nullptr;
     http_parser parser {};
--- a/tests/http/inbound_connection_test.cpp
+++ b/tests/http/inbound_connection_test.cpp
@@ -377,5 +377,46 @@
     EXPECT_TRUE(this->loop.runUntil([&] { return this->events.isClosed; }));
 }
 
+// Guards against a request that is refused because the limits became smaller while it was received.
+TEST_F(InboundConnectionTest, KeepsTheLimitsUnderWhichARequestBegan)
+{
+    InboundLimits small;
+    small.headerBytes = 64;
+    small.bodyBytes = 8;
+    small.headerTimeout = absl::Milliseconds(1);
+    const std::string body(60, 'x');
+    writeAll(this->caller, "POST /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(200, 'x'));
+    this->loop.runEvents();
+    this->connection->setLimits(small);
+    this->loop.runEvents();
+    writeAll(this->caller, "\r\nTransfer-Encoding: chunked\r\n\r\n3c\r\n" + body.substr(0, 30));
+    this->loop.runEvents();
+    this->connection->setLimits(small);
+    EXPECT_EQ(this->rejection(body.substr(30) + "\r\n0\r\n\r\n"), 0);
+    EXPECT_EQ(this->events.body, body);
+    ASSERT_TRUE(this->answered("done"));
+    writeAll(this->caller, "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.rejected != 0; }));
+    EXPECT_EQ(this->events.rejected, 413);
+}
+
+// Guards against a request that is refused although the limits became large enough for it while it
+// was received.
+TEST_F(InboundConnectionTest, AppliesLargerLimitsToARequestThatHasBegun)
+{
+    InboundLimits large;
+    large.headerBytes = 4096;
+    large.bodyBytes = 200;
+    writeAll(this->caller, "POST /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(900, 'x'));
+    this->loop.runEvents();
+    this->connection->setLimits(large);
+    writeAll(this->caller, std::string(900, 'x'));
+    absl::SleepFor(absl::Milliseconds(250));
+    this->loop.runEvents();
+    const std::string body(150, 'x');
+    EXPECT_EQ(this->rejection("\r\nContent-Length: 150\r\n\r\n" + body), 0);
+    EXPECT_EQ(this->events.body, body);
+}
+
 } // namespace
 } // namespace foxtailtally
