Keep the idle time under which a connection became idle

What callers saw: a connection that they could still use by the version they knew was closed when a version with a shorter idle time came into force, as early as that time after its adoption. A request that crossed the close was reset. Where the new time is shorter than the time in which versions reach everyone, that met callers who could not know it.

Change: a connection that is idle when the limits change stays open for the longest idle time in force since it became idle. The new time holds from its next response on.

Evidence: InboundConnectionTest.KeepsTheIdleTimeUnderWhichItBecameIdle failed before (closed after 5 ms, no answer) and passes now.

--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -159,11 +159,12 @@
     InboundLimits &kept = this->requestLimits;
     if (this->state == State::ReadingHead && limits.headerTimeout > kept.headerTimeout)
         this->armTimer(limits.headerTimeout);
-    if (this->state == State::Idle)
+    if (this->state == State::Idle && limits.idleTimeout > kept.idleTimeout)
         this->armTimer(limits.idleTimeout);
     kept.headerBytes = std::max(kept.headerBytes, limits.headerBytes);
     kept.bodyBytes = std::max(kept.bodyBytes, limits.bodyBytes);
     kept.headerTimeout = std::max(kept.headerTimeout, limits.headerTimeout);
+    kept.idleTimeout = std::max(kept.idleTimeout, limits.idleTimeout);
 }
 
 void InboundConnection::closeWhenIdle()
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -72,7 +72,8 @@
     /** Closes the connection, so that the caller sees a truncated response. */
     void abort();
 
-    /** Applies @p limits. A request that has begun keeps earlier limits where those allow more. */
+    /** Applies @p limits. A request that has begun, and the time that the connection has been idle
+     * already, keep earlier limits where those allow more. */
     void setLimits(const InboundLimits &limits);
     /** Closes the connection after the response to the current request. */
     void closeAfterAnswer() { this->isClosing = true; }
@@ -128,7 +129,7 @@
 
     InboundEvents &events;
     InboundLimits limits;
-    /** The largest limits since the current request began. */
+    /** The largest limits since the current request began, or since the connection became idle. */
     InboundLimits requestLimits;
     bufferevent *stream = nullptr;
     event *timer = nullptr;
--- a/tests/http/inbound_connection_test.cpp
+++ b/tests/http/inbound_connection_test.cpp
@@ -418,5 +418,21 @@
     EXPECT_EQ(this->events.body, body);
 }
 
+// Guards against a connection that is closed as idle although the limit under which it became idle
+// still allows its caller to use it.
+TEST_F(InboundConnectionTest, KeepsTheIdleTimeUnderWhichItBecameIdle)
+{
+    writeAll(this->caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->answered("done"));
+    InboundLimits limits;
+    limits.idleTimeout = absl::Milliseconds(5);
+    this->connection->setLimits(limits);
+    this->loop.runEvents();
+    EXPECT_FALSE(isClosedByPeer(this->caller));
+    writeAll(this->caller, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.requests == 2; }));
+    EXPECT_TRUE(this->loop.runUntil([&] { return this->events.isClosed; }));
+}
+
 } // namespace
 } // namespace foxtailtally
