--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -156,8 +156,15 @@
 void InboundConnection::setLimits(const InboundLimits &limits)
 {
     this->limits = limits;
-    if (this->state == State::Idle)
-        this->armTimer(this->limits.idleTimeout);
+    InboundLimits &kept = this->requestLimits;
+    if (this->state == State::ReadingHead && limits.headerTimeout > kept.headerTimeout)
+        this->armTimer(limits.headerTimeout);
+    if (this->state == State::Idle && limits.idleTimeout > kept.idleTimeout)
+        this->armTimer(limits.idleTimeout);
+    kept.headerBytes = std::max(kept.headerBytes, limits.headerBytes);
+    kept.bodyBytes = std::max(kept.bodyBytes, limits.bodyBytes);
+    kept.headerTimeout = std::max(kept.headerTimeout, limits.headerTimeout);
+    kept.idleTimeout = std::max(kept.idleTimeout, limits.idleTimeout);
 }
 
 void InboundConnection::closeWhenIdle()
@@ -250,7 +257,7 @@
     InboundConnection &connection = self(parser);
     if (connection.isBodyDiscarded)
         return 0;
-    if (connection.requestBody.size() + size > connection.limits.bodyBytes) {
+    if (connection.requestBody.size() + size > connection.requestLimits.bodyBytes) {
         connection.rejectStatus = 413;
         return -1;
     }
@@ -289,7 +296,7 @@
     head.path = std::string(target.substr(0, target.find_first_of("?#")));
     std::uint64_t length = 0;
     if (const std::string *text = head.headers.find("Content-Length");
-        text && absl::SimpleAtoi(*text, &length) && length > this->limits.bodyBytes) {
+        text && absl::SimpleAtoi(*text, &length) && length > this->requestLimits.bodyBytes) {
         this->rejectStatus = 413;
         return false;
     }
@@ -302,12 +309,10 @@
 
 void InboundConnection::onReadable()
 {
-    if (this->state == State::Lingering) {
-        evbuffer *input = bufferevent_get_input(this->stream);
-        evbuffer_drain(input, evbuffer_get_length(input));
-        return;
-    }
-    this->parseInput();
+    if (this->state == State::Lingering)
+        this->dropInput();
+    else
+        this->parseInput();
 }
 
 void InboundConnection::parseInput()
@@ -320,7 +325,8 @@
             return;
         if (this->state == State::Idle) {
             this->state = State::ReadingHead;
-            this->armTimer(this->limits.headerTimeout);
+            this->requestLimits = this->limits;
+            this->armTimer(this->requestLimits.headerTimeout);
         }
         const bool wasReadingHead = this->state == State::ReadingHead;
         const char *data =
@@ -330,7 +336,8 @@
         evbuffer_drain(input, parsed);
         if (wasReadingHead) {
             this->headBytes += parsed;
-            if (this->state == State::ReadingHead && this->headBytes > this->limits.headerBytes)
+            if (this->state == State::ReadingHead
+                && this->headBytes > this->requestLimits.headerBytes)
                 this->rejectStatus = 431;
             if (this->state != State::ReadingHead)
                 event_del(this->timer);
@@ -352,6 +359,10 @@
         this->armTimer(kLingerTime);
         return;
     }
+    if (this->isClosing && this->state == State::Idle) {
+        this->closeIdle();
+        return;
+    }
     if (this->wasCongested) {
         this->wasCongested = false;
         this->events.onWritable(*this);
@@ -399,8 +410,10 @@
     this->collector.clear();
     this->headBytes = 0;
     this->rejectStatus = 0;
+    this->requestLimits = this->limits;
     this->isBodyDiscarded = false;
     this->keepsAlive = true;
+    this->hasAnnouncedClose = false;
 }
 
 void InboundConnection::reject(int status)
@@ -413,13 +426,15 @@
 
 void InboundConnection::finishAnswer()
 {
-    if (!this->keepsAlive || this->isClosing) {
+    if (this->hasAnnouncedClose) {
         this->linger();
         return;
     }
     this->beginRequest();
     this->state = State::Idle;
-    this->armTimer(this->limits.idleTimeout);
+    // Closed from the loop, since the listener may not expect onClosed() in its call.
+    const bool closesNow = this->isClosing && this->pendingOutput() == 0;
+    this->armTimer(closesNow ? absl::ZeroDuration() : this->limits.idleTimeout);
     // The next request may already be buffered; parse it from the loop, not from this call.
     if (evbuffer_get_length(bufferevent_get_input(this->stream)) > 0)
         bufferevent_trigger(this->stream, EV_READ,
@@ -429,14 +444,22 @@
 void InboundConnection::linger()
 {
     this->state = State::Lingering;
-    evbuffer *input = bufferevent_get_input(this->stream);
-    evbuffer_drain(input, evbuffer_get_length(input));
+    this->dropInput();
     this->lingeringOutput = this->pendingOutput();
     if (this->lingeringOutput == 0)
         ::shutdown(bufferevent_getfd(this->stream), SHUT_WR);
     this->armTimer(this->lingeringOutput == 0 ? kLingerTime : kStalledOutputTime);
 }
 
+void InboundConnection::dropInput()
+{
+    evbuffer *input = bufferevent_get_input(this->stream);
+    // What follows a request that was refused early is the rest of it.
+    if (this->keepsAlive)
+        this->droppedInput += evbuffer_get_length(input);
+    evbuffer_drain(input, evbuffer_get_length(input));
+}
+
 void InboundConnection::close()
 {
     if (this->state == State::Closed)
@@ -453,12 +476,20 @@
     event_add(this->timer, &interval);
 }
 
-std::string InboundConnection::encodeHead(int status, const HttpHeaders &headers) const
+bool InboundConnection::isLastAnswer() const
+{
+    // A pipelined request that has been read must be answered too.
+    const bool hasInput = evbuffer_get_length(bufferevent_get_input(this->stream)) > 0;
+    return !this->keepsAlive || (this->isClosing && !hasInput);
+}
+
+std::string InboundConnection::encodeHead(int status, const HttpHeaders &headers)
 {
     std::string text = absl::StrCat("HTTP/1.1 ", status, " ", asAbsl(reasonPhrase(status)), "\r\n");
     for (const HttpHeader &header : headers.all())
         absl::StrAppend(&text, header.name, ": ", header.value, "\r\n");
-    if (!this->keepsAlive || this->isClosing)
+    this->hasAnnouncedClose = this->isLastAnswer();
+    if (this->hasAnnouncedClose)
         text += "Connection: close\r\n";
     return text;
 }
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -72,15 +72,19 @@
     /** Closes the connection, so that the caller sees a truncated response. */
     void abort();
 
-    /** Applies @p limits to further input and to the time that the connection may be idle. */
+    /** Applies @p limits. A request that has begun, and the time that the connection has been idle
+     * already, keep earlier limits where those allow more. */
     void setLimits(const InboundLimits &limits);
     /** Closes the connection after the response to the current request. */
     void closeAfterAnswer() { this->isClosing = true; }
-    /** Closes an idle connection now, any other after its next response. */
+    /** Closes an idle connection now, any other after the responses to the requests that it has
+     * received. */
     void closeWhenIdle();
     bool isCongested() const;
     /** True when no byte of a request has been read since the last response. */
     bool isIdle() const { return this->state == State::Idle; }
+    /** Bytes behind the last request that were read and dropped since the connection closes. */
+    std::size_t droppedBytes() const { return this->droppedInput; }
     /** Output bytes that have not been written to the socket yet. */
     std::size_t pendingOutput() const;
 
@@ -111,16 +115,22 @@
     /** Closes the idle connection, unless a request has arrived. */
     void closeIdle();
     void linger();
+    void dropInput();
+    /** Whether the response that begins now is the last one on the connection. */
+    bool isLastAnswer() const;
     /** Output has been written since the last call while the connection lingers, and some is left.
      */
     bool hasSentMore();
     void close();
     void armTimer(absl::Duration delay);
-    std::string encodeHead(int status, const HttpHeaders &headers) const;
+    /** Also decides whether the connection closes after this response. */
+    std::string encodeHead(int status, const HttpHeaders &headers);
     void write(std::string_view data);
 
     InboundEvents &events;
     InboundLimits limits;
+    /** The largest limits since the current request began, or since the connection became idle. */
+    InboundLimits requestLimits;
     bufferevent *stream = nullptr;
     event *timer = nullptr;
     http_parser parser {};
@@ -133,9 +143,12 @@
     bool isBodyDiscarded = false;
     bool keepsAlive = true;
     bool isClosing = false;
+    /** The head of the current response says that the connection closes. */
+    bool hasAnnouncedClose = false;
     bool wasCongested = false;
     /** Output that was pending when the connection began to linger, or at the last check. */
     std::size_t lingeringOutput = 0;
+    std::size_t droppedInput = 0;
 };
 
 } // namespace foxtailtally
--- a/tests/http/inbound_connection_test.cpp
+++ b/tests/http/inbound_connection_test.cpp
@@ -327,5 +327,112 @@
     EXPECT_GT(total, kBodyBytes);
 }
 
+// Guards against the next request on a connection being read and dropped: the connection closed
+// after a stream whose head had not announced that.
+TEST_F(InboundConnectionTest, AnswersARequestBehindAStreamThatAnnouncedNoClose)
+{
+    this->events.answersAtOnce = false;
+    writeAll(this->caller, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.requests == 1; }));
+    this->connection->startStream(200, {});
+    this->connection->closeWhenIdle();
+    this->connection->finishStream();
+    this->events.answersAtOnce = true;
+    writeAll(this->caller, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(this->answered("done"));
+    EXPECT_EQ(this->events.path, "/next");
+    EXPECT_NE(this->received.find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(this->loop.runUntil([&] { return this->events.isClosed; }));
+}
+
+// Guards against reading a request that cannot be answered any more; its caller could not tell
+// whether it may send it again.
+TEST_F(InboundConnectionTest, ReadsNothingAfterAStreamThatAnnouncedNoClose)
+{
+    this->events.answersAtOnce = false;
+    writeAll(this->caller, "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.requests == 1; }));
+    this->connection->startStream(200, {});
+    this->connection->closeWhenIdle();
+    this->connection->finishStream();
+    EXPECT_TRUE(this->loop.runUntil([&] { return this->events.isClosed; }));
+    EXPECT_TRUE(this->answered("0\r\n\r\n"));
+    const std::string request = "GET /late HTTP/1.1\r\nHost: h\r\n\r\n";
+    EXPECT_LT(::send(this->caller, request.data(), request.size(), MSG_NOSIGNAL | MSG_DONTWAIT), 0);
+    EXPECT_EQ(this->events.requests, 1);
+}
+
+// Guards against a pipelined request being read and dropped behind the response to an earlier one.
+TEST_F(InboundConnectionTest, AnswersAPipelinedRequestBeforeItCloses)
+{
+    this->events.answersAtOnce = false;
+    writeAll(this->caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.requests == 1; }));
+    this->connection->closeWhenIdle();
+    this->events.answersAtOnce = true;
+    this->connection->answer(200, {}, "first");
+    EXPECT_TRUE(this->answered("done"));
+    EXPECT_EQ(this->events.path, "/b");
+    EXPECT_TRUE(this->received.ends_with("done"));
+    EXPECT_TRUE(this->loop.runUntil([&] { return this->events.isClosed; }));
+}
+
+// Guards against a request that is refused because the limits became smaller while it was received.
+TEST_F(InboundConnectionTest, KeepsTheLimitsUnderWhichARequestBegan)
+{
+    InboundLimits small;
+    small.headerBytes = 64;
+    small.bodyBytes = 8;
+    small.headerTimeout = absl::Milliseconds(1);
+    const std::string body(60, 'x');
+    writeAll(this->caller, "POST /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(200, 'x'));
+    this->loop.runEvents();
+    this->connection->setLimits(small);
+    this->loop.runEvents();
+    writeAll(this->caller, "\r\nTransfer-Encoding: chunked\r\n\r\n3c\r\n" + body.substr(0, 30));
+    this->loop.runEvents();
+    this->connection->setLimits(small);
+    EXPECT_EQ(this->rejection(body.substr(30) + "\r\n0\r\n\r\n"), 0);
+    EXPECT_EQ(this->events.body, body);
+    ASSERT_TRUE(this->answered("done"));
+    writeAll(this->caller, "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.rejected != 0; }));
+    EXPECT_EQ(this->events.rejected, 413);
+}
+
+// Guards against a request that is refused although the limits became large enough for it while it
+// was received.
+TEST_F(InboundConnectionTest, AppliesLargerLimitsToARequestThatHasBegun)
+{
+    InboundLimits large;
+    large.headerBytes = 4096;
+    large.bodyBytes = 200;
+    writeAll(this->caller, "POST /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(900, 'x'));
+    this->loop.runEvents();
+    this->connection->setLimits(large);
+    writeAll(this->caller, std::string(900, 'x'));
+    absl::SleepFor(absl::Milliseconds(250));
+    this->loop.runEvents();
+    const std::string body(150, 'x');
+    EXPECT_EQ(this->rejection("\r\nContent-Length: 150\r\n\r\n" + body), 0);
+    EXPECT_EQ(this->events.body, body);
+}
+
+// Guards against a connection that is closed as idle although the limit under which it became idle
+// still allows its caller to use it.
+TEST_F(InboundConnectionTest, KeepsTheIdleTimeUnderWhichItBecameIdle)
+{
+    writeAll(this->caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->answered("done"));
+    InboundLimits limits;
+    limits.idleTimeout = absl::Milliseconds(5);
+    this->connection->setLimits(limits);
+    this->loop.runEvents();
+    EXPECT_FALSE(isClosedByPeer(this->caller));
+    writeAll(this->caller, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.requests == 2; }));
+    EXPECT_TRUE(this->loop.runUntil([&] { return this->events.isClosed; }));
+}
+
 } // namespace
 } // namespace foxtailtally
