Answer every call before a planned stop ends

Callers saw connections closed without an answer when an instance stopped, for calls that a server had, calls that must run once among them.

A call that arrived in the first 2.6 s of a stop got its route's whole time, and the process ended 0.4 s before its limit with connections open. Nothing related the time that a call may take to the time left, and nothing answered what was open at the end. Calls that waited for a server or whose body was slow were sent late in the stop.

Now every open call is due 0.65 s before the limit: 503 if no server has it, 504 if one has, and a stream that has begun is cut without its end mark. A call is sent to a server only if it is expected to end by then: the objective of its route and, for streams of an engine, a decode pass for each event. Others get 503 "stopping" with not_run and Retry-After, also calls that waited too long and those whose body arrived late. The checks stand where calls are dispatched and where they are written, so they hold for retries, second copies and calls that waited for tokens or memory. Calls open at the signal get "Connection: close" too. No connection is accepted after the last answers.

CallRunTest.Is*InAStop and StopPolicy.* check the decisions.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -83,6 +83,11 @@
 void CallRun::start(absl::Time now)
 {
     this->hasStarted = true;
+    // The body may have taken until late in a stop.
+    if (!this->context.stop.mayTakeRequests(now)) {
+        this->refuseForStop();
+        return;
+    }
     this->suspicion.emplace(this->context, this->call.headers.callId,
                             CallContent {this->call.customer, this->caller->head().path,
                                          this->caller->body(),
@@ -98,6 +103,14 @@
         this->refuse("no_server", now);
 }
 
+void CallRun::advanceDeadline(absl::Time time, absl::Time now)
+{
+    if (this->done || time >= this->call.answerBy)
+        return;
+    this->call.answerBy = time;
+    this->deadlineTimer.start(time - now);
+}
+
 void CallRun::onCallerGone()
 {
     if (this->done)
@@ -115,10 +128,23 @@
         attempt.call->pauseReading(false);
 }
 
+bool CallRun::isStopTooNear(absl::Time now) const
+{
+    // A response that has begun is completed here if it can be: no other instance could.
+    if (!this->context.stop.isStopping() || this->hasAnswerBegun)
+        return false;
+    CallDemand demand;
+    demand.route = this->call.route;
+    demand.service = this->call.config->findService(this->service);
+    demand.promptTokens = this->call.headers.promptTokens;
+    demand.answerTokens = this->call.headers.maxAnswerTokens;
+    return !this->context.stop.maySend(expectedCallTime(demand), now);
+}
+
 bool CallRun::dispatch(absl::Time now)
 {
     const Service *found = this->call.config->findService(this->service);
-    if (!found)
+    if (!found || this->isStopTooNear(now))
         return false;
     const SuspectPlacement restrictions =
         this->suspicion->restrictions(this->service, this->tried, now);
@@ -148,6 +174,10 @@
 
 void CallRun::refuse(std::string_view cause, absl::Time now)
 {
+    if (this->isStopTooNear(now)) {
+        this->refuseForStop();
+        return;
+    }
     const std::optional<absl::Time> reopensAt =
         this->context.directory.pausedUntil(this->service, now);
     const double callsPerSecond = this->context.retries.callsPerSecond(this->service, now);
@@ -366,7 +396,8 @@
 bool CallRun::mayWrite(ServerCall &call, absl::Time now)
 {
     const AttemptTarget &target = call.target();
-    if (!this->context.directory.isUsable(target.id, target.incarnation, now))
+    if (!this->context.directory.isUsable(target.id, target.incarnation, now)
+        || this->isStopTooNear(now))
         return false;
     std::vector<ServerKey> servers = {target.key};
     if (const Attempt *attempt = this->findAttempt(call); attempt && attempt->placement) {
@@ -732,6 +763,11 @@
     }
 }
 
+void CallRun::refuseForStop()
+{
+    this->sendLocalReply(503, "stopping", true, StopPolicy::kRetryAfter);
+}
+
 void CallRun::refuseQuarantined(absl::Time now)
 {
     this->suspicion->logQuarantine(now);
@@ -822,7 +858,12 @@
         return;
     }
     const bool notRun = this->runs == 0 && this->attempts.empty();
-    if (!this->hasStarted)
+    const bool isStopped = this->call.answerBy >= this->context.stop.answersBy();
+    if (isStopped && notRun)
+        this->refuseForStop();
+    else if (isStopped)
+        this->sendLocalReply(504, "stopping", false);
+    else if (!this->hasStarted)
         this->sendLocalReply(408, "body_timed_out", true);
     else
         this->sendLocalReply(notRun ? 503 : 504, "timed_out", notRun);
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -52,6 +52,8 @@
 
     /** The request is complete. */
     void start(absl::Time now);
+    /** The response is due at @p time if it was due later. */
+    void advanceDeadline(absl::Time time, absl::Time now);
     /** The caller has disconnected; nothing more is sent to it. */
     void onCallerGone();
     /** The connection to the caller accepts data again. */
@@ -90,6 +92,8 @@
 
     /** Sends the call to a server or waits for one; false when neither is possible. */
     bool dispatch(absl::Time now);
+    /** The instance stops before a call sent now is expected to end. */
+    bool isStopTooNear(absl::Time now) const;
     /** Servers that the call has been sent to or was denied a token of, and @p others. */
     std::vector<ServerKey> excludedServers(std::span<const ServerKey> others) const;
     bool dispatchTo(const Service &service, std::span<const ServerKey> excluded, absl::Time now);
@@ -126,6 +130,8 @@
     void afterAttempt(AttemptEnd end, absl::Time now);
     void finishWith(NextStep step, absl::Time now);
     void refuseQuarantined(absl::Time now);
+    /** Responds that the call has not run, and that other instances take it. */
+    void refuseForStop();
     /** Responds that the call has not run and that no server can take it now. */
     void refuse(std::string_view cause, absl::Time now);
     /** Retry-After of a call that a server can take from @p reopensAt on. */
--- a/main/gateway/caller_session.cpp
+++ b/main/gateway/caller_session.cpp
@@ -44,6 +44,13 @@
     this->connection.setLimits(inboundLimits(this->context.config.get()));
 }
 
+void CallerSession::onStopping(absl::Time answersBy, absl::Time now)
+{
+    this->connection.closeAfterAnswer();
+    if (this->run)
+        this->run->advanceDeadline(answersBy, now);
+}
+
 void CallerSession::onRequestHead(InboundConnection &connection)
 {
     const absl::Time now = Clock::now();
@@ -89,7 +96,7 @@
     absl::Duration time = call.route->timeout;
     if (call.headers.deadline)
         time = std::min(time, *call.headers.deadline - kDeadlineMargin);
-    call.answerBy = now + time;
+    call.answerBy = std::min(now + time, this->context.stop.answersBy());
     return std::nullopt;
 }
 
--- a/main/gateway/caller_session.h
+++ b/main/gateway/caller_session.h
@@ -28,6 +28,9 @@
     CallerSession(GatewayContext &context, int socket, SessionOwner &owner);
 
     void closeWhenIdle() { this->connection.closeWhenIdle(); }
+    /** The instance has begun to stop: the open call has its response by @p answersBy, and the
+     * connection closes with it. */
+    void onStopping(absl::Time answersBy, absl::Time now);
     /** Applies the limits of the configuration in force to the open connection. */
     void applyLimits();
 
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace foxtailtally {
 
@@ -41,6 +42,7 @@
     , readyEndpoint(this->base, [this](const RequestHead &) { return this->answerReady(); })
     , metricsEndpoint(this->base, [this](const RequestHead &) { return this->answerMetrics(); })
     , tick(this->base, [this] { this->onTick(); })
+    , stopTimer(this->base, [this] { this->onStopTimer(); })
 { }
 
 Gateway::~Gateway()
@@ -150,8 +152,25 @@
 {
     if (this->context.stop.isStopping())
         return;
-    this->context.stop.begin(Clock::now());
+    const absl::Time now = Clock::now();
+    this->context.stop.begin(now);
     logEvent(LogLevel::Info, "stopping", {{"sessions", this->sessions.size()}});
+    const absl::Time answersBy = this->context.stop.answersBy();
+    for (const auto &[key, session] : this->sessions)
+        session->onStopping(answersBy, now);
+    this->stopTimer.start(answersBy - now);
+}
+
+void Gateway::onStopTimer()
+{
+    const absl::Time now = Clock::now();
+    if (now >= this->context.stop.endsAt()) {
+        event_base_loopbreak(this->base);
+        return;
+    }
+    if (this->listener)
+        evconnlistener_free(std::exchange(this->listener, nullptr));
+    this->stopTimer.start(this->context.stop.endsAt() - now);
 }
 
 void Gateway::continueStop(absl::Time now)
@@ -163,7 +182,7 @@
         open.push_back(key);
     for (CallerSession *session : open)
         session->closeWhenIdle();
-    if (this->sessions.empty() || this->context.stop.isOver(now))
+    if (this->sessions.empty())
         event_base_loopbreak(this->base);
 }
 
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -41,6 +41,7 @@
     void applyConfigToSessions();
     void beginStop();
     void continueStop(absl::Time now);
+    void onStopTimer();
     bool isReady(absl::Time now) const;
     AdminAnswer answerReady() const;
     AdminAnswer answerMetrics() const;
@@ -54,6 +55,7 @@
     evconnlistener *listener = nullptr;
     event *termination = nullptr;
     LoopTimer tick;
+    LoopTimer stopTimer;
     /** Configuration whose limits the open sessions have. */
     std::shared_ptr<const ServingConfig> appliedConfig;
     absl::flat_hash_map<CallerSession *, std::unique_ptr<CallerSession>> sessions;
--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -5,6 +5,7 @@
 #include "tests/http/test_loop.h"
 
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <array>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
@@ -67,6 +68,7 @@
 };
 
 constexpr absl::Duration kObjective = absl::Seconds(2);
+constexpr absl::Duration kStopLimit = absl::Seconds(8);
 
 const char *const kServed = "HTTP/1.1 200 OK\r\nAttempt-Id: call\r\nResponse-Seal: s\r\n"
                             "Content-Length: 4\r\n\r\ndone";
@@ -109,6 +111,13 @@
                  absl::StrCat("POST ", path, " HTTP/1.1\r\nHost: h\r\nAttempt-Id: call\r\n",
                               "Token-Usage: ", promptTokens, ",100\r\nContent-Length: 1\r\n\r\nb"));
     }
+    /** Receives the stop signal, @p ago before now. */
+    void beginStop(absl::Duration ago)
+    {
+        const absl::Time now = Clock::now();
+        this->context.stop.begin(now - ago);
+        this->session->onStopping(this->context.stop.answersBy(), now);
+    }
     /** Runs the loop until a request waits at a server; returns the server's index. */
     std::size_t waitForRequest()
     {
@@ -130,6 +139,13 @@
             return this->received.find(text) != std::string::npos;
         });
     }
+    /** Whether a further request has arrived at a server. */
+    bool isSent()
+    {
+        return std::any_of(this->servers.begin(), this->servers.end(),
+                           [](ScriptedServer &server) { return server.hasRequest(); });
+    }
+    int callerSocket() const { return this->caller; }
     ServerKey key(std::size_t server) const
     {
         return this->context.directory.find(BackendServerId(absl::StrCat("server-", server)))->key;
@@ -147,6 +163,7 @@
         settings.id = InstanceId("gateway-0");
         settings.domain = FailureDomainId("east");
         settings.revocationBound = absl::Minutes(1);
+        settings.stopLimit = kStopLimit;
         return settings;
     }
     static std::shared_ptr<const ServingConfig> configuration()
@@ -183,6 +200,65 @@
     std::unique_ptr<CallerSession> session;
 };
 
+// Guards against a call that waited for a server while its instance stopped, and was sent when it
+// could no longer end or cut off without an answer.
+TEST_F(CallRunTest, IsRefusedIfItWaitsTooLongInAStop)
+{
+    this->call("/act/a", 0);
+    for (int i = 0; i < 2; ++i)
+        this->servers[this->waitForRequest()].answer(
+            "HTTP/1.1 503 S\r\nAttempt-Id: call\r\nNot-Executed: 1\r\nRetry-After: 0.3\r\n"
+            "Content-Length: 0\r\n\r\n");
+    this->loop.runEvents();
+    this->beginStop(kStopLimit - kObjective);
+    EXPECT_TRUE(this->isAnswered("\"not_run\":true"));
+    EXPECT_NE(this->received.find("503 "), std::string::npos);
+    EXPECT_NE(this->received.find("stopping"), std::string::npos);
+    EXPECT_NE(this->received.find("Retry-After: 0.2"), std::string::npos);
+    EXPECT_NE(this->received.find("Connection: close"), std::string::npos);
+    EXPECT_FALSE(this->isSent());
+}
+
+// Guards against a call that was cut off without an answer when its instance stopped, or reported
+// as not run although a server had it.
+TEST_F(CallRunTest, IsAnsweredBeforeAStopEndsThoughItsServerIsAtWork)
+{
+    this->call("/act/a", 0);
+    const std::size_t server = this->waitForRequest();
+    this->beginStop(kStopLimit - absl::Seconds(1));
+    EXPECT_TRUE(this->isAnswered("\"not_run\":false"));
+    EXPECT_LT(Clock::now(), this->context.stop.endsAt());
+    EXPECT_NE(this->received.find("504 "), std::string::npos);
+    EXPECT_NE(this->received.find("Connection: close"), std::string::npos);
+    this->servers[server].answer(kServed);
+    this->loop.runEvents();
+    EXPECT_FALSE(this->isSent());
+}
+
+// Guards against a call whose body arrived late in a stop and that was then sent to a server.
+TEST_F(CallRunTest, IsRefusedIfItsBodyArrivesLateInAStop)
+{
+    writeAll(this->callerSocket(),
+             "POST /act/a HTTP/1.1\r\nHost: h\r\nAttempt-Id: call\r\nContent-Length: 2\r\n\r\nb");
+    this->loop.runEvents();
+    this->beginStop(StopPolicy::kBalancerLag);
+    writeAll(this->callerSocket(), "b");
+    EXPECT_TRUE(this->isAnswered("stopping"));
+    EXPECT_NE(this->received.find("503 "), std::string::npos);
+    EXPECT_FALSE(this->servers[2].hasRequest() || this->servers[3].hasRequest());
+}
+
+// Guards against a stopping instance that refuses what it could serve: callers still reach it until
+// the load balancer has noticed.
+TEST_F(CallRunTest, IsServedEarlyInAStop)
+{
+    this->beginStop(absl::Seconds(1));
+    this->call("/act/a", 0);
+    this->servers[this->waitForRequest()].answer(kServed);
+    EXPECT_TRUE(this->isAnswered("200 OK"));
+    EXPECT_NE(this->received.find("Connection: close"), std::string::npos);
+}
+
 // Regression: a call that all servers had rejected for some time waited for the end of that time
 // and was then refused, since it had been sent to each of them before.
 TEST_F(CallRunTest, IsSentAgainToAServerWhosePauseHasEnded)
--- a/tests/process/scripted_servers.cpp
+++ b/tests/process/scripted_servers.cpp
@@ -4,11 +4,13 @@
 #include "tests/http/raw_peer.h"
 
 #include <absl/strings/numbers.h>
+#include <absl/time/clock.h>
 #include <chrono>
 #include <poll.h>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace foxtailtally {
 
@@ -89,7 +91,7 @@
             const int accepted =
                 ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
             if (accepted >= 0)
-                connections.push_back({accepted, {}});
+                connections.emplace_back().socket = accepted;
         }
         std::erase_if(connections,
                       [this](Connection &connection) { return !this->advance(connection); });
@@ -101,7 +103,12 @@
 bool ScriptedServers::advance(Connection &connection)
 {
     connection.received += readAvailable(connection.socket);
-    while (true) {
+    if (connection.pending && absl::Now() >= connection.dueAt) {
+        const ScriptedReply reply = *std::exchange(connection.pending, std::nullopt);
+        if (!finish(connection, reply))
+            return false;
+    }
+    while (!connection.pending) {
         const std::size_t length = requestLength(connection.received);
         if (length == std::string::npos)
             break;
@@ -111,13 +118,10 @@
             writeAll(connection.socket, reply.firstBytes);
             std::this_thread::sleep_for(kPause);
         }
-        writeAll(connection.socket, reply.bytes);
-        if (reply.ending == ScriptedReply::Ending::Reset) {
-            resetConnection(connection.socket);
-            return false;
-        }
-        if (reply.ending == ScriptedReply::Ending::Close) {
-            ::close(connection.socket);
+        if (reply.delay > absl::ZeroDuration()) {
+            connection.pending = reply;
+            connection.dueAt = absl::Now() + reply.delay;
+        } else if (!finish(connection, reply)) {
             return false;
         }
     }
@@ -127,6 +131,18 @@
     return false;
 }
 
+bool ScriptedServers::finish(const Connection &connection, const ScriptedReply &reply)
+{
+    writeAll(connection.socket, reply.bytes);
+    if (reply.ending == ScriptedReply::Ending::Keep)
+        return true;
+    if (reply.ending == ScriptedReply::Ending::Reset)
+        resetConnection(connection.socket);
+    else
+        ::close(connection.socket);
+    return false;
+}
+
 ScriptedReply ScriptedServers::nextReply(const std::string &request)
 {
     const std::lock_guard lock(this->mutex);
--- a/tests/process/scripted_servers.h
+++ b/tests/process/scripted_servers.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <absl/time/time.h>
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -19,6 +21,8 @@
     Ending ending = Ending::Keep;
     /** Sent before bytes, and received apart from them. */
     std::string firstBytes = {};
+    /** Time between the request, or firstBytes, and bytes; other requests are served meanwhile. */
+    absl::Duration delay = absl::ZeroDuration();
 };
 
 /** Backend servers that send given bytes in response to each request, whatever it asks for. */
@@ -44,11 +48,16 @@
     {
         int socket = -1;
         std::string received;
+        /** A response that is sent later. */
+        std::optional<ScriptedReply> pending = std::nullopt;
+        absl::Time dueAt;
     };
 
     void serve();
     /** Responds to the requests received on @p connection; false once it is closed. */
     bool advance(Connection &connection);
+    /** Sends the rest of @p reply; false once the connection is closed. */
+    static bool finish(const Connection &connection, const ScriptedReply &reply);
     ScriptedReply nextReply(const std::string &request);
 
     std::vector<int> listeners;
