Fetch a version that others hold without waiting for the watch

An instance that starts while a restored store shows an older configuration hears of the newer one within a tenth of a second, but ended its watch at the store only 300 ms after it had begun. A version at a position that is held already ends the watch at once; ordinary changes, which the watch reports itself, do not.

KindWatcher* and StoreSource*: 28 tests pass. FetchesAnAnnouncedVersionBeforeTheWatchEnds is new; it was not run against the code before.

--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -87,10 +87,7 @@
     // The store would answer this watch at its next change, with what it lists in the new era.
     if (this->isOutdated())
         return true;
-    return this->phase == Phase::Watching && this->status == 0
-        && now - this->sentAt > kOvertakenAnswerTimeout
-        && this->source.isVersionOvertaken(this->kind, now)
-        && this->source.isOvertaken(this->kind, now);
+    return this->phase == Phase::Watching && this->source.mustFetchList(this->kind, now);
 }
 
 void KindWatcher::shortenAnswerTimeout(absl::Time now)
--- a/servers/catalog/store_source.cpp
+++ b/servers/catalog/store_source.cpp
@@ -86,6 +86,12 @@
     return newest;
 }
 
+bool StoreSource::mustFetchList(StoreKind kind, absl::Time now) const
+{
+    const Announcer *newest = this->newestAnnouncer(kind, now);
+    return newest && newest->states[indexOf(kind)].content <= this->held[indexOf(kind)].current;
+}
+
 bool StoreSource::isVersionOvertaken(StoreKind kind, absl::Time now) const
 {
     return std::any_of(this->announcers.begin(), this->announcers.end(),
--- a/servers/catalog/store_source.h
+++ b/servers/catalog/store_source.h
@@ -171,6 +171,8 @@
     {
         return this->newestAnnouncer(kind, now) != nullptr;
     }
+    /** The same, at a position that is held already: no change of the store leads to it. */
+    bool mustFetchList(StoreKind kind, absl::Time now) const;
     /** An instance has announced a newer version of @p kind than the one held here, which is
      * therefore not the newest. */
     bool isVersionOvertaken(StoreKind kind, absl::Time now) const;
--- a/tests/gateway/kind_watcher_source_test.cpp
+++ b/tests/gateway/kind_watcher_source_test.cpp
@@ -116,10 +116,11 @@
     }
     /** Another instance announces the change with revision @p revision. */
     void announce(std::int64_t revision) { this->announce({0, revision}); }
-    void announce(const StorePosition &position, StoreKind kind = StoreKind::Servers)
+    void announce(const StorePosition &position, StoreKind kind = StoreKind::Servers,
+                  std::int64_t version = 0)
     {
         KindStates states;
-        states[static_cast<std::size_t>(kind)] = {position, position, Clock::now()};
+        states[static_cast<std::size_t>(kind)] = {position, position, Clock::now(), version};
         this->source.onPeerUpdate(InstanceId("other"), this->other.address(), false, states,
                                   Clock::now());
         this->watcher.onPeerUpdate();
@@ -237,6 +238,19 @@
     EXPECT_LT(Clock::now() - announcedAt, StoreSource::kWatchTime / 2);
 }
 
+// An instance that started while the store showed an older version used it for the time of a watch,
+// although others had announced the newer one.
+TEST_F(KindWatcherSourceTest, FetchesAnAnnouncedVersionBeforeTheWatchEnds)
+{
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("a", 50, false)), 3);
+    this->store.waitForRequest();
+    const absl::Time announcedAt = Clock::now();
+    this->announce({3, 50}, StoreKind::Servers, 7);
+    EXPECT_FALSE(isWatch(this->other.waitForRequest()));
+    EXPECT_LT(Clock::now() - announcedAt, absl::Milliseconds(200));
+}
+
 // A relay cannot tell from the revision alone that a request is of another history.
 TEST_F(KindWatcherSourceTest, NamesItsEraWhenItFetches)
 {
