Withdraw no crash report for a list that a new process has just read

What callers would see: after a restore of the store and a restart of all instances, a call that crashes servers runs again (BUDGET).

Cause: a report is withdrawn if the list still has the server's incarnation 6 s after its crash, while the list was confirmed without interruption. A process that had just started counted the list as confirmed since ever, and the list of a restored store has incarnations that have ended.

The list now counts as confirmed from its first reading by this process on; the store misses silent servers within 3.6 s.

The same can happen without a restore while an ended server is listed for longer than 6 s after its crash.

--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -208,7 +208,8 @@
                 entries.push_back(*entry);
         }
         this->context.directory.onList(entries, unsettled, now);
-        this->sync.serversListed = true;
+        if (!std::exchange(this->sync.serversListed, true))
+            this->firstListedAt = now;
         logEvent(LogLevel::Info, "servers_listed",
                  {{"servers", entries.size()},
                   {"unsettled", unsettled},
@@ -241,6 +242,9 @@
                       {"incarnation", entry->incarnation}});
     }
 
+    /** When this process has read the list for the first time. */
+    absl::Time firstListed() const { return this->firstListedAt; }
+
 private:
     Result<ServerEntry> decode(StoredObject &object)
     {
@@ -251,6 +255,8 @@
         }
         return entry;
     }
+
+    absl::Time firstListedAt = absl::InfiniteFuture();
 };
 
 class StoreSync::EvacuationEvents final : public RelayedKindEvents
@@ -456,9 +462,11 @@
 class StoreSync::ListedServers final : public ServerListing
 {
 public:
-    ListedServers(const ServerDirectory &directory, const KindWatcher &watcher)
+    ListedServers(const ServerDirectory &directory, const KindWatcher &watcher,
+                  absl::Time firstListedAt)
         : directory(directory)
         , watcher(watcher)
+        , firstListedAt(firstListedAt)
     { }
 
     bool has(const BackendServerId &server, Incarnation incarnation) const override
@@ -468,14 +476,17 @@
     }
     absl::Time confirmedFrom() const override
     {
-        // A restored list has servers that have ended, until the store misses them again.
-        return std::max(this->watcher.lastStoreFailureAt(), this->directory.lastRestoredAt());
+        // A restored list has servers that have ended, until the store misses them again. A process
+        // that has just started does not know whether the store was restored.
+        return std::max({this->watcher.lastStoreFailureAt(), this->directory.lastRestoredAt(),
+                         this->firstListedAt});
     }
     absl::Time confirmedUntil() const override { return this->watcher.cache().lastConfirmedAt(); }
 
 private:
     const ServerDirectory &directory;
     const KindWatcher &watcher;
+    absl::Time firstListedAt;
 };
 
 /**
@@ -603,8 +614,8 @@
 {
     this->relay.onTick();
     if (this->serversListed)
-        this->context.quarantine.withdrawDeathsOfListed(
-            ListedServers(this->context.directory, *this->serverWatcher));
+        this->context.quarantine.withdrawDeathsOfListed(ListedServers(
+            this->context.directory, *this->serverWatcher, this->serverEvents->firstListed()));
     this->deathEvents->onTick(now);
     this->recorder.onTick(this->context.quarantine, now, Clock::wallNow());
     const bool isUnlistedAggregator = this->hasStarted && !this->context.exchange.isListedInStore()
