Send what is pending before a broken response's connection closes

A caller whose stream broke off could get a closed connection and no byte of the stream, although events of it had arrived and counted as forwarded: InboundConnection::abort closed the connection with output in its buffer. Whether the event got out depended on which socket the loop served first. Now the connection is closed for writing once the output is sent; without the end mark the response is still seen as truncated.

--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -150,7 +150,11 @@
 
 void InboundConnection::abort()
 {
-    this->close();
+    // Without the end mark, what is sent last shows the caller that the response is truncated.
+    if (this->state == State::Answering && this->pendingOutput() > 0)
+        this->linger();
+    else
+        this->close();
 }
 
 void InboundConnection::setLimits(const InboundLimits &limits)
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -69,7 +69,8 @@
     void startStream(int status, const HttpHeaders &headers);
     void sendChunk(std::string_view data);
     void finishStream();
-    /** Closes the connection, so that the caller sees a truncated response. */
+    /** Closes the connection once the output is sent, so that the caller sees a truncated response.
+     */
     void abort();
 
     /** Applies @p limits to further input and to the time that the connection may be idle. */
