Test restores of the store in a fleet in virtual time

FleetModel knows restores: the store returns with a copy in a later era, gives revisions out again and answers 410 for those that it lacks; calls in flight break or are answered by the restored store, an answer that arrived in a pause is read after it, and the operator writes the lost version again. FleetView and StoreSource are the product's; how a watcher uses an answer is modelled.

RestoredFleet.* runs at 6, 30, 100 and 295 instances: the next change at once or later, changes that meet and pass the lost revisions, processes that start while the copy serves, aggregators frozen or killed over the restore, one or half of the instances that hear the store, and the rate of reads. RestoredFleetTest.KeepsItsBoundsUnderRandomRestores draws them with kills, freezes and cuts: versions never go back, none is wrongly confirmed, the next one is in force in time. That versions never go back is the model's own rule.

A confirmation is wrong if the store has shown newer versions ever since its time, not at its time alone: confirmations are dated early, and an early date may lie in the lost history. Without restores both are the same.

No fault was found in StoreSource.

--- a/tests/fleet/fleet_model.cpp
+++ b/tests/fleet/fleet_model.cpp
@@ -1,6 +1,7 @@
 #include "tests/fleet/fleet_model.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace foxtailtally {
 
@@ -17,6 +18,11 @@
 constexpr absl::Duration kStoreTimeout = absl::Milliseconds(900);
 constexpr absl::Duration kFetchTimeout = absl::Milliseconds(400);
 
+/** Time without an answer after which a watch is given up if another instance has a newer version,
+ * and delay after an answer of an earlier era. */
+constexpr absl::Duration kOvertakenTimeout = absl::Milliseconds(300);
+constexpr absl::Duration kOutdatedDelay = absl::Milliseconds(100);
+
 constexpr double kHighCapacity = 100;
 
 } // namespace
@@ -26,7 +32,8 @@
     , nodes(options.domains * options.perDomain)
     , passes([](std::size_t, std::size_t) { return true; })
 {
-    this->revisions.push_back(this->time);
+    this->history.push_back({this->newest, this->time});
+    this->shown = this->history;
     for (std::size_t i = 0; i < this->nodes.size(); ++i) {
         const std::size_t rank = i / options.domains;
         Node &node = this->nodes[i];
@@ -44,6 +51,10 @@
     node.view = std::make_unique<FleetView>(node.record);
     node.source = std::make_unique<StoreSource>(node.record);
     node.held = {};
+    node.isShown = false;
+    node.mustList = true;
+    node.answer.reset();
+    node.idleUntil = absl::InfinitePast();
     node.inbox.clear();
     node.lastMessages.clear();
     node.call = Call::None;
@@ -63,10 +74,38 @@
 
 void FleetModel::change()
 {
-    this->revisions.push_back(this->time);
-    // Pending watches are answered immediately.
+    ++this->newest;
+    this->rewrite();
+}
+
+void FleetModel::rewrite()
+{
+    if (this->history.back().version == this->newest)
+        return;
+    this->history.push_back({this->newest, this->time});
+    this->shown.push_back(this->history.back());
+    this->notifyWatches();
+}
+
+void FleetModel::restore(std::size_t copy, bool breaksCalls)
+{
+    ++this->era;
+    this->history.resize(std::min(copy, this->history.size()));
+    this->shown.push_back({this->history.back().version, this->time});
     for (Node &node : this->nodes) {
-        if (node.call == Call::Watch && !node.callFails && node.store == StoreAnswer::Serve)
+        const bool isAtStore = node.call == Call::Watch || node.call == Call::List;
+        if (!breaksCalls || !isAtStore || node.answer)
+            continue;
+        node.callFails = true;
+        node.callEndsAt = std::min(node.callEndsAt, this->time + kStep);
+    }
+}
+
+void FleetModel::notifyWatches()
+{
+    for (Node &node : this->nodes) {
+        if (node.call == Call::Watch && !node.callFails && node.store == StoreAnswer::Serve
+            && this->newestRevision() > node.held.current.revision)
             node.callEndsAt = std::min(node.callEndsAt, this->time + kStep);
     }
 }
@@ -86,6 +125,7 @@
 {
     for (const absl::Time end = this->time + length; this->time < end; this->time += kStep) {
         for (std::size_t i = 0; i < this->nodes.size(); ++i) {
+            this->arriveAnswer(this->nodes[i]);
             if (this->nodes[i].isRunning && !this->nodes[i].isPaused)
                 this->step(i);
         }
@@ -99,7 +139,7 @@
     inbox.swap(node.inbox);
     for (const Message &message : inbox)
         this->receive(index, message);
-    if (node.call != Call::None && this->time >= node.callEndsAt)
+    if (node.answer)
         this->finishCall(index);
     if (this->time - node.tickedAt >= kTickInterval) {
         node.tickedAt = this->time;
@@ -170,29 +210,49 @@
         states[i].confirmedAt = isEchoed ? message.echo - message.ages[i] : absl::InfinitePast();
     node.source->onPeerUpdate(sender.record.id, sender.record.relayAddress, message.hasLostStore,
                               states, this->time);
-    KindState held = node.held;
-    held.confirmedAt = std::max(held.confirmedAt, node.source->confirmedByOthers(kKind));
-    if (held.current.isKnown())
-        this->adopt(node, held);
+    this->confirm(node, node.source->confirmedByOthers(kKind));
+    this->cancelCall(node);
 }
 
-void FleetModel::adopt(Node &node, const KindState &state)
+bool FleetModel::isOutdated(const Node &node) const
 {
-    node.held = state;
-    node.source->setHeldState(kKind, state);
+    return node.held.current.era < node.source->era();
+}
+
+void FleetModel::cancelCall(Node &node)
+{
+    if (node.answer || (node.call != Call::Watch && node.call != Call::Fetch))
+        return;
+    const bool isOvertaken = node.call == Call::Watch
+        && this->time - node.callSentAt > kOvertakenTimeout
+        && node.source->isVersionOvertaken(kKind, this->time)
+        && node.source->isOvertaken(kKind, this->time);
+    if (this->isOutdated(node) || isOvertaken)
+        node.call = Call::None;
+}
+
+void FleetModel::confirm(Node &node, absl::Time moment)
+{
+    if (!node.held.current.isKnown())
+        return;
+    if (node.isShown && !node.source->isVersionOvertaken(kKind, this->time))
+        node.held.confirmedAt = std::max(node.held.confirmedAt, moment);
+    node.source->setHeldState(kKind, node.held);
 }
 
 void FleetModel::startCall(std::size_t index)
 {
     Node &node = this->nodes[index];
-    if (node.call != Call::None)
+    if (node.call != Call::None || this->time < node.idleUntil)
         return;
     const StoreSource::Step next = node.source->next(kKind, this->time);
     if (next.action == StoreSource::Action::Wait)
         return;
+    const bool mustList = node.mustList || next.mustList || this->isOutdated(node);
     node.callSentAt = this->time;
     if (next.action == StoreSource::Action::Fetch) {
         node.call = Call::Fetch;
+        node.listsFetched = mustList;
         node.callTarget = this->indexOf(next.address);
         const Node &target = this->nodes[node.callTarget];
         node.callFails = !this->passes(index, node.callTarget)
@@ -201,11 +261,12 @@
         return;
     }
     ++this->calls;
-    node.call = Call::Watch;
+    node.call = mustList ? Call::List : Call::Watch;
     node.callFails = node.store != StoreAnswer::Serve;
-    const bool hasNewRevision = node.held.current.revision < this->revisionAt(this->time);
-    node.watch = next.watch;
-    absl::Duration wait = hasNewRevision ? kStep : std::max(kStep, node.watch);
+    node.watch = mustList ? absl::ZeroDuration() : next.watch;
+    // A watch from a revision that the store does not have is answered at once.
+    const bool isCurrent = node.held.current.revision == this->newestRevision();
+    absl::Duration wait = isCurrent ? std::max(kStep, node.watch) : kStep;
     if (node.store == StoreAnswer::Refuse)
         wait = kStep;
     else if (node.store == StoreAnswer::Silent)
@@ -213,41 +274,101 @@
     node.callEndsAt = this->time + wait;
 }
 
+FleetModel::Answer FleetModel::answerOfStore(const Node &node) const
+{
+    Answer answer;
+    answer.position = {this->era, this->newestRevision()};
+    answer.content = answer.position;
+    answer.version = this->history.back().version;
+    if (node.call == Call::List)
+        return answer;
+    const std::int64_t from = node.held.current.revision;
+    answer.isGone = from > answer.position.revision;
+    answer.waitedFully =
+        from == answer.position.revision && this->time - node.callSentAt >= StoreSource::kWatchTime;
+    if (from >= answer.position.revision)
+        answer.content = node.held.content;
+    return answer;
+}
+
+FleetModel::Answer FleetModel::answerOfRelay(const Node &node) const
+{
+    const Node &target = this->nodes[node.callTarget];
+    Answer answer;
+    answer.position = target.held.current;
+    answer.content = target.held.content;
+    answer.version = target.held.version;
+    answer.confirmedAt = target.held.confirmedAt;
+    answer.isGone = !node.listsFetched && target.held.current.era != node.held.current.era;
+    return answer;
+}
+
+void FleetModel::arriveAnswer(Node &node)
+{
+    if (!node.isRunning || node.call == Call::None || node.answer || this->time < node.callEndsAt)
+        return;
+    const bool isFetch = node.call == Call::Fetch;
+    const Node &target = this->nodes[node.callTarget];
+    if (node.callFails || (isFetch ? !target.isRunning : node.store != StoreAnswer::Serve)) {
+        node.answer = Answer {};
+        node.answer->hasFailed = true;
+        return;
+    }
+    node.answer = isFetch ? this->answerOfRelay(node) : this->answerOfStore(node);
+}
+
 void FleetModel::finishCall(std::size_t index)
 {
     Node &node = this->nodes[index];
-    const Call call = node.call;
-    node.call = Call::None;
-    if (call == Call::Fetch) {
-        const Node &target = this->nodes[node.callTarget];
-        if (node.callFails || !target.isRunning) {
-            node.source->onFetchFailed(kKind, target.record.relayAddress, this->time);
-            return;
-        }
-        node.source->onFetched(kKind);
-        KindState state = target.held;
-        state.current.revision = std::max(node.held.current.revision, state.current.revision);
-        state.content.revision = std::max(node.held.content.revision, state.content.revision);
-        state.confirmedAt = std::max(node.held.confirmedAt,
-                                     node.callSentAt - (this->time - target.held.confirmedAt));
-        this->adopt(node, state);
+    const Call call = std::exchange(node.call, Call::None);
+    const Answer answer = *std::exchange(node.answer, std::nullopt);
+    const std::string relay = this->nodes[node.callTarget].record.relayAddress;
+    if (answer.hasFailed) {
+        if (call == Call::Fetch)
+            node.source->onFetchFailed(kKind, relay, this->time);
+        else
+            node.source->onStoreFailed(this->time);
+        return;
+    }
+    if (answer.position.era < node.source->era()) {
+        if (call == Call::Fetch)
+            node.source->onFetchFailed(kKind, relay, this->time);
+        node.idleUntil = this->time + kOutdatedDelay;
         return;
     }
-    if (node.callFails || node.store != StoreAnswer::Serve) {
-        node.source->onStoreFailed(this->time);
+    const bool isList = call == Call::List || (call == Call::Fetch && node.listsFetched);
+    node.source->onEra(answer.position.era);
+    if (answer.isGone) {
+        node.mustList = true;
         return;
     }
-    node.source->onStoreAnswered();
-    const std::int64_t newest = this->revisionAt(this->time);
-    KindState state = node.held;
-    if (newest > state.current.revision)
-        state.content.revision = newest;
-    const bool waitedFully =
-        newest == state.current.revision && this->time - node.callSentAt >= StoreSource::kWatchTime;
-    state.current.revision = newest;
-    state.confirmedAt =
-        std::max(state.confirmedAt, waitedFully ? node.callSentAt + node.watch : node.callSentAt);
-    this->adopt(node, state);
+    if (call == Call::Fetch)
+        node.source->onFetched(kKind);
+    else
+        node.source->onStoreAnswered();
+    if (!isList && answer.position.era != node.held.current.era) {
+        node.mustList = true;
+        return;
+    }
+    if (!isList && answer.content == node.held.content) {
+        node.held.current = std::max(node.held.current, answer.position);
+    } else {
+        this->onObject(node, answer);
+        node.held.content = isList ? answer.content : std::max(node.held.content, answer.content);
+        node.held.current = isList ? answer.position : std::max(node.held.current, answer.position);
+        node.mustList = false;
+    }
+    const absl::Duration age = answer.confirmedAt == absl::InfiniteFuture()
+        ? absl::ZeroDuration()
+        : this->time - answer.confirmedAt;
+    this->confirm(node, node.callSentAt + (answer.waitedFully ? node.watch : -age));
+}
+
+void FleetModel::onObject(Node &node, const Answer &answer)
+{
+    // A version never goes back; the store shows an older one after a restore.
+    node.isShown = answer.version >= node.held.version;
+    node.held.version = std::max(node.held.version, answer.version);
 }
 
 std::size_t FleetModel::indexOf(const std::string &name) const
@@ -255,18 +376,29 @@
     return static_cast<std::size_t>(std::stoul(name));
 }
 
-std::int64_t FleetModel::revisionAt(absl::Time moment) const
+std::int64_t FleetModel::newestRevision() const
+{
+    return static_cast<std::int64_t>(this->history.size()) - 1;
+}
+
+std::int64_t FleetModel::oldestVersionSince(absl::Time moment) const
 {
-    const auto later = std::upper_bound(this->revisions.begin(), this->revisions.end(), moment);
-    return later - this->revisions.begin() - 1;
+    std::int64_t oldest = this->newest;
+    for (auto entry = this->shown.rbegin(); entry != this->shown.rend(); ++entry) {
+        oldest = std::min(oldest, entry->version);
+        if (entry->acknowledgedAt <= moment)
+            break;
+    }
+    return oldest;
 }
 
 absl::Duration FleetModel::lag(std::size_t node) const
 {
-    const auto next = static_cast<std::size_t>(this->nodes[node].held.current.revision + 1);
-    if (next >= this->revisions.size())
-        return absl::ZeroDuration();
-    return this->time - this->revisions[next];
+    for (const Revision &revision : this->history) {
+        if (revision.version > this->nodes[node].held.version)
+            return this->time - revision.acknowledgedAt;
+    }
+    return absl::ZeroDuration();
 }
 
 std::vector<std::size_t> FleetModel::wronglyConfirmed() const
@@ -275,12 +407,20 @@
     for (std::size_t i = 0; i < this->nodes.size(); ++i) {
         const KindState &held = this->nodes[i].held;
         if (held.confirmedAt != absl::InfinitePast()
-            && held.current.revision < this->revisionAt(held.confirmedAt))
+            && held.version < this->oldestVersionSince(held.confirmedAt))
             result.push_back(i);
     }
     return result;
 }
 
+std::size_t FleetModel::instancesInEra() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->nodes.begin(), this->nodes.end(), [this](const Node &node) {
+            return node.isRunning && node.held.current.era == this->era;
+        }));
+}
+
 absl::Time FleetModel::confirmedAt(std::size_t node) const
 {
     return this->nodes[node].held.confirmedAt;
