Relay what has replaced a list at the same position of the store

What callers would see: after a restore of the store, instances that read through a relay go on with the older configuration of the copy, and refuse keys once the bound for revocations has passed, until the configuration changes again.

Cause: a relay keeps the responses that it has encoded by the position that they lead to. Since versions order configurations, a newer one of another instance replaces a copy's content without moving its position, so the kept list was older than the copy.

Change: what was encoded is dropped when the kind changes. Responses to several followers at one change are still encoded once.

KindWatcherSourceTest.RelaysWhatHasReplacedAListAtTheSamePosition fails without the change (the second list is the first one again).

--- a/main/gateway/store_relay.cpp
+++ b/main/gateway/store_relay.cpp
@@ -40,6 +40,8 @@
 
 void StoreRelay::onChanged(const std::string &kind)
 {
+    // A newer version may replace the content of a copy without moving its position.
+    this->encodedAnswers.erase(kind);
     this->answerDue([&kind](const PendingRequest &request) { return request.kind == kind; },
                     Clock::now());
 }
--- a/tests/gateway/kind_watcher_source_test.cpp
+++ b/tests/gateway/kind_watcher_source_test.cpp
@@ -1,10 +1,13 @@
 #include "main/gateway/kind_watcher.h"
 
 #include "core/clock.h"
+#include "main/gateway/store_relay.h"
 #include "tests/http/raw_peer.h"
 #include "tests/http/test_loop.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <functional>
 #include <gtest/gtest.h>
 #include <unistd.h>
 #include <utility>
@@ -31,9 +34,14 @@
     }
     void onUnnamed(std::size_t) override { }
     void onConfirmed(absl::Time moment) override { this->confirmedAt = moment; }
-    void onCacheChanged() override { }
+    void onCacheChanged() override
+    {
+        if (this->cacheChanged)
+            this->cacheChanged();
+    }
     bool isNewest() const override { return this->newest; }
 
+    std::function<void()> cacheChanged;
     bool newest = true;
     int lists = 0;
     std::size_t listed = 0;
@@ -81,7 +89,15 @@
                  absl::StrCat("HTTP/1.1 200 OK\r\n", header, "Content-Length: ", body.size(),
                               "\r\n\r\n", body));
     }
+    /** The history since the revision of a watch is gone. */
+    void answerGone(std::int64_t era) const
+    {
+        writeAll(
+            this->socket,
+            absl::StrCat("HTTP/1.1 410 Gone\r\nStore-Era: ", era, "\r\nContent-Length: 0\r\n\r\n"));
+    }
     const std::string &request() const { return this->received; }
+    void clearRequest() { this->received.clear(); }
 
 private:
     TestLoop &loop;
@@ -126,6 +142,24 @@
         this->watcher.onPeerUpdate();
     }
 
+    /** The list that the relay at @p address sends to another instance. */
+    std::string relayedList(const std::string &address)
+    {
+        int port = 0;
+        EXPECT_TRUE(absl::SimpleAtoi(address.substr(address.find(':') + 1), &port));
+        const int socket = connectTo(port);
+        writeAll(socket,
+                 absl::StrCat("GET ", platform::listTarget(platform::kServerKind, {}),
+                              " HTTP/1.1\r\nHost: relay\r\n\r\n"));
+        std::string answer;
+        EXPECT_TRUE(this->loop.runUntil([&answer, socket] {
+            answer += readAvailable(socket);
+            return answer.find("StoreRevision") != std::string::npos;
+        }));
+        ::close(socket);
+        return answer;
+    }
+
     TestLoop loop;
     Ignored events;
     Source store;
@@ -265,6 +299,26 @@
     EXPECT_NE(this->other.request().find("Store-Era: 3\r\n"), std::string::npos);
 }
 
+// A relay went on sending the list that it had encoded, with the older configuration, after a newer
+// one from another instance had replaced it at the same position of the restored store.
+TEST_F(KindWatcherSourceTest, RelaysWhatHasReplacedAListAtTheSamePosition)
+{
+    StoreRelay relay(this->loop.base());
+    relay.addKind(std::string(platform::kServerKind), this->watcher);
+    this->events.cacheChanged = [&relay] { relay.onChanged(std::string(platform::kServerKind)); };
+    const std::string relayAddress = RawServer().address();
+    ASSERT_FALSE(relay.start(relayAddress));
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("older", 20, false)), 4);
+    this->store.waitForRequest();
+    EXPECT_NE(this->relayedList(relayAddress).find("older"), std::string::npos);
+    this->store.answerGone(4);
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("newer", 20, false)), 4);
+    this->store.waitForRequest();
+    EXPECT_NE(this->relayedList(relayAddress).find("newer"), std::string::npos);
+}
+
 // A restored store that showed an older configuration confirmed the newer one that was held, so
 // that a key that had been revoked meanwhile stayed valid.
 TEST_F(KindWatcherSourceTest, ConfirmsNothingWhileTheStoreShowsAnOlderState)
