Back off from a store that answers in an earlier era

A store whose era is below the one known, for example one that no longer sends the header, was called every 100 ms for each kind by each instance that reads it, since its answers counted neither as answers nor as failures. With five kinds that is 50 reads a second for each reader, and more instances become readers while nothing is confirmed.

An outdated answer of the store now counts as a failure, so the delays after failures hold and other instances take over.

KindWatcherSourceTest.CallsAStoreOfAnEarlierEraWithTheDelaysAfterFailures failed before (11 calls in a second; at most 5 by the delay after failures).

--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -276,7 +276,9 @@
               {"source", this->sourceAddress},
               {"era", *this->responseEra},
               {"known_era", this->source.era()}});
-    if (!this->isSourceStore())
+    if (this->isSourceStore())
+        this->source.onStoreFailed(now);
+    else
         this->source.onFetchFailed(this->kind, this->sourceAddress, now);
     // The next call uses a new connection; this one may lead to a process that is gone.
     this->sourceAddress.clear();
--- a/tests/gateway/kind_watcher_source_test.cpp
+++ b/tests/gateway/kind_watcher_source_test.cpp
@@ -299,6 +299,25 @@
     EXPECT_NE(this->other.request().find("Store-Era: 3\r\n"), std::string::npos);
 }
 
+// A store that answers in an era before the one known, for example without the header, was called
+// ten times a second for each kind by every instance.
+TEST_F(KindWatcherSourceTest, CallsAStoreOfAnEarlierEraWithTheDelaysAfterFailures)
+{
+    this->store.waitForRequest();
+    this->store.answer(platform::encodePage(page("a", 20, false)), 4);
+    const absl::Time end = Clock::now() + absl::Seconds(1);
+    int calls = 0;
+    this->loop.runUntil([this, end, &calls] {
+        if (this->store.hasRequest()) {
+            ++calls;
+            this->store.clearRequest();
+            this->store.answer(platform::encodePage(page("a", 90, false)), 3);
+        }
+        return Clock::now() > end;
+    });
+    EXPECT_LE(calls, 1 + absl::Seconds(1) / StoreSource::kRetryDelay);
+}
+
 // A relay went on sending the list that it had encoded, with the older configuration, after a newer
 // one from another instance had replaced it at the same position of the restored store.
 TEST_F(KindWatcherSourceTest, RelaysWhatHasReplacedAListAtTheSamePosition)
