Order servers by their entries only for a minute after a restore

A server whose host's clock had gone back and that started again under its id was ignored for good if its earlier incarnation was known at a restore of the store: its start time is earlier, which was taken for an entry of the copy. The order by start time now ends with the memory of departed servers, a minute after the restore. Servers write their entries again within seconds.

TakesAnyNewIncarnationOnceTheRestoreIsOver failed before.

--- a/servers/catalog/server_directory.cpp
+++ b/servers/catalog/server_directory.cpp
@@ -157,6 +157,11 @@
     }
     for (const BackendServerId &id : expired)
         this->drop(this->servers.find(id), DepartedServers::Cause::Lapsed, now);
+    // By now the servers have written their entries again.
+    if (now - this->restoredAt > DepartedServers::kRetention) {
+        for (auto &[id, server] : this->servers)
+            server.predatesRestore = false;
+    }
     this->departed.onTick(now);
     this->evacuationTable.onTick(now);
     this->serverBackpressure.onTick(now);
--- a/tests/catalog/restored_directory_test.cpp
+++ b/tests/catalog/restored_directory_test.cpp
@@ -94,6 +94,18 @@
     EXPECT_TRUE(isUsable(directory, kStart + absl::Seconds(1)));
 }
 
+// A server whose clock had gone back before it started again was ignored for good after a restore.
+TEST(RestoredDirectory, TakesAnyNewIncarnationOnceTheRestoreIsOver)
+{
+    ServerDirectory directory;
+    directory.onEntry(entry("a", 5), kStart);
+    restore(directory, {entry("a", 5)}, kStart);
+    const absl::Time later = kStart + DepartedServers::kRetention + absl::Seconds(1);
+    directory.onTick(later);
+    directory.onEntry(entry("a", 3), later);
+    EXPECT_TRUE(directory.isUsable(BackendServerId("a"), 3, later));
+}
+
 // The copy had the entry from before a restart, with which the new incarnation was lost.
 TEST(RestoredDirectory, DoesNotGoBackToAnOlderIncarnation)
 {
