Date responses to their arrival unless the process was paused

A served call then cleared no crash of the last half second, and a sound part of a prompt stayed suspected for longer.

They are now dated back only if the time between two ticks shows a pause, which is longer than 500 ms. A shorter pause is not noticed: it is half of kCommonCauseWindow.

CallRunTest.DatesResponsesToTheirArrivalIfTheProcessWasNotPaused failed before (1 death instead of 0); .DatesEventsThatWaitedInAPausedProcessBack still passes.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -552,7 +552,7 @@
     if (this->relay.hasAdvanced()) {
         if (attempt.firstEventAt == absl::InfiniteFuture()) {
             attempt.firstEventAt = now;
-            attempt.firstEventSince = this->context.inputSince;
+            attempt.firstEventSince = this->context.inputSince(now);
         }
         if (!attempt.hasSurvived && now - attempt.firstEventAt > kCrashDelay) {
             attempt.hasSurvived = true;
@@ -645,7 +645,7 @@
         if (hasSurvived) {
             this->suspicion->onServed(now);
             this->suspicion->onSurvived(
-                std::min(finished->firstEventSince, this->context.inputSince), now);
+                std::min(finished->firstEventSince, this->context.inputSince(now)), now);
         }
         if (!this->hasAnswerBegun)
             this->caller->startStream(finished->reply.status,
@@ -673,7 +673,7 @@
     this->context.health.onLatency(server, latency);
     if (this->reply.status < 400) {
         this->suspicion->onServed(now);
-        this->suspicion->onSurvived(this->context.inputSince, now);
+        this->suspicion->onSurvived(this->context.inputSince(now), now);
     }
     this->forwardStoredReply();
 }
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -73,7 +73,7 @@
         /** The response is a stream whose events are forwarded as they arrive. */
         bool isRelaying = false;
         absl::Time firstEventAt = absl::InfiniteFuture();
-        /** GatewayContext::inputSince when the first event was read. */
+        /** GatewayContext::inputSince() when the first event was read. */
         absl::Time firstEventSince = absl::InfiniteFuture();
         /** Why the stream was also sent to another server; none while it was not. */
         std::optional<AttemptEnd> replacedFor;
--- a/main/gateway/gateway_context.cpp
+++ b/main/gateway/gateway_context.cpp
@@ -2,10 +2,17 @@
 
 #include "core/hash.h"
 
-#include <utility>
+#include <algorithm>
 
 namespace foxtailtally {
 
+namespace {
+
+/** Time between two ticks beyond which the process counts as paused: ticks are 250 ms apart. */
+constexpr absl::Duration kMinPause = absl::Milliseconds(500);
+
+} // namespace
+
 std::uint64_t GatewayContext::stableSeed(const GatewaySettings &settings)
 {
     return stableHash(settings.id.str());
@@ -13,8 +20,15 @@
 
 void GatewayContext::onTick(absl::Time now)
 {
-    // The first tick after a pause may come before all that has arrived meanwhile has been read.
-    this->inputSince = std::exchange(this->tickedAt, now);
+    // This tick may come before all that has arrived during the pause has been read.
+    this->pausedSince = now - this->tickedAt > kMinPause ? this->tickedAt : absl::InfiniteFuture();
+    this->tickedAt = now;
+}
+
+absl::Time GatewayContext::inputSince(absl::Time now) const
+{
+    const absl::Time lastSign = now - this->tickedAt > kMinPause ? this->tickedAt : now;
+    return std::min(this->pausedSince, lastSign);
 }
 
 } // namespace foxtailtally
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -87,13 +87,15 @@
                    this->storeSource, this->metrics)
         , limits(base, instanceRecord(settings), this->exchange, this->directory, this->metrics)
         , random(stableSeed(settings))
-        , inputSince(Clock::now())
-        , tickedAt(inputSince)
+        , tickedAt(Clock::now())
     { }
 
     static std::uint64_t stableSeed(const GatewaySettings &settings);
 
     void onTick(absl::Time now);
+    /** Data that is read at @p now has arrived since then: what had arrived before a pause of the
+     * process is read late. */
+    absl::Time inputSince(absl::Time now) const;
 
     event_base *base;
     GatewaySettings settings;
@@ -119,10 +121,9 @@
     /** Destroyed at the next tick. */
     std::vector<std::unique_ptr<Retirable>> retired;
     std::vector<Lingering> lingeringObjects;
-    /** Data that is read now has arrived since then. It may have waited for longer than it seems
-     * if the process was paused. */
-    absl::Time inputSince;
     absl::Time tickedAt;
+    /** The tick before the last one if the process was paused in between; else InfiniteFuture. */
+    absl::Time pausedSince = absl::InfiniteFuture();
     std::uint32_t nextStreamId = 1;
     /** Bytes of responses that calls buffer until they are complete. */
     std::size_t bufferedReplyBytes = 0;
--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -502,6 +502,22 @@
     }
 }
 
+// Guards against a sound part that stays suspected: responses were dated back by up to two ticks
+// although the process was not paused, so they cleared no crash of the last half second.
+TEST_F(CallRunTest, DatesResponsesToTheirArrivalIfTheProcessWasNotPaused)
+{
+    this->callWithPart("/look/a");
+    ScriptedServer &server = this->servers[this->waitForRequest()];
+    const absl::Time now = Clock::now();
+    this->context.onTick(now - absl::Milliseconds(350));
+    this->context.onTick(now - absl::Milliseconds(100));
+    this->recordDeathOfPart(now);
+    server.answer("HTTP/1.1 200 OK\r\nAttempt-Id: call\r\nResponse-Seal: s\r\n"
+                  "Content-Length: 1\r\n\r\nx");
+    EXPECT_TRUE(this->isAnswered("200 OK"));
+    EXPECT_EQ(this->deathsOfPart(), 0U);
+}
+
 // Guards against a part that all calls have: servers that lost power together time out or reset
 // their connections one after the other, which are no crashes of these moments.
 TEST_F(CallRunTest, DatesTheBrokenConnectionOfAnUnreachableServerBackToTheLastByte)
