Bound the history of the stand-in's store again

The stand-in that can be restored kept all changes, while the one before it kept 256 of each kind and answered 410 to a watch from before them. So no process test and no soak met a history that is gone any more.

--- a/tests/process/restorable_store.cpp
+++ b/tests/process/restorable_store.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t kMaxPageObjects = 500;
 constexpr std::size_t kMaxPageBytes = 1000000;
 
+/** Changes of a kind that are kept; a watch from before them gets 410. */
+constexpr std::ptrdiff_t kKeptChanges = 256;
+
 const std::string kUnreadKind = "unread";
 
 } // namespace
@@ -78,15 +81,33 @@
     else
         this->objects.erase(key);
     this->log.push_back({kind, {object, !spec}});
+    this->discardHistory(kind);
     for (const Watch &watch :
          this->takeWatches([&kind](const Watch &watch) { return watch.kind == kind; }))
         this->answer(*watch.connection, 200,
                      platform::encodeChanges(this->changesSince(kind, watch.from)));
 }
 
+void RestorableStore::discardHistory(const std::string &kind)
+{
+    const auto isOfKind = [&kind](const Change &entry) { return entry.kind == kind; };
+    if (std::count_if(this->log.begin(), this->log.end(), isOfKind) <= kKeptChanges)
+        return;
+    const auto oldest = std::find_if(this->log.begin(), this->log.end(), isOfKind);
+    this->historyStarts[kind] = oldest->change.object.revision;
+    this->log.erase(oldest);
+}
+
+bool RestorableStore::hasHistorySince(const std::string &kind, std::int64_t from) const
+{
+    const auto start = this->historyStarts.find(kind);
+    return from <= this->currentRevision
+        && (start == this->historyStarts.end() || from >= start->second);
+}
+
 void RestorableStore::takeCopy()
 {
-    this->copy = {this->currentRevision, this->objects, this->log};
+    this->copy = {this->currentRevision, this->objects, this->log, this->historyStarts};
     this->writtenSinceCopy.clear();
 }
 
@@ -106,6 +127,7 @@
     this->currentRevision = this->copy.revision;
     this->objects = this->copy.objects;
     this->log = this->copy.log;
+    this->historyStarts = this->copy.historyStarts;
     const Restore &how = this->restoreInProgress;
     if (how.rewriteDelay == absl::InfiniteDuration())
         return;
@@ -160,7 +182,7 @@
         this->answerList(connection, query.kind, after);
         return;
     }
-    if (*query.watchFrom > this->currentRevision) {
+    if (!this->hasHistorySince(query.kind, *query.watchFrom)) {
         this->answer(connection, 410, {});
         return;
     }
--- a/tests/process/restorable_store.h
+++ b/tests/process/restorable_store.h
@@ -91,6 +91,7 @@
         std::int64_t revision = 1;
         absl::btree_map<Key, platform::StoredObject> objects;
         std::deque<Change> log;
+        absl::btree_map<std::string, std::int64_t> historyStarts;
     };
     struct Watch
     {
@@ -111,6 +112,9 @@
     void change(const std::string &kind, const std::string &name,
                 const std::optional<std::string> &spec);
     void writeExternally(const Key &key, const std::optional<std::string> &spec);
+    /** Drops the oldest change of @p kind if there are too many. */
+    void discardHistory(const std::string &kind);
+    bool hasHistorySince(const std::string &kind, std::int64_t from) const;
     void comeBack(absl::Time now);
     void onWrite(InboundConnection &connection, const std::string &path);
     int execute(const Write &write);
@@ -125,8 +129,10 @@
     std::int64_t currentEra = 1;
     std::int64_t currentRevision = 1;
     absl::btree_map<Key, platform::StoredObject> objects;
-    /** All changes, oldest first. */
+    /** Recent changes, oldest first. */
     std::deque<Change> log;
+    /** Revision of the last change of a kind that is no longer in the log. */
+    absl::btree_map<std::string, std::int64_t> historyStarts;
     State copy;
     /** Last writes of put() and remove(); those since the copy are repeated after a restore. */
     absl::btree_map<Key, std::optional<std::string>> external;
