--- a/servers/catalog/evacuation_table.h
+++ b/servers/catalog/evacuation_table.h
@@ -43,9 +43,9 @@
     struct Domain
     {
         bool isListed = false;
-        /** The operator's last word before the restore. */
+        /** Whether the domain was evacuated before the restore. */
         bool wasEvacuated = false;
-        /** Until when that word goes before the restored list. */
+        /** Time until which that state overrides the restored list. */
         absl::Time heldUntil = absl::InfinitePast();
         absl::Time endedAt = absl::InfinitePast();
     };
--- a/tests/catalog/store_source_test.cpp
+++ b/tests/catalog/store_source_test.cpp
@@ -172,7 +172,7 @@
     EXPECT_EQ(source.confirmedByOthers(StoreKind::Config), absl::InfinitePast());
 }
 
-// Whoever holds what the store lacks must not be fetched from before it has listed the new era: its
+// An instance of an earlier era must not be fetched from before it has listed the new one: its
 // answer would be ignored, again and again.
 TEST(StoreSource, DoesNotFetchFromAnInstanceThatLagsBehindTheKnownEra)
 {
