--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -231,8 +231,7 @@
 
 bool Connection::readBody(Request &request, double bytesPerSecond)
 {
-    const std::size_t length =
-        std::strtoull(request.header("content-length").c_str(), nullptr, 10);
+    const std::size_t length = std::strtoull(request.header("content-length").c_str(), nullptr, 10);
     const double begin = now();
     const std::size_t before = this->total;
     while (this->input.size() < length) {
@@ -485,8 +484,8 @@
         for (const Change &change : this->log) {
             if (change.kind == kind && change.revision > from)
                 events += (events.empty() ? "" : ",") + std::string("{\"Object\":")
-                    + objectText(change.name, change.spec, change.revision) + ",\"Deleted\":"
-                    + (change.isDeleted ? "true" : "false") + "}";
+                    + objectText(change.name, change.spec, change.revision)
+                    + ",\"Deleted\":" + (change.isDeleted ? "true" : "false") + "}";
         }
         const double left = until - now();
         if (!events.empty() || left <= 0) {
@@ -603,8 +602,7 @@
 std::string requestHead(const std::string &method, const std::string &path, const std::string &id,
                         int deadlineMs, std::size_t bodyBytes, const std::string &more)
 {
-    std::string text = method + " " + path
-        + " HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: " + id
+    std::string text = method + " " + path + " HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: " + id
         + "\r\nDeadline-Ms: " + std::to_string(deadlineMs) + "\r\n" + more;
     if (method != "GET")
         text += "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
@@ -653,14 +651,13 @@
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         if (::getppid() != parent)
             std::_Exit(127);
-        const int out = this->hasPipe
-            ? ends[1]
-            : ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        const int out =
+            this->hasPipe ? ends[1] : ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(out, STDOUT_FILENO);
         const int errors = ::open((log + ".err").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(errors, STDERR_FILENO);
-        ::execl("target/foxtailtally", "target/foxtailtally", "gateway", "--settings",
-                file.c_str(), nullptr);
+        ::execl("target/foxtailtally", "target/foxtailtally", "gateway", "--settings", file.c_str(),
+                nullptr);
         std::_Exit(127);
     }
     if (this->hasPipe) {
