--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -34,6 +34,9 @@
 
 constexpr double kLongestRun = 116;
 
+/** Length of the range of ports between instances on the users' platform. */
+constexpr int kInternalPorts = 16;
+
 const Clock::time_point startedAt = Clock::now();
 
 std::mutex recordMutex;
@@ -57,6 +60,14 @@
     processes.clear();
 }
 
+/** KEEP=1 leaves it, with the logs of the instances. */
+void removeTemporaryFolder()
+{
+    std::error_code ignored;
+    if (!folderForFiles.empty() && !std::getenv("KEEP"))
+        std::filesystem::remove_all(folderForFiles, ignored);
+}
+
 sockaddr_in socketAddress(const std::string &address)
 {
     sockaddr_in result {};
@@ -67,6 +78,35 @@
     return result;
 }
 
+/** True if @p port of @p ip is free for a socket of this type. */
+bool isFree(const std::string &ip, int port, int type)
+{
+    const int socket = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = socketAddress(ip + ":" + std::to_string(port));
+    const bool isBound =
+        ::bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+    ::close(socket);
+    return isBound;
+}
+
+/** The first of @p count ports in a row that are free for TCP and UDP. No two calls overlap. */
+int freePorts(const std::string &ip, int count)
+{
+    // Below the range from which the kernel takes ports for outgoing connections.
+    constexpr int kFirst = 10000;
+    constexpr int kLast = 32000;
+    static std::atomic<int> next {kFirst};
+    while (next < kLast) {
+        const int first = next.fetch_add(count);
+        bool areFree = true;
+        for (int port = first; port < first + count; ++port)
+            areFree = areFree && isFree(ip, port, SOCK_STREAM) && isFree(ip, port, SOCK_DGRAM);
+        if (areFree)
+            return first;
+    }
+    cannotRun("no free ports on " + ip);
+}
+
 std::string lower(std::string text)
 {
     std::transform(text.begin(), text.end(), text.begin(),
@@ -150,6 +190,7 @@
     if (record)
         note("the case cannot run: %s", cause.c_str());
     endProcesses();
+    removeTemporaryFolder();
     std::_Exit(2);
 }
 
@@ -608,17 +649,26 @@
 
 Instance::Instance(InstanceOptions options)
     : options(std::move(options))
+    , callerPort(freePorts(this->options.ip, 1))
+    , readyPort(freePorts(this->options.ip, 1))
+    , internalPort(freePorts(this->options.ip, kInternalPorts))
 { }
 
+std::string Instance::address(int port) const
+{
+    return this->options.ip + ":" + std::to_string(port);
+}
+
 void Instance::start(const std::string &folder)
 {
     const std::string file = folder + "/" + this->options.id + ".ini";
     const InstanceOptions &o = this->options;
     // deploy/node.ini, filled in with the settings of the users' small deployments.
     std::ofstream(file) << "[instance]\nid = " << o.id << "\nfailure_domain = " << o.domain
-                        << "\naddress = " << o.ip << "\ncaller_address = " << o.ip
-                        << ":8227\nready_address = " << o.ip
-                        << ":8220\ninternal_ports = 7340,7355\nprocessor_cores = 0.25\n"
+                        << "\naddress = " << o.ip << "\ncaller_address = " << this->callerAddress()
+                        << "\nready_address = " << this->readyAddress()
+                        << "\ninternal_ports = " << this->internalPort << ","
+                        << this->internalPort + kInternalPorts - 1 << "\nprocessor_cores = 0.25\n"
                         << "link = 1000.0\nfirst_start = " << (o.isFirstStart ? "true" : "false")
                         << "\n[store]\naddress = " << o.store
                         << "\n[keys]\nrevocation_bound = 5000 ms\n[retries]\nratio = 0.2\n"
@@ -683,7 +733,9 @@
         const pid_t running = this->process;
         std::ifstream file("/proc/" + std::to_string(running) + "/schedstat");
         double nanoseconds = 0;
-        if (running < 0 || !(file >> nanoseconds))
+        // A process that has ended is not signalled: its id may be in use again.
+        const std::lock_guard lock(processMutex);
+        if (!processes.contains(running) || !(file >> nanoseconds))
             continue;
         if (now() - periodBegan >= kPeriod) {
             periodBegan = now();
@@ -768,8 +820,7 @@
     std::printf("%s\n", status == 0 ? "the rule held" : "the rule was broken");
     std::fflush(stdout);
     endProcesses();
-    if (!std::getenv("KEEP"))
-        std::filesystem::remove_all(folderForFiles);
+    removeTemporaryFolder();
     std::_Exit(status);
 }
 
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -224,8 +224,8 @@
     bool waitUntilReady(double seconds);
     /** Resident memory, in bytes. */
     std::size_t memory() const;
-    std::string callerAddress() const { return this->options.ip + ":8227"; }
-    std::string readyAddress() const { return this->options.ip + ":8220"; }
+    std::string callerAddress() const { return this->address(this->callerPort); }
+    std::string readyAddress() const { return this->address(this->readyPort); }
     const std::string &id() const { return this->options.id; }
     const std::string &ip() const { return this->options.ip; }
     pid_t pid() const { return this->process; }
@@ -236,8 +236,13 @@
 
 private:
     InstanceOptions options;
+    std::string address(int port) const;
     void keepQuota(double share) const;
 
+    /** Ports that were free when the instance was created; a restart uses them again. */
+    int callerPort;
+    int readyPort;
+    int internalPort;
     std::atomic<pid_t> process {-1};
 };
 
