Add a memory budget for an instance

Cause: instances have 160 or 260 MB and nothing in the gateway knows it. The bounds are constants of single places, so what is bounded singly exceeds the limit in sum. Change: MemoryBudget divides the platform's limit, which comes with the settings, less a tenth and the base of a process, among four owners; MemoryHold takes bytes for one buffer. Nothing uses it yet.

--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -12,6 +12,7 @@
 #include "servers/catalog/serving_config.h"
 #include "servers/catalog/store_source.h"
 #include "servers/limits/sent_requests.h"
+#include "servers/memory/memory_budget.h"
 #include "servers/placement/reachability.h"
 #include "servers/placement/server_health.h"
 #include "servers/placement/stream_ledger.h"
@@ -81,6 +82,7 @@
         , quarantine(settings.quarantine)
         , retries(settings.retries)
         , stop(settings.stopLimit)
+        , memory(settings.memoryBytes)
         , pool(base)
         , storeSource(instanceRecord(settings))
         , exchange(base, instanceRecord(settings), this->ledger, this->health, this->quarantine,
@@ -110,6 +112,7 @@
     RetryBudget retries;
     SpacedRetryAfter retryAfterPolicy;
     StopPolicy stop;
+    MemoryBudget memory;
     ConnectionPool pool;
     StoreSource storeSource;
     InstanceExchange exchange;
--- a/main/gateway/gateway_settings.cpp
+++ b/main/gateway/gateway_settings.cpp
@@ -32,6 +32,8 @@
          "one for metrics."},
         {"instance", "processor_cores", Kind::Ratio, "1", 0, 1024, false,
          "Processor cores that this instance may use."},
+        {"instance", "memory", Kind::Bytes, "160 MiB", 64.0 * 1024 * 1024,
+         1024.0 * 1024 * 1024 * 1024, false, "Memory above which the platform ends this instance."},
         {"instance", "link", Kind::Ratio, "1", 0, 1000000, false,
          "Bandwidth of this instance's link in megabits per second."},
         {"instance", "first_start", Kind::Flag, "false", 0, 0, false,
@@ -91,6 +93,7 @@
     result.relayAddress = absl::StrCat(address, ":", firstPort + kRelayPortOffset);
     result.storeAddress = settings.text("store", "address");
     result.processorCores = settings.ratio("instance", "processor_cores");
+    result.memoryBytes = settings.bytes("instance", "memory");
     result.linkMegabits = settings.ratio("instance", "link");
     result.isFirstStart = settings.flag("instance", "first_start");
     result.revocationBound = settings.duration("keys", "revocation_bound");
--- a/main/gateway/gateway_settings.h
+++ b/main/gateway/gateway_settings.h
@@ -28,6 +28,8 @@
     std::string storeAddress;
     double processorCores = 1.0;
     double linkMegabits = 1.0;
+    /** Memory above which the platform ends this instance. */
+    std::int64_t memoryBytes = std::int64_t {160} << 20;
     /** The whole system starts for the first time: no other instance is in the store yet. */
     bool isFirstStart = false;
     absl::Duration revocationBound;
