Probe unresponsive servers in turn

What callers saw: servers that had been cut off for a second stayed out of use for long after their return, and calls were refused meanwhile. Cause: takeProbes() returns the first four servers in the order of the hash table that are due. With probes every 500 ms in rounds of 250 ms, the same eight servers are probed for ever once more than eight are unresponsive; the others are found again only when a call is sent to one for want of another. Ruled out: lost probes; the other servers are never returned by takeProbes(). Change: the servers that were probed longest ago come first. Result: Reachability.ProbesManyUnresponsiveServersInTurn fails before for all 40 servers (most have no probe, where each must have three) and passes now.

--- a/servers/placement/reachability.cpp
+++ b/servers/placement/reachability.cpp
@@ -1,5 +1,8 @@
 #include "servers/placement/reachability.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace foxtailtally {
 
 void Reachability::onConnectFailed(ServerKey server, const FailureDomainId &domain, absl::Time now)
@@ -61,14 +64,18 @@
 {
     absl::erase_if(this->silentProbedAt,
                    [now](const auto &item) { return now - item.second >= kSilentProbeInterval; });
-    std::vector<ServerKey> servers;
-    for (auto &[server, failure] : this->failures) {
-        if (servers.size() == kMaxProbesPerRound)
-            break;
+    std::vector<std::pair<absl::Time, ServerKey>> due;
+    for (const auto &[server, failure] : this->failures) {
         const bool isUnresponsive = failure.failedConnections >= kFailuresForUnresponsive;
-        if (now - failure.probedAt < (isUnresponsive ? kProbeInterval : kConfirmationProbeInterval))
-            continue;
-        failure.probedAt = now;
+        if (now - failure.probedAt
+            >= (isUnresponsive ? kProbeInterval : kConfirmationProbeInterval))
+            due.emplace_back(failure.probedAt, server);
+    }
+    std::sort(due.begin(), due.end());
+    due.resize(std::min(due.size(), kMaxProbesPerRound));
+    std::vector<ServerKey> servers;
+    for (const auto &[probedAt, server] : due) {
+        this->failures[server].probedAt = now;
         servers.push_back(server);
     }
     return servers;
--- a/servers/placement/reachability.h
+++ b/servers/placement/reachability.h
@@ -45,7 +45,8 @@
     bool isReachable(ServerKey server, const FailureDomainId &domain) const;
     /** The server has refused or ignored several connections in a row and accepted none since. */
     bool isUnresponsive(ServerKey server) const;
-    /** Returns the servers to probe now and marks them as probed. */
+    /** Returns the servers to probe now and marks them as probed. Those that were probed longest
+     * ago come first, so that many unresponsive ones all get their turn. */
     std::vector<ServerKey> takeProbes(absl::Time now);
     bool isDomainUnreachable(const FailureDomainId &domain) const;
 
--- a/tests/placement/server_evidence_test.cpp
+++ b/tests/placement/server_evidence_test.cpp
@@ -3,6 +3,7 @@
 #include "servers/placement/service_placement.h"
 
 #include <gtest/gtest.h>
+#include <map>
 
 namespace foxtailtally {
 namespace {
@@ -97,6 +98,28 @@
     EXPECT_EQ(reachability.takeProbes(now + Reachability::kSilentProbeInterval).size(), 1U);
 }
 
+// Guards against unresponsive servers that are never probed again, so that they stay out of use
+// after they have returned: the same few were probed in each round.
+TEST(Reachability, ProbesManyUnresponsiveServersInTurn)
+{
+    constexpr ServerKey kServers = 40;
+    constexpr int kRoundsPerServer = 3;
+    Reachability reachability;
+    for (ServerKey server = 1; server <= kServers; ++server) {
+        for (int failure = 0; failure < Reachability::kFailuresForUnresponsive; ++failure)
+            reachability.onConnectFailed(server, kEast, kNow);
+    }
+    std::map<ServerKey, int> probes;
+    constexpr int kRounds = kRoundsPerServer * kServers / Reachability::kMaxProbesPerRound;
+    for (int round = 1; round <= kRounds; ++round) {
+        for (const ServerKey server :
+             reachability.takeProbes(kNow + (round + 1) * Reachability::kProbeInterval / 2))
+            ++probes[server];
+    }
+    for (ServerKey server = 1; server <= kServers; ++server)
+        EXPECT_EQ(probes[server], kRoundsPerServer) << "server " << server;
+}
+
 // Regression: servers that had crashed and were removed from the list kept their failure domain
 // marked as unreachable for ever.
 TEST(Reachability, ForgettingRemovedServersRestoresTheirDomain)
