Avoid all engines that do not answer a reservation

Cause: when engines do not answer the requests for memory in time, only the first one was avoided by the next plan, and Reachability learned of none. Change: all unanswered engines are reported together; those without a connection count as unreachable for every call. A plan that failed because of engines that were not known to be unreachable is no rejection: the next one avoids them.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -62,6 +62,17 @@
         count("truncated");
 }
 
+/** Whether the plan of @p decision has no engine that is known to be unreachable. */
+bool areReachable(const Reachability &reachability, const StreamDecision &decision)
+{
+    const auto isReachable = [&](std::size_t engine) {
+        return reachability.isReachable(decision.candidates[engine].server,
+                                        decision.servers[engine]->entry.domain);
+    };
+    return isReachable(decision.plan.server)
+        && std::all_of(decision.plan.helpers.begin(), decision.plan.helpers.end(), isReachable);
+}
+
 } // namespace
 
 CallRun::CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call)
@@ -266,6 +277,7 @@
 void CallRun::place(const StreamDecision &decision, absl::Time now)
 {
     this->dropPlacement();
+    this->usesUnreachableEngine = !areReachable(this->context.reachability, decision);
     PlacedStreamEvents &events = *this;
     this->placement =
         std::make_unique<PlacedStream>(this->context, this->call.headers.callId, events);
@@ -417,7 +429,7 @@
     if (this->done)
         return;
     if (this->suspicion->isQuarantined(now) || !this->placement->isValid(now)) {
-        this->retryPlacement(now);
+        this->retryPlacement(false, now);
         return;
     }
     for (const ServerKey helper : this->placement->helperKeys())
@@ -432,13 +444,18 @@
     this->checkTimer.start(this->attempts.size() > 1 ? kStreamRecheckInterval : progressCheck);
 }
 
-void CallRun::onPlacementFailed(ServerKey engine, absl::Time now)
+void CallRun::onPlacementFailed(std::span<const ServerKey> engines, absl::Time now)
 {
     if (this->done)
         return;
-    if (!this->isPaused(engine, now))
-        this->tried.push_back(engine);
-    this->retryPlacement(now);
+    bool foundUnreachable = false;
+    for (const ServerKey engine : engines) {
+        foundUnreachable = foundUnreachable
+            || (!this->usesUnreachableEngine && this->context.reachability.hasFailed(engine));
+        if (!this->isPaused(engine, now))
+            this->tried.push_back(engine);
+    }
+    this->retryPlacement(foundUnreachable, now);
 }
 
 bool CallRun::isPaused(ServerKey server, absl::Time now) const
@@ -446,7 +463,7 @@
     return this->context.directory.backpressure().pausedUntil(server) > now;
 }
 
-void CallRun::retryPlacement(absl::Time now)
+void CallRun::retryPlacement(bool foundUnreachable, absl::Time now)
 {
     this->dropPlacement();
     this->dropTokens(now);
@@ -455,7 +472,9 @@
         this->checkTimer.start(kStreamRecheckInterval);
         return;
     }
-    if (++this->rejections > kMaxRejections || this->suspicion->isQuarantined(now)
+    if (!foundUnreachable)
+        ++this->rejections;
+    if (this->rejections > kMaxRejections || this->suspicion->isQuarantined(now)
         || !this->dispatch(now))
         this->finishWith(fallbackStep(AttemptEnd::NotSent, this->progress(now)), now);
 }
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -117,8 +117,10 @@
                 absl::Time now);
     StreamDemand demand(absl::Time now);
     void onPlacementReady(absl::Time now) override;
-    void onPlacementFailed(ServerKey engine, absl::Time now) override;
-    void retryPlacement(absl::Time now);
+    void onPlacementFailed(std::span<const ServerKey> engines, absl::Time now) override;
+    /** @p foundUnreachable: engines failed that were not known to be unreachable; the next plan
+     * avoids them, so this counts as no rejection. */
+    void retryPlacement(bool foundUnreachable, absl::Time now);
     void place(const StreamDecision &decision, absl::Time now);
     /** Gives up the placement of an attempt that has not been sent yet. */
     void dropPlacement();
@@ -207,6 +209,8 @@
 
     /** Placement of an attempt that has not been sent yet; null without one. */
     std::unique_ptr<PlacedStream> placement;
+    /** Its plan has engines that were known to be unreachable, for want of others. */
+    bool usesUnreachableEngine = false;
     /** Tokens for servers with a rate limit; null if none are needed or they were used up. */
     std::unique_ptr<TokenWait> tokens;
     /** Servers that the call was denied a token of; it does not claim one of them again. */
--- a/main/gateway/placed_stream.cpp
+++ b/main/gateway/placed_stream.cpp
@@ -80,7 +80,7 @@
     this->events.onPlacementReady(Clock::now());
 }
 
-void PlacedStream::onReservationFailed(ServerKey failed)
+void PlacedStream::onReservationFailed(std::span<const ServerKey> failed)
 {
     logEvent(LogLevel::Info, "reservation_failed",
              {{"request", this->callId}, {"tokens", this->chosen.shareTokens}});
--- a/main/gateway/placed_stream.h
+++ b/main/gateway/placed_stream.h
@@ -22,8 +22,8 @@
     virtual ~PlacedStreamEvents() = default;
     /** All engines of the placement are ready: the stream may be sent. */
     virtual void onPlacementReady(absl::Time now) = 0;
-    /** @p engine has not reserved the memory. */
-    virtual void onPlacementFailed(ServerKey engine, absl::Time now) = 0;
+    /** @p engines have not reserved the memory. */
+    virtual void onPlacementFailed(std::span<const ServerKey> engines, absl::Time now) = 0;
 };
 
 /**
@@ -65,7 +65,7 @@
 
 private:
     void onReserved() override;
-    void onReservationFailed(ServerKey failed) override;
+    void onReservationFailed(std::span<const ServerKey> failed) override;
 
     GatewayContext &context;
     const std::string &callId;
--- a/main/gateway/reservation_set.cpp
+++ b/main/gateway/reservation_set.cpp
@@ -56,6 +56,7 @@
     /** The response is no longer of interest. */
     void abandon() { this->owner = nullptr; }
     const Share &target() const { return this->share; }
+    bool isConnected() const { return this->connection->isConnected(); }
 
 private:
     bool mayWrite(OutboundConnection &) override
@@ -191,9 +192,7 @@
     if (this->isComplete || !this->events)
         return;
     if (!isGranted) {
-        ReservationEvents *listener = this->events;
-        this->release();
-        listener->onReservationFailed(engine);
+        this->fail({&engine, 1});
         return;
     }
     if (++this->granted < this->shares.size())
@@ -234,11 +233,25 @@
 {
     if (this->isComplete || !this->events || this->requests.empty())
         return;
-    const ServerKey engine = this->requests.front()->target().engine;
-    logEvent(LogLevel::Info, "reservation_unanswered", {{"reservation", this->reservationId}});
+    const absl::Time now = Clock::now();
+    std::vector<ServerKey> unanswered;
+    for (const auto &request : this->requests) {
+        const ServerKey engine = request->target().engine;
+        unanswered.push_back(engine);
+        const ServerDirectory::Server *server = this->context.directory.findByKey(engine);
+        if (server && !request->isConnected())
+            this->context.reachability.onConnectFailed(engine, server->entry.domain, now);
+    }
+    logEvent(LogLevel::Info, "reservation_unanswered",
+             {{"reservation", this->reservationId}, {"engines", unanswered.size()}});
+    this->fail(unanswered);
+}
+
+void ReservationSet::fail(std::span<const ServerKey> engines)
+{
     ReservationEvents *listener = this->events;
     this->release();
-    listener->onReservationFailed(engine);
+    listener->onReservationFailed(engines);
 }
 
 } // namespace foxtailtally
--- a/main/gateway/reservation_set.h
+++ b/main/gateway/reservation_set.h
@@ -21,8 +21,8 @@
     virtual ~ReservationEvents() = default;
     /** All engines have reserved the memory. */
     virtual void onReserved() = 0;
-    /** @p engine has no memory or did not respond; what the others reserved is released. */
-    virtual void onReservationFailed(ServerKey engine) = 0;
+    /** @p engines have no memory or did not respond; what the others reserved is released. */
+    virtual void onReservationFailed(std::span<const ServerKey> engines) = 0;
 };
 
 /**
@@ -57,6 +57,7 @@
     bool mustRenew(std::size_t share, absl::Time now) const;
     void onRequestWritten(ServerKey engine, absl::Time now);
     void onRequestDone(Request &request, bool isGranted);
+    void fail(std::span<const ServerKey> engines);
     void onRenew();
     void onTimeout();
 
--- a/tests/gateway/reservation_set_test.cpp
+++ b/tests/gateway/reservation_set_test.cpp
@@ -16,7 +16,7 @@
 struct Outcome final : ReservationEvents
 {
     void onReserved() override { this->isReserved = true; }
-    void onReservationFailed(ServerKey) override { this->hasFailed = true; }
+    void onReservationFailed(std::span<const ServerKey>) override { this->hasFailed = true; }
 
     bool isReserved = false;
     bool hasFailed = false;
--- a/tests/process/silent_server_test.cpp
+++ b/tests/process/silent_server_test.cpp
@@ -119,6 +119,21 @@
     EXPECT_EQ(this->deployment.platform().arrivals().size(), 1U);
 }
 
+// Guards against a long prompt that is refused because the engines of a failure domain do not
+// respond, although those of another one could run it: each plan found only one of them.
+TEST_F(SilentServer, PlacesALongPromptAtTheEnginesThatRespond)
+{
+    ServingStandin &platform = this->deployment.platform();
+    for (int index = kEngines; index < 2 * kEngines; ++index)
+        platform.addServer(index, "engine", "d1", platform.serverAddress(index));
+    ASSERT_TRUE(this->deployment.waitUntilReady(0));
+    for (int index = 0; index < kEngines; ++index)
+        platform.cutOff(index, kWaitLimit);
+    const CallerAnswer answer = this->callWithLongPrompt();
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, ServingStandin::streamBody("long"));
+}
+
 /** A time in which the engine with a long prompt is cut off. */
 struct CutCase
 {
