Do not count servers found out of reach as rejections

What callers saw: a call was refused with 503 half a second after its arrival and with most of its time left, since the first three servers could not be connected to; a fourth one was sound. Cause: a connection that fails counted as a rejection, of which three end the call. Ruled out: waiting until a server returns. A caller that is told that its call has not run reaches another instance, which may have a way to the servers. Change: a server that was not known to be unreachable when it was chosen counts as no rejection. One that was chosen for want of another still does, so an instance that is cut off from all servers refuses as early as before. Result: UnreachableServers.DoNotRefuseACallThatAnotherServerCanRun fails before with 503 and passes now.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -525,6 +525,7 @@
     attempt.placement = std::move(this->placement);
     attempt.run = this->relay.beginRun(this->attempts.size() > 1);
     attempt.usedRetryGrant = std::exchange(this->hasRetryGrant, false);
+    attempt.wasUnreachable = !this->context.reachability.isReachable(target.key, target.domain);
     attempt.call = std::make_unique<ServerCall>(this->context, std::move(target), events);
     const RequestHead &head = this->caller->head();
     attempt.call->send(platform::encodeForwardedCall(head, this->caller->body(), forwarded),
@@ -728,11 +729,13 @@
     const bool wasUnsent = end == AttemptEnd::NotSent || end == AttemptEnd::NotPermitted
         || (end == AttemptEnd::Superseded && !call.wasWritten());
     this->hasRetryGrant = this->hasRetryGrant || (wasUnsent && ended->usedRetryGrant);
+    // Other servers are not known to be unreachable, and one that was tried is not tried again.
+    const bool foundUnreachable = end == AttemptEnd::NotSent && !ended->wasUnreachable;
     if (!wasUnsent && end != AttemptEnd::Rejected)
         ++this->runs;
     else if (this->isStream() && !this->attempts.empty())
         ++this->migrationRejections;
-    else
+    else if (!foundUnreachable)
         ++this->rejections;
     // Silence was recorded when the stream was also sent to another server.
     if (end != ended->replacedFor)
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -83,6 +83,8 @@
         bool usedRetryGrant = false;
         /** The server has run the call for longer than kCrashDelay. */
         bool hasSurvived = false;
+        /** The server was known to be unreachable when it was chosen for want of another. */
+        bool wasUnreachable = false;
     };
 
     bool mayWrite(ServerCall &call, absl::Time now) override;
--- a/tests/process/silent_server_test.cpp
+++ b/tests/process/silent_server_test.cpp
@@ -338,5 +338,29 @@
 INSTANTIATE_TEST_SUITE_P(Cases, BrieflySilentServer, testing::ValuesIn(briefSilenceCases()),
                          [](const auto &test) { return test.param.name; });
 
+// Guards against a call that is refused with most of its time left, because the first servers that
+// were tried could not be reached, although another one could.
+TEST(UnreachableServers, DoNotRefuseACallThatAnotherServerCanRun)
+{
+    constexpr int kServers = 5;
+    GatewayDeployment deployment(1);
+    ServingStandin &platform = deployment.platform();
+    deployment.configure(1, {"key-1"});
+    for (int index = 0; index < kServers; ++index)
+        platform.addServer(index, "desk", absl::StrCat("d", index), platform.serverAddress(index));
+    deployment.start(0);
+    ASSERT_TRUE(deployment.waitUntilReady(0));
+    for (int index = 0; index < kServers - 1; ++index)
+        platform.cutOff(index, kWaitLimit);
+    CallerRequest request;
+    request.address = deployment.callerAddress(0);
+    request.path = "/act/a";
+    request.body = "b";
+    request.headers = {"Attempt-Id: once", "Key: key-1", "Deadline-Ms: 3000"};
+    const CallerAnswer answer = callGateway(request);
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(platform.arrivals().size(), 1U);
+}
+
 } // namespace
 } // namespace foxtailtally
