Count a server as crashed only when its process has ended

Callers saw sound calls refused as quarantined, or placed apart as suspects, after a server had been silent or unreachable for a second or two: the loss of the call was recorded as a death of the server and passed on to all instances.

Cause: CallRun took three connections that timed out for a crash, both when an attempt ended as silent and when a caller gave up. A connection that the kernel closed because the peer did not answer for two seconds counted as reset. Silence and time-outs do not show whether the process goes on.

Ruled out: a higher number of failed connections. It only moves the length of the cut from which on a sound server counts as crashed.

Change: such a loss is kept in UnconfirmedLosses. It becomes a death when a connection is refused or reset, a newer incarnation is listed, or the entry is gone (for one that expired while the store was unavailable, after its grace). A loss is kept after one failed connection already, since the server is then probed until it is heard; before, a server that ended was missed if the attempt was over before the third one failed. OutboundConnection tells time-outs from refused and closed connections.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -696,10 +696,14 @@
     const absl::Time now = Clock::now();
     std::optional<Attempt> ended = this->takeAttempt(call);
     const bool isBroken = end == AttemptEnd::Lost && call.failure() == Error::ConnectionLost;
-    const bool isUnresponsive =
-        end == AttemptEnd::Silent && this->context.reachability.isUnresponsive(call.target().key);
-    this->suspicion->onLoss(
-        call.target(), this->crashEvidence(call, *ended, isBroken || isUnresponsive, now), now);
+    const AttemptTarget &target = call.target();
+    // An unreachable server is probed until it is heard.
+    const bool isSilent = end == AttemptEnd::Silent
+        && !this->context.reachability.isReachable(target.key, target.domain);
+    if (isSilent || (isBroken && call.connectionEnd() == ConnectionEnd::TimedOut))
+        this->suspicion->onLoss(target, this->silenceEvidence(call, *ended, now), now);
+    else
+        this->suspicion->onLoss(target, this->crashEvidence(call, *ended, isBroken, now), now);
     this->context.retired.push_back(std::move(ended->call));
     this->retirePlacement(std::move(ended->placement));
     const bool wasUnsent = end == AttemptEnd::NotSent || end == AttemptEnd::NotPermitted
@@ -799,11 +803,24 @@
     const AttemptTarget &target = call.target();
     // A server that loses power resets its connections only when it has returned, or they time out.
     if (!this->context.reachability.isReachable(target.key, target.domain))
-        evidence.silentFor =
-            now - std::max(this->context.activity[target.key].lastByteAt, call.sentAt());
+        evidence.silentFor = now - this->lastSignAt(call);
+    return evidence;
+}
+
+CrashEvidence CallRun::silenceEvidence(const ServerCall &call, const Attempt &attempt,
+                                       absl::Time now) const
+{
+    CrashEvidence evidence = this->crashEvidence(call, attempt, true, now);
+    evidence.isUnconfirmed = true;
+    evidence.silentFor = now - this->lastSignAt(call);
     return evidence;
 }
 
+absl::Time CallRun::lastSignAt(const ServerCall &call) const
+{
+    return std::max(this->context.activity[call.target().key].lastByteAt, call.sentAt());
+}
+
 void CallRun::sendLocalReply(int status, std::string_view cause, bool notRun)
 {
     std::optional<absl::Duration> retryAfter;
@@ -1043,9 +1060,10 @@
     for (Attempt &attempt : this->attempts) {
         // The caller may give a call up whose server has crashed without closing the connection.
         const ServerCall &ended = *attempt.call;
-        if (ended.wasWritten() && this->context.reachability.isUnresponsive(ended.target().key))
-            this->suspicion->onLoss(ended.target(), this->crashEvidence(ended, attempt, true, now),
-                                    now);
+        const AttemptTarget &target = ended.target();
+        if (ended.wasWritten()
+            && !this->context.reachability.isReachable(target.key, target.domain))
+            this->suspicion->onLoss(target, this->silenceEvidence(ended, attempt, now), now);
         attempt.call->cancel();
         this->context.retired.push_back(std::move(attempt.call));
         this->retirePlacement(std::move(attempt.placement));
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -145,6 +145,11 @@
     bool waitForPauseEnd(absl::Time now);
     CrashEvidence crashEvidence(const ServerCall &call, const Attempt &attempt,
                                 bool isConnectionBroken, absl::Time now) const;
+    /** The same for a server that is only known to be silent. */
+    CrashEvidence silenceEvidence(const ServerCall &call, const Attempt &attempt,
+                                  absl::Time now) const;
+    /** Time of the last byte from the server of @p call, or at which the call was sent to it. */
+    absl::Time lastSignAt(const ServerCall &call) const;
     void sendLocalReply(int status, std::string_view cause, bool notRun);
     void sendLocalReply(int status, std::string_view cause, bool notRun,
                         std::optional<absl::Duration> retryAfter);
--- a/main/gateway/call_suspicion.cpp
+++ b/main/gateway/call_suspicion.cpp
@@ -14,6 +14,50 @@
 /** Separates the fingerprints of parts of prompts from those of calls. */
 constexpr std::string_view kPartLabel = "prompt part";
 
+/** Ids of the suspect parts of a prompt with their deaths, for the log. */
+nlohmann::json partDeaths(const Quarantine &quarantine, std::span<const Fingerprint> parts,
+                          std::span<const std::string> partIds, absl::Time now)
+{
+    nlohmann::json fields = nlohmann::json::object();
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        const std::uint32_t deaths = quarantine.deathsSeen(parts[i], now);
+        if (deaths > 0)
+            fields[partIds[i]] = {{"fingerprint", fingerprintText(parts[i])}, {"deaths", deaths}};
+    }
+    return fields;
+}
+
+/** Records the death of the server of @p loss. */
+void recordDeath(GatewayContext &context, const UnconfirmedLoss &loss, absl::Time now)
+{
+    Quarantine &quarantine = context.quarantine;
+    std::vector<CrashReport> deaths = quarantine.onCallLost(
+        loss.server, loss.incarnation, loss.running, loss.causeSince, loss.lostAt);
+    if (deaths.empty())
+        return;
+    logEvent(LogLevel::Info, "call_suspected",
+             {{"request", loss.callId},
+              {"fingerprint", fingerprintText(loss.running.call)},
+              {"server", loss.server.str()},
+              {"incarnation", loss.incarnation},
+              {"deaths", quarantine.deathsSeen(loss.running.call, now)},
+              {"parts", partDeaths(quarantine, loss.running.parts, loss.partIds, now)}});
+    context.exchange.onServerDeaths(std::move(deaths));
+}
+
+std::string_view verdictName(LossVerdict verdict)
+{
+    switch (verdict) {
+    case LossVerdict::Ended:
+        return "ended";
+    case LossVerdict::Heard:
+        return "heard";
+    case LossVerdict::Expired:
+        return "expired";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 bool CallSuspicion::isQuarantined(absl::Time now)
@@ -87,19 +131,33 @@
 {
     if (!mayHaveCrashedServer(evidence))
         return;
-    Quarantine &quarantine = this->context.quarantine;
-    std::vector<CrashReport> deaths = quarantine.onCallLost(
-        target.id, target.incarnation, this->fingerprints(), commonCauseSince(evidence, now), now);
-    if (deaths.empty())
+    UnconfirmedLoss loss = this->lossAt(target, evidence, now);
+    if (!evidence.isUnconfirmed) {
+        recordDeath(this->context, loss, now);
         return;
-    logEvent(LogLevel::Info, "call_suspected",
+    }
+    const bool isKept = this->context.unconfirmedLosses.add(std::move(loss));
+    logEvent(isKept ? LogLevel::Info : LogLevel::Warning, "loss_unconfirmed",
              {{"request", this->callId},
-              {"fingerprint", fingerprintText(this->fingerprint())},
               {"server", target.id.str()},
               {"incarnation", target.incarnation},
-              {"deaths", quarantine.deathsSeen(this->fingerprint(), now)},
-              {"parts", this->partDeaths(now)}});
-    this->context.exchange.onServerDeaths(std::move(deaths));
+              {"silent_ms", absl::ToInt64Milliseconds(evidence.silentFor)},
+              {"kept", isKept}});
+}
+
+UnconfirmedLoss CallSuspicion::lossAt(const AttemptTarget &target, const CrashEvidence &evidence,
+                                      absl::Time now)
+{
+    UnconfirmedLoss loss;
+    loss.callId = this->callId;
+    loss.server = target.id;
+    loss.incarnation = target.incarnation;
+    loss.running = this->fingerprints();
+    loss.partIds = {this->content.sharedParts.begin(), this->content.sharedParts.end()};
+    loss.silentSince = now - evidence.silentFor;
+    loss.lostAt = now;
+    loss.causeSince = commonCauseSince(evidence, now);
+    return loss;
 }
 
 void CallSuspicion::logQuarantine(absl::Time now)
@@ -108,20 +166,9 @@
              {{"request", this->callId},
               {"fingerprint", fingerprintText(this->fingerprint())},
               {"deaths", this->context.quarantine.deathsSeen(this->fingerprint(), now)},
-              {"parts", this->partDeaths(now)}});
-}
-
-nlohmann::json CallSuspicion::partDeaths(absl::Time now)
-{
-    nlohmann::json fields = nlohmann::json::object();
-    const std::vector<Fingerprint> &parts = this->fingerprints().parts;
-    for (std::size_t i = 0; i < parts.size(); ++i) {
-        const std::uint32_t deaths = this->context.quarantine.deathsSeen(parts[i], now);
-        if (deaths > 0)
-            fields[this->content.sharedParts[i]] = {{"fingerprint", fingerprintText(parts[i])},
-                                                    {"deaths", deaths}};
-    }
-    return fields;
+              {"parts",
+               partDeaths(this->context.quarantine, this->fingerprints().parts,
+                          this->content.sharedParts, now)}});
 }
 
 void CallSuspicion::onSurvived(absl::Time beganAt, absl::Time now)
@@ -154,4 +201,20 @@
     return *this->knownFingerprints;
 }
 
+void settleUnconfirmedLosses(GatewayContext &context, absl::Time now)
+{
+    for (const DecidedLoss &decided :
+         context.unconfirmedLosses.takeDecided(context.directory, now)) {
+        const UnconfirmedLoss &loss = decided.loss;
+        logEvent(LogLevel::Info, "loss_decided",
+                 {{"request", loss.callId},
+                  {"server", loss.server.str()},
+                  {"incarnation", loss.incarnation},
+                  {"verdict", verdictName(decided.verdict)},
+                  {"after_ms", absl::ToInt64Milliseconds(now - loss.lostAt)}});
+        if (decided.verdict == LossVerdict::Ended)
+            recordDeath(context, loss, now);
+    }
+}
+
 } // namespace foxtailtally
--- a/main/gateway/call_suspicion.h
+++ b/main/gateway/call_suspicion.h
@@ -7,7 +7,6 @@
 #include "servers/quarantine/suspect_placement.h"
 
 #include <absl/time/time.h>
-#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <span>
 #include <string>
@@ -51,7 +50,8 @@
     SuspectPlacement restrictions(const std::string &service, std::span<const ServerKey> tried,
                                   absl::Time now);
 
-    /** Records a crash that the call may have caused, and reports it to the other instances. */
+    /** Records a crash that the call may have caused, and reports it to the other instances.
+     * Unconfirmed evidence is kept in GatewayContext::unconfirmedLosses instead. */
     void onLoss(const AttemptTarget &target, const CrashEvidence &evidence, absl::Time now);
     /** A server that began to run the call at @p beganAt did not crash. */
     void onSurvived(absl::Time beganAt, absl::Time now);
@@ -65,8 +65,8 @@
 
 private:
     const CallFingerprints &fingerprints();
-    /** Ids of the suspect parts of the prompt with their deaths, for the log. */
-    nlohmann::json partDeaths(absl::Time now);
+    UnconfirmedLoss lossAt(const AttemptTarget &target, const CrashEvidence &evidence,
+                           absl::Time now);
 
     GatewayContext &context;
     const std::string &callId;
@@ -75,4 +75,8 @@
     std::optional<CallFingerprints> knownFingerprints;
 };
 
+/** Records the crashes behind unconfirmed losses that have been confirmed by now, and reports them
+ * to the other instances. */
+void settleUnconfirmedLosses(GatewayContext &context, absl::Time now);
+
 } // namespace foxtailtally
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "core/guard.h"
 #include "core/log.h"
 #include "core/text.h"
+#include "main/gateway/call_suspicion.h"
 #include "main/gateway/listener.h"
 
 #include <absl/strings/str_cat.h>
@@ -125,6 +126,7 @@
     this->context.limits.onTick(now);
     this->context.ledger.onTick(now);
     this->context.health.onTick(now);
+    settleUnconfirmedLosses(this->context, now);
     this->context.quarantine.onTick(now);
     // Destroying a retired object may retire others.
     std::vector<std::unique_ptr<Retirable>> retired;
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -18,6 +18,7 @@
 #include "servers/placement/stream_ledger.h"
 #include "servers/quarantine/quarantine.h"
 #include "servers/quarantine/suspect_part_runs.h"
+#include "servers/quarantine/unconfirmed_losses.h"
 #include "servers/retry/retry_after_policy.h"
 #include "servers/retry/retry_budget.h"
 #include "servers/retry/stop_policy.h"
@@ -121,6 +122,7 @@
     Random random;
     absl::flat_hash_map<ServerKey, ServerActivity> activity;
     SuspectPartRuns suspectPartRuns;
+    UnconfirmedLosses unconfirmedLosses;
     /** Destroyed at the next tick. */
     std::vector<std::unique_ptr<Retirable>> retired;
     std::vector<Lingering> lingeringObjects;
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -106,6 +106,8 @@
     this->faultyAddress = reply.faultyServer;
     this->misdirected = reply.isMisdirected;
     this->context.reachability.onConnected(this->server.key, this->server.domain);
+    if (!this->misdirected)
+        this->context.unconfirmedLosses.onHeard(this->server.key, this->startedAt, now);
     if (reply.outstanding) {
         activity.reportedCalls = *reply.outstanding;
         activity.reportedAt = now;
@@ -135,7 +137,9 @@
 
 void ServerCall::onResponseBody(OutboundConnection &, std::string_view data)
 {
-    this->context.activity[this->server.key].lastByteAt = Clock::now();
+    const absl::Time now = Clock::now();
+    this->context.activity[this->server.key].lastByteAt = now;
+    this->context.unconfirmedLosses.onHeard(this->server.key, this->startedAt, now);
     this->events.onReplyBody(*this, data);
 }
 
@@ -147,9 +151,12 @@
     this->events.onReplyComplete(*this);
 }
 
-void ServerCall::onCallFailed(OutboundConnection &, std::error_code error)
+void ServerCall::onCallFailed(OutboundConnection &ended, std::error_code error)
 {
     this->failureCause = error;
+    this->endCause = ended.endCause();
+    if (this->endCause == ConnectionEnd::Refused || this->endCause == ConnectionEnd::ClosedByPeer)
+        this->context.unconfirmedLosses.onBroken(this->server.key);
     if (error == Error::PermissionExpired)
         this->end(AttemptEnd::NotPermitted);
     else
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -77,6 +77,8 @@
     const std::string &faultyServer() const { return this->faultyAddress; }
     /** Error that ended the attempt; no error while there is none. */
     std::error_code failure() const { return this->failureCause; }
+    /** How the connection ended, when that ended the attempt. */
+    ConnectionEnd connectionEnd() const { return this->endCause; }
 
 private:
     bool mayWrite(OutboundConnection &connection) override;
@@ -106,6 +108,7 @@
     absl::Time startedAt = absl::InfinitePast();
     std::string faultyAddress;
     std::error_code failureCause;
+    ConnectionEnd endCause = ConnectionEnd::None;
     bool misdirected = false;
     /** The call was not permitted when it would have been written at once. */
     bool isWithheld = false;
--- a/main/gateway/server_prober.cpp
+++ b/main/gateway/server_prober.cpp
@@ -42,6 +42,7 @@
             if (!this->context.reachability.isReachable(probe.key, probe.domain))
                 logEvent(LogLevel::Info, "server_reachable", {{"address", probe.address}});
             this->context.reachability.onConnected(probe.key, probe.domain);
+            this->context.unconfirmedLosses.onHeard(probe.key, probe.startedAt, now);
             this->context.pool.release(probe.address, std::move(probe.connection), now);
             continue;
         }
@@ -54,6 +55,8 @@
         }
         if (isHanging)
             this->recordTimeout(probe, now);
+        else if (probe.connection->endCause() == ConnectionEnd::Refused)
+            this->context.unconfirmedLosses.onBroken(probe.key);
         this->context.pool.discard(std::move(probe.connection));
     }
 }
--- a/peers/http/outbound_connection.cpp
+++ b/peers/http/outbound_connection.cpp
@@ -31,6 +31,13 @@
 constexpr std::uint64_t kMaxOverheadBytes = std::uint64_t {256} << 10;
 constexpr std::uint64_t kMaxFramingPerBodyByte = 8;
 
+/** Whether the kernel ended a connection with @p error although no packet of the peer did. */
+bool isTimeout(int error)
+{
+    return error == ETIMEDOUT || error == EHOSTUNREACH || error == ENETUNREACH || error == EHOSTDOWN
+        || error == ENETDOWN;
+}
+
 OutboundConnection &self(http_parser *parser)
 {
     return *static_cast<OutboundConnection *>(parser->data);
@@ -288,8 +295,14 @@
         this->onConnected();
         return;
     }
-    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
-        this->onDisconnected((what & BEV_EVENT_EOF) == 0);
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) == 0)
+        return;
+    const bool wasReset = (what & BEV_EVENT_EOF) == 0;
+    if (wasReset && isTimeout(EVUTIL_SOCKET_ERROR()))
+        this->end = ConnectionEnd::TimedOut;
+    else
+        this->end = this->isConnected() ? ConnectionEnd::ClosedByPeer : ConnectionEnd::Refused;
+    this->onDisconnected(wasReset);
 }
 
 void OutboundConnection::onDisconnected(bool wasReset)
--- a/peers/http/outbound_connection.h
+++ b/peers/http/outbound_connection.h
@@ -18,6 +18,18 @@
 
 class OutboundConnection;
 
+/** How the peer of a connection, or the network, ended it. */
+enum class ConnectionEnd : std::uint8_t {
+    /** The connection is open, or was closed from this side. */
+    None,
+    /** The peer did not accept it. */
+    Refused,
+    /** The peer closed or reset it. */
+    ClosedByPeer,
+    /** The peer did not answer, or there was no way to it. */
+    TimedOut,
+};
+
 /** Events of the call that an OutboundConnection carries. */
 class OutboundEvents
 {
@@ -81,6 +93,7 @@
 
     bool isUsable() const { return this->state == State::Connecting || this->state == State::Open; }
     bool isConnected() const { return this->state == State::Open; }
+    ConnectionEnd endCause() const { return this->end; }
     bool hasCall() const { return this->events != nullptr; }
     /** True after a complete response when another call may use the connection. */
     bool isReusable() const;
@@ -123,6 +136,7 @@
     bufferevent *stream = nullptr;
     http_parser parser {};
     State state = State::Connecting;
+    ConnectionEnd end = ConnectionEnd::None;
     ResponseHead response;
     HeaderCollector collector {this->response.headers};
     Correlation correlation;
--- a/servers/quarantine/crash_evidence.h
+++ b/servers/quarantine/crash_evidence.h
@@ -7,7 +7,7 @@
 /** How an attempt was lost, as far as it shows whether the call crashed its server. */
 struct CrashEvidence
 {
-    /** The established connection broke, or its server accepts no further connections. */
+    /** The established connection broke, or its server is unresponsive. */
     bool isConnectionBroken = false;
     /** The server had begun to respond to a call that is not a stream. */
     bool hasAnswerBegun = false;
@@ -17,6 +17,8 @@
      * call was sent to it; it may have crashed at any moment since. Zero for other servers: their
      * connections break when they crash. */
     absl::Duration silentFor = absl::ZeroDuration();
+    /** The server was only silent, or connections to it timed out; its process may go on. */
+    bool isUnconfirmed = false;
 };
 
 /** Longest time from the first event of a stream to a crash that the call may have caused. A call
--- a/tests/http/outbound_connection_test.cpp
+++ b/tests/http/outbound_connection_test.cpp
@@ -7,7 +7,10 @@
 #include "tests/http/test_loop.h"
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 #include <stdexcept>
+#include <string>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace foxtailtally {
@@ -38,6 +41,41 @@
     std::error_code error;
 };
 
+/** Connections to it hang: while the accept backlog is full, the kernel drops SYN packets. */
+class FullBacklog
+{
+public:
+    FullBacklog()
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto *target = reinterpret_cast<sockaddr *>(&address);
+        socklen_t size = sizeof address;
+        this->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const bool isListening = ::bind(this->listener, target, size) == 0
+            && ::listen(this->listener, 0) == 0
+            && ::getsockname(this->listener, target, &size) == 0;
+        EXPECT_TRUE(isListening);
+        this->port = ntohs(address.sin_port);
+        this->filler = connectTo(this->port);
+    }
+    ~FullBacklog()
+    {
+        ::close(this->filler);
+        ::close(this->listener);
+    }
+    FullBacklog(const FullBacklog &) = delete;
+    FullBacklog &operator=(const FullBacklog &) = delete;
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(this->port); }
+
+private:
+    int listener = -1;
+    int filler = -1;
+    int port = 0;
+};
+
 class OutboundConnectionTest : public ::testing::Test
 {
 protected:
@@ -389,5 +427,25 @@
     ::close(goodSocket);
 }
 
+// Guards against a connection that timed out and counts as evidence that the server has ended, as
+// one that was refused or reset does.
+TEST_F(OutboundConnectionTest, TellsTimeoutsFromRefusedAndClosedConnections)
+{
+    OutboundConnection open(this->loop.base(), this->server.address(), this->events);
+    this->call(open, "1");
+    resetConnection(this->acceptAndRead());
+    this->loop.runUntil([this] { return this->isOver(); });
+    EXPECT_EQ(open.endCause(), ConnectionEnd::ClosedByPeer);
+
+    OutboundConnection refused(this->loop.base(), "127.0.0.1:1", this->events);
+    this->loop.runUntil([&refused] { return !refused.isUsable(); });
+    EXPECT_EQ(refused.endCause(), ConnectionEnd::Refused);
+
+    const FullBacklog hanging;
+    OutboundConnection timedOut(this->loop.base(), hanging.address(), this->events);
+    this->loop.runUntil([&timedOut] { return !timedOut.isUsable(); });
+    EXPECT_EQ(timedOut.endCause(), ConnectionEnd::TimedOut);
+}
+
 } // namespace
 } // namespace foxtailtally
--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -335,6 +335,29 @@
     });
 }
 
+void ServingStandin::becomeResponsive(int index, bool hasRestarted)
+{
+    this->run([&] {
+        Server &server = this->servers.at(index);
+        ::close(server.backlogFiller);
+        server.backlogFiller = -1;
+        // The socket goes on listening, since connections must not be refused in between.
+        server.listener = evconnlistener_new(
+            this->base,
+            [](evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *object) {
+                const Server *own = static_cast<Server *>(object);
+                own->owner->accept(socket, own->index);
+            },
+            &server, LEV_OPT_CLOSE_ON_FREE, SOMAXCONN, server.unresponsiveListener);
+        evutil_make_socket_nonblocking(std::exchange(server.unresponsiveListener, -1));
+        if (!hasRestarted)
+            return;
+        server.startedMs += kRestartIncrementMs;
+        server.sequence = 0;
+        this->listServer(server, "ready");
+    });
+}
+
 void ServingStandin::fallSilent(int index, absl::Duration time)
 {
     this->run([&] { this->servers.at(index).silentUntil = absl::Now() + time; });
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -150,6 +150,9 @@
     void restart(int index);
     /** Makes server @p index unresponsive: it sends nothing more, and new connections hang. */
     void becomeUnresponsive(int index);
+    /** Ends that: server @p index accepts connections again, as the same incarnation or, if it
+     * @p hasRestarted, as a new one. */
+    void becomeResponsive(int index, bool hasRestarted);
     /** Server @p index sends nothing for @p time and then goes on. It accepts connections and
      * requests meanwhile. */
     void fallSilent(int index, absl::Duration time);
--- a/tests/process/silent_server_test.cpp
+++ b/tests/process/silent_server_test.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <algorithm>
+#include <fstream>
 #include <gtest/gtest.h>
 #include <map>
 #include <ostream>
@@ -128,6 +129,7 @@
     /** When the engine that has the stream falls silent, after the stream's arrival there. */
     absl::Duration after;
 
+    // NOLINTNEXTLINE(readability-identifier-naming): GoogleTest looks for this name.
     friend void PrintTo(const BriefSilenceCase &silence, std::ostream *out)
     {
         *out << silence.name;
@@ -242,6 +244,52 @@
     EXPECT_EQ(platform.arrivals().size(), 1U);
 }
 
+/** The log of the gateway has this event when a call may have crashed its server. */
+const std::string kDeathEvent = "\"event\":\"call_suspected\"";
+
+class UnresponsiveServer : public BrieflySilentServerPair
+{
+protected:
+    /** Number of deaths recorded after the server of a stream was unresponsive for longer than its
+     * caller waited. */
+    std::size_t deathsRecorded(bool hasRestarted)
+    {
+        this->deployment.start(0);
+        EXPECT_TRUE(this->deployment.waitUntilReady(0));
+        ServingStandin &platform = this->deployment.platform();
+        platform.setPrefillTime(absl::Seconds(1));
+        std::thread caller([&] { this->stream(); });
+        const int first = this->waitForFirstArrival();
+        if (first >= 0) {
+            platform.becomeUnresponsive(first);
+            // A call that is served excuses deaths.
+            platform.setServerBehavior(1 - first, ServerBehavior::NoResponse);
+        }
+        caller.join();
+        EXPECT_GE(first, 0);
+        if (first < 0)
+            return 0;
+        platform.becomeResponsive(first, hasRestarted);
+        absl::SleepFor(absl::Seconds(2));
+        std::ifstream log(this->deployment.logFile(0));
+        std::size_t deaths = 0;
+        for (std::string line; std::getline(log, line);)
+            deaths += line.find(kDeathEvent) != std::string::npos ? 1 : 0;
+        return deaths;
+    }
+};
+
+// Guards against a server that counts as crashed although it was only unreachable for a while.
+TEST_F(UnresponsiveServer, IsNoDeathIfItGoesOn)
+{
+    EXPECT_EQ(this->deathsRecorded(false), 0U);
+}
+
+TEST_F(UnresponsiveServer, IsADeathIfItComesBackAsANewIncarnation)
+{
+    EXPECT_EQ(this->deathsRecorded(true), 1U);
+}
+
 std::vector<BriefSilenceCase> briefSilenceCases()
 {
     const std::vector<std::pair<std::string, ServerBehavior>> behaviors = {
