Write log lines without blocking the event loop

Callers got no response, and /ready failed, when nobody read the standard output of a gateway and requests with paths of 4 KB and more were logged.

Cause: logEvent() asked poll() whether standard output is writable. A pipe with one free page is, and a longer line blocked in write().

Ruled out: O_NONBLOCK on standard output. It holds for every process that shares the pipe, and a long line may still be written in part.

Change: lines are written in pieces of at most PIPE_BUF bytes, each after poll(). What is left of a line goes out before the next one; while it does not fit, lines are dropped whole and counted in foxtailtally_log_lines_dropped_total.

--- a/core/log.cpp
+++ b/core/log.cpp
@@ -3,12 +3,17 @@
 #include "core/clock.h"
 
 #include <absl/time/time.h>
+#include <algorithm>
 #include <atomic>
+#include <cerrno>
+#include <climits>
 #include <easylogging++.h>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <poll.h>
 #include <string>
 #include <unistd.h>
+#include <utility>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -34,13 +39,64 @@
     return linesInSecond.fetch_add(1, std::memory_order_relaxed) < kMaxLinesPerSecond;
 }
 
-/** Returns false while the reader of standard output lags behind: logging must not block. */
+/** Returns false while the reader of standard output lags behind. A pipe that is writable has room
+ * for PIPE_BUF bytes at least. */
 bool isStandardOutputWritable()
 {
     pollfd output {STDOUT_FILENO, POLLOUT, 0};
     return ::poll(&output, 1, 0) == 1;
 }
 
+/** Writes whole lines to standard output without blocking. */
+class StandardOutput
+{
+public:
+    /** Returns false if the line was dropped. The rest of a line that does not fit at once is
+     * written before the next one. */
+    bool writeLine(std::string line)
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        if (!this->flush())
+            return false;
+        this->unwritten = std::move(line);
+        this->unwritten += '\n';
+        return this->flush() || !this->hasFailed;
+    }
+
+private:
+    /** Writes what fits; true when nothing is left. */
+    bool flush()
+    {
+        this->hasFailed = false;
+        while (!this->unwritten.empty()) {
+            if (!isStandardOutputWritable())
+                return false;
+            const std::size_t size = std::min<std::size_t>(this->unwritten.size(), PIPE_BUF);
+            const ssize_t written = ::write(STDOUT_FILENO, this->unwritten.data(), size);
+            if (written >= 0) {
+                this->unwritten.erase(0, static_cast<std::size_t>(written));
+            } else if (errno == EAGAIN) {
+                return false;
+            } else if (errno != EINTR) {
+                this->unwritten.clear();
+                this->hasFailed = true;
+                return false;
+            }
+        }
+        return true;
+    }
+
+    std::mutex mutex;
+    std::string unwritten;
+    bool hasFailed = false;
+};
+
+StandardOutput &standardOutput()
+{
+    static StandardOutput output;
+    return output;
+}
+
 std::string_view levelName(LogLevel level)
 {
     switch (level) {
@@ -91,8 +147,8 @@
 {
     if (level < minimumLevel.load(std::memory_order_relaxed))
         return;
-    if (writesToStandardOutput.load(std::memory_order_relaxed)
-        && !(isWithinRateLimit(Clock::now()) && isStandardOutputWritable())) {
+    const bool isPrinted = writesToStandardOutput.load(std::memory_order_relaxed);
+    if (isPrinted && !(isWithinRateLimit(Clock::now()) && isStandardOutputWritable())) {
         droppedLines.fetch_add(1, std::memory_order_relaxed);
         return;
     }
@@ -101,7 +157,11 @@
     nlohmann::json line = {{"time", time}, {"level", levelName(level)}, {"event", event}};
     if (fields.is_object())
         line.update(fields);
-    LOG(INFO) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    if (!isPrinted)
+        LOG(INFO) << text;
+    else if (!standardOutput().writeLine(std::move(text)))
+        droppedLines.fetch_add(1, std::memory_order_relaxed);
 }
 
 void logEvent(LogLevel level, std::string_view event)
--- a/tests/process/gateway_deployment.cpp
+++ b/tests/process/gateway_deployment.cpp
@@ -105,7 +105,7 @@
                         << this->extraSettings;
     const std::string log = this->logFile(index);
     this->logStarts.at(static_cast<std::size_t>(index)) =
-        std::filesystem::exists(log) ? std::filesystem::file_size(log) : 0;
+        std::filesystem::is_regular_file(log) ? std::filesystem::file_size(log) : 0;
     this->processes.at(static_cast<std::size_t>(index)) = std::make_unique<ChildProcess>(
         std::vector<std::string> {FOXTAILTALLY_BINARY_DIR "/foxtailtally", "gateway", "--settings",
                                   file},
