--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -150,6 +150,9 @@
     void restart(int index);
     /** Makes server @p index unresponsive: it sends nothing more, and new connections hang. */
     void becomeUnresponsive(int index);
+    /** Ends that: server @p index accepts connections again, as the same incarnation or, if it
+     * @p hasRestarted, as a new one. */
+    void becomeResponsive(int index, bool hasRestarted);
     /** Server @p index sends nothing for @p time and then goes on. It accepts connections and
      * requests meanwhile. */
     void fallSilent(int index, absl::Duration time);
@@ -221,6 +224,7 @@
     void acceptConnections(Server &server);
     /** Connections to the server hang from now on. */
     void hangConnections(Server &server);
+    void resumeConnections(Server &server);
     /** Writes the entry of the server into the store. */
     void listServer(Server &server, const std::string &state);
     void crash(Server &server);
