Bound the kept changes of the store's objects in bytes

Seen by callers: requests without an answer. Cause: KindCache kept the last 256 changes of a kind with their content. Ruled out: the objects themselves and the held configuration, of which there is one each; responses, which are freed with the next call. Change: a change whose content is above 16 KiB is dropped once a later one has replaced it. The kept changes of a kind take at most a tenth of the memory for objects of the store; an instance that asks for older ones lists again. The buffer of a response is freed before the next call.

--- a/main/gateway/kind_cache.cpp
+++ b/main/gateway/kind_cache.cpp
@@ -8,7 +8,7 @@
     this->objects.clear();
     for (const platform::StoredObject &object : listed)
         this->objects[object.name] = object;
-    this->log.clear();
+    this->clearLog();
     this->currentPosition = std::max(this->currentPosition, listPosition);
     this->logStart = this->currentPosition.revision;
     this->lastChange = this->currentPosition;
@@ -25,12 +25,46 @@
             this->objects.erase(change.object.name);
         else
             this->objects[change.object.name] = change.object;
-        this->log.push_back({this->currentPosition.revision, change});
-    }
-    while (this->log.size() > kMaxKeptChanges) {
-        this->logStart = this->log.front().revision;
-        this->log.pop_front();
+        this->keep(change);
     }
+    while (this->log.size() > kMaxKeptChanges || this->logBytes > this->maxKeptBytes)
+        this->dropOldest();
+}
+
+std::size_t KindCache::LoggedChange::bytes() const
+{
+    return sizeof(LoggedChange) + this->change.object.name.size() + this->change.object.spec.size();
+}
+
+void KindCache::keep(const platform::ObjectChange &change)
+{
+    this->dropSuperseded(change.object.name);
+    this->log.push_back({this->currentPosition.revision, change});
+    this->logBytes += this->log.back().bytes();
+}
+
+void KindCache::dropSuperseded(const std::string &name)
+{
+    std::erase_if(this->log, [this, &name](const LoggedChange &logged) {
+        const platform::StoredObject &object = logged.change.object;
+        if (object.name != name || object.spec.size() <= kMaxSupersededBytes)
+            return false;
+        this->logBytes -= logged.bytes();
+        return true;
+    });
+}
+
+void KindCache::dropOldest()
+{
+    this->logStart = this->log.front().revision;
+    this->logBytes -= this->log.front().bytes();
+    this->log.pop_front();
+}
+
+void KindCache::clearLog()
+{
+    this->log.clear();
+    this->logBytes = 0;
 }
 
 platform::ObjectPage KindCache::page() const
--- a/main/gateway/kind_cache.h
+++ b/main/gateway/kind_cache.h
@@ -20,6 +20,14 @@
 public:
     /** Changes that are kept for other instances; one that lags further behind must list again. */
     static constexpr std::size_t kMaxKeptChanges = 256;
+    /** Longest content of a change that is kept although a later one has replaced it; only
+     * configurations are longer, and each holds the whole state. */
+    static constexpr std::size_t kMaxSupersededBytes = std::size_t {16} << 10;
+
+    /** @p maxKeptBytes: memory for the kept changes. The objects themselves are always kept. */
+    explicit KindCache(std::size_t maxKeptBytes)
+        : maxKeptBytes(maxKeptBytes)
+    { }
 
     /** @p listed: the objects at @p listPosition; a list of a later era replaces all that is held
      * from an earlier one. */
@@ -46,16 +54,28 @@
     platform::ObjectPage page() const;
     /** Changes after @p from; nothing when they are no longer kept or @p from is of another era. */
     std::optional<platform::ObjectChanges> changesSince(const StorePosition &from) const;
+    /** Memory of the kept changes, in bytes. */
+    std::size_t keptBytes() const { return this->logBytes; }
 
 private:
     struct LoggedChange
     {
         std::int64_t revision = 0;
         platform::ObjectChange change;
+
+        std::size_t bytes() const;
     };
 
+    void keep(const platform::ObjectChange &change);
+    void dropSuperseded(const std::string &name);
+    void dropOldest();
+    void clearLog();
+
+    std::size_t maxKeptBytes;
+
     absl::btree_map<std::string, platform::StoredObject> objects;
     std::deque<LoggedChange> log;
+    std::size_t logBytes = 0;
     StorePosition currentPosition;
     StorePosition lastChange;
     /** Changes after this revision of the current era are in the log. */
--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -46,7 +46,7 @@
 
 KindWatcher::KindWatcher(event_base *base, const std::string &storeAddress, StoreSource &source,
                          StoreKind kind, std::string_view kindName, const Timing &timing,
-                         KindEvents &events)
+                         std::size_t maxKeptBytes, KindEvents &events)
     : base(base)
     , storeAddress(storeAddress)
     , source(source)
@@ -55,6 +55,7 @@
     , timing(timing)
     , events(events)
     , timer(base, [this] { this->onTimer(); })
+    , objectCache(maxKeptBytes)
 { }
 
 void KindWatcher::start()
@@ -180,7 +181,8 @@
         this->connection = std::make_unique<OutboundConnection>(this->base, address, idleEvents);
     }
     this->status = 0;
-    this->body.clear();
+    // Frees the memory of a large response.
+    this->body = std::string();
     this->sentAt = Clock::now();
     this->timer.start(timeout);
     this->responseEra.reset();
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -67,9 +67,10 @@
         bool allowsStaleList = false;
     };
 
+    /** @p maxKeptBytes: memory for the changes that are kept for other instances. */
     KindWatcher(event_base *base, const std::string &storeAddress, StoreSource &source,
                 StoreKind kind, std::string_view kindName, const Timing &timing,
-                KindEvents &events);
+                std::size_t maxKeptBytes, KindEvents &events);
 
     void start();
     /** Another instance has announced which revisions it holds. */
--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -48,6 +48,10 @@
 
 constexpr int kStatusConflict = 409;
 
+/** Part of the memory for objects of the store that recent changes of one kind may take; the rest
+ * is for the objects themselves and for responses. */
+constexpr double kKeptChangesShare = 0.1;
+
 /** Log lines a second for entries of one kind that cannot be decoded; there may be thousands. */
 constexpr int kMaxUnreadableLines = 5;
 /** Longest content of such an entry that is kept for other instances, in bytes. */
@@ -570,11 +574,15 @@
     , eraTimer(context.base, [this] { this->onPeerUpdate(); })
     , registration(std::make_unique<Registration>(context, instanceRecord(this->context.settings)))
 {
-    const auto follow = [this](StoreKind kind, std::string_view name,
-                               const KindWatcher::Timing &timing, KindEvents &events) {
-        auto watcher =
-            std::make_unique<KindWatcher>(this->context.base, this->context.settings.storeAddress,
-                                          this->context.storeSource, kind, name, timing, events);
+    const auto maxKeptBytes = static_cast<std::size_t>(
+        static_cast<double>(this->context.memory.share(MemoryOwner::StoreObjects))
+        * kKeptChangesShare);
+    const auto follow = [this, maxKeptBytes](StoreKind kind, std::string_view name,
+                                             const KindWatcher::Timing &timing,
+                                             KindEvents &events) {
+        auto watcher = std::make_unique<KindWatcher>(
+            this->context.base, this->context.settings.storeAddress, this->context.storeSource,
+            kind, name, timing, maxKeptBytes, events);
         this->relay.addKind(std::string(name), *watcher);
         return watcher;
     };
--- a/tests/fuzz/decoder_fuzz_test.cpp
+++ b/tests/fuzz/decoder_fuzz_test.cpp
@@ -31,6 +31,8 @@
 namespace foxtailtally {
 namespace {
 
+constexpr std::size_t kMaxKeptBytes = std::size_t {1} << 20;
+
 const absl::Time kNow = absl::UnixEpoch() + absl::Hours(1);
 
 /** A decoder of bytes from other processes, with real messages that are mutated. */
@@ -91,7 +93,7 @@
         return;
     for (const platform::StoredObject &object : page->objects)
         decodeObject(object);
-    KindCache cache;
+    KindCache cache(kMaxKeptBytes);
     cache.replace(page->objects, {0, page->revision});
     const auto relayed =
         platform::decodePage(platform::encodePage(cache.page()), platform::kServerKind);
@@ -112,14 +114,14 @@
     ASSERT_TRUE(relayed.ok());
     EXPECT_EQ(relayed->changes.size(), changes->changes.size());
     EXPECT_EQ(relayed->revision, changes->revision);
-    KindCache cache;
+    KindCache cache(kMaxKeptBytes);
     cache.apply(changes->changes, {0, changes->revision});
 }
 
 void runStoreTarget(const std::string &bytes)
 {
     const platform::StoreQuery query = platform::parseStoreTarget(bytes);
-    KindCache cache;
+    KindCache cache(kMaxKeptBytes);
     cache.replace({}, {0, 10});
     if (query.watchFrom)
         cache.changesSince({0, *query.watchFrom});
--- a/tests/gateway/kind_watcher_source_test.cpp
+++ b/tests/gateway/kind_watcher_source_test.cpp
@@ -108,6 +108,7 @@
 };
 
 constexpr absl::Duration kBatchDelay = absl::Milliseconds(20);
+constexpr std::size_t kMaxKeptBytes = std::size_t {1} << 20;
 
 class KindWatcherSourceTest : public testing::Test
 {
@@ -117,7 +118,7 @@
         , other(this->loop)
         , source(InstanceRecord {InstanceId("self"), {}, {}, {}})
         , watcher(this->loop.base(), this->store.address(), this->source, StoreKind::Servers,
-                  platform::kServerKind, {kBatchDelay}, this->events)
+                  platform::kServerKind, {kBatchDelay}, kMaxKeptBytes, this->events)
     {
         this->watcher.start();
     }
--- a/tests/gateway/kind_watcher_test.cpp
+++ b/tests/gateway/kind_watcher_test.cpp
@@ -11,6 +11,8 @@
 namespace foxtailtally {
 namespace {
 
+constexpr std::size_t kMaxKeptBytes = std::size_t {1} << 20;
+
 /** Records what a watcher reports. */
 class RecordedEvents final : public KindEvents
 {
@@ -38,7 +40,7 @@
     KindWatcherTest()
         : source({InstanceId("n1"), FailureDomainId("d0"), "127.0.0.1:1", "127.0.0.1:2", 1.0})
         , watcher(this->loop.base(), this->store.address(), this->source, StoreKind::Servers,
-                  "servers", {absl::Milliseconds(1)}, this->events)
+                  "servers", {absl::Milliseconds(1)}, kMaxKeptBytes, this->events)
     { }
     ~KindWatcherTest() override
     {
@@ -151,7 +153,7 @@
 {
     constexpr std::int64_t kChanges = 25;
     KindWatcher slow(this->loop.base(), this->store.address(), this->source, StoreKind::Servers,
-                     "servers", {absl::Milliseconds(60)}, this->events);
+                     "servers", {absl::Milliseconds(60)}, kMaxKeptBytes, this->events);
     slow.start();
     std::int64_t revision = 9;
     const auto respond = [&](const std::string &line) -> std::string {
--- a/tests/platform/kind_cache_test.cpp
+++ b/tests/platform/kind_cache_test.cpp
@@ -1,6 +1,7 @@
 #include "main/gateway/kind_cache.h"
 
 #include <gtest/gtest.h>
+#include <string>
 
 namespace foxtailtally {
 namespace {
@@ -8,9 +9,12 @@
 using platform::ObjectChange;
 using platform::StoredObject;
 
+constexpr std::size_t kMaxKeptBytes = std::size_t {2} << 20;
+constexpr std::size_t kConfigBytes = 1044000;
+
 TEST(KindCache, ReturnsChangesSinceARevision)
 {
-    KindCache cache;
+    KindCache cache(kMaxKeptBytes);
     EXPECT_FALSE(cache.isKnown());
     cache.replace({{"a", 1, "{}"}}, {0, 10});
     cache.apply({ObjectChange {{"b", 12, "{}"}, false}}, {0, 12});
@@ -26,7 +30,7 @@
 // After a new list the changes in between are unknown: instances that fetch them must list too.
 TEST(KindCache, RequiresANewListForChangesThatAreNotKept)
 {
-    KindCache cache;
+    KindCache cache(kMaxKeptBytes);
     cache.replace({}, {0, 10});
     EXPECT_FALSE(cache.changesSince({0, 9}));
     for (std::int64_t revision = 11; revision < 600; ++revision)
@@ -37,11 +41,53 @@
     EXPECT_FALSE(cache.changesSince({0, 599}));
 }
 
+// 256 versions of a large configuration were kept: every instance exceeded its memory.
+TEST(KindCache, KeepsOneVersionOfALargeObject)
+{
+    KindCache cache(kMaxKeptBytes);
+    cache.replace({}, {0, 10});
+    for (std::int64_t revision = 11; revision <= 310; ++revision) {
+        cache.apply({ObjectChange {{"main", revision, std::string(kConfigBytes, 'x')}, false}},
+                    {0, revision});
+        ASSERT_LE(cache.keptBytes(), kMaxKeptBytes);
+    }
+    // An instance that lags gets the newest version, and need not list again.
+    const auto changes = cache.changesSince({0, 60});
+    ASSERT_TRUE(changes);
+    ASSERT_EQ(changes->changes.size(), 1U);
+    EXPECT_EQ(changes->changes.front().object.revision, 310);
+    EXPECT_EQ(changes->changes.front().object.spec.size(), kConfigBytes);
+    EXPECT_EQ(changes->revision, 310);
+}
+
+// The objects themselves are kept when their changes take more memory than there is.
+TEST(KindCache, RequiresANewListForChangesAboveItsMemory)
+{
+    KindCache cache(kMaxKeptBytes);
+    cache.replace({}, {0, 10});
+    for (std::int64_t revision = 11; revision <= 16; ++revision) {
+        const std::string name = "version-" + std::to_string(revision);
+        cache.apply({ObjectChange {{name, revision, std::string(kConfigBytes, 'x')}, false}},
+                    {0, revision});
+        ASSERT_LE(cache.keptBytes(), kMaxKeptBytes);
+    }
+    EXPECT_FALSE(cache.changesSince({0, 10}));
+    ASSERT_TRUE(cache.changesSince({0, 15}));
+    EXPECT_EQ(cache.changesSince({0, 15})->changes.size(), 1U);
+    EXPECT_EQ(cache.page().objects.size(), 6U);
+    KindCache small(kConfigBytes / 2);
+    small.replace({}, {0, 10});
+    small.apply({ObjectChange {{"main", 11, std::string(kConfigBytes, 'x')}, false}}, {0, 11});
+    EXPECT_FALSE(small.changesSince({0, 10}));
+    ASSERT_TRUE(small.changesSince({0, 11}));
+    EXPECT_EQ(small.page().objects.size(), 1U);
+}
+
 // Guards against instances that have listed the store themselves, and so are ahead of the cache,
 // being sent back to the list again and again. In a load run this cost thousands of calls.
 TEST(KindCache, ReturnsNoChangesToAnInstanceThatIsAhead)
 {
-    KindCache cache;
+    KindCache cache(kMaxKeptBytes);
     cache.replace({}, {0, 10});
     ASSERT_TRUE(cache.changesSince({0, 11}));
     EXPECT_TRUE(cache.changesSince({0, 11})->changes.empty());
@@ -56,7 +102,7 @@
 // it lacked, and sent others changes of a history that no longer exists.
 TEST(KindCache, ReplacesAnEarlierEra)
 {
-    KindCache cache;
+    KindCache cache(kMaxKeptBytes);
     cache.replace({{"a", 90, "{}"}}, {1, 90});
     cache.apply({ObjectChange {{"b", 91, "{}"}, false}}, {1, 91});
     cache.replace({{"c", 40, "{}"}}, {2, 40});
@@ -73,7 +119,7 @@
 
 TEST(KindCache, ItsAgeIsThatOfTheNewestConfirmation)
 {
-    KindCache cache;
+    KindCache cache(kMaxKeptBytes);
     const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
     cache.confirm(now - absl::Seconds(2));
     cache.confirm(now - absl::Seconds(5));
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -3,6 +3,7 @@
 #include <absl/time/clock.h>
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -61,4 +62,16 @@
     return true;
 }
 
+std::int64_t ChildProcess::peakMemoryBytes() const
+{
+    constexpr std::int64_t kBytesPerKilobyte = 1024;
+    std::ifstream file("/proc/" + std::to_string(this->pid) + "/status");
+    for (std::string word; file >> word;) {
+        std::int64_t kilobytes = 0;
+        if (word == "VmHWM:" && file >> kilobytes)
+            return kilobytes * kBytesPerKilobyte;
+    }
+    return 0;
+}
+
 } // namespace foxtailtally
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <absl/time/time.h>
+#include <cstdint>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -23,6 +24,8 @@
     bool waitForEnd(absl::Duration limit);
     /** Exit code of a program that has ended, or the negated number of the signal that ended it. */
     int exitCode() const { return this->code; }
+    /** Largest resident memory of the program so far, in bytes; 0 if it cannot be read. */
+    std::int64_t peakMemoryBytes() const;
 
 private:
     pid_t pid = -1;
