Begin a stream's answer with its first event

Callers of a server that sent comments without end got the head of a stream that never ended: a comment began the answer, so that the call could neither be sent to another server nor be refused any more.

Cause: CallRun::relayEvents() started the caller's stream for any bytes that the relay passed on.

The answer now begins with the first event that is forwarded. What comes before it is kept up to 4 KiB and forwarded with that event; comments after it are forwarded as before.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -49,6 +49,9 @@
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(250);
 constexpr absl::Duration kRetryAfterJitter = absl::Milliseconds(750);
 
+/** Comments and blank lines before the first event of a stream that are forwarded with it. */
+constexpr std::size_t kMaxPreambleBytes = std::size_t {4} << 10;
+
 constexpr int kStatusOk = 200;
 
 void countPromptList(GatewayContext &context, const platform::PromptParts &prompt)
@@ -561,11 +564,14 @@
         }
         this->onStreamEvent(attempt, now);
     }
-    if (!this->hasAnswerBegun) {
-        this->hasAnswerBegun = true;
-        this->caller->startStream(attempt.reply.status,
-                                  platform::callerHeaders(attempt.reply.headers));
+    // Comments are no answer: the call may still be sent elsewhere or refused.
+    if (!this->hasAnswerBegun && !this->relay.hasForwardedEvent()) {
+        if (attempt.preamble.size() + events->size() <= kMaxPreambleBytes)
+            attempt.preamble += *events;
+        return;
     }
+    if (!this->hasAnswerBegun)
+        this->beginStream(attempt);
     this->caller->sendChunk(*events);
     if (this->caller->isCongested()) {
         this->isReadingPaused = true;
@@ -582,6 +588,13 @@
     this->endOtherAttempts(call);
 }
 
+void CallRun::beginStream(const Attempt &attempt)
+{
+    this->hasAnswerBegun = true;
+    this->caller->startStream(attempt.reply.status, platform::callerHeaders(attempt.reply.headers));
+    this->caller->sendChunk(attempt.preamble);
+}
+
 void CallRun::endOtherAttempts(const ServerCall &winner)
 {
     std::vector<ServerCall *> others;
@@ -648,8 +661,7 @@
                 std::min(finished->firstEventSince, this->context.inputSince(now)), now);
         }
         if (!this->hasAnswerBegun)
-            this->caller->startStream(finished->reply.status,
-                                      platform::callerHeaders(finished->reply.headers));
+            this->beginStream(*finished);
         this->caller->finishStream();
         this->finish("served", finished->reply.status);
         return;
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -70,6 +70,8 @@
         EventRelay::Run run;
         ResponseHead reply;
         std::string body;
+        /** What a stream has sent before the first event of the answer. */
+        std::string preamble;
         /** The response is a stream whose events are forwarded as they arrive. */
         bool isRelaying = false;
         absl::Time firstEventAt = absl::InfiniteFuture();
@@ -126,6 +128,8 @@
 
     void relayEvents(Attempt &attempt, std::string_view data, absl::Time now);
     void onStreamEvent(Attempt &attempt, absl::Time now);
+    /** Starts the answer to the caller with the head of the stream of @p attempt. */
+    void beginStream(const Attempt &attempt);
     /** Ends all attempts but the one of @p winner, which has delivered the next event. */
     void endOtherAttempts(const ServerCall &winner);
     void forwardStoredReply();
--- a/servers/retry/event_relay.h
+++ b/servers/retry/event_relay.h
@@ -57,6 +57,10 @@
      * event do not count as progress, however many arrive. */
     bool hasAdvanced() const { return this->advanced; }
 
+    /** An event has been forwarded; comments, blank lines and other fields without data are none.
+     */
+    bool hasForwardedEvent() const { return this->progress.hasForwarded; }
+
     /**
      * Whether the stream is complete when the response of @p run ends here. @p isFramed: the
      * response has ended by its length or last chunk, so that it may be complete without an event.
--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -434,6 +434,54 @@
     EXPECT_EQ(this->deathsOfPart(), 1U);
 }
 
+// Guards against a caller whose stream begins with comments and never ends: nothing of the answer
+// had arrived, but the call could no longer be refused.
+TEST_F(CallRunTest, BeginsNoAnswerWithComments)
+{
+    this->call("/resume/a", 100);
+    for (int run = 0; run < 2; ++run) {
+        const std::size_t server = this->waitForRequest();
+        this->servers[server].send(std::string(kStreamHead) + ": ping\n\n\n: ping\n\n");
+        this->loop.runEvents();
+        this->received += readAvailable(this->callerSocket());
+        EXPECT_EQ(this->received, "");
+        this->servers[server].closeConnections();
+    }
+    EXPECT_TRUE(this->isAnswered("502"));
+    EXPECT_EQ(this->received.find("200 OK"), std::string::npos);
+}
+
+// Guards against a stream that loses its first event, or later comments, behind comments.
+TEST_F(CallRunTest, BeginsTheAnswerWithTheFirstEventBehindComments)
+{
+    this->call("/stream/a", 100);
+    ScriptedServer &server = this->servers[this->waitForRequest()];
+    server.send(std::string(kStreamHead) + ": ping\n\n");
+    this->loop.runEvents();
+    server.send("id: 1\ndata: x\n\n");
+    EXPECT_TRUE(this->isAnswered("id: 1\ndata: x\n\n"));
+    EXPECT_NE(this->received.find("200 OK"), std::string::npos);
+    server.send(": late\n\n");
+    EXPECT_TRUE(this->isAnswered(": late"));
+}
+
+// Guards against a call that waits for a server that sends comments without end.
+TEST_F(CallRunTest, EndsAnAttemptThatSendsCommentsWithoutEnd)
+{
+    this->call("/stream/a", 100);
+    ScriptedServer &server = this->servers[this->waitForRequest()];
+    server.send(kStreamHead);
+    std::string comments;
+    for (int i = 0; i < 1000; ++i)
+        comments += ": ping\n\n";
+    EXPECT_TRUE(this->loop.runUntil([&] {
+        server.send(comments);
+        this->received += readAvailable(this->callerSocket());
+        return !this->received.empty();
+    }));
+    EXPECT_TRUE(this->received.starts_with("HTTP/1.1 502")) << this->received.substr(0, 200);
+}
+
 // Guards against taking a failure that a server reports without a length for its crash.
 TEST_F(CallRunTest, TakesNoFailureWithoutLengthForACrash)
 {
--- a/tests/retry/event_relay_test.cpp
+++ b/tests/retry/event_relay_test.cpp
@@ -19,6 +19,7 @@
     void beginRun() { this->run = this->relay.beginRun(false); }
     Result<std::string> feed(std::string_view data) { return this->relay.feed(this->run, data); }
     bool hasAdvanced() const { return this->relay.hasAdvanced(); }
+    bool hasForwardedEvent() const { return this->relay.hasForwardedEvent(); }
     bool isBetweenEvents() const { return this->run.isBetweenEvents(); }
     bool isComplete(bool isFramed) const { return this->relay.isComplete(this->run, isFramed); }
     std::string lastEventId() const { return this->relay.lastEventId(); }
@@ -153,6 +154,24 @@
               event(2) + ": ping\n\n");
 }
 
+// Guards against comments without end, which are no answer and kept their call open.
+TEST(EventRelay, ForwardsNoEventWithComments)
+{
+    SequentialRelay relay("7");
+    const std::string comment = ": ping\n\n";
+    EXPECT_EQ(relay.feed("\n" + comment).value(), "\n" + comment);
+    EXPECT_FALSE(relay.hasForwardedEvent());
+    std::size_t sent = 0;
+    while (sent <= std::size_t {256} << 10 && relay.feed(comment).ok())
+        sent += comment.size();
+    EXPECT_LE(sent, std::size_t {256} << 10);
+    for (const char *first : {"id: 8\ndata: x\n\n", "data: x\n\n"}) {
+        SequentialRelay other("7");
+        EXPECT_TRUE(other.feed(comment + first).ok());
+        EXPECT_TRUE(other.hasForwardedEvent());
+    }
+}
+
 // Guards against a run that ends early and is taken for the rest of the stream.
 TEST(EventRelay, IsCompleteOnlyAtTheEndOfARunThatContinuesTheStream)
 {
