Complete a request once when the next one arrives early

What callers saw: a caller that sent its next request on a kept connection while the response to the current one was still due had the current call started a second time. An action could reach a second server, or the same one twice.

Cause: InboundConnection::parseInput() runs whenever input arrives. In the state Answering it reported the current request as complete again, and CallerSession::onRequestComplete() starts the call each time. A pipelined request that arrived in one piece with the first one did not show it, which is the only case that the tests had.

Change: the connection reports each request as complete once.

Result: CompletesARequestOnceWhenTheNextOneArrivesDuringItsResponse failed before (2 completions, 1 expected) and passes now; the other 27 tests of InboundConnectionTest and those of CallRun pass.

--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -352,8 +352,11 @@
             return;
         }
     }
-    if (this->state == State::Answering)
-        this->events.onRequestComplete(*this);
+    // Input behind the request also arrives while it is being answered.
+    if (this->state != State::Answering || this->isRequestComplete)
+        return;
+    this->isRequestComplete = true;
+    this->events.onRequestComplete(*this);
 }
 
 void InboundConnection::onDrained()
@@ -416,6 +419,7 @@
     this->rejectStatus = 0;
     this->requestLimits = this->limits;
     this->isBodyDiscarded = false;
+    this->isRequestComplete = false;
     this->keepsAlive = true;
     this->hasAnnouncedClose = false;
 }
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -142,6 +142,8 @@
     std::size_t headBytes = 0;
     int rejectStatus = 0;
     bool isBodyDiscarded = false;
+    /** InboundEvents::onRequestComplete() was called for the current request. */
+    bool isRequestComplete = false;
     bool keepsAlive = true;
     bool isClosing = false;
     /** The head of the current response says that the connection closes. */
--- a/tests/http/inbound_connection_test.cpp
+++ b/tests/http/inbound_connection_test.cpp
@@ -81,6 +81,18 @@
     std::unique_ptr<InboundConnection> connection;
 };
 
+// Guards against a call that is run twice because its caller sends the next request early.
+TEST_F(InboundConnectionTest, CompletesARequestOnceWhenTheNextOneArrivesDuringItsResponse)
+{
+    this->events.answersAtOnce = false;
+    writeAll(this->caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->events.requests > 0; }));
+    writeAll(this->caller, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    this->loop.runEvents();
+    EXPECT_EQ(this->events.requests, 1);
+    EXPECT_EQ(this->events.path, "/a");
+}
+
 TEST_F(InboundConnectionTest, ServesPipelinedRequestsOneAfterTheOther)
 {
     writeAll(this->caller,
