Keep servers that are known only by their speed or latency

What callers saw: after a minute without outcomes, or from the first tick on for a server of which only a slowdown or a response time had been recorded, placement treated a slow server as one at the planned speed.

Cause: ServerHealth::onSlowdown() and onLatency() did not renew the entry, so the next tick removed it. Both now take the present time and renew it.

Ruled out: engines with running streams were not affected, since each event of a stream records an outcome as well.

ServerHealth.KeepsAServerKnownBySpeedOrLatencyOnlyForAMinute failed before (slowdown 1 instead of more than 2.5, latency 0 instead of 150 ms) and passes now; the 26 tests of ServerHealth, ServicePlacement and CallRun pass.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -617,7 +617,7 @@
         const Service *engine = this->call.config->findService(this->service);
         if (engine)
             recordEventGap(this->context, call.target().key, engine->engine,
-                           this->call.headers.promptTokens, gap);
+                           this->call.headers.promptTokens, gap, now);
     }
     this->lastEventAt = now;
     const absl::Duration overdue = this->call.route->eventGapObjective * 2 + kStreamProgressSlack;
@@ -670,7 +670,7 @@
         return;
     }
     this->context.health.onOutcome(server, ServerHealth::Outcome::Answered, now);
-    this->context.health.onLatency(server, latency);
+    this->context.health.onLatency(server, latency, now);
     if (this->reply.status < 400) {
         this->suspicion->onServed(now);
         this->suspicion->onSurvived(this->context.inputSince(now), now);
--- a/main/gateway/server_evidence.cpp
+++ b/main/gateway/server_evidence.cpp
@@ -134,7 +134,7 @@
 }
 
 void recordEventGap(GatewayContext &context, ServerKey server, const EngineTiming &engine,
-                    std::int64_t promptTokens, absl::Duration gap)
+                    std::int64_t promptTokens, absl::Duration gap, absl::Time now)
 {
     ServerActivity &activity = context.activity[server];
     const double gapMs = absl::ToDoubleMilliseconds(gap);
@@ -145,7 +145,7 @@
     activity.eventGaps = 0;
     // The shortest of several gaps is a decode pass without prefills of other prompts.
     const double planned = decodePassMs(engine, 1, promptTokens);
-    context.health.onSlowdown(server, activity.shortestEventGapMs / planned);
+    context.health.onSlowdown(server, activity.shortestEventGapMs / planned, now);
 }
 
 double maxExpectedSilenceMs(const GatewayContext &context, const EngineTiming &engine,
--- a/main/gateway/server_evidence.h
+++ b/main/gateway/server_evidence.h
@@ -34,7 +34,7 @@
 
 /** Estimates the slowdown of an engine from the gaps between the events of its streams. */
 void recordEventGap(GatewayContext &context, ServerKey server, const EngineTiming &engine,
-                    std::int64_t promptTokens, absl::Duration gap);
+                    std::int64_t promptTokens, absl::Duration gap, absl::Time now);
 
 /** Longest time in milliseconds for which an engine with the known load is silent: one decode pass
  * and the prefills that are placed on it. */
--- a/servers/placement/server_health.cpp
+++ b/servers/placement/server_health.cpp
@@ -46,16 +46,18 @@
     state.suspectUntil = now + std::min(kMaxSuspicion, kFirstSuspicion * (1 << doublings));
 }
 
-void ServerHealth::onSlowdown(ServerKey server, double ratio)
+void ServerHealth::onSlowdown(ServerKey server, double ratio, absl::Time now)
 {
     State &state = this->servers[server];
+    state.updatedAt = now;
     const double bounded = std::clamp(ratio, kMinSlowdown, kMaxSlowdown);
     state.slowdown += kSampleWeight * (bounded - state.slowdown);
 }
 
-void ServerHealth::onLatency(ServerKey server, absl::Duration latency)
+void ServerHealth::onLatency(ServerKey server, absl::Duration latency, absl::Time now)
 {
     State &state = this->servers[server];
+    state.updatedAt = now;
     if (state.latency == absl::ZeroDuration())
         state.latency = latency;
     else
--- a/servers/placement/server_health.h
+++ b/servers/placement/server_health.h
@@ -27,8 +27,8 @@
 
     void onOutcome(ServerKey server, Outcome outcome, absl::Time now);
     /** The server took @p ratio times the planned time for a piece of work. */
-    void onSlowdown(ServerKey server, double ratio);
-    void onLatency(ServerKey server, absl::Duration latency);
+    void onSlowdown(ServerKey server, double ratio, absl::Time now);
+    void onLatency(ServerKey server, absl::Duration latency, absl::Time now);
     /** Another instance suspects the server and will do so for another @p left. */
     void onPeerSuspicion(ServerKey server, absl::Duration left, absl::Time now);
 
@@ -41,7 +41,7 @@
     double slowdown(ServerKey server) const;
     /** Moving average of the response time; zero before the first response. */
     absl::Duration latency(ServerKey server) const;
-    /** Removes servers without an outcome or peer suspicion in the last minute. */
+    /** Removes servers of which nothing was observed or heard in the last minute. */
     void onTick(absl::Time now);
 
 private:
--- a/tests/placement/server_evidence_test.cpp
+++ b/tests/placement/server_evidence_test.cpp
@@ -38,6 +38,22 @@
     EXPECT_TRUE(health.isSuspect(1, kNow));
 }
 
+// Regression: a server of which only the speed or the response time was known was forgotten at the
+// next tick.
+TEST(ServerHealth, KeepsAServerKnownBySpeedOrLatencyOnlyForAMinute)
+{
+    ServerHealth health;
+    for (int i = 0; i < 20; ++i)
+        health.onSlowdown(1, 3.0, kNow);
+    health.onLatency(2, absl::Milliseconds(150), kNow);
+    health.onTick(kNow + absl::Seconds(59));
+    EXPECT_GT(health.slowdown(1), 2.5);
+    EXPECT_EQ(health.latency(2), absl::Milliseconds(150));
+    health.onTick(kNow + absl::Seconds(61));
+    EXPECT_EQ(health.slowdown(1), 1.0);
+    EXPECT_EQ(health.latency(2), absl::ZeroDuration());
+}
+
 // Regression: when a failure domain became unreachable, each call ran into a time-out of its own.
 TEST(Reachability, MarksADomainUnreachableAfterTwoServers)
 {
@@ -165,8 +181,8 @@
 TEST(ServicePlacement, AvoidsASlowServer)
 {
     ServerHealth health;
-    health.onLatency(1, absl::Milliseconds(150));
-    health.onLatency(2, absl::Milliseconds(20));
+    health.onLatency(1, absl::Milliseconds(150), kNow);
+    health.onLatency(2, absl::Milliseconds(20), kNow);
     const std::vector<ServiceCandidate> two = {candidate(1, true), candidate(2, false)};
     EXPECT_EQ(chooseServiceServer(two, health, kNow), 1U);
 }
