Ignore SIGHUP before the gateway reads its settings

Callers whose connections the instance would have taken found none: SIGHUP ended a gateway that was still reading its settings.

Cause: SIGHUP was ignored from Gateway::start() on only.

Ruled out: ignoring it in main(). Tools in a terminal end when it hangs up.

Change: the gateway command ignores SIGHUP first of all.

--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -59,8 +59,6 @@
 {
     const GatewaySettings &settings = this->context.settings;
     std::signal(SIGPIPE, SIG_IGN);
-    // Settings are read at start only; a new file takes effect at the next start.
-    std::signal(SIGHUP, SIG_IGN);
     this->termination = evsignal_new(
         this->base, SIGTERM,
         [](evutil_socket_t, short, void *object) {
--- a/main/lib/command_line.cpp
+++ b/main/lib/command_line.cpp
@@ -57,6 +57,8 @@
 
 int serveGateway(const std::string &file)
 {
+    // Settings are read at start only; a new file takes effect at the next start.
+    std::signal(SIGHUP, SIG_IGN);
     const Result<Settings> settings = readSettings(file, gatewaySettingsSchema());
     if (!settings.ok())
         return kExitSettings;
