List after a watch whose response cannot be taken for its size

Cause: a response above 4 MB, or one that broke off or stalled, was asked for again from the same revision, and could only grow, until the store had dropped its history. Ruled out: the delays after failures of the store, which are at most a second. Change: after a response with changes that is too long, breaks off or stalls, the objects are listed; the list has the newest versions only. A long response is no failure of the store. Processor time at a change every 80 ms was not measured.

--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -40,6 +40,7 @@
 /** Delay after a response of an earlier era; the same source may send it again. */
 constexpr absl::Duration kOutdatedResponseDelay = absl::Milliseconds(100);
 
+constexpr int kStatusOk = 200;
 constexpr int kStatusGone = 410;
 
 } // namespace
@@ -210,13 +211,33 @@
 void KindWatcher::onResponseBody(OutboundConnection &, std::string_view data)
 {
     if (this->body.size() + data.size() > kMaxBodyBytes) {
-        this->onFailure("answer too long", false);
+        if (this->hasBegunChanges())
+            this->onLongAnswer();
+        else
+            this->onFailure("answer too long", false);
         return;
     }
     this->body.append(data);
     this->restartAnswerTimeout();
 }
 
+void KindWatcher::onLongAnswer()
+{
+    logEvent(LogLevel::Info, "store_answer_long",
+             {{"kind", this->kindName},
+              {"source", this->sourceAddress},
+              {"revision", this->position.revision}});
+    this->mustList = true;
+    this->connection->cancel();
+    this->becomeIdleFor(absl::ZeroDuration());
+}
+
+bool KindWatcher::hasBegunChanges() const
+{
+    return this->status == kStatusOk
+        && (this->phase == Phase::Watching || this->phase == Phase::Fetching);
+}
+
 void KindWatcher::restartAnswerTimeout()
 {
     // A large configuration takes long over a slow link that all followers share.
@@ -228,7 +249,7 @@
     const absl::Time now = Clock::now();
     if (this->relayFreshness.isUnsettled)
         this->storeFailedAt = now;
-    if (this->status != 200 && this->status != kStatusGone) {
+    if (this->status != kStatusOk && this->status != kStatusGone) {
         this->onFailure(absl::StrCat("status ", this->status), false);
         return;
     }
@@ -414,7 +435,7 @@
 
 void KindWatcher::onCallFailed(OutboundConnection &, std::error_code error)
 {
-    this->onFailure(errorName(error), false);
+    this->onFailure(errorName(error), this->hasBegunChanges());
 }
 
 void KindWatcher::onIdleClosed(OutboundConnection &)
@@ -446,8 +467,7 @@
         this->startNextCall();
         return;
     }
-    this->status = 0;
-    this->onFailure("no answer", false);
+    this->onFailure("no answer", this->hasBegunChanges());
 }
 
 } // namespace foxtailtally
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -111,6 +111,11 @@
     void onHistoryGone(absl::Time now);
     void onPage(absl::Time now);
     void onChanges(absl::Time now);
+    /** A response to a watch has become longer than can be kept: the same watch would get a longer
+     * one, a list has the newest versions only. */
+    void onLongAnswer();
+    /** A response with changes has begun. If it fails, the same request may fail for its size. */
+    bool hasBegunChanges() const;
     void onFailure(std::string_view cause, bool mustList);
     void restartAnswerTimeout();
     /** Gives up a call to the store that is overdue when another instance is ahead. */
--- a/tests/gateway/kind_watcher_test.cpp
+++ b/tests/gateway/kind_watcher_test.cpp
@@ -1,12 +1,15 @@
 #include "main/gateway/kind_watcher.h"
 
+#include "core/clock.h"
 #include "tests/http/raw_peer.h"
 #include "tests/http/test_loop.h"
 
 #include <absl/strings/str_cat.h>
 #include <functional>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace foxtailtally {
 namespace {
@@ -147,6 +150,80 @@
     EXPECT_EQ(this->watcher.cache().position().revision, 16);
 }
 
+// A watch whose response was too long was sent again from the same revision; its response could
+// only grow, so the instance acted by an old version until the store had dropped its history.
+TEST_F(KindWatcherTest, ListsAfterAResponseThatIsTooLong)
+{
+    constexpr std::size_t kAnswerBytes = std::size_t {6} << 20;
+    const std::string piece(std::size_t {64} << 10, ' ');
+    std::size_t sent = 0;
+    int slowSocket = -1;
+    this->watcher.start();
+    const auto respond = [&](const std::string &line) -> std::string {
+        if (line.find("Watch=") == std::string::npos)
+            return R"({"Entries":[],"StoreRevision":9})";
+        if (slowSocket >= 0)
+            return {};
+        slowSocket = this->sockets.back();
+        writeAll(slowSocket,
+                 absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", kAnswerBytes, "\r\n\r\n"));
+        return {};
+    };
+    ASSERT_TRUE(this->runUntil(respond, [&] {
+        if (slowSocket >= 0 && sent < kAnswerBytes && this->requestLines.size() == 2) {
+            writeAll(slowSocket, piece);
+            sent += piece.size();
+        }
+        return this->requestLines.size() >= 3;
+    }));
+    EXPECT_EQ(this->requestLines.at(2).find("Watch="), std::string::npos)
+        << this->requestLines.at(2);
+    // The store has answered, so that servers that it removes have not expired in an outage.
+    EXPECT_TRUE(this->watcher.isSettled(Clock::now()));
+}
+
+// The same for a response that the store, or the link, broke off.
+TEST_F(KindWatcherTest, ListsAfterAResponseThatBreaksOff)
+{
+    bool hasBroken = false;
+    this->watcher.start();
+    const auto respond = [&](const std::string &line) -> std::string {
+        if (line.find("Watch=") == std::string::npos)
+            return R"({"Entries":[],"StoreRevision":9})";
+        if (std::exchange(hasBroken, true))
+            return {};
+        writeAll(this->sockets.back(), "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n{");
+        ::shutdown(this->sockets.back(), SHUT_RDWR);
+        return {};
+    };
+    ASSERT_TRUE(this->runUntil(respond, [this] { return this->requestLines.size() >= 3; }));
+    EXPECT_EQ(this->requestLines.at(2).find("Watch="), std::string::npos)
+        << this->requestLines.at(2);
+}
+
+// Earlier versions of a large configuration were parsed too, which took longer than the next
+// changes.
+TEST(StoreChanges, DecodesTheLastOfSeveralConfigurations)
+{
+    platform::ObjectChanges changes;
+    for (std::int64_t revision = 5; revision <= 8; ++revision)
+        changes.changes.push_back({{"main", revision, "{}"}, false});
+    changes.changes.push_back({{"other", 9, "{}"}, true});
+    changes.revision = 9;
+    const std::string body = platform::encodeChanges(changes);
+    const auto configs = platform::decodeChanges(body, platform::kConfigKind);
+    ASSERT_TRUE(configs.ok());
+    ASSERT_EQ(configs->changes.size(), 2U);
+    EXPECT_EQ(configs->changes.at(0).object.revision, 8);
+    EXPECT_EQ(configs->changes.at(1).object.name, "other");
+    EXPECT_TRUE(configs->changes.at(1).isDeleted);
+    EXPECT_EQ(configs->revision, 9);
+    // The steps of a server count: one that drained before it was removed stays so.
+    const auto servers = platform::decodeChanges(body, platform::kServerKind);
+    ASSERT_TRUE(servers.ok());
+    EXPECT_EQ(servers->changes.size(), 5U);
+}
+
 // A timer that was early by a millisecond was not started again: the watch stood still until
 // another instance sent something.
 TEST_F(KindWatcherTest, GoesOnAfterAnEarlyTimer)
