--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -1,8 +1,10 @@
 #include "tests/process/child_process.h"
 
+#include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
@@ -44,6 +46,18 @@
         ::kill(this->pid, number);
 }
 
+std::int64_t ChildProcess::peakMemory() const
+{
+    std::ifstream status(absl::StrCat("/proc/", this->pid, "/status"));
+    std::string name;
+    std::int64_t kibibytes = 0;
+    while (status >> name) {
+        if (name == "VmHWM:" && status >> kibibytes)
+            return kibibytes * 1024;
+    }
+    return -1;
+}
+
 bool ChildProcess::waitForEnd(absl::Duration limit)
 {
     const absl::Time end = absl::Now() + limit;
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <absl/time/time.h>
+#include <cstdint>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -21,6 +22,8 @@
     void signal(int number) const;
     /** Waits until the program ends; false when it still runs after @p limit. */
     bool waitForEnd(absl::Duration limit);
+    /** Largest resident memory of the program since its start, in bytes; negative if unknown. */
+    std::int64_t peakMemory() const;
     /** Exit code of a program that has ended, or the negated number of the signal that ended it. */
     int exitCode() const { return this->code; }
 
