Bound the memory that request bodies take

Cause: nothing bounded the bytes of requests that an instance holds, and each was held up to four times: the body, grown by doubling, the encoded request, the request that the connection keeps with its capacity, and the output buffer.

Change: a body is kept once. It is moved out of the caller's connection, shared by all attempts, and referenced by the output buffer; head and body are encoded apart. BodyAdmission (servers/memory, no I/O) decides when a body may be read: each takes its length from the share RequestBodies first and gives it back when no attempt or output buffer holds it any longer. A body that does not fit waits, with reading paused, for at most half of the time left, in the order in which the bodies would be refused; then it gets 503 "not run" with Retry-After. A body that can never fit is refused with 413, and so is with 503 one that finds 256 waiting. Large bodies (above 64 KB) leave a quarter of the share to small ones. A body without a length asks for more in steps. No memory is reserved for more than 64 KB that have not begun to arrive. A connection whose request was refused reads and drops on while the caller goes on sending, so that the response is not lost to a reset.

The cost for small requests was not measured.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -51,6 +51,13 @@
 
 constexpr int kStatusOk = 200;
 
+/** A request body with the memory that it takes. */
+struct HeldBody
+{
+    std::string text;
+    std::unique_ptr<BodyClaim> claim;
+};
+
 void countPromptList(GatewayContext &context, const platform::PromptParts &prompt)
 {
     const auto count = [&context](std::string_view fault) {
@@ -80,9 +87,12 @@
     this->context.bufferedReplyBytes -= this->bufferedBytes;
 }
 
-void CallRun::start(absl::Time now)
+void CallRun::start(std::unique_ptr<BodyClaim> claim, absl::Time now)
 {
     this->hasStarted = true;
+    const auto held =
+        std::make_shared<HeldBody>(HeldBody {this->caller->takeBody(), std::move(claim)});
+    this->body = std::shared_ptr<const std::string>(held, &held->text);
     // The body may have taken until late in a stop.
     if (!this->context.stop.mayTakeRequests(now)) {
         this->refuseForStop();
@@ -90,8 +100,7 @@
     }
     this->suspicion.emplace(this->context, this->call.headers.callId,
                             CallContent {this->call.customer, this->caller->head().path,
-                                         this->caller->body(),
-                                         this->call.headers.prompt.sharedParts});
+                                         *this->body, this->call.headers.prompt.sharedParts});
     this->service = std::string(targetService(*this->call.route, this->call.headers.callId));
     this->context.retries.onCall(this->service, now);
     countPromptList(this->context, this->call.headers.prompt);
@@ -103,6 +112,12 @@
         this->refuse("no_server", now);
 }
 
+void CallRun::refuseBody(int status, std::string_view cause)
+{
+    if (!this->done)
+        this->sendLocalReply(status, cause, true);
+}
+
 void CallRun::advanceDeadline(absl::Time time, absl::Time now)
 {
     if (this->done || time >= this->call.answerBy)
@@ -505,9 +520,9 @@
     attempt.usedRetryGrant = std::exchange(this->hasRetryGrant, false);
     attempt.call = std::make_unique<ServerCall>(this->context, std::move(target), events);
     const RequestHead &head = this->caller->head();
-    attempt.call->send(platform::encodeForwardedCall(head, this->caller->body(), forwarded),
-                       head.method == "HEAD", this->call.headers.callId,
-                       !this->call.route->isRepeatable(), now);
+    attempt.call->send(
+        {platform::encodeForwardedCall(head, this->body->size(), forwarded), this->body},
+        head.method == "HEAD", this->call.headers.callId, !this->call.route->isRepeatable(), now);
 }
 
 void CallRun::onReply(ServerCall &call, const ResponseHead &head,
@@ -835,6 +850,7 @@
     this->cancelAttempts(now);
     this->dropPlacement();
     this->dropTokens(now);
+    this->body.reset();
     const bool hadEvent = this->firstEventAt != absl::InfinitePast();
     this->context.metrics.counter("foxtailtally_calls_total", {{"outcome", outcome}}).add();
     this->context.metrics.distribution("foxtailtally_call_seconds", {{"outcome", outcome}})
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -50,8 +50,11 @@
     CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call);
     ~CallRun() override;
 
-    /** The request is complete. */
-    void start(absl::Time now);
+    /** The request is complete. @p claim: memory of its body; null if it has none. */
+    void start(std::unique_ptr<BodyClaim> claim, absl::Time now);
+    /** Responds with @p status that there is no memory for the body; the call has not run. */
+    void refuseBody(int status, std::string_view cause);
+    absl::Time answerBy() const { return this->call.answerBy; }
     /** The response is due at @p time if it was due later. */
     void advanceDeadline(absl::Time time, absl::Time now);
     /** The caller has disconnected; nothing more is sent to it. */
@@ -174,6 +177,8 @@
     GatewayContext &context;
     InboundConnection *caller;
     AdmittedCall call;
+    /** Holds the memory of its claim until no attempt needs it any longer. */
+    std::shared_ptr<const std::string> body;
     /** Set when the request is complete. */
     std::optional<CallSuspicion> suspicion;
     LoopTimer deadlineTimer;
--- a/main/gateway/caller_session.cpp
+++ b/main/gateway/caller_session.cpp
@@ -18,6 +18,13 @@
 constexpr absl::Duration kUnavailableRetryAfter = absl::Milliseconds(200);
 
 constexpr int kStatusUnavailable = 503;
+constexpr int kStatusTooLarge = 413;
+
+/** Part of the time left until the response is due that a body may wait for memory. */
+constexpr double kBodyWaitShare = 0.5;
+
+/** Factor by which the memory of a body grows whose length is not known in advance. */
+constexpr std::size_t kBodyGrowth = 4;
 
 InboundLimits inboundLimits(const ServingConfig *config)
 {
@@ -36,6 +43,11 @@
 CallerSession::CallerSession(GatewayContext &context, int socket, SessionOwner &owner)
     : context(context)
     , owner(owner)
+    , refusalTimer(context.base,
+                   [this] {
+                       this->run->refuseBody(this->bodyRejection->status,
+                                             this->bodyRejection->cause);
+                   })
     , connection(context.base, socket, *this, inboundLimits(context.config.get()))
 { }
 
@@ -65,6 +77,52 @@
         return;
     }
     this->run = std::make_unique<CallRun>(this->context, connection, std::move(call));
+    const std::size_t expected =
+        connection.announcedBody().value_or(static_cast<std::size_t>(kSmallBodyBytes));
+    if (expected == 0)
+        return;
+    this->bodyClaim = std::make_unique<BodyClaim>(this->context.bodies.admission());
+    this->claimBody(expected);
+}
+
+void CallerSession::claimBody(std::size_t bytes)
+{
+    using Verdict = BodyAdmission::Verdict;
+    const absl::Time now = Clock::now();
+    const absl::Time waitUntil = now + (this->run->answerBy() - now) * kBodyWaitShare;
+    this->claimedBytes = bytes;
+    // What arrives of a body with a known length cannot exceed it.
+    if (!this->connection.announcedBody())
+        this->connection.allowBody(bytes);
+    const Verdict verdict = this->context.bodies.request(
+        *this->bodyClaim, static_cast<std::int64_t>(bytes), *this, waitUntil);
+    if (verdict == Verdict::Admitted)
+        return;
+    this->connection.pauseBody();
+    if (verdict == Verdict::Waiting)
+        return;
+    // The connection may be parsing input, so the response is sent from the loop.
+    this->bodyRejection = verdict == Verdict::TooLarge
+        ? Rejection {kStatusTooLarge, "body_exceeds_memory"}
+        : Rejection {kStatusUnavailable, "body_memory"};
+    this->refusalTimer.start(absl::ZeroDuration());
+}
+
+void CallerSession::onBodyAllowanceReached(InboundConnection &connection)
+{
+    if (this->bodyClaim && this->run && !this->run->isDone())
+        this->claimBody(std::min(connection.maxBody(), this->claimedBytes * kBodyGrowth));
+}
+
+void CallerSession::onBodyAdmitted()
+{
+    this->connection.resumeBody();
+}
+
+void CallerSession::onBodyRefused()
+{
+    this->bodyClaim.reset();
+    this->run->refuseBody(kStatusUnavailable, "body_memory");
 }
 
 std::optional<CallerSession::Rejection>
@@ -106,7 +164,10 @@
         this->refuse(*this->rejection);
         return;
     }
-    this->run->start(Clock::now());
+    if (this->bodyClaim)
+        this->context.bodies.admission().shrink(
+            *this->bodyClaim, static_cast<std::int64_t>(this->connection.body().size()));
+    this->run->start(std::move(this->bodyClaim), Clock::now());
 }
 
 void CallerSession::refuse(const Rejection &rejection)
@@ -167,6 +228,8 @@
 
 void CallerSession::retireRun()
 {
+    this->refusalTimer.stop();
+    this->bodyClaim.reset();
     if (this->run)
         this->context.retired.push_back(std::move(this->run));
 }
--- a/main/gateway/caller_session.h
+++ b/main/gateway/caller_session.h
@@ -3,6 +3,8 @@
 #include "main/gateway/call_run.h"
 #include "main/gateway/gateway_context.h"
 #include "peers/http/inbound_connection.h"
+#include "peers/http/loop_timer.h"
+#include "servers/memory/body_admission.h"
 
 #include <absl/time/time.h>
 #include <memory>
@@ -22,7 +24,7 @@
 };
 
 /** A caller's connection: admits or refuses its calls, one after the other. */
-class CallerSession final : public Retirable, private InboundEvents
+class CallerSession final : public Retirable, private InboundEvents, private BodyWaiter
 {
 public:
     CallerSession(GatewayContext &context, int socket, SessionOwner &owner);
@@ -43,12 +45,18 @@
     };
 
     void onRequestHead(InboundConnection &connection) override;
+    void onBodyAllowanceReached(InboundConnection &connection) override;
     void onRequestComplete(InboundConnection &connection) override;
     void onCallerGone(InboundConnection &connection) override;
     void onWritable(InboundConnection &connection) override;
     void onRequestRejected(InboundConnection &connection, int status) override;
     void onClosed(InboundConnection &connection) override;
 
+    void onBodyAdmitted() override;
+    void onBodyRefused() override;
+
+    /** Asks for memory for @p bytes of the current body in all, and pauses its reading without. */
+    void claimBody(std::size_t bytes);
     std::optional<Rejection> admit(const RequestHead &head, AdmittedCall &call,
                                    absl::Time now) const;
     void refuse(const Rejection &rejection);
@@ -58,6 +66,13 @@
     SessionOwner &owner;
     std::unique_ptr<CallRun> run;
     std::optional<Rejection> rejection;
+    /** Memory for the body that is being read; null without a body. */
+    std::unique_ptr<BodyClaim> bodyClaim;
+    /** Bytes that bodyClaim was last asked for. */
+    std::size_t claimedBytes = 0;
+    /** Why there is no memory for the body; sent by refusalTimer. */
+    std::optional<Rejection> bodyRejection;
+    LoopTimer refusalTimer;
     InboundConnection connection;
 };
 
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/metrics.h"
 #include "core/random.h"
+#include "main/gateway/body_queue.h"
 #include "main/gateway/gateway_settings.h"
 #include "main/gateway/instance_exchange.h"
 #include "main/gateway/limit_exchange.h"
@@ -83,6 +84,7 @@
         , retries(settings.retries)
         , stop(settings.stopLimit)
         , memory(settings.memoryBytes)
+        , bodies(base, this->memory)
         , pool(base)
         , storeSource(instanceRecord(settings))
         , exchange(base, instanceRecord(settings), this->ledger, this->health, this->quarantine,
@@ -113,6 +115,7 @@
     SpacedRetryAfter retryAfterPolicy;
     StopPolicy stop;
     MemoryBudget memory;
+    BodyQueue bodies;
     ConnectionPool pool;
     StoreSource storeSource;
     InstanceExchange exchange;
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -31,7 +31,7 @@
     this->cancel();
 }
 
-void ServerCall::send(std::string request, bool isHeadRequest, const std::string &callId,
+void ServerCall::send(OutboundRequest request, bool isHeadRequest, const std::string &callId,
                       bool mustRunOnce, absl::Time now)
 {
     this->startedAt = now;
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -59,8 +59,8 @@
      * Sends @p request. @p mustRunOnce: the call may run only once, so no idle connection is
      * reused, since it may be broken without notice.
      */
-    void send(std::string request, bool isHeadRequest, const std::string &callId, bool mustRunOnce,
-              absl::Time now);
+    void send(OutboundRequest request, bool isHeadRequest, const std::string &callId,
+              bool mustRunOnce, absl::Time now);
     /** Cancels the attempt; the server learns it from the closed connection. */
     void cancel();
     void pauseReading(bool isPaused);
--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -29,6 +29,13 @@
  * closing with unread input would send a reset, which can destroy the response in transit. */
 constexpr absl::Duration kLingerTime = absl::Seconds(1);
 
+/** Memory reserved for a body whose caller has not sent more than that, in bytes. */
+constexpr std::size_t kFirstBodyBytes = std::size_t {64} << 10;
+
+/** Input of a refused request that must arrive in kLingerTime for the connection to stay open, in
+ * bytes. */
+constexpr std::size_t kMinLingeringInput = std::size_t {64} << 10;
+
 /** Time after which a connection is closed if the caller has read nothing of its last response. */
 constexpr absl::Duration kStalledOutputTime = absl::Seconds(10);
 
@@ -106,6 +113,40 @@
     this->requestBody.clear();
 }
 
+std::string InboundConnection::takeBody()
+{
+    if (!this->announcedLength)
+        this->requestBody.shrink_to_fit();
+    return std::move(this->requestBody);
+}
+
+void InboundConnection::pauseBody()
+{
+    this->isBodyPaused = true;
+    bufferevent_disable(this->stream, EV_READ);
+}
+
+void InboundConnection::resumeBody()
+{
+    if (!this->isBodyPaused || this->state == State::Closed)
+        return;
+    this->isBodyPaused = false;
+    bufferevent_enable(this->stream, EV_READ);
+    // The body may have arrived; it is parsed from the loop, not from this call.
+    bufferevent_trigger(this->stream, EV_READ,
+                        BEV_TRIG_DEFER_CALLBACKS | BEV_TRIG_IGNORE_WATERMARKS);
+}
+
+void InboundConnection::reserveBody(std::size_t bytes)
+{
+    if (bytes <= this->requestBody.capacity())
+        return;
+    const std::size_t whole =
+        this->announcedLength.value_or(std::min(this->maxBody(), this->bodyAllowance));
+    this->requestBody.reserve(
+        std::max(bytes, std::min(whole, bytes <= kFirstBodyBytes ? kFirstBodyBytes : whole)));
+}
+
 void InboundConnection::answer(int status, const HttpHeaders &headers, std::string_view body)
 {
     if (this->state == State::Closed || this->state == State::Lingering)
@@ -265,6 +306,10 @@
         connection.rejectStatus = 413;
         return -1;
     }
+    const std::size_t received = connection.requestBody.size() + size;
+    if (received > connection.bodyAllowance)
+        connection.events.onBodyAllowanceReached(connection);
+    connection.reserveBody(received);
     connection.requestBody.append(data, size);
     return 0;
 }
@@ -304,6 +349,8 @@
         this->rejectStatus = 413;
         return false;
     }
+    if ((this->parser.flags & F_CHUNKED) == 0)
+        this->announcedLength = length;
     this->state = State::ReadingBody;
     this->events.onRequestHead(*this);
     if (absl::EqualsIgnoreCase(asAbsl(head.headers.valueOr("Expect", "")), "100-continue"))
@@ -324,6 +371,8 @@
     evbuffer *input = bufferevent_get_input(this->stream);
     while (this->state == State::Idle || this->state == State::ReadingHead
            || this->state == State::ReadingBody) {
+        if (this->isBodyPaused)
+            return;
         const std::size_t size = evbuffer_get_contiguous_space(input);
         if (size == 0)
             return;
@@ -353,7 +402,7 @@
         }
     }
     // Input behind the request also arrives while it is being answered.
-    if (this->state != State::Answering || this->isRequestComplete)
+    if (this->state != State::Answering || this->isRequestComplete || this->isBodyPaused)
         return;
     this->isRequestComplete = true;
     this->events.onRequestComplete(*this);
@@ -396,6 +445,8 @@
         this->closeIdle();
     else if (this->state == State::Lingering && this->hasSentMore())
         this->armTimer(kStalledOutputTime);
+    else if (this->state == State::Lingering && this->hasDroppedMore())
+        this->armTimer(kLingerTime);
     else if (this->state == State::Lingering)
         this->close();
 }
@@ -408,12 +459,21 @@
     return isLess;
 }
 
+bool InboundConnection::hasDroppedMore()
+{
+    const std::size_t dropped = this->lingeringInput - this->checkedInput;
+    this->checkedInput = this->lingeringInput;
+    return dropped >= kMinLingeringInput && this->lingeringInput <= this->maxBody();
+}
+
 void InboundConnection::beginRequest()
 {
     http_parser_init(&this->parser, HTTP_REQUEST);
     this->parser.data = this;
     this->request = RequestHead();
     this->requestBody = std::string();
+    this->announcedLength.reset();
+    this->bodyAllowance = kUnlimited;
     this->collector.clear();
     this->headBytes = 0;
     this->rejectStatus = 0;
@@ -438,6 +498,9 @@
         this->linger();
         return;
     }
+    if (this->isBodyPaused)
+        bufferevent_enable(this->stream, EV_READ);
+    this->isBodyPaused = false;
     this->beginRequest();
     this->state = State::Idle;
     // Closed from the loop, since the listener may not expect onClosed() in its call.
@@ -452,6 +515,9 @@
 void InboundConnection::linger()
 {
     this->state = State::Lingering;
+    this->isBodyPaused = false;
+    this->requestBody = std::string();
+    bufferevent_enable(this->stream, EV_READ);
     this->dropInput();
     this->lingeringOutput = this->pendingOutput();
     if (this->lingeringOutput == 0)
@@ -465,6 +531,7 @@
     // What follows a request that was refused early is the rest of it.
     if (this->keepsAlive)
         this->droppedInput += evbuffer_get_length(input);
+    this->lingeringInput += evbuffer_get_length(input);
     evbuffer_drain(input, evbuffer_get_length(input));
 }
 
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -6,6 +6,8 @@
 #include <absl/time/time.h>
 #include <cstddef>
 #include <http_parser.h>
+#include <limits>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,6 +26,9 @@
     virtual ~InboundEvents() = default;
     /** The head is complete; InboundConnection::discardBody() keeps the body out of memory. */
     virtual void onRequestHead(InboundConnection &connection) = 0;
+    /** More of the body has arrived than InboundConnection::allowBody() named; what has arrived is
+     * kept, also after InboundConnection::pauseBody(). */
+    virtual void onBodyAllowanceReached(InboundConnection &) { }
     virtual void onRequestComplete(InboundConnection &connection) = 0;
     /** The caller closed or lost its connection during a request; no response can reach it. */
     virtual void onCallerGone(InboundConnection &connection) = 0;
@@ -61,7 +66,17 @@
     const std::string &body() const { return this->requestBody; }
     void discardBody();
     /** Moves the body out, so that the connection no longer holds it. */
-    std::string takeBody() { return std::move(this->requestBody); }
+    std::string takeBody();
+    /** Length of the body as the head gives it; nullopt if it is known only at its end. */
+    std::optional<std::size_t> announcedBody() const { return this->announcedLength; }
+    /** Largest body of the current request. */
+    std::size_t maxBody() const { return this->requestLimits.bodyBytes; }
+    /** Notifies InboundEvents::onBodyAllowanceReached() once the body exceeds @p bytes. */
+    void allowBody(std::size_t bytes) { this->bodyAllowance = bytes; }
+    /** Stops reading the body, and with it the connection, until resumeBody() or the response. The
+     * request is not complete before. */
+    void pauseBody();
+    void resumeBody();
 
     /** Sends a complete response. */
     void answer(int status, const HttpHeaders &headers, std::string_view body);
@@ -90,6 +105,8 @@
     std::size_t pendingOutput() const;
 
 private:
+    static constexpr std::size_t kUnlimited = std::numeric_limits<std::size_t>::max();
+
     enum class State { Idle, ReadingHead, ReadingBody, Answering, Lingering, Closed };
 
     static int onUrl(http_parser *parser, const char *data, std::size_t size);
@@ -117,6 +134,9 @@
     void closeIdle();
     void linger();
     void dropInput();
+    /** Bytes have been dropped since the last call, and the request that was refused may go on. */
+    bool hasDroppedMore();
+    void reserveBody(std::size_t bytes);
     /** Whether the response that begins now is the last one on the connection. */
     bool isLastAnswer() const;
     /** Output has been written since the last call while the connection lingers, and some is left.
@@ -139,9 +159,12 @@
     RequestHead request;
     HeaderCollector collector {this->request.headers};
     std::string requestBody;
+    std::optional<std::size_t> announcedLength;
+    std::size_t bodyAllowance = kUnlimited;
     std::size_t headBytes = 0;
     int rejectStatus = 0;
     bool isBodyDiscarded = false;
+    bool isBodyPaused = false;
     /** InboundEvents::onRequestComplete() was called for the current request. */
     bool isRequestComplete = false;
     bool keepsAlive = true;
@@ -152,6 +175,9 @@
     /** Output that was pending when the connection began to linger, or at the last check. */
     std::size_t lingeringOutput = 0;
     std::size_t droppedInput = 0;
+    /** Bytes dropped while the connection lingers, and as of the last check. */
+    std::size_t lingeringInput = 0;
+    std::size_t checkedInput = 0;
 };
 
 } // namespace foxtailtally
--- a/peers/http/outbound_connection.cpp
+++ b/peers/http/outbound_connection.cpp
@@ -15,7 +15,9 @@
 #include <event2/util.h>
 #include <limits>
 #include <netinet/tcp.h>
+#include <new>
 #include <sys/socket.h>
+#include <utility>
 
 namespace foxtailtally {
 
@@ -85,8 +87,8 @@
     bufferevent_free(this->stream);
 }
 
-void OutboundConnection::call(std::string bytes, bool isHeadRequest, const Correlation &correlation,
-                              OutboundEvents &events)
+void OutboundConnection::call(OutboundRequest request, bool isHeadRequest,
+                              const Correlation &correlation, OutboundEvents &events)
 {
     this->events = &events;
     this->correlation = correlation;
@@ -97,9 +99,28 @@
     this->bodyBytes = 0;
     this->beginResponse();
     if (this->state == State::Open)
-        bufferevent_write(this->stream, bytes.data(), bytes.size());
+        this->write(std::move(request));
     else
-        this->request = std::move(bytes);
+        this->request = std::move(request);
+}
+
+void OutboundConnection::write(OutboundRequest written)
+{
+    bufferevent_write(this->stream, written.head.data(), written.head.size());
+    if (!written.body || written.body->empty())
+        return;
+    using Body = std::shared_ptr<const std::string>;
+    auto owner = std::make_unique<Body>(std::move(written.body));
+    const std::string &text = **owner;
+    const evbuffer_ref_cleanup_cb release = [](const void *, std::size_t, void *object) {
+        std::unique_ptr<Body>(static_cast<Body *>(object)).reset();
+    };
+    if (evbuffer_add_reference(bufferevent_get_output(this->stream), text.data(), text.size(),
+                               release, owner.get())
+        != 0)
+        throw std::bad_alloc();
+    // The buffer owns it now.
+    static_cast<void>(owner.release());
 }
 
 void OutboundConnection::onConnected()
@@ -111,8 +132,7 @@
         this->fail(Error::PermissionExpired);
         return;
     }
-    bufferevent_write(this->stream, this->request.data(), this->request.size());
-    this->request.clear();
+    this->write(std::exchange(this->request, OutboundRequest()));
 }
 
 void OutboundConnection::cancel()
--- a/peers/http/outbound_connection.h
+++ b/peers/http/outbound_connection.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <http_parser.h>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -18,6 +19,15 @@
 
 class OutboundConnection;
 
+/** A complete request. */
+struct OutboundRequest
+{
+    /** Also the body if there is no other. */
+    std::string head;
+    /** Follows the head; shared with other calls and kept until it is written. */
+    std::shared_ptr<const std::string> body = nullptr;
+};
+
 /** Events of the call that an OutboundConnection carries. */
 class OutboundEvents
 {
@@ -71,10 +81,15 @@
         std::string value;
     };
 
-    /** Sends @p bytes, a complete request, as soon as the connection is established. @p events is
-     * notified until the call ends. */
-    void call(std::string bytes, bool isHeadRequest, const Correlation &correlation,
+    /** Sends @p request as soon as the connection is established. @p events is notified until the
+     * call ends. */
+    void call(OutboundRequest request, bool isHeadRequest, const Correlation &correlation,
               OutboundEvents &events);
+    void call(std::string request, bool isHeadRequest, const Correlation &correlation,
+              OutboundEvents &events)
+    {
+        this->call(OutboundRequest {std::move(request)}, isHeadRequest, correlation, events);
+    }
     /** Drops the call and closes the connection. No callback follows. */
     void cancel();
     void pauseReading(bool isPaused);
@@ -106,6 +121,7 @@
     template <typename Work>
     static void runCallback(void *object, Work &&work);
 
+    void write(OutboundRequest written);
     void onConnected();
     void onReadable();
     void onEvent(short what);
@@ -127,7 +143,7 @@
     HeaderCollector collector {this->response.headers};
     Correlation correlation;
     /** Request that waits for the connection to be established. */
-    std::string request;
+    OutboundRequest request;
     /** Bytes received for the current call: in total, and those of the body passed to events. */
     std::uint64_t receivedBytes = 0;
     std::uint64_t bodyBytes = 0;
--- a/servers/memory/memory_budget.cpp
+++ b/servers/memory/memory_budget.cpp
@@ -85,6 +85,13 @@
     return true;
 }
 
+void MemoryHold::shrink(std::int64_t bytes)
+{
+    const std::int64_t returned = std::min(bytes, this->held);
+    this->held -= returned;
+    this->budget->giveBack(this->owner, returned);
+}
+
 void MemoryHold::release()
 {
     this->budget->giveBack(this->owner, std::exchange(this->held, 0));
--- a/servers/memory/memory_budget.h
+++ b/servers/memory/memory_budget.h
@@ -76,6 +76,8 @@
 
     /** Takes @p more bytes besides those held; false if the owner's share does not allow it. */
     bool tryGrow(std::int64_t more);
+    /** Gives @p bytes back, at most those held. */
+    void shrink(std::int64_t bytes);
     /** Gives all bytes back. */
     void release();
     std::int64_t bytes() const { return this->held; }
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -19,6 +19,7 @@
 
     /** Sends a signal, unless waitForEnd() has already seen the program end. */
     void signal(int number) const;
+    pid_t id() const { return this->pid; }
     /** Waits until the program ends; false when it still runs after @p limit. */
     bool waitForEnd(absl::Duration limit);
     /** Exit code of a program that has ended, or the negated number of the signal that ended it. */
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
 
     /** Appends @p text to the settings of all gateways that are started from now on. */
     void setExtraSettings(const std::string &text) { this->extraSettings = text; }
+    /** Memory of the gateways that are started from now on, in MiB; their default without it. */
+    void setMemory(int mebibytes) { this->memoryMebibytes = mebibytes; }
     void start(int index);
     ChildProcess &process(int index)
     {
@@ -58,6 +61,7 @@
     std::vector<std::unique_ptr<ChildProcess>> processes;
     std::vector<std::string> storeAddresses;
     std::string extraSettings;
+    std::optional<int> memoryMebibytes;
     std::vector<std::string> addedRoutes;
     /** Size of each gateway's log file at its last start, in bytes. */
     std::vector<std::uintmax_t> logStarts;
