--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -20,6 +20,7 @@
 
     /** Sends a signal, unless waitForEnd() has already seen the program end. */
     void signal(int number) const;
+    pid_t id() const { return this->pid; }
     /** Waits until the program ends; false when it still runs after @p limit. */
     bool waitForEnd(absl::Duration limit);
     /** Largest resident memory of the program since its start, in bytes; negative if unknown. */
