Bound the heads of servers' responses singly and in sum

What callers saw: a server that sent header lines without end took the memory of the instance, and all its calls ended with it (reported by other operators). Measured on the code before: 300 open calls to three such servers take a gateway to 389 MiB, 800 calls to 915 MiB; the smallest instances have 160 MiB. Cause: a head was bounded by 256 KiB of received bytes for one call, not in sum, and a header line of a few bytes costs some hundred bytes in memory. Change: a head may take 32 KiB, with the overhead of each header counted, and all heads together the share of MemoryOwner::ResponseHeads. A head may hold at most half of what is left of the share, so that endless ones leave room for others. The call whose head asks for more fails with memory_share_used_up; the head is dropped when a response completes or its call fails.

--- a/core/error.cpp
+++ b/core/error.cpp
@@ -41,6 +41,8 @@
         return "permission_expired";
     case Error::ConnectionLost:
         return "connection_lost";
+    case Error::MemoryShareUsedUp:
+        return "memory_share_used_up";
     case Error::ProtocolViolation:
         return "protocol_violation";
     case Error::Unauthorized:
--- a/core/error.h
+++ b/core/error.h
@@ -23,6 +23,7 @@
     ConnectionLost,
     PermissionExpired,
     ProtocolViolation,
+    MemoryShareUsedUp,
     Unauthorized,
     RateLimited,
     StoreUnavailable,
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -86,7 +86,7 @@
         , stop(settings.stopLimit)
         , memory(settings.memoryBytes)
         , bodies(base, this->memory)
-        , pool(base)
+        , pool(base, this->memory)
         , storeSource(instanceRecord(settings))
         , exchange(base, instanceRecord(settings), this->ledger, this->health, this->quarantine,
                    this->storeSource, this->metrics)
--- a/peers/http/connection_pool.cpp
+++ b/peers/http/connection_pool.cpp
@@ -58,7 +58,7 @@
         }
     }
     IdleEvents &idleEvents = *this;
-    return std::make_unique<OutboundConnection>(this->base, address, idleEvents);
+    return std::make_unique<OutboundConnection>(this->base, address, idleEvents, this->memory);
 }
 
 void ConnectionPool::release(const std::string &address,
--- a/peers/http/connection_pool.h
+++ b/peers/http/connection_pool.h
@@ -19,8 +19,10 @@
     /** Idle connections are closed after this time; servers close older ones without notice. */
     static constexpr absl::Duration kMaxIdleTime = absl::Seconds(4);
 
-    explicit ConnectionPool(event_base *base)
+    /** Heads of responses are charged to @p memory. */
+    ConnectionPool(event_base *base, MemoryBudget &memory)
         : base(base)
+        , memory(memory)
     { }
 
     /** Returns a connection to @p address; reuses one that was idle for at most @p maxIdle. Zero
@@ -55,6 +57,7 @@
                                                 absl::Time now, Condition isAllowed);
 
     event_base *base;
+    MemoryBudget &memory;
     absl::flat_hash_map<std::string, std::vector<Idle>> idle;
     std::vector<std::unique_ptr<OutboundConnection>> discarded;
 };
--- a/peers/http/header_collector.h
+++ b/peers/http/header_collector.h
@@ -26,6 +26,8 @@
         this->value.append(fragment);
         this->hasValue = true;
     }
+    /** The next fragment of a name begins a header. */
+    bool isBetweenHeaders() const { return this->hasValue || this->name.empty(); }
     /** Adds the last header once the head is complete. */
     void finish()
     {
--- a/peers/http/outbound_connection.cpp
+++ b/peers/http/outbound_connection.cpp
@@ -33,6 +33,12 @@
 constexpr std::uint64_t kMaxOverheadBytes = std::uint64_t {256} << 10;
 constexpr std::uint64_t kMaxFramingPerBodyByte = 8;
 
+/** Memory for a header besides its text; vectors of headers grow by doubling. */
+constexpr std::size_t kHeaderOverheadBytes = 2 * sizeof(HttpHeader);
+
+/** Limit of the memory for one head. Real heads have less than 8 KiB of text and 40 headers. */
+constexpr std::size_t kMaxHeadBytes = std::size_t {32} << 10;
+
 /** Whether the kernel ended a connection with @p error although no packet of the peer did. */
 bool isTimeout(int error)
 {
@@ -81,6 +87,13 @@
                  sizeof kTcpUserTimeoutMs);
 }
 
+OutboundConnection::OutboundConnection(event_base *base, std::string_view address,
+                                       IdleEvents &idleEvents, MemoryBudget &memory)
+    : OutboundConnection(base, address, idleEvents)
+{
+    this->headMemory.emplace(memory, MemoryOwner::ResponseHeads);
+}
+
 template <typename Work>
 void OutboundConnection::runCallback(void *object, Work &&work)
 {
@@ -193,6 +206,9 @@
 {
     OutboundConnection &connection = self(parser);
     connection.hasStartedResponse = true;
+    const std::size_t overhead = connection.collector.isBetweenHeaders() ? kHeaderOverheadBytes : 0;
+    if (!connection.addHeadBytes(overhead + size))
+        return -1;
     connection.collector.onName({data, size});
     return 0;
 }
@@ -200,6 +216,8 @@
 int OutboundConnection::onHeaderValue(http_parser *parser, const char *data, std::size_t size)
 {
     OutboundConnection &connection = self(parser);
+    if (!connection.addHeadBytes(size))
+        return -1;
     connection.collector.onValue({data, size});
     return 0;
 }
@@ -242,6 +260,16 @@
     return 0;
 }
 
+bool OutboundConnection::addHeadBytes(std::size_t bytes)
+{
+    this->headBytes += bytes;
+    if (this->headBytes > kMaxHeadBytes)
+        this->headError = Error::ProtocolViolation;
+    else if (this->headMemory && !this->headMemory->tryGrowFairly(static_cast<std::int64_t>(bytes)))
+        this->headError = Error::MemoryShareUsedUp;
+    return !this->headError;
+}
+
 bool OutboundConnection::exceedsOverheadLimit() const
 {
     return this->receivedBytes > kMaxOverheadBytes + kMaxFramingPerBodyByte * this->bodyBytes;
@@ -291,7 +319,8 @@
         const bool isValid =
             (error == HPE_OK || error == HPE_PAUSED) && !this->exceedsOverheadLimit();
         if (!isValid) {
-            this->fail(Error::ProtocolViolation);
+            const std::error_code cause = this->headError;
+            this->fail(cause ? cause : Error::ProtocolViolation);
             return;
         }
         evbuffer_drain(input, parsed);
@@ -304,6 +333,8 @@
         OutboundEvents *finished = this->events;
         this->events = nullptr;
         ++this->completedCalls;
+        // Idle connections keep nothing of their last response.
+        this->dropHead();
         finished->onResponseComplete(*this);
         return;
     }
@@ -349,17 +380,27 @@
 {
     http_parser_init(&this->parser, HTTP_RESPONSE);
     this->parser.data = this;
-    this->response = ResponseHead();
-    this->collector.clear();
+    this->dropHead();
     this->isSkipped = false;
     this->hasStartedResponse = false;
 }
 
+void OutboundConnection::dropHead()
+{
+    this->response = ResponseHead();
+    this->collector.clear();
+    this->headBytes = 0;
+    this->headError.clear();
+    if (this->headMemory)
+        this->headMemory->release();
+}
+
 void OutboundConnection::fail(std::error_code error)
 {
     OutboundEvents *failed = this->events;
     this->events = nullptr;
     this->closeSocket();
+    this->dropHead();
     if (failed)
         failed->onCallFailed(*this, error);
 }
--- a/peers/http/outbound_connection.h
+++ b/peers/http/outbound_connection.h
@@ -2,12 +2,14 @@
 
 #include "peers/http/header_collector.h"
 #include "peers/http/http_head.h"
+#include "servers/memory/memory_budget.h"
 
 #include <absl/time/time.h>
 #include <cstddef>
 #include <cstdint>
 #include <http_parser.h>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -56,8 +58,8 @@
     virtual void onResponseComplete(OutboundConnection &connection) = 0;
     /**
      * The call failed and the connection is closed. ConnectionFailed and PermissionExpired: no byte
-     * of the call can have reached the server; ConnectionLost or ProtocolViolation: the call may
-     * have reached it.
+     * of the call can have reached the server; ConnectionLost, ProtocolViolation or
+     * MemoryShareUsedUp: the call may have reached it.
      */
     virtual void onCallFailed(OutboundConnection &connection, std::error_code error) = 0;
 };
@@ -81,6 +83,10 @@
 public:
     /** @p address is "ip:port"; connecting starts at once. */
     OutboundConnection(event_base *base, std::string_view address, IdleEvents &idleEvents);
+    /** As above; heads of responses are charged to @p memory. A call that would need too much of it
+     * fails with MemoryShareUsedUp. */
+    OutboundConnection(event_base *base, std::string_view address, IdleEvents &idleEvents,
+                       MemoryBudget &memory);
     ~OutboundConnection();
     OutboundConnection(const OutboundConnection &) = delete;
     OutboundConnection &operator=(const OutboundConnection &) = delete;
@@ -140,6 +146,10 @@
     void onEvent(short what);
     void onDisconnected(bool wasReset);
     void beginResponse();
+    /** Drops the head and what was kept for it. */
+    void dropHead();
+    /** Counts @p bytes more of the head; false if that exceeds its limits. */
+    bool addHeadBytes(std::size_t bytes);
     bool matchesCorrelation() const;
     /** True when more bytes arrived for the call than a response with such a body can need. */
     bool exceedsOverheadLimit() const;
@@ -161,6 +171,11 @@
     /** Bytes received for the current call: in total, and those of the body passed to events. */
     std::uint64_t receivedBytes = 0;
     std::uint64_t bodyBytes = 0;
+    /** Memory of the head; absent if it is not charged. */
+    std::optional<MemoryHold> headMemory;
+    std::size_t headBytes = 0;
+    /** Why the head was refused; no error while it was not. */
+    std::error_code headError;
     bool isHeadRequest = false;
     bool isSkipped = false;
     bool hasStartedResponse = false;
--- a/servers/memory/memory_budget.cpp
+++ b/servers/memory/memory_budget.cpp
@@ -55,6 +55,18 @@
     return true;
 }
 
+bool MemoryBudget::tryTakeFairly(MemoryOwner owner, std::int64_t held, std::int64_t bytes)
+{
+    Account &taken = this->account(owner);
+    const std::int64_t left = taken.share - taken.used - bytes;
+    if (held + bytes > left / 2) {
+        ++taken.refusals;
+        return false;
+    }
+    taken.used += bytes;
+    return true;
+}
+
 void MemoryBudget::giveBack(MemoryOwner owner, std::int64_t bytes)
 {
     this->account(owner).used -= bytes;
@@ -92,6 +104,14 @@
     this->budget->giveBack(this->owner, returned);
 }
 
+bool MemoryHold::tryGrowFairly(std::int64_t more)
+{
+    if (!this->budget->tryTakeFairly(this->owner, this->held, more))
+        return false;
+    this->held += more;
+    return true;
+}
+
 void MemoryHold::release()
 {
     this->budget->giveBack(this->owner, std::exchange(this->held, 0));
--- a/servers/memory/memory_budget.h
+++ b/servers/memory/memory_budget.h
@@ -36,6 +36,12 @@
 
     /** Takes @p bytes for @p owner, all or none. */
     bool tryTake(MemoryOwner owner, std::int64_t bytes);
+    /**
+     * Like tryTake(), for a buffer that has @p held bytes already. It may have at most half of what
+     * is left of the share then, so that buffers that grow without end leave room for small ones,
+     * however many they are.
+     */
+    bool tryTakeFairly(MemoryOwner owner, std::int64_t held, std::int64_t bytes);
     void giveBack(MemoryOwner owner, std::int64_t bytes);
 
     std::int64_t share(MemoryOwner owner) const { return this->account(owner).share; }
@@ -78,6 +84,8 @@
     bool tryGrow(std::int64_t more);
     /** Gives @p bytes back, at most those held. */
     void shrink(std::int64_t bytes);
+    /** As MemoryBudget::tryTakeFairly(). */
+    bool tryGrowFairly(std::int64_t more);
     /** Gives all bytes back. */
     void release();
     std::int64_t bytes() const { return this->held; }
--- a/tests/http/outbound_connection_test.cpp
+++ b/tests/http/outbound_connection_test.cpp
@@ -6,12 +6,15 @@
 #include "tests/http/raw_peer.h"
 #include "tests/http/test_loop.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
+#include <memory>
 #include <netinet/in.h>
 #include <stdexcept>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <vector>
 
 namespace foxtailtally {
 namespace {
@@ -111,6 +114,7 @@
 
     TestLoop loop;
     RawServer server;
+    MemoryBudget memory {std::int64_t {64} << 20};
     Recorder events;
     std::string received;
 };
@@ -240,7 +244,7 @@
 
 TEST_F(OutboundConnectionTest, PoolClosesAConnectionAfterItsIdleTimeout)
 {
-    ConnectionPool pool(this->loop.base());
+    ConnectionPool pool(this->loop.base(), this->memory);
     const absl::Time now = absl::UnixEpoch();
     auto connection = pool.acquire(this->server.address(), ConnectionPool::kMaxIdleTime, now);
     this->call(*connection, "1");
@@ -310,7 +314,7 @@
 // last call: the loop has not read them yet.
 TEST_F(OutboundConnectionTest, PoolHandsOutNoConnectionWithUnreadInput)
 {
-    ConnectionPool pool(this->loop.base());
+    ConnectionPool pool(this->loop.base(), this->memory);
     const int socket = this->keepConnection(pool);
     writeAll(socket, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
     const auto next = pool.acquire(this->server.address(), ConnectionPool::kMaxIdleTime, kNow);
@@ -320,7 +324,7 @@
 
 TEST_F(OutboundConnectionTest, PoolHandsOutNoConnectionThatTheServerHasClosed)
 {
-    ConnectionPool pool(this->loop.base());
+    ConnectionPool pool(this->loop.base(), this->memory);
     ::close(this->keepConnection(pool));
     const auto next = pool.acquire(this->server.address(), ConnectionPool::kMaxIdleTime, kNow);
     EXPECT_FALSE(next->hasCompletedCalls());
@@ -329,7 +333,7 @@
 // Guards against the reuse of a connection that was released at the very time of the next call.
 TEST_F(OutboundConnectionTest, PoolReusesNothingWithoutIdleTime)
 {
-    ConnectionPool pool(this->loop.base());
+    ConnectionPool pool(this->loop.base(), this->memory);
     const int socket = this->keepConnection(pool);
     const auto fresh = pool.acquire(this->server.address(), absl::ZeroDuration(), kNow);
     EXPECT_FALSE(fresh->hasCompletedCalls());
@@ -390,6 +394,69 @@
     ::close(socket);
 }
 
+// Guards against heads that are small each but together use up the memory of an instance: the calls
+// that ask for more of it fail, not those with heads of the usual size.
+TEST_F(OutboundConnectionTest, FailsCallsWhoseHeadsUseUpTheirShareOfMemory)
+{
+    constexpr int kConnections = 100;
+    const std::int64_t share = this->memory.share(MemoryOwner::ResponseHeads);
+    std::string head = "HTTP/1.1 200 OK\r\n";
+    while (head.size() < 512)
+        head += "a: b\r\n";
+    std::vector<std::unique_ptr<OutboundConnection>> connections;
+    std::vector<std::unique_ptr<Recorder>> results;
+    std::vector<int> sockets;
+    for (int i = 0; i < kConnections; ++i) {
+        Recorder &events = *results.emplace_back(std::make_unique<Recorder>());
+        connections.push_back(std::make_unique<OutboundConnection>(
+            this->loop.base(), this->server.address(), events, this->memory));
+        connections.back()->call(kRequest, false, {"Call", "1"}, events);
+        this->received.clear();
+        sockets.push_back(this->acceptAndRead());
+        writeAll(sockets.back(), head);
+    }
+    this->loop.runEvents();
+    const auto refused = std::count_if(results.begin(), results.end(), [](const auto &events) {
+        return events->error == Error::MemoryShareUsedUp;
+    });
+    EXPECT_GT(refused, 0);
+    EXPECT_LE(this->memory.used(MemoryOwner::ResponseHeads), share);
+    OutboundConnection sound(this->loop.base(), this->server.address(), this->events, this->memory);
+    this->call(sound, "1");
+    const int socket = this->acceptAndRead();
+    writeAll(socket, "HTTP/1.1 200 OK\r\nCall: 1\r\nContent-Length: 2\r\n\r\nok");
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->isOver(); }));
+    EXPECT_EQ(this->events.body, "ok");
+    for (const std::unique_ptr<OutboundConnection> &connection : connections)
+        connection->cancel();
+    connections.clear();
+    EXPECT_EQ(this->memory.used(MemoryOwner::ResponseHeads), 0);
+    sockets.push_back(socket);
+    for (const int open : sockets)
+        ::close(open);
+}
+
+// Guards against a head of many short lines, whose strings take much more memory than its text.
+TEST_F(OutboundConnectionTest, FailsACallWithTooLargeAHead)
+{
+    for (const std::string &line : {std::string("a: b\r\n"), std::string("aaaaaa")}) {
+        this->events = {};
+        OutboundConnection connection(this->loop.base(), this->server.address(), this->events);
+        this->call(connection, "1");
+        const int socket = this->acceptAndRead();
+        writeAll(socket, "HTTP/1.1 200 OK\r\nX: ");
+        std::size_t sent = 0;
+        while (!this->isOver() && sent < std::size_t {64} << 10) {
+            writeAll(socket, line);
+            sent += line.size();
+            event_base_loop(this->loop.base(), EVLOOP_NONBLOCK);
+        }
+        this->loop.runEvents();
+        EXPECT_EQ(this->events.error, Error::ProtocolViolation) << line;
+        ::close(socket);
+    }
+}
+
 /** Throws from onResponseHead(). */
 struct ThrowingListener final : OutboundEvents, IdleEvents
 {
--- a/tests/limits/memory_budget_test.cpp
+++ b/tests/limits/memory_budget_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace foxtailtally {
 namespace {
@@ -44,6 +45,32 @@
     EXPECT_TRUE(budget.tryTake(MemoryOwner::StoreObjects, kMebibyte));
 }
 
+// Guards against a buffer that grows without end and takes what small ones need.
+TEST(MemoryBudget, LeavesRoomBesideBuffersThatGrowWithoutEnd)
+{
+    constexpr std::int64_t kStep = 1024;
+    for (const int count : {1, 2, 100, 800}) {
+        MemoryBudget budget(kSmallLimit);
+        std::vector<MemoryHold> holds;
+        for (int i = 0; i < count; ++i)
+            holds.emplace_back(budget, MemoryOwner::ResponseBodies);
+        for (bool hasGrown = true; hasGrown;) {
+            hasGrown = false;
+            for (MemoryHold &hold : holds)
+                hasGrown = hold.tryGrowFairly(kStep) || hasGrown;
+        }
+        const std::int64_t share = budget.share(MemoryOwner::ResponseBodies);
+        const std::int64_t left = share - budget.used(MemoryOwner::ResponseBodies);
+        EXPECT_GE(left, share / (count + 2)) << count;
+        MemoryHold small(budget, MemoryOwner::ResponseBodies);
+        EXPECT_TRUE(small.tryGrowFairly(left / 4)) << count;
+        const std::int64_t before = budget.used(MemoryOwner::ResponseBodies);
+        holds.clear();
+        small.release();
+        EXPECT_EQ(budget.used(MemoryOwner::ResponseBodies), 0) << before;
+    }
+}
+
 TEST(MemoryBudget, HoldsGiveBackOnce)
 {
     MemoryBudget budget(kSmallLimit);
