--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -49,8 +49,18 @@
 constexpr absl::Duration kMinRetryAfter = absl::Milliseconds(250);
 constexpr absl::Duration kRetryAfterJitter = absl::Milliseconds(750);
 
+/** Comments and blank lines before the first event of a stream that are forwarded with it. */
+constexpr std::size_t kMaxPreambleBytes = std::size_t {4} << 10;
+
 constexpr int kStatusOk = 200;
 
+/** A request body with the memory that it takes. */
+struct HeldBody
+{
+    std::string text;
+    std::unique_ptr<BodyClaim> claim;
+};
+
 void countPromptList(GatewayContext &context, const platform::PromptParts &prompt)
 {
     const auto count = [&context](std::string_view fault) {
@@ -91,9 +101,12 @@
     this->context.bufferedReplyBytes -= this->bufferedBytes;
 }
 
-void CallRun::start(absl::Time now)
+void CallRun::start(std::unique_ptr<BodyClaim> claim, absl::Time now)
 {
     this->hasStarted = true;
+    const auto held =
+        std::make_shared<HeldBody>(HeldBody {this->caller->takeBody(), std::move(claim)});
+    this->body = std::shared_ptr<const std::string>(held, &held->text);
     // The body may have taken until late in a stop.
     if (!this->context.stop.mayTakeRequests(now)) {
         this->refuseForStop();
@@ -101,8 +114,7 @@
     }
     this->suspicion.emplace(this->context, this->call.headers.callId,
                             CallContent {this->call.customer, this->caller->head().path,
-                                         this->caller->body(),
-                                         this->call.headers.prompt.sharedParts});
+                                         *this->body, this->call.headers.prompt.sharedParts});
     this->service = std::string(targetService(*this->call.route, this->call.headers.callId));
     this->context.retries.onCall(this->service, now);
     countPromptList(this->context, this->call.headers.prompt);
@@ -114,6 +126,12 @@
         this->refuse("no_server", now);
 }
 
+void CallRun::refuseBody(int status, std::string_view cause)
+{
+    if (!this->done)
+        this->sendLocalReply(status, cause, true);
+}
+
 void CallRun::advanceDeadline(absl::Time time, absl::Time now)
 {
     if (this->done || time >= this->call.answerBy)
@@ -528,9 +546,9 @@
     attempt.wasUnreachable = !this->context.reachability.isReachable(target.key, target.domain);
     attempt.call = std::make_unique<ServerCall>(this->context, std::move(target), events);
     const RequestHead &head = this->caller->head();
-    attempt.call->send(platform::encodeForwardedCall(head, this->caller->body(), forwarded),
-                       head.method == "HEAD", this->call.headers.callId,
-                       !this->call.route->isRepeatable(), now);
+    attempt.call->send(
+        {platform::encodeForwardedCall(head, this->body->size(), forwarded), this->body},
+        head.method == "HEAD", this->call.headers.callId, !this->call.route->isRepeatable(), now);
 }
 
 void CallRun::onReply(ServerCall &call, const ResponseHead &head,
@@ -584,11 +602,14 @@
         }
         this->onStreamEvent(attempt, now);
     }
-    if (!this->hasAnswerBegun) {
-        this->hasAnswerBegun = true;
-        this->caller->startStream(attempt.reply.status,
-                                  platform::callerHeaders(attempt.reply.headers));
+    // Comments are no answer: the call may still be sent elsewhere or refused.
+    if (!this->hasAnswerBegun && !this->relay.hasForwardedEvent()) {
+        if (attempt.preamble.size() + events->size() <= kMaxPreambleBytes)
+            attempt.preamble += *events;
+        return;
     }
+    if (!this->hasAnswerBegun)
+        this->beginStream(attempt);
     this->caller->sendChunk(*events);
     if (this->caller->isCongested()) {
         this->isReadingPaused = true;
@@ -605,6 +626,13 @@
     this->endOtherAttempts(call);
 }
 
+void CallRun::beginStream(const Attempt &attempt)
+{
+    this->hasAnswerBegun = true;
+    this->caller->startStream(attempt.reply.status, platform::callerHeaders(attempt.reply.headers));
+    this->caller->sendChunk(attempt.preamble);
+}
+
 void CallRun::endOtherAttempts(const ServerCall &winner)
 {
     std::vector<ServerCall *> others;
@@ -640,7 +668,7 @@
         const Service *engine = this->call.config->findService(this->service);
         if (engine)
             recordEventGap(this->context, call.target().key, engine->engine,
-                           this->call.headers.promptTokens, gap);
+                           this->call.headers.promptTokens, gap, now);
     }
     this->lastEventAt = now;
     const absl::Duration overdue = this->call.route->eventGapObjective * 2 + kStreamProgressSlack;
@@ -672,8 +700,7 @@
                 std::min(finished->firstEventSince, this->context.inputSince(now)), now);
         }
         if (!this->hasAnswerBegun)
-            this->caller->startStream(finished->reply.status,
-                                      platform::callerHeaders(finished->reply.headers));
+            this->beginStream(*finished);
         this->caller->finishStream();
         this->finish("served", finished->reply.status);
         return;
@@ -694,7 +721,7 @@
         return;
     }
     this->context.health.onOutcome(server, ServerHealth::Outcome::Answered, now);
-    this->context.health.onLatency(server, latency);
+    this->context.health.onLatency(server, latency, now);
     if (this->reply.status < 400) {
         this->suspicion->onServed(now);
         this->suspicion->onSurvived(this->context.inputSince(now), now);
@@ -720,10 +747,14 @@
     const absl::Time now = Clock::now();
     std::optional<Attempt> ended = this->takeAttempt(call);
     const bool isBroken = end == AttemptEnd::Lost && call.failure() == Error::ConnectionLost;
-    const bool isUnresponsive =
-        end == AttemptEnd::Silent && this->context.reachability.isUnresponsive(call.target().key);
-    this->suspicion->onLoss(
-        call.target(), this->crashEvidence(call, *ended, isBroken || isUnresponsive, now), now);
+    const AttemptTarget &target = call.target();
+    // An unreachable server is probed until it is heard.
+    const bool isSilent = end == AttemptEnd::Silent
+        && !this->context.reachability.isReachable(target.key, target.domain);
+    if (isSilent || (isBroken && call.connectionEnd() == ConnectionEnd::TimedOut))
+        this->suspicion->onLoss(target, this->silenceEvidence(call, *ended, now), now);
+    else
+        this->suspicion->onLoss(target, this->crashEvidence(call, *ended, isBroken, now), now);
     this->context.retired.push_back(std::move(ended->call));
     this->retirePlacement(std::move(ended->placement));
     const bool wasUnsent = end == AttemptEnd::NotSent || end == AttemptEnd::NotPermitted
@@ -825,11 +856,24 @@
     const AttemptTarget &target = call.target();
     // A server that loses power resets its connections only when it has returned, or they time out.
     if (!this->context.reachability.isReachable(target.key, target.domain))
-        evidence.silentFor =
-            now - std::max(this->context.activity[target.key].lastByteAt, call.sentAt());
+        evidence.silentFor = now - this->lastSignAt(call);
+    return evidence;
+}
+
+CrashEvidence CallRun::silenceEvidence(const ServerCall &call, const Attempt &attempt,
+                                       absl::Time now) const
+{
+    CrashEvidence evidence = this->crashEvidence(call, attempt, true, now);
+    evidence.isUnconfirmed = true;
+    evidence.silentFor = now - this->lastSignAt(call);
     return evidence;
 }
 
+absl::Time CallRun::lastSignAt(const ServerCall &call) const
+{
+    return std::max(this->context.activity[call.target().key].lastByteAt, call.sentAt());
+}
+
 void CallRun::sendLocalReply(int status, std::string_view cause, bool notRun)
 {
     std::optional<absl::Duration> retryAfter;
@@ -861,6 +905,7 @@
     this->cancelAttempts(now);
     this->dropPlacement();
     this->dropTokens(now);
+    this->body.reset();
     const bool hadEvent = this->firstEventAt != absl::InfinitePast();
     this->context.metrics.counter("foxtailtally_calls_total", {{"outcome", outcome}}).add();
     this->context.metrics.distribution("foxtailtally_call_seconds", {{"outcome", outcome}})
@@ -1074,9 +1119,10 @@
     for (Attempt &attempt : this->attempts) {
         // The caller may give a call up whose server has crashed without closing the connection.
         const ServerCall &ended = *attempt.call;
-        if (ended.wasWritten() && this->context.reachability.isUnresponsive(ended.target().key))
-            this->suspicion->onLoss(ended.target(), this->crashEvidence(ended, attempt, true, now),
-                                    now);
+        const AttemptTarget &target = ended.target();
+        if (ended.wasWritten()
+            && !this->context.reachability.isReachable(target.key, target.domain))
+            this->suspicion->onLoss(target, this->silenceEvidence(ended, attempt, now), now);
         attempt.call->cancel();
         this->context.retired.push_back(std::move(attempt.call));
         this->retirePlacement(std::move(attempt.placement));
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -50,8 +50,11 @@
     CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call);
     ~CallRun() override;
 
-    /** The request is complete. */
-    void start(absl::Time now);
+    /** The request is complete. @p claim: memory of its body; null if it has none. */
+    void start(std::unique_ptr<BodyClaim> claim, absl::Time now);
+    /** Responds with @p status that there is no memory for the body; the call has not run. */
+    void refuseBody(int status, std::string_view cause);
+    absl::Time answerBy() const { return this->call.answerBy; }
     /** The response is due at @p time if it was due later. */
     void advanceDeadline(absl::Time time, absl::Time now);
     /** The caller has disconnected; nothing more is sent to it. */
@@ -70,6 +73,8 @@
         EventRelay::Run run;
         ResponseHead reply;
         std::string body;
+        /** What a stream has sent before the first event of the answer. */
+        std::string preamble;
         /** The response is a stream whose events are forwarded as they arrive. */
         bool isRelaying = false;
         absl::Time firstEventAt = absl::InfiniteFuture();
@@ -130,6 +135,8 @@
 
     void relayEvents(Attempt &attempt, std::string_view data, absl::Time now);
     void onStreamEvent(Attempt &attempt, absl::Time now);
+    /** Starts the answer to the caller with the head of the stream of @p attempt. */
+    void beginStream(const Attempt &attempt);
     /** Ends all attempts but the one of @p winner, which has delivered the next event. */
     void endOtherAttempts(const ServerCall &winner);
     void forwardStoredReply();
@@ -149,6 +156,11 @@
     bool waitForPauseEnd(absl::Time now);
     CrashEvidence crashEvidence(const ServerCall &call, const Attempt &attempt,
                                 bool isConnectionBroken, absl::Time now) const;
+    /** The same for a server that is only known to be silent. */
+    CrashEvidence silenceEvidence(const ServerCall &call, const Attempt &attempt,
+                                  absl::Time now) const;
+    /** Time of the last byte from the server of @p call, or at which the call was sent to it. */
+    absl::Time lastSignAt(const ServerCall &call) const;
     void sendLocalReply(int status, std::string_view cause, bool notRun);
     void sendLocalReply(int status, std::string_view cause, bool notRun,
                         std::optional<absl::Duration> retryAfter);
@@ -178,6 +190,8 @@
     GatewayContext &context;
     InboundConnection *caller;
     AdmittedCall call;
+    /** Holds the memory of its claim until no attempt needs it any longer. */
+    std::shared_ptr<const std::string> body;
     /** Set when the request is complete. */
     std::optional<CallSuspicion> suspicion;
     LoopTimer deadlineTimer;
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -4,6 +4,7 @@
 #include "core/guard.h"
 #include "core/log.h"
 #include "core/text.h"
+#include "main/gateway/call_suspicion.h"
 #include "main/gateway/listener.h"
 
 #include <absl/strings/str_cat.h>
@@ -58,8 +59,6 @@
 {
     const GatewaySettings &settings = this->context.settings;
     std::signal(SIGPIPE, SIG_IGN);
-    // Settings are read at start only; a new file takes effect at the next start.
-    std::signal(SIGHUP, SIG_IGN);
     this->termination = evsignal_new(
         this->base, SIGTERM,
         [](evutil_socket_t, short, void *object) {
@@ -125,6 +124,7 @@
     this->context.limits.onTick(now);
     this->context.ledger.onTick(now);
     this->context.health.onTick(now);
+    settleUnconfirmedLosses(this->context, now);
     this->context.quarantine.onTick(now);
     // Destroying a retired object may retire others.
     std::vector<std::unique_ptr<Retirable>> retired;
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/metrics.h"
 #include "core/random.h"
+#include "main/gateway/body_queue.h"
 #include "main/gateway/gateway_settings.h"
 #include "main/gateway/instance_exchange.h"
 #include "main/gateway/limit_exchange.h"
@@ -18,6 +19,7 @@
 #include "servers/placement/stream_ledger.h"
 #include "servers/quarantine/quarantine.h"
 #include "servers/quarantine/suspect_part_runs.h"
+#include "servers/quarantine/unconfirmed_losses.h"
 #include "servers/retry/retry_after_policy.h"
 #include "servers/retry/retry_budget.h"
 #include "servers/retry/stop_policy.h"
@@ -83,7 +85,8 @@
         , retries(settings.retries)
         , stop(settings.stopLimit)
         , memory(settings.memoryBytes)
-        , pool(base)
+        , bodies(base, this->memory)
+        , pool(base, this->memory)
         , storeSource(instanceRecord(settings))
         , exchange(base, instanceRecord(settings), this->ledger, this->health, this->quarantine,
                    this->storeSource, this->metrics)
@@ -113,6 +116,7 @@
     SpacedRetryAfter retryAfterPolicy;
     StopPolicy stop;
     MemoryBudget memory;
+    BodyQueue bodies;
     ConnectionPool pool;
     StoreSource storeSource;
     InstanceExchange exchange;
@@ -121,6 +125,7 @@
     Random random;
     absl::flat_hash_map<ServerKey, ServerActivity> activity;
     SuspectPartRuns suspectPartRuns;
+    UnconfirmedLosses unconfirmedLosses;
     /** Destroyed at the next tick. */
     std::vector<std::unique_ptr<Retirable>> retired;
     std::vector<Lingering> lingeringObjects;
--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -40,13 +40,14 @@
 /** Delay after a response of an earlier era; the same source may send it again. */
 constexpr absl::Duration kOutdatedResponseDelay = absl::Milliseconds(100);
 
+constexpr int kStatusOk = 200;
 constexpr int kStatusGone = 410;
 
 } // namespace
 
 KindWatcher::KindWatcher(event_base *base, const std::string &storeAddress, StoreSource &source,
                          StoreKind kind, std::string_view kindName, const Timing &timing,
-                         KindEvents &events)
+                         std::size_t maxKeptBytes, KindEvents &events)
     : base(base)
     , storeAddress(storeAddress)
     , source(source)
@@ -55,6 +56,7 @@
     , timing(timing)
     , events(events)
     , timer(base, [this] { this->onTimer(); })
+    , objectCache(maxKeptBytes)
 { }
 
 void KindWatcher::start()
@@ -180,7 +182,8 @@
         this->connection = std::make_unique<OutboundConnection>(this->base, address, idleEvents);
     }
     this->status = 0;
-    this->body.clear();
+    // Frees the memory of a large response.
+    this->body = std::string();
     this->sentAt = Clock::now();
     this->timer.start(timeout);
     this->responseEra.reset();
@@ -208,13 +211,33 @@
 void KindWatcher::onResponseBody(OutboundConnection &, std::string_view data)
 {
     if (this->body.size() + data.size() > kMaxBodyBytes) {
-        this->onFailure("answer too long", false);
+        if (this->hasBegunChanges())
+            this->onLongAnswer();
+        else
+            this->onFailure("answer too long", false);
         return;
     }
     this->body.append(data);
     this->restartAnswerTimeout();
 }
 
+void KindWatcher::onLongAnswer()
+{
+    logEvent(LogLevel::Info, "store_answer_long",
+             {{"kind", this->kindName},
+              {"source", this->sourceAddress},
+              {"revision", this->position.revision}});
+    this->mustList = true;
+    this->connection->cancel();
+    this->becomeIdleFor(absl::ZeroDuration());
+}
+
+bool KindWatcher::hasBegunChanges() const
+{
+    return this->status == kStatusOk
+        && (this->phase == Phase::Watching || this->phase == Phase::Fetching);
+}
+
 void KindWatcher::restartAnswerTimeout()
 {
     // A large configuration takes long over a slow link that all followers share.
@@ -226,7 +249,7 @@
     const absl::Time now = Clock::now();
     if (this->relayFreshness.isUnsettled)
         this->storeFailedAt = now;
-    if (this->status != 200 && this->status != kStatusGone) {
+    if (this->status != kStatusOk && this->status != kStatusGone) {
         this->onFailure(absl::StrCat("status ", this->status), false);
         return;
     }
@@ -412,7 +435,7 @@
 
 void KindWatcher::onCallFailed(OutboundConnection &, std::error_code error)
 {
-    this->onFailure(errorName(error), false);
+    this->onFailure(errorName(error), this->hasBegunChanges());
 }
 
 void KindWatcher::onIdleClosed(OutboundConnection &)
@@ -444,8 +467,7 @@
         this->startNextCall();
         return;
     }
-    this->status = 0;
-    this->onFailure("no answer", false);
+    this->onFailure("no answer", this->hasBegunChanges());
 }
 
 } // namespace foxtailtally
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -67,9 +67,10 @@
         bool allowsStaleList = false;
     };
 
+    /** @p maxKeptBytes: memory for the changes that are kept for other instances. */
     KindWatcher(event_base *base, const std::string &storeAddress, StoreSource &source,
                 StoreKind kind, std::string_view kindName, const Timing &timing,
-                KindEvents &events);
+                std::size_t maxKeptBytes, KindEvents &events);
 
     void start();
     /** Another instance has announced which revisions it holds. */
@@ -110,6 +111,11 @@
     void onHistoryGone(absl::Time now);
     void onPage(absl::Time now);
     void onChanges(absl::Time now);
+    /** A response to a watch has become longer than can be kept: the same watch would get a longer
+     * one, a list has the newest versions only. */
+    void onLongAnswer();
+    /** A response with changes has begun. If it fails, the same request may fail for its size. */
+    bool hasBegunChanges() const;
     void onFailure(std::string_view cause, bool mustList);
     void restartAnswerTimeout();
     /** Gives up a call to the store that is overdue when another instance is ahead. */
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -31,7 +31,7 @@
     this->cancel();
 }
 
-void ServerCall::send(std::string request, bool isHeadRequest, const std::string &callId,
+void ServerCall::send(OutboundRequest request, bool isHeadRequest, const std::string &callId,
                       bool mustRunOnce, absl::Time now)
 {
     this->startedAt = now;
@@ -106,6 +106,8 @@
     this->faultyAddress = reply.faultyServer;
     this->misdirected = reply.isMisdirected;
     this->context.reachability.onConnected(this->server.key, this->server.domain, now);
+    if (!this->misdirected)
+        this->context.unconfirmedLosses.onHeard(this->server.key, this->startedAt, now);
     if (reply.outstanding) {
         activity.reportedCalls = *reply.outstanding;
         activity.reportedAt = now;
@@ -135,7 +137,9 @@
 
 void ServerCall::onResponseBody(OutboundConnection &, std::string_view data)
 {
-    this->context.activity[this->server.key].lastByteAt = Clock::now();
+    const absl::Time now = Clock::now();
+    this->context.activity[this->server.key].lastByteAt = now;
+    this->context.unconfirmedLosses.onHeard(this->server.key, this->startedAt, now);
     this->events.onReplyBody(*this, data);
 }
 
@@ -147,9 +151,12 @@
     this->events.onReplyComplete(*this);
 }
 
-void ServerCall::onCallFailed(OutboundConnection &, std::error_code error)
+void ServerCall::onCallFailed(OutboundConnection &ended, std::error_code error)
 {
     this->failureCause = error;
+    this->endCause = ended.endCause();
+    if (this->endCause == ConnectionEnd::Refused || this->endCause == ConnectionEnd::ClosedByPeer)
+        this->context.unconfirmedLosses.onBroken(this->server.key);
     if (error == Error::PermissionExpired)
         this->end(AttemptEnd::NotPermitted);
     else
--- a/peers/http/outbound_connection.h
+++ b/peers/http/outbound_connection.h
@@ -2,11 +2,14 @@
 
 #include "peers/http/header_collector.h"
 #include "peers/http/http_head.h"
+#include "servers/memory/memory_budget.h"
 
 #include <absl/time/time.h>
 #include <cstddef>
 #include <cstdint>
 #include <http_parser.h>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -18,6 +21,27 @@
 
 class OutboundConnection;
 
+/** How the peer of a connection, or the network, ended it. */
+enum class ConnectionEnd : std::uint8_t {
+    /** The connection is open, or was closed from this side. */
+    None,
+    /** The peer did not accept it. */
+    Refused,
+    /** The peer closed or reset it. */
+    ClosedByPeer,
+    /** The peer did not answer, or there was no way to it. */
+    TimedOut,
+};
+
+/** A complete request. */
+struct OutboundRequest
+{
+    /** Also the body if there is no other. */
+    std::string head;
+    /** Follows the head; shared with other calls and kept until it is written. */
+    std::shared_ptr<const std::string> body = nullptr;
+};
+
 /** Events of the call that an OutboundConnection carries. */
 class OutboundEvents
 {
@@ -34,8 +58,8 @@
     virtual void onResponseComplete(OutboundConnection &connection) = 0;
     /**
      * The call failed and the connection is closed. ConnectionFailed and PermissionExpired: no byte
-     * of the call can have reached the server; ConnectionLost or ProtocolViolation: the call may
-     * have reached it.
+     * of the call can have reached the server; ConnectionLost, ProtocolViolation or
+     * MemoryShareUsedUp: the call may have reached it.
      */
     virtual void onCallFailed(OutboundConnection &connection, std::error_code error) = 0;
 };
@@ -59,6 +83,10 @@
 public:
     /** @p address is "ip:port"; connecting starts at once. */
     OutboundConnection(event_base *base, std::string_view address, IdleEvents &idleEvents);
+    /** As above; heads of responses are charged to @p memory. A call that would need too much of it
+     * fails with MemoryShareUsedUp. */
+    OutboundConnection(event_base *base, std::string_view address, IdleEvents &idleEvents,
+                       MemoryBudget &memory);
     ~OutboundConnection();
     OutboundConnection(const OutboundConnection &) = delete;
     OutboundConnection &operator=(const OutboundConnection &) = delete;
@@ -71,16 +99,22 @@
         std::string value;
     };
 
-    /** Sends @p bytes, a complete request, as soon as the connection is established. @p events is
-     * notified until the call ends. */
-    void call(std::string bytes, bool isHeadRequest, const Correlation &correlation,
+    /** Sends @p request as soon as the connection is established. @p events is notified until the
+     * call ends. */
+    void call(OutboundRequest request, bool isHeadRequest, const Correlation &correlation,
               OutboundEvents &events);
+    void call(std::string request, bool isHeadRequest, const Correlation &correlation,
+              OutboundEvents &events)
+    {
+        this->call(OutboundRequest {std::move(request)}, isHeadRequest, correlation, events);
+    }
     /** Drops the call and closes the connection. No callback follows. */
     void cancel();
     void pauseReading(bool isPaused);
 
     bool isUsable() const { return this->state == State::Connecting || this->state == State::Open; }
     bool isConnected() const { return this->state == State::Open; }
+    ConnectionEnd endCause() const { return this->end; }
     bool hasCall() const { return this->events != nullptr; }
     /** True after a complete response when another call may use the connection. */
     bool isReusable() const;
@@ -106,11 +140,16 @@
     template <typename Work>
     static void runCallback(void *object, Work &&work);
 
+    void write(OutboundRequest written);
     void onConnected();
     void onReadable();
     void onEvent(short what);
     void onDisconnected(bool wasReset);
     void beginResponse();
+    /** Drops the head and what was kept for it. */
+    void dropHead();
+    /** Counts @p bytes more of the head; false if that exceeds its limits. */
+    bool addHeadBytes(std::size_t bytes);
     bool matchesCorrelation() const;
     /** True when more bytes arrived for the call than a response with such a body can need. */
     bool exceedsOverheadLimit() const;
@@ -123,14 +162,20 @@
     bufferevent *stream = nullptr;
     http_parser parser {};
     State state = State::Connecting;
+    ConnectionEnd end = ConnectionEnd::None;
     ResponseHead response;
     HeaderCollector collector {this->response.headers};
     Correlation correlation;
     /** Request that waits for the connection to be established. */
-    std::string request;
+    OutboundRequest request;
     /** Bytes received for the current call: in total, and those of the body passed to events. */
     std::uint64_t receivedBytes = 0;
     std::uint64_t bodyBytes = 0;
+    /** Memory of the head; absent if it is not charged. */
+    std::optional<MemoryHold> headMemory;
+    std::size_t headBytes = 0;
+    /** Why the head was refused; no error while it was not. */
+    std::error_code headError;
     bool isHeadRequest = false;
     bool isSkipped = false;
     bool hasStartedResponse = false;
