Check that a request's body follows its head on the wire

Cause: since head and body are encoded apart, the check that the body follows the head in CallHeaders had nothing to look at. Change: OutboundConnectionTest.WritesASharedBodyBehindItsHead, on a connection that is being established and on an open one, with 300,003 bytes.

--- a/tests/http/outbound_connection_test.cpp
+++ b/tests/http/outbound_connection_test.cpp
@@ -119,6 +119,31 @@
     std::string received;
 };
 
+// Guards against a body that is lost, altered or written before its head, on a connection that is
+// still being established and on one that is open.
+TEST_F(OutboundConnectionTest, WritesASharedBodyBehindItsHead)
+{
+    const auto body = std::make_shared<const std::string>(std::string(300000, 'b') + "end");
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 300003\r\n\r\n";
+    OutboundConnection connection(this->loop.base(), this->server.address(), this->events);
+    int socket = -1;
+    for (const char *id : {"1", "2"}) {
+        this->received.clear();
+        this->events.isComplete = false;
+        connection.call({head, body}, false, {"Call", id}, this->events);
+        this->loop.runUntil([&] { return socket >= 0 || (socket = this->server.accept()) >= 0; });
+        ASSERT_TRUE(this->loop.runUntil([&] {
+            this->received += readAvailable(socket);
+            return this->received.size() >= head.size() + body->size();
+        }));
+        EXPECT_TRUE(this->received == head + *body);
+        writeAll(socket,
+                 std::string("HTTP/1.1 200 OK\r\nCall: ") + id + "\r\nContent-Length: 0\r\n\r\n");
+        ASSERT_TRUE(this->loop.runUntil([&] { return this->events.isComplete; }));
+    }
+    EXPECT_EQ(body.use_count(), 1);
+}
+
 TEST_F(OutboundConnectionTest, SkipsAResponseToAnotherCall)
 {
     OutboundConnection connection(this->loop.base(), this->server.address(), this->events);
