Let a call use engines again that were out of reach for a moment

What callers saw: a long prompt was refused with 503 after 2 s of 14 s, since no engine could be reached for 0.3 s at its arrival. Cause: all engines that had not answered a request for memory counted as tried, which lasts as long as the call. A server that could not be connected to did so before, too. Change: engines and servers that were out of reach are avoided through Reachability, until they accept a connection, and no longer through the list of tried ones. Of engines that are connected and slow to answer only the first is avoided, as before: several may be slow for a reason on this side.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -468,9 +468,10 @@
         return;
     bool foundUnreachable = false;
     for (const ServerKey engine : engines) {
-        foundUnreachable = foundUnreachable
-            || (!this->usesUnreachableEngine && this->context.reachability.hasFailed(engine));
-        if (!this->isPaused(engine, now))
+        // Plans avoid an unreachable engine until it accepts a connection, and may use it then.
+        const bool isUnreachable = this->context.reachability.hasFailed(engine);
+        foundUnreachable = foundUnreachable || (isUnreachable && !this->usesUnreachableEngine);
+        if (!isUnreachable && !this->isPaused(engine, now))
             this->tried.push_back(engine);
     }
     this->retryPlacement(foundUnreachable, now);
@@ -760,7 +761,7 @@
     const bool wasUnsent = end == AttemptEnd::NotSent || end == AttemptEnd::NotPermitted
         || (end == AttemptEnd::Superseded && !call.wasWritten());
     this->hasRetryGrant = this->hasRetryGrant || (wasUnsent && ended->usedRetryGrant);
-    // Other servers are not known to be unreachable, and one that was tried is not tried again.
+    // The next choice avoids this server until it accepts a connection.
     const bool foundUnreachable = end == AttemptEnd::NotSent && !ended->wasUnreachable;
     if (!wasUnsent && end != AttemptEnd::Rejected)
         ++this->runs;
@@ -771,8 +772,10 @@
     // Silence was recorded when the stream was also sent to another server.
     if (end != ended->replacedFor)
         recordAttemptEnd(this->context, call, end, now);
-    if (end == AttemptEnd::Rejected && this->isPaused(call.target().key, now))
-        std::erase(this->tried, call.target().key);
+    const bool mayTakeItLater = end == AttemptEnd::NotSent
+        || (end == AttemptEnd::Rejected && this->isPaused(target.key, now));
+    if (mayTakeItLater)
+        std::erase(this->tried, target.key);
     AttemptRecord record;
     record.callId = this->call.headers.callId;
     record.fingerprint = this->suspicion->fingerprint();
--- a/main/gateway/reservation_set.cpp
+++ b/main/gateway/reservation_set.cpp
@@ -237,11 +237,15 @@
     std::vector<ServerKey> unanswered;
     for (const auto &request : this->requests) {
         const ServerKey engine = request->target().engine;
-        unanswered.push_back(engine);
         const ServerDirectory::Server *server = this->context.directory.findByKey(engine);
-        if (server && !request->isConnected())
-            this->context.reachability.onConnectFailed(engine, server->entry.domain, now);
+        if (!server || request->isConnected())
+            continue;
+        this->context.reachability.onConnectFailed(engine, server->entry.domain, now);
+        unanswered.push_back(engine);
     }
+    // Several engines may be slow for a reason on this side.
+    if (unanswered.empty())
+        unanswered.push_back(this->requests.front()->target().engine);
     logEvent(LogLevel::Info, "reservation_unanswered",
              {{"reservation", this->reservationId}, {"engines", unanswered.size()}});
     this->fail(unanswered);
--- a/tests/process/silent_server_test.cpp
+++ b/tests/process/silent_server_test.cpp
@@ -134,6 +134,18 @@
     EXPECT_EQ(answer.body, ServingStandin::streamBody("long"));
 }
 
+// Guards against a long prompt that is refused for good after a moment in which no engine could be
+// reached, since each of them had been tried.
+TEST_F(SilentServer, PlacesALongPromptAfterAMomentWithoutAnyEngine)
+{
+    ASSERT_TRUE(this->deployment.waitUntilReady(0));
+    for (int index = 0; index < kEngines; ++index)
+        this->deployment.platform().cutOff(index, absl::Milliseconds(300));
+    const CallerAnswer answer = this->callWithLongPrompt();
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, ServingStandin::streamBody("long"));
+}
+
 /** A time in which the engine with a long prompt is cut off. */
 struct CutCase
 {
