--- a/tests/process/silent_server_test.cpp
+++ b/tests/process/silent_server_test.cpp
@@ -375,6 +375,28 @@
     EXPECT_EQ(this->deathsRecorded(true), 1U);
 }
 
+// Guards against a begun stream that is broken off with most of its time left, because the server
+// that could resume it accepts no connection for a moment.
+TEST_F(BrieflySilentServerPair, ResumesItsStreamAtAServerThatReturns)
+{
+    this->deployment.start(0);
+    ASSERT_TRUE(this->deployment.waitUntilReady(0));
+    ServingStandin &platform = this->deployment.platform();
+    for (int index = 0; index < 2; ++index)
+        platform.setServerBehavior(index, ServerBehavior::DisconnectMidStream);
+    CallerAnswer answer;
+    std::thread caller([&] { answer = this->stream(); });
+    const int first = this->waitForFirstArrival();
+    if (first >= 0) {
+        platform.setServerBehavior(1 - first, ServerBehavior::Serve);
+        platform.cutOff(1 - first, absl::Seconds(1));
+    }
+    caller.join();
+    ASSERT_GE(first, 0);
+    EXPECT_TRUE(answer.isComplete);
+    EXPECT_EQ(answer.body, ServingStandin::streamBody("brief"));
+}
+
 std::vector<BriefSilenceCase> briefSilenceCases()
 {
     const std::vector<std::pair<std::string, ServerBehavior>> behaviors = {
