Let a begun response wait for a server that cannot be reached

What callers saw: a stream whose server broke it off was ended after 1.06 of 4 s, without its end, since the only other server could not be connected to for a second. Cause: connections that fail count as rejections, of which three end the call; a response that has begun can only be broken off then, since no refusal is possible any more. Change: such a call tries again every 100 ms for as long as its caller waits for the next event. One whose response has not begun is refused as before, since its caller can go to another instance.

--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -39,6 +39,9 @@
 /** Interval between attempts to find a server, or a plan that harms no other stream. */
 constexpr absl::Duration kReplanInterval = absl::Milliseconds(20);
 
+/** Interval between attempts to resume a response at a server that cannot be reached. */
+constexpr absl::Duration kReconnectInterval = absl::Milliseconds(100);
+
 /** Largest response that is buffered until it is complete, and the total of all buffered ones; the
  * smallest instances have 160 MB of memory. */
 constexpr std::size_t kMaxBufferedReplyBytes = std::size_t {8} << 20;
@@ -201,6 +204,15 @@
     return true;
 }
 
+bool CallRun::waitForReturn(absl::Time now)
+{
+    if (this->demand(now).callerTimeLeft <= kReconnectInterval)
+        return false;
+    this->isWaiting = true;
+    this->checkTimer.start(kReconnectInterval);
+    return true;
+}
+
 void CallRun::refuse(std::string_view cause, absl::Time now)
 {
     if (this->isStopTooNear(now)) {
@@ -493,9 +505,13 @@
     }
     if (!foundUnreachable)
         ++this->rejections;
-    if (this->rejections > kMaxRejections || this->suspicion->isQuarantined(now)
-        || !this->dispatch(now))
-        this->finishWith(fallbackStep(AttemptEnd::NotSent, this->progress(now)), now);
+    const bool isQuarantined = this->suspicion->isQuarantined(now);
+    if (this->rejections <= kMaxRejections && !isQuarantined && this->dispatch(now))
+        return;
+    const bool isUnreachable = foundUnreachable || this->usesUnreachableEngine;
+    if (this->hasAnswerBegun && isUnreachable && !isQuarantined && this->waitForReturn(now))
+        return;
+    this->finishWith(fallbackStep(AttemptEnd::NotSent, this->progress(now)), now);
 }
 
 bool CallRun::dispatchPlain(const Service &service, std::span<const ServerKey> excluded,
@@ -797,6 +813,9 @@
     this->dropTokens(now);
     const CallProgress state = this->progress(now);
     NextStep step = nextStep(end, state);
+    const bool isUnreachable = end == AttemptEnd::NotSent && !state.isQuarantined;
+    if (step == NextStep::BreakOff && isUnreachable && this->waitForReturn(now))
+        return;
     if (step == NextStep::TryElsewhere) {
         const bool isRetry = end != AttemptEnd::NotSent && end != AttemptEnd::NotPermitted;
         const bool allowed = !isRetry || this->takeRetry(now);
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -154,6 +154,9 @@
     /** Waits for the first server whose requested pause ends; false when that is too late for the
      * caller, or some server has requested none. */
     bool waitForPauseEnd(absl::Time now);
+    /** Lets a response that has begun wait for a server that cannot be reached; false if its caller
+     * would not. */
+    bool waitForReturn(absl::Time now);
     CrashEvidence crashEvidence(const ServerCall &call, const Attempt &attempt,
                                 bool isConnectionBroken, absl::Time now) const;
     /** The same for a server that is only known to be silent. */
