--- a/main/gateway/call_log.cpp
+++ b/main/gateway/call_log.cpp
@@ -43,6 +43,17 @@
 
 } // namespace
 
+void countPromptList(GatewayContext &context, const platform::PromptParts &prompt)
+{
+    const auto count = [&context](std::string_view fault) {
+        context.metrics.counter("foxtailtally_prompt_lists_total", {{"fault", fault}}).add();
+    };
+    if (prompt.isMalformed)
+        count("malformed");
+    if (prompt.isTruncated)
+        count("truncated");
+}
+
 void logAttemptEnd(GatewayContext &context, const ServerCall &call, AttemptEnd end,
                    const AttemptRecord &record, absl::Time now)
 {
@@ -75,6 +86,38 @@
     logEvent(LogLevel::Info, "attempt_ended", fields);
 }
 
+void logCallDone(GatewayContext &context, const CallState &state, const std::string &server,
+                 std::string_view outcome, int status, absl::Time now)
+{
+    const AdmittedCall &call = state.call;
+    const bool hadEvent = state.firstEventAt != absl::InfinitePast();
+    context.metrics.counter("foxtailtally_calls_total", {{"outcome", outcome}}).add();
+    context.metrics.distribution("foxtailtally_call_seconds", {{"outcome", outcome}})
+        .observe(now - call.receivedAt);
+    logEvent(LogLevel::Info, "call_done",
+             {{"request", call.headers.callId},
+              {"route", call.route->name},
+              {"service", state.service},
+              {"server", server},
+              {"outcome", outcome},
+              {"status", status},
+              {"arrivals", state.attemptsSent},
+              {"runs", state.runs},
+              {"prompt", call.headers.promptTokens},
+              {"helpers", state.lastPlan.helpers.size()},
+              {"harm", static_cast<int>(state.lastPlan.harm * 100)},
+              {"waited_ms", absl::ToInt64Milliseconds(state.dispatchDelay)},
+              {"planned_ms", static_cast<int>(state.lastPlan.predictedFirstEventMs)},
+              {"first_ms",
+               hadEvent ? absl::ToInt64Milliseconds(state.firstEventAt - call.receivedAt) : -1},
+              {"pause_ms", absl::ToInt64Milliseconds(state.longestGap)},
+              {"total_ms", absl::ToInt64Milliseconds(now - call.receivedAt)},
+              {"objective_ms", absl::ToInt64Milliseconds(call.route->objective)},
+              {"timeout_ms", absl::ToInt64Milliseconds(call.route->timeout)},
+              {"allowed_ms", absl::ToInt64Milliseconds(call.answerBy - call.receivedAt)},
+              {"config", call.config->version()}});
+}
+
 void logNotRetried(GatewayContext &context, const std::string &callId, AttemptEnd end,
                    std::string_view cause)
 {
--- a/main/gateway/call_log.h
+++ b/main/gateway/call_log.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "core/request.h"
+#include "main/gateway/call_state.h"
 #include "main/gateway/gateway_context.h"
 #include "main/gateway/server_call.h"
 #include "main/gateway/stream_planner.h"
+#include "platform/call_headers.h"
 
 #include <absl/time/time.h>
 #include <span>
@@ -25,10 +27,17 @@
     bool hadEvent = false;
 };
 
+/** Counts a list of prompt parts that could not be decoded whole. */
+void countPromptList(GatewayContext &context, const platform::PromptParts &prompt);
+
 /** Logs and counts the end of an attempt, with the state of its server at that time. */
 void logAttemptEnd(GatewayContext &context, const ServerCall &call, AttemptEnd end,
                    const AttemptRecord &record, absl::Time now);
 
+/** Logs and counts the end of a call. @p server: of its last attempt, if that was in flight. */
+void logCallDone(GatewayContext &context, const CallState &state, const std::string &server,
+                 std::string_view outcome, int status, absl::Time now);
+
 /** Logs and counts that a call is not sent to another server after an attempt that ended with @p
  * end. */
 void logNotRetried(GatewayContext &context, const std::string &callId, AttemptEnd end,
--- /dev/null
+++ b/main/gateway/call_state.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "main/gateway/call_suspicion.h"
+#include "platform/call_headers.h"
+#include "servers/catalog/serving_config.h"
+#include "servers/placement/stream_placement.h"
+#include "servers/retry/attempt_policy.h"
+
+#include <absl/time/time.h>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace foxtailtally {
+
+/** An admitted call: its caller, route and deadline. */
+struct AdmittedCall
+{
+    platform::CallHeaders headers;
+    /** Keeps the route alive. */
+    std::shared_ptr<const ServingConfig> config;
+    const Route *route = nullptr;
+    /** Empty on routes without keys. */
+    std::string customer;
+    absl::Time receivedAt;
+    /** The complete response is due. */
+    absl::Time answerBy;
+};
+
+/** What is known of a call in progress, for the parts of its CallRun. */
+struct CallState
+{
+    explicit CallState(AdmittedCall admitted)
+        : call(std::move(admitted))
+    { }
+
+    bool isStream() const { return this->call.route->kind == CallKind::Streaming; }
+    /** The instance stops before a call sent now is expected to end. */
+    bool isStopTooNear(const GatewayContext &context, absl::Time now) const;
+    CallProgress progress(absl::Time now);
+
+    AdmittedCall call;
+    std::string service;
+    /** Set when the request is complete. */
+    std::optional<CallSuspicion> suspicion;
+    /** Servers that the call has been sent to, apart from those that may take it later. */
+    std::vector<ServerKey> tried;
+    /** Attempts that ran or may have run. */
+    int runs = 0;
+    /** Attempts that certainly did not run. */
+    int rejections = 0;
+    bool hasAnswerBegun = false;
+    bool isDone = false;
+    /** Servers are not read, since the caller reads too slowly. */
+    bool isReadingPaused = false;
+    /** The plan that was evaluated last, for the log; it need not have been used. */
+    StreamPlan lastPlan;
+    absl::Time lastEventAt = absl::InfinitePast();
+    absl::Time firstEventAt = absl::InfinitePast();
+    absl::Duration longestGap = absl::ZeroDuration();
+    int attemptsSent = 0;
+    /** Time from the call's arrival to its last attempt. */
+    absl::Duration dispatchDelay = absl::ZeroDuration();
+};
+
+} // namespace foxtailtally
--- a/main/gateway/placed_stream.cpp
+++ b/main/gateway/placed_stream.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace foxtailtally {
 
@@ -55,6 +56,14 @@
     this->streamId = 0;
 }
 
+void PlacedStream::retire(GatewayContext &context, std::unique_ptr<PlacedStream> stream)
+{
+    if (!stream)
+        return;
+    stream->drop();
+    context.retired.push_back(std::move(stream));
+}
+
 bool PlacedStream::isValid(absl::Time now) const
 {
     const ServerDirectory &directory = this->context.directory;
--- a/main/gateway/placed_stream.h
+++ b/main/gateway/placed_stream.h
@@ -47,6 +47,9 @@
     /** Removes the stream from the ledger and releases its memory. */
     void drop();
 
+    /** Drops @p stream and has it destroyed later; nothing if it is null. */
+    static void retire(GatewayContext &context, std::unique_ptr<PlacedStream> stream);
+
     /** Every engine of the placement may still get work; true without a placement. */
     bool isValid(absl::Time now) const;
     bool holdsMemory() const { return this->reservations != nullptr; }
