Log on which connection a lost attempt was sent

Cause: attempt_ended did not tell a call that was sent on a connection the server had dropped from one that crashed its server; both end as lost with connection_lost.

Change: attempt_ended has had_bytes, and idle_ms if the connection had carried other calls. No decision uses them.

--- a/main/gateway/call_log.cpp
+++ b/main/gateway/call_log.cpp
@@ -81,6 +81,9 @@
         const std::size_t logged = std::min(record.sharedParts.size(), kMaxPartsLogged);
         fields["parts"] = absl::StrJoin(record.sharedParts.first(logged), ",");
     }
+    if (call.usedIdleConnection())
+        fields["idle_ms"] = absl::ToInt64Milliseconds(call.connectionIdleTime());
+    fields["had_bytes"] = call.hadBytes();
     if (end == AttemptEnd::Lost)
         fields.update(loadFields(context, target.key, now));
     logEvent(LogLevel::Info, "attempt_ended", fields);
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -40,6 +40,7 @@
         mustRunOnce ? absl::ZeroDuration() : ConnectionPool::kMaxIdleTime;
     this->connection = this->context.pool.acquire(this->server.address, maxIdle, now);
     this->isConnectionReused = this->connection->hasCompletedCalls();
+    this->idleTime = this->connection->idleBefore();
     ServerActivity &activity = this->context.activity[this->server.key];
     ++activity.outstanding;
     this->addSuspectCount(1);
@@ -187,6 +188,7 @@
 void ServerCall::discardConnection()
 {
     this->connectTimer.stop();
+    this->hasReceived = this->connection && this->connection->hasStartedResponse();
     this->context.pool.discard(std::move(this->connection));
     this->uncountCall();
 }
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -77,6 +77,11 @@
     const std::string &faultyServer() const { return this->faultyAddress; }
     /** Error that ended the attempt; no error while there is none. */
     std::error_code failure() const { return this->failureCause; }
+    /** The connection had carried other calls, and for how long it was idle before this one. */
+    bool usedIdleConnection() const { return this->isConnectionReused; }
+    absl::Duration connectionIdleTime() const { return this->idleTime; }
+    /** A byte has arrived on the connection since the call was sent. */
+    bool hadBytes() const { return this->hasReceived; }
     /** How the connection ended, when that ended the attempt. */
     ConnectionEnd connectionEnd() const { return this->endCause; }
 
@@ -113,6 +118,8 @@
     /** The call was not permitted when it would have been written at once. */
     bool isWithheld = false;
     bool isConnectionReused = false;
+    absl::Duration idleTime = absl::ZeroDuration();
+    bool hasReceived = false;
     bool written = false;
 };
 
--- a/peers/http/connection_pool.cpp
+++ b/peers/http/connection_pool.cpp
@@ -50,8 +50,10 @@
             kept.erase(kept.begin() + static_cast<std::ptrdiff_t>(index));
             const bool isFresh = maxIdle > absl::ZeroDuration()
                 && now - last.since <= maxIdleTime(*last.connection, maxIdle);
-            if (isFresh && last.connection->isReusable() && !last.connection->hasUnreadInput())
+            if (isFresh && last.connection->isReusable() && !last.connection->hasUnreadInput()) {
+                last.connection->setIdleBefore(now - last.since);
                 return std::move(last.connection);
+            }
             this->discard(std::move(last.connection));
             if (!isFresh)
                 break;
--- a/peers/http/outbound_connection.cpp
+++ b/peers/http/outbound_connection.cpp
@@ -205,7 +205,7 @@
 int OutboundConnection::onHeaderField(http_parser *parser, const char *data, std::size_t size)
 {
     OutboundConnection &connection = self(parser);
-    connection.hasStartedResponse = true;
+    connection.responseStarted = true;
     const std::size_t overhead = connection.collector.isBetweenHeaders() ? kHeaderOverheadBytes : 0;
     if (!connection.addHeadBytes(overhead + size))
         return -1;
@@ -225,7 +225,7 @@
 int OutboundConnection::onHeadersComplete(http_parser *parser)
 {
     OutboundConnection &connection = self(parser);
-    connection.hasStartedResponse = true;
+    connection.responseStarted = true;
     connection.collector.finish();
     connection.response.status = parser->status_code;
     parser->upgrade = 0;
@@ -309,7 +309,7 @@
         const std::size_t size = evbuffer_get_contiguous_space(input);
         const char *data =
             reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
-        this->hasStartedResponse = true;
+        this->responseStarted = true;
         const std::size_t parsed =
             http_parser_execute(&this->parser, &parserSettings(), data, size);
         if (this->wasCancelled)
@@ -364,7 +364,7 @@
         this->idleEvents.onIdleClosed(*this);
         return;
     }
-    const bool endsBody = !wasReset && this->hasStartedResponse && this->response.status != 0
+    const bool endsBody = !wasReset && this->responseStarted && this->response.status != 0
         && !this->response.isFramed && !this->isSkipped;
     if (endsBody) {
         OutboundEvents *finished = this->events;
@@ -382,7 +382,7 @@
     this->parser.data = this;
     this->dropHead();
     this->isSkipped = false;
-    this->hasStartedResponse = false;
+    this->responseStarted = false;
 }
 
 void OutboundConnection::dropHead()
--- a/peers/http/outbound_connection.h
+++ b/peers/http/outbound_connection.h
@@ -121,6 +121,11 @@
     /** The server has sent bytes or closed the connection, and the loop has not noticed yet. */
     bool hasUnreadInput() const;
     bool hasCompletedCalls() const { return this->completedCalls > 0; }
+    /** A byte of the response to the current call, or of another one, has arrived during it. */
+    bool hasStartedResponse() const { return this->responseStarted; }
+    /** Time for which the connection was idle before the current call. */
+    absl::Duration idleBefore() const { return this->idleTime; }
+    void setIdleBefore(absl::Duration time) { this->idleTime = time; }
     /** A call was sent whose response carries no id, so that a copy of it cannot be recognised. */
     bool hasUnidentifiedCalls() const { return this->hadUnidentifiedCall; }
     /** Idle timeout that the server announced in Keep-Alive; zero when it announced none. */
@@ -178,11 +183,12 @@
     std::error_code headError;
     bool isHeadRequest = false;
     bool isSkipped = false;
-    bool hasStartedResponse = false;
+    bool responseStarted = false;
     bool keepsAlive = false;
     int completedCalls = 0;
     bool hadUnidentifiedCall = false;
     absl::Duration idleTimeout = absl::ZeroDuration();
+    absl::Duration idleTime = absl::ZeroDuration();
     /** Set by cancel(); stops the parser when one of its callbacks cancelled the call. */
     bool wasCancelled = false;
 };
