--- a/tests/process/scripted_servers.cpp
+++ b/tests/process/scripted_servers.cpp
@@ -77,6 +77,18 @@
     return this->seen;
 }
 
+void ScriptedServers::forgetIdleConnections(absl::Duration time)
+{
+    const std::lock_guard lock(this->mutex);
+    this->maxRest = time;
+}
+
+bool ScriptedServers::isForgotten(const Connection &connection)
+{
+    const std::lock_guard lock(this->mutex);
+    return absl::Now() - connection.restsSince > this->maxRest;
+}
+
 void ScriptedServers::serve()
 {
     std::vector<Connection> connections;
@@ -102,7 +114,13 @@
 
 bool ScriptedServers::advance(Connection &connection)
 {
-    connection.received += readAvailable(connection.socket);
+    const std::string arrived = readAvailable(connection.socket);
+    if (!arrived.empty() && this->isForgotten(connection)) {
+        ++this->forgotten;
+        resetConnection(connection.socket);
+        return false;
+    }
+    connection.received += arrived;
     if (connection.pending && absl::Now() >= connection.dueAt) {
         const ScriptedReply reply = *std::exchange(connection.pending, std::nullopt);
         if (!finish(connection, reply))
@@ -114,6 +132,7 @@
             break;
         const ScriptedReply reply = this->nextReply(connection.received.substr(0, length));
         connection.received.erase(0, length);
+        connection.restsSince = absl::InfiniteFuture();
         if (!reply.firstBytes.empty()) {
             writeAll(connection.socket, reply.firstBytes);
             std::this_thread::sleep_for(kPause);
@@ -131,9 +150,10 @@
     return false;
 }
 
-bool ScriptedServers::finish(const Connection &connection, const ScriptedReply &reply)
+bool ScriptedServers::finish(Connection &connection, const ScriptedReply &reply)
 {
     writeAll(connection.socket, reply.bytes);
+    connection.restsSince = absl::Now();
     if (reply.ending == ScriptedReply::Ending::Keep)
         return true;
     if (reply.ending == ScriptedReply::Ending::Reset)
--- a/tests/process/scripted_servers.h
+++ b/tests/process/scripted_servers.h
@@ -42,6 +42,11 @@
     void setScript(Script script);
     /** The requests received since setScript(), with their heads and bodies. */
     std::vector<std::string> requests();
+    /** Connections that have rested for longer than @p time are reset by whatever is sent on them
+     * next, without a notice before. */
+    void forgetIdleConnections(absl::Duration time);
+    /** Connections that were reset for that reason. */
+    int forgottenConnections() const { return this->forgotten; }
 
 private:
     struct Connection
@@ -51,18 +56,23 @@
         /** A response that is sent later. */
         std::optional<ScriptedReply> pending = std::nullopt;
         absl::Time dueAt;
+        /** When the last response was complete; never before the first one. */
+        absl::Time restsSince = absl::InfiniteFuture();
     };
 
     void serve();
+    bool isForgotten(const Connection &connection);
     /** Responds to the requests received on @p connection; false once it is closed. */
     bool advance(Connection &connection);
     /** Sends the rest of @p reply; false once the connection is closed. */
-    static bool finish(const Connection &connection, const ScriptedReply &reply);
+    static bool finish(Connection &connection, const ScriptedReply &reply);
     ScriptedReply nextReply(const std::string &request);
 
     std::vector<int> listeners;
     std::atomic<bool> isStopping = false;
+    std::atomic<int> forgotten = 0;
     std::mutex mutex;
+    absl::Duration maxRest = absl::InfiniteDuration();
     Script script;
     std::vector<std::string> seen;
     std::thread thread;
