Repeat a call whose idle connection was dropped, and count no death

What callers saw: 502 server_lost after a round trip while all servers were sound, when a server had dropped the idle connection on which their call was sent; deaths of sound servers were recorded for it, so that calls which many callers send could be quarantined.

Cause: a closed connection was proof that the process had ended, whatever the connection was. The class of fault: one observation with two causes is booked as the graver one.

Change: an idle connection that is closed within 0.5 s after a call was sent on it, before any byte of a response, ends the attempt as Dropped. The loss is kept unconfirmed; a refused connection or another one that breaks confirms it at once, a new connection that is accepted acquits the server. The call goes out again at once to the same server, over the same placement, on a new connection. The first attempt counts as a run that may have happened, but not towards the route's largest number of servers. ConnectionReuse keeps later calls off connections that old, by server, and by service once two servers have dropped some.

A crash that looks like a dropped connection is recorded before the call's next attempt (CallRunTest.RecordsACrashThatLooksLikeADroppedConnection).

--- a/main/gateway/attempt_evidence.cpp
+++ b/main/gateway/attempt_evidence.cpp
@@ -18,12 +18,16 @@
 {
     const AttemptTarget &target = call.target();
     const bool isBroken = end == AttemptEnd::Lost && call.failure() == Error::ConnectionLost;
+    const bool wasDropped = end == AttemptEnd::Dropped;
     // An unreachable server is probed until it is heard.
     const bool isSilent = end == AttemptEnd::Silent
         && !this->context.reachability.isReachable(target.key, target.domain);
     if (isSilent || (isBroken && call.connectionEnd() == ConnectionEnd::TimedOut))
         return this->silence(call, attempt, now);
-    return this->crash(call, attempt, isBroken, now);
+    CrashEvidence evidence = this->crash(call, attempt, isBroken || wasDropped, now);
+    evidence.isUnconfirmed = wasDropped;
+    evidence.wasDropped = wasDropped;
+    return evidence;
 }
 
 CrashEvidence AttemptEvidence::crash(const ServerCall &call, const CallAttempt &attempt,
@@ -67,7 +71,7 @@
         this->context.reachability.onSilent(target.key, target.domain, isNeeded, now);
     evidence.isRepeatable = this->state.call.route->isRepeatable() && !this->state.isReadingPaused;
     evidence.earlierRuns = this->state.runs;
-    evidence.maxRuns = this->state.call.route->maxAttempts;
+    evidence.maxRuns = this->state.maxRuns();
     evidence.isOverdue =
         now - lastProgressAt > this->state.call.route->streamIdleTimeout() * kMigrationTimeoutShare;
     const bool isGone = this->context.reachability.isUnresponsive(target.key)
--- a/main/gateway/call_attempt.h
+++ b/main/gateway/call_attempt.h
@@ -37,6 +37,8 @@
     bool usedRetryGrant = false;
     /** The server has run the call for longer than kCrashDelay. */
     bool hasSurvived = false;
+    /** Repeats an attempt at the same server whose connection was dropped. */
+    bool isRepetition = false;
     /** The server was known to be unreachable when it was chosen for want of another. */
     bool wasUnreachable = false;
 };
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -170,6 +170,7 @@
     target.incarnation = server.incarnation;
     target.key = serverKey(server.id, server.incarnation);
     target.address = server.address;
+    target.service = server.service;
     target.domain = server.domain;
     target.suspicion = this->state.suspicion->nextRun(now);
     target.suspectParts = this->state.suspicion->suspectParts(now);
@@ -194,7 +195,26 @@
     attempt.call->send(
         {platform::encodeForwardedCall(head, this->body->size(), forwarded), this->body},
         head.method == "HEAD", this->state.call.headers.callId,
-        !this->state.call.route->isRepeatable(), now);
+        this->needsNewConnection || !this->state.call.route->isRepeatable(), now);
+}
+
+bool CallRun::repeatAttempt(CallAttempt &ended, const AttemptTarget &target, absl::Time now)
+{
+    const ServerDirectory::Server *server = this->context.directory.findByKey(target.key);
+    const bool mayGetCall = server
+        && this->context.directory.isUsable(target.id, target.incarnation, now)
+        && (!ended.placement || ended.placement->isValid(now));
+    const bool isOnlyAttempt = this->attempts.empty() && !this->dispatcher.isPreparing();
+    if (!mayGetCall || !isOnlyAttempt || this->state.suspicion->isQuarantined(now)
+        || !this->takeRetry(now))
+        return false;
+    ++this->state.repetitions;
+    if (ended.placement)
+        this->onEngineReady(std::move(ended.placement), now);
+    else
+        this->onServerChosen(*server, now);
+    this->attempts.back().isRepetition = true;
+    return true;
 }
 
 void CallRun::onReply(ServerCall &call, const ResponseHead &head,
@@ -363,10 +383,12 @@
     const AttemptTarget &target = call.target();
     this->state.suspicion->onLoss(target, this->evidence.loss(call, *ended, end, now), now);
     this->context.retired.push_back(std::move(ended->call));
-    PlacedStream::retire(this->context, std::move(ended->placement));
     const bool wasUnsent = end == AttemptEnd::NotSent || end == AttemptEnd::NotPermitted
         || (end == AttemptEnd::Superseded && !call.wasWritten());
     this->hasRetryGrant = this->hasRetryGrant || (wasUnsent && ended->usedRetryGrant);
+    // The process that dropped the connection goes on and does not take the call now.
+    if (ended->isRepetition && (end == AttemptEnd::Rejected || end == AttemptEnd::NotPermitted))
+        --this->state.repetitions;
     // The next choice avoids this server until it accepts a connection.
     const bool foundUnreachable = end == AttemptEnd::NotSent && !ended->wasUnreachable;
     if (!wasUnsent && end != AttemptEnd::Rejected)
@@ -390,6 +412,12 @@
     record.rejections = this->state.rejections;
     record.hadEvent = this->state.lastEventAt >= call.sentAt();
     logAttemptEnd(this->context, call, end, record, now);
+    // A refused connection, or another one that broke, may have shown what became of the server.
+    settleUnconfirmedLosses(this->context, now);
+    this->needsNewConnection = this->needsNewConnection || end == AttemptEnd::Dropped;
+    if (end == AttemptEnd::Dropped && this->repeatAttempt(*ended, target, now))
+        return;
+    PlacedStream::retire(this->context, std::move(ended->placement));
     this->afterAttempt(end, now);
 }
 
@@ -558,7 +586,7 @@
 
 void CallRun::hedge(absl::Time now)
 {
-    if (this->state.runs + 1 >= this->state.call.route->maxAttempts || this->attempts.size() > 1)
+    if (this->state.runs + 1 >= this->state.maxRuns() || this->attempts.size() > 1)
         return;
     // A second copy of a call that may crash its server could crash another one.
     if (this->state.suspicion->nextRun(now) != SuspectRun::None)
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -61,6 +61,9 @@
     bool hasAttempts() const override { return !this->attempts.empty(); }
     void onReplied(std::string_view outcome, int status) override { this->finish(outcome, status); }
 
+    /** Sends the call once more to the server of @p ended, whose idle connection was dropped, on a
+     * new connection; false if it may not get the call again. */
+    bool repeatAttempt(CallAttempt &ended, const AttemptTarget &target, absl::Time now);
     /** @p placement: null for calls that need no engine. */
     void sendTo(const ServerEntry &server, std::unique_ptr<PlacedStream> placement, absl::Time now);
     void relayEvents(CallAttempt &attempt, std::string_view data, absl::Time now);
@@ -104,6 +107,8 @@
     /** The retry budget has granted a retry that no server got yet. */
     bool hasRetryGrant = false;
     bool hasStarted = false;
+    /** A connection of the call was dropped; it uses no other idle one. */
+    bool needsNewConnection = false;
     /** Response bytes buffered by this call so far; part of GatewayContext::bufferedReplyBytes. */
     std::size_t bufferedBytes = 0;
 };
--- a/main/gateway/call_state.cpp
+++ b/main/gateway/call_state.cpp
@@ -20,7 +20,7 @@
     CallProgress progress;
     progress.isRepeatable = this->call.route->isRepeatable();
     progress.runs = this->runs;
-    progress.maxRuns = this->call.route->maxAttempts;
+    progress.maxRuns = this->maxRuns();
     progress.rejections = this->rejections;
     progress.hasAnswerBegun = this->hasAnswerBegun;
     progress.isQuarantined = this->suspicion->isQuarantined(now);
--- a/main/gateway/call_state.h
+++ b/main/gateway/call_state.h
@@ -40,6 +40,7 @@
     /** The instance stops before a call sent now is expected to end. */
     bool isStopTooNear(const GatewayContext &context, absl::Time now) const;
     CallProgress progress(absl::Time now);
+    int maxRuns() const { return this->call.route->maxAttempts + this->repetitions; }
 
     AdmittedCall call;
     std::string service;
@@ -51,6 +52,8 @@
     int runs = 0;
     /** Attempts that certainly did not run. */
     int rejections = 0;
+    /** Dropped attempts that were sent once more to the same server. */
+    int repetitions = 0;
     bool hasAnswerBegun = false;
     bool isDone = false;
     /** Servers are not read, since the caller reads too slowly. */
--- a/main/gateway/call_suspicion.cpp
+++ b/main/gateway/call_suspicion.cpp
@@ -142,6 +142,7 @@
               {"server", target.id.str()},
               {"incarnation", target.incarnation},
               {"silent_ms", absl::ToInt64Milliseconds(evidence.silentFor)},
+              {"dropped", evidence.wasDropped},
               {"kept", isKept}});
 }
 
@@ -155,6 +156,7 @@
     loss.running = this->fingerprints();
     loss.partIds = {this->content.sharedParts.begin(), this->content.sharedParts.end()};
     loss.silentSince = now - evidence.silentFor;
+    loss.wasDropped = evidence.wasDropped;
     loss.lostAt = now;
     loss.causeSince = commonCauseSince(evidence, now);
     return loss;
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -124,6 +124,7 @@
     this->context.limits.onTick(now);
     this->context.ledger.onTick(now);
     this->context.health.onTick(now);
+    this->context.connectionReuse.onTick(now);
     settleUnconfirmedLosses(this->context, now);
     this->context.quarantine.onTick(now);
     // Destroying a retired object may retire others.
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -20,6 +20,7 @@
 #include "servers/quarantine/quarantine.h"
 #include "servers/quarantine/suspect_part_runs.h"
 #include "servers/quarantine/unconfirmed_losses.h"
+#include "servers/retry/connection_reuse.h"
 #include "servers/retry/retry_after_policy.h"
 #include "servers/retry/retry_budget.h"
 #include "servers/retry/stop_policy.h"
@@ -118,6 +119,7 @@
     MemoryBudget memory;
     BodyQueue bodies;
     ConnectionPool pool;
+    ConnectionReuse connectionReuse {ConnectionPool::kMaxIdleTime};
     StoreSource storeSource;
     InstanceExchange exchange;
     Metrics metrics;
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -12,6 +12,10 @@
  * retransmitted after longer than this. */
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(180);
 
+/** Time from the sending of a call to the reset of a connection that the server had dropped: a
+ * round trip, and the retransmission of one lost packet. What breaks later has been accepted. */
+constexpr absl::Duration kDropNoticeTime = absl::Milliseconds(500);
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -32,12 +36,13 @@
 }
 
 void ServerCall::send(OutboundRequest request, bool isHeadRequest, const std::string &callId,
-                      bool mustRunOnce, absl::Time now)
+                      bool needsNewConnection, absl::Time now)
 {
     this->startedAt = now;
     this->callId = callId;
-    const absl::Duration maxIdle =
-        mustRunOnce ? absl::ZeroDuration() : ConnectionPool::kMaxIdleTime;
+    const absl::Duration maxIdle = needsNewConnection
+        ? absl::ZeroDuration()
+        : this->context.connectionReuse.maxIdleTime(this->server.key, this->server.service, now);
     this->connection = this->context.pool.acquire(this->server.address, maxIdle, now);
     this->isConnectionReused = this->connection->hasCompletedCalls();
     this->idleTime = this->connection->idleBefore();
@@ -156,8 +161,20 @@
 {
     this->failureCause = error;
     this->endCause = ended.endCause();
-    if (this->endCause == ConnectionEnd::Refused || this->endCause == ConnectionEnd::ClosedByPeer)
+    const absl::Time now = Clock::now();
+    const bool wasDropped = this->isConnectionReused && !ended.hasStartedResponse()
+        && error == Error::ConnectionLost && this->endCause == ConnectionEnd::ClosedByPeer
+        && this->context.inputSince(now) - this->startedAt <= kDropNoticeTime;
+    const bool hasEnded = this->endCause == ConnectionEnd::Refused
+        || (this->endCause == ConnectionEnd::ClosedByPeer && !wasDropped);
+    if (hasEnded)
         this->context.unconfirmedLosses.onBroken(this->server.key);
+    if (wasDropped) {
+        this->context.connectionReuse.onDropped(this->server.key, this->server.service,
+                                                this->idleTime, now);
+        this->end(AttemptEnd::Dropped);
+        return;
+    }
     if (error == Error::PermissionExpired)
         this->end(AttemptEnd::NotPermitted);
     else
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -41,6 +41,7 @@
     Incarnation incarnation = 0;
     ServerKey key = 0;
     std::string address;
+    std::string service;
     FailureDomainId domain;
     /** How far the call is suspected of crashing the server. */
     SuspectRun suspicion = SuspectRun::None;
@@ -56,11 +57,11 @@
     ~ServerCall() override;
 
     /**
-     * Sends @p request. @p mustRunOnce: the call may run only once, so no idle connection is
-     * reused, since it may be broken without notice.
+     * Sends @p request. @p needsNewConnection: no idle connection is reused, since the server may
+     * have dropped it without notice.
      */
     void send(OutboundRequest request, bool isHeadRequest, const std::string &callId,
-              bool mustRunOnce, absl::Time now);
+              bool needsNewConnection, absl::Time now);
     /** Cancels the attempt; the server learns it from the closed connection. */
     void cancel();
     void pauseReading(bool isPaused);
--- a/main/gateway/server_evidence.cpp
+++ b/main/gateway/server_evidence.cpp
@@ -85,6 +85,7 @@
     case AttemptEnd::Silent:
         recordOutcome(context, target.key, ServerHealth::Outcome::Silent, now);
         return;
+    case AttemptEnd::Dropped:
     case AttemptEnd::NotPermitted:
     case AttemptEnd::ServerFailed:
     case AttemptEnd::Overdue:
--- a/servers/quarantine/crash_evidence.h
+++ b/servers/quarantine/crash_evidence.h
@@ -19,6 +19,8 @@
     absl::Duration silentFor = absl::ZeroDuration();
     /** The server was only silent, or connections to it timed out; its process may go on. */
     bool isUnconfirmed = false;
+    /** An idle connection was closed when the call was sent on it; its process may go on. */
+    bool wasDropped = false;
 };
 
 /** Longest time from the first event of a stream to a crash that the call may have caused. A call
--- a/servers/quarantine/unconfirmed_losses.cpp
+++ b/servers/quarantine/unconfirmed_losses.cpp
@@ -21,6 +21,8 @@
     if (found == this->entries.end())
         return;
     for (Entry &entry : found->second) {
+        if (entry.loss.wasDropped && connectedAt < entry.loss.lostAt)
+            continue;
         entry.heardAt = std::min(entry.heardAt, now);
         entry.isAlive = entry.isAlive || connectedAt < entry.loss.silentSince;
     }
--- a/servers/quarantine/unconfirmed_losses.h
+++ b/servers/quarantine/unconfirmed_losses.h
@@ -14,8 +14,8 @@
 
 namespace foxtailtally {
 
-/** Call that was lost at a server which was silent or could not be connected to. The server may
- * have ended, or may go on in a moment. */
+/** Call that was lost at a server which was silent, could not be connected to or has dropped an
+ * idle connection. The server may have ended, or may go on in a moment. */
 struct UnconfirmedLoss
 {
     std::string callId;
@@ -26,6 +26,9 @@
     std::vector<std::string> partIds;
     /** Time of the last byte from the server, or at which the call was sent to it. */
     absl::Time silentSince;
+    /** An idle connection was closed when the call was sent on it, so the process was not silent.
+     */
+    bool wasDropped = false;
     absl::Time lostAt;
     /** See CrashReport. */
     absl::Time causeSince;
@@ -49,7 +52,8 @@
 
 /**
  * Losses that are no deaths of servers until the end of the process is certain: silence and
- * connections that time out are also seen while the network drops packets or a server pauses.
+ * connections that time out are also seen while the network drops packets or a server pauses, and
+ * servers drop idle connections.
  *
  * Evidence of the end is a refused or reset connection, a newer incarnation in the platform's list,
  * or the removal of the server's entry. A loss is dropped when the server is heard.
@@ -57,6 +61,8 @@
  * A server that restarts accepts connections at the same address before its new entry is known
  * here, so an accepted connection shows only after kRegistrationDelay which process accepted it.
  * Bytes on a connection that was open before the silence come from the process that was silent.
+ * Those that were received before a loss may be read after it, so for a dropped connection only
+ * calls and connections count that began later.
  */
 class UnconfirmedLosses
 {
--- a/servers/retry/attempt_policy.cpp
+++ b/servers/retry/attempt_policy.cpp
@@ -34,6 +34,8 @@
         return "server_failed";
     case AttemptEnd::Lost:
         return "lost";
+    case AttemptEnd::Dropped:
+        return "dropped";
     case AttemptEnd::Silent:
         return "silent";
     case AttemptEnd::Overdue:
--- a/servers/retry/attempt_policy.h
+++ b/servers/retry/attempt_policy.h
@@ -21,6 +21,9 @@
     /** The connection broke, or the server sent something other than a response to this call. The
      * call may have run. */
     Lost,
+    /** An idle connection on which the call was sent was closed at once, before any byte of a
+     * response. The server may have dropped the connection while it was idle, or have crashed. */
+    Dropped,
     /** The server sent nothing for much longer than expected; the call may still be running. */
     Silent,
     /** The server makes progress, but too slowly for this call. */
@@ -38,6 +41,7 @@
     bool isRepeatable = false;
     /** Attempts that ran or may have run, including the one that just ended. */
     int runs = 0;
+    /** More by one for each repetition at the server of a Dropped attempt. */
     int maxRuns = 1;
     /** Attempts that certainly did not run. */
     int rejections = 0;
--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -28,11 +28,11 @@
             ::close(connection.socket);
     }
 
-    std::string address() const { return this->server.address(); }
+    std::string address() const { return this->server->address(); }
     /** Accepts a connection; whether one was pending. */
     bool accept()
     {
-        const int socket = this->server.accept();
+        const int socket = this->server ? this->server->accept() : -1;
         if (socket >= 0)
             this->connections.push_back({socket, {}});
         return socket >= 0;
@@ -62,6 +62,14 @@
 
     /** Sends @p bytes in response to the last request. */
     void send(const std::string &bytes) { writeAll(this->connections.back().socket, bytes); }
+    /** Connections are refused from now on. */
+    void stopListening() { this->server.reset(); }
+    void resetConnections()
+    {
+        for (const Connection &connection : this->connections)
+            resetConnection(connection.socket);
+        this->connections.clear();
+    }
     void closeConnections()
     {
         for (const Connection &connection : this->connections)
@@ -76,7 +84,7 @@
         std::string received;
     };
 
-    RawServer server;
+    std::unique_ptr<RawServer> server = std::make_unique<RawServer>();
     std::vector<Connection> connections;
 };
 
@@ -282,6 +290,58 @@
     std::unique_ptr<CallerSession> session;
 };
 
+// Guards against a call that left a sound server, or ended, because an idle connection of the
+// server had been dropped, and against a death that was recorded for it.
+TEST_F(CallRunTest, IsRepeatedOnANewConnectionWhenAnIdleOneWasDropped)
+{
+    for (const std::string path : {"/look/a", "/resume/a"}) {
+        SCOPED_TRACE(path);
+        this->received.clear();
+        this->call(path, 100);
+        const std::size_t server = this->waitForRequest();
+        this->servers[server].answer(kServed);
+        ASSERT_TRUE(this->isAnswered("done"));
+        this->received.clear();
+        // The other server is full, so that the kept connection is used.
+        this->context.reachability.onConnectFailed(this->key(server ^ 1U), FailureDomainId("east"),
+                                                   Clock::now());
+        this->call(path, 100);
+        ASSERT_EQ(this->waitForRequest(), server);
+        this->servers[server].resetConnections();
+        ASSERT_EQ(this->waitForRequest(), server);
+        this->servers[server].answer(kServed);
+        EXPECT_TRUE(this->isAnswered("done"));
+        const absl::Time now = Clock::now();
+        EXPECT_TRUE(this->context.quarantine.isEmpty());
+        settleUnconfirmedLosses(this->context,
+                                now + UnconfirmedLosses::kRegistrationDelay + absl::Seconds(1));
+        EXPECT_TRUE(this->context.quarantine.isEmpty());
+        EXPECT_EQ(this->context.unconfirmedLosses.size(), 0U);
+    }
+}
+
+// Guards against a crash that goes unnoticed because the call had been sent on an idle connection.
+TEST_F(CallRunTest, RecordsACrashThatLooksLikeADroppedConnection)
+{
+    this->call("/look/a", 0);
+    const std::size_t server = this->waitForRequest();
+    this->servers[server].answer(kServed);
+    ASSERT_TRUE(this->isAnswered("done"));
+    this->received.clear();
+    this->context.reachability.onConnectFailed(this->key(server ^ 1U), FailureDomainId("east"),
+                                               Clock::now());
+    this->call("/look/b", 0);
+    ASSERT_EQ(this->waitForRequest(), server);
+    this->context.reachability.onConnected(this->key(server ^ 1U), FailureDomainId("east"),
+                                           Clock::now());
+    this->servers[server].stopListening();
+    this->servers[server].resetConnections();
+    ASSERT_EQ(this->waitForRequest(), server ^ 1U);
+    EXPECT_FALSE(this->context.quarantine.isEmpty());
+    this->servers[server ^ 1U].answer(kServed);
+    EXPECT_TRUE(this->isAnswered("done"));
+}
+
 // Guards against a call that waited for a server while its instance stopped, and was sent when it
 // could no longer end or cut off without an answer.
 TEST_F(CallRunTest, IsRefusedIfItWaitsTooLongInAStop)
--- a/tests/gateway/server_call_test.cpp
+++ b/tests/gateway/server_call_test.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 #include <optional>
 #include <unistd.h>
+#include <utility>
 
 namespace foxtailtally {
 namespace {
@@ -40,14 +41,15 @@
 
     /** Sends call @p id; the server has received it when this returns. */
     std::unique_ptr<ServerCall> send(const std::string &id, Recorder &events,
-                                     bool mustRunOnce = false)
+                                     bool needsNewConnection = false)
     {
         AttemptTarget target;
         target.id = BackendServerId("server");
         target.key = kServer;
         target.address = this->server.address();
         auto call = std::make_unique<ServerCall>(this->context, target, events);
-        call->send({"GET / HTTP/1.1\r\nHost: h\r\n\r\n"}, false, id, mustRunOnce, Clock::now());
+        call->send({"GET / HTTP/1.1\r\nHost: h\r\n\r\n"}, false, id, needsNewConnection,
+                   Clock::now());
         std::string received;
         this->loop.runUntil([&] {
             if (const int accepted = this->server.accept(); accepted >= 0) {
@@ -146,6 +148,64 @@
     EXPECT_EQ(this->context.activity[kServer].reportedCalls, 0);
 }
 
+// Guards against a server that counts as crashed because it had dropped an idle connection.
+TEST_F(ServerCallTest, TellsADroppedIdleConnectionFromALostCall)
+{
+    this->keepConnection();
+    Recorder events;
+    const int before = this->connections;
+    const auto call = this->send("2", events);
+    ASSERT_EQ(this->connections, before) << "the connection was not reused";
+    resetConnection(std::exchange(this->socket, -1));
+    ASSERT_TRUE(this->isOver(events));
+    EXPECT_EQ(events.end, AttemptEnd::Dropped);
+    EXPECT_TRUE(call->usedIdleConnection());
+    EXPECT_FALSE(call->hadBytes());
+    EXPECT_LT(this->context.connectionReuse.maxIdleTime(kServer, "", Clock::now()),
+              ConnectionPool::kMaxIdleTime);
+}
+
+TEST_F(ServerCallTest, CountsACallAsLostOnceBytesOfAResponseHaveArrived)
+{
+    this->keepConnection();
+    Recorder events;
+    const auto call = this->send("2", events);
+    writeAll(this->socket, "HTTP/1.1 200 OK\r\nAttempt-Id: 2\r\n");
+    this->loop.runEvents();
+    resetConnection(std::exchange(this->socket, -1));
+    ASSERT_TRUE(this->isOver(events));
+    EXPECT_EQ(events.end, AttemptEnd::Lost);
+    EXPECT_TRUE(call->hadBytes());
+}
+
+// A server that begins to run a call and crashes takes longer than the notice of a connection that
+// it had dropped.
+TEST_F(ServerCallTest, CountsACallAsLostThatBreaksLater)
+{
+    this->keepConnection();
+    Recorder events;
+    const auto call = this->send("2", events);
+    for (int ticks = 0; ticks < 3; ++ticks) {
+        const absl::Time end = Clock::now() + absl::Milliseconds(200);
+        this->loop.runUntil([end] { return Clock::now() >= end; });
+        this->context.onTick(Clock::now());
+    }
+    resetConnection(std::exchange(this->socket, -1));
+    ASSERT_TRUE(this->isOver(events));
+    EXPECT_EQ(events.end, AttemptEnd::Lost);
+}
+
+TEST_F(ServerCallTest, CountsACallAsLostOnANewConnection)
+{
+    Recorder events;
+    const auto call = this->send("1", events);
+    resetConnection(std::exchange(this->socket, -1));
+    ASSERT_TRUE(this->isOver(events));
+    EXPECT_EQ(events.end, AttemptEnd::Lost);
+    EXPECT_EQ(this->context.connectionReuse.maxIdleTime(kServer, "", Clock::now()),
+              ConnectionPool::kMaxIdleTime);
+}
+
 TEST_F(ServerCallTest, SkipsRefusalsOfOtherCallsAndInterimResponses)
 {
     this->keepConnection();
--- a/tests/quarantine/unconfirmed_losses_test.cpp
+++ b/tests/quarantine/unconfirmed_losses_test.cpp
@@ -36,6 +36,52 @@
     return loss;
 }
 
+// Guards against a crash that is taken for a dropped connection, since bytes that had arrived
+// before the crash were read after it.
+TEST(DroppedConnectionLoss, IsNotAcquittedByBytesOfCallsThatBeganBefore)
+{
+    UnconfirmedLosses losses;
+    const ServerDirectory directory;
+    UnconfirmedLoss loss = lossOf(1, kNow, kNow);
+    loss.wasDropped = true;
+    losses.add(loss);
+    const ServerKey key = serverKey(kServer, 1);
+    losses.onHeard(key, kNow - absl::Seconds(1), kNow);
+    losses.onBroken(key);
+    const std::vector<DecidedLoss> decided = losses.takeDecided(directory, kNow);
+    ASSERT_EQ(decided.size(), 1U);
+    EXPECT_EQ(decided.front().verdict, LossVerdict::Ended);
+}
+
+TEST(DroppedConnectionLoss, IsAcquittedByAConnectionThatIsAcceptedLater)
+{
+    UnconfirmedLosses losses;
+    ServerDirectory directory;
+    directory.onEntry(entryOf(1), kNow);
+    UnconfirmedLoss loss = lossOf(1, kNow, kNow);
+    loss.wasDropped = true;
+    losses.add(loss);
+    losses.onHeard(serverKey(kServer, 1), kNow, kNow + absl::Milliseconds(1));
+    const absl::Time end = kNow + UnconfirmedLosses::kRegistrationDelay + absl::Milliseconds(1);
+    const std::vector<DecidedLoss> decided = losses.takeDecided(directory, end);
+    ASSERT_EQ(decided.size(), 1U);
+    EXPECT_EQ(decided.front().verdict, LossVerdict::Heard);
+}
+
+TEST(DroppedConnectionLoss, IsADeathIfTheNextConnectionIsRefused)
+{
+    UnconfirmedLosses losses;
+    ServerDirectory directory;
+    directory.onEntry(entryOf(1), kNow);
+    UnconfirmedLoss loss = lossOf(1, kNow, kNow);
+    loss.wasDropped = true;
+    losses.add(loss);
+    losses.onBroken(serverKey(kServer, 1));
+    const std::vector<DecidedLoss> decided = losses.takeDecided(directory, kNow);
+    ASSERT_EQ(decided.size(), 1U);
+    EXPECT_EQ(decided.front().verdict, LossVerdict::Ended);
+}
+
 enum class Sign {
     /** A new connection is accepted. */
     Accepted,
