Repeat a request for a reservation whose idle connection was dropped

What callers saw: a long prompt is refused as rejected after three plans when engines had dropped the idle connections on which memory was requested.

Cause: a closed connection counted as the engine's refusal, and the engine was left out of later plans.

Change: a request for a reservation that ends on an idle connection before any byte of a response is sent once more on a new one; it has the same id, so that executing it twice does no harm.

Evidence: ReservationSetTest.RepeatsARequestOnANewConnectionWhenAnIdleOne- WasDropped fails without the change of reservation_set.cpp.

--- a/main/gateway/reservation_set.cpp
+++ b/main/gateway/reservation_set.cpp
@@ -41,17 +41,13 @@
 
     void send(const std::string &body)
     {
+        this->body = body;
+        const ServerDirectory::Server *engine =
+            this->context.directory.findByKey(this->share.engine);
         const absl::Time now = Clock::now();
-        this->sentAt = now;
-        // A late response to an earlier request on this connection must not be taken for this
-        // one's.
-        this->connection = this->context.pool.acquireForUnidentified(
-            this->share.address, ConnectionPool::kMaxIdleTime, now);
-        if (this->connection->isConnected())
-            this->beginWrite(now);
-        OutboundEvents &events = *this;
-        this->connection->call(platform::encodeReservationRequest(this->share.address, body), false,
-                               platform::callCorrelation({}), events);
+        this->send(this->context.connectionReuse.maxIdleTime(
+                       this->share.engine, engine ? engine->entry.service : std::string(), now),
+                   now);
     }
     /** The response is no longer of interest. */
     void abandon() { this->owner = nullptr; }
@@ -59,6 +55,20 @@
     bool isConnected() const { return this->connection->isConnected(); }
 
 private:
+    /** Uses no connection that has been idle for longer than @p maxIdle. */
+    void send(absl::Duration maxIdle, absl::Time now)
+    {
+        this->sentAt = now;
+        // A late response to an earlier request on this connection must not be taken for this
+        // one's.
+        this->connection =
+            this->context.pool.acquireForUnidentified(this->share.address, maxIdle, now);
+        if (this->connection->isConnected())
+            this->beginWrite(now);
+        OutboundEvents &events = *this;
+        this->connection->call(platform::encodeReservationRequest(this->share.address, this->body),
+                               false, platform::callCorrelation({}), events);
+    }
     bool mayWrite(OutboundConnection &) override
     {
         const absl::Time now = Clock::now();
@@ -100,8 +110,18 @@
         if (this->owner)
             this->owner->onRequestDone(*this, this->status == kStatusOk);
     }
-    void onCallFailed(OutboundConnection &, std::error_code) override
+    void onCallFailed(OutboundConnection &ended, std::error_code) override
     {
+        // The engine may have dropped the connection while it was idle. The request may be executed
+        // twice: it has the same id.
+        const bool wasDropped = ended.hasCompletedCalls() && !ended.hasStartedResponse()
+            && ended.endCause() == ConnectionEnd::ClosedByPeer;
+        if (wasDropped && !this->isRepetition) {
+            this->isRepetition = true;
+            this->context.pool.discard(std::move(this->connection));
+            this->send(absl::ZeroDuration(), Clock::now());
+            return;
+        }
         if (this->owner)
             this->owner->onRequestDone(*this, false);
     }
@@ -111,7 +131,9 @@
     Kind kind;
     Share share;
     std::string reservationId;
+    std::string body;
     std::unique_ptr<OutboundConnection> connection;
+    bool isRepetition = false;
     absl::Time sentAt;
     int status = 0;
 };
--- a/tests/gateway/reservation_set_test.cpp
+++ b/tests/gateway/reservation_set_test.cpp
@@ -132,6 +132,24 @@
     ::close(this->socket);
 }
 
+// Guards against a long prompt that is refused because an engine had dropped an idle connection.
+TEST_F(ReservationSetTest, RepeatsARequestOnANewConnectionWhenAnIdleOneWasDropped)
+{
+    this->keepConnection();
+    Outcome outcome;
+    const std::vector<ReservationSet::Share> shares = {{this->first, this->server.address()}};
+    ReservationSet set(this->context, "r", 1000, shares, outcome);
+    this->awaitRequest();
+    resetConnection(this->socket);
+    ASSERT_TRUE(this->loop.runUntil(
+        [&] { return outcome.hasFailed || (this->socket = this->server.accept()) >= 0; }));
+    ASSERT_FALSE(outcome.hasFailed);
+    this->awaitRequest();
+    writeAll(this->socket, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"Free\":5}");
+    EXPECT_TRUE(this->loop.runUntil([&] { return outcome.isReserved; }));
+    ::close(this->socket);
+}
+
 TEST_F(ReservationSetTest, IsCompleteWhenAllEnginesGrant)
 {
     Outcome outcome;
