Tell a server that resets connections from one that has ended

A connection that was reset before it was known to be established counted as refused, and any closed connection confirmed a dropped one as a crash; a crash was taken for a drop where idle times are learned; a dropped attempt that could not be repeated was not looked into; the server of a dropped second copy was lost to the call; a repetition kept its allowance after the server had rejected it, skipped the cold rate and the restrictions of suspects, and needed a token that had been spent.

Change: Refused means ECONNREFUSED. Only that, a new incarnation or a removed entry makes a dropped connection a death, and the server is probed at once. Idle times are learned once the server is known to go on, and not below 10 ms. The reset of a repetition without a byte is no death either.

--- a/main/gateway/attempt_evidence.cpp
+++ b/main/gateway/attempt_evidence.cpp
@@ -18,7 +18,9 @@
 {
     const AttemptTarget &target = call.target();
     const bool isBroken = end == AttemptEnd::Lost && call.failure() == Error::ConnectionLost;
-    const bool wasDropped = end == AttemptEnd::Dropped;
+    // The connection of a repetition may be reset because the server has too many.
+    const bool wasDropped =
+        end == AttemptEnd::Dropped || (isBroken && attempt.isRepetition && !call.hadBytes());
     // An unreachable server is probed until it is heard.
     const bool isSilent = end == AttemptEnd::Silent
         && !this->context.reachability.isReachable(target.key, target.domain);
@@ -27,6 +29,7 @@
     CrashEvidence evidence = this->crash(call, attempt, isBroken || wasDropped, now);
     evidence.isUnconfirmed = wasDropped;
     evidence.wasDropped = wasDropped;
+    evidence.idleTime = call.connectionIdleTime();
     return evidence;
 }
 
--- a/main/gateway/call_dispatcher.cpp
+++ b/main/gateway/call_dispatcher.cpp
@@ -249,8 +249,6 @@
         this->retryPlacement(false, now);
         return;
     }
-    for (const ServerKey helper : this->placement->helperKeys())
-        this->context.activity[helper].sent.add(RequestKind::PrefillPart, now);
     this->events.onEngineReady(std::move(this->placement), now);
 }
 
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -136,6 +136,8 @@
 
 void CallRun::onEngineReady(std::unique_ptr<PlacedStream> placement, absl::Time now)
 {
+    for (const ServerKey helper : placement->helperKeys())
+        this->context.activity[helper].sent.add(RequestKind::PrefillPart, now);
     const double predictedMs = placement->plan().predictedFirstEventMs;
     const absl::Duration firstCheck =
         placement->holdsMemory() ? Reachability::kNeededProbeInterval : kServerSilenceTimeout;
@@ -153,7 +155,12 @@
 
 void CallRun::onDispatchFailed(AttemptEnd cause, absl::Time now)
 {
-    this->finishWith(fallbackStep(cause, this->state.progress(now)), now);
+    const CallProgress progress = this->state.progress(now);
+    // A response that has begun cannot be refused; a server may come back in time.
+    if (progress.hasAnswerBegun && !progress.isQuarantined && progress.rejections <= kMaxRejections
+        && this->dispatcher.waitForReturn(now))
+        return;
+    this->finishWith(fallbackStep(cause, progress), now);
 }
 
 void CallRun::onCopyFailed()
@@ -201,11 +208,19 @@
 bool CallRun::repeatAttempt(CallAttempt &ended, const AttemptTarget &target, absl::Time now)
 {
     const ServerDirectory::Server *server = this->context.directory.findByKey(target.key);
-    const bool mayGetCall = server
+    const bool isOnlyAttempt = this->attempts.empty() && !this->dispatcher.isPreparing();
+    if (!isOnlyAttempt || this->context.limits.isLimited(target.key)) {
+        // It may be chosen again, with another token if it needs one.
+        std::erase(this->state.tried, target.key);
+        ++this->state.repetitions;
+        return false;
+    }
+    const Service *found = this->state.call.config->findService(this->state.service);
+    const bool mayGetCall = found && server
         && this->context.directory.isUsable(target.id, target.incarnation, now)
+        && !exceedsColdRate(this->context, *found, *server, 0, now)
         && (!ended.placement || ended.placement->isValid(now));
-    const bool isOnlyAttempt = this->attempts.empty() && !this->dispatcher.isPreparing();
-    if (!mayGetCall || !isOnlyAttempt || this->state.suspicion->isQuarantined(now)
+    if (!mayGetCall || this->state.suspicion->nextRun(now) != SuspectRun::None
         || !this->takeRetry(now))
         return false;
     ++this->state.repetitions;
@@ -387,7 +402,9 @@
         || (end == AttemptEnd::Superseded && !call.wasWritten());
     this->hasRetryGrant = this->hasRetryGrant || (wasUnsent && ended->usedRetryGrant);
     // The process that dropped the connection goes on and does not take the call now.
-    if (ended->isRepetition && (end == AttemptEnd::Rejected || end == AttemptEnd::NotPermitted))
+    const bool isElsewhere = end == AttemptEnd::Rejected || end == AttemptEnd::NotPermitted
+        || (end == AttemptEnd::NotSent && call.connectionEnd() != ConnectionEnd::Refused);
+    if (ended->isRepetition && isElsewhere)
         --this->state.repetitions;
     // The next choice avoids this server until it accepts a connection.
     const bool foundUnreachable = end == AttemptEnd::NotSent && !ended->wasUnreachable;
@@ -439,6 +456,8 @@
         const bool allowed = !isRetry || this->takeRetry(now);
         if (allowed && this->dispatcher.dispatch(now))
             return;
+        if (allowed && state.hasAnswerBegun && this->dispatcher.waitForReturn(now))
+            return;
         logNotRetried(this->context, this->state.call.headers.callId, end,
                       allowed ? "no_server" : "retry_budget");
         step = fallbackStep(end, state);
--- a/main/gateway/call_suspicion.cpp
+++ b/main/gateway/call_suspicion.cpp
@@ -45,6 +45,15 @@
     context.exchange.onServerDeaths(std::move(deaths));
 }
 
+/** The server of @p loss goes on, so it had dropped an idle connection. */
+void recordDrop(GatewayContext &context, const UnconfirmedLoss &loss, absl::Time now)
+{
+    const ServerKey key = serverKey(loss.server, loss.incarnation);
+    const ServerDirectory::Server *server = context.directory.findByKey(key);
+    if (server && loss.idleTime > absl::ZeroDuration())
+        context.connectionReuse.onDropped(key, server->entry.service, loss.idleTime, now);
+}
+
 std::string_view verdictName(LossVerdict verdict)
 {
     switch (verdict) {
@@ -137,6 +146,8 @@
         return;
     }
     const bool isKept = this->context.unconfirmedLosses.add(std::move(loss));
+    if (evidence.wasDropped && this->context.prober)
+        this->context.prober->probe(target.key, now);
     logEvent(isKept ? LogLevel::Info : LogLevel::Warning, "loss_unconfirmed",
              {{"request", this->callId},
               {"server", target.id.str()},
@@ -157,6 +168,7 @@
     loss.partIds = {this->content.sharedParts.begin(), this->content.sharedParts.end()};
     loss.silentSince = now - evidence.silentFor;
     loss.wasDropped = evidence.wasDropped;
+    loss.idleTime = evidence.idleTime;
     loss.lostAt = now;
     loss.causeSince = commonCauseSince(evidence, now);
     return loss;
@@ -216,6 +228,8 @@
                   {"after_ms", absl::ToInt64Milliseconds(now - loss.lostAt)}});
         if (decided.verdict == LossVerdict::Ended)
             recordDeath(context, loss, now);
+        else if (decided.verdict == LossVerdict::Heard && loss.wasDropped)
+            recordDrop(context, loss, now);
     }
 }
 
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -75,6 +75,15 @@
     absl::Time since;
 };
 
+/** Opens connections to servers to find out whether they go on. */
+class ProcessProber
+{
+public:
+    virtual ~ProcessProber() = default;
+    /** Opens a connection to @p server at once. */
+    virtual void probe(ServerKey server, absl::Time now) = 0;
+};
+
 /** State shared by all calls of a gateway; used from its loop only. */
 struct GatewayContext
 {
@@ -128,6 +137,8 @@
     absl::flat_hash_map<ServerKey, ServerActivity> activity;
     SuspectPartRuns suspectPartRuns;
     UnconfirmedLosses unconfirmedLosses;
+    /** Null where there is none. */
+    ProcessProber *prober = nullptr;
     /** Destroyed at the next tick. */
     std::vector<std::unique_ptr<Retirable>> retired;
     std::vector<Lingering> lingeringObjects;
--- a/main/gateway/reservation_set.cpp
+++ b/main/gateway/reservation_set.cpp
@@ -114,7 +114,7 @@
     {
         // The engine may have dropped the connection while it was idle. The request may be executed
         // twice: it has the same id.
-        const bool wasDropped = ended.hasCompletedCalls() && !ended.hasStartedResponse()
+        const bool wasDropped = ended.hasCompletedCalls() && !ended.hasReceivedBytes()
             && ended.endCause() == ConnectionEnd::ClosedByPeer;
         if (wasDropped && !this->isRepetition) {
             this->isRepetition = true;
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -162,16 +162,14 @@
     this->failureCause = error;
     this->endCause = ended.endCause();
     const absl::Time now = Clock::now();
-    const bool wasDropped = this->isConnectionReused && !ended.hasStartedResponse()
+    const bool wasDropped = this->isConnectionReused && !ended.hasReceivedBytes()
         && error == Error::ConnectionLost && this->endCause == ConnectionEnd::ClosedByPeer
         && this->context.inputSince(now) - this->startedAt <= kDropNoticeTime;
-    const bool hasEnded = this->endCause == ConnectionEnd::Refused
-        || (this->endCause == ConnectionEnd::ClosedByPeer && !wasDropped);
-    if (hasEnded)
+    if (this->endCause == ConnectionEnd::Refused)
+        this->context.unconfirmedLosses.onRefused(this->server.key);
+    else if (this->endCause == ConnectionEnd::ClosedByPeer && !wasDropped)
         this->context.unconfirmedLosses.onBroken(this->server.key);
     if (wasDropped) {
-        this->context.connectionReuse.onDropped(this->server.key, this->server.service,
-                                                this->idleTime, now);
         this->end(AttemptEnd::Dropped);
         return;
     }
@@ -205,7 +203,7 @@
 void ServerCall::discardConnection()
 {
     this->connectTimer.stop();
-    this->hasReceived = this->connection && this->connection->hasStartedResponse();
+    this->hasReceived = this->connection && this->connection->hasReceivedBytes();
     this->context.pool.discard(std::move(this->connection));
     this->uncountCall();
 }
--- a/main/gateway/server_prober.cpp
+++ b/main/gateway/server_prober.cpp
@@ -1,7 +1,10 @@
 #include "main/gateway/server_prober.h"
 
+#include "core/clock.h"
 #include "core/log.h"
+#include "main/gateway/call_suspicion.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace foxtailtally {
@@ -11,8 +14,23 @@
 /** Time to establish a connection; servers are a few milliseconds away. */
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(180);
 
+/** Interval at which probes of servers are checked that may have crashed a moment ago. */
+constexpr absl::Duration kCheckInterval = absl::Milliseconds(5);
+
 } // namespace
 
+ServerProber::ServerProber(GatewayContext &context)
+    : context(context)
+    , checkTimer(context.base, [this] { this->onCheckTimer(); })
+{
+    context.prober = this;
+}
+
+ServerProber::~ServerProber()
+{
+    this->context.prober = nullptr;
+}
+
 void ServerProber::onTick(absl::Time now)
 {
     this->evaluateProbes(now);
@@ -22,16 +40,42 @@
             this->context.reachability.forget(key);
             continue;
         }
-        Probe probe;
-        probe.key = key;
-        probe.address = server->entry.address;
-        probe.domain = server->entry.domain;
-        probe.startedAt = now;
-        probe.connection = this->context.pool.acquire(probe.address, absl::ZeroDuration(), now);
-        this->probes.push_back(std::move(probe));
+        this->start(key, *server, now);
     }
 }
 
+void ServerProber::start(ServerKey key, const ServerDirectory::Server &server, absl::Time now)
+{
+    Probe probe;
+    probe.key = key;
+    probe.address = server.entry.address;
+    probe.domain = server.entry.domain;
+    probe.startedAt = now;
+    probe.connection = this->context.pool.acquire(probe.address, absl::ZeroDuration(), now);
+    this->probes.push_back(std::move(probe));
+}
+
+void ServerProber::probe(ServerKey server, absl::Time now)
+{
+    const ServerDirectory::Server *listed = this->context.directory.findByKey(server);
+    const bool isRunning =
+        std::any_of(this->probes.begin(), this->probes.end(),
+                    [server](const Probe &running) { return running.key == server; });
+    if (!listed || isRunning)
+        return;
+    this->start(server, *listed, now);
+    this->checkTimer.start(kCheckInterval);
+}
+
+void ServerProber::onCheckTimer()
+{
+    const absl::Time now = Clock::now();
+    this->evaluateProbes(now);
+    settleUnconfirmedLosses(this->context, now);
+    if (!this->probes.empty())
+        this->checkTimer.start(kCheckInterval);
+}
+
 void ServerProber::evaluateProbes(absl::Time now)
 {
     std::vector<Probe> pending;
@@ -56,7 +100,7 @@
         if (isHanging)
             this->recordTimeout(probe, now);
         else if (probe.connection->endCause() == ConnectionEnd::Refused)
-            this->context.unconfirmedLosses.onBroken(probe.key);
+            this->context.unconfirmedLosses.onRefused(probe.key);
         this->context.pool.discard(std::move(probe.connection));
     }
 }
--- a/main/gateway/server_prober.h
+++ b/main/gateway/server_prober.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "main/gateway/gateway_context.h"
+#include "peers/http/loop_timer.h"
 
 #include <memory>
 #include <vector>
@@ -9,15 +10,17 @@
 
 /** Opens connections to unreachable servers, to detect when they are reachable again, and to silent
  * ones, to detect whether they still accept connections. */
-class ServerProber
+class ServerProber final : public ProcessProber
 {
 public:
-    explicit ServerProber(GatewayContext &context)
-        : context(context)
-    { }
+    explicit ServerProber(GatewayContext &context);
+    ~ServerProber() override;
+    ServerProber(const ServerProber &) = delete;
+    ServerProber &operator=(const ServerProber &) = delete;
 
     /** Evaluates the probes in flight and starts those that are due. */
     void onTick(absl::Time now);
+    void probe(ServerKey server, absl::Time now) override;
 
 private:
     struct Probe
@@ -29,11 +32,14 @@
         std::unique_ptr<OutboundConnection> connection;
     };
 
+    void start(ServerKey key, const ServerDirectory::Server &server, absl::Time now);
     void evaluateProbes(absl::Time now);
+    void onCheckTimer();
     /** The connection of @p probe was neither established nor refused in time. */
     void recordTimeout(const Probe &probe, absl::Time now);
 
     GatewayContext &context;
+    LoopTimer checkTimer;
     std::vector<Probe> probes;
 };
 
--- a/peers/http/outbound_connection.cpp
+++ b/peers/http/outbound_connection.cpp
@@ -349,10 +349,15 @@
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) == 0)
         return;
     const bool wasReset = (what & BEV_EVENT_EOF) == 0;
-    if (wasReset && isTimeout(EVUTIL_SOCKET_ERROR()))
+    const int error = wasReset ? EVUTIL_SOCKET_ERROR() : 0;
+    // A server with too many connections accepts and resets one, which may be noticed before the
+    // connection is known to be established.
+    if (isTimeout(error))
         this->end = ConnectionEnd::TimedOut;
+    else if (error == ECONNREFUSED && !this->isConnected())
+        this->end = ConnectionEnd::Refused;
     else
-        this->end = this->isConnected() ? ConnectionEnd::ClosedByPeer : ConnectionEnd::Refused;
+        this->end = ConnectionEnd::ClosedByPeer;
     this->onDisconnected(wasReset);
 }
 
--- a/peers/http/outbound_connection.h
+++ b/peers/http/outbound_connection.h
@@ -25,9 +25,9 @@
 enum class ConnectionEnd : std::uint8_t {
     /** The connection is open, or was closed from this side. */
     None,
-    /** The peer did not accept it. */
+    /** Nothing listens at the address of the peer. */
     Refused,
-    /** The peer closed or reset it. */
+    /** The peer closed or reset it, perhaps before it was known to be established. */
     ClosedByPeer,
     /** The peer did not answer, or there was no way to it. */
     TimedOut,
@@ -121,8 +121,8 @@
     /** The server has sent bytes or closed the connection, and the loop has not noticed yet. */
     bool hasUnreadInput() const;
     bool hasCompletedCalls() const { return this->completedCalls > 0; }
-    /** A byte of the response to the current call, or of another one, has arrived during it. */
-    bool hasStartedResponse() const { return this->responseStarted; }
+    /** A byte has arrived since the current call began, whatever it belongs to. */
+    bool hasReceivedBytes() const { return this->responseStarted || this->receivedBytes > 0; }
     /** Time for which the connection was idle before the current call. */
     absl::Duration idleBefore() const { return this->idleTime; }
     void setIdleBefore(absl::Duration time) { this->idleTime = time; }
--- a/servers/quarantine/crash_evidence.h
+++ b/servers/quarantine/crash_evidence.h
@@ -21,6 +21,8 @@
     bool isUnconfirmed = false;
     /** An idle connection was closed when the call was sent on it; its process may go on. */
     bool wasDropped = false;
+    /** How long that connection had been idle. */
+    absl::Duration idleTime = absl::ZeroDuration();
 };
 
 /** Longest time from the first event of a stream to a crash that the call may have caused. A call
--- a/servers/quarantine/unconfirmed_losses.cpp
+++ b/servers/quarantine/unconfirmed_losses.cpp
@@ -28,18 +28,31 @@
     }
 }
 
+void UnconfirmedLosses::onRefused(ServerKey server)
+{
+    const auto found = this->entries.find(server);
+    if (found != this->entries.end())
+        std::for_each(found->second.begin(), found->second.end(), &breakOff);
+}
+
 void UnconfirmedLosses::onBroken(ServerKey server)
 {
     const auto found = this->entries.find(server);
     if (found == this->entries.end())
         return;
     for (Entry &entry : found->second) {
-        // What breaks later does not tell of the time before.
-        if (entry.heardAt == absl::InfiniteFuture())
-            entry.isBroken = true;
+        if (!entry.loss.wasDropped)
+            breakOff(entry);
     }
 }
 
+void UnconfirmedLosses::breakOff(Entry &entry)
+{
+    // What breaks later does not tell of the time before.
+    if (entry.heardAt == absl::InfiniteFuture())
+        entry.isBroken = true;
+}
+
 bool UnconfirmedLosses::hasEnded(const Entry &entry, const ServerDirectory &directory)
 {
     const ServerDirectory::Server *listed = directory.find(entry.loss.server);
--- a/servers/quarantine/unconfirmed_losses.h
+++ b/servers/quarantine/unconfirmed_losses.h
@@ -29,6 +29,8 @@
     /** An idle connection was closed when the call was sent on it, so the process was not silent.
      */
     bool wasDropped = false;
+    /** How long the dropped connection had been idle. */
+    absl::Duration idleTime = absl::ZeroDuration();
     absl::Time lostAt;
     /** See CrashReport. */
     absl::Time causeSince;
@@ -55,8 +57,9 @@
  * connections that time out are also seen while the network drops packets or a server pauses, and
  * servers drop idle connections.
  *
- * Evidence of the end is a refused or reset connection, a newer incarnation in the platform's list,
- * or the removal of the server's entry. A loss is dropped when the server is heard.
+ * Evidence of the end is a refused connection, for silent servers also a closed or reset one, a
+ * newer incarnation in the platform's list, or the removal of the server's entry. A loss is dropped
+ * when the server is heard.
  *
  * A server that restarts accepts connections at the same address before its new entry is known
  * here, so an accepted connection shows only after kRegistrationDelay which process accepted it.
@@ -81,7 +84,10 @@
     /** The server has sent bytes on, or has accepted, a connection that was opened at
      * @p connectedAt. */
     void onHeard(ServerKey server, absl::Time connectedAt, absl::Time now);
-    /** A connection to the server was refused, or an established one was closed or reset. */
+    /** A connection to the server was refused. */
+    void onRefused(ServerKey server);
+    /** An established connection to the server was closed or reset. That confirms the loss of a
+     * call at a silent server; a server that drops connections may close several. */
     void onBroken(ServerKey server);
     /** Returns the losses that are decided by now and drops them. Called often enough that a server
      * cannot be heard, end and return within two calls. */
@@ -102,6 +108,7 @@
 
     /** Whether the list shows that the process has ended. */
     static bool hasEnded(const Entry &entry, const ServerDirectory &directory);
+    static void breakOff(Entry &entry);
     /** None while the loss has to be kept. */
     static std::optional<LossVerdict> verdict(const Entry &entry, const ServerDirectory &directory,
                                               absl::Time now);
--- a/servers/retry/connection_reuse.cpp
+++ b/servers/retry/connection_reuse.cpp
@@ -40,7 +40,7 @@
 {
     if (bound.until <= now)
         bound.idleTime = absl::InfiniteDuration();
-    bound.idleTime = std::min(bound.idleTime, idleTime * kUsableShare);
+    bound.idleTime = std::min(bound.idleTime, std::max(kMinBound, idleTime * kUsableShare));
     bound.until = now + kRetention;
 }
 
--- a/servers/retry/connection_reuse.h
+++ b/servers/retry/connection_reuse.h
@@ -20,14 +20,16 @@
     static constexpr absl::Duration kRetention = absl::Seconds(30);
     /** Part of the shortest idle time of a dropped connection that later ones may reach. */
     static constexpr double kUsableShare = 0.5;
+    /** Connections that were idle for less than this are used in any case; servers that drop them
+     * sooner could not be told from those that reset connections for other reasons. */
+    static constexpr absl::Duration kMinBound = absl::Milliseconds(10);
 
     /** @p usual: bound while no connection is dropped. */
     explicit ConnectionReuse(absl::Duration usual)
         : usual(usual)
     { }
 
-    /** @p server has closed a connection that was idle for @p idleTime when a call was sent on it.
-     */
+    /** @p server has dropped a connection that was idle for @p idleTime, and goes on. */
     void onDropped(ServerKey server, const std::string &service, absl::Duration idleTime,
                    absl::Time now);
     /** Longest idle time of a connection to @p server that a call may be sent on. Once two servers
--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/hash.h"
 #include "main/gateway/call_suspicion.h"
+#include "main/gateway/server_prober.h"
 #include "servers/quarantine/crash_evidence.h"
 #include "servers/quarantine/suspect_part_runs.h"
 #include "tests/http/raw_peer.h"
@@ -342,6 +343,157 @@
     EXPECT_TRUE(this->isAnswered("done"));
 }
 
+/** A call whose server has a kept connection, and whose other server is out of reach at first. */
+class DroppedConnectionCallTest : public CallRunTest
+{
+protected:
+    /** Sends a call on a kept connection; the index of its server. */
+    std::size_t sendOnKeptConnection()
+    {
+        this->call("/look/a", 0);
+        const std::size_t server = this->waitForRequest();
+        this->servers[server].answer(kServed);
+        EXPECT_TRUE(this->isAnswered("done"));
+        this->received.clear();
+        this->blockServer(server ^ 1U);
+        this->call("/look/b", 0);
+        EXPECT_EQ(this->waitForRequest(), server);
+        return server;
+    }
+    void blockServer(std::size_t server)
+    {
+        this->context.reachability.onConnectFailed(this->key(server), FailureDomainId("east"),
+                                                   Clock::now());
+    }
+    void unblockServer(std::size_t server)
+    {
+        this->context.reachability.onConnected(this->key(server), FailureDomainId("east"),
+                                               Clock::now());
+    }
+    void runFor(absl::Duration time)
+    {
+        const absl::Time end = Clock::now() + time;
+        this->loop.runUntil([end] { return Clock::now() >= end; });
+    }
+    absl::Duration maxIdleTime(std::size_t server) const
+    {
+        return this->context.connectionReuse.maxIdleTime(this->key(server), "desk", Clock::now());
+    }
+};
+
+// Guards against new connections for each call to a service whose server has crashed.
+TEST_F(DroppedConnectionCallTest, LearnsNothingOfIdleConnectionsFromACrash)
+{
+    const std::size_t server = this->sendOnKeptConnection();
+    this->unblockServer(server ^ 1U);
+    this->servers[server].stopListening();
+    this->servers[server].resetConnections();
+    ASSERT_EQ(this->waitForRequest(), server ^ 1U);
+    EXPECT_FALSE(this->context.quarantine.isEmpty());
+    EXPECT_EQ(this->maxIdleTime(server), ConnectionPool::kMaxIdleTime);
+}
+
+TEST_F(DroppedConnectionCallTest, LearnsTheAgeOfAConnectionOnceTheServerIsKnownToGoOn)
+{
+    const std::size_t server = this->sendOnKeptConnection();
+    this->servers[server].resetConnections();
+    ASSERT_EQ(this->waitForRequest(), server);
+    EXPECT_EQ(this->maxIdleTime(server), ConnectionPool::kMaxIdleTime);
+    this->servers[server].answer(kServed);
+    EXPECT_TRUE(this->isAnswered("done"));
+    settleUnconfirmedLosses(this->context, Clock::now() + UnconfirmedLosses::kRegistrationDelay);
+    EXPECT_LT(this->maxIdleTime(server), ConnectionPool::kMaxIdleTime);
+}
+
+// Guards against a crash that nobody notices, since the retry budget allows no second attempt.
+TEST_F(DroppedConnectionCallTest, FindsACrashWithoutASecondAttempt)
+{
+    ServerProber prober(this->context);
+    const std::size_t server = this->sendOnKeptConnection();
+    while (this->context.retries.tryRetry("desk", 1, Clock::now())) { }
+    this->servers[server].stopListening();
+    this->servers[server].resetConnections();
+    EXPECT_TRUE(this->isAnswered("502"));
+    EXPECT_TRUE(this->loop.runUntil([this] { return !this->context.quarantine.isEmpty(); }));
+}
+
+// Guards against a server that counts as crashed since it has too many connections for a
+// repetition.
+TEST_F(DroppedConnectionCallTest, TakesNoResetOfTheRepetitionForACrash)
+{
+    const std::size_t server = this->sendOnKeptConnection();
+    this->unblockServer(server ^ 1U);
+    this->servers[server].resetConnections();
+    ASSERT_EQ(this->waitForRequest(), server);
+    this->servers[server].resetConnections();
+    ASSERT_EQ(this->waitForRequest(), server ^ 1U);
+    EXPECT_TRUE(this->context.quarantine.isEmpty());
+}
+
+// Guards against a dropped connection that counts as a crash, since the server also closes a
+// connection whose reader is too slow.
+TEST_F(DroppedConnectionCallTest, TakesNoOtherClosedConnectionForACrash)
+{
+    const std::size_t server = this->sendOnKeptConnection();
+    this->servers[server].resetConnections();
+    ASSERT_EQ(this->waitForRequest(), server);
+    this->context.unconfirmedLosses.onBroken(this->key(server));
+    settleUnconfirmedLosses(this->context, Clock::now());
+    EXPECT_TRUE(this->context.quarantine.isEmpty());
+}
+
+// Guards against a call that fails although a server is sound, since the connection of its second
+// copy was dropped.
+TEST_F(DroppedConnectionCallTest, IsSentAgainToTheServerThatDroppedItsSecondCopy)
+{
+    this->call("/look/a", 0);
+    const std::size_t kept = this->waitForRequest();
+    this->servers[kept].answer(kServed);
+    ASSERT_TRUE(this->isAnswered("done"));
+    this->received.clear();
+    this->blockServer(kept);
+    this->call("/look/b", 0);
+    const std::size_t first = kept ^ 1U;
+    ASSERT_EQ(this->waitForRequest(), first);
+    this->unblockServer(kept);
+    ASSERT_TRUE(this->loop.runUntil([&] { return this->servers[kept].hasRequest(); }));
+    this->servers[kept].resetConnections();
+    this->runFor(absl::Milliseconds(50));
+    this->servers[first].send("HTTP/1.1 503 Busy\r\nAttempt-Id: call\r\nNot-Executed: 1\r\n"
+                              "Content-Length: 0\r\n\r\n");
+    EXPECT_TRUE(this->loop.runUntil([&] { return this->servers[kept].hasRequest(); }));
+    this->servers[kept].answer(kServed);
+    EXPECT_TRUE(this->isAnswered("done"));
+}
+
+// Guards against a stream that is broken off although the only other engine is back in time.
+TEST_F(CallRunTest, WaitsForAServerOnceItsResponseHasBegun)
+{
+    this->call("/resume/a", 100);
+    const std::size_t server = this->waitForRequest();
+    this->servers[server].answer("HTTP/1.1 200 OK\r\nAttempt-Id: call\r\nResponse-Seal: s\r\n"
+                                 "Content-Type: text/event-stream\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n"
+                                 "f\r\nid: 1\ndata: a\n\n\r\n");
+    ASSERT_TRUE(this->isAnswered("data: a"));
+    const BackendServerId other(absl::StrCat("server-", server ^ 1U));
+    const ServerEntry entry = this->context.directory.find(other)->entry;
+    this->context.directory.onRemoved(other, false, Clock::now());
+    this->servers[server].closeConnections();
+    const absl::Time end = Clock::now() + absl::Milliseconds(300);
+    this->loop.runUntil([end] { return Clock::now() >= end; });
+    ASSERT_FALSE(this->isBrokenOff);
+    ServerEntry returned = entry;
+    returned.incarnation = entry.incarnation + 1;
+    this->context.directory.onEntry(returned, Clock::now());
+    ASSERT_EQ(this->waitForRequest(), server ^ 1U);
+    this->servers[server ^ 1U].answer(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: call\r\nResponse-Seal: s\r\n"
+        "Content-Type: text/event-stream\r\nContent-Length: 15\r\n\r\nid: 2\ndata: b\n\n");
+    EXPECT_TRUE(this->isAnswered("data: b"));
+    EXPECT_TRUE(this->isAnswered("0\r\n\r\n"));
+}
+
 // Guards against a call that waited for a server while its instance stopped, and was sent when it
 // could no longer end or cut off without an answer.
 TEST_F(CallRunTest, IsRefusedIfItWaitsTooLongInAStop)
