Account for every request whose head was read whole

Operators could not tell from an instance whether requests were lost: calls refused by a session, malformed bodies, requests dropped behind the last response and those open at the end of a process were in no sum, a malformed body and a failed callback counted as a caller that had left, and the line of a broken stream could be dropped by the limit of the log.

Each request now has one place in an account, from its head to its end: answered, refused, given up or lost, by cause. The metrics address shows the sums and those in progress, "stopped" logs the last ones, and each tick checks that begun = ended + in progress = open in sessions. A lost request writes request_lost with its attempts and what changed shortly before it. The line is written beyond the limit for others, and waits in a bounded buffer while standard output is full.

There is no benchmark of the gateway's whole request path.

--- a/core/log.cpp
+++ b/core/log.cpp
@@ -13,7 +13,6 @@
 #include <poll.h>
 #include <string>
 #include <unistd.h>
-#include <utility>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -26,17 +25,31 @@
 /** Rate limit of log lines, so that a burst of events does not overload the process. */
 constexpr std::int64_t kMaxLinesPerSecond = 500;
 
+/** Essential lines that are written in a second beyond that. */
+constexpr std::int64_t kMaxExtraLinesPerSecond = 500;
+
+/** Bytes of essential lines that wait until standard output takes them. */
+constexpr std::size_t kMaxWaitingBytes = std::size_t {64} << 10;
+
+enum class Importance { Usual, Essential };
+
 std::atomic<bool> writesToStandardOutput {true};
 std::atomic<std::uint64_t> droppedLines {0};
 std::atomic<std::int64_t> currentSecond {0};
 std::atomic<std::int64_t> linesInSecond {0};
 
-bool isWithinRateLimit(absl::Time now)
+bool isWithinRateLimit(Importance importance, absl::Time now)
 {
     const std::int64_t second = absl::ToUnixSeconds(now);
     if (currentSecond.exchange(second, std::memory_order_relaxed) != second)
         linesInSecond.store(0, std::memory_order_relaxed);
-    return linesInSecond.fetch_add(1, std::memory_order_relaxed) < kMaxLinesPerSecond;
+    // Usual lines that are dropped must not use up the lines beyond the limit.
+    const std::int64_t limit =
+        kMaxLinesPerSecond + (importance == Importance::Essential ? kMaxExtraLinesPerSecond : 0);
+    if (linesInSecond.load(std::memory_order_relaxed) >= limit)
+        return false;
+    linesInSecond.fetch_add(1, std::memory_order_relaxed);
+    return true;
 }
 
 /** Returns false while the reader of standard output lags behind. A pipe that is writable has room
@@ -53,12 +66,14 @@
 public:
     /** Returns false if the line was dropped. The rest of a line that does not fit at once is
      * written before the next one. */
-    bool writeLine(std::string line)
+    bool writeLine(const std::string &line, Importance importance)
     {
         const std::lock_guard<std::mutex> lock(this->mutex);
-        if (!this->flush())
+        const bool mayWait = importance == Importance::Essential
+            && this->unwritten.size() + line.size() < kMaxWaitingBytes;
+        if (!this->flush() && !mayWait)
             return false;
-        this->unwritten = std::move(line);
+        this->unwritten += line;
         this->unwritten += '\n';
         return this->flush() || !this->hasFailed;
     }
@@ -143,12 +158,18 @@
     return droppedLines.load(std::memory_order_relaxed);
 }
 
-void logEvent(LogLevel level, std::string_view event, const nlohmann::json &fields)
+namespace {
+
+void writeEvent(LogLevel level, std::string_view event, const nlohmann::json &fields,
+                Importance importance)
 {
     if (level < minimumLevel.load(std::memory_order_relaxed))
         return;
     const bool isPrinted = writesToStandardOutput.load(std::memory_order_relaxed);
-    if (isPrinted && !(isWithinRateLimit(Clock::now()) && isStandardOutputWritable())) {
+    const bool mayWait = importance == Importance::Essential;
+    if (isPrinted
+        && !(isWithinRateLimit(importance, Clock::now())
+             && (mayWait || isStandardOutputWritable()))) {
         droppedLines.fetch_add(1, std::memory_order_relaxed);
         return;
     }
@@ -157,13 +178,25 @@
     nlohmann::json line = {{"time", time}, {"level", levelName(level)}, {"event", event}};
     if (fields.is_object())
         line.update(fields);
-    std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     if (!isPrinted)
         LOG(INFO) << text;
-    else if (!standardOutput().writeLine(std::move(text)))
+    else if (!standardOutput().writeLine(text, importance))
         droppedLines.fetch_add(1, std::memory_order_relaxed);
 }
 
+} // namespace
+
+void logEvent(LogLevel level, std::string_view event, const nlohmann::json &fields)
+{
+    writeEvent(level, event, fields, Importance::Usual);
+}
+
+void logEssentialEvent(LogLevel level, std::string_view event, const nlohmann::json &fields)
+{
+    writeEvent(level, event, fields, Importance::Essential);
+}
+
 void logEvent(LogLevel level, std::string_view event)
 {
     logEvent(level, event, nlohmann::json::object());
--- a/core/log.h
+++ b/core/log.h
@@ -26,6 +26,12 @@
 void logEvent(LogLevel level, std::string_view event, const nlohmann::json &fields);
 void logEvent(LogLevel level, std::string_view event);
 
+/**
+ * The same for a line that reports a loss: it is still written when the rate limit drops others,
+ * and waits for its turn when standard output does not take it at once. Both are bounded.
+ */
+void logEssentialEvent(LogLevel level, std::string_view event, const nlohmann::json &fields);
+
 /** Lines dropped because of the rate limit or because standard output was not writable. */
 std::uint64_t droppedLogLines();
 
--- a/main/gateway/attempt_evidence.cpp
+++ b/main/gateway/attempt_evidence.cpp
@@ -121,4 +121,10 @@
     return kServerSilenceTimeout * 2 + absl::Milliseconds(planned * kSilentPassFactor);
 }
 
+void AttemptEvidence::recordEnd(const ServerCall &call, std::string_view end)
+{
+    this->state.trail.add(
+        {call.target().id.str(), call.wasWritten(), call.sentAt(), call.lastByteAt(), end});
+}
+
 } // namespace foxtailtally
--- a/main/gateway/attempt_evidence.h
+++ b/main/gateway/attempt_evidence.h
@@ -7,6 +7,7 @@
 #include "servers/retry/attempt_policy.h"
 
 #include <absl/time/time.h>
+#include <string_view>
 
 namespace foxtailtally {
 
@@ -38,6 +39,9 @@
 
     /** Records an event of the stream that has just arrived. */
     void recordEvent(const CallAttempt &attempt, absl::Time now);
+    /** Keeps the attempt @p call, which ended without the call's response by @p end, static text.
+     */
+    void recordEnd(const ServerCall &call, std::string_view end);
 
 private:
     /** Time of the last byte from the server of @p call, or at which the call was sent to it. */
--- a/main/gateway/call_log.cpp
+++ b/main/gateway/call_log.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "core/hash.h"
 #include "core/log.h"
+#include "main/gateway/request_loss.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
@@ -87,8 +88,10 @@
 }
 
 void logCallDone(GatewayContext &context, const CallState &state, const std::string &server,
-                 std::string_view outcome, int status, absl::Time now)
+                 RequestEnd end, std::string_view outcome, int status, absl::Time now)
 {
+    if (end == RequestEnd::Lost)
+        logRequestLost(context, lostRequest(state, outcome), now);
     const AdmittedCall &call = state.call;
     const bool hadEvent = state.firstEventAt != absl::InfinitePast();
     context.metrics.counter("foxtailtally_calls_total", {{"outcome", outcome}}).add();
--- a/main/gateway/call_log.h
+++ b/main/gateway/call_log.h
@@ -6,6 +6,7 @@
 #include "main/gateway/server_call.h"
 #include "main/gateway/stream_planner.h"
 #include "platform/call_headers.h"
+#include "servers/account/request_account.h"
 
 #include <absl/time/time.h>
 #include <span>
@@ -34,9 +35,9 @@
 void logAttemptEnd(GatewayContext &context, const ServerCall &call, AttemptEnd end,
                    const AttemptRecord &record, absl::Time now);
 
-/** Logs and counts the end of a call. @p server: of its last attempt, if that was in flight. */
+/** Logs and counts @p end of a call. @p server: of its last attempt, if that was in flight. */
 void logCallDone(GatewayContext &context, const CallState &state, const std::string &server,
-                 std::string_view outcome, int status, absl::Time now);
+                 RequestEnd end, std::string_view outcome, int status, absl::Time now);
 
 /** Logs and counts that a call is not sent to another server after an attempt that ended with @p
  * end. */
--- a/main/gateway/call_reply.cpp
+++ b/main/gateway/call_reply.cpp
@@ -75,7 +75,8 @@
         return;
     }
     this->caller.answer(status, platform::callerHeaders(this->stored.headers), this->storedBody);
-    this->events.onReplied(status < 400 ? "served" : "server_failure", status);
+    this->events.onReplied(RequestEnd::Answered, status < 400 ? "served" : "server_failure",
+                           status);
 }
 
 void CallReply::refuseForStop()
@@ -104,7 +105,7 @@
     this->caller.answer(status,
                         platform::localReplyHeaders(this->state.call.headers.callId, retryAfter),
                         body.dump());
-    this->events.onReplied(cause, status);
+    this->events.onReplied(notRun ? RequestEnd::Refused : RequestEnd::Answered, cause, status);
 }
 
 } // namespace foxtailtally
--- a/main/gateway/call_reply.h
+++ b/main/gateway/call_reply.h
@@ -3,6 +3,7 @@
 #include "main/gateway/call_state.h"
 #include "main/gateway/gateway_context.h"
 #include "peers/http/inbound_connection.h"
+#include "servers/account/request_account.h"
 
 #include <absl/time/time.h>
 #include <optional>
@@ -16,7 +17,7 @@
 public:
     virtual ~CallReplyEvents() = default;
     /** The caller has a complete response. */
-    virtual void onReplied(std::string_view outcome, int status) = 0;
+    virtual void onReplied(RequestEnd end, std::string_view outcome, int status) = 0;
 };
 
 /** Complete responses to the caller of one call: refusals, failures and what a server sent. */
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -37,10 +37,11 @@
 
 } // namespace
 
-CallRun::CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call)
+CallRun::CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call,
+                 OpenRequest request)
     : context(context)
     , caller(&caller)
-    , state(std::move(call))
+    , state(std::move(call), std::move(request))
     , dispatcher(context, this->state, *this)
     , evidence(context, this->state)
     , replies(context, this->state, caller, *this)
@@ -97,12 +98,12 @@
     this->deadlineTimer.start(time - now);
 }
 
-void CallRun::onCallerGone()
+void CallRun::onCallerGone(RequestEnd end, std::string_view outcome, int status)
 {
     if (this->state.isDone)
         return;
     this->caller = nullptr;
-    this->finish("caller_gone", 0);
+    this->finish(end, outcome, status);
 }
 
 void CallRun::onCallerWritable()
@@ -329,13 +330,14 @@
         if (!this->state.hasAnswerBegun)
             this->beginStream(*finished);
         this->caller->finishStream();
-        this->finish("served", finished->reply.status);
+        this->finish(RequestEnd::Answered, "served", finished->reply.status);
         return;
     }
     if (finished->isRelaying || this->state.hasAnswerBegun) {
         if (finished->isRelaying && !hasSurvived)
             this->state.suspicion->onLoss(call.target(),
                                           this->evidence.crash(call, *finished, true, now), now);
+        this->evidence.recordEnd(call, attemptEndName(AttemptEnd::Lost));
         this->afterAttempt(AttemptEnd::Lost, now);
         return;
     }
@@ -344,6 +346,7 @@
     const bool isStreamElsewhere = this->state.isStream() && !this->attempts.empty();
     if (status >= 500 || isStreamElsewhere) {
         this->context.health.onOutcome(server, ServerHealth::Outcome::Failed, now);
+        this->evidence.recordEnd(call, attemptEndName(AttemptEnd::ServerFailed));
         this->afterAttempt(AttemptEnd::ServerFailed, now);
         return;
     }
@@ -390,6 +393,7 @@
     record.rejections = this->state.rejections;
     record.hadEvent = this->state.lastEventAt >= call.sentAt();
     logAttemptEnd(this->context, call, end, record, now);
+    this->evidence.recordEnd(call, attemptEndName(end));
     this->afterAttempt(end, now);
 }
 
@@ -441,17 +445,18 @@
             this->replies.sendLocal(502, "server_lost", false);
         return;
     case NextStep::BreakOff:
-        this->finish("broken_off", 0);
+        this->finish(RequestEnd::Lost, "broken_off", 0);
         this->caller->abort();
         return;
     }
 }
 
-void CallRun::finish(std::string_view outcome, int status)
+void CallRun::finish(RequestEnd end, std::string_view outcome, int status)
 {
     if (this->state.isDone)
         return;
     this->state.isDone = true;
+    this->state.request.end(end, outcome);
     const absl::Time now = Clock::now();
     this->deadlineTimer.stop();
     this->checkTimer.stop();
@@ -462,7 +467,7 @@
     this->dispatcher.dropPlacement();
     this->dispatcher.dropTokens(now);
     this->body.reset();
-    logCallDone(this->context, this->state, server, outcome, status, now);
+    logCallDone(this->context, this->state, server, end, outcome, status, now);
 }
 
 void CallRun::onDeadline()
@@ -470,7 +475,7 @@
     if (this->state.isDone)
         return;
     if (this->state.hasAnswerBegun) {
-        this->finish("timed_out_streaming", 0);
+        this->finish(RequestEnd::Lost, "timed_out_streaming", 0);
         this->caller->abort();
         return;
     }
@@ -579,6 +584,7 @@
             && !this->context.reachability.isReachable(target.key, target.domain))
             this->state.suspicion->onLoss(target, this->evidence.silence(ended, attempt, now), now);
         attempt.call->cancel();
+        this->evidence.recordEnd(ended, AttemptTrail::kCancelled);
         this->context.retired.push_back(std::move(attempt.call));
         PlacedStream::retire(this->context, std::move(attempt.placement));
     }
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -29,7 +29,8 @@
                       private CallReplyEvents
 {
 public:
-    CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call);
+    CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call,
+            OpenRequest request);
     ~CallRun() override;
 
     /** The request is complete. @p claim: memory of its body; null if it has none. */
@@ -39,11 +40,13 @@
     absl::Time answerBy() const { return this->state.call.answerBy; }
     /** The response is due at @p time if it was due later. */
     void advanceDeadline(absl::Time time, absl::Time now);
-    /** The caller has disconnected; nothing more is sent to it. */
-    void onCallerGone();
+    /** The connection to the caller ends the request, or has ended; nothing more is sent to it. */
+    void onCallerGone(RequestEnd end, std::string_view outcome, int status = 0);
     /** The connection to the caller accepts data again. */
     void onCallerWritable();
     bool isDone() const { return this->state.isDone; }
+    /** The request is in progress in the account. */
+    bool hasOpenRequest() const { return this->state.request.isOpen(); }
 
 private:
     bool mayWrite(ServerCall &call, absl::Time now) override;
@@ -59,7 +62,10 @@
     void onDispatchFailed(AttemptEnd cause, absl::Time now) override;
     void onCopyFailed() override;
     bool hasAttempts() const override { return !this->attempts.empty(); }
-    void onReplied(std::string_view outcome, int status) override { this->finish(outcome, status); }
+    void onReplied(RequestEnd end, std::string_view outcome, int status) override
+    {
+        this->finish(end, outcome, status);
+    }
 
     /** @p placement: null for calls that need no engine. */
     void sendTo(const ServerEntry &server, std::unique_ptr<PlacedStream> placement, absl::Time now);
@@ -71,7 +77,7 @@
     void endOtherAttempts(const ServerCall &winner);
     void afterAttempt(AttemptEnd end, absl::Time now);
     void finishWith(NextStep step, absl::Time now);
-    void finish(std::string_view outcome, int status);
+    void finish(RequestEnd end, std::string_view outcome, int status);
 
     void onDeadline();
     void onCheckTimer();
--- a/main/gateway/call_state.h
+++ b/main/gateway/call_state.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "main/gateway/attempt_trail.h"
 #include "main/gateway/call_suspicion.h"
 #include "platform/call_headers.h"
+#include "servers/account/request_account.h"
 #include "servers/catalog/serving_config.h"
 #include "servers/placement/stream_placement.h"
 #include "servers/retry/attempt_policy.h"
@@ -32,8 +34,9 @@
 /** What is known of a call in progress, for the parts of its CallRun. */
 struct CallState
 {
-    explicit CallState(AdmittedCall admitted)
+    CallState(AdmittedCall admitted, OpenRequest request)
         : call(std::move(admitted))
+        , request(std::move(request))
     { }
 
     bool isStream() const { return this->call.route->kind == CallKind::Streaming; }
@@ -42,6 +45,7 @@
     CallProgress progress(absl::Time now);
 
     AdmittedCall call;
+    OpenRequest request;
     std::string service;
     /** Set when the request is complete. */
     std::optional<CallSuspicion> suspicion;
@@ -61,6 +65,7 @@
     absl::Time firstEventAt = absl::InfinitePast();
     absl::Duration longestGap = absl::ZeroDuration();
     int attemptsSent = 0;
+    AttemptTrail trail;
     /** Time from the call's arrival to its last attempt. */
     absl::Duration dispatchDelay = absl::ZeroDuration();
 };
--- a/main/gateway/caller_session.cpp
+++ b/main/gateway/caller_session.cpp
@@ -2,9 +2,11 @@
 
 #include "core/clock.h"
 #include "core/log.h"
+#include "main/gateway/request_loss.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace foxtailtally {
 
@@ -20,6 +22,9 @@
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusTooLarge = 413;
 
+constexpr std::string_view kMalformed = "request_malformed";
+constexpr std::string_view kDropped = "dropped_behind_last_response";
+
 /** Part of the time left until the response is due that a body may wait for memory. */
 constexpr double kBodyWaitShare = 0.5;
 
@@ -67,6 +72,8 @@
 {
     const absl::Time now = Clock::now();
     this->retireRun();
+    this->request = this->context.requests.begin();
+    this->requestBegunAt = now;
     // Makes the caller send its next request to another instance.
     if (this->context.stop.isStopping())
         connection.closeAfterAnswer();
@@ -76,7 +83,8 @@
         connection.discardBody();
         return;
     }
-    this->run = std::make_unique<CallRun>(this->context, connection, std::move(call));
+    this->run = std::make_unique<CallRun>(this->context, connection, std::move(call),
+                                          std::move(this->request));
     const std::size_t expected =
         connection.announcedBody().value_or(static_cast<std::size_t>(kSmallBodyBytes));
     if (expected == 0)
@@ -190,12 +198,37 @@
          {"config_age_ms", absl::ToInt64Milliseconds(this->context.freshness.age(Clock::now()))}});
     this->connection.answer(rejection.status, platform::localReplyHeaders(callId, retryAfter),
                             body.dump());
+    this->request.end(RequestEnd::Refused, rejection.cause);
+}
+
+bool CallerSession::hasOpenRequest() const
+{
+    return this->request.isOpen() || (this->run && this->run->hasOpenRequest());
+}
+
+void CallerSession::endRequestAtStop(absl::Time now)
+{
+    this->endUnanswered(RequestEnd::Lost, "stopped", now);
+}
+
+void CallerSession::endUnanswered(RequestEnd end, std::string_view cause, absl::Time now)
+{
+    if (this->run && !this->run->isDone())
+        this->run->onCallerGone(end, cause);
+    if (!this->request.end(end, cause) || end != RequestEnd::Lost)
+        return;
+    const std::string callId = platform::decodeCallHeaders(this->connection.head().headers).callId;
+    LostRequest lost;
+    lost.id = callId;
+    lost.cause = cause;
+    lost.receivedAt = this->requestBegunAt;
+    lost.progress = "refusing";
+    logRequestLost(this->context, lost, now);
 }
 
 void CallerSession::onCallerGone(InboundConnection &)
 {
-    if (this->run)
-        this->run->onCallerGone();
+    this->endUnanswered(RequestEnd::GivenUp, "caller_gone", Clock::now());
 }
 
 void CallerSession::onWritable(InboundConnection &)
@@ -208,20 +241,32 @@
 {
     this->context.metrics.counter("foxtailtally_refusals_total", {{"cause", "protocol"}}).add();
     logEvent(LogLevel::Warning, "request_malformed", {{"status", status}});
+    // A head that is rejected itself has not been announced.
+    if (!this->hasOpenRequest() && connection.hasWholeHead())
+        this->request = this->context.requests.begin();
     if (this->run)
-        this->run->onCallerGone();
-    const nlohmann::json body = {{"error", "request_malformed"}, {"not_run", true}};
+        this->run->onCallerGone(RequestEnd::Refused, kMalformed, status);
+    const nlohmann::json body = {{"error", kMalformed}, {"not_run", true}};
     connection.answer(status, platform::localReplyHeaders({}, std::nullopt), body.dump());
+    this->request.end(RequestEnd::Refused, kMalformed);
 }
 
 void CallerSession::onClosed(InboundConnection &connection)
 {
+    const absl::Time now = Clock::now();
+    // Its owner closes a connection only behind a response, unless a callback has failed.
+    this->endUnanswered(RequestEnd::Lost, "internal_error", now);
     if (connection.droppedBytes() > 0) {
         this->context.metrics.counter("foxtailtally_request_drops_total").add();
         logEvent(LogLevel::Warning, "request_dropped", {{"bytes", connection.droppedBytes()}});
+        // What was dropped has not been parsed: it counts as one request, whose head is unknown.
+        this->context.requests.begin().end(RequestEnd::Lost, kDropped);
+        LostRequest lost;
+        lost.cause = kDropped;
+        lost.receivedAt = now;
+        lost.progress = "unread";
+        logRequestLost(this->context, lost, now);
     }
-    if (this->run && !this->run->isDone())
-        this->run->onCallerGone();
     this->retireRun();
     this->owner.onSessionClosed(*this);
 }
--- a/main/gateway/caller_session.h
+++ b/main/gateway/caller_session.h
@@ -4,6 +4,7 @@
 #include "main/gateway/gateway_context.h"
 #include "peers/http/inbound_connection.h"
 #include "peers/http/loop_timer.h"
+#include "servers/account/request_account.h"
 #include "servers/memory/body_admission.h"
 
 #include <absl/time/time.h>
@@ -33,6 +34,10 @@
     /** The instance has begun to stop: the open call has its response by @p answersBy, and the
      * connection closes with it. */
     void onStopping(absl::Time answersBy, absl::Time now);
+    /** A request of the connection is in progress. */
+    bool hasOpenRequest() const;
+    /** The process ends, and with it the connection: the open request has no response. */
+    void endRequestAtStop(absl::Time now);
     /** Applies the limits of the configuration in force to the open connection. */
     void applyLimits();
 
@@ -60,10 +65,15 @@
     std::optional<Rejection> admit(const RequestHead &head, AdmittedCall &call,
                                    absl::Time now) const;
     void refuse(const Rejection &rejection);
+    /** Ends the open request, if there is one, without a response to it. */
+    void endUnanswered(RequestEnd end, std::string_view cause, absl::Time now);
     void retireRun();
 
     GatewayContext &context;
     SessionOwner &owner;
+    /** The current request as long as no run has it. */
+    OpenRequest request;
+    absl::Time requestBegunAt = absl::InfinitePast();
     std::unique_ptr<CallRun> run;
     std::optional<Rejection> rejection;
     /** Memory for the body that is being read; null without a body. */
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -21,6 +21,8 @@
 /** Interval of periodic cleanup: closed connections, expired entries, silent instances. */
 constexpr absl::Duration kTickInterval = absl::Milliseconds(250);
 
+constexpr std::string_view kAccountMismatches = "foxtailtally_request_account_mismatches_total";
+
 /** Time for release requests, whose responses are not awaited, to reach their servers. */
 constexpr absl::Duration kReleaseLingerTime = absl::Seconds(1);
 
@@ -59,6 +61,8 @@
 {
     const GatewaySettings &settings = this->context.settings;
     std::signal(SIGPIPE, SIG_IGN);
+    // Shown as 0 as long as there is none.
+    this->context.metrics.counter(kAccountMismatches);
     this->termination = evsignal_new(
         this->base, SIGTERM,
         [](evutil_socket_t, short, void *object) {
@@ -94,7 +98,16 @@
 void Gateway::run()
 {
     event_base_dispatch(this->base);
-    logEvent(LogLevel::Info, "stopped", {{"sessions", this->sessions.size()}});
+    this->endOpenRequests(Clock::now());
+    this->checkAccount();
+    const RequestAccount &requests = this->context.requests;
+    logEvent(LogLevel::Info, "stopped",
+             {{"sessions", this->sessions.size()},
+              {"requests", requests.begun()},
+              {"answered", requests.ended(RequestEnd::Answered)},
+              {"refused", requests.ended(RequestEnd::Refused)},
+              {"given_up", requests.ended(RequestEnd::GivenUp)},
+              {"lost", requests.ended(RequestEnd::Lost)}});
 }
 
 void Gateway::onAccept(int socket)
@@ -137,10 +150,33 @@
     this->store.onTick(now);
     this->readyEndpoint.onTick();
     this->metricsEndpoint.onTick();
+    this->checkAccount();
     if (this->context.stop.isStopping())
         this->continueStop(now);
 }
 
+void Gateway::checkAccount()
+{
+    std::uint64_t open = 0;
+    for (const auto &[key, session] : this->sessions)
+        open += session->hasOpenRequest() ? 1 : 0;
+    const RequestAccount &requests = this->context.requests;
+    if (requests.isBalanced(open))
+        return;
+    this->context.metrics.counter(kAccountMismatches).add();
+    logEssentialEvent(LogLevel::Error, "request_account_mismatch",
+                      {{"begun", requests.begun()},
+                       {"ended", requests.ended()},
+                       {"in_progress", requests.inProgress()},
+                       {"open", open}});
+}
+
+void Gateway::endOpenRequests(absl::Time now)
+{
+    for (const auto &[key, session] : this->sessions)
+        session->endRequestAtStop(now);
+}
+
 void Gateway::applyConfigToSessions()
 {
     if (this->appliedConfig == this->context.config)
@@ -211,6 +247,7 @@
 AdminAnswer Gateway::answerMetrics() const
 {
     std::string text = this->context.metrics.exposition();
+    text += this->context.requests.exposition();
     absl::StrAppend(&text, "foxtailtally_log_lines_dropped_total ", droppedLogLines(),
                     "\nfoxtailtally_unexpected_errors_total ", unexpectedErrorCount(), "\n");
     for (const KindWatcher *watcher : this->store.kinds()) {
--- a/main/gateway/gateway.h
+++ b/main/gateway/gateway.h
@@ -42,6 +42,9 @@
     void beginStop();
     void continueStop(absl::Time now);
     void onStopTimer();
+    /** Reports requests that have begun and are neither ended nor open in a session. */
+    void checkAccount();
+    void endOpenRequests(absl::Time now);
     bool isReady(absl::Time now) const;
     AdminAnswer answerReady() const;
     AdminAnswer answerMetrics() const;
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -8,6 +8,7 @@
 #include "main/gateway/instance_exchange.h"
 #include "main/gateway/limit_exchange.h"
 #include "peers/http/connection_pool.h"
+#include "servers/account/request_account.h"
 #include "servers/catalog/config_freshness.h"
 #include "servers/catalog/server_directory.h"
 #include "servers/catalog/serving_config.h"
@@ -106,6 +107,8 @@
     GatewaySettings settings;
     /** Null until the first configuration is known. */
     std::shared_ptr<const ServingConfig> config;
+    /** When a configuration last took the place of an earlier one. */
+    absl::Time configChangedAt = absl::InfinitePast();
     ConfigFreshness freshness;
     ServerDirectory directory;
     StreamLedger ledger;
@@ -121,6 +124,7 @@
     StoreSource storeSource;
     InstanceExchange exchange;
     Metrics metrics;
+    RequestAccount requests;
     LimitExchange limits;
     Random random;
     absl::flat_hash_map<ServerKey, ServerActivity> activity;
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -93,6 +93,7 @@
     const absl::Time now = Clock::now();
     ServerActivity &activity = this->context.activity[this->server.key];
     activity.lastByteAt = now;
+    this->receivedAt = now;
     const platform::ServerReply reply = platform::decodeServerReply(head);
     // A connection that has carried other calls may bring another response to one of them.
     if (this->isConnectionReused && !reply.hasCallId) {
@@ -139,6 +140,7 @@
 {
     const absl::Time now = Clock::now();
     this->context.activity[this->server.key].lastByteAt = now;
+    this->receivedAt = now;
     this->context.unconfirmedLosses.onHeard(this->server.key, this->startedAt, now);
     this->events.onReplyBody(*this, data);
 }
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -69,6 +69,8 @@
 
     const AttemptTarget &target() const { return this->server; }
     absl::Time sentAt() const { return this->startedAt; }
+    /** When the server last sent a part of its response; InfinitePast if it sent none. */
+    absl::Time lastByteAt() const { return this->receivedAt; }
     /** The call has been written to the connection, so that it may reach the server. */
     bool wasWritten() const { return this->written; }
     /** Another server, or another incarnation of this one, has the address. */
@@ -106,6 +108,7 @@
     LoopTimer connectTimer;
     std::string callId;
     absl::Time startedAt = absl::InfinitePast();
+    absl::Time receivedAt = absl::InfinitePast();
     std::string faultyAddress;
     std::error_code failureCause;
     ConnectionEnd endCause = ConnectionEnd::None;
--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -176,6 +176,8 @@
                      {{"version", this->held.version()}, {"revision", object.revision}});
             return;
         case HeldConfig::Outcome::Adopted:
+            if (this->context.config)
+                this->context.configChangedAt = Clock::now();
             this->context.config = this->held.config();
             logEvent(LogLevel::Info, "config_adopted",
                      {{"version", this->held.version()},
--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -290,6 +290,7 @@
 {
     InboundConnection &connection = self(parser);
     connection.collector.finish();
+    connection.isHeadWhole = true;
     connection.request.method = http_method_str(static_cast<http_method>(parser->method));
     connection.keepsAlive = http_should_keep_alive(parser) != 0;
     // Upgrades are never accepted, so the bytes that follow are the next request.
@@ -478,6 +479,7 @@
     this->headBytes = 0;
     this->rejectStatus = 0;
     this->requestLimits = this->limits;
+    this->isHeadWhole = false;
     this->isBodyDiscarded = false;
     this->isRequestComplete = false;
     this->keepsAlive = true;
--- a/peers/http/inbound_connection.h
+++ b/peers/http/inbound_connection.h
@@ -63,6 +63,8 @@
     InboundConnection &operator=(const InboundConnection &) = delete;
 
     const RequestHead &head() const { return this->request; }
+    /** The head of the current request has been read whole; it may still be rejected. */
+    bool hasWholeHead() const { return this->isHeadWhole; }
     const std::string &body() const { return this->requestBody; }
     void discardBody();
     /** Moves the body out, so that the connection no longer holds it. */
@@ -163,6 +165,7 @@
     std::size_t bodyAllowance = kUnlimited;
     std::size_t headBytes = 0;
     int rejectStatus = 0;
+    bool isHeadWhole = false;
     bool isBodyDiscarded = false;
     bool isBodyPaused = false;
     /** InboundEvents::onRequestComplete() was called for the current request. */
--- a/servers/catalog/store_source.h
+++ b/servers/catalog/store_source.h
@@ -155,6 +155,8 @@
     void onFetched(StoreKind kind) { this->fetchFailures[static_cast<std::size_t>(kind)] = 0; }
     void onStoreFailed(absl::Time now);
     void onStoreAnswered() { this->storeFailures = 0; }
+    /** When a call to the store last failed or got no response. */
+    absl::Time lastStoreFailure() const { return this->storeFailedAt; }
     /** The store does not answer this instance; others read it instead. */
     bool isStoreLost(absl::Time now) const;
 
--- a/tests/process/unread_log_test.cpp
+++ b/tests/process/unread_log_test.cpp
@@ -79,5 +79,44 @@
         EXPECT_TRUE(nlohmann::json::accept(line)) << line.substr(0, 200);
 }
 
+// Guards against a lost request that leaves no line since its end fell into a time in which the log
+// was full.
+TEST_F(UnreadLog, KeepsTheLineOfALostRequest)
+{
+    ASSERT_TRUE(this->deployment.waitUntilReady(0));
+    ServingStandin &platform = this->deployment.platform();
+    platform.addServer(0, "engine", "d0", platform.serverAddress(0));
+    platform.setServerBehavior(0, ServerBehavior::DisconnectMidStream);
+    CallerRequest request;
+    request.address = this->deployment.callerAddress(0);
+    request.path = "/stream/a";
+    request.headers = {"Attempt-Id: before", "Key: key-1", "Deadline-Ms: 2000",
+                       "Token-Usage: 1000,100"};
+    while (callGateway(request).status != 200)
+        this->readLog();
+    this->readLog();
+    this->log.clear();
+    while (this->deployment.metrics(0).find("foxtailtally_log_lines_dropped_total 0\n")
+           != std::string::npos)
+        ASSERT_EQ(this->callUnknownRoute(4300), 404);
+    request.headers.front() = "Attempt-Id: while-full";
+    EXPECT_FALSE(callGateway(request).isComplete);
+    this->readLog();
+    // What waits is written with the next line.
+    EXPECT_EQ(this->callUnknownRoute(1), 404);
+    this->readLog();
+    int lost = 0;
+    for (const std::string &text :
+         std::vector<std::string>(absl::StrSplit(this->log, '\n', absl::SkipEmpty()))) {
+        const nlohmann::json line = nlohmann::json::parse(text, nullptr, false);
+        ASSERT_FALSE(line.is_discarded()) << text.substr(0, 200);
+        if (line["event"] == "request_lost") {
+            ++lost;
+            EXPECT_EQ(line["request"], "while-full");
+        }
+    }
+    EXPECT_EQ(lost, 1);
+}
+
 } // namespace
 } // namespace foxtailtally
