Check the account of requests at the end of a soak

The soak saw cut responses from the callers' side only. A request that a gateway forgot, or counted twice, was found only when a caller happened to wait for it.

Each gateway's metrics now must show, once the last requests have ended, as many ends as begins, none in progress and no mismatch at any tick.

--- a/tests/process/gateway_soak.cpp
+++ b/tests/process/gateway_soak.cpp
@@ -1,5 +1,6 @@
 #include "tests/process/gateway_soak.h"
 
+#include "tests/process/account_metrics.h"
 #include "tests/process/http_caller.h"
 #include "tests/process/kept_connection.h"
 
@@ -24,6 +25,8 @@
 constexpr int kServers = 5;
 constexpr absl::Duration kStopLimit = absl::Seconds(20);
 constexpr absl::Duration kRecoveryLimit = absl::Seconds(60);
+/** Time for the last requests to end: longer than the longest deadline of the callers. */
+constexpr absl::Duration kLastRequestsTime = absl::Seconds(5);
 /** Longest duration of one fault, and longest interval between two. */
 constexpr absl::Duration kMaxFaultDuration = absl::Milliseconds(1500);
 constexpr absl::Duration kMaxFaultInterval = absl::Milliseconds(400);
@@ -98,6 +101,7 @@
     for (std::thread &thread : threads)
         thread.join();
     this->waitForRecovery();
+    this->checkAccounts();
     this->checkExecutions();
     this->checkLimits();
     if (this->faults == SoakFaults::PlannedWork) {
@@ -377,6 +381,25 @@
     }
 }
 
+void GatewaySoak::checkAccounts()
+{
+    const absl::Time end = absl::Now() + kLastRequestsTime;
+    for (int gateway = 0; gateway < kGateways; ++gateway) {
+        AccountMetrics account(this->deployment.metrics(gateway));
+        while (account.inProgress() != 0 && absl::Now() < end) {
+            absl::SleepFor(absl::Milliseconds(100));
+            account = AccountMetrics(this->deployment.metrics(gateway));
+        }
+        const bool isBalanced = account.inProgress() == 0 && account.begun() == account.ended()
+            && account.mismatches() == 0;
+        // The call that showed its recovery has begun and ended.
+        if (!isBalanced || account.begun() == 0)
+            this->report(absl::StrCat("gateway ", gateway, " has begun ", account.begun(),
+                                      " requests, ended ", account.ended(), ", in progress ",
+                                      account.inProgress(), ", mismatches ", account.mismatches()));
+    }
+}
+
 void GatewaySoak::checkExecutions()
 {
     absl::flat_hash_map<std::string, int> runs;
--- a/tests/process/gateway_soak.h
+++ b/tests/process/gateway_soak.h
@@ -85,6 +85,8 @@
     void limitLoop(std::uint64_t limitSeed);
     void waitForRecovery();
     void checkExecutions();
+    /** Every request that a gateway has begun has ended in one way or is in progress. */
+    void checkAccounts();
     void checkLimits();
     /** Planned work cuts no call that has reached a server. */
     void checkNothingCut();
