Take what calls keep of responses from a shared part of the memory

What callers saw: an instance of 160 MiB with 800 streams that each get one endless data line grew beyond its memory, and ended with all its calls. Beside chunked bodies without end, calls of a sound server were not served.

Cause: incomplete events were bounded singly (256 KiB a run) and by nothing in sum. Buffered bodies had one bound of 48 MiB for all calls, which a few endless bodies used up, so that no other body got a byte.

Change: incomplete events, preambles, bodies, and copies of heads until the response begins are taken, by capacity, from MemoryOwner::ResponseBodies before they grow, and are given back when they are empty or the call has ended. ResponseMemory guarantees half of the share to the servers in equal parts; a server gets at most half of what is left of the other half, and a buffer at most half of what is left to its server. A buffer that gets no more ends its attempt with memory_share_used_up in attempt_ended, counted in foxtailtally_responses_over_memory_total. A single body is limited to about an eighth of the share or more, 3 to 4 MiB at 160 MiB, instead of 8 MiB.

The engines' slots bound the streams of the old cases (about 105 at once), so the tests have streams of a service without engines too, a slow data line, and instances of 260 MiB.

The whole test suite was not run.

--- a/main/gateway/call_attempt.h
+++ b/main/gateway/call_attempt.h
@@ -3,13 +3,13 @@
 #include "main/gateway/placed_stream.h"
 #include "main/gateway/server_call.h"
 #include "peers/http/http_head.h"
+#include "servers/memory/response_buffer.h"
 #include "servers/retry/attempt_policy.h"
 #include "servers/retry/event_relay.h"
 
 #include <absl/time/time.h>
 #include <memory>
 #include <optional>
-#include <string>
 
 namespace foxtailtally {
 
@@ -21,9 +21,11 @@
     std::unique_ptr<PlacedStream> placement;
     EventRelay::Run run;
     ResponseHead reply;
-    std::string body;
+    /** Memory of the head. */
+    ResponseHold headHold;
+    ResponseBuffer body;
     /** What a stream has sent before the first event of the answer. */
-    std::string preamble;
+    ResponseBuffer preamble;
     /** The response is a stream whose events are forwarded as they arrive. */
     bool isRelaying = false;
     absl::Time firstEventAt = absl::InfiniteFuture();
--- a/main/gateway/call_log.cpp
+++ b/main/gateway/call_log.cpp
@@ -60,6 +60,8 @@
     const AttemptTarget &target = call.target();
     context.metrics.counter("foxtailtally_attempts_ended_total", {{"end", attemptEndName(end)}})
         .add();
+    if (call.failure() == Error::MemoryShareUsedUp)
+        context.metrics.counter("foxtailtally_responses_over_memory_total").add();
     const ServerDirectory::Server *server = context.directory.findByKey(target.key);
     nlohmann::json fields = {
         {"request", record.callId},
--- a/main/gateway/call_reply.cpp
+++ b/main/gateway/call_reply.cpp
@@ -18,12 +18,18 @@
 
 } // namespace
 
-void CallReply::store(ResponseHead reply, std::string body)
+void CallReply::store(ResponseHead reply, ResponseHold headHold, ResponseBuffer body)
 {
     this->stored = std::move(reply);
+    this->storedHeadHold = std::move(headHold);
     this->storedBody = std::move(body);
 }
 
+void CallReply::dropStored()
+{
+    this->store(ResponseHead(), ResponseHold(), ResponseBuffer());
+}
+
 void CallReply::refuse(std::string_view cause, absl::Time now)
 {
     if (this->state.isStopTooNear(this->context, now)) {
@@ -74,7 +80,8 @@
         this->sendLocal(502, "server_failed", false);
         return;
     }
-    this->caller.answer(status, platform::callerHeaders(this->stored.headers), this->storedBody);
+    this->caller.answer(status, platform::callerHeaders(this->stored.headers),
+                        this->storedBody.view());
     this->events.onReplied(status < 400 ? "served" : "server_failure", status);
 }
 
--- a/main/gateway/call_reply.h
+++ b/main/gateway/call_reply.h
@@ -3,10 +3,10 @@
 #include "main/gateway/call_state.h"
 #include "main/gateway/gateway_context.h"
 #include "peers/http/inbound_connection.h"
+#include "servers/memory/response_buffer.h"
 
 #include <absl/time/time.h>
 #include <optional>
-#include <string>
 #include <string_view>
 
 namespace foxtailtally {
@@ -38,7 +38,9 @@
     void refuseQuarantined(absl::Time now);
     void sendLocal(int status, std::string_view cause, bool notRun);
     /** Keeps a server's response, in place of an earlier one. */
-    void store(ResponseHead reply, std::string body);
+    void store(ResponseHead reply, ResponseHold headHold, ResponseBuffer body);
+    /** Drops the response that is kept. */
+    void dropStored();
     /** Status of the response that is kept; 0 while there is none. */
     int storedStatus() const { return this->stored.status; }
     void forwardStored();
@@ -54,7 +56,8 @@
     InboundConnection &caller;
     CallReplyEvents &events;
     ResponseHead stored;
-    std::string storedBody;
+    ResponseHold storedHeadHold;
+    ResponseBuffer storedBody;
 };
 
 } // namespace foxtailtally
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -18,10 +18,8 @@
 constexpr absl::Duration kStreamProgressSlack = absl::Milliseconds(600);
 constexpr absl::Duration kStreamRecheckInterval = absl::Milliseconds(250);
 
-/** Largest response that is buffered until it is complete, and the total of all buffered ones; the
- * smallest instances have 160 MB of memory. */
+/** Largest response that is buffered until it is complete; ResponseMemory may allow less. */
 constexpr std::size_t kMaxBufferedReplyBytes = std::size_t {8} << 20;
-constexpr std::size_t kMaxBufferedReplyBytesTotal = std::size_t {48} << 20;
 
 /** Comments and blank lines before the first event of a stream that are forwarded with it. */
 constexpr std::size_t kMaxPreambleBytes = std::size_t {4} << 10;
@@ -51,11 +49,6 @@
     this->deadlineTimer.start(this->state.call.answerBy - this->state.call.receivedAt);
 }
 
-CallRun::~CallRun()
-{
-    this->context.bufferedReplyBytes -= this->bufferedBytes;
-}
-
 void CallRun::start(std::unique_ptr<BodyClaim> claim, absl::Time now)
 {
     this->hasStarted = true;
@@ -186,7 +179,11 @@
     ServerCallEvents &events = *this;
     CallAttempt &attempt = this->attempts.emplace_back();
     attempt.placement = std::move(placement);
-    attempt.run = this->relay.beginRun(this->attempts.size() > 1);
+    attempt.run = this->relay.beginRun(this->attempts.size() > 1,
+                                       ResponseBuffer(this->context.responses, target.key));
+    attempt.headHold = ResponseHold(this->context.responses, target.key);
+    attempt.body = ResponseBuffer(this->context.responses, target.key);
+    attempt.preamble = ResponseBuffer(this->context.responses, target.key);
     attempt.usedRetryGrant = std::exchange(this->hasRetryGrant, false);
     attempt.wasUnreachable = !this->context.reachability.isReachable(target.key, target.domain);
     attempt.call = std::make_unique<ServerCall>(this->context, std::move(target), events);
@@ -201,6 +198,10 @@
                       const platform::ServerReply &reply)
 {
     CallAttempt *attempt = this->findAttempt(call);
+    if (!attempt->headHold.resize(static_cast<std::int64_t>(head.headers.memoryBytes()))) {
+        this->abandon(call, Error::MemoryShareUsedUp);
+        return;
+    }
     attempt->isRelaying = head.status == kStatusOk && reply.isEventStream && this->state.isStream();
     attempt->reply = head;
 }
@@ -212,17 +213,17 @@
         this->relayEvents(*attempt, data, Clock::now());
         return;
     }
-    const bool fits = attempt->body.size() + data.size() <= kMaxBufferedReplyBytes
-        && this->context.bufferedReplyBytes + data.size() <= kMaxBufferedReplyBytesTotal;
-    if (!fits) {
-        // A truncated body must not be forwarded as a complete one.
-        call.cancel();
-        this->onAttemptEnded(call, AttemptEnd::Lost);
-        return;
-    }
-    attempt->body.append(data);
-    this->context.bufferedReplyBytes += data.size();
-    this->bufferedBytes += data.size();
+    // A truncated body must not be forwarded as a complete one.
+    if (attempt->body.size() + data.size() > kMaxBufferedReplyBytes)
+        this->abandon(call, Error::ProtocolViolation);
+    else if (!attempt->body.tryAppend(data))
+        this->abandon(call, Error::MemoryShareUsedUp);
+}
+
+void CallRun::abandon(ServerCall &call, std::error_code cause)
+{
+    call.abandon(cause);
+    this->onAttemptEnded(call, AttemptEnd::Lost);
 }
 
 void CallRun::relayEvents(CallAttempt &attempt, std::string_view data, absl::Time now)
@@ -230,8 +231,7 @@
     ServerCall &call = *attempt.call;
     const Result<std::string> events = this->relay.feed(attempt.run, data);
     if (!events.ok()) {
-        call.cancel();
-        this->onAttemptEnded(call, AttemptEnd::Lost);
+        this->abandon(call, events.error());
         return;
     }
     if (events->empty())
@@ -250,8 +250,9 @@
     }
     // Comments are no answer: the call may still be sent elsewhere or refused.
     if (!this->state.hasAnswerBegun && !this->relay.hasForwardedEvent()) {
-        if (attempt.preamble.size() + events->size() <= kMaxPreambleBytes)
-            attempt.preamble += *events;
+        if (attempt.preamble.size() + events->size() <= kMaxPreambleBytes
+            && !attempt.preamble.tryAppend(*events))
+            this->abandon(call, Error::MemoryShareUsedUp);
         return;
     }
     if (!this->state.hasAnswerBegun)
@@ -272,11 +273,14 @@
     this->endOtherAttempts(call);
 }
 
-void CallRun::beginStream(const CallAttempt &attempt)
+void CallRun::beginStream(CallAttempt &attempt)
 {
     this->state.hasAnswerBegun = true;
     this->caller->startStream(attempt.reply.status, platform::callerHeaders(attempt.reply.headers));
-    this->caller->sendChunk(attempt.preamble);
+    this->caller->sendChunk(attempt.preamble.view());
+    attempt.preamble.clear();
+    attempt.reply.headers = HttpHeaders();
+    attempt.headHold.release();
 }
 
 void CallRun::endOtherAttempts(const ServerCall &winner)
@@ -340,7 +344,8 @@
         return;
     }
     const int status = finished->reply.status;
-    this->replies.store(std::move(finished->reply), std::move(finished->body));
+    this->replies.store(std::move(finished->reply), std::move(finished->headHold),
+                        std::move(finished->body));
     const bool isStreamElsewhere = this->state.isStream() && !this->attempts.empty();
     if (status >= 500 || isStreamElsewhere) {
         this->context.health.onOutcome(server, ServerHealth::Outcome::Failed, now);
@@ -462,6 +467,7 @@
     this->dispatcher.dropPlacement();
     this->dispatcher.dropTokens(now);
     this->body.reset();
+    this->replies.dropStored();
     logCallDone(this->context, this->state, server, outcome, status, now);
 }
 
--- a/main/gateway/call_run.h
+++ b/main/gateway/call_run.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <system_error>
 #include <vector>
 
 namespace foxtailtally {
@@ -30,7 +31,7 @@
 {
 public:
     CallRun(GatewayContext &context, InboundConnection &caller, AdmittedCall call);
-    ~CallRun() override;
+    ~CallRun() override = default;
 
     /** The request is complete. @p claim: memory of its body; null if it has none. */
     void start(std::unique_ptr<BodyClaim> claim, absl::Time now);
@@ -63,10 +64,12 @@
 
     /** @p placement: null for calls that need no engine. */
     void sendTo(const ServerEntry &server, std::unique_ptr<PlacedStream> placement, absl::Time now);
+    /** Ends the attempt of @p call, whose response cannot be kept or forwarded. */
+    void abandon(ServerCall &call, std::error_code cause);
     void relayEvents(CallAttempt &attempt, std::string_view data, absl::Time now);
     void onStreamEvent(CallAttempt &attempt, absl::Time now);
     /** Starts the answer to the caller with the head of the stream of @p attempt. */
-    void beginStream(const CallAttempt &attempt);
+    void beginStream(CallAttempt &attempt);
     /** Ends all attempts but the one of @p winner, which has delivered the next event. */
     void endOtherAttempts(const ServerCall &winner);
     void afterAttempt(AttemptEnd end, absl::Time now);
@@ -104,8 +107,6 @@
     /** The retry budget has granted a retry that no server got yet. */
     bool hasRetryGrant = false;
     bool hasStarted = false;
-    /** Response bytes buffered by this call so far; part of GatewayContext::bufferedReplyBytes. */
-    std::size_t bufferedBytes = 0;
 };
 
 } // namespace foxtailtally
--- a/main/gateway/gateway_context.cpp
+++ b/main/gateway/gateway_context.cpp
@@ -23,6 +23,7 @@
     // This tick may come before all that has arrived during the pause has been read.
     this->pausedSince = now - this->tickedAt > kMinPause ? this->tickedAt : absl::InfiniteFuture();
     this->tickedAt = now;
+    this->responses.setServers(this->directory.size());
 }
 
 absl::Time GatewayContext::inputSince(absl::Time now) const
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -14,6 +14,7 @@
 #include "servers/catalog/store_source.h"
 #include "servers/limits/sent_requests.h"
 #include "servers/memory/memory_budget.h"
+#include "servers/memory/response_memory.h"
 #include "servers/placement/reachability.h"
 #include "servers/placement/server_health.h"
 #include "servers/placement/stream_ledger.h"
@@ -85,6 +86,7 @@
         , retries(settings.retries)
         , stop(settings.stopLimit)
         , memory(settings.memoryBytes)
+        , responses(this->memory)
         , bodies(base, this->memory)
         , pool(base, this->memory)
         , storeSource(instanceRecord(settings))
@@ -116,6 +118,7 @@
     SpacedRetryAfter retryAfterPolicy;
     StopPolicy stop;
     MemoryBudget memory;
+    ResponseMemory responses;
     BodyQueue bodies;
     ConnectionPool pool;
     StoreSource storeSource;
@@ -133,8 +136,6 @@
     /** The tick before the last one if the process was paused in between; else InfiniteFuture. */
     absl::Time pausedSince = absl::InfiniteFuture();
     std::uint32_t nextStreamId = 1;
-    /** Bytes of responses that calls buffer until they are complete. */
-    std::size_t bufferedReplyBytes = 0;
 };
 
 } // namespace foxtailtally
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -82,6 +82,12 @@
     this->discardConnection();
 }
 
+void ServerCall::abandon(std::error_code cause)
+{
+    this->failureCause = cause;
+    this->cancel();
+}
+
 void ServerCall::pauseReading(bool isPaused)
 {
     if (this->connection)
--- a/main/gateway/server_call.h
+++ b/main/gateway/server_call.h
@@ -63,6 +63,8 @@
               bool mustRunOnce, absl::Time now);
     /** Cancels the attempt; the server learns it from the closed connection. */
     void cancel();
+    /** As cancel(), since the response cannot be used because of @p cause. */
+    void abandon(std::error_code cause);
     void pauseReading(bool isPaused);
     /** The server has executed the call for longer than a crash caused by it would take. */
     void clearSuspicion();
--- a/peers/http/http_head.cpp
+++ b/peers/http/http_head.cpp
@@ -52,6 +52,15 @@
     return value ? std::string_view(*value) : fallback;
 }
 
+std::size_t HttpHeaders::memoryBytes() const
+{
+    // The vector grows by doubling.
+    std::size_t bytes = 2 * sizeof(HttpHeader) * this->entries.size();
+    for (const HttpHeader &header : this->entries)
+        bytes += header.name.size() + header.value.size();
+    return bytes;
+}
+
 std::size_t HttpHeaders::count(std::string_view name) const
 {
     return static_cast<std::size_t>(
--- a/peers/http/http_head.h
+++ b/peers/http/http_head.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -22,6 +23,8 @@
     const std::string *find(std::string_view name) const;
     std::string_view valueOr(std::string_view name, std::string_view fallback) const;
     std::size_t count(std::string_view name) const;
+    /** Memory that the headers take, about. */
+    std::size_t memoryBytes() const;
     void remove(std::string_view name);
     /** Removes hop-by-hop headers, including those listed in the Connection header. */
     void removeHopByHop();
--- a/servers/retry/event_relay.cpp
+++ b/servers/retry/event_relay.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 #include <algorithm>
+#include <utility>
 
 namespace foxtailtally {
 
@@ -102,9 +103,10 @@
         this->progress.last = number;
 }
 
-EventRelay::Run EventRelay::beginRun(bool isBesideOthers) const
+EventRelay::Run EventRelay::beginRun(bool isBesideOthers, ResponseBuffer pending) const
 {
     Run run;
+    run.pending = std::move(pending);
     run.isResumed = this->progress.hasForwarded || isBesideOthers;
     return run;
 }
@@ -112,11 +114,13 @@
 Result<std::string> EventRelay::feed(Run &run, std::string_view data)
 {
     const Progress before = this->progress;
-    run.pending.append(data);
     run.idleBytes += data.size();
     this->advanced = false;
+    const bool isContinued = !run.pending.isEmpty();
+    if (isContinued && !run.pending.tryAppend(data))
+        return Error::MemoryShareUsedUp;
     std::string completeEvents;
-    std::string_view rest = run.pending;
+    std::string_view rest = isContinued ? run.pending.view() : data;
     while (true) {
         const std::size_t length = firstEventLength(rest, run.scannedBytes);
         run.scannedBytes = 0;
@@ -132,12 +136,17 @@
             completeEvents.append(event);
         rest.remove_prefix(length);
     }
-    run.pending.erase(0, run.pending.size() - rest.size());
-    run.scannedBytes = run.pending.size();
     if (run.idleBytes > kMaxEventBytes) {
         this->progress = before;
         return Error::ProtocolViolation;
     }
+    if (isContinued) {
+        run.pending.removePrefix(run.pending.size() - rest.size());
+    } else if (!run.pending.tryAppend(rest)) {
+        this->progress = before;
+        return Error::MemoryShareUsedUp;
+    }
+    run.scannedBytes = run.pending.size();
     return completeEvents;
 }
 
--- a/servers/retry/event_relay.h
+++ b/servers/retry/event_relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/result.h"
+#include "servers/memory/response_buffer.h"
 
 #include <cstdint>
 #include <optional>
@@ -22,12 +23,13 @@
     {
     public:
         /** No incomplete event is buffered. */
-        bool isBetweenEvents() const { return this->pending.empty(); }
+        bool isBetweenEvents() const { return this->pending.isEmpty(); }
 
     private:
         friend class EventRelay;
 
-        std::string pending;
+        /** The incomplete event; empty between events. */
+        ResponseBuffer pending;
         /** Bytes of pending that are known not to end an event. */
         std::size_t scannedBytes = 0;
         /** Bytes received since the last new event. */
@@ -44,12 +46,13 @@
     explicit EventRelay(std::string_view lastEventId);
 
     /** Starts another run, while others go on if @p isBesideOthers. Events up to the last one
-     * forwarded are skipped if the run repeats them. */
-    Run beginRun(bool isBesideOthers) const;
+     * forwarded are skipped if the run repeats them. @p pending: empty; keeps incomplete events. */
+    Run beginRun(bool isBesideOthers, ResponseBuffer pending = ResponseBuffer()) const;
     /**
      * Takes bytes of @p run and returns the bytes of the events that they complete. Fails with
      * ProtocolViolation when an event number is skipped, when the bytes are not events, or when the
-     * run sends more than the size limit of an event without a new event. None of @p data counts as
+     * run sends more than the size limit of an event without a new event, and with
+     * MemoryShareUsedUp when there is no memory for an incomplete event. None of @p data counts as
      * forwarded then.
      */
     Result<std::string> feed(Run &run, std::string_view data);
--- a/tests/process/endless_server.cpp
+++ b/tests/process/endless_server.cpp
@@ -1,5 +1,6 @@
 #include "tests/process/endless_server.h"
 
+#include "core/clock.h"
 #include "core/socket_address.h"
 
 #include <absl/strings/str_cat.h>
@@ -19,6 +20,9 @@
 constexpr std::size_t kBlockBytes = std::size_t {16} << 10;
 /** Sent to a connection at a time, so that all connections advance together. */
 constexpr int kBlocksAtOnce = 2;
+/** Time between two blocks of slow bytes: 160 KiB a second, so that a call has most of what a
+ * gateway keeps of one event when its last part arrives. */
+constexpr absl::Duration kSlowInterval = absl::Milliseconds(100);
 
 /** Sent once, before the endless part. */
 std::string beginningOf(EndlessBytes bytes, const std::string &callId)
@@ -36,6 +40,7 @@
     case EndlessBytes::Chunks:
         return head + "Transfer-Encoding: chunked\r\n\r\n";
     case EndlessBytes::DataLine:
+    case EndlessBytes::SlowDataLine:
         return streamHead + "data: ";
     case EndlessBytes::Comments:
         return streamHead;
@@ -65,6 +70,7 @@
     case EndlessBytes::HeaderLine:
     case EndlessBytes::BodyWithoutLength:
     case EndlessBytes::DataLine:
+    case EndlessBytes::SlowDataLine:
     case EndlessBytes::EncodedBody:
         return "x";
     }
@@ -105,6 +111,8 @@
         return "Chunks";
     case EndlessBytes::DataLine:
         return "DataLine";
+    case EndlessBytes::SlowDataLine:
+        return "SlowDataLine";
     case EndlessBytes::Comments:
         return "Comments";
     case EndlessBytes::InterimResponses:
@@ -144,10 +152,12 @@
 {
     while (!this->isStopping) {
         std::vector<pollfd> polled = {{this->listener, POLLIN, 0}};
+        const absl::Time now = Clock::now();
         for (const Connection &connection : this->connections) {
-            const bool isSending = !connection.pending.empty();
-            polled.push_back(
-                {connection.socket, static_cast<short>(isSending ? POLLOUT : POLLIN), 0});
+            short events = POLLIN;
+            if (!connection.pending.empty())
+                events = connection.nextBlockAt <= now ? POLLOUT : 0;
+            polled.push_back({connection.socket, events, 0});
         }
         if (::poll(polled.data(), polled.size(), kPollMs) <= 0)
             continue;
@@ -168,7 +178,7 @@
         });
         for (int socket = -1;
              (socket = ::accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK)) >= 0;)
-            this->connections.push_back({socket, {}, {}, false});
+            this->connections.push_back({socket, {}, {}});
     }
 }
 
@@ -199,8 +209,13 @@
         }
         this->sentCount += static_cast<std::uint64_t>(size);
         connection.pending.erase(0, static_cast<std::size_t>(size));
-        if (connection.pending.empty())
-            connection.pending = blockOf(this->bytes);
+        if (!connection.pending.empty())
+            continue;
+        connection.pending = blockOf(this->bytes);
+        if (this->bytes != EndlessBytes::SlowDataLine)
+            continue;
+        connection.nextBlockAt = Clock::now() + kSlowInterval;
+        return;
     }
 }
 
--- a/tests/process/endless_server.h
+++ b/tests/process/endless_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <absl/time/time.h>
 #include <atomic>
 #include <cstdint>
 #include <list>
@@ -16,6 +17,8 @@
     BodyWithoutLength,
     Chunks,
     DataLine,
+    /** The same, so slowly that many of them are incomplete at a time. */
+    SlowDataLine,
     /** Comments behind the head of a stream, without an event. */
     Comments,
     InterimResponses,
@@ -51,6 +54,8 @@
         /** Bytes that are sent next; empty before a request. */
         std::string pending;
         bool isOver = false;
+        /** Time of the next block of slow bytes. */
+        absl::Time nextBlockAt = absl::InfinitePast();
     };
 
     void run();
--- a/tests/process/gateway_deployment.cpp
+++ b/tests/process/gateway_deployment.cpp
@@ -169,8 +169,9 @@
         {"Services", {{{"Name", "engine"}, {"Engine", engine}}, {{"Name", "desk"}}}},
         {"Limits", {{"MaxBodyBytes", maxBodyBytes}, {"MaxHeaderBytes", 8192}}},
         {"Tenants", {{{"Name", "customer-1"}, {"ApiKeys", keys}}}}};
-    for (const std::string &prefix : this->addedRoutes)
-        config["Routes"].push_back(route("added " + prefix, prefix, "idempotent", "desk"));
+    for (const AddedRoute &added : this->addedRoutes)
+        config["Routes"].push_back(
+            route("added " + added.prefix, added.prefix, added.kind, "desk"));
     this->standin->putObject(std::string(platform::kConfigKind), std::string(platform::kConfigName),
                              config.dump());
 }
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -51,9 +51,18 @@
     void configure(int version, const std::vector<std::string> &keys,
                    double readTokensPerSecond = 154000.0, int maxBodyBytes = 65536);
     /** Adds an idempotent route for @p prefix to the configurations that are stored from now on. */
-    void addRoute(const std::string &prefix) { this->addedRoutes.push_back(prefix); }
+    void addRoute(const std::string &prefix, const std::string &kind = "idempotent")
+    {
+        this->addedRoutes.push_back({prefix, kind});
+    }
 
 private:
+    struct AddedRoute
+    {
+        std::string prefix;
+        std::string kind;
+    };
+
     std::string host(int number) const;
 
     std::string folder;
@@ -62,7 +71,7 @@
     std::vector<std::string> storeAddresses;
     std::string extraSettings;
     std::optional<int> memoryMebibytes;
-    std::vector<std::string> addedRoutes;
+    std::vector<AddedRoute> addedRoutes;
     /** Size of each gateway's log file at its last start, in bytes. */
     std::vector<std::uintmax_t> logStarts;
 };
--- a/tests/retry/event_relay_test.cpp
+++ b/tests/retry/event_relay_test.cpp
@@ -1,5 +1,7 @@
 #include "servers/retry/event_relay.h"
 
+#include "servers/memory/response_memory.h"
+
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -75,6 +77,31 @@
     }
 }
 
+// Guards against incomplete events that are bounded singly and exceed the memory in sum, and
+// against memory that is kept between events.
+TEST(EventRelay, TakesTheMemoryOfIncompleteEventsFromTheShare)
+{
+    constexpr std::int64_t kMemoryLimit = std::int64_t {160} << 20;
+    MemoryBudget budget(kMemoryLimit);
+    ResponseMemory memory(budget);
+    EventRelay first("");
+    EventRelay::Run run = first.beginRun(false, ResponseBuffer(memory, 1));
+    EXPECT_TRUE(first.feed(run, event(1)).ok());
+    EXPECT_EQ(budget.used(MemoryOwner::ResponseBodies), 0);
+    EXPECT_TRUE(first.feed(run, "id: 2\ndata: ").ok());
+    EXPECT_GT(budget.used(MemoryOwner::ResponseBodies), 0);
+    EXPECT_EQ(first.feed(run, "x\n\n").value(), event(2));
+    EXPECT_EQ(budget.used(MemoryOwner::ResponseBodies), 0);
+    EXPECT_TRUE(run.isBetweenEvents());
+
+    MemoryBudget none(0);
+    ResponseMemory nothing(none);
+    EventRelay::Run poor = first.beginRun(false, ResponseBuffer(nothing, 1));
+    EXPECT_EQ(first.feed(poor, event(3) + "id: 4\ndata: ").error(),
+              make_error_code(Error::MemoryShareUsedUp));
+    EXPECT_EQ(first.lastEventId(), "2");
+}
+
 TEST(EventRelay, AcceptsAllLineEnds)
 {
     for (const char *end : {"\n", "\r\n", "\r"}) {
