Don't take a watch that the store cuts off for an outage

Cause: a cut watch counted as a failure of the store. The removal of a server that followed within 150 ms passed for an entry that had expired in an outage, and the server got requests for 1.8 s from the moment at which the removal was seen, up to 2.12 s after it, where DrainMs allows 2.0 s.

Change: StoreOutages decides per kind what counts. A watch that the store closes or resets while it waits, before a byte of the response, is no failure; the next call waits as after one, since the store may be down. If that call fails, or a call for another kind (a single one probes a store that fails), it is an outage as before, and expired entries keep their grace. A watch whose time is over is still a failure: the process may have been paused.

--- a/main/gateway/kind_watcher.cpp
+++ b/main/gateway/kind_watcher.cpp
@@ -31,9 +31,6 @@
 constexpr absl::Duration kRepeatedHistoryGoneWindow = absl::Seconds(1);
 constexpr absl::Duration kHistoryGoneDelay = absl::Milliseconds(300);
 
-/** Servers whose entries expired register again within this time after the store's recovery. */
-constexpr absl::Duration kSettleTime = absl::Milliseconds(2500);
-
 /** Largest response body; pages and values of the store are limited to a megabyte each. */
 constexpr std::size_t kMaxBodyBytes = std::size_t {4} << 20;
 
@@ -104,7 +101,7 @@
 
 bool KindWatcher::isSettled(absl::Time now) const
 {
-    return now - this->storeFailedAt > kSettleTime;
+    return this->outages.isSettled(now);
 }
 
 void KindWatcher::startNextCall()
@@ -248,11 +245,12 @@
 {
     const absl::Time now = Clock::now();
     if (this->relayFreshness.isUnsettled)
-        this->storeFailedAt = now;
+        this->outages.onFailed(now);
     if (this->status != kStatusOk && this->status != kStatusGone) {
         this->onFailure(absl::StrCat("status ", this->status), false);
         return;
     }
+    this->outages.onAnswered(this->source.lastStoreFailureAt());
     if (!this->responseEra) {
         this->onFailure("unreadable era", false);
         return;
@@ -433,9 +431,24 @@
                                    this->objectCache.lastConfirmedAt(), this->events.version()});
 }
 
-void KindWatcher::onCallFailed(OutboundConnection &, std::error_code error)
+void KindWatcher::onCallFailed(OutboundConnection &connection, std::error_code error)
 {
-    this->onFailure(errorName(error), this->hasBegunChanges());
+    const absl::Time now = Clock::now();
+    const StoreOutages::LostCall lost = {this->phase == Phase::Watching,
+                                         connection.endCause() == ConnectionEnd::ClosedByPeer,
+                                         this->status != 0, this->sentAt, this->watchTime};
+    if (StoreOutages::isCutWatch(lost, now))
+        this->onWatchCut(now);
+    else
+        this->onFailure(errorName(error), this->hasBegunChanges());
+}
+
+void KindWatcher::onWatchCut(absl::Time now)
+{
+    logEvent(LogLevel::Info, "store_watch_cut", {{"kind", this->kindName}});
+    this->outages.onWatchCut(now);
+    this->source.onWatchCut(now);
+    this->becomeIdleFor(absl::ZeroDuration());
 }
 
 void KindWatcher::onIdleClosed(OutboundConnection &)
@@ -448,7 +461,7 @@
     const absl::Time now = Clock::now();
     this->mustList = this->mustList || mustListAgain;
     if (this->isSourceStore()) {
-        this->storeFailedAt = now;
+        this->outages.onFailed(now);
         this->source.onStoreFailed(now);
     } else {
         this->source.onFetchFailed(this->kind, this->sourceAddress, now);
--- a/main/gateway/kind_watcher.h
+++ b/main/gateway/kind_watcher.h
@@ -4,6 +4,7 @@
 #include "peers/http/loop_timer.h"
 #include "peers/http/outbound_connection.h"
 #include "platform/store_objects.h"
+#include "servers/catalog/store_outages.h"
 #include "servers/catalog/store_position.h"
 #include "servers/catalog/store_source.h"
 
@@ -75,11 +76,11 @@
     void start();
     /** Another instance has announced which revisions it holds. */
     void onPeerUpdate();
-    /** True if the store has not failed within kSettleTime, neither for this instance nor for the
-     * one from which changes were fetched. */
+    /** True if the store has not failed within StoreOutages::kSettleTime, neither for this instance
+     * nor for the one from which changes were fetched. */
     bool isSettled(absl::Time now) const;
     /** Last store failure that isSettled() takes into account. */
-    absl::Time lastStoreFailureAt() const { return this->storeFailedAt; }
+    absl::Time lastStoreFailureAt() const { return this->outages.lastFailureAt(); }
     const KindCache &cache() const { return this->objectCache; }
     std::string_view name() const { return this->kindName; }
 
@@ -117,6 +118,7 @@
     /** A response with changes has begun. If it fails, the same request may fail for its size. */
     bool hasBegunChanges() const;
     void onFailure(std::string_view cause, bool mustList);
+    void onWatchCut(absl::Time now);
     void restartAnswerTimeout();
     /** Gives up a call to the store that is overdue when another instance is ahead. */
     void shortenAnswerTimeout(absl::Time now);
@@ -156,7 +158,7 @@
     StorePosition position;
     absl::Time sentAt = absl::InfinitePast();
     absl::Time listStartedAt = absl::InfinitePast();
-    absl::Time storeFailedAt = absl::InfinitePast();
+    StoreOutages outages;
     absl::Time historyGoneAt = absl::InfinitePast();
     /** No call is started before this time. */
     absl::Time pausedUntil = absl::InfinitePast();
--- a/servers/catalog/store_source.cpp
+++ b/servers/catalog/store_source.cpp
@@ -48,6 +48,12 @@
 }
 
 void StoreSource::onStoreFailed(absl::Time now)
+{
+    this->lastFailureAt = now;
+    this->delayNextCall(now);
+}
+
+void StoreSource::delayNextCall(absl::Time now)
 {
     this->storeFailures += now - this->storeFailedAt < kFailureMergeWindow ? 0 : 1;
     this->storeFailedAt = now;
--- a/servers/catalog/store_source.h
+++ b/servers/catalog/store_source.h
@@ -154,6 +154,10 @@
     void onFetchFailed(StoreKind kind, const std::string &address, absl::Time now);
     void onFetched(StoreKind kind) { this->fetchFailures[static_cast<std::size_t>(kind)] = 0; }
     void onStoreFailed(absl::Time now);
+    /** The store cut off a watch. It is called again as after a failure, since it may be down. */
+    void onWatchCut(absl::Time now) { this->delayNextCall(now); }
+    /** Last failure of a call for any kind; cut watches are none. */
+    absl::Time lastStoreFailureAt() const { return this->lastFailureAt; }
     void onStoreAnswered() { this->storeFailures = 0; }
     /** The store does not answer this instance; others read it instead. */
     bool isStoreLost(absl::Time now) const;
@@ -200,6 +204,8 @@
     std::size_t position(absl::Time now) const;
     std::size_t aggregatorPosition(absl::Time now) const;
     bool hasLost(const InstanceRecord &other) const;
+    /** Counts a failed or interrupted call. */
+    void delayNextCall(absl::Time now);
     absl::Duration retryDelay() const;
     bool mayReadStore(StoreKind kind, absl::Time now);
     /** The store has not failed lately, or may be called again after a failure. */
@@ -215,8 +221,10 @@
     absl::flat_hash_map<InstanceId, Announcer> announcers;
     std::int64_t latestEra = 0;
     absl::Time startedAt = absl::InfiniteFuture();
+    /** Last failed or interrupted call, and the number of such calls since the last response. */
     absl::Time storeFailedAt = absl::InfinitePast();
     int storeFailures = 0;
+    absl::Time lastFailureAt = absl::InfinitePast();
     /** When a call was last allowed to probe the store after a failure. */
     absl::Time storeProbedAt = absl::InfinitePast();
 };
--- a/tests/gateway/kind_watcher_test.cpp
+++ b/tests/gateway/kind_watcher_test.cpp
@@ -25,7 +25,11 @@
         ++this->lists;
         this->listed = objects.size();
     }
-    void onChange(platform::ObjectChange &, bool, absl::Time) override { ++this->changes; }
+    void onChange(platform::ObjectChange &, bool storeUnsettled, absl::Time) override
+    {
+        ++this->changes;
+        this->unsettledChanges += storeUnsettled ? 1 : 0;
+    }
     void onUnnamed(std::size_t count) override { this->unnamed += count; }
     void onConfirmed(absl::Time) override { }
     void onCacheChanged() override { }
@@ -33,6 +37,8 @@
     int lists = 0;
     std::size_t listed = 0;
     int changes = 0;
+    /** Changes that may be due to an outage of the store. */
+    int unsettledChanges = 0;
     std::size_t unnamed = 0;
 };
 
@@ -201,6 +207,79 @@
         << this->requestLines.at(2);
 }
 
+/** Responses of a store that cuts off the first watch, and whose next @p refused calls fail. */
+class CuttingStore
+{
+public:
+    CuttingStore(std::vector<int> &sockets, int refused)
+        : sockets(sockets)
+        , refused(refused)
+    { }
+
+    std::string operator()(const std::string &line)
+    {
+        if (line.find("Watch=") == std::string::npos)
+            return R"({"Entries":[{"Metadata":{"Name":"a"}}],"StoreRevision":9})";
+        if (this->watches++ <= this->refused) {
+            resetConnection(std::exchange(this->sockets.back(), -1));
+            return {};
+        }
+        return R"({"events":[{"Deleted":true,"Object":{"Metadata":{"Name":"a"}}}],)"
+               R"("StoreRevision":10})";
+    }
+
+private:
+    std::vector<int> &sockets;
+    int refused;
+    int watches = 0;
+};
+
+// A watch that the store cut off passed for an outage: a server that was removed just afterwards
+// got requests for longer than the drain bound.
+TEST_F(KindWatcherTest, DoesNotTakeACutWatchForAnOutage)
+{
+    this->watcher.start();
+    CuttingStore store(this->sockets, 0);
+    ASSERT_TRUE(this->runUntil([&](const std::string &line) { return store(line); },
+                               [this] { return this->events.changes > 0; }));
+    EXPECT_EQ(this->events.unsettledChanges, 0);
+}
+
+// Entries expire in an outage, of which the reset of the waiting watch is the first sign.
+TEST_F(KindWatcherTest, TakesACutWatchAndAFailedCallForAnOutage)
+{
+    this->watcher.start();
+    CuttingStore store(this->sockets, 1);
+    ASSERT_TRUE(this->runUntil([&](const std::string &line) { return store(line); },
+                               [this] { return this->events.changes > 0; }));
+    EXPECT_EQ(this->events.unsettledChanges, this->events.changes);
+}
+
+// Only one kind calls the store while it is away; the others are cut off and then answered.
+TEST_F(KindWatcherTest, TakesACutWatchForAnOutageThatAnotherKindSaw)
+{
+    this->watcher.start();
+    CuttingStore store(this->sockets, 0);
+    absl::Time cutAt = absl::InfiniteFuture();
+    bool hasFailed = false;
+    const auto respond = [&](const std::string &line) {
+        const std::string body = store(line);
+        if (body.empty())
+            cutAt = Clock::now();
+        return body;
+    };
+    ASSERT_TRUE(this->runUntil(respond, [&] {
+        const absl::Time now = Clock::now();
+        if (!hasFailed && now - cutAt > absl::Milliseconds(50)) {
+            this->source.onStoreFailed(now);
+            hasFailed = true;
+        }
+        return this->events.changes > 0;
+    }));
+    EXPECT_TRUE(hasFailed);
+    EXPECT_EQ(this->events.unsettledChanges, this->events.changes);
+}
+
 // Earlier versions of a large configuration were parsed too, which took longer than the next
 // changes.
 TEST(StoreChanges, DecodesTheLastOfSeveralConfigurations)
--- a/tests/process/restorable_store.cpp
+++ b/tests/process/restorable_store.cpp
@@ -116,6 +116,11 @@
     this->restoreInProgress = how;
     this->returnsAt = now + how.away;
     this->repeats.clear();
+    this->cutWatches();
+}
+
+void RestorableStore::cutWatches()
+{
     for (const Watch &watch : this->takeWatches([](const Watch &) { return true; }))
         watch.connection->abort();
 }
--- a/tests/process/restorable_store.h
+++ b/tests/process/restorable_store.h
@@ -69,6 +69,8 @@
     /** The state to which restore() goes back. */
     void takeCopy();
     void restore(const Restore &how, absl::Time now);
+    /** Resets the connections of all watches that are waiting; the store goes on serving. */
+    void cutWatches();
     bool isAway() const { return this->returnsAt != absl::InfiniteFuture(); }
     std::int64_t era() const { return this->currentEra; }
 
