Take the grace of expired entries from DrainMs

Cause: a server whose entry was gone after an outage of the store got requests for 1.8 s more, which suits a DrainMs of 2,000 ms alone.

The grace is 200 ms shorter, and 2 s at most: what is missing about two seconds after the recovery counts as gone.

Evidence: LapseGrace.EndsBeforeTheDrainBound and, with gateways as processes, ExpiryInAnOutage.LeavesTheServerInUseForLessThanTheDrainBound pass at DrainMs 500, 2,000 and 5,000 (grace 0.3, 1.8 and 2 s). They use the new constructor and setting, so that they were not run on the code before, whose constant of 1.8 s is above the first bound.

--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -81,6 +81,7 @@
         : base(base)
         , settings(settings)
         , freshness(settings.revocationBound)
+        , directory(settings.drainBound)
         , quarantine(settings.quarantine)
         , retries(settings.retries)
         , stop(settings.stopLimit)
--- a/main/gateway/gateway_settings.cpp
+++ b/main/gateway/gateway_settings.cpp
@@ -51,6 +51,8 @@
          "Backend servers that die while they run a request before no further one gets it."},
         {"servers", "heartbeat", Kind::Duration, "1200 ms", 0.1, 60, false,
          "Interval at which backend servers renew their entries in the store."},
+        {"servers", "drain_bound", Kind::Duration, "2 s", 0, 600, false,
+         "Time for which a backend server serves requests after it has left the store's list."},
         {"cold", "factor", Kind::Ratio, "1", 0, 100, false,
          "Multiple of its own rate that a cold server can take in a second."},
         {"cold", "slack", Kind::Count, "0", 0, 10000, false,
@@ -98,6 +100,7 @@
     result.isFirstStart = settings.flag("instance", "first_start");
     result.revocationBound = settings.duration("keys", "revocation_bound");
     result.stopLimit = settings.duration("stop", "limit");
+    result.drainBound = settings.duration("servers", "drain_bound");
     result.retries.ratio = settings.ratio("retries", "ratio");
     result.retries.slack = static_cast<double>(settings.count("retries", "slack"));
     result.retries.window = settings.duration("retries", "window");
--- a/main/gateway/gateway_settings.h
+++ b/main/gateway/gateway_settings.h
@@ -34,6 +34,7 @@
     bool isFirstStart = false;
     absl::Duration revocationBound;
     absl::Duration stopLimit;
+    absl::Duration drainBound = absl::Seconds(2);
     RetryBudgetOptions retries;
     QuarantineOptions quarantine;
     /** Limit of a cold server in requests per second: coldFactor times its own rate, plus
--- a/servers/catalog/server_directory.cpp
+++ b/servers/catalog/server_directory.cpp
@@ -11,6 +11,10 @@
     return static_cast<ServerKey>(stableHash(id.str(), incarnation));
 }
 
+ServerDirectory::ServerDirectory(absl::Duration drainBound)
+    : grace(std::clamp(drainBound - kNoticeTime, absl::ZeroDuration(), kMaxLapseGrace))
+{ }
+
 std::optional<ServerEntry> ServerDirectory::orderedEntry(const ServerEntry &entry) const
 {
     // An entry without the time of the server's start cannot be ordered.
@@ -85,7 +89,7 @@
     else if (!storeUnsettled || now < server.usableFrom)
         this->drop(found, DepartedServers::Cause::Removed, now);
     else
-        server.usableUntil = std::min(server.usableUntil, now + kLapseGrace);
+        server.usableUntil = std::min(server.usableUntil, now + this->grace);
 }
 
 void ServerDirectory::drop(absl::btree_map<BackendServerId, Server>::iterator server,
--- a/servers/catalog/server_directory.h
+++ b/servers/catalog/server_directory.h
@@ -41,7 +41,7 @@
 /**
  * Backend servers that may get work. A server is dropped when the platform removes its entry,
  * unless the entry expired while the store was unavailable: such an entry stays usable for
- * kLapseGrace after the store is available again, because live servers register again within that
+ * lapseGrace() after the store is available again, because live servers register again within that
  * time.
  *
  * A store that was restored from an older copy lists servers as they were. Entries are then ordered
@@ -52,9 +52,12 @@
 class ServerDirectory
 {
 public:
-    /** Servers are back in the list about two seconds after the store has recovered; shorter than
-     * the drain bound. */
-    static constexpr absl::Duration kLapseGrace = absl::Milliseconds(1800);
+    static constexpr absl::Duration kDefaultDrainBound = absl::Seconds(2);
+    /** Servers are back in the list about two seconds after the store has recovered. */
+    static constexpr absl::Duration kMaxLapseGrace = absl::Seconds(2);
+    /** Part of the drain bound that passes between a removal in the store and its notice here, and
+     * between a decision for a server and the arrival of the request there. */
+    static constexpr absl::Duration kNoticeTime = absl::Milliseconds(200);
     /** Time after a restore for which a server gets no work that was removed before it without
      * having drained. The store removes it again after three heartbeat intervals of silence, within
      * 3.6 s; one that is listed for longer is alive. */
@@ -74,6 +77,12 @@
         bool predatesRestore = false;
     };
 
+    /** @p drainBound: time for which a server serves requests after its entry was removed. */
+    explicit ServerDirectory(absl::Duration drainBound = kDefaultDrainBound);
+
+    /** Time for which the server of an expired entry is used. The removal may be the departure of
+     * the server, so this is shorter than the drain bound. */
+    absl::Duration lapseGrace() const { return this->grace; }
     /** Adds or replaces an entry. */
     void onEntry(const ServerEntry &entry, absl::Time now);
     /** The platform removed the entry. @p storeUnsettled: the store was unavailable recently. */
@@ -88,7 +97,7 @@
     std::size_t heldAgainstStore(absl::Time now) const;
     /** The server reported that it stays cold for @p left. */
     void onCold(const BackendServerId &id, absl::Duration left, absl::Time now);
-    /** Drops expired entries after kLapseGrace. */
+    /** Drops expired entries after lapseGrace(). */
     void onTick(absl::Time now);
 
     /** Draining and pauses reported by servers; such servers are not usable. */
@@ -126,6 +135,7 @@
      * pause. */
     bool isInService(const Server &server, absl::Time now) const;
 
+    absl::Duration grace;
     absl::btree_map<BackendServerId, Server> servers;
     absl::flat_hash_map<ServerKey, BackendServerId> idsByKey;
     DepartedServers departed;
--- a/servers/quarantine/unconfirmed_losses.h
+++ b/servers/quarantine/unconfirmed_losses.h
@@ -62,7 +62,7 @@
 {
 public:
     /** Time for which a loss is kept. The platform removes the entry of a server that has ended
-     * within six seconds, and ServerDirectory::kLapseGrace later it is gone; less than
+     * within six seconds, and ServerDirectory::lapseGrace() later it is gone; less than
      * kServedPartRetention, within which reports of crashes must come. */
     static constexpr absl::Duration kRetention = absl::Seconds(8);
     /** Time from the first connection that a restarted server accepts until its new incarnation is
--- a/tests/catalog/restored_directory_test.cpp
+++ b/tests/catalog/restored_directory_test.cpp
@@ -114,7 +114,7 @@
     restore(directory, {entry("a", 1, 9)}, kStart);
     EXPECT_TRUE(directory.isUsable(BackendServerId("a"), 2, kStart));
     // The new incarnation has not registered again in time.
-    const absl::Time over = kStart + ServerDirectory::kLapseGrace + absl::Milliseconds(1);
+    const absl::Time over = kStart + directory.lapseGrace() + absl::Milliseconds(1);
     directory.onTick(over);
     EXPECT_FALSE(isUsable(directory, over));
     directory.onList({entry("a", 1, 9)}, false, over);
@@ -129,8 +129,8 @@
     ServerDirectory directory;
     directory.onEntry(entry("a"), kStart);
     restore(directory, {}, kStart);
-    EXPECT_TRUE(isUsable(directory, kStart + ServerDirectory::kLapseGrace));
-    const absl::Time over = kStart + ServerDirectory::kLapseGrace + absl::Milliseconds(1);
+    EXPECT_TRUE(isUsable(directory, kStart + directory.lapseGrace()));
+    const absl::Time over = kStart + directory.lapseGrace() + absl::Milliseconds(1);
     EXPECT_FALSE(isUsable(directory, over));
 }
 
@@ -141,7 +141,7 @@
     restore(directory, {}, kStart);
     const absl::Time second = kStart + absl::Seconds(1);
     restore(directory, {}, second);
-    EXPECT_TRUE(isUsable(directory, second + ServerDirectory::kLapseGrace));
+    EXPECT_TRUE(isUsable(directory, second + directory.lapseGrace()));
 }
 
 TEST(RestoredDirectory, ForgetsDepartedServersAfterAWhile)
--- a/tests/catalog/server_directory_test.cpp
+++ b/tests/catalog/server_directory_test.cpp
@@ -2,6 +2,7 @@
 #include "servers/catalog/server_directory.h"
 
 #include <gtest/gtest.h>
+#include <utility>
 
 namespace foxtailtally {
 namespace {
@@ -46,12 +47,42 @@
     directory.onEntry(entry("a"), kStart);
     directory.onList({}, true, kStart);
     EXPECT_EQ(directory.usable("desk", kStart + absl::Seconds(1)).size(), 1U);
-    const absl::Time over = kStart + ServerDirectory::kLapseGrace + absl::Milliseconds(1);
+    const absl::Time over = kStart + directory.lapseGrace() + absl::Milliseconds(1);
     EXPECT_TRUE(directory.usable("desk", over).empty());
     directory.onTick(over);
     EXPECT_EQ(directory.size(), 0U);
 }
 
+/** Drain bounds, and the time for which the server of an expired entry may be used. */
+class LapseGrace : public testing::TestWithParam<std::pair<absl::Duration, absl::Duration>>
+{ };
+
+// The grace was 1.8 s whatever the drain bound: with a shorter bound, a server that left while the
+// store recovered got requests for longer than it serves them.
+TEST_P(LapseGrace, EndsBeforeTheDrainBound)
+{
+    const auto [drainBound, grace] = GetParam();
+    ServerDirectory directory(drainBound);
+    directory.onEntry(entry("a"), kStart);
+    directory.onRemoved(BackendServerId("a"), true, kStart);
+    EXPECT_LT(directory.lapseGrace(), drainBound);
+    EXPECT_EQ(directory.usable("desk", kStart + grace).size(), 1U);
+    EXPECT_TRUE(directory.usable("desk", kStart + grace + absl::Milliseconds(1)).empty());
+}
+
+// Missing entries are to be treated as gone about two seconds after the recovery of the store.
+INSTANTIATE_TEST_SUITE_P(
+    ServerDirectory, LapseGrace,
+    testing::Values(std::pair(absl::Milliseconds(500), absl::Milliseconds(300)),
+                    std::pair(absl::Milliseconds(2000), absl::Milliseconds(1800)),
+                    std::pair(absl::Milliseconds(5000), absl::Milliseconds(2000))));
+
+TEST(ServerDirectory, GivesNoGraceWithADrainBoundBelowTheNoticeTime)
+{
+    ServerDirectory directory(absl::Milliseconds(100));
+    EXPECT_EQ(directory.lapseGrace(), absl::ZeroDuration());
+}
+
 TEST(ServerDirectory, KeepsAServerThatRegistersAgainWithinTheGrace)
 {
     ServerDirectory directory;
--- a/tests/process/cut_watch_test.cpp
+++ b/tests/process/cut_watch_test.cpp
@@ -21,6 +21,9 @@
 constexpr absl::Duration kCutBefore = absl::Milliseconds(40);
 /** DrainMs of the users' deployments. */
 constexpr absl::Duration kDrainBound = absl::Seconds(2);
+constexpr absl::Duration kOutage = absl::Milliseconds(700);
+/** The store is called at least once a second after a failure. */
+constexpr absl::Duration kReadAgainWithin = absl::Milliseconds(1200);
 constexpr absl::Duration kCallInterval = absl::Milliseconds(20);
 const std::string kKey = "key-1";
 const std::string kServerKind(platform::kServerKind);
@@ -28,6 +31,14 @@
 /** Gateways under load, and a store that cuts off watches. */
 class CutWatch : public testing::Test
 {
+public:
+    ~CutWatch() override
+    {
+        this->isStopping = true;
+        for (std::thread &caller : this->callers)
+            caller.join();
+    }
+
 protected:
     CutWatch()
         : deployment(kGateways)
@@ -37,13 +48,6 @@
             this->deployment.platform().addServer(index, "desk", absl::StrCat("d", index),
                                                   this->deployment.platform().serverAddress(index));
     }
-    ~CutWatch() override
-    {
-        this->isStopping = true;
-        for (std::thread &caller : this->callers)
-            caller.join();
-    }
-
     void startAll()
     {
         for (int gateway = 0; gateway < kGateways; ++gateway)
@@ -106,5 +110,32 @@
     EXPECT_EQ(this->unserved, 0);
 }
 
+/** Values of DrainMs. */
+class ExpiryInAnOutage : public CutWatch, public testing::WithParamInterface<absl::Duration>
+{ };
+
+// The server of an expired entry got requests for 1.8 s whatever DrainMs was.
+TEST_P(ExpiryInAnOutage, LeavesTheServerInUseForLessThanTheDrainBound)
+{
+    const absl::Duration drainBound = GetParam();
+    this->deployment.setExtraSettings(
+        absl::StrCat("[servers]\ndrain_bound = ", absl::ToInt64Milliseconds(drainBound), " ms\n"));
+    this->startAll();
+    this->deployment.platform().setStoreBehavior(StoreBehavior::Refuse);
+    this->cutWatches();
+    absl::SleepFor(kOutage);
+    this->deployment.platform().removeObject(kServerKind, ServingStandin::serverName(0));
+    this->deployment.platform().setStoreBehavior(StoreBehavior::Serve);
+    const absl::Time back = absl::Now();
+    absl::SleepFor(kReadAgainWithin + std::max(drainBound, kDrainBound));
+    EXPECT_EQ(this->arrivalsAfter(back + kReadAgainWithin + drainBound, 0), 0);
+    if (drainBound >= kDrainBound)
+        EXPECT_GT(this->arrivalsAfter(back + kReadAgainWithin, 0), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(DrainBounds, ExpiryInAnOutage,
+                         testing::Values(absl::Milliseconds(500), absl::Milliseconds(2000),
+                                         absl::Milliseconds(5000)));
+
 } // namespace
 } // namespace foxtailtally
