Bound the requests to cold servers of plain services over all instances

Cause: each instance kept the cold rate by itself (exceedsColdRate()), which is no bound over the fleet. Six instances sent a cold server of a plain service 42 requests in a second where 26 are allowed, and it crashed (FAILBACK).

Change: while such a server is cold, requests to it need the tokens that Server-Limit uses. An instance that has just started divides limits at least by the instances of its domain that the store lists, since it may not hear them: two that start apart issued the whole limit each.

Open: of a server that becomes cold again without an entry that says so, only the instances that got Cold-Ms know until the entry is written.

--- a/load/limits/limit_fleet.cpp
+++ b/load/limits/limit_fleet.cpp
@@ -97,6 +97,10 @@
         return this->node.view->lenders(now) + (lendsToSelf ? 1 : 0);
     }
     std::size_t domainInstances() const override { return this->node.view->ownDomainInstances(); }
+    std::size_t listedDomainInstances() const override
+    {
+        return this->node.view->ownDomainRecords();
+    }
 
 private:
     const LimitFleet &fleet;
--- a/load/limits/limit_trial.cpp
+++ b/load/limits/limit_trial.cpp
@@ -183,6 +183,8 @@
     /** Sends the call to a server that is not known to have a limit, or claims a token. */
     void ask(std::size_t index)
     {
+        if (this->setup.isCold)
+            this->setColdLimits();
         Call &call = this->calls[index];
         if (!this->fleet.isActive(call.node)) {
             this->refuse(call);
@@ -232,6 +234,18 @@
         this->fleet.flush(call.node);
     }
 
+    /** Tells all instances of the cold servers, as the store does. */
+    void setColdLimits()
+    {
+        std::vector<ServerLimit> limits;
+        for (std::size_t i = 0; i < this->servers.size(); ++i)
+            limits.push_back({static_cast<ServerKey>(i), this->setup.limit});
+        for (std::size_t node = 0; node < this->fleet.size(); ++node) {
+            if (this->fleet.isActive(node))
+                this->fleet.limiter(node).setColdLimits(limits, this->fleet.now());
+        }
+    }
+
     void onClaimEnded(std::size_t node, const ClaimOutcome &outcome) override
     {
         const auto found = this->claimOf.find(outcome.id);
@@ -287,7 +301,7 @@
     void respond(std::size_t index)
     {
         const Call &call = this->calls[index];
-        if (!this->fleet.isActive(call.node))
+        if (!this->fleet.isActive(call.node) || this->setup.isCold)
             return;
         const absl::Time now = this->fleet.now();
         Server &server = this->servers[static_cast<std::size_t>(call.server)];
@@ -392,6 +406,8 @@
         double allowed = 0;
         for (const Server &server : this->servers) {
             this->evaluateWindows(server);
+            if (this->setup.isCold)
+                this->evaluateSeconds(server);
             const absl::Time from = server.namedAt + kSettleTime;
             for (absl::Time at = from; at < this->endsAt; at += kStep) {
                 if (const std::optional<double> limit = server.limitAt(at))
@@ -445,6 +461,17 @@
         }
     }
 
+    void evaluateSeconds(const Server &server)
+    {
+        const std::vector<absl::Time> &times = server.arrivals;
+        const double bound = kRuleFactor * this->setup.limit + kRuleSlack;
+        for (auto first = times.begin(); first != times.end(); ++first) {
+            const auto last = std::upper_bound(first, times.end(), *first + absl::Seconds(1));
+            this->result.worstOfColdRule =
+                std::max(this->result.worstOfColdRule, static_cast<double>(last - first) / bound);
+        }
+    }
+
     void evaluateWaits()
     {
         if (this->waits.empty())
--- a/load/limits/limit_trial.h
+++ b/load/limits/limit_trial.h
@@ -57,6 +57,8 @@
     std::size_t limitedServers = 1;
     /** Requests a second that each server accepts. */
     double limit = 2.0;
+    /** The servers are cold and name no limit; every instance knows the limit by itself. */
+    bool isCold = false;
     double callsPerSecond = 10.0;
     /** All calls come to one instance, in a domain without the first server. */
     bool isDemandAtOneInstance = false;
@@ -88,6 +90,9 @@
     double worstOfRule = 0;
     /** The same over 1.1 times the limit and 2 requests. */
     double worstOfAim = 0;
+    /** Requests in one second over what the users' rule for cold servers allows, in a trial of cold
+     * servers; above 1 breaks it. */
+    double worstOfColdRule = 0;
     /** Share of the limits that was used. */
     double usedShare = 0;
     /** Wait for a token, of served calls. */
--- a/main/gateway/gateway.cpp
+++ b/main/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "core/log.h"
 #include "core/text.h"
 #include "main/gateway/call_suspicion.h"
+#include "main/gateway/cold_servers.h"
 #include "main/gateway/listener.h"
 
 #include <absl/strings/str_cat.h>
@@ -121,6 +122,7 @@
     this->context.onTick(now);
     this->applyConfigToSessions();
     this->context.directory.onTick(now);
+    updateColdLimits(this->context, now);
     this->context.limits.onTick(now);
     this->context.ledger.onTick(now);
     this->context.health.onTick(now);
--- a/main/gateway/limit_exchange.cpp
+++ b/main/gateway/limit_exchange.cpp
@@ -81,6 +81,12 @@
     return change;
 }
 
+void LimitExchange::setColdLimits(std::span<const ServerLimit> limits, absl::Time now)
+{
+    this->limiter.setColdLimits(limits, now);
+    this->send(now);
+}
+
 ClaimId LimitExchange::claim(TokenDemand demand, TokenListener &listener, absl::Time now)
 {
     const ClaimId id = this->limiter.claim(std::move(demand), now);
@@ -288,4 +294,9 @@
     return this->exchange.view().ownDomainInstances();
 }
 
+std::size_t LimitExchange::listedDomainInstances() const
+{
+    return this->exchange.view().ownDomainRecords();
+}
+
 } // namespace foxtailtally
--- a/main/gateway/limit_exchange.h
+++ b/main/gateway/limit_exchange.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,8 @@
     RateLimitChange onNotNamed(ServerKey server, absl::Time requestSentAt, absl::Time now);
     std::optional<double> limitOf(ServerKey server) const { return this->limiter.limitOf(server); }
     bool isLimited(ServerKey server) const { return this->limiter.isLimited(server); }
+    /** Replaces the limits of cold servers. */
+    void setColdLimits(std::span<const ServerLimit> limits, absl::Time now);
     /** When a token of @p server is expected; InfinitePast if nothing speaks against one now. */
     absl::Time tokenExpectedAt(ServerKey server) const
     {
@@ -80,6 +83,7 @@
     std::vector<std::string> otherAggregatorAddresses() const override;
     std::size_t lenders(absl::Time now) const override;
     std::size_t domainInstances() const override;
+    std::size_t listedDomainInstances() const override;
     void onLimitDatagram(std::span<const char> bytes, const std::string &source,
                          absl::Time now) override;
 
--- a/main/gateway/server_call.cpp
+++ b/main/gateway/server_call.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "main/gateway/cold_servers.h"
 #include "main/gateway/server_evidence.h"
 
 namespace foxtailtally {
@@ -112,8 +113,10 @@
         activity.reportedCalls = *reply.outstanding;
         activity.reportedAt = now;
     }
-    if (reply.coldLeft)
+    if (reply.coldLeft) {
         this->context.directory.onCold(this->server.id, *reply.coldLeft, now);
+        updateColdLimits(this->context, now);
+    }
     if (reply.notRun) {
         this->connection->cancel();
         this->end(AttemptEnd::Rejected);
--- a/main/gateway/store_sync.cpp
+++ b/main/gateway/store_sync.cpp
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/log.h"
 #include "core/text.h"
+#include "main/gateway/cold_servers.h"
 #include "main/gateway/held_config.h"
 #include "servers/quarantine/stored_reports.h"
 
@@ -86,6 +87,7 @@
     }
     void onCacheChanged() final
     {
+        updateColdLimits(this->context, Clock::now());
         this->sync.relay.onChanged(this->kind);
         this->context.exchange.announceStoreChange();
     }
--- a/servers/catalog/server_directory.cpp
+++ b/servers/catalog/server_directory.cpp
@@ -152,6 +152,16 @@
         found->second.coldUntil = std::max(found->second.coldUntil, now + left);
 }
 
+std::vector<const ServerDirectory::Server *> ServerDirectory::cold(absl::Time now) const
+{
+    std::vector<const Server *> result;
+    for (const auto &[id, server] : this->servers) {
+        if (server.coldUntil > now)
+            result.push_back(&server);
+    }
+    return result;
+}
+
 void ServerDirectory::onTick(absl::Time now)
 {
     std::vector<BackendServerId> expired;
--- a/servers/catalog/server_directory.h
+++ b/servers/catalog/server_directory.h
@@ -97,6 +97,8 @@
     std::size_t heldAgainstStore(absl::Time now) const;
     /** The server reported that it stays cold for @p left. */
     void onCold(const BackendServerId &id, absl::Duration left, absl::Time now);
+    /** Servers that are cold. */
+    std::vector<const Server *> cold(absl::Time now) const;
     /** Drops expired entries after lapseGrace(). */
     void onTick(absl::Time now);
 
--- a/servers/fleet/fleet_view.cpp
+++ b/servers/fleet/fleet_view.cpp
@@ -180,6 +180,15 @@
             [this](const auto &item) { return item.second.domain == this->self.domain; }));
 }
 
+std::size_t FleetView::ownDomainRecords() const
+{
+    return 1
+        + static_cast<std::size_t>(
+               std::count_if(this->peers.begin(), this->peers.end(), [this](const auto &item) {
+                   return item.second.record.domain == this->self.domain;
+               }));
+}
+
 std::size_t FleetView::instances() const
 {
     if (const Peer *followed = this->followedPeer(this->self.domain))
--- a/servers/fleet/fleet_view.h
+++ b/servers/fleet/fleet_view.h
@@ -93,6 +93,8 @@
 
     /** Active instances of the own domain, including this one. */
     std::size_t ownDomainInstances() const;
+    /** Instances of the own domain that the store lists, and this one. */
+    std::size_t ownDomainRecords() const;
     /** Active instances of all domains, including this one. */
     std::size_t instances() const;
     /** Number of records of the own domain that rank before this instance. */
--- a/servers/limits/rate_limiter.cpp
+++ b/servers/limits/rate_limiter.cpp
@@ -27,6 +27,7 @@
                          absl::Time startedAt)
     : topology(topology)
     , ownAddress(std::move(ownAddress))
+    , startedAt(startedAt)
     , claims(this->ownAddress, firstClaimId, startedAt)
 { }
 
@@ -40,6 +41,35 @@
     return this->limits.onNotNamed(server, requestSentAt, now);
 }
 
+void RateLimiter::setColdLimits(std::span<const ServerLimit> cold, absl::Time now)
+{
+    this->coldLimits.clear();
+    for (const ServerLimit &limit : cold)
+        this->coldLimits[limit.server] = limit.requestsPerSecond;
+    this->updateIssuer(now);
+}
+
+std::optional<double> RateLimiter::limitOf(ServerKey server) const
+{
+    const std::optional<double> named = this->limits.limitOf(server);
+    const auto cold = this->coldLimits.find(server);
+    if (cold == this->coldLimits.end())
+        return named;
+    return std::min(named.value_or(cold->second), cold->second);
+}
+
+std::vector<ServerLimit> RateLimiter::limitsInForce() const
+{
+    std::vector<ServerLimit> result = this->limits.inForce();
+    for (ServerLimit &limit : result)
+        limit.requestsPerSecond = this->limitOf(limit.server).value_or(limit.requestsPerSecond);
+    for (const auto &[server, requestsPerSecond] : this->coldLimits) {
+        if (!this->limits.limitOf(server))
+            result.push_back({server, requestsPerSecond});
+    }
+    return result;
+}
+
 ClaimId RateLimiter::claim(TokenDemand demand, absl::Time now)
 {
     return this->claims.claim(std::move(demand), now);
@@ -202,6 +232,14 @@
     return most;
 }
 
+std::size_t RateLimiter::sharingInstances(absl::Time now) const
+{
+    // A process that has just started remembers nobody, and may not hear the others.
+    const bool isYoung = now - this->startedAt < kInstanceMemory;
+    return std::max(this->rememberedInstances(),
+                    isYoung ? this->topology.listedDomainInstances() : 1);
+}
+
 void RateLimiter::updateIssuer(absl::Time now)
 {
     if (!this->topology.isAggregator()) {
@@ -213,8 +251,8 @@
     this->isIssuing = true;
     this->recordDomainCount(this->topology.domainInstances(), now);
     const std::size_t lenders = this->topology.lenders(now);
-    const std::size_t all = std::max(lenders, this->rememberedInstances());
-    std::vector<ServerLimit> own = this->limits.inForce();
+    const std::size_t all = std::max(lenders, this->sharingInstances(now));
+    std::vector<ServerLimit> own = this->limitsInForce();
     std::erase_if(own, [this](const ServerLimit &limit) {
         return this->topology.issuerOf(limit.server).kind != LimitTopology::IssuerRoute::Kind::Self;
     });
--- a/servers/limits/rate_limiter.h
+++ b/servers/limits/rate_limiter.h
@@ -49,6 +49,8 @@
     virtual std::size_t lenders(absl::Time now) const = 0;
     /** Instances of the own failure domain that are known now. */
     virtual std::size_t domainInstances() const = 0;
+    /** Instances of the own failure domain that the store lists, this one included. */
+    virtual std::size_t listedDomainInstances() const = 0;
 };
 
 /** Message from one instance to others about limits. */
@@ -84,9 +86,12 @@
 
     RateLimitChange onNamed(ServerKey server, double requestsPerSecond, absl::Time now);
     RateLimitChange onNotNamed(ServerKey server, absl::Time requestSentAt, absl::Time now);
-    std::optional<double> limitOf(ServerKey server) const { return this->limits.limitOf(server); }
+    /** Replaces the limits of cold servers, which every instance knows by itself. They hold in
+     * addition to those that servers name. */
+    void setColdLimits(std::span<const ServerLimit> cold, absl::Time now);
+    std::optional<double> limitOf(ServerKey server) const;
     bool isLimited(ServerKey server) const { return this->limitOf(server).has_value(); }
-    std::size_t limitCount() const { return this->limits.size(); }
+    std::size_t limitCount() const { return this->limits.size() + this->coldLimits.size(); }
 
     /** Claims a token; takeOutcomes() tells how the claim ends. */
     ClaimId claim(TokenDemand demand, absl::Time now);
@@ -144,6 +149,9 @@
     void updateIssuer(absl::Time now);
     void recordDomainCount(std::size_t instances, absl::Time now);
     std::size_t rememberedInstances() const;
+    /** Instances of the domain over which limits are divided. */
+    std::size_t sharingInstances(absl::Time now) const;
+    std::vector<ServerLimit> limitsInForce() const;
     std::vector<std::string> newsReceivers(bool isForAllDomains) const;
     void queueNews(absl::Time now);
     /** Sends everything to instances that were not receivers before. */
@@ -151,7 +159,9 @@
 
     LimitTopology &topology;
     std::string ownAddress;
+    absl::Time startedAt;
     ServerRateLimits limits;
+    absl::flat_hash_map<ServerKey, double> coldLimits;
     TokenIssuer issuer;
     TokenClaims claims;
     bool isIssuing = false;
--- a/tests/fuzz/decoder_fuzz_test.cpp
+++ b/tests/fuzz/decoder_fuzz_test.cpp
@@ -177,6 +177,7 @@
     std::vector<std::string> otherAggregatorAddresses() const override { return {}; }
     std::size_t lenders(absl::Time) const override { return 1; }
     std::size_t domainInstances() const override { return 1; }
+    std::size_t listedDomainInstances() const override { return 1; }
 };
 
 void runLimitDatagram(const std::string &bytes)
--- a/tests/process/gateway_deployment.cpp
+++ b/tests/process/gateway_deployment.cpp
@@ -166,7 +166,9 @@
         {"Routes",
          {route("s", "/stream", "streaming", "engine"), longRoute(),
           route("n", "/act", "non_idempotent", "desk"), route("i", "/look", "idempotent", "desk")}},
-        {"Services", {{{"Name", "engine"}, {"Engine", engine}}, {{"Name", "desk"}}}},
+        {"Services",
+         {{{"Name", "engine"}, {"Engine", engine}},
+          {{"Name", "desk"}, {"ColdPerS", this->coldRate}}}},
         {"Limits", {{"MaxBodyBytes", maxBodyBytes}, {"MaxHeaderBytes", 8192}}},
         {"Tenants", {{{"Name", "customer-1"}, {"ApiKeys", keys}}}}};
     for (const std::string &prefix : this->addedRoutes)
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -31,6 +31,8 @@
     void setExtraSettings(const std::string &text) { this->extraSettings = text; }
     /** Memory of the gateways that are started from now on, in MiB; their default without it. */
     void setMemory(int mebibytes) { this->memoryMebibytes = mebibytes; }
+    /** ColdPerS of the service "desk" in the configurations that are stored from now on. */
+    void setColdRate(double requestsPerSecond) { this->coldRate = requestsPerSecond; }
     void start(int index);
     ChildProcess &process(int index)
     {
@@ -61,6 +63,7 @@
     std::vector<std::unique_ptr<ChildProcess>> processes;
     std::vector<std::string> storeAddresses;
     std::string extraSettings;
+    double coldRate = 0;
     std::optional<int> memoryMebibytes;
     std::vector<std::string> addedRoutes;
     /** Size of each gateway's log file at its last start, in bytes. */
--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -143,10 +143,11 @@
 }
 
 void ServingStandin::addServer(int index, const std::string &service, const std::string &domain,
-                               const std::string &address)
+                               const std::string &address, absl::Duration coldFor)
 {
     this->run([&] {
         Server &server = this->servers[index];
+        server.coldUntil = absl::Now() + coldFor;
         server.name = serverName(index);
         server.owner = this;
         server.index = index;
@@ -179,11 +180,13 @@
 
 void ServingStandin::listServer(Server &server, const std::string &state)
 {
+    const absl::Duration coldLeft = std::max(absl::ZeroDuration(), server.coldUntil - absl::Now());
     const Json spec = {{"Service", server.service},
                        {"Address", server.address},
                        {"Zone", server.domain},
                        {"Slots", 16},
                        {"State", state},
+                       {"ColdLeftMs", absl::ToInt64Milliseconds(coldLeft)},
                        {"born", server.startedMs},
                        {"Sequence", ++server.sequence}};
     this->store.put(std::string(platform::kServerKind), server.name, spec.dump());
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -123,9 +123,10 @@
     /** Runs @p task on the thread of the stand-in and waits until it is done. */
     void withStore(const std::function<void(RestorableStore &)> &task);
 
-    /** Starts server @p index of @p service and lists it in the store under @p address. */
+    /** Starts server @p index of @p service and lists it in the store under @p address, as cold
+     * for @p coldFor. */
     void addServer(int index, const std::string &service, const std::string &domain,
-                   const std::string &address);
+                   const std::string &address, absl::Duration coldFor = absl::ZeroDuration());
     /** Server @p index reports that it is draining, and goes on serving. */
     void startDraining(int index);
     static std::string serverName(int index) { return "server-" + std::to_string(index); }
@@ -181,6 +182,7 @@
         std::string domain;
         std::string address;
         std::int64_t startedMs = 0;
+        absl::Time coldUntil = absl::InfinitePast();
         /** Writes of the server to its entry. */
         std::int64_t sequence = 0;
         /** Listener of an unresponsive server, and a connection that fills its backlog. */
