Play troubles beside changes of the configuration in a matrix

Tests took changes beside sound servers and troubles without a change; requests that end without an answer when both meet were found by no test. TroubleMatrix plays 16 troubles with 24 changes at 8 steps of a request, 16 cells at once at a real gateway, and judges what callers and servers saw.

--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -414,6 +414,18 @@
     this->run([&] { this->prefillTime = time; });
 }
 
+void ServingStandin::setIdleDrop(absl::Duration time)
+{
+    this->run([&] { this->idleDrop = time; });
+}
+
+std::int64_t ServingStandin::startedMs(int index)
+{
+    std::int64_t result = 0;
+    this->run([&] { result = this->servers.at(index).startedMs; });
+    return result;
+}
+
 std::vector<ServerArrival> ServingStandin::arrivals()
 {
     std::vector<ServerArrival> result;
@@ -442,8 +454,10 @@
     limits.idleTimeout = absl::Minutes(10);
     this->connections.push_back(
         std::make_unique<InboundConnection>(this->base, socket, events, limits));
-    if (server >= 0)
-        this->serverOf[this->connections.back().get()] = server;
+    if (server < 0)
+        return;
+    this->serverOf[this->connections.back().get()] = server;
+    this->sockets[this->connections.back().get()] = socket;
 }
 
 void ServingStandin::onTick()
@@ -455,7 +469,14 @@
     this->endCuts(now);
     this->endSilences(now);
     this->advanceStreams(now);
+    this->sendDelayedResponses(now);
     this->crashServersOfStreams(now);
+    for (const auto &[connection, server] : this->serverOf) {
+        if (connection->isIdle())
+            this->idleSince.try_emplace(connection, now);
+        else
+            this->idleSince.erase(connection);
+    }
     this->store.onTick(now);
     std::erase_if(this->connections, [this](const auto &connection) {
         return std::find(this->closed.begin(), this->closed.end(), connection.get())
@@ -472,10 +493,39 @@
     const auto found = this->serverOf.find(&connection);
     if (found == this->serverOf.end())
         this->store.onRequest(connection, absl::Now());
-    else
+    else if (!this->resetIfDropped(connection))
         this->answerCall(connection, this->servers.at(found->second));
 }
 
+bool ServingStandin::resetIfDropped(InboundConnection &connection)
+{
+    const auto idle = this->idleSince.find(&connection);
+    if (idle == this->idleSince.end())
+        return false;
+    const absl::Duration idleTime = absl::Now() - idle->second;
+    this->idleSince.erase(idle);
+    if (idleTime <= this->idleDrop)
+        return false;
+    const linger atOnce = {1, 0};
+    ::setsockopt(this->sockets.at(&connection), SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+    connection.abort();
+    return true;
+}
+
+void ServingStandin::sendDelayedResponses(absl::Time now)
+{
+    std::vector<DelayedResponse> due;
+    std::erase_if(this->delayedResponses, [&](const DelayedResponse &response) {
+        const Server &server = this->servers.at(this->serverOf.at(response.connection));
+        if (response.dueAt > now || server.silentUntil > now)
+            return false;
+        due.push_back(response);
+        return true;
+    });
+    for (const DelayedResponse &response : due)
+        response.connection->answer(200, response.headers, response.body);
+}
+
 void ServingStandin::answerCall(InboundConnection &connection, Server &server)
 {
     // A copy, since a response ends the request.
@@ -568,8 +618,15 @@
         this->startStream(connection, arrival, server, head.headers.valueOr("Last-Event-Id", ""));
         return;
     }
-    connection.answer(200, this->replyHeaders(server, arrival, "text/plain"),
-                      absl::StrCat("done:", arrival.callId, ":", arrival.body));
+    std::int64_t runMs = 0;
+    static_cast<void>(absl::SimpleAtoi(std::string(head.headers.valueOr(kRunHeader, "0")), &runMs));
+    const HttpHeaders headers = this->replyHeaders(server, arrival, "text/plain");
+    const std::string body = absl::StrCat("done:", arrival.callId, ":", arrival.body);
+    if (runMs > 0)
+        this->delayedResponses.push_back(
+            {&connection, headers, body, arrival.at + absl::Milliseconds(runMs)});
+    else
+        connection.answer(200, headers, body);
 }
 
 void ServingStandin::answerReservationCommand(InboundConnection &connection, Server &server)
@@ -692,6 +749,8 @@
     this->removeWatchesAndStreams(connection);
     this->serverOf.erase(&connection);
     this->used.erase(&connection);
+    this->sockets.erase(&connection);
+    this->idleSince.erase(&connection);
     this->closed.push_back(&connection);
 }
 
@@ -700,6 +759,9 @@
     this->store.forget(connection);
     std::erase_if(this->streams,
                   [&](const Stream &stream) { return stream.connection == &connection; });
+    std::erase_if(this->delayedResponses, [&](const DelayedResponse &response) {
+        return response.connection == &connection;
+    });
     for (auto &[index, server] : this->servers)
         std::erase(server.unanswered, &connection);
 }
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -111,6 +111,10 @@
     explicit ServingStandin(std::string host);
     ~ServingStandin() override;
 
+    /** Header of calls that gives the time in milliseconds until their response; streams ignore it.
+     */
+    static constexpr const char *kRunHeader = "X-Run-Ms";
+
     /** Complete body of the stream that responds to call @p callId. */
     static std::string streamBody(const std::string &callId);
     std::string storeAddress() const { return this->host + ":8200"; }
@@ -161,6 +165,11 @@
     void cutOff(int index, absl::Duration time);
     /** Sets the time before the first event of each stream. */
     void setPrefillTime(absl::Duration time);
+    /** All servers forget connections that have been idle for longer than @p time, without a
+     * notice, and reset them at the next request. InfiniteDuration for never. */
+    void setIdleDrop(absl::Duration time);
+    /** Start time of the current incarnation of server @p index. */
+    std::int64_t startedMs(int index);
 
     std::vector<ServerArrival> arrivals();
     std::vector<ReservationCommand> reservationCommands();
@@ -206,6 +215,15 @@
         absl::Time crashesAt = absl::InfiniteFuture();
     };
 
+    /** A response that is not due yet. */
+    struct DelayedResponse
+    {
+        InboundConnection *connection = nullptr;
+        HttpHeaders headers;
+        std::string body;
+        absl::Time dueAt;
+    };
+
     void onRequestHead(InboundConnection &connection) override;
     void onRequestComplete(InboundConnection &connection) override;
     void onCallerGone(InboundConnection &connection) override;
@@ -219,6 +237,10 @@
     void onTick();
     void accept(int socket, int server);
     void answerCall(InboundConnection &connection, Server &server);
+    /** Whether the server has forgotten the connection, which is then reset. */
+    bool resetIfDropped(InboundConnection &connection);
+    /** Sends the responses that are due to calls with kRunHeader. */
+    void sendDelayedResponses(absl::Time now);
     /** Starts an incarnation of the server and lists it in the store. */
     void startServer(Server &server);
     void acceptConnections(Server &server);
@@ -254,9 +276,14 @@
     /** Listeners hold pointers to their servers, so the entries must not move. */
     std::map<int, Server> servers;
     std::vector<Stream> streams;
+    std::vector<DelayedResponse> delayedResponses;
     std::vector<std::unique_ptr<InboundConnection>> connections;
     /** Server index of each connection; connections to the store have no entry. */
     absl::btree_map<InboundConnection *, int> serverOf;
+    absl::btree_map<InboundConnection *, int> sockets;
+    /** Since when each connection to a server has been idle. */
+    absl::btree_map<InboundConnection *, absl::Time> idleSince;
+    absl::Duration idleDrop = absl::InfiniteDuration();
     /** Connections that have carried a call. */
     absl::btree_set<InboundConnection *> used;
     std::vector<InboundConnection *> closed;
--- /dev/null
+++ b/tests/process/trouble_matrix_cell.cpp
@@ -0,0 +1,165 @@
+#include "tests/process/trouble_matrix_cell.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace foxtailtally {
+
+namespace {
+
+template <typename Item>
+const Item &drawnFrom(const std::vector<Item> &items, Random &random)
+{
+    return items[random.below(items.size())];
+}
+
+} // namespace
+
+std::string nameOf(MatrixTrouble trouble)
+{
+    switch (trouble) {
+    case MatrixTrouble::None:
+        return "None";
+    case MatrixTrouble::IdleDrop50:
+        return "IdleDrop50";
+    case MatrixTrouble::IdleDrop300:
+        return "IdleDrop300";
+    case MatrixTrouble::IdleDrop2000:
+        return "IdleDrop2000";
+    case MatrixTrouble::CutOff300:
+        return "CutOff300";
+    case MatrixTrouble::CutOff1000:
+        return "CutOff1000";
+    case MatrixTrouble::CutOff1900:
+        return "CutOff1900";
+    case MatrixTrouble::Silent300:
+        return "Silent300";
+    case MatrixTrouble::Silent1000:
+        return "Silent1000";
+    case MatrixTrouble::Silent1900:
+        return "Silent1900";
+    case MatrixTrouble::ServerLeaving:
+        return "ServerLeaving";
+    case MatrixTrouble::RetryAfter:
+        return "RetryAfter";
+    case MatrixTrouble::ServerLimit:
+        return "ServerLimit";
+    case MatrixTrouble::CrashingCall:
+        return "CrashingCall";
+    case MatrixTrouble::StoreSilent:
+        return "StoreSilent";
+    case MatrixTrouble::StoreRestored:
+        return "StoreRestored";
+    }
+    return "";
+}
+
+std::string nameOf(MatrixChange change)
+{
+    static constexpr std::array<const char *, kMatrixChanges.size()> kNames = {
+        "None",
+        "HeaderLimitShrinks",
+        "HeaderLimitGrows",
+        "BodyLimitShrinks",
+        "BodyLimitGrows",
+        "HeaderTimeoutShrinks",
+        "HeaderTimeoutGrows",
+        "IdleTimeoutShrinks",
+        "IdleTimeoutGrows",
+        "TimeoutShrinks",
+        "TimeoutGrows",
+        "AttemptsShrink",
+        "RoutesDropped",
+        "RoutesMoved",
+        "ServicesRemoved",
+        "KeyRevoked",
+        "CustomersRemoved",
+        "WeightsShift",
+        "RoutesAdded",
+        "Storm",
+        "Reload",
+        "PlannedStop",
+        "EvacuationTakenBack",
+        "ServersReplaced",
+    };
+    return kNames.at(static_cast<std::size_t>(change));
+}
+
+std::string nameOf(MatrixStep step)
+{
+    static constexpr std::array<const char *, kMatrixSteps.size()> kNames = {
+        "HeadHalfSent",  "BodyHalfSent", "ChunkedBodyHalfSent",    "AtServer",
+        "StreamRunning", "StreamEnding", "PipelinedBehindAStream", "ConnectionIdle",
+    };
+    return kNames.at(static_cast<std::size_t>(step));
+}
+
+std::string nameOf(MatrixKind kind)
+{
+    static constexpr std::array<const char *, kMatrixKinds.size()> kNames = {
+        "Read", "PublicAction", "Action", "ResumableStream", "PlainStream", "LongPrompt",
+    };
+    return kNames.at(static_cast<std::size_t>(kind));
+}
+
+std::string nameOf(const MatrixCell &cell)
+{
+    return absl::StrCat(nameOf(cell.trouble), "/", nameOf(cell.change), "/", nameOf(cell.step), "/",
+                        nameOf(cell.kind), cell.isTenth ? "/tenth" : "/first",
+                        cell.hasNext ? "/pipelined" : "/single");
+}
+
+bool isStream(MatrixKind kind)
+{
+    return kind == MatrixKind::ResumableStream || kind == MatrixKind::PlainStream
+        || kind == MatrixKind::LongPrompt;
+}
+
+bool runsOnce(MatrixKind kind)
+{
+    return kind == MatrixKind::PublicAction || kind == MatrixKind::Action
+        || kind == MatrixKind::PlainStream;
+}
+
+bool isPossible(MatrixStep step, MatrixKind kind)
+{
+    return isStream(kind)
+        || (step != MatrixStep::StreamRunning && step != MatrixStep::StreamEnding);
+}
+
+bool isAdmittedAfterChange(MatrixStep step)
+{
+    return step == MatrixStep::HeadHalfSent || step == MatrixStep::ConnectionIdle
+        || step == MatrixStep::PipelinedBehindAStream;
+}
+
+std::vector<MatrixCell> drawCells(MatrixTrouble trouble, MatrixChange change, std::size_t perStep,
+                                  Random &random)
+{
+    std::vector<MatrixCell> cells;
+    for (const MatrixStep step : kMatrixSteps) {
+        std::vector<MatrixKind> kinds;
+        std::copy_if(kMatrixKinds.begin(), kMatrixKinds.end(), std::back_inserter(kinds),
+                     [step](MatrixKind kind) { return isPossible(step, kind); });
+        for (std::size_t number = 0; number < perStep && !kinds.empty(); ++number) {
+            const MatrixKind kind = drawnFrom(kinds, random);
+            std::erase(kinds, kind);
+            cells.push_back(
+                {trouble, change, step, kind, random.below(2) == 1, random.below(2) == 1});
+        }
+    }
+    return cells;
+}
+
+std::vector<MatrixChange> drawChanges(std::size_t count, Random &random)
+{
+    std::vector<MatrixChange> left(kMatrixChanges.begin() + 1, kMatrixChanges.end());
+    std::vector<MatrixChange> drawn;
+    while (drawn.size() < count && !left.empty()) {
+        drawn.push_back(drawnFrom(left, random));
+        std::erase(left, drawn.back());
+    }
+    return drawn;
+}
+
+} // namespace foxtailtally
--- /dev/null
+++ b/tests/process/trouble_matrix_cell.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include "core/random.h"
+
+#include <array>
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace foxtailtally {
+
+/** A trouble beside which requests must still get an answer. */
+enum class MatrixTrouble {
+    None,
+    /** Servers forget idle connections and reset them at the next request. */
+    IdleDrop50,
+    IdleDrop300,
+    IdleDrop2000,
+    /** No packets pass to or from any server, and new connections hang. */
+    CutOff300,
+    CutOff1000,
+    CutOff1900,
+    /** All servers accept requests and send nothing. */
+    Silent300,
+    Silent1000,
+    Silent1900,
+    /** Half of the servers announce that they leave. */
+    ServerLeaving,
+    /** Half of the servers reject calls with Retry-After. */
+    RetryAfter,
+    /** All servers name a limit below what callers send. */
+    ServerLimit,
+    /** A call beside the cells crashes an engine. */
+    CrashingCall,
+    StoreSilent,
+    StoreRestored,
+};
+
+inline constexpr std::array kMatrixTroubles = {
+    MatrixTrouble::None,          MatrixTrouble::IdleDrop50,    MatrixTrouble::IdleDrop300,
+    MatrixTrouble::IdleDrop2000,  MatrixTrouble::CutOff300,     MatrixTrouble::CutOff1000,
+    MatrixTrouble::CutOff1900,    MatrixTrouble::Silent300,     MatrixTrouble::Silent1000,
+    MatrixTrouble::Silent1900,    MatrixTrouble::ServerLeaving, MatrixTrouble::RetryAfter,
+    MatrixTrouble::ServerLimit,   MatrixTrouble::CrashingCall,  MatrixTrouble::StoreSilent,
+    MatrixTrouble::StoreRestored,
+};
+
+/** A change of the configuration or planned work. */
+enum class MatrixChange {
+    None,
+    HeaderLimitShrinks,
+    HeaderLimitGrows,
+    BodyLimitShrinks,
+    BodyLimitGrows,
+    HeaderTimeoutShrinks,
+    HeaderTimeoutGrows,
+    IdleTimeoutShrinks,
+    IdleTimeoutGrows,
+    TimeoutShrinks,
+    TimeoutGrows,
+    AttemptsShrink,
+    RoutesDropped,
+    RoutesMoved,
+    ServicesRemoved,
+    KeyRevoked,
+    CustomersRemoved,
+    WeightsShift,
+    RoutesAdded,
+    /** A version each 0.2 s. */
+    Storm,
+    Reload,
+    PlannedStop,
+    /** A failure domain is evacuated, and this is taken back. */
+    EvacuationTakenBack,
+    /** Servers drain, and others come. */
+    ServersReplaced,
+};
+
+inline constexpr std::array kMatrixChanges = {
+    MatrixChange::None,
+    MatrixChange::HeaderLimitShrinks,
+    MatrixChange::HeaderLimitGrows,
+    MatrixChange::BodyLimitShrinks,
+    MatrixChange::BodyLimitGrows,
+    MatrixChange::HeaderTimeoutShrinks,
+    MatrixChange::HeaderTimeoutGrows,
+    MatrixChange::IdleTimeoutShrinks,
+    MatrixChange::IdleTimeoutGrows,
+    MatrixChange::TimeoutShrinks,
+    MatrixChange::TimeoutGrows,
+    MatrixChange::AttemptsShrink,
+    MatrixChange::RoutesDropped,
+    MatrixChange::RoutesMoved,
+    MatrixChange::ServicesRemoved,
+    MatrixChange::KeyRevoked,
+    MatrixChange::CustomersRemoved,
+    MatrixChange::WeightsShift,
+    MatrixChange::RoutesAdded,
+    MatrixChange::Storm,
+    MatrixChange::Reload,
+    MatrixChange::PlannedStop,
+    MatrixChange::EvacuationTakenBack,
+    MatrixChange::ServersReplaced,
+};
+
+/** How far a request has come when the change comes. */
+enum class MatrixStep {
+    HeadHalfSent,
+    BodyHalfSent,
+    ChunkedBodyHalfSent,
+    /** A server works on the request and has sent nothing. */
+    AtServer,
+    StreamRunning,
+    /** The last events of the stream are due. */
+    StreamEnding,
+    PipelinedBehindAStream,
+    ConnectionIdle,
+};
+
+inline constexpr std::array kMatrixSteps = {
+    MatrixStep::HeadHalfSent,           MatrixStep::BodyHalfSent,
+    MatrixStep::ChunkedBodyHalfSent,    MatrixStep::AtServer,
+    MatrixStep::StreamRunning,          MatrixStep::StreamEnding,
+    MatrixStep::PipelinedBehindAStream, MatrixStep::ConnectionIdle,
+};
+
+enum class MatrixKind {
+    Read,
+    /** Runs at most once; on a route without keys. */
+    PublicAction,
+    /** Runs at most once; on a route with keys. */
+    Action,
+    ResumableStream,
+    /** A stream that runs at most once. */
+    PlainStream,
+    /** A resumable stream whose prompt does not fit into the memory of one engine. */
+    LongPrompt,
+};
+
+inline constexpr std::array kMatrixKinds = {
+    MatrixKind::Read,        MatrixKind::PublicAction,
+    MatrixKind::Action,      MatrixKind::ResumableStream,
+    MatrixKind::PlainStream, MatrixKind::LongPrompt,
+};
+
+/** One request in one situation. */
+struct MatrixCell
+{
+    MatrixTrouble trouble = MatrixTrouble::None;
+    MatrixChange change = MatrixChange::None;
+    MatrixStep step = MatrixStep::HeadHalfSent;
+    MatrixKind kind = MatrixKind::Read;
+    /** The tenth request of its connection instead of the first. */
+    bool isTenth = false;
+    /** The next request is sent right behind this one. */
+    bool hasNext = false;
+
+    bool operator==(const MatrixCell &) const = default;
+};
+
+std::string nameOf(MatrixTrouble trouble);
+std::string nameOf(MatrixChange change);
+std::string nameOf(MatrixStep step);
+std::string nameOf(MatrixKind kind);
+/** "TROUBLE/CHANGE/STEP/KIND/first|tenth/single|pipelined". */
+std::string nameOf(const MatrixCell &cell);
+
+bool isStream(MatrixKind kind);
+/** The request may run at most once. */
+bool runsOnce(MatrixKind kind);
+/** A request of @p kind can be at @p step. */
+bool isPossible(MatrixStep step, MatrixKind kind);
+/** The request at @p step is admitted after the change. */
+bool isAdmittedAfterChange(MatrixStep step);
+
+/** Cells of one trouble and one change that are played at once: @p perStep requests at each step,
+ * the rest by @p random. */
+std::vector<MatrixCell> drawCells(MatrixTrouble trouble, MatrixChange change, std::size_t perStep,
+                                  Random &random);
+/** @p count different changes, of which none is MatrixChange::None. */
+std::vector<MatrixChange> drawChanges(std::size_t count, Random &random);
+
+} // namespace foxtailtally
--- /dev/null
+++ b/tests/process/trouble_matrix_gateway.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "tests/process/gateway_deployment.h"
+#include "tests/process/trouble_matrix_cell.h"
+#include "tests/process/trouble_matrix_judgement.h"
+
+#include <absl/time/time.h>
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <mutex>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+namespace foxtailtally {
+
+struct MatrixCellResult
+{
+    MatrixCell cell;
+    /** Descriptions of broken rules. */
+    std::vector<std::string> problems;
+};
+
+/** A gateway with servers and a store at which cells of the matrix are played. */
+class MatrixGateway
+{
+public:
+    MatrixGateway();
+    MatrixGateway(const MatrixGateway &) = delete;
+    MatrixGateway &operator=(const MatrixGateway &) = delete;
+
+    /** Starts the gateway; false when it does not serve. */
+    bool start();
+    /** Plays cells of one trouble and one change at once, each on a connection of its own, and
+     * restores the state before. A problem of the set-up itself is reported with each cell. */
+    std::vector<MatrixCellResult> play(const std::vector<MatrixCell> &cells);
+
+private:
+    using ConfigChange = std::function<void(nlohmann::json &config)>;
+
+    void configure(const ConfigChange &change);
+    /** Waits until the latest configuration is in force. */
+    bool isApplied();
+    /** Sends a few calls, so that the gateway has idle connections to the servers. */
+    void warmUp();
+    void callerLoop(const MatrixCell &cell, absl::Time changeAt);
+    std::string request(const MatrixCell &cell, MatrixKind kind, const std::string &id,
+                        bool isChunked) const;
+    std::string nextId();
+    void addOutcome(MatrixOutcome outcome);
+    /** Troubles that hold before and during the cells. */
+    void beginStandingTrouble(MatrixTrouble trouble);
+    /** Troubles that begin with the change. */
+    void beginTrouble(MatrixTrouble trouble);
+    /** Makes the change, and lets the callers go on while it is in force. */
+    void makeChange(MatrixChange change);
+    void endTrouble(MatrixTrouble trouble);
+    /** Takes the change back; false when the gateway does not get there. */
+    bool revert(MatrixChange change);
+    void letCallersGoOn() { this->mayGoOn = true; }
+    void completeFromServers(MatrixOutcome &outcome, const std::vector<ServerArrival> &arrivals);
+
+    GatewayDeployment deployment;
+    int version = 0;
+    std::size_t logRead = 0;
+    int appliedVersion = 0;
+    std::atomic<int> calls = 0;
+    std::atomic<bool> mayGoOn = false;
+    std::mutex mutex;
+    std::vector<MatrixOutcome> outcomes;
+};
+
+} // namespace foxtailtally
