--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -56,6 +56,8 @@
     DisconnectInsideEvent,
     /** Runs a stream that resumes another one and responds with a failure. */
     FailResumedStream,
+    /** Serves calls, and ends the bodies of plain ones with the connection instead of a length. */
+    OmitLength,
 };
 
 /** One arrival of a call at a backend server. */
@@ -114,6 +116,11 @@
     /** Header of calls that gives the time in milliseconds until their response; streams ignore it.
      */
     static constexpr const char *kRunHeader = "X-Run-Ms";
+    /** Header of streams: the server closes the connection before this event, unless the stream
+     * resumes another one. */
+    static constexpr const char *kBreakHeader = "X-Break-At";
+    /** Header of calls that the first server rejects like ServerBehavior::Shed. */
+    static constexpr const char *kRejectHeader = "X-Reject-First";
 
     /** Complete body of the stream that responds to call @p callId. */
     static std::string streamBody(const std::string &callId);
@@ -254,8 +261,13 @@
     void restartCrashedServers(absl::Time now);
     void startStream(InboundConnection &connection, const ServerArrival &arrival, Server &server,
                      std::string_view lastEventId);
+    /** Sends a response whose body ends with the connection. */
+    void answerWithoutLength(InboundConnection &connection, const HttpHeaders &headers,
+                             const std::string &body);
     /** Sends a rejection or a failure without an id, as if to an earlier call. */
     void repeatEarlierResponse(InboundConnection &connection);
+    /** Whether the call asks for a rejection at its first server, and this is the first one. */
+    bool isRejectedFirst(const RequestHead &head, const std::string &callId) const;
     /** Headers that @p server adds to all its responses. */
     HttpHeaders serverHeaders(Server &server);
     HttpHeaders replyHeaders(Server &server, const ServerArrival &arrival,
