--- a/tests/process/trouble_matrix_test.cpp
+++ b/tests/process/trouble_matrix_test.cpp
@@ -88,8 +88,11 @@
     /** Names the failing cell, and plays it alone, without its change and without its trouble. */
     void report(const MatrixCellResult &result)
     {
-        std::string text = absl::StrCat(nameOf(result.cell), " (seed ", seed(),
-                                        "): ", absl::StrJoin(result.problems, "; "));
+        std::string text = absl::StrCat(
+            nameOf(result.cell), ": ", absl::StrJoin(result.problems, "; "),
+            "\n  FOXTAILTALLY_MATRIX_SEED=", seed(),
+            " FOXTAILTALLY_MATRIX_CHANGE=", nameOf(result.cell.change),
+            " build/foxtailtally-tests --gtest_filter='TroubleMatrix.*/", nameOf(GetParam()), "'");
         if (this->replays++ < kMaxReplays) {
             MatrixCell withoutChange = result.cell;
             withoutChange.change = MatrixChange::None;
@@ -116,7 +119,10 @@
 // run, when a change of the configuration or planned work meets a trouble that is no excuse.
 TEST_P(TroubleMatrix, AnswersEachRequest)
 {
-    Random random(seed() + static_cast<std::uint64_t>(GetParam()));
+    const std::uint64_t seedOfTrouble =
+        (seed() * kMatrixTroubles.size() + static_cast<std::uint64_t>(GetParam()))
+        * kMatrixChanges.size();
+    Random random(seedOfTrouble);
     std::vector<MatrixChange> changes =
         drawChanges(isFull() ? kMatrixChanges.size() : kDrawnChanges, random);
     if (isFull())
@@ -126,8 +132,11 @@
         changes.assign(kMatrixChanges.begin(), kMatrixChanges.end());
         std::erase_if(changes, [&](MatrixChange change) { return nameOf(change) != only; });
     }
-    for (const MatrixChange change : changes)
-        this->play(drawCells(GetParam(), change, kKindsPerStep, random));
+    for (const MatrixChange change : changes) {
+        // Each batch has its own seed, so that it can be played without those before it.
+        Random ofBatch(seedOfTrouble + static_cast<std::uint64_t>(change));
+        this->play(drawCells(GetParam(), change, kKindsPerStep, ofBatch));
+    }
 }
 
 INSTANTIATE_TEST_SUITE_P(, TroubleMatrix, testing::ValuesIn(kMatrixTroubles),
