Add second attempts and reservations to the steps of the matrix

A read with a second attempt beside its first and a long prompt whose engines have not yet answered its reservation are steps now.

--- a/tests/process/trouble_matrix_gateway.h
+++ b/tests/process/trouble_matrix_gateway.h
@@ -23,6 +23,9 @@
     MatrixCell cell;
     /** Descriptions of broken rules. */
     std::vector<std::string> problems;
+    /** When the change began, and the times at which servers got the request of the cell. */
+    absl::Time changeAt;
+    std::vector<absl::Time> arrivals;
 };
 
 /** A gateway with servers and a store at which cells of the matrix are played. */
--- a/tests/process/trouble_matrix_judgement.h
+++ b/tests/process/trouble_matrix_judgement.h
@@ -44,6 +44,9 @@
     MatrixCell cell;
     /** A request that follows that of the cell. */
     bool isNext = false;
+    /** The request was sent only when the change was about to come, so it may be admitted after it.
+     */
+    bool isLate = false;
     MatrixKind kind = MatrixKind::Read;
     std::string expectedBody;
     /** Time after which the request may fail: its route's timeout or its deadline. */
