--- a/tests/process/trouble_matrix_gateway.cpp
+++ b/tests/process/trouble_matrix_gateway.cpp
@@ -44,6 +44,7 @@
 constexpr int kRunMs = 600;
 constexpr const char *kCrashingPart = "ab";
 constexpr int kEndlessCalls = 4;
+constexpr int kWarmUpCalls = 15;
 /** Host numbers of GatewayDeployment::spareHost(). */
 constexpr int kStoreLinkHost = 0;
 constexpr int kEndlessHost = 1;
@@ -323,7 +324,7 @@
 
 std::string MatrixGateway::listedAddress(int index)
 {
-    const std::string own = this->deployment.platform().serverAddress(index);
+    std::string own = this->deployment.platform().serverAddress(index);
     if (!this->hasProxies)
         return own;
     this->serverLinks.push_back(std::make_unique<FaultProxy>(
@@ -447,7 +448,8 @@
     const std::vector<MatrixKind> kinds = {MatrixKind::Read, MatrixKind::Action,
                                            MatrixKind::ResumableStream};
     std::vector<std::thread> callers;
-    for (int number = 0; number < 15; ++number) {
+    callers.reserve(kWarmUpCalls);
+    for (int number = 0; number < kWarmUpCalls; ++number) {
         callers.emplace_back([this, kind = kinds.at(static_cast<std::size_t>(number) % 3)] {
             MatrixCaller caller(this->deployment.callerAddress(0));
             caller.send(this->request({}, kind, this->nextId(), false));
@@ -740,6 +742,7 @@
     absl::SleepFor(changeAt + lengthOf(trouble) + absl::Milliseconds(100) - absl::Now());
     const std::vector<ServerArrival> arrivals = this->deployment.platform().arrivals();
     std::vector<MatrixCellResult> results;
+    results.reserve(cells.size());
     for (const MatrixCell &cell : cells)
         results.push_back({cell, {}, changeAt, {}});
     for (MatrixOutcome &outcome : this->outcomes) {
