--- a/tests/process/serving_standin.cpp
+++ b/tests/process/serving_standin.cpp
@@ -417,6 +417,23 @@
     this->run([&] { this->prefillTime = time; });
 }
 
+void ServingStandin::setIdleDrop(absl::Duration time)
+{
+    this->run([&] { this->idleDrop = time; });
+}
+
+void ServingStandin::setOrderDelay(absl::Duration time)
+{
+    this->run([&] { this->orderDelay = time; });
+}
+
+std::int64_t ServingStandin::startedMs(int index)
+{
+    std::int64_t result = 0;
+    this->run([&] { result = this->servers.at(index).startedMs; });
+    return result;
+}
+
 std::vector<ServerArrival> ServingStandin::arrivals()
 {
     std::vector<ServerArrival> result;
@@ -445,8 +462,10 @@
     limits.idleTimeout = absl::Minutes(10);
     this->connections.push_back(
         std::make_unique<InboundConnection>(this->base, socket, events, limits));
-    if (server >= 0)
-        this->serverOf[this->connections.back().get()] = server;
+    if (server < 0)
+        return;
+    this->serverOf[this->connections.back().get()] = server;
+    this->sockets[this->connections.back().get()] = socket;
 }
 
 void ServingStandin::onTick()
@@ -458,7 +477,14 @@
     this->endCuts(now);
     this->endSilences(now);
     this->advanceStreams(now);
+    this->sendDelayedResponses(now);
     this->crashServersOfStreams(now);
+    for (const auto &[connection, server] : this->serverOf) {
+        if (connection->isIdle())
+            this->idleSince.try_emplace(connection, now);
+        else
+            this->idleSince.erase(connection);
+    }
     this->store.onTick(now);
     std::erase_if(this->connections, [this](const auto &connection) {
         return std::find(this->closed.begin(), this->closed.end(), connection.get())
@@ -475,10 +501,39 @@
     const auto found = this->serverOf.find(&connection);
     if (found == this->serverOf.end())
         this->store.onRequest(connection, absl::Now());
-    else
+    else if (!this->resetIfDropped(connection))
         this->answerCall(connection, this->servers.at(found->second));
 }
 
+bool ServingStandin::resetIfDropped(InboundConnection &connection)
+{
+    const auto idle = this->idleSince.find(&connection);
+    if (idle == this->idleSince.end())
+        return false;
+    const absl::Duration idleTime = absl::Now() - idle->second;
+    this->idleSince.erase(idle);
+    if (idleTime <= this->idleDrop)
+        return false;
+    const linger atOnce = {1, 0};
+    ::setsockopt(this->sockets.at(&connection), SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+    connection.abort();
+    return true;
+}
+
+void ServingStandin::sendDelayedResponses(absl::Time now)
+{
+    std::vector<DelayedResponse> due;
+    std::erase_if(this->delayedResponses, [&](const DelayedResponse &response) {
+        const Server &server = this->servers.at(this->serverOf.at(response.connection));
+        if (response.dueAt > now || server.silentUntil > now)
+            return false;
+        due.push_back(response);
+        return true;
+    });
+    for (const DelayedResponse &response : due)
+        response.connection->answer(response.status, response.headers, response.body);
+}
+
 void ServingStandin::answerCall(InboundConnection &connection, Server &server)
 {
     // A copy, since a response ends the request.
@@ -509,7 +564,8 @@
     if (absl::SimpleAtoi(std::string(head.headers.valueOr("Deadline-Ms", "")), &left))
         arrival.deadline = absl::Milliseconds(left);
     arrival.at = absl::Now();
-    arrival.hasRun = server.behavior != ServerBehavior::Shed
+    const bool isRejectedFirst = this->isRejectedFirst(head, arrival.callId);
+    arrival.hasRun = !isRejectedFirst && server.behavior != ServerBehavior::Shed
         && server.behavior != ServerBehavior::ShedWithRetryAfter;
     arrival.startedMs = server.startedMs;
     arrival.gateway = std::string(head.headers.valueOr("X-Gateway", ""));
@@ -521,7 +577,7 @@
         return;
     }
     const bool isKept = !this->used.insert(&connection).second;
-    switch (server.behavior) {
+    switch (isRejectedFirst ? ServerBehavior::Shed : server.behavior) {
     case ServerBehavior::ShedWithRetryAfter:
     case ServerBehavior::Shed: {
         HttpHeaders headers = this->serverHeaders(server);
@@ -529,7 +585,13 @@
         headers.add("Not-Executed", "1");
         if (server.behavior == ServerBehavior::ShedWithRetryAfter)
             headers.add("Retry-After", absl::StrCat(absl::ToDoubleSeconds(kRetryAfter)));
-        connection.answer(503, headers, {});
+        std::int64_t delayMs = 0;
+        if (isRejectedFirst
+            && absl::SimpleAtoi(std::string(head.headers.valueOr(kRejectHeader, "")), &delayMs))
+            this->delayedResponses.push_back(
+                {&connection, 503, headers, {}, arrival.at + absl::Milliseconds(delayMs)});
+        else
+            connection.answer(503, headers, {});
         return;
     }
     case ServerBehavior::FailAfterRunning:
@@ -565,14 +627,28 @@
     case ServerBehavior::DisconnectInsideEvent:
     case ServerBehavior::FailResumedStream:
     case ServerBehavior::AnnounceDraining:
+    case ServerBehavior::OmitLength:
         break;
     }
     if (head.path.starts_with("/stream") || head.path.starts_with("/long")) {
         this->startStream(connection, arrival, server, head.headers.valueOr("Last-Event-Id", ""));
+        int breakAt = 0;
+        if (!head.headers.find("Last-Event-Id")
+            && absl::SimpleAtoi(std::string(head.headers.valueOr(kBreakHeader, "")), &breakAt))
+            this->streams.back().breakAt = breakAt;
         return;
     }
-    connection.answer(200, this->replyHeaders(server, arrival, "text/plain"),
-                      absl::StrCat("done:", arrival.callId, ":", arrival.body));
+    std::int64_t runMs = 0;
+    static_cast<void>(absl::SimpleAtoi(std::string(head.headers.valueOr(kRunHeader, "0")), &runMs));
+    const HttpHeaders headers = this->replyHeaders(server, arrival, "text/plain");
+    const std::string body = absl::StrCat("done:", arrival.callId, ":", arrival.body);
+    if (server.behavior == ServerBehavior::OmitLength)
+        this->answerWithoutLength(connection, headers, body);
+    else if (runMs > 0)
+        this->delayedResponses.push_back(
+            {&connection, 200, headers, body, arrival.at + absl::Milliseconds(runMs)});
+    else
+        connection.answer(200, headers, body);
 }
 
 void ServingStandin::answerReservationCommand(InboundConnection &connection, Server &server)
@@ -587,7 +663,32 @@
     this->recordedCommands.push_back(request);
     HttpHeaders headers = this->serverHeaders(server);
     headers.add("Content-Type", "application/json");
-    connection.answer(200, headers, "{}");
+    if (this->orderDelay > absl::ZeroDuration() && !request.isRelease)
+        this->delayedResponses.push_back(
+            {&connection, 200, headers, "{}", request.at + this->orderDelay});
+    else
+        connection.answer(200, headers, "{}");
+}
+
+void ServingStandin::answerWithoutLength(InboundConnection &connection, const HttpHeaders &headers,
+                                         const std::string &body)
+{
+    std::string text = "HTTP/1.1 200 OK\r\n";
+    for (const HttpHeader &header : headers.all())
+        absl::StrAppend(&text, header.name, ": ", header.value, "\r\n");
+    absl::StrAppend(&text, "\r\n", body);
+    // An InboundConnection always sends a length; nothing is in its output buffer here.
+    if (::send(this->sockets.at(&connection), text.data(), text.size(), MSG_NOSIGNAL)
+        != static_cast<ssize_t>(text.size()))
+        throw std::runtime_error("cannot send a response without a length");
+    connection.abort();
+}
+
+bool ServingStandin::isRejectedFirst(const RequestHead &head, const std::string &callId) const
+{
+    return head.headers.find(kRejectHeader)
+        && std::none_of(this->recordedArrivals.begin(), this->recordedArrivals.end(),
+                        [&](const ServerArrival &arrival) { return arrival.callId == callId; });
 }
 
 void ServingStandin::repeatEarlierResponse(InboundConnection &connection)
@@ -695,6 +796,8 @@
     this->removeWatchesAndStreams(connection);
     this->serverOf.erase(&connection);
     this->used.erase(&connection);
+    this->sockets.erase(&connection);
+    this->idleSince.erase(&connection);
     this->closed.push_back(&connection);
 }
 
@@ -703,6 +806,9 @@
     this->store.forget(connection);
     std::erase_if(this->streams,
                   [&](const Stream &stream) { return stream.connection == &connection; });
+    std::erase_if(this->delayedResponses, [&](const DelayedResponse &response) {
+        return response.connection == &connection;
+    });
     for (auto &[index, server] : this->servers)
         std::erase(server.unanswered, &connection);
 }
--- a/tests/process/serving_standin.h
+++ b/tests/process/serving_standin.h
@@ -56,6 +56,8 @@
     DisconnectInsideEvent,
     /** Runs a stream that resumes another one and responds with a failure. */
     FailResumedStream,
+    /** Serves calls, and ends the bodies of plain ones with the connection instead of a length. */
+    OmitLength,
 };
 
 /** One arrival of a call at a backend server. */
@@ -111,6 +113,16 @@
     explicit ServingStandin(std::string host);
     ~ServingStandin() override;
 
+    /** Header of calls that gives the time in milliseconds until their response; streams ignore it.
+     */
+    static constexpr const char *kRunHeader = "X-Run-Ms";
+    /** Header of streams: the server closes the connection before this event, unless the stream
+     * resumes another one. */
+    static constexpr const char *kBreakHeader = "X-Break-At";
+    /** Header of calls that the first server rejects like ServerBehavior::Shed, after this time in
+     * milliseconds. */
+    static constexpr const char *kRejectHeader = "X-Reject-First";
+
     /** Complete body of the stream that responds to call @p callId. */
     static std::string streamBody(const std::string &callId);
     std::string storeAddress() const { return this->host + ":8200"; }
@@ -162,6 +174,13 @@
     void cutOff(int index, absl::Duration time);
     /** Sets the time before the first event of each stream. */
     void setPrefillTime(absl::Duration time);
+    /** All servers forget connections that have been idle for longer than @p time, without a
+     * notice, and reset them at the next request. InfiniteDuration for never. */
+    void setIdleDrop(absl::Duration time);
+    /** Time until all servers respond to commands to reserve memory. */
+    void setOrderDelay(absl::Duration time);
+    /** Start time of the current incarnation of server @p index. */
+    std::int64_t startedMs(int index);
 
     std::vector<ServerArrival> arrivals();
     std::vector<ReservationCommand> reservationCommands();
@@ -208,6 +227,16 @@
         absl::Time crashesAt = absl::InfiniteFuture();
     };
 
+    /** A response that is not due yet. */
+    struct DelayedResponse
+    {
+        InboundConnection *connection = nullptr;
+        int status = 200;
+        HttpHeaders headers;
+        std::string body;
+        absl::Time dueAt;
+    };
+
     void onRequestHead(InboundConnection &connection) override;
     void onRequestComplete(InboundConnection &connection) override;
     void onCallerGone(InboundConnection &connection) override;
@@ -221,6 +250,10 @@
     void onTick();
     void accept(int socket, int server);
     void answerCall(InboundConnection &connection, Server &server);
+    /** Whether the server has forgotten the connection, which is then reset. */
+    bool resetIfDropped(InboundConnection &connection);
+    /** Sends the responses that are due to calls with kRunHeader. */
+    void sendDelayedResponses(absl::Time now);
     /** Starts an incarnation of the server and lists it in the store. */
     void startServer(Server &server);
     void acceptConnections(Server &server);
@@ -234,8 +267,13 @@
     void restartCrashedServers(absl::Time now);
     void startStream(InboundConnection &connection, const ServerArrival &arrival, Server &server,
                      std::string_view lastEventId);
+    /** Sends a response whose body ends with the connection. */
+    void answerWithoutLength(InboundConnection &connection, const HttpHeaders &headers,
+                             const std::string &body);
     /** Sends a rejection or a failure without an id, as if to an earlier call. */
     void repeatEarlierResponse(InboundConnection &connection);
+    /** Whether the call asks for a rejection at its first server, and this is the first one. */
+    bool isRejectedFirst(const RequestHead &head, const std::string &callId) const;
     /** Headers that @p server adds to all its responses. */
     HttpHeaders serverHeaders(Server &server);
     HttpHeaders replyHeaders(Server &server, const ServerArrival &arrival,
@@ -256,9 +294,15 @@
     /** Listeners hold pointers to their servers, so the entries must not move. */
     std::map<int, Server> servers;
     std::vector<Stream> streams;
+    std::vector<DelayedResponse> delayedResponses;
     std::vector<std::unique_ptr<InboundConnection>> connections;
     /** Server index of each connection; connections to the store have no entry. */
     absl::btree_map<InboundConnection *, int> serverOf;
+    absl::btree_map<InboundConnection *, int> sockets;
+    /** Since when each connection to a server has been idle. */
+    absl::btree_map<InboundConnection *, absl::Time> idleSince;
+    absl::Duration idleDrop = absl::InfiniteDuration();
+    absl::Duration orderDelay = absl::ZeroDuration();
     /** Connections that have carried a call. */
     absl::btree_set<InboundConnection *> used;
     std::vector<InboundConnection *> closed;
