--- a/benchmarks/limit_benchmark.cpp
+++ b/benchmarks/limit_benchmark.cpp
@@ -37,6 +37,7 @@
     std::vector<std::string> otherAggregatorAddresses() const override { return {}; }
     std::size_t lenders(absl::Time) const override { return this->followers.size() + 1; }
     std::size_t domainInstances() const override { return this->followers.size() + 1; }
+    std::size_t listedDomainInstances() const override { return this->domainInstances(); }
 
 private:
     bool isIssuer;
