--- a/tests/gateway/call_run_test.cpp
+++ b/tests/gateway/call_run_test.cpp
@@ -417,6 +417,17 @@
     EXPECT_TRUE(this->loop.runUntil([this] { return !this->context.quarantine.isEmpty(); }));
 }
 
+// Guards against a server that counts as crashed since it resets a connection beyond the number
+// that it accepts.
+TEST_F(CallRunTest, TakesNoResetOfANewConnectionForACrash)
+{
+    this->call("/look/a", 0);
+    const std::size_t server = this->waitForRequest();
+    this->servers[server].resetConnections();
+    ASSERT_EQ(this->waitForRequest(), server ^ 1U);
+    EXPECT_TRUE(this->context.quarantine.isEmpty());
+}
+
 // Guards against a server that counts as crashed since it has too many connections for a
 // repetition.
 TEST_F(DroppedConnectionCallTest, TakesNoResetOfTheRepetitionForACrash)
