Share the set-up of the tests of dropped connections

Three tests of UnconfirmedLosses repeated the same loss. They have one fixture now, whose server is always listed; the assertions are the same. The first one had an empty list, which alone decides the loss as a death, so it did not depend on the bytes that it is about.

--- a/tests/quarantine/unconfirmed_losses_test.cpp
+++ b/tests/quarantine/unconfirmed_losses_test.cpp
@@ -36,50 +36,49 @@
     return loss;
 }
 
+/** The loss of a call on a dropped connection, at a server that is listed. */
+class DroppedConnectionLoss : public testing::Test
+{
+protected:
+    DroppedConnectionLoss()
+    {
+        this->directory.onEntry(entryOf(1), kNow);
+        UnconfirmedLoss loss = lossOf(1, kNow, kNow);
+        loss.wasDropped = true;
+        this->losses.add(loss);
+    }
+    void expectVerdict(LossVerdict verdict, absl::Time now)
+    {
+        const std::vector<DecidedLoss> decided = this->losses.takeDecided(this->directory, now);
+        ASSERT_EQ(decided.size(), 1U);
+        EXPECT_EQ(decided.front().verdict, verdict);
+    }
+
+    const ServerKey key = serverKey(kServer, 1);
+    UnconfirmedLosses losses;
+    ServerDirectory directory;
+};
+
 // Guards against a crash that is taken for a dropped connection, since bytes that had arrived
 // before the crash were read after it.
-TEST(DroppedConnectionLoss, IsNotAcquittedByBytesOfCallsThatBeganBefore)
+TEST_F(DroppedConnectionLoss, IsNotAcquittedByBytesOfCallsThatBeganBefore)
 {
-    UnconfirmedLosses losses;
-    const ServerDirectory directory;
-    UnconfirmedLoss loss = lossOf(1, kNow, kNow);
-    loss.wasDropped = true;
-    losses.add(loss);
-    const ServerKey key = serverKey(kServer, 1);
-    losses.onHeard(key, kNow - absl::Seconds(1), kNow);
-    losses.onRefused(key);
-    const std::vector<DecidedLoss> decided = losses.takeDecided(directory, kNow);
-    ASSERT_EQ(decided.size(), 1U);
-    EXPECT_EQ(decided.front().verdict, LossVerdict::Ended);
+    this->losses.onHeard(this->key, kNow - absl::Seconds(1), kNow);
+    this->losses.onRefused(this->key);
+    this->expectVerdict(LossVerdict::Ended, kNow);
 }
 
-TEST(DroppedConnectionLoss, IsAcquittedByAConnectionThatIsAcceptedLater)
+TEST_F(DroppedConnectionLoss, IsAcquittedByAConnectionThatIsAcceptedLater)
 {
-    UnconfirmedLosses losses;
-    ServerDirectory directory;
-    directory.onEntry(entryOf(1), kNow);
-    UnconfirmedLoss loss = lossOf(1, kNow, kNow);
-    loss.wasDropped = true;
-    losses.add(loss);
-    losses.onHeard(serverKey(kServer, 1), kNow, kNow + absl::Milliseconds(1));
-    const absl::Time end = kNow + UnconfirmedLosses::kRegistrationDelay + absl::Milliseconds(1);
-    const std::vector<DecidedLoss> decided = losses.takeDecided(directory, end);
-    ASSERT_EQ(decided.size(), 1U);
-    EXPECT_EQ(decided.front().verdict, LossVerdict::Heard);
+    this->losses.onHeard(this->key, kNow, kNow + absl::Milliseconds(1));
+    this->expectVerdict(LossVerdict::Heard,
+                        kNow + UnconfirmedLosses::kRegistrationDelay + absl::Milliseconds(1));
 }
 
-TEST(DroppedConnectionLoss, IsADeathIfTheNextConnectionIsRefused)
+TEST_F(DroppedConnectionLoss, IsADeathIfTheNextConnectionIsRefused)
 {
-    UnconfirmedLosses losses;
-    ServerDirectory directory;
-    directory.onEntry(entryOf(1), kNow);
-    UnconfirmedLoss loss = lossOf(1, kNow, kNow);
-    loss.wasDropped = true;
-    losses.add(loss);
-    losses.onRefused(serverKey(kServer, 1));
-    const std::vector<DecidedLoss> decided = losses.takeDecided(directory, kNow);
-    ASSERT_EQ(decided.size(), 1U);
-    EXPECT_EQ(decided.front().verdict, LossVerdict::Ended);
+    this->losses.onRefused(this->key);
+    this->expectVerdict(LossVerdict::Ended, kNow);
 }
 
 enum class Sign {
