--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -661,73 +661,105 @@
             {"Response-Seal", "3e1b.07.5a2.600.0.c9f2a4d1"}};
 }
 
-Answer call(const std::string &host, int port, const Request &request, double limit)
+KeptConnection::KeptConnection(const std::string &host, int port)
+{
+    this->socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int enabled = 1;
+    ::setsockopt(this->socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+    const sockaddr_in address = socketAddress(host, port);
+    if (::connect(this->socket, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0)
+        this->close();
+}
+
+KeptConnection::~KeptConnection()
+{
+    this->close();
+}
+
+void KeptConnection::close()
+{
+    if (this->socket >= 0)
+        ::close(std::exchange(this->socket, -1));
+    this->input.clear();
+}
+
+bool KeptConnection::fill(double until, double bytesPerSecond)
+{
+    pollfd waiting {this->socket, POLLIN, 0};
+    const double left = until - now();
+    if (left <= 0 || ::poll(&waiting, 1, static_cast<int>(left * 1000) + 1) != 1)
+        return false;
+    char buffer[16384];
+    const ssize_t size = ::recv(this->socket, buffer, sizeof buffer, 0);
+    if (size <= 0)
+        return false;
+    this->input.append(buffer, static_cast<std::size_t>(size));
+    if (bytesPerSecond > 0)
+        sleepUntil(std::min(until, now() + static_cast<double>(size) / bytesPerSecond));
+    return true;
+}
+
+Answer KeptConnection::call(const Request &request, double limit, double bytesPerSecond)
 {
     Answer answer;
     const double until = now() + limit;
-    const int opened = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = socketAddress(host, port);
-    std::string input;
-    const auto finish = [&] {
-        ::close(opened);
+    const auto broken = [&] {
+        this->close();
         return answer;
     };
-    if (::connect(opened, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0)
-        return finish();
+    if (!this->isOpen())
+        return answer;
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : request.headers)
         text += name + ": " + value + "\r\n";
     if (!request.body.empty() || request.method == "POST")
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     text += "\r\n" + request.body;
-    if (::send(opened, text.data(), text.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(text.size()))
-        return finish();
-    const auto fill = [&] {
-        pollfd waiting {opened, POLLIN, 0};
-        const double left = until - now();
-        if (left <= 0 || ::poll(&waiting, 1, static_cast<int>(left * 1000) + 1) != 1)
-            return false;
-        char buffer[16384];
-        const ssize_t size = ::recv(opened, buffer, sizeof buffer, 0);
-        if (size <= 0)
-            return false;
-        input.append(buffer, static_cast<std::size_t>(size));
-        return true;
-    };
+    if (::send(this->socket, text.data(), text.size(), MSG_NOSIGNAL)
+        != static_cast<ssize_t>(text.size()))
+        return broken();
     std::size_t end = std::string::npos;
-    while ((end = input.find("\r\n\r\n")) == std::string::npos) {
-        if (!fill())
-            return finish();
+    while ((end = this->input.find("\r\n\r\n")) == std::string::npos) {
+        if (!this->fill(until, bytesPerSecond))
+            return broken();
     }
-    const std::string head = input.substr(0, end + 2);
-    input.erase(0, end + 4);
+    const std::string head = this->input.substr(0, end + 2);
+    this->input.erase(0, end + 4);
     answer.status = std::stoi(head.substr(head.find(' ') + 1, 3));
     answer.headers = parseHeaders(head);
     if (const std::string length = header(answer.headers, "content-length"); !length.empty()) {
         const std::size_t size = std::stoul(length);
-        while (input.size() < size && fill()) { }
-        answer.isWhole = input.size() >= size;
-        answer.body = input.substr(0, size);
-        return finish();
-    }
-    while (true) {
-        std::size_t line = std::string::npos;
-        while ((line = input.find("\r\n")) == std::string::npos) {
-            if (!fill())
-                return finish();
+        while (this->input.size() < size) {
+            if (!this->fill(until, bytesPerSecond))
+                return broken();
         }
-        const std::size_t size = std::stoul(input.substr(0, line), nullptr, 16);
-        while (input.size() < line + 2 + size + 2) {
-            if (!fill())
-                return finish();
-        }
-        answer.body += input.substr(line + 2, size);
-        input.erase(0, line + 2 + size + 2);
-        if (size == 0) {
-            answer.isWhole = true;
-            return finish();
+        answer.body = this->input.substr(0, size);
+        this->input.erase(0, size);
+    } else {
+        for (std::size_t size = 1; size > 0;) {
+            std::size_t line = std::string::npos;
+            while ((line = this->input.find("\r\n")) == std::string::npos) {
+                if (!this->fill(until, bytesPerSecond))
+                    return broken();
+            }
+            size = std::stoul(this->input.substr(0, line), nullptr, 16);
+            while (this->input.size() < line + 2 + size + 2) {
+                if (!this->fill(until, bytesPerSecond))
+                    return broken();
+            }
+            answer.body += this->input.substr(line + 2, size);
+            this->input.erase(0, line + 2 + size + 2);
         }
     }
+    answer.isWhole = true;
+    if (lower(header(answer.headers, "connection")) == "close")
+        this->close();
+    return answer;
+}
+
+Answer call(const std::string &host, int port, const Request &request, double limit)
+{
+    return KeptConnection(host, port).call(request, limit);
 }
 
 Gateway::Gateway(Options given)
@@ -788,6 +820,16 @@
     return false;
 }
 
+double Gateway::memoryMb() const
+{
+    std::ifstream status("/proc/" + std::to_string(this->process) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmRSS:"))
+            return std::stod(line.substr(6)) / 1024;
+    }
+    return 0;
+}
+
 bool Gateway::isReady()
 {
     Request request;
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -217,6 +217,8 @@
     void start();
     void signal(int number);
     bool isAlive();
+    /** Resident memory in MiB; 0 if the process has ended. */
+    double memoryMb() const;
     bool isReady();
     void waitUntilReady(double limit);
     const std::string &host() const { return this->options.host; }
@@ -228,6 +230,26 @@
     pid_t process = -1;
 };
 
+/** A client's connection that is kept for many requests. */
+class KeptConnection
+{
+public:
+    KeptConnection(const std::string &host, int port);
+    ~KeptConnection();
+    bool isOpen() const { return this->socket >= 0; }
+    /** Sends @p request and waits for the end of the answer, at most @p limit seconds. Closes the
+     * connection unless the answer is whole. @p bytesPerSecond: how fast the client reads; 0 for as
+     * fast as it can. */
+    Answer call(const Request &request, double limit, double bytesPerSecond = 0);
+
+private:
+    bool fill(double until, double bytesPerSecond);
+    void close();
+
+    int socket = -1;
+    std::string input;
+};
+
 /** Path of the system's program, from the environment variable PROGRAM. */
 std::string program();
 /** A loopback address that differs between runs; @p number is its last part. */
