--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -157,8 +157,7 @@
     }
     std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                        "Transfer-Encoding: chunked\r\n";
-    for (const auto &[name, value] : sealed(request))
-        head += name + ": " + value + "\r\n";
+    head += headerLines(sealed(request));
     if (!connection.send(head + "\r\n"))
         return connection.reset();
     const std::string last = header(request.headers, "last-event-id");
@@ -192,7 +191,7 @@
                        {"Key", "n2ctnfzs989anu6wsjnb"}};
     const Gateway &gateway = *this->gateways[static_cast<std::size_t>(number % kGateways)];
     this->record.line("request " + id + " sent to " + gateway.host() + ": " + parts);
-    const Answer answer = call(gateway.host(), Gateway::kFrontPort, request, limit);
+    Answer answer = call(gateway.host(), Gateway::kFrontPort, request, limit);
     this->record.line("request " + id + " ends: " + std::to_string(answer.status)
                       + (answer.isWhole ? "" : " cut") + " "
                       + (answer.status == 200 ? "" : answer.body));
@@ -226,10 +225,11 @@
 
 void Case::keepSendingDeadly(double until)
 {
+    const std::string parts = kFirstPart + "," + kDeadlyPart;
     for (int number = 1; now() < until; ++number) {
         char id[32];
         std::snprintf(id, sizeof id, "dead000001%06x", number);
-        this->send(kFirstPart + "," + kDeadlyPart, 182000, id, 10.0);
+        this->send(parts, 182000, id, 10.0);
         sleepFor(1.0);
     }
 }
--- a/review/rig-2/rig.cpp
+++ b/review/rig-2/rig.cpp
@@ -130,6 +130,14 @@
     return found == headers.end() ? std::string() : found->second;
 }
 
+std::string headerLines(const Headers &headers)
+{
+    std::string lines;
+    for (const auto &[name, value] : headers)
+        lines.append(name).append(": ").append(value).append("\r\n");
+    return lines;
+}
+
 Connection::Connection(int socket)
     : socket(socket)
 {
@@ -207,8 +215,7 @@
 bool Connection::answer(int status, const Headers &headers, const std::string &body)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " " + reason(status) + "\r\n";
-    for (const auto &[name, value] : headers)
-        text += name + ": " + value + "\r\n";
+    text += headerLines(headers);
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     return this->send(text);
 }
@@ -710,8 +717,7 @@
     if (!this->isOpen())
         return answer;
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
-    for (const auto &[name, value] : request.headers)
-        text += name + ": " + value + "\r\n";
+    text += headerLines(request.headers);
     if (!request.body.empty() || request.method == "POST")
         text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     text += "\r\n" + request.body;
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -44,6 +44,8 @@
 using Headers = std::multimap<std::string, std::string>;
 
 std::string header(const Headers &headers, const std::string &name);
+/** The headers as they are sent, each with its line end. */
+std::string headerLines(const Headers &headers);
 
 struct Request
 {
