Record the Retry-After of refused requests in review case 6

Cause: the record did not show for how long requests are refused. Change: its lines have the Retry-After; the scripts end within 114 s at the latest.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -194,7 +194,9 @@
     Answer answer = call(gateway.host(), Gateway::kFrontPort, request, limit);
     this->record.line("request " + id + " ends: " + std::to_string(answer.status)
                       + (answer.isWhole ? "" : " cut") + " "
-                      + (answer.status == 200 ? "" : answer.body));
+                      + (answer.status == 200 ? ""
+                                              : answer.body + " Retry-After "
+                                 + header(answer.headers, "retry-after")));
     return answer;
 }
 
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,6 +3,6 @@
 # TROUBLE=0: no disruption. TROUBLE=part: the deadly part alone, without the other crash.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/foxtailtally ] && [ -x target/review-2/case-6 ] || exit 2
-timeout 110 target/review-2/case-6 review/6
+timeout -k 9 105 target/review-2/case-6 review/6
 status=$?
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
