--- a/tests/http/raw_peer.cpp
+++ b/tests/http/raw_peer.cpp
@@ -1,5 +1,6 @@
 #include "tests/http/raw_peer.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <array>
 #include <netinet/in.h>
@@ -55,16 +56,18 @@
     return socket;
 }
 
-std::string readAvailable(int socket)
+std::string readAvailable(int socket, std::size_t most)
 {
     std::string text;
     std::array<char, 4096> buffer {};
-    while (true) {
-        const ssize_t size = ::recv(socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    while (text.size() < most) {
+        const std::size_t room = std::min(buffer.size(), most - text.size());
+        const ssize_t size = ::recv(socket, buffer.data(), room, MSG_DONTWAIT);
         if (size <= 0)
-            return text;
+            break;
         text.append(buffer.data(), static_cast<std::size_t>(size));
     }
+    return text;
 }
 
 void writeAll(int socket, const std::string &text)
--- a/tests/http/raw_peer.h
+++ b/tests/http/raw_peer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <string>
 
@@ -25,8 +26,8 @@
 
 /** Connects to @p port of the loopback address. */
 int connectTo(int port);
-/** Reads the bytes that have arrived on @p socket so far. */
-std::string readAvailable(int socket);
+/** Reads the bytes that have arrived on @p socket so far, at most @p most. */
+std::string readAvailable(int socket, std::size_t most = std::string::npos);
 void writeAll(int socket, const std::string &text);
 /** True when the peer has closed or reset the connection. */
 bool isClosedByPeer(int socket);
