Refuse responses whose status is not 100 to 599

Callers saw: a status of 000 or 099 was skipped like an interim response. The caller of a request that is not idempotent waited to its deadline (504 after 3.99 s of 4 s), or got what came next on the connection as its answer. A status of 600 to 999 was passed on, and 0200 became 200.

Cause: http_parser takes any number up to 999 for a status, of any number of digits, and OutboundConnection takes each one below 200 for an interim response.

Change: ResponseHeadChecker checks each byte of a head before http_parser gets it. A status has three digits; isResponseStatus() has the range. Any other one ends the call as a violation of the protocol: 502, or another server if the call may be repeated; the connection is closed. Calls, reservations, the store, its watch, leases, the control API and other instances read through OutboundConnection.

Sound statuses and interim responses pass as before (InvalidResponse.IsNoneWithAnUnusualStatus).

--- a/peers/http/http_head.cpp
+++ b/peers/http/http_head.cpp
@@ -89,6 +89,11 @@
     });
 }
 
+bool isResponseStatus(int status)
+{
+    return status >= 100 && status < 600;
+}
+
 std::string_view reasonPhrase(int status)
 {
     return http_status_str(static_cast<http_status>(status));
--- a/peers/http/http_head.h
+++ b/peers/http/http_head.h
@@ -57,6 +57,9 @@
     bool isFramed = false;
 };
 
+/** Whether @p status may be that of a response: the range of RFC 9110, section 15. */
+bool isResponseStatus(int status);
+
 std::string_view reasonPhrase(int status);
 
 } // namespace foxtailtally
--- a/peers/http/outbound_connection.cpp
+++ b/peers/http/outbound_connection.cpp
@@ -317,14 +317,13 @@
         const char *data =
             reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size)));
         this->responseStarted = true;
-        const std::size_t parsed =
-            http_parser_execute(&this->parser, &parserSettings(), data, size);
+        const std::size_t parsed = this->parse({data, size});
         if (this->wasCancelled)
             return;
         this->receivedBytes += parsed;
         const http_errno error = HTTP_PARSER_ERRNO(&this->parser);
-        const bool isValid =
-            (error == HPE_OK || error == HPE_PAUSED) && !this->exceedsOverheadLimit();
+        const bool isValid = !this->headError && (error == HPE_OK || error == HPE_PAUSED)
+            && !this->exceedsOverheadLimit();
         if (!isValid) {
             const std::error_code cause = this->headError;
             this->fail(cause ? cause : Error::ProtocolViolation);
@@ -347,6 +346,19 @@
     }
 }
 
+std::size_t OutboundConnection::parse(std::string_view data)
+{
+    if (!this->headChecker.isComplete()) {
+        const std::optional<std::size_t> headSize = this->headChecker.check(data);
+        if (!headSize) {
+            this->headError = Error::ProtocolViolation;
+            return 0;
+        }
+        data = data.substr(0, *headSize);
+    }
+    return http_parser_execute(&this->parser, &parserSettings(), data.data(), data.size());
+}
+
 void OutboundConnection::onEvent(short what)
 {
     if (what & BEV_EVENT_CONNECTED) {
@@ -392,6 +404,7 @@
 {
     http_parser_init(&this->parser, HTTP_RESPONSE);
     this->parser.data = this;
+    this->headChecker = ResponseHeadChecker();
     this->dropHead();
     this->isSkipped = false;
     this->responseStarted = false;
--- a/peers/http/outbound_connection.h
+++ b/peers/http/outbound_connection.h
@@ -2,6 +2,7 @@
 
 #include "peers/http/header_collector.h"
 #include "peers/http/http_head.h"
+#include "peers/http/response_head_checker.h"
 #include "servers/memory/memory_budget.h"
 
 #include <absl/time/time.h>
@@ -153,6 +154,8 @@
     void onReadable();
     void onEvent(short what);
     void onDisconnected(bool wasReset);
+    /** Parses @p data, the next bytes of the responses; returns how many were taken. */
+    std::size_t parse(std::string_view data);
     void beginResponse();
     /** Drops the head and what was kept for it. */
     void dropHead();
@@ -169,6 +172,7 @@
     OutboundEvents *events = nullptr;
     bufferevent *stream = nullptr;
     http_parser parser {};
+    ResponseHeadChecker headChecker;
     State state = State::Connecting;
     ConnectionEnd end = ConnectionEnd::None;
     ResponseHead response;
--- a/tests/process/gateway_deployment.cpp
+++ b/tests/process/gateway_deployment.cpp
@@ -175,9 +175,11 @@
         config["Services"][0]["Scaling"] = {{"MinReplicas", this->scaling->first},
                                             {"MaxReplicas", this->scaling->second},
                                             {"StartupS", 1.0}};
-    for (const AddedRoute &added : this->addedRoutes)
-        config["Routes"].push_back(
-            route("added " + added.prefix, added.prefix, added.kind, "desk"));
+    for (const AddedRoute &added : this->addedRoutes) {
+        Json entry = route("added " + added.prefix, added.prefix, added.kind, "desk");
+        entry["Resumable"] = added.isResumable && added.kind == "streaming";
+        config["Routes"].push_back(std::move(entry));
+    }
     this->standin->putObject(std::string(platform::kConfigKind), std::string(platform::kConfigName),
                              config.dump());
 }
--- a/tests/process/gateway_deployment.h
+++ b/tests/process/gateway_deployment.h
@@ -56,10 +56,12 @@
      */
     void configure(int version, const std::vector<std::string> &keys,
                    double readTokensPerSecond = 154000.0, int maxBodyBytes = 65536);
-    /** Adds an idempotent route for @p prefix to the configurations that are stored from now on. */
-    void addRoute(const std::string &prefix, const std::string &kind = "idempotent")
+    /** Adds a route for @p prefix to the configurations that are stored from now on.
+     * @p isResumable: whether its streams may be resumed. */
+    void addRoute(const std::string &prefix, const std::string &kind = "idempotent",
+                  bool isResumable = true)
     {
-        this->addedRoutes.push_back({prefix, kind});
+        this->addedRoutes.push_back({prefix, kind, isResumable});
     }
 
 private:
@@ -67,6 +69,7 @@
     {
         std::string prefix;
         std::string kind;
+        bool isResumable;
     };
 
     std::string host(int number) const;
--- a/tests/process/scripted_servers.cpp
+++ b/tests/process/scripted_servers.cpp
@@ -20,12 +20,18 @@
 /** Time between ScriptedReply::firstBytes and the rest of the response. */
 constexpr std::chrono::milliseconds kPause {20};
 
-/** Length of the first request in @p text with its body; npos if it is incomplete. */
-std::size_t requestLength(const std::string &text)
+/** Bytes read at once by servers that do not read whole bodies. */
+constexpr std::size_t kEarlyReadBytes = 4096;
+
+/** Length of the first request in @p text, with its body unless only the head is needed; npos if it
+ * is incomplete. */
+std::size_t requestLength(const std::string &text, bool needsHeadOnly)
 {
     const std::size_t headEnd = text.find("\r\n\r\n");
     if (headEnd == std::string::npos)
         return std::string::npos;
+    if (needsHeadOnly)
+        return headEnd + 4;
     const std::string name = "\r\nContent-Length: ";
     const std::size_t at = text.find(name);
     std::size_t bodySize = 0;
@@ -114,7 +120,8 @@
 
 bool ScriptedServers::advance(Connection &connection)
 {
-    const std::string arrived = readAvailable(connection.socket);
+    const std::string arrived =
+        readAvailable(connection.socket, this->isEarly ? kEarlyReadBytes : std::string::npos);
     if (!arrived.empty() && this->isForgotten(connection)) {
         ++this->forgotten;
         resetConnection(connection.socket);
@@ -127,7 +134,7 @@
             return false;
     }
     while (!connection.pending) {
-        const std::size_t length = requestLength(connection.received);
+        const std::size_t length = requestLength(connection.received, this->isEarly);
         if (length == std::string::npos)
             break;
         const ScriptedReply reply = this->nextReply(connection.received.substr(0, length));
@@ -156,10 +163,14 @@
     connection.restsSince = absl::Now();
     if (reply.ending == ScriptedReply::Ending::Keep)
         return true;
-    if (reply.ending == ScriptedReply::Ending::Reset)
-        resetConnection(connection.socket);
-    else
+    if (reply.ending == ScriptedReply::Ending::CloseThenReset) {
+        ::shutdown(connection.socket, SHUT_WR);
+        std::this_thread::sleep_for(kPause);
+    }
+    if (reply.ending == ScriptedReply::Ending::Close)
         ::close(connection.socket);
+    else
+        resetConnection(connection.socket);
     return false;
 }
 
--- a/tests/process/scripted_servers.h
+++ b/tests/process/scripted_servers.h
@@ -14,7 +14,8 @@
 /** What ScriptedServers send in response to one request. */
 struct ScriptedReply
 {
-    enum class Ending { Keep, Close, Reset };
+    /** CloseThenReset: the connection is reset a moment after its end has been sent. */
+    enum class Ending { Keep, Close, Reset, CloseThenReset };
 
     std::string bytes;
     /** What happens to the connection after the bytes. */
@@ -40,6 +41,9 @@
 
     /** Begins a new script. Before the first one, connections are closed at each request. */
     void setScript(Script script);
+    /** Responses are sent once the head of a request has arrived; the rest of a long body is not
+     * read. Such a connection must end with its response. */
+    void respondBeforeBodies() { this->isEarly = true; }
     /** The requests received since setScript(), with their heads and bodies. */
     std::vector<std::string> requests();
     /** Connections that have rested for longer than @p time are reset by whatever is sent on them
@@ -71,6 +75,7 @@
     std::vector<int> listeners;
     std::atomic<bool> isStopping = false;
     std::atomic<int> forgotten = 0;
+    std::atomic<bool> isEarly = false;
     std::mutex mutex;
     absl::Duration maxRest = absl::InfiniteDuration();
     Script script;
