Refuse responses with invalid header names

Callers saw: a header whose name has a blank was passed on. A length, an id, a signature or a type written so was not found or was merged into the header before it: the body ended elsewhere, or the caller waited to its deadline (504 after 3.99 s of 4 s for a length behind a blank).

Cause: http_parser, as Debian builds it, takes a blank for a part of a name, and joins a line that begins with a blank to the one before. The rule for names stood in InboundConnection only.

Change: isHeaderName() is the rule for requests and responses. ResponseHeadChecker applies it to each name, refuses folded lines, and a carriage return without a line feed, behind which http_parser skips a byte. The call ends as for an invalid status.

Evidence: InvalidResponse.WithAnInvalidHeaderNameReachesNoCaller, with lines in front of, behind and in place of the id, the signature, the length and the type on all four kinds of route, failed (180 checks until it was stopped after 100 s) and passes. Other control bytes ended with 502 before. InvalidResponse.IsNoneWithAnUnusualHeaderName passed before and after.

--- a/peers/http/http_head.cpp
+++ b/peers/http/http_head.cpp
@@ -94,6 +94,17 @@
     return status >= 100 && status < 600;
 }
 
+bool isHeaderNameCharacter(char character)
+{
+    return absl::ascii_isalnum(static_cast<unsigned char>(character))
+        || std::string_view("!#$%&'*+-.^_`|~").find(character) != std::string_view::npos;
+}
+
+bool isHeaderName(std::string_view name)
+{
+    return !name.empty() && std::all_of(name.begin(), name.end(), isHeaderNameCharacter);
+}
+
 std::string_view reasonPhrase(int status)
 {
     return http_status_str(static_cast<http_status>(status));
--- a/peers/http/http_head.h
+++ b/peers/http/http_head.h
@@ -60,6 +60,10 @@
 /** Whether @p status may be that of a response: the range of RFC 9110, section 15. */
 bool isResponseStatus(int status);
 
+/** Whether @p character may be part of a header's name: a token of RFC 9110, section 5.6.2. */
+bool isHeaderNameCharacter(char character);
+bool isHeaderName(std::string_view name);
+
 std::string_view reasonPhrase(int status);
 
 } // namespace foxtailtally
--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -39,14 +39,6 @@
 /** Time after which a connection is closed if the caller has read nothing of its last response. */
 constexpr absl::Duration kStalledOutputTime = absl::Seconds(10);
 
-bool isValidHeaderName(std::string_view name)
-{
-    return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
-        return c > ' ' && c < 0x7f
-            && std::string_view("()<>@,;:\\\"/[]?={}").find(c) == std::string_view::npos;
-    });
-}
-
 bool isValidHeaderValue(std::string_view value)
 {
     return std::all_of(value.begin(), value.end(),
@@ -326,7 +318,7 @@
 {
     RequestHead &head = this->request;
     for (const HttpHeader &header : head.headers.all()) {
-        if (!isValidHeaderName(header.name) || !isValidHeaderValue(header.value)) {
+        if (!isHeaderName(header.name) || !isValidHeaderValue(header.value)) {
             this->rejectStatus = 400;
             return false;
         }
--- a/peers/http/response_head_checker.cpp
+++ b/peers/http/response_head_checker.cpp
@@ -3,6 +3,7 @@
 #include "peers/http/http_head.h"
 
 #include <absl/strings/ascii.h>
+#include <utility>
 
 namespace foxtailtally {
 
@@ -26,6 +27,9 @@
 bool ResponseHeadChecker::accept(char byte)
 {
     const bool isLineEnd = byte == '\r' || byte == '\n';
+    // http_parser takes some carriage returns for the end of a line.
+    if (std::exchange(this->isAfterReturn, byte == '\r') && byte != '\n')
+        return false;
     switch (this->state) {
     case State::Start:
         // Recipients ignore empty lines before a message.
@@ -46,8 +50,16 @@
     case State::LineStart:
         if (byte == '\n')
             this->state = State::Complete;
-        else if (byte != '\r')
-            this->state = State::Line;
+        if (isLineEnd)
+            return true;
+        // Obsolete folding, by which a line that begins with a blank continues another, is refused
+        // too.
+        this->state = State::Name;
+        return isHeaderNameCharacter(byte);
+    case State::Name:
+        if (byte != ':')
+            return isHeaderNameCharacter(byte);
+        this->state = State::Line;
         return true;
     case State::Complete:
         return false;
--- a/peers/http/response_head_checker.h
+++ b/peers/http/response_head_checker.h
@@ -9,7 +9,7 @@
 
 /**
  * Checks the head of a response as its bytes arrive. http_parser and libcurl accept heads that are
- * no HTTP, such as one with status 000.
+ * no HTTP, such as one with status 000 or with a blank in a header's name.
  */
 class ResponseHeadChecker
 {
@@ -23,7 +23,7 @@
     bool isComplete() const { return this->state == State::Complete; }
 
 private:
-    enum class State : std::uint8_t { Start, Version, Status, Line, LineStart, Complete };
+    enum class State : std::uint8_t { Start, Version, Status, Line, LineStart, Name, Complete };
 
     bool accept(char byte);
     bool acceptStatus(char byte);
@@ -31,6 +31,8 @@
     State state = State::Start;
     int status = 0;
     int statusDigits = 0;
+    /** The last byte was a carriage return. */
+    bool isAfterReturn = false;
 };
 
 } // namespace foxtailtally
--- a/tests/gateway/invalid_response_test.cpp
+++ b/tests/gateway/invalid_response_test.cpp
@@ -19,8 +19,8 @@
 const std::string kBody = "body of the server";
 
 /** Invalid beginnings of heads. */
-const std::vector<std::string> kInvalidStarts = {"HTTP/1.1 000 Failed\r\n",
-                                                 "HTTP/1.1 600 Failed\r\n"};
+const std::vector<std::string> kInvalidStarts = {
+    "HTTP/1.1 000 Failed\r\n", "HTTP/1.1 600 Failed\r\n", "HTTP/1.1 200 OK\r\nX Name: 1\r\n"};
 
 std::string bodyOn(const RouteCase &route)
 {
@@ -32,6 +32,27 @@
     return absl::StrCat("Content-Length: ", bodyOn(route).size(), "\r\n");
 }
 
+/** Header lines that no response can have. */
+const std::vector<std::string> kInvalidLines = {
+    "X Name: 1",    "X-Name : 1",   "X-Name\t: 1",
+    " X-Name: 1",   "\tX-Name: 1",  "X\x01Name: 1",
+    "X\x1fName: 1", "X\x7fName: 1", std::string("X\0Name: 1", 9),
+    "X\rName: 1",   "X\nName: 1",   "X\"Name\": 1",
+    "X\xc3\xa9: 1", "X-Name",       ": 1",
+};
+
+/** Lines like @p line whose name is invalid. */
+std::vector<std::string> invalidVariants(const std::string &line)
+{
+    const std::size_t colon = line.find(':');
+    std::vector<std::string> variants = {" " + line, "\t" + line};
+    for (const std::string byte : {" ", "\t", "\x01", "\r", "\x7f"}) {
+        variants.push_back(line.substr(0, colon) + byte + line.substr(colon));
+        variants.push_back(line.substr(0, 3) + byte + line.substr(3));
+    }
+    return variants;
+}
+
 /** A gateway, a server that sends an invalid response, and another server. */
 class InvalidResponse : public testing::Test
 {
@@ -118,6 +139,48 @@
     }
 }
 
+// Guards against a header whose name has a blank or a control byte and that is passed on, hides a
+// header that matters, or changes where the body ends.
+TEST_F(InvalidResponse, WithAnInvalidHeaderNameReachesNoCaller)
+{
+    for (const RouteCase &route : kRoutes) {
+        std::vector<std::string> headers = {"Attempt-Id: call\r\n", "Response-Seal: s\r\n",
+                                            lengthLine(route)};
+        if (route.isStream)
+            headers.push_back(kEventStream);
+        for (std::size_t at = 0; at < headers.size(); ++at) {
+            const std::string &header = headers[at];
+            std::vector<std::string> replaced = invalidVariants(header);
+            for (const std::string &line : kInvalidLines) {
+                replaced.push_back(line + "\r\n" + header);
+                replaced.push_back(header + line + "\r\n");
+            }
+            for (const std::string &text : replaced) {
+                std::string head = "HTTP/1.1 200 OK\r\n";
+                for (std::size_t i = 0; i < headers.size(); ++i)
+                    head += i == at ? text : headers[i];
+                this->checkHead(route, head + "\r\n");
+            }
+        }
+    }
+}
+
+// Guards against a check of names that refuses sound ones, or changes them.
+TEST_F(InvalidResponse, IsNoneWithAnUnusualHeaderName)
+{
+    const RouteCase &action = kRoutes[0];
+    const std::string unusual = "!#$%&'*+-.^_`|~09azAZ:  a b\t: c\r\nx:\r\n";
+    RawServerCall call(this->listeners);
+    call.send(action);
+    call.respond(
+        absl::StrCat("HTTP/1.1 200 OK\r\n", unusual, kSealed, lengthLine(action), "\r\n", kBody),
+        Ending::Keep);
+    call.finish(retryResponse(action));
+    EXPECT_EQ(parseReceived(call.received).body, kBody);
+    EXPECT_NE(call.received.find("!#$%&'*+-.^_`|~09azAZ: a b\t: c\r\n"), std::string::npos)
+        << call.received;
+}
+
 // Guards against a hedged call that ends with the invalid response to one of its two copies.
 TEST_F(InvalidResponse, ToOneCopyOfAHedgedCallLeavesTheOther)
 {
--- a/tests/http/response_head_checker_test.cpp
+++ b/tests/http/response_head_checker_test.cpp
@@ -1,5 +1,7 @@
 #include "peers/http/response_head_checker.h"
 
+#include "peers/http/http_head.h"
+
 #include <gtest/gtest.h>
 #include <string>
 
@@ -44,5 +46,36 @@
     }
 }
 
+TEST(ResponseHeadChecker, RefusesAnInvalidHeaderLineWhateverItsParts)
+{
+    for (const std::string line :
+         {"X Name: 1", "X-Name : 1", "X-Name\t: 1", " X-Name: 1", "\tX-Name: 1", "X\x01Name: 1",
+          "X\x7fName: 1", "X\rName: 1", "X\nName: 1", "X\"Name\": 1", "X\xc3\xa9: 1", "X-Name",
+          ": 1", "X-Name: 1\rY : 2", "X-Name: 1\r\r\n"}) {
+        for (const std::string before : {"", "A: 1\r\n", "A:\n"}) {
+            const std::string text = "HTTP/1.1 200 OK\r\n" + before + line + "\r\n\r\n";
+            for (std::size_t part = 1; part <= text.size(); ++part)
+                EXPECT_EQ(checkInParts(text, part), std::nullopt) << before << line;
+        }
+    }
+    EXPECT_EQ(checkInParts("HTTP/1.1 200 OK\rX : 1\r\n\r\n", 1), std::nullopt);
+}
+
+// Guards against two rules for the same name: of a whole one, and of one that arrives in parts.
+TEST(ResponseHeadChecker, TakesTheNamesThatRequestsMayHave)
+{
+    for (int byte = 0; byte < 256; ++byte) {
+        const char character = static_cast<char>(byte);
+        if (character == ':')
+            continue;
+        const std::string name = std::string("X") + character + "Y";
+        const bool isAccepted =
+            checkInParts("HTTP/1.1 200 OK\r\n" + name + ": 1\r\n\r\n", 1) != std::nullopt;
+        EXPECT_EQ(isAccepted, isHeaderName(name)) << byte;
+    }
+    EXPECT_FALSE(isHeaderName(""));
+    EXPECT_TRUE(isHeaderName("!#$%&'*+-.^_`|~09azAZ"));
+}
+
 } // namespace
 } // namespace foxtailtally
--- a/tests/process/invalid_response_process_test.cpp
+++ b/tests/process/invalid_response_process_test.cpp
@@ -71,7 +71,7 @@
             absl::StrCat("HTTP/1.1 200 OK\r\n", seal(callId), "Content-Type: ", type,
                          "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
         this->servers.setScript([first, sound](std::size_t number, const std::string &) {
-            return number == 0 ? first : ScriptedReply {sound, Ending::Close};
+            return number == 0 ? first : ScriptedReply {sound};
         });
         this->replaceServers();
         CallerRequest request;
@@ -115,5 +115,24 @@
     }
 }
 
+// Guards against a header with an invalid name that reaches a caller, or hides the length.
+TEST_F(InvalidResponseProcess, WithAnInvalidHeaderNameReachesNoCaller)
+{
+    ASSERT_TRUE(this->deployment.waitUntilReady(0));
+    int number = 0;
+    for (const RouteCase &route : kRoutes) {
+        for (const std::string line :
+             {"X Name: 1\r\nContent-Length: 4", "X\x01Name: 1\r\nContent-Length: 4",
+              "Content-Length : 4", " Content-Length: 4", "Content\x01-Length: 4"}) {
+            const std::string callId = absl::StrCat("name-", ++number);
+            const std::string type = route.isStream ? "Content-Type: text/event-stream\r\n" : "";
+            this->checkIsRefused(
+                route, callId,
+                {absl::StrCat("HTTP/1.1 200 OK\r\n", seal(callId), type, line, "\r\n\r\ndone")},
+                "body");
+        }
+    }
+}
+
 } // namespace
 } // namespace foxtailtally
