Take no body for complete whose upload was reset

Callers saw: a server answered a long upload at once with a 200 without a length, closed the connection and reset it while the upload was being written. The part that had arrived reached the caller as a complete body, with a length; a stream without resumption looked complete.

Cause: OutboundConnection took the end of the connection for the end of the body. Behind it, the reset is not reported by reading, and what was left of the upload was dropped.

Change: bodyEndAtClose() judges such a body. It is broken if the connection has an error, and complete once the server has acknowledged the whole request; until then the upload goes on, and the end is checked every 5 ms. A server that has ended resets the connection when more of the upload arrives, one that has closed its side only reads on, and one that does neither is given up by the kernel after the 2 s of TCP_USER_TIMEOUT. mayHaveBody() has the statuses without a body.

InvalidResponseProcess.CutDuringTheUploadIsNotComplete failed with a gateway process on /act and /look and passes. Early responses with a length or in chunks, and one without whose server reads the upload, pass as before; a server that never reads it ends the call after 2.5 s.

--- a/peers/http/http_head.cpp
+++ b/peers/http/http_head.cpp
@@ -105,6 +105,11 @@
     return !name.empty() && std::all_of(name.begin(), name.end(), isHeaderNameCharacter);
 }
 
+bool mayHaveBody(int status)
+{
+    return status >= 200 && status != 204 && status != 304;
+}
+
 std::string_view reasonPhrase(int status)
 {
     return http_status_str(static_cast<http_status>(status));
--- a/peers/http/http_head.h
+++ b/peers/http/http_head.h
@@ -64,6 +64,9 @@
 bool isHeaderNameCharacter(char character);
 bool isHeaderName(std::string_view name);
 
+/** Whether a response with @p status may have a body, to a method other than HEAD. */
+bool mayHaveBody(int status);
+
 std::string_view reasonPhrase(int status);
 
 } // namespace foxtailtally
--- a/peers/http/inbound_connection.cpp
+++ b/peers/http/inbound_connection.cpp
@@ -147,7 +147,7 @@
     if (this->state == State::ReadingBody)
         this->keepsAlive = false;
     std::string text = this->encodeHead(status, headers);
-    const bool hasBody = status != 204 && status != 304;
+    const bool hasBody = mayHaveBody(status);
     if (hasBody)
         absl::StrAppend(&text, "Content-Length: ", body.size(), "\r\n");
     text += "\r\n";
--- a/peers/http/outbound_connection.cpp
+++ b/peers/http/outbound_connection.cpp
@@ -4,6 +4,7 @@
 #include "core/guard.h"
 #include "core/socket_address.h"
 #include "core/text.h"
+#include "peers/http/body_end.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -39,6 +40,9 @@
 /** Limit of the memory for one head. Real heads have less than 8 KiB of text and 40 headers. */
 constexpr std::size_t kMaxHeadBytes = std::size_t {32} << 10;
 
+/** Interval at which the end of a body is checked that is undecided. */
+constexpr absl::Duration kBodyEndCheckInterval = absl::Milliseconds(5);
+
 /** Whether the kernel ended a connection with @p error although no packet of the peer did. */
 bool isTimeout(int error)
 {
@@ -241,7 +245,7 @@
     connection.keepsAlive = http_should_keep_alive(parser) != 0;
     const bool hasLength = parser->content_length != std::numeric_limits<std::uint64_t>::max();
     connection.response.isFramed = hasLength || (parser->flags & F_CHUNKED) != 0
-        || connection.isHeadRequest || parser->status_code == 204 || parser->status_code == 304;
+        || connection.isHeadRequest || !mayHaveBody(connection.response.status);
     if (!connection.isSkipped) {
         connection.recordKeepAliveTimeout();
         connection.events->onResponseHead(connection, connection.response);
@@ -391,13 +395,36 @@
     const bool endsBody = !wasReset && this->responseStarted && this->response.status != 0
         && !this->response.isFramed && !this->isSkipped;
     if (endsBody) {
+        this->settleBodyEnd();
+        return;
+    }
+    this->fail(wasConnected ? Error::ConnectionLost : Error::ConnectionFailed);
+}
+
+void OutboundConnection::settleBodyEnd()
+{
+    const std::size_t unwrittenBytes = evbuffer_get_length(bufferevent_get_output(this->stream));
+    switch (bodyEndAtClose(bufferevent_getfd(this->stream), unwrittenBytes)) {
+    case BodyEnd::Undecided:
+        // The rest of the request is still written, and an error ends the call.
+        if (!this->bodyEndTimer) {
+            this->bodyEndTimer.emplace(bufferevent_get_base(this->stream), [this] {
+                runCallback(this,
+                            [](OutboundConnection &connection) { connection.settleBodyEnd(); });
+            });
+        }
+        this->bodyEndTimer->start(kBodyEndCheckInterval);
+        return;
+    case BodyEnd::Broken:
+        this->fail(Error::ConnectionLost);
+        return;
+    case BodyEnd::Complete:
         OutboundEvents *finished = this->events;
         this->events = nullptr;
         this->closeSocket();
         finished->onResponseComplete(*this);
         return;
     }
-    this->fail(wasConnected ? Error::ConnectionLost : Error::ConnectionFailed);
 }
 
 void OutboundConnection::beginResponse()
@@ -435,6 +462,8 @@
     if (this->state == State::Closed)
         return;
     this->state = State::Closed;
+    if (this->bodyEndTimer)
+        this->bodyEndTimer->stop();
     bufferevent_disable(this->stream, EV_READ | EV_WRITE);
     const evutil_socket_t socket = bufferevent_getfd(this->stream);
     if (socket < 0)
--- a/peers/http/outbound_connection.h
+++ b/peers/http/outbound_connection.h
@@ -2,6 +2,7 @@
 
 #include "peers/http/header_collector.h"
 #include "peers/http/http_head.h"
+#include "peers/http/loop_timer.h"
 #include "peers/http/response_head_checker.h"
 #include "servers/memory/memory_budget.h"
 
@@ -154,6 +155,8 @@
     void onReadable();
     void onEvent(short what);
     void onDisconnected(bool wasReset);
+    /** Ends a call whose response body ends with the connection, once that is decided. */
+    void settleBodyEnd();
     /** Parses @p data, the next bytes of the responses; returns how many were taken. */
     std::size_t parse(std::string_view data);
     void beginResponse();
@@ -171,6 +174,8 @@
     IdleEvents &idleEvents;
     OutboundEvents *events = nullptr;
     bufferevent *stream = nullptr;
+    /** Runs while the end of a body is undecided. */
+    std::optional<LoopTimer> bodyEndTimer;
     http_parser parser {};
     ResponseHeadChecker headChecker;
     State state = State::Connecting;
--- a/tests/gateway/raw_server_call.cpp
+++ b/tests/gateway/raw_server_call.cpp
@@ -88,6 +88,11 @@
     : listeners(listeners)
     , context(this->loop.base(), gatewaySettings())
 {
+    // Copies of the last test's calls may wait to be accepted.
+    for (const RawServer &listener : listeners) {
+        for (int stale = listener.accept(); stale >= 0; stale = listener.accept())
+            ::close(stale);
+    }
     this->context.config = configuration();
     this->context.freshness.confirm(Clock::now());
     for (std::size_t i = 0; i < listeners.size(); ++i) {
--- a/tests/process/invalid_response_process_test.cpp
+++ b/tests/process/invalid_response_process_test.cpp
@@ -16,6 +16,8 @@
 using Ending = ScriptedReply::Ending;
 
 constexpr int kServersOfService = 2;
+constexpr int kMaxBodyBytes = 4 << 20;
+constexpr std::size_t kLongBody = 3'000'000;
 
 const std::string kEvents = "id: 1\ndata: token\n\n";
 const std::string kBody = "done";
@@ -29,7 +31,7 @@
         , servers(this->addresses())
     {
         this->deployment.addRoute("/once/", "streaming", false);
-        this->deployment.configure(1, {"key-1"});
+        this->deployment.configure(1, {"key-1"}, 154000.0, kMaxBodyBytes);
         this->replaceServers();
         this->deployment.start(0);
     }
@@ -134,5 +136,25 @@
     }
 }
 
+// Guards against a part of a body that reaches a caller as a whole one because the connection was
+// closed before it was reset.
+TEST_F(InvalidResponseProcess, CutDuringTheUploadIsNotComplete)
+{
+    ASSERT_TRUE(this->deployment.waitUntilReady(0));
+    this->servers.respondBeforeBodies();
+    int number = 0;
+    for (const RouteCase &route : kRoutes) {
+        for (const Ending ending : {Ending::Reset, Ending::CloseThenReset}) {
+            const std::string callId = absl::StrCat("cut-", ++number);
+            // Without an event, a stream has not begun either.
+            const std::string part =
+                route.isStream ? "Content-Type: text/event-stream\r\n\r\nid: 1\nda" : "\r\npart";
+            this->checkIsRefused(route, callId,
+                                 {absl::StrCat("HTTP/1.1 200 OK\r\n", seal(callId), part), ending},
+                                 std::string(kLongBody, 'u'));
+        }
+    }
+}
+
 } // namespace
 } // namespace foxtailtally
--- a/tests/process/scripted_servers.h
+++ b/tests/process/scripted_servers.h
@@ -41,8 +41,8 @@
 
     /** Begins a new script. Before the first one, connections are closed at each request. */
     void setScript(Script script);
-    /** Responses are sent once the head of a request has arrived; the rest of a long body is not
-     * read. Such a connection must end with its response. */
+    /** Responses are sent once the head of a request has arrived, before most of a long body has
+     * been read. A connection carries one request then. */
     void respondBeforeBodies() { this->isEarly = true; }
     /** The requests received since setScript(), with their heads and bodies. */
     std::vector<std::string> requests();
