Survive replies that begin with a folded header in serve

Callers saw: nothing yet; the process of serve ended (SIGSEGV or a double free) when an engine, a service or the store sent a reply whose first header line begins with a blank.

Cause: libcurl 7.88 appends such a line to the last header that its handle has seen. That header has been freed when the handle was used before, and HttpClient::perform() used handles again to keep their connections.

Change: connections are kept in multi handles; each call gets a new easy handle.

The streamed calls had new handles before.

--- a/peers/http/http_client.cpp
+++ b/peers/http/http_client.cpp
@@ -15,9 +15,9 @@
 
 constexpr std::size_t kMaxReplyBytes = std::size_t {16} << 20;
 constexpr long kConnectionsPerThread = 256;
-constexpr long kConnectionsPerHandle = 16;
-/** Idle handles kept for blocking calls; further ones are closed after use. */
-constexpr std::size_t kMaxIdleHandles = 64;
+constexpr long kConnectionsPerBlockingCall = 16;
+/** Idle sets of connections kept for blocking calls; further ones are closed after use. */
+constexpr std::size_t kMaxIdleSets = 64;
 /** Longest wait of an idle thread; new and changed calls wake it earlier. */
 constexpr int kPollMilliseconds = 1000;
 
@@ -27,6 +27,31 @@
     (void)kResult;
 }
 
+struct CurlMultiDeleter
+{
+    void operator()(CURLM *handle) const { curl_multi_cleanup(handle); }
+};
+/** A set of connections. */
+using CurlMulti = std::unique_ptr<CURLM, CurlMultiDeleter>;
+
+/** Runs the transfer of @p easy to its end on the connections of @p multi. */
+CURLcode performOn(CURLM *multi, CURL *easy)
+{
+    if (curl_multi_add_handle(multi, easy) != CURLM_OK)
+        return CURLE_FAILED_INIT;
+    int active = 0;
+    while (curl_multi_perform(multi, &active) == CURLM_OK && active > 0)
+        curl_multi_poll(multi, nullptr, 0, kPollMilliseconds, nullptr);
+    CURLcode result = CURLE_FAILED_INIT;
+    int left = 0;
+    while (const CURLMsg *message = curl_multi_info_read(multi, &left)) {
+        if (message->msg == CURLMSG_DONE)
+            result = message->data.result;
+    }
+    curl_multi_remove_handle(multi, easy);
+    return result;
+}
+
 /** Collects the reply of a blocking call. */
 class ReplyCollector final : public HttpStreamListener
 {
@@ -240,26 +265,28 @@
     Worker &workerOf(HttpCallId id) { return *this->workers[id % this->workers.size()]; }
     HttpCallId nextId() { return this->lastId.fetch_add(1, std::memory_order_relaxed) + 1; }
 
-    CurlEasy takeHandle()
+    CurlMulti takeConnections()
     {
         {
             const Lock lock(this->mutex);
-            if (!this->handles.empty()) {
-                CurlEasy handle = std::move(this->handles.back());
-                this->handles.pop_back();
-                return handle;
+            if (!this->idleSets.empty()) {
+                CurlMulti connections = std::move(this->idleSets.back());
+                this->idleSets.pop_back();
+                return connections;
             }
         }
-        return CurlEasy(curl_easy_init());
+        CurlMulti connections(curl_multi_init());
+        if (connections != nullptr) {
+            curl_multi_setopt(connections.get(), CURLMOPT_MAXCONNECTS, kConnectionsPerBlockingCall);
+        }
+        return connections;
     }
 
-    void returnHandle(CurlEasy handle)
+    void returnConnections(CurlMulti connections)
     {
-        // curl_easy_reset() keeps the open connections of the handle.
-        curl_easy_reset(handle.get());
         const Lock lock(this->mutex);
-        if (this->handles.size() < kMaxIdleHandles) {
-            this->handles.push_back(std::move(handle));
+        if (this->idleSets.size() < kMaxIdleSets) {
+            this->idleSets.push_back(std::move(connections));
         }
     }
 
@@ -267,7 +294,7 @@
     std::vector<std::unique_ptr<Worker>> workers;
     std::atomic<HttpCallId> lastId {0};
     pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
-    std::vector<CurlEasy> handles;
+    std::vector<CurlMulti> idleSets;
 };
 
 HttpClient::HttpClient(int threads)
@@ -278,19 +305,21 @@
 
 Result<HttpReply> HttpClient::perform(const HttpCall &call)
 {
-    CurlEasy handle = this->implementation->takeHandle();
-    if (handle == nullptr) {
+    CurlMulti connections = this->implementation->takeConnections();
+    // Not used again: libcurl 7.88 adds a folded first header to the last one of the transfer
+    // before, whose memory has been freed.
+    const CurlEasy handle(curl_easy_init());
+    if (connections == nullptr || handle == nullptr) {
         return Error::ConnectionFailed;
     }
     const auto collector = std::make_shared<ReplyCollector>();
     HttpTransfer transfer(0, call, collector);
     transfer.configure(handle.get());
-    curl_easy_setopt(handle.get(), CURLOPT_MAXCONNECTS, kConnectionsPerHandle);
-    const std::error_code error = transfer.errorFor(curl_easy_perform(handle.get()));
+    const std::error_code error = transfer.errorFor(performOn(connections.get(), handle.get()));
     if (!error) {
         transfer.reportStatus();
     }
-    this->implementation->returnHandle(std::move(handle));
+    this->implementation->returnConnections(std::move(connections));
     if (error) {
         return error;
     }
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -172,6 +172,18 @@
     EXPECT_EQ(redirect.requests, 1);
 }
 
+// Guards against the use of freed memory when a reply begins with a folded header.
+TEST(HttpClientTest, SurvivesAFoldedFirstHeader)
+{
+    HttpClient client(1);
+    const ClosingServer sound(kAnswer);
+    const ClosingServer folded("HTTP/1.1 200 OK\r\n X: 1\r\nContent-Length: 2\r\n\r\nok");
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_TRUE(client.perform(callTo(sound.url(), "GET")).ok());
+        static_cast<void>(client.perform(callTo(folded.url(), "GET")));
+    }
+}
+
 // Guards against data that is delivered while paused, lost by a pause, or delivered after cancel().
 TEST(HttpClientTest, PauseHoldsTheStreamAndCancelEndsItOnce)
 {
