--- a/peers/http/http_transfer.cpp
+++ b/peers/http/http_transfer.cpp
@@ -78,7 +78,7 @@
     if (code == CURLE_OK) {
         return {};
     }
-    if (this->isLimitExceeded) {
+    if (this->isHeadInvalid) {
         return Error::ProtocolViolation;
     }
     if (!this->maySend) {
@@ -90,6 +90,8 @@
     case CURLE_WEIRD_SERVER_REPLY:
     case CURLE_UNSUPPORTED_PROTOCOL:
     case CURLE_BAD_CONTENT_ENCODING:
+    // A header line that libcurl cannot split into a name and a value.
+    case CURLE_BAD_FUNCTION_ARGUMENT:
         return Error::ProtocolViolation;
     default:
         return Error::ConnectionLost;
@@ -108,13 +110,24 @@
     this->target->onStatus(static_cast<int>(status));
 }
 
+bool HttpTransfer::acceptLine(std::string_view line)
+{
+    // Headers behind the body are not used.
+    if (this->isStatusReported)
+        return true;
+    // The head of an interim response was before this one.
+    if (this->headChecker.isComplete())
+        this->headChecker = ResponseHeadChecker();
+    return this->headChecker.check(line).has_value();
+}
+
 std::size_t HttpTransfer::onHeader(char *data, std::size_t size, std::size_t count, void *context)
 {
     auto *self = static_cast<HttpTransfer *>(context);
     const std::size_t bytes = size * count;
     self->headerBytes += bytes;
-    if (self->headerBytes > kMaxHeaderBytes) {
-        self->isLimitExceeded = true;
+    if (self->headerBytes > kMaxHeaderBytes || !self->acceptLine({data, bytes})) {
+        self->isHeadInvalid = true;
         return 0;
     }
     const absl::string_view line(data, bytes);
--- a/peers/http/http_transfer.h
+++ b/peers/http/http_transfer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "peers/http/http_client.h"
+#include "peers/http/response_head_checker.h"
 
 #include <atomic>
 #include <curl/curl.h>
@@ -48,6 +49,9 @@
     static int onRequest(void *context, char *remoteAddress, char *localAddress, int remotePort,
                          int localPort);
 
+    /** Checks a line of a head, or behind the body; false if no response can have it. */
+    bool acceptLine(std::string_view line);
+
     HttpCallId number;
     HttpCall call;
     std::shared_ptr<HttpStreamListener> target;
@@ -56,7 +60,9 @@
     std::size_t headerBytes = 0;
     int retryAfter = 0;
     bool isStatusReported = false;
-    bool isLimitExceeded = false;
+    ResponseHeadChecker headChecker;
+    /** The head is no HTTP or too large. */
+    bool isHeadInvalid = false;
     /** Set just before the first byte of the request is written to a connection. */
     bool maySend = false;
 };
--- a/tests/gateway/kind_watcher_test.cpp
+++ b/tests/gateway/kind_watcher_test.cpp
@@ -73,13 +73,15 @@
                 const std::string body = respond(line);
                 if (!body.empty())
                     writeAll(socket,
-                             absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(),
+                             absl::StrCat(this->headStart, "Content-Length: ", body.size(),
                                           "\r\n\r\n", body));
             }
             return condition();
         });
     }
 
+    /** Status line and first headers of all responses. */
+    std::string headStart = "HTTP/1.1 200 OK\r\n";
     TestLoop loop;
     RawServer store;
     StoreSource source;
@@ -102,6 +104,25 @@
     EXPECT_GE(this->events.unnamed, 2U);
 }
 
+// Guards against a list of the store that is taken from a response that is no HTTP.
+TEST_F(KindWatcherTest, TakesNoListFromAnInvalidResponse)
+{
+    this->watcher.start();
+    const auto respond = [](const std::string &) {
+        return std::string(R"({"Entries":[],"More":false,"StoreRevision":9})");
+    };
+    for (const std::string start :
+         {"HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX Name: 1\r\n"}) {
+        this->headStart = start;
+        const std::size_t before = this->requestLines.size();
+        ASSERT_TRUE(this->runUntil(
+            respond, [this, before] { return this->requestLines.size() >= before + 3; }));
+        EXPECT_EQ(this->events.lists, 0) << start;
+    }
+    this->headStart = "HTTP/1.1 200 OK\r\n";
+    EXPECT_TRUE(this->runUntil(respond, [this] { return this->events.lists > 0; }));
+}
+
 // The store repeated a page for ever, and the list was never complete.
 TEST_F(KindWatcherTest, DoesNotRequestTheSamePageWithoutPause)
 {
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -184,6 +184,38 @@
     }
 }
 
+// Guards against a reply that is no HTTP: one with an invalid status, or with a header whose name
+// has a blank or a control byte, so that the length or another header is not found.
+TEST(HttpClientTest, RefusesRepliesWithInvalidHeads)
+{
+    HttpClient client(1);
+    for (const std::string start :
+         {"HTTP/1.1 000 Failed\r\n", "HTTP/1.1 099 Failed\r\n", "HTTP/1.1 600 Failed\r\n",
+          "HTTP/1.1 999 Failed\r\n", "HTTP/1.1 0200 OK\r\n", "HTTP/1.1 200 OK\r\nX Name: 1\r\n",
+          "HTTP/1.1 200 OK\r\nX-Name : 1\r\n", "HTTP/1.1 200 OK\r\nX\x01Name: 1\r\n",
+          "HTTP/1.1 200 OK\r\n X-Name: 1\r\n", "HTTP/1.1 200 OK\r\nX: 1\r\n X-Name: 1\r\n",
+          "HTTP/1.1 100 Continue\r\nX Name: 1\r\n\r\nHTTP/1.1 200 OK\r\n"}) {
+        const ClosingServer server(start + "Content-Length: 2\r\n\r\nok");
+        EXPECT_EQ(client.perform(callTo(server.url(), "POST")).error(), Error::ProtocolViolation)
+            << start;
+        const auto streamed = std::make_shared<Recorder>();
+        client.start(callTo(server.url(), "POST"), streamed);
+        ASSERT_TRUE(eventually([&] { return streamed->ends > 0; }));
+        EXPECT_EQ(streamed->error, Error::ProtocolViolation) << start;
+        EXPECT_EQ(streamed->bytes, 0U) << start;
+    }
+    for (const int status : {200, 226, 299, 399, 451, 499, 500, 599}) {
+        const ClosingServer server(absl::StrCat(
+            "HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\nHTTP/1.1 ", status,
+            "\r\n!#$%&'*+-.^_`|~09azAZ: a b\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+            "0\r\nX-Sum: 1\r\n\r\n"));
+        const Result<HttpReply> reply = client.perform(callTo(server.url(), "POST"));
+        ASSERT_TRUE(reply.ok()) << status;
+        EXPECT_EQ(reply->status, status);
+        EXPECT_EQ(reply->body, "ok");
+    }
+}
+
 // Guards against data that is delivered while paused, lost by a pause, or delivered after cancel().
 TEST(HttpClientTest, PauseHoldsTheStreamAndCancelEndsItOnce)
 {
