Apply the rule for the end of a body to the HTTP client of serve

Callers saw: nothing; the bodies that serve reads from engines, services and the store are JSON or streams with a final event, of which a part fails. The operator's commands print what they get.

Cause: libcurl ends a transfer without error when the connection ends, also while it is sending the request, and HttpClient reported the part as a complete reply.

Change: a body without a length or chunks is complete only if bodyEndAtClose() says so. libcurl does not tell the socket of a running transfer, so ConnectionSockets records those it opens, and a transfer keeps a duplicate until its body has ended. libcurl stops sending when the connection ends, so an undecided end is a lost connection here.

--- a/peers/http/http_client.cpp
+++ b/peers/http/http_client.cpp
@@ -290,7 +290,11 @@
         }
     }
 
+    ConnectionSockets &sockets() { return this->openSockets; }
+
 private:
+    /** Closed connections are removed from it, so it comes before their owners. */
+    ConnectionSockets openSockets;
     std::vector<std::unique_ptr<Worker>> workers;
     std::atomic<HttpCallId> lastId {0};
     pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
@@ -313,7 +317,7 @@
         return Error::ConnectionFailed;
     }
     const auto collector = std::make_shared<ReplyCollector>();
-    HttpTransfer transfer(0, call, collector);
+    HttpTransfer transfer(0, call, collector, this->implementation->sockets());
     transfer.configure(handle.get());
     const std::error_code error = transfer.errorFor(performOn(connections.get(), handle.get()));
     if (!error) {
@@ -333,7 +337,8 @@
 HttpCallId HttpClient::start(const HttpCall &call, std::shared_ptr<HttpStreamListener> listener)
 {
     const HttpCallId id = this->implementation->nextId();
-    auto transfer = std::make_shared<HttpTransfer>(id, call, std::move(listener));
+    auto transfer = std::make_shared<HttpTransfer>(id, call, std::move(listener),
+                                                   this->implementation->sockets());
     this->implementation->workerOf(id).start(id, std::move(transfer));
     return id;
 }
--- a/peers/http/http_transfer.cpp
+++ b/peers/http/http_transfer.cpp
@@ -1,11 +1,16 @@
 #include "peers/http/http_transfer.h"
 
+#include "core/socket_address.h"
 #include "core/text.h"
+#include "peers/http/body_end.h"
+#include "peers/http/http_head.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <unistd.h>
 
 namespace foxtailtally {
 
@@ -27,13 +32,18 @@
 } // namespace
 
 HttpTransfer::HttpTransfer(HttpCallId id, HttpCall call,
-                           std::shared_ptr<HttpStreamListener> listener)
+                           std::shared_ptr<HttpStreamListener> listener, ConnectionSockets &sockets)
     : number(id)
     , call(std::move(call))
+    , sockets(sockets)
     , target(std::move(listener))
 { }
 
-HttpTransfer::~HttpTransfer() = default;
+HttpTransfer::~HttpTransfer()
+{
+    if (this->bodySocket >= 0)
+        ::close(this->bodySocket);
+}
 
 void HttpTransfer::configure(CURL *handle)
 {
@@ -71,12 +81,14 @@
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
     curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &HttpTransfer::onRequest);
     curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
+    this->sockets.record(handle);
 }
 
 std::error_code HttpTransfer::errorFor(CURLcode code) const
 {
     if (code == CURLE_OK) {
-        return {};
+        const bool isComplete = !this->isBodyUnframed || this->isUnframedBodyComplete();
+        return isComplete ? std::error_code() : Error::ConnectionLost;
     }
     if (this->isHeadInvalid) {
         return Error::ProtocolViolation;
@@ -140,10 +152,38 @@
     }
     if (line == "\r\n" || line == "\n") {
         self->reportStatus();
+        if (self->isStatusReported && !self->isBodyUnframed && self->endsWithConnection()) {
+            self->isBodyUnframed = true;
+            self->bodySocket = self->sockets.duplicate(self->addresses);
+        }
     }
     return bytes;
 }
 
+bool HttpTransfer::endsWithConnection() const
+{
+    long status = 0;
+    curl_off_t length = -1;
+    curl_header *coding = nullptr;
+    curl_easy_getinfo(this->easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(this->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+    const bool isCoded =
+        curl_easy_header(this->easy, "Transfer-Encoding", 0, CURLH_HEADER, -1, &coding)
+        == CURLHE_OK;
+    const bool isChunked = isCoded
+        && absl::EndsWithIgnoreCase(absl::StripTrailingAsciiWhitespace(coding->value), "chunked");
+    return length < 0 && !isChunked && mayHaveBody(static_cast<int>(status));
+}
+
+bool HttpTransfer::isUnframedBodyComplete() const
+{
+    curl_off_t sentBytes = 0;
+    curl_easy_getinfo(this->easy, CURLINFO_SIZE_UPLOAD_T, &sentBytes);
+    const std::size_t unwrittenBytes = this->call.body.size() - static_cast<std::size_t>(sentBytes);
+    // libcurl has closed the connection and sends no more of the request.
+    return bodyEndAtClose(this->bodySocket, unwrittenBytes) == BodyEnd::Complete;
+}
+
 std::size_t HttpTransfer::onBody(char *data, std::size_t size, std::size_t count, void *context)
 {
     auto *self = static_cast<HttpTransfer *>(context);
@@ -159,10 +199,12 @@
     return bytes;
 }
 
-int HttpTransfer::onRequest(void *context, char * /*remoteAddress*/, char * /*localAddress*/,
-                            int /*remotePort*/, int /*localPort*/)
+int HttpTransfer::onRequest(void *context, char *remoteAddress, char *localAddress, int remotePort,
+                            int localPort)
 {
     auto *self = static_cast<HttpTransfer *>(context);
+    parseAddress(absl::StrCat(remoteAddress, ":", remotePort), self->addresses.remote);
+    parseAddress(absl::StrCat(localAddress, ":", localPort), self->addresses.local);
     // libcurl resends a request when a reused connection closes without a response. The server
     // may already have executed it, so only requests without side effects (GET) are resent.
     if (self->maySend && self->call.method != "GET") {
--- a/peers/http/http_transfer.h
+++ b/peers/http/http_transfer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "peers/http/connection_sockets.h"
 #include "peers/http/http_client.h"
 #include "peers/http/response_head_checker.h"
 
@@ -23,7 +24,9 @@
 class HttpTransfer
 {
 public:
-    HttpTransfer(HttpCallId id, HttpCall call, std::shared_ptr<HttpStreamListener> listener);
+    /** @p sockets must outlive this object and the connections of its handle. */
+    HttpTransfer(HttpCallId id, HttpCall call, std::shared_ptr<HttpStreamListener> listener,
+                 ConnectionSockets &sockets);
     ~HttpTransfer();
     HttpTransfer(const HttpTransfer &) = delete;
     HttpTransfer &operator=(const HttpTransfer &) = delete;
@@ -52,8 +55,19 @@
     /** Checks a line of a head, or behind the body; false if no response can have it. */
     bool acceptLine(std::string_view line);
 
+    /** The body has neither a length nor chunks, so that it ends with the connection. */
+    bool endsWithConnection() const;
+    /** Whether the body is complete that has ended with the connection. */
+    bool isUnframedBodyComplete() const;
+
     HttpCallId number;
     HttpCall call;
+    ConnectionSockets &sockets;
+    /** Of the connection that carries the call. */
+    ConnectionAddresses addresses;
+    /** Socket of that connection while the body ends with it; negative otherwise. */
+    int bodySocket = -1;
+    bool isBodyUnframed = false;
     std::shared_ptr<HttpStreamListener> target;
     std::unique_ptr<curl_slist, CurlListDeleter> headers;
     CURL *easy = nullptr;
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -61,6 +61,8 @@
     std::function<void()> onFirstData;
 };
 
+constexpr const char *kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
 /**
  * Answers the first request of each connection with @p answer and closes the connection when a
  * second one arrives. Counts the requests.
@@ -117,6 +119,87 @@
     Thread thread;
 };
 
+/**
+ * Answers the first request of each connection with a length, and the second one before most of its
+ * body has been read: with a part that ends with the connection. How that ends is given.
+ */
+class EarlyServer
+{
+public:
+    enum class Ending { CloseThenReset, ReadAll };
+
+    explicit EarlyServer(Ending ending)
+        : ending(ending)
+        , listener(TcpSocket::listen("127.0.0.1", 0).value())
+        , thread("early", [this] { this->run(); })
+    { }
+    ~EarlyServer()
+    {
+        this->isStopping = true;
+        this->thread.join();
+    }
+
+    std::string url() const
+    {
+        return absl::StrCat("http://127.0.0.1:", this->listener.localPort(), "/");
+    }
+
+private:
+    void run()
+    {
+        while (!this->isStopping) {
+            if (const TcpSocket client = this->listener.accept(); client.isOpen())
+                this->serve(client.get());
+            absl::SleepFor(absl::Milliseconds(1));
+        }
+    }
+    /** Reads until @p end is the end of what has arrived, or nothing more comes. */
+    void readUntil(int socket, const std::string &end) const
+    {
+        std::string text;
+        std::array<char, 4096> block {};
+        while (!this->isStopping && !text.ends_with(end)) {
+            pollfd readable {socket, POLLIN, 0};
+            ::poll(&readable, 1, 10);
+            const ssize_t count = ::recv(socket, block.data(), block.size(), 0);
+            if (count == 0)
+                return;
+            if (count > 0)
+                text.append(block.data(), static_cast<std::size_t>(count));
+        }
+    }
+    void serve(int socket) const
+    {
+        const std::string first = kAnswer;
+        const std::string second = "HTTP/1.1 200 OK\r\n\r\npart";
+        this->readUntil(socket, kFirstBody);
+        ::send(socket, first.data(), first.size(), MSG_NOSIGNAL);
+        if (this->ending == Ending::ReadAll) {
+            this->readUntil(socket, kLastByte);
+        } else {
+            pollfd readable {socket, POLLIN, 0};
+            while (!this->isStopping && ::poll(&readable, 1, 10) == 0) { }
+        }
+        ::send(socket, second.data(), second.size(), MSG_NOSIGNAL);
+        ::shutdown(socket, SHUT_WR);
+        if (this->ending == Ending::ReadAll)
+            return;
+        absl::SleepFor(absl::Milliseconds(20));
+        const linger immediately {1, 0};
+        ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &immediately, sizeof immediately);
+    }
+
+public:
+    static constexpr const char *kFirstBody = "first";
+    static constexpr const char *kLastByte = "$";
+
+private:
+    Ending ending;
+    TcpSocket listener;
+    std::atomic<bool> isStopping {false};
+    Thread thread;
+};
+
 HttpCall callTo(const std::string &url, const std::string &method)
 {
     HttpCall call;
@@ -126,8 +209,6 @@
     return call;
 }
 
-constexpr const char *kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-
 } // namespace
 
 // Guards against an action that libcurl silently resends when a reused connection breaks. The GET
@@ -216,6 +297,36 @@
     }
 }
 
+// Guards against a part of a body that is taken for a whole one because the server closed the
+// connection before it reset it, while the request was being sent on a connection that had carried
+// another one.
+TEST(HttpClientTest, TakesNoBodyForCompleteWhoseUploadWasReset)
+{
+    for (const std::size_t size : {std::size_t {300'000}, std::size_t {4'000'000}}) {
+        for (const bool isWhole : {false, true}) {
+            SCOPED_TRACE(absl::StrCat(size, isWhole ? " read" : " reset"));
+            const EarlyServer server(isWhole ? EarlyServer::Ending::ReadAll
+                                             : EarlyServer::Ending::CloseThenReset);
+            HttpClient client(1);
+            HttpCall first = callTo(server.url(), "POST");
+            first.body = EarlyServer::kFirstBody;
+            HttpCall second = callTo(server.url(), "POST");
+            second.body = std::string(size, 'u') + EarlyServer::kLastByte;
+            ASSERT_TRUE(client.perform(first).ok());
+            const Result<HttpReply> reply = client.perform(second);
+            EXPECT_EQ(reply.error(), isWhole ? std::error_code() : Error::ConnectionLost);
+            const auto firstStreamed = std::make_shared<Recorder>();
+            client.start(first, firstStreamed);
+            ASSERT_TRUE(eventually([&] { return firstStreamed->ends > 0; }));
+            const auto streamed = std::make_shared<Recorder>();
+            client.start(second, streamed);
+            ASSERT_TRUE(eventually([&] { return streamed->ends > 0; }));
+            EXPECT_EQ(streamed->error, isWhole ? std::error_code() : Error::ConnectionLost);
+            EXPECT_EQ(streamed->bytes, 4U);
+        }
+    }
+}
+
 // Guards against data that is delivered while paused, lost by a pause, or delivered after cancel().
 TEST(HttpClientTest, PauseHoldsTheStreamAndCancelEndsItOnce)
 {
