--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -120,12 +120,17 @@
 };
 
 /**
- * Answers the first request of each connection with a length, and the second one before most of its
- * body has been read: with a part that ends with the connection. How that ends is given.
+ * Answers the first request of each connection with a length, and the second one with a part that
+ * ends with the connection: once it has read the request (ReadAll), or before, and then it resets
+ * the connection.
  */
 class EarlyServer
 {
 public:
+    /** Body of the first request, and the end of the second one's. */
+    static constexpr const char *kFirstBody = "first";
+    static constexpr const char *kLastByte = "$";
+
     enum class Ending { CloseThenReset, ReadAll };
 
     explicit EarlyServer(Ending ending)
@@ -189,11 +194,6 @@
         ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &immediately, sizeof immediately);
     }
 
-public:
-    static constexpr const char *kFirstBody = "first";
-    static constexpr const char *kLastByte = "$";
-
-private:
     Ending ending;
     TcpSocket listener;
     std::atomic<bool> isStopping {false};
