Check that an invalid response ends its connection

Cause: no test showed that the connection is not used again.

Change: InvalidResponse checks that the gateway has closed it.

--- a/tests/gateway/invalid_response_test.cpp
+++ b/tests/gateway/invalid_response_test.cpp
@@ -68,6 +68,7 @@
         call.respond(bytes, Ending::Keep);
         call.finish(retryResponse(route));
         EXPECT_LT(absl::Now() - start, kAtOnce);
+        EXPECT_TRUE(call.isConnectionClosed());
         checkCaller(route, call);
     }
     static void checkCaller(const RouteCase &route, const RawServerCall &call)
--- a/tests/gateway/raw_server_call.cpp
+++ b/tests/gateway/raw_server_call.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-/** Servers read a long body no faster than this in one step, in bytes. */
+/** Bytes that a server reads in one step, so that most of a long body stays unread. */
 constexpr std::size_t kReadBytes = 4096;
 
 GatewaySettings gatewaySettings()
@@ -174,6 +174,12 @@
         ::close(this->takeConnection());
 }
 
+bool RawServerCall::isConnectionClosed() const
+{
+    readAvailable(this->waiting);
+    return isClosedByPeer(this->waiting);
+}
+
 int RawServerCall::takeConnection()
 {
     std::erase_if(this->connections, [this](const Connection &connection) {
--- a/tests/gateway/raw_server_call.h
+++ b/tests/gateway/raw_server_call.h
@@ -57,6 +57,8 @@
     void waitForRequest();
     /** Sends @p bytes in response to the last request received, and ends its connection. */
     void respond(std::string_view bytes, Ending ending);
+    /** Whether the gateway has closed the connection of the last request received. */
+    bool isConnectionClosed() const;
     /** Takes the connection of the last request received; the caller of this function closes it.
      * Nothing more is read from it. */
     int takeConnection();
