Log the deaths behind a refused prompt part

Cause: call_quarantined showed only the deaths that count, so a part whose deaths are attributed to another one was missing. With that, a log could not tell whether a sound part is refused for deaths of its own, for those that it shares with a deadly part, or for reports that are wrong.

Change: call_suspected and call_quarantined give for each part all deaths, those that count, and the fingerprint to which the others are attributed.

--- a/main/gateway/call_suspicion.cpp
+++ b/main/gateway/call_suspicion.cpp
@@ -14,15 +14,23 @@
 /** Separates the fingerprints of parts of prompts from those of calls. */
 constexpr std::string_view kPartLabel = "prompt part";
 
-/** Ids of the suspect parts of a prompt with their deaths, for the log. */
+/** Ids of the parts of a prompt that have deaths, with these, for the log. */
 nlohmann::json partDeaths(const Quarantine &quarantine, std::span<const Fingerprint> parts,
                           std::span<const std::string> partIds, absl::Time now)
 {
     nlohmann::json fields = nlohmann::json::object();
     for (std::size_t i = 0; i < parts.size(); ++i) {
-        const std::uint32_t deaths = quarantine.deathsSeen(parts[i], now);
-        if (deaths > 0)
-            fields[partIds[i]] = {{"fingerprint", fingerprintText(parts[i])}, {"deaths", deaths}};
+        const DeathEvidence evidence = quarantine.evidence(parts[i], now);
+        if (evidence.deaths == 0)
+            continue;
+        nlohmann::json &part = fields[partIds[i]];
+        part = {{"fingerprint", fingerprintText(parts[i])},
+                {"deaths", evidence.counted},
+                {"all_deaths", evidence.deaths}};
+        if (evidence.attributedTo) {
+            part["attributed_to"] = fingerprintText(*evidence.attributedTo);
+            part["attributed"] = evidence.attributed;
+        }
     }
     return fields;
 }
--- a/servers/quarantine/quarantine.cpp
+++ b/servers/quarantine/quarantine.cpp
@@ -306,10 +306,9 @@
 {
     const auto isExplained = [&](const Death &death) {
         const std::uint64_t server = incarnationHash(death.server, death.incarnation);
-        return std::any_of(culprits.servers.begin(), culprits.servers.end(),
-                           [&](const DeadServers &servers) {
-                               return servers.size() > deaths.size() && servers.contains(server);
-                           });
+        return std::any_of(culprits.all.begin(), culprits.all.end(), [&](const Culprit &culprit) {
+            return culprit.servers.size() > deaths.size() && culprit.servers.contains(server);
+        });
     };
     Verdict verdict;
     Deaths distinct;
@@ -366,27 +365,28 @@
     Culprits culprits;
     culprits.validFrom = now;
     culprits.validUntil = absl::InfiniteFuture();
-    std::vector<std::pair<const Entry *, DeadServers>> suspected;
+    std::vector<std::pair<const Entry *, Culprit>> suspected;
     for (const auto &[fingerprint, entry] : this->entries) {
         if (!this->isSuspectedCulprit(entry, now))
             continue;
-        DeadServers servers;
+        Culprit culprit;
+        culprit.fingerprint = fingerprint;
         for (const Death &death : entry.deaths) {
             if (!isCurrent(death.diedAt, now))
                 continue;
-            servers.insert(incarnationHash(death.server, death.incarnation));
+            culprit.servers.insert(incarnationHash(death.server, death.incarnation));
             culprits.validUntil = std::min(culprits.validUntil, death.diedAt + kQuarantineDuration);
         }
-        suspected.emplace_back(&entry, std::move(servers));
+        suspected.emplace_back(&entry, std::move(culprit));
     }
     std::stable_sort(suspected.begin(), suspected.end(), [](const auto &a, const auto &b) {
-        return a.second.size() > b.second.size();
+        return a.second.servers.size() > b.second.servers.size();
     });
-    for (auto &[entry, servers] : suspected) {
+    for (auto &[entry, culprit] : suspected) {
         const Verdict verdict = judge(entry->deaths, culprits, now);
         if (!this->isQuarantined(verdict))
             continue;
-        culprits.servers.push_back(std::move(servers));
+        culprits.all.push_back(std::move(culprit));
         ++culprits.sharing[verdict.deathsHash];
     }
     return culprits;
@@ -412,6 +412,31 @@
     return static_cast<std::uint32_t>(this->verdictOf(fingerprint, now).counted.size());
 }
 
+DeathEvidence Quarantine::evidence(const Fingerprint &fingerprint, absl::Time now) const
+{
+    DeathEvidence evidence;
+    const auto entry = this->entries.find(fingerprint);
+    if (entry == this->entries.end())
+        return evidence;
+    const Deaths &deaths = entry->second.deaths;
+    const Culprits &culprits = this->culprits(now);
+    evidence.deaths = judge(deaths, {}, now).deathTimes.size();
+    evidence.counted = judge(deaths, culprits, now).counted.size();
+    for (const Culprit &culprit : culprits.all) {
+        if (culprit.servers.size() <= deaths.size())
+            continue;
+        const auto shared = static_cast<std::size_t>(
+            std::count_if(deaths.begin(), deaths.end(), [&](const Death &death) {
+                return culprit.servers.contains(incarnationHash(death.server, death.incarnation));
+            }));
+        if (shared <= evidence.attributed)
+            continue;
+        evidence.attributed = shared;
+        evidence.attributedTo = culprit.fingerprint;
+    }
+    return evidence;
+}
+
 QuarantineState Quarantine::check(const Fingerprint &fingerprint, absl::Time now) const
 {
     const Verdict verdict = this->verdictOf(fingerprint, now);
--- a/servers/quarantine/quarantine.h
+++ b/servers/quarantine/quarantine.h
@@ -51,6 +51,19 @@
  * server takes longer to restart and to receive the request again. */
 constexpr absl::Duration kSameDeathWindow = absl::Seconds(1);
 
+/** What is known of the deaths of a fingerprint, for the log. */
+struct DeathEvidence
+{
+    /** Deaths that have not expired. */
+    std::size_t deaths = 0;
+    /** Of these, those that count: see Quarantine. */
+    std::size_t counted = 0;
+    /** Quarantined fingerprint to which most of the others are attributed. */
+    std::optional<Fingerprint> attributedTo;
+    /** Number of deaths that are attributed to it. */
+    std::size_t attributed = 0;
+};
+
 enum class QuarantineState : std::uint8_t {
     Clear,
     /** At least one death, but too few for the quarantine; placed apart from other suspects. */
@@ -146,6 +159,7 @@
     QuarantineState check(const Fingerprint &fingerprint, absl::Time now) const;
     /** Deaths that count for @p fingerprint; the value for RequestProfile::deathsSeen. */
     std::uint32_t deathsSeen(const Fingerprint &fingerprint, absl::Time now) const;
+    DeathEvidence evidence(const Fingerprint &fingerprint, absl::Time now) const;
     /** Degree of suspicion for another run of @p fingerprint. */
     SuspectRun nextRun(const Fingerprint &fingerprint, absl::Time now) const;
     /** Time until the quarantine of @p fingerprint ends; zero when it is not quarantined. */
@@ -200,11 +214,16 @@
     };
     /** Servers that died under a quarantined fingerprint, by incarnation. */
     using DeadServers = absl::flat_hash_set<std::uint64_t>;
+    struct Culprit
+    {
+        Fingerprint fingerprint {};
+        DeadServers servers;
+    };
     /** Quarantined fingerprints explain the deaths of others. */
     struct Culprits
     {
-        /** For each quarantined fingerprint, the one with most deaths first. */
-        std::vector<DeadServers> servers;
+        /** The one with most deaths first. */
+        std::vector<Culprit> all;
         /** Number of quarantined fingerprints by Verdict::deathsHash. */
         absl::flat_hash_map<std::uint64_t, std::size_t> sharing;
         /** Deaths expire, so this holds for times in between only. */
