Try what is quarantined, so that sound calls come back

Cause: calls with a quarantined part are refused, and only a served call clears a part. The first part had one death more than the deadly one and was taken for the only cause; no call could show that it is not.

Change: single calls with a quarantined fingerprint run as trials, one at a time in the fleet, those without another suspect first. A served trial ends the quarantine by the reports of served calls; after two lost trials there is none for the hour. Crash reports say whether a trial was running, in messages (format 9, only where there are trials) and in the store.

Why this works: a wrong verdict is corrected whatever its cause, since the trial tests it directly; the part that does crash servers gets at most two trials.

--- a/main/gateway/call_dispatcher.cpp
+++ b/main/gateway/call_dispatcher.cpp
@@ -309,7 +309,7 @@
 std::optional<CopyPlan> CallDispatcher::planCopy(absl::Time now)
 {
     const Service *found = this->state.call.config->findService(this->state.service);
-    if (!found || this->state.suspicion->isQuarantined(now))
+    if (!found || this->state.suspicion->isTrial() || this->state.suspicion->isQuarantined(now))
         return std::nullopt;
     const SuspectPlacement restrictions =
         this->state.suspicion->restrictions(this->state.service, this->state.tried, now);
--- a/main/gateway/call_reply.cpp
+++ b/main/gateway/call_reply.cpp
@@ -99,7 +99,9 @@
 void CallReply::refuseQuarantined(absl::Time now)
 {
     this->state.suspicion->logQuarantine(now);
-    this->sendLocal(503, "quarantined", true, this->state.suspicion->quarantineLeft(now));
+    // Callers that come back at the same moment could start several trials.
+    const absl::Duration jitter = kRetryAfterJitter * this->context.random.uniform();
+    this->sendLocal(503, "quarantined", true, this->state.suspicion->quarantineLeft(now) + jitter);
 }
 
 void CallReply::sendLocal(int status, std::string_view cause, bool notRun)
--- a/main/gateway/call_run.cpp
+++ b/main/gateway/call_run.cpp
@@ -73,7 +73,7 @@
     this->context.hedges.onRequest(this->state.service, now);
     countPromptList(this->context, this->state.call.headers.prompt);
     meterDemand(this->context, this->state);
-    if (this->state.suspicion->isQuarantined(now)) {
+    if (this->state.suspicion->isQuarantined(now) && !this->state.suspicion->startTrial(now)) {
         this->replies.refuseQuarantined(now);
         return;
     }
--- a/main/gateway/call_suspicion.cpp
+++ b/main/gateway/call_suspicion.cpp
@@ -40,7 +40,7 @@
 {
     Quarantine &quarantine = context.quarantine;
     std::vector<CrashReport> deaths = quarantine.onCallLost(
-        loss.server, loss.incarnation, loss.running, loss.causeSince, loss.lostAt);
+        loss.server, loss.incarnation, loss.running, loss.causeSince, loss.lostAt, loss.wasTrial);
     if (deaths.empty())
         return;
     logEvent(LogLevel::Info, "call_suspected",
@@ -48,6 +48,7 @@
               {"fingerprint", fingerprintText(loss.running.call)},
               {"server", loss.server.str()},
               {"incarnation", loss.incarnation},
+              {"trial", loss.wasTrial},
               {"deaths", quarantine.deathsSeen(loss.running.call, now)},
               {"parts", partDeaths(quarantine, loss.running.parts, loss.partIds, now)}});
     context.exchange.onServerDeaths(std::move(deaths));
@@ -80,7 +81,27 @@
 bool CallSuspicion::isQuarantined(absl::Time now)
 {
     const Quarantine &quarantine = this->context.quarantine;
-    return !quarantine.isEmpty() && quarantine.refuses(this->fingerprints(), now);
+    if (quarantine.isEmpty())
+        return false;
+    return this->trial ? quarantine.refusesTrial(this->fingerprints(), *this->trial, now)
+                       : quarantine.refuses(this->fingerprints(), now);
+}
+
+bool CallSuspicion::startTrial(absl::Time now)
+{
+    this->trial = this->context.quarantine.startTrial(this->fingerprints(), now);
+    if (!this->trial)
+        return false;
+    std::vector<TrialReport> reports;
+    nlohmann::json fingerprints = nlohmann::json::array();
+    for (const Fingerprint &fingerprint : this->trial->fingerprints) {
+        reports.push_back({fingerprint, now});
+        fingerprints.push_back(fingerprintText(fingerprint));
+    }
+    logEvent(LogLevel::Info, "trial_started",
+             {{"request", this->callId}, {"fingerprints", std::move(fingerprints)}});
+    this->context.exchange.onTrials(std::move(reports));
+    return true;
 }
 
 SuspectRun CallSuspicion::nextRun(absl::Time now)
@@ -108,11 +129,7 @@
 
 absl::Duration CallSuspicion::quarantineLeft(absl::Time now)
 {
-    const Quarantine &quarantine = this->context.quarantine;
-    absl::Duration left = quarantine.retryAfter(this->fingerprint(), now);
-    for (const Fingerprint &part : this->fingerprints().parts)
-        left = std::max(left, quarantine.retryAfter(part, now));
-    return left;
+    return this->context.quarantine.retryAfter(this->fingerprints(), now);
 }
 
 SuspectPlacement CallSuspicion::restrictions(const std::string &service,
@@ -149,6 +166,8 @@
     if (!mayHaveCrashedServer(evidence))
         return;
     UnconfirmedLoss loss = this->lossAt(target, evidence, now);
+    // Another server would be a second one for the same trial.
+    this->trial.reset();
     if (!evidence.isUnconfirmed) {
         recordDeath(this->context, loss, now);
         return;
@@ -179,6 +198,7 @@
     loss.idleTime = evidence.idleTime;
     loss.lostAt = now;
     loss.causeSince = commonCauseSince(evidence, now);
+    loss.wasTrial = this->isTrial();
     return loss;
 }
 
--- a/main/gateway/call_suspicion.h
+++ b/main/gateway/call_suspicion.h
@@ -37,8 +37,13 @@
     { }
 
     /** Several servers have crashed under calls with this content, or with a part of its prompt; no
-     * further one may get it. */
+     * further one may get it, unless it runs as a trial. */
     bool isQuarantined(absl::Time now);
+    /** Lets a quarantined call run as a trial, and tells the other instances; false if none is due.
+     */
+    bool startTrial(absl::Time now);
+    /** The call runs as a trial, which must reach one server only. */
+    bool isTrial() const { return this->trial.has_value(); }
     /** How far the next run of the call is suspected of crashing its server. */
     SuspectRun nextRun(absl::Time now);
     /** Time until calls with this content may run again. */
@@ -73,6 +78,8 @@
     CallContent content;
     /** Computed on first use. */
     std::optional<CallFingerprints> knownFingerprints;
+    /** Set while the call runs as a trial. */
+    std::optional<Trial> trial;
 };
 
 /** Records the crashes behind unconfirmed losses that have been confirmed by now, and reports them
--- a/main/gateway/exchange_message.cpp
+++ b/main/gateway/exchange_message.cpp
@@ -15,6 +15,9 @@
 /** Format of bundles that tell deferred streams apart. It is used only where there are any, so that
  * instances without an order of streams understand each other across versions. */
 constexpr std::uint8_t kDeferredFormatVersion = 8;
+/** Format of reports of the quarantine that have trials. It is used only where there are any, for
+ * the same reason. */
+constexpr std::uint8_t kTrialFormatVersion = 9;
 
 enum class MessageType : std::uint8_t { Report = 1, Bundle = 2, Quarantine = 3 };
 
@@ -204,6 +207,31 @@
     }
 };
 
+/** A death in kTrialFormatVersion. */
+struct WireTrialDeath : WireDeath
+{
+    std::uint8_t wasTrial = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        WireDeath::serialize(archive);
+        archive(this->wasTrial);
+    }
+};
+
+struct WireTrial
+{
+    Fingerprint fingerprint {};
+    std::uint32_t ageMs = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->fingerprint, this->ageMs);
+    }
+};
+
 struct WireServed
 {
     Fingerprint fingerprint {};
@@ -427,6 +455,52 @@
     return entries;
 }
 
+WireTrialDeath toWireDeath(const CrashReport &report, absl::Time now)
+{
+    WireTrialDeath wire;
+    wire.fingerprint = report.fingerprint;
+    wire.server = report.server.str().substr(0, kMaxElements);
+    wire.incarnation = report.incarnation;
+    wire.ageMs = saturatedAgeMs(report.diedAt, now);
+    wire.commonCauseMs = saturatedMs(report.diedAt - report.causeSince);
+    wire.wasTrial = report.wasTrial ? 1 : 0;
+    return wire;
+}
+
+CrashReport fromWireDeath(const WireDeath &wire, bool wasTrial, absl::Time now)
+{
+    CrashReport report;
+    report.fingerprint = wire.fingerprint;
+    report.server = BackendServerId(wire.server);
+    report.incarnation = wire.incarnation;
+    report.diedAt = now - absl::Milliseconds(wire.ageMs);
+    report.causeSince = report.diedAt - absl::Milliseconds(wire.commonCauseMs);
+    report.wasTrial = wasTrial;
+    return report;
+}
+
+std::string encodedDeath(const CrashReport &report, bool isTrialFormat, absl::Time now)
+{
+    const WireTrialDeath wire = toWireDeath(report, now);
+    return isTrialFormat ? encoded(wire) : encoded(static_cast<const WireDeath &>(wire));
+}
+
+void decodeDeaths(BoundedReader &reader, bool isTrialFormat, absl::Time now,
+                  std::vector<CrashReport> &deaths)
+{
+    if (isTrialFormat) {
+        std::vector<WireTrialDeath> wires;
+        archiveWithByteCount(reader, wires);
+        for (const WireTrialDeath &wire : wires)
+            deaths.push_back(fromWireDeath(wire, wire.wasTrial != 0, now));
+        return;
+    }
+    std::vector<WireDeath> wires;
+    archiveWithByteCount(reader, wires);
+    for (const WireDeath &wire : wires)
+        deaths.push_back(fromWireDeath(wire, false, now));
+}
+
 } // namespace
 
 std::string encodeReport(const ReportMessage &message, absl::Time now)
@@ -489,28 +563,33 @@
 
 std::vector<std::string> encodeQuarantine(const QuarantineMessage &message, absl::Time now)
 {
-    std::vector<std::string> datagrams;
+    const bool hasTrials = !message.trials.empty()
+        || std::any_of(message.deaths.begin(), message.deaths.end(),
+                       [](const CrashReport &report) { return report.wasTrial; });
     WireHeader header = toWireHeader(message.header, MessageType::Quarantine, now);
     header.suspects.clear();
+    if (hasTrials)
+        header.format = kTrialFormatVersion;
+    std::vector<std::string> datagrams;
     std::size_t nextDeath = 0;
     std::size_t nextServed = 0;
-    while (nextDeath < message.deaths.size() || nextServed < message.served.size()) {
+    std::size_t nextTrial = 0;
+    while (nextDeath < message.deaths.size() || nextServed < message.served.size()
+           || nextTrial < message.trials.size()) {
         const std::string bytes = encoded(header);
         BoundedListWriter deaths;
         BoundedListWriter served;
+        BoundedListWriter trials;
         const auto remainingBytes = [&] {
             return kMaxDatagram
-                - std::min(kMaxDatagram, bytes.size() + deaths.size() + served.size());
+                - std::min(kMaxDatagram,
+                           bytes.size() + deaths.size() + served.size() + trials.size());
         };
-        const std::size_t begin = nextDeath + nextServed;
-        for (; nextDeath < message.deaths.size(); ++nextDeath) {
-            const CrashReport &report = message.deaths[nextDeath];
-            const WireDeath wire = {report.fingerprint, report.server.str().substr(0, kMaxElements),
-                                    report.incarnation, saturatedAgeMs(report.diedAt, now),
-                                    saturatedMs(report.diedAt - report.causeSince)};
-            if (!deaths.add(encoded(wire), remainingBytes()))
-                break;
-        }
+        const std::size_t begin = nextDeath + nextServed + nextTrial;
+        while (nextDeath < message.deaths.size()
+               && deaths.add(encodedDeath(message.deaths[nextDeath], hasTrials, now),
+                             remainingBytes()))
+            ++nextDeath;
         for (; nextServed < message.served.size(); ++nextServed) {
             const ServedReport &report = message.served[nextServed];
             const WireServed wire = {
@@ -519,10 +598,17 @@
             if (!served.add(encoded(wire), remainingBytes()))
                 break;
         }
+        for (; nextTrial < message.trials.size(); ++nextTrial) {
+            const TrialReport &report = message.trials[nextTrial];
+            const WireTrial wire = {report.fingerprint, saturatedAgeMs(report.startedAt, now)};
+            if (!trials.add(encoded(wire), remainingBytes()))
+                break;
+        }
         // A header that leaves no room for an entry would repeat forever.
-        if (nextDeath + nextServed == begin)
+        if (nextDeath + nextServed + nextTrial == begin)
             break;
-        datagrams.push_back(bytes + deaths.text() + served.text());
+        datagrams.push_back(bytes + deaths.text() + served.text()
+                            + (hasTrials ? trials.text() : std::string()));
         ++header.sequence;
     }
     return datagrams;
@@ -544,7 +630,9 @@
         reader(header);
         const bool isDeferredFormat = header.format == kDeferredFormatVersion
             && header.type == static_cast<std::uint8_t>(MessageType::Bundle);
-        if (header.format != kFormatVersion && !isDeferredFormat)
+        const bool isTrialFormat = header.format == kTrialFormatVersion
+            && header.type == static_cast<std::uint8_t>(MessageType::Quarantine);
+        if (header.format != kFormatVersion && !isDeferredFormat && !isTrialFormat)
             return Error::MessageVersionUnknown;
         if (header.type == static_cast<std::uint8_t>(MessageType::Report)) {
             std::vector<WireStream> streams;
@@ -559,19 +647,18 @@
             bundle.ownDomain = decode(reader, now);
             bundle.otherDomains = decode(reader, now);
         } else if (header.type == static_cast<std::uint8_t>(MessageType::Quarantine)) {
-            std::vector<WireDeath> deaths;
+            decodeDeaths(reader, isTrialFormat, now, quarantine.deaths);
             std::vector<WireServed> served;
-            archiveWithByteCount(reader, deaths);
             archiveWithByteCount(reader, served);
-            for (const WireDeath &wire : deaths) {
-                const absl::Time diedAt = now - absl::Milliseconds(wire.ageMs);
-                quarantine.deaths.push_back({wire.fingerprint, BackendServerId(wire.server),
-                                             wire.incarnation, diedAt,
-                                             diedAt - absl::Milliseconds(wire.commonCauseMs)});
-            }
             for (const WireServed &wire : served)
                 quarantine.served.push_back({wire.fingerprint, now - absl::Milliseconds(wire.ageMs),
                                              absl::Milliseconds(wire.trustedMs)});
+            std::vector<WireTrial> trials;
+            if (isTrialFormat)
+                archiveWithByteCount(reader, trials);
+            for (const WireTrial &wire : trials)
+                quarantine.trials.push_back(
+                    {wire.fingerprint, now - absl::Milliseconds(wire.ageMs)});
         } else {
             return Error::MessageTagInvalid;
         }
--- a/main/gateway/exchange_message.h
+++ b/main/gateway/exchange_message.h
@@ -65,12 +65,14 @@
     std::vector<ServerLoadEntry> otherDomains;
 };
 
-/** Reports of calls that crashed servers, and of calls that were served. Times are sent as ages. */
+/** Reports of calls that crashed servers, of calls that were served, and of trials. Times are sent
+ * as ages. */
 struct QuarantineMessage
 {
     MessageHeader header;
     std::vector<CrashReport> deaths;
     std::vector<ServedReport> served;
+    std::vector<TrialReport> trials;
 };
 
 /** Receives the decoded content of a datagram. */
--- a/main/gateway/gateway_context.h
+++ b/main/gateway/gateway_context.h
@@ -111,7 +111,9 @@
         , limits(base, instanceRecord(settings), this->exchange, this->directory, this->metrics)
         , random(stableSeed(settings))
         , tickedAt(Clock::now())
-    { }
+    {
+        this->quarantine.holdTrials(this->tickedAt + kTrialTimeout);
+    }
 
     static std::uint64_t stableSeed(const GatewaySettings &settings);
 
--- a/main/gateway/instance_exchange.cpp
+++ b/main/gateway/instance_exchange.cpp
@@ -181,10 +181,17 @@
     this->broadcastQuarantineReports(std::move(message), {}, Clock::now());
 }
 
+void InstanceExchange::onTrials(std::vector<TrialReport> trials)
+{
+    QuarantineMessage message;
+    message.trials = std::move(trials);
+    this->broadcastQuarantineReports(std::move(message), {}, Clock::now());
+}
+
 void InstanceExchange::broadcastQuarantineReports(QuarantineMessage message,
                                                   std::string_view source, absl::Time now)
 {
-    if (message.deaths.empty() && message.served.empty())
+    if (message.deaths.empty() && message.served.empty() && message.trials.empty())
         return;
     absl::btree_set<std::string> addresses;
     if (const InstanceRecord *aggregator = this->fleet.aggregator())
@@ -506,6 +513,10 @@
         if (this->quarantine.onServed(report, now))
             newReports.served.push_back(report);
     }
+    for (const TrialReport &report : message.trials) {
+        if (this->quarantine.onTrial(report, now))
+            newReports.trials.push_back(report);
+    }
     this->broadcastQuarantineReports(std::move(newReports), this->senderAddress, now);
     this->broadcastQuarantineReports(std::move(contradiction), {}, now);
 }
--- a/main/gateway/instance_exchange.h
+++ b/main/gateway/instance_exchange.h
@@ -94,6 +94,9 @@
     /** Sends at once what this instance has learned of calls that crash servers. */
     void onServerDeaths(std::vector<CrashReport> deaths);
     void onServed(std::vector<ServedReport> served);
+    /** Sends at once that this instance has started trials. A lost datagram is not repaired:
+     * another instance may start the same trial then. */
+    void onTrials(std::vector<TrialReport> trials);
 
     const FleetView &view() const { return this->fleet; }
     /** Sends a datagram that a LimitDatagrams or a UsageDatagrams at @p address receives; it may be
--- a/servers/quarantine/crash_report.h
+++ b/servers/quarantine/crash_report.h
@@ -14,6 +14,11 @@
  * servers may be replaced later by others that the call does crash. */
 inline constexpr absl::Duration kServedRetention = absl::Minutes(1);
 
+/** Time for which a death counts, and for which a quarantined request is refused. Long enough to
+ * stop a caller that retries every few minutes, short enough to allow a retry after the servers
+ * have been repaired. */
+constexpr absl::Duration kQuarantineDuration = absl::Hours(1);
+
 /** Identifies a crash: what was running, and a hash of the server and its incarnation. */
 struct CrashKey
 {
@@ -35,6 +40,8 @@
     absl::Time diedAt;
     /** Deaths from this time to diedAt count as one, since they may have another common cause. */
     absl::Time causeSince = absl::InfiniteFuture();
+    /** The server was running a trial: see Quarantine. */
+    bool wasTrial = false;
 };
 
 /** A request, or one with a part of a prompt, was served, so it does not crash the servers that run
--- a/servers/quarantine/quarantine.cpp
+++ b/servers/quarantine/quarantine.cpp
@@ -16,10 +16,8 @@
 // Any number of deaths of one common cause shows nothing.
 constexpr std::size_t kMinCountedDeaths = 2;
 
-bool isCurrent(absl::Time happenedAt, absl::Time now)
-{
-    return happenedAt + kQuarantineDuration > now;
-}
+// A single shared death is no sign that a fingerprint has caused others.
+constexpr std::size_t kMinSharedDeaths = 2;
 
 /** Rejects reports by a clock that runs far ahead, which would count for much longer than
  * kQuarantineDuration. */
@@ -41,12 +39,6 @@
                                 : std::max(this->servedAt, this->deaths.front().diedAt);
 }
 
-bool Quarantine::isNewer(const Death &a, const Death &b)
-{
-    return std::tie(b.diedAt, a.server, a.incarnation)
-        < std::tie(a.diedAt, b.server, b.incarnation);
-}
-
 std::vector<CrashReport> Quarantine::onServerDeath(const BackendServerId &server,
                                                    Incarnation incarnation,
                                                    std::span<const Fingerprint> running,
@@ -66,12 +58,15 @@
 std::vector<CrashReport> Quarantine::onCallLost(const BackendServerId &server,
                                                 Incarnation incarnation,
                                                 const CallFingerprints &call, absl::Time causeSince,
-                                                absl::Time now)
+                                                absl::Time now, bool wasTrial)
 {
-    std::vector<CrashReport> newReports =
-        this->onServerDeath(server, incarnation, {&call.call, 1}, now);
+    std::vector<CrashReport> newReports;
+    const CrashReport ofCall = {call.call, server, incarnation, now, absl::InfiniteFuture(),
+                                wasTrial};
+    if (!this->wasServedRecently(call.call, now) && this->addDeath(ofCall, true, now))
+        newReports.push_back(ofCall);
     for (const Fingerprint &part : call.parts) {
-        const CrashReport report {part, server, incarnation, now, causeSince};
+        const CrashReport report {part, server, incarnation, now, causeSince, wasTrial};
         if (this->addDeath(report, true, now))
             newReports.push_back(report);
     }
@@ -95,23 +90,28 @@
     Entry &entry = this->entries[report.fingerprint];
     if (diedAt <= entry.servedAt + kServedRetention)
         return false;
-    Deaths &deaths = entry.deaths;
-    const Death death {report.server, report.incarnation, diedAt,
-                       std::min(report.causeSince, diedAt), isLocal};
+    ServerDeaths &deaths = entry.deaths;
+    const ServerDeath death {report.server, report.incarnation,
+                             diedAt,        std::min(report.causeSince, diedAt),
+                             isLocal,       report.wasTrial};
     const auto find = [&deaths, &death] {
-        return std::find_if(deaths.begin(), deaths.end(), [&death](const Death &known) {
+        return std::find_if(deaths.begin(), deaths.end(), [&death](const ServerDeath &known) {
             return known.server == death.server && known.incarnation == death.incarnation;
         });
     };
     if (const auto same = find(); same != deaths.end()) {
         // Instances see one death at different times; all keep the latest of these times. With the
         // earliest one the result of a merge would depend on which deaths were dropped before.
-        const auto times = std::max(std::pair(same->diedAt, same->causeSince),
-                                    std::pair(death.diedAt, death.causeSince));
-        std::tie(same->diedAt, same->causeSince) = times;
+        const bool wasTrial = same->wasTrial;
+        const auto latest = std::max(std::tuple(same->diedAt, same->causeSince, same->wasTrial),
+                                     std::tuple(death.diedAt, death.causeSince, death.wasTrial));
+        std::tie(same->diedAt, same->causeSince, same->wasTrial) = latest;
+        const bool hasChanged = same->wasTrial != wasTrial;
         std::sort(deaths.begin(), deaths.end(), isNewer);
         this->cachedCulprits = {};
-        return false;
+        if (hasChanged)
+            this->cachedDigest.reset();
+        return hasChanged;
     }
     deaths.push_back(death);
     std::sort(deaths.begin(), deaths.end(), isNewer);
@@ -147,11 +147,13 @@
 bool Quarantine::onPartServed(const Fingerprint &part, absl::Time servedAt, absl::Time now)
 {
     this->recentlyServedParts.add(hashOf(part), servedAt, now);
+    this->trials.remove(part);
     const auto entry = this->entries.find(part);
     if (entry == this->entries.end())
         return false;
-    const std::size_t cleared = std::erase_if(
-        entry->second.deaths, [servedAt](const Death &death) { return death.diedAt <= servedAt; });
+    const std::size_t cleared =
+        std::erase_if(entry->second.deaths,
+                      [servedAt](const ServerDeath &death) { return death.diedAt <= servedAt; });
     if (cleared == 0)
         return false;
     if (entry->second.deaths.empty() && entry->second.servedAt == absl::InfinitePast())
@@ -178,10 +180,11 @@
         return false;
     if (report.trustedFor == absl::ZeroDuration())
         return this->onPartServed(report.fingerprint, std::min(report.servedAt, now), now);
+    this->trials.remove(report.fingerprint);
     Entry &entry = this->entries[report.fingerprint];
     const bool isFirst = entry.servedAt == absl::InfinitePast();
     entry.servedAt = std::max(entry.servedAt, report.servedAt);
-    const std::size_t cleared = std::erase_if(entry.deaths, [&entry](const Death &death) {
+    const std::size_t cleared = std::erase_if(entry.deaths, [&entry](const ServerDeath &death) {
         return death.diedAt <= entry.servedAt + kServedRetention;
     });
     if (!isFirst && cleared == 0)
@@ -196,7 +199,7 @@
     if (this->entries.empty() || listing.confirmedFrom() > latest)
         return;
     for (auto entry = this->entries.begin(); entry != this->entries.end();) {
-        std::erase_if(entry->second.deaths, [&](const Death &death) {
+        std::erase_if(entry->second.deaths, [&](const ServerDeath &death) {
             return death.diedAt <= latest && listing.has(death.server, death.incarnation);
         });
         const bool isEmpty =
@@ -212,7 +215,7 @@
     const auto found = this->entries.find(death.fingerprint);
     if (found == this->entries.end())
         return;
-    std::erase_if(found->second.deaths, [&death](const Death &known) {
+    std::erase_if(found->second.deaths, [&death](const ServerDeath &known) {
         return incarnationHash(known.server, known.incarnation) == death.incarnationHash;
     });
     if (found->second.deaths.empty() && found->second.servedAt == absl::InfinitePast())
@@ -225,8 +228,8 @@
     const auto found = this->entries.find(fingerprint);
     if (found == this->entries.end())
         return;
-    const Deaths deaths = found->second.deaths;
-    for (const Death &death : deaths)
+    const ServerDeaths deaths = found->second.deaths;
+    for (const ServerDeath &death : deaths)
         this->withdraw({fingerprint, incarnationHash(death.server, death.incarnation)}, now);
 }
 
@@ -236,10 +239,9 @@
     for (const auto &[fingerprint, entry] : this->entries) {
         if (this->nextRun(fingerprint, now) != SuspectRun::Last)
             continue;
-        for (const Death &death : entry.deaths) {
+        for (const ServerDeath &death : entry.deaths) {
             if (death.isLocal && isCurrent(death.diedAt, now))
-                reports.push_back(
-                    {fingerprint, death.server, death.incarnation, death.diedAt, death.causeSince});
+                reports.push_back(toReport(fingerprint, death));
         }
     }
     return reports;
@@ -250,7 +252,7 @@
     const auto found = this->entries.find(death.fingerprint);
     return found != this->entries.end()
         && std::any_of(found->second.deaths.begin(), found->second.deaths.end(),
-                       [&death](const Death &known) {
+                       [&death](const ServerDeath &known) {
                            return incarnationHash(known.server, known.incarnation)
                                == death.incarnationHash;
                        });
@@ -270,8 +272,9 @@
             digest ^= stableHash("full", key);
             continue;
         }
-        for (const Death &death : entry.deaths)
-            digest ^= stableHash("death", key ^ incarnationHash(death.server, death.incarnation));
+        for (const ServerDeath &death : entry.deaths)
+            digest ^= stableHash(death.wasTrial ? "trial" : "death",
+                                 key ^ incarnationHash(death.server, death.incarnation));
     }
     this->cachedDigest = digest;
     return digest;
@@ -301,22 +304,22 @@
     this->entries.erase(victim);
 }
 
-Quarantine::Verdict Quarantine::judge(const Deaths &deaths, const Culprits &culprits,
+Quarantine::Verdict Quarantine::judge(const ServerDeaths &deaths, const Culprits &culprits,
                                       absl::Time now)
 {
-    const auto isExplained = [&](const Death &death) {
+    const auto isExplained = [&](const ServerDeath &death) {
         const std::uint64_t server = incarnationHash(death.server, death.incarnation);
         return std::any_of(culprits.all.begin(), culprits.all.end(), [&](const Culprit &culprit) {
             return culprit.servers.size() > deaths.size() && culprit.servers.contains(server);
         });
     };
     Verdict verdict;
-    Deaths distinct;
+    ServerDeaths distinct;
     for (auto death = deaths.begin(); death != deaths.end(); ++death) {
         if (!isCurrent(death->diedAt, now))
             continue;
         verdict.deathsHash ^= incarnationHash(death->server, death->incarnation);
-        const bool isSame = std::any_of(deaths.begin(), death, [&death](const Death &newer) {
+        const bool isSame = std::any_of(deaths.begin(), death, [&death](const ServerDeath &newer) {
             return newer.server == death->server && newer.diedAt - death->diedAt < kSameDeathWindow;
         });
         if (!isSame && !isExplained(*death)) {
@@ -341,19 +344,6 @@
             && verdict.deathTimes.size() >= this->options.deathsOfAnyCause);
 }
 
-std::size_t Quarantine::leastUseful(const Deaths &deaths)
-{
-    absl::Time lastCounted = absl::InfinitePast();
-    std::size_t victim = deaths.size() - 1;
-    for (std::size_t i = deaths.size(); i-- > 0;) {
-        if (deaths[i].causeSince >= lastCounted)
-            lastCounted = deaths[i].diedAt;
-        else
-            victim = i;
-    }
-    return victim;
-}
-
 bool Quarantine::isSuspectedCulprit(const Entry &entry, absl::Time now) const
 {
     return entry.deaths.size() >= std::min(this->options.deaths, this->options.deathsOfAnyCause)
@@ -371,11 +361,11 @@
             continue;
         Culprit culprit;
         culprit.fingerprint = fingerprint;
-        for (const Death &death : entry.deaths) {
-            if (!isCurrent(death.diedAt, now))
-                continue;
-            culprit.servers.insert(incarnationHash(death.server, death.incarnation));
-            culprits.validUntil = std::min(culprits.validUntil, death.diedAt + kQuarantineDuration);
+        culprit.servers = deadServers(entry.deaths, now);
+        for (const ServerDeath &death : entry.deaths) {
+            if (isCurrent(death.diedAt, now))
+                culprits.validUntil =
+                    std::min(culprits.validUntil, death.diedAt + kQuarantineDuration);
         }
         suspected.emplace_back(&entry, std::move(culprit));
     }
@@ -389,9 +379,29 @@
         culprits.all.push_back(std::move(culprit));
         ++culprits.sharing[verdict.deathsHash];
     }
+    for (Culprit &culprit : culprits.all)
+        culprit.alternatives = this->alternativesTo(culprit, now);
     return culprits;
 }
 
+std::vector<Quarantine::Alternative> Quarantine::alternativesTo(const Culprit &culprit,
+                                                                absl::Time now) const
+{
+    std::vector<Alternative> alternatives;
+    for (const auto &[fingerprint, entry] : this->entries) {
+        if (entry.deaths.size() < kMinSharedDeaths)
+            continue;
+        const DeadServers servers = deadServers(entry.deaths, now);
+        const std::size_t shared = sharedCount(servers, culprit.servers);
+        if (shared >= kMinSharedDeaths && servers != culprit.servers)
+            alternatives.push_back({fingerprint, shared});
+    }
+    std::stable_sort(
+        alternatives.begin(), alternatives.end(),
+        [](const Alternative &a, const Alternative &b) { return a.sharedDeaths > b.sharedDeaths; });
+    return alternatives;
+}
+
 const Quarantine::Culprits &Quarantine::culprits(absl::Time now) const
 {
     if (now < this->cachedCulprits.validFrom || now >= this->cachedCulprits.validUntil)
@@ -418,7 +428,7 @@
     const auto entry = this->entries.find(fingerprint);
     if (entry == this->entries.end())
         return evidence;
-    const Deaths &deaths = entry->second.deaths;
+    const ServerDeaths &deaths = entry->second.deaths;
     const Culprits &culprits = this->culprits(now);
     evidence.deaths = judge(deaths, {}, now).deathTimes.size();
     evidence.counted = judge(deaths, culprits, now).counted.size();
@@ -426,7 +436,7 @@
         if (culprit.servers.size() <= deaths.size())
             continue;
         const auto shared = static_cast<std::size_t>(
-            std::count_if(deaths.begin(), deaths.end(), [&](const Death &death) {
+            std::count_if(deaths.begin(), deaths.end(), [&](const ServerDeath &death) {
                 return culprit.servers.contains(incarnationHash(death.server, death.incarnation));
             }));
         if (shared <= evidence.attributed)
@@ -445,26 +455,146 @@
     return verdict.counted.empty() ? QuarantineState::Clear : QuarantineState::Suspect;
 }
 
-bool Quarantine::refuses(const CallFingerprints &call, absl::Time now) const
+std::vector<Fingerprint> Quarantine::refusedFingerprints(const CallFingerprints &call,
+                                                         absl::Time now) const
 {
+    std::vector<Fingerprint> refused;
     if (this->entries.empty())
-        return false;
+        return refused;
     // Quarantined fingerprints of the call, by their deaths.
-    absl::flat_hash_map<std::uint64_t, std::size_t> held;
+    absl::flat_hash_map<std::uint64_t, std::vector<Fingerprint>> held;
     const auto add = [&](const Fingerprint &fingerprint) {
         const Verdict verdict = this->verdictOf(fingerprint, now);
         if (this->isQuarantined(verdict))
-            ++held[verdict.deathsHash];
+            held[verdict.deathsHash].push_back(fingerprint);
     };
     add(call.call);
     std::for_each(call.parts.begin(), call.parts.end(), add);
     const absl::flat_hash_map<std::uint64_t, std::size_t> &all = this->culprits(now).sharing;
-    return std::any_of(held.begin(), held.end(), [&all](const auto &item) {
-        const auto sharing = all.find(item.first);
-        return sharing == all.end() || item.second >= sharing->second;
+    for (const auto &[deathsHash, fingerprints] : held) {
+        const auto sharing = all.find(deathsHash);
+        if (sharing == all.end() || fingerprints.size() >= sharing->second)
+            refused.insert(refused.end(), fingerprints.begin(), fingerprints.end());
+    }
+    return refused;
+}
+
+bool Quarantine::refuses(const CallFingerprints &call, absl::Time now) const
+{
+    return !this->refusedFingerprints(call, now).empty();
+}
+
+bool Quarantine::refusesTrial(const CallFingerprints &call, const Trial &trial,
+                              absl::Time now) const
+{
+    const std::vector<Fingerprint> refused = this->refusedFingerprints(call, now);
+    return std::any_of(refused.begin(), refused.end(), [&](const Fingerprint &fingerprint) {
+        const bool isTried =
+            std::find(trial.fingerprints.begin(), trial.fingerprints.end(), fingerprint)
+            != trial.fingerprints.end();
+        return !isTried || this->newestDeath(fingerprint) > trial.startedAt;
     });
 }
 
+std::optional<Trial> Quarantine::startTrial(const CallFingerprints &call, absl::Time now)
+{
+    Trial trial;
+    trial.startedAt = now;
+    trial.fingerprints = this->refusedFingerprints(call, now);
+    if (trial.fingerprints.empty() || this->trialDueAt(trial.fingerprints, call, now) > now)
+        return std::nullopt;
+    for (const Fingerprint &fingerprint : trial.fingerprints)
+        this->trials.add({fingerprint, now}, now);
+    return trial;
+}
+
+bool Quarantine::onTrial(const TrialReport &report, absl::Time now)
+{
+    return this->trials.add(report, now);
+}
+
+absl::Time Quarantine::newestDeath(const Fingerprint &fingerprint) const
+{
+    const auto entry = this->entries.find(fingerprint);
+    return entry == this->entries.end() || entry->second.deaths.empty()
+        ? absl::InfinitePast()
+        : entry->second.deaths.front().diedAt;
+}
+
+absl::Time Quarantine::trialDueAt(std::span<const Fingerprint> refused,
+                                  const CallFingerprints &call, absl::Time now) const
+{
+    absl::Time dueAt = this->trialsHeldUntil;
+    for (const Fingerprint &fingerprint : refused)
+        dueAt = std::max(dueAt, this->trialDueAt(fingerprint, call, now));
+    return dueAt;
+}
+
+absl::Time Quarantine::trialDueAt(const Fingerprint &fingerprint, const CallFingerprints &call,
+                                  absl::Time now) const
+{
+    const std::vector<Culprit> &culprits = this->culprits(now).all;
+    const auto culprit =
+        std::find_if(culprits.begin(), culprits.end(), [&fingerprint](const Culprit &known) {
+            return known.fingerprint == fingerprint;
+        });
+    if (culprit == culprits.end())
+        return absl::InfiniteFuture();
+    // Users bear more crashes by a part, which is harder to find, than by one call.
+    const std::size_t conclusiveDeaths =
+        fingerprint == call.call ? this->options.deaths : this->options.deathsOfAnyCause;
+    const absl::Duration delay =
+        trialDelay(this->trialEvidence(*culprit, call, now), conclusiveDeaths);
+    return std::max(this->newestDeath(fingerprint) + delay, this->trials.endsAt(fingerprint));
+}
+
+TrialEvidence Quarantine::trialEvidence(const Culprit &culprit, const CallFingerprints &call,
+                                        absl::Time now) const
+{
+    const auto isInCall = [&call](const Fingerprint &fingerprint) {
+        return fingerprint == call.call
+            || std::find(call.parts.begin(), call.parts.end(), fingerprint) != call.parts.end();
+    };
+    TrialEvidence evidence;
+    evidence.deaths = culprit.servers.size();
+    const auto alternative =
+        std::find_if_not(culprit.alternatives.begin(), culprit.alternatives.end(),
+                         [&](const Alternative &other) { return isInCall(other.fingerprint); });
+    evidence.ownDeaths = evidence.deaths
+        - (alternative == culprit.alternatives.end() ? 0 : alternative->sharedDeaths);
+    std::vector<Fingerprint> others = call.parts;
+    others.push_back(call.call);
+    for (const Fingerprint &other : others) {
+        const auto entry = this->entries.find(other);
+        if (entry == this->entries.end())
+            continue;
+        const DeadServers servers = deadServers(entry->second.deaths, now);
+        // Parts with the same deaths always come together.
+        if (servers == culprit.servers)
+            continue;
+        const double shared = static_cast<double>(sharedCount(servers, culprit.servers));
+        evidence.sharedByCall =
+            std::max(evidence.sharedByCall, shared / static_cast<double>(evidence.deaths));
+    }
+    const auto entry = this->entries.find(culprit.fingerprint);
+    if (entry != this->entries.end())
+        evidence.lostTrials = lostTrials(entry->second.deaths, now);
+    return evidence;
+}
+
+absl::Duration Quarantine::retryAfter(const CallFingerprints &call, absl::Time now) const
+{
+    absl::Duration left = absl::ZeroDuration();
+    for (const Fingerprint &fingerprint : this->refusedFingerprints(call, now)) {
+        const absl::Time dueAt =
+            std::max(this->trialsHeldUntil, this->trialDueAt(fingerprint, call, now));
+        const absl::Duration untilTrial =
+            this->trials.isRunning(fingerprint, now) ? kUsualTrialTime : dueAt - now;
+        left = std::max(left, std::min(untilTrial, this->retryAfter(fingerprint, now)));
+    }
+    return left;
+}
+
 SuspectRun Quarantine::nextRun(const Fingerprint &fingerprint, absl::Time now) const
 {
     const std::uint32_t deaths = this->deathsSeen(fingerprint, now);
@@ -490,10 +620,9 @@
 {
     std::vector<CrashReport> all;
     for (const auto &[fingerprint, entry] : this->entries) {
-        for (const Death &death : entry.deaths) {
+        for (const ServerDeath &death : entry.deaths) {
             if (isCurrent(death.diedAt, now))
-                all.push_back(
-                    {fingerprint, death.server, death.incarnation, death.diedAt, death.causeSince});
+                all.push_back(toReport(fingerprint, death));
         }
     }
     return all;
@@ -511,11 +640,12 @@
 
 void Quarantine::onTick(absl::Time now)
 {
+    this->trials.onTick(now);
     absl::erase_if(this->withdrawn, [now](const auto &item) { return item.second <= now; });
     for (auto entry = this->entries.begin(); entry != this->entries.end();) {
-        Deaths &deaths = entry->second.deaths;
+        ServerDeaths &deaths = entry->second.deaths;
         const std::size_t expired = std::erase_if(
-            deaths, [&](const Death &death) { return !isCurrent(death.diedAt, now); });
+            deaths, [&](const ServerDeath &death) { return !isCurrent(death.diedAt, now); });
         absl::Time &servedAt = entry->second.servedAt;
         const bool isServedExpired = servedAt != absl::InfinitePast() && !isCurrent(servedAt, now);
         if (isServedExpired)
--- a/servers/quarantine/quarantine.h
+++ b/servers/quarantine/quarantine.h
@@ -4,12 +4,14 @@
 #include "core/request.h"
 #include "servers/quarantine/crash_report.h"
 #include "servers/quarantine/served_call_cache.h"
+#include "servers/quarantine/server_death.h"
 #include "servers/quarantine/server_listing.h"
 #include "servers/quarantine/suspect_placement.h"
+#include "servers/quarantine/trial_runs.h"
+#include "servers/quarantine/trial_schedule.h"
 
 #include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
-#include <absl/container/flat_hash_set.h>
 #include <absl/functional/function_ref.h>
 #include <absl/time/time.h>
 #include <cstddef>
@@ -24,11 +26,6 @@
  */
 constexpr std::size_t kQuarantineDeaths = 2;
 
-/** Time for which a death counts, and for which a quarantined request is refused. Long enough to
- * stop a caller that retries every few minutes, short enough to allow a retry after the servers
- * have been repaired. */
-constexpr absl::Duration kQuarantineDuration = absl::Hours(1);
-
 /** Time for which it is remembered when a part of a prompt was served last; reports of crashes are
  * late by less than this. */
 constexpr absl::Duration kServedPartRetention = absl::Seconds(10);
@@ -37,7 +34,8 @@
 {
     std::size_t deaths = kQuarantineDeaths;
     /** If as many servers have died, also of common causes, one death less suffices. A part of a
-     * prompt that is frequent enough for so many deaths would have been served in between. */
+     * prompt that is frequent enough for so many deaths would have been served in between. So many
+     * deaths are conclusive evidence against a part, unless another one explains them. */
     std::size_t deathsOfAnyCause = 5;
     std::size_t maxFingerprints = 4096;
     /** Number of served calls that are remembered for kServedRetention, and of parts of prompts
@@ -64,6 +62,13 @@
     std::size_t attributed = 0;
 };
 
+/** A call that runs although it has quarantined fingerprints. */
+struct Trial
+{
+    absl::Time startedAt;
+    std::vector<Fingerprint> fingerprints;
+};
+
 enum class QuarantineState : std::uint8_t {
     Clear,
     /** At least one death, but too few for the quarantine; placed apart from other suspects. */
@@ -86,6 +91,11 @@
  * A server dies of one cause. Deaths with a quarantined fingerprint do not count for a fingerprint
  * that has fewer deaths: its requests were only running on the same servers.
  *
+ * The deaths may be coincidences: servers also die of other causes, and a sound part of a prompt
+ * that comes with a deadly one has the same deaths and those. A refused request cannot be served,
+ * so a quarantined fingerprint gets trials: single calls, one at a time in the whole fleet, at the
+ * times of trialDelay(). A trial that is served ends the quarantine, as any served request does.
+ *
  * A request that was served does not crash servers: its earlier deaths and those within
  * kServedRetention after it was served do not count. So a frequent request is not suspected when
  * many servers end together. For a part only the deaths before it was served are dropped. A
@@ -118,10 +128,11 @@
                                            std::span<const Fingerprint> running, absl::Time now);
 
     /** The same for one call that this instance had running on the server, and for the parts of its
-     * prompt. @p causeSince: see CrashReport; it applies to the parts. */
+     * prompt. @p causeSince: see CrashReport; it applies to the parts. @p wasTrial: the call was
+     * running as a trial. */
     std::vector<CrashReport> onCallLost(const BackendServerId &server, Incarnation incarnation,
                                         const CallFingerprints &call, absl::Time causeSince,
-                                        absl::Time now);
+                                        absl::Time now, bool wasTrial = false);
 
     /** Merges a report of another instance; true when it was new and should be forwarded. */
     bool onCrashReport(const CrashReport &report, absl::Time now);
@@ -155,6 +166,18 @@
      * apart, so a call that has only some of them may run once more, to find out which it is.
      */
     bool refuses(const CallFingerprints &call, absl::Time now) const;
+    /** Whether @p call must not run although @p trial has been started for it: another fingerprint
+     * is quarantined, or a server has died since. */
+    bool refusesTrial(const CallFingerprints &call, const Trial &trial, absl::Time now) const;
+    /** Lets a refused call run as a trial, if one is due for all that it is refused for. */
+    std::optional<Trial> startTrial(const CallFingerprints &call, absl::Time now);
+    /** Merges the report of a trial that another instance has started; true when it was new and
+     * should be forwarded. */
+    bool onTrial(const TrialReport &report, absl::Time now);
+    /** No trial is started before @p until, since those of others may not be known yet. */
+    void holdTrials(absl::Time until) { this->trialsHeldUntil = until; }
+    /** Time until a refused call like this one may be accepted. */
+    absl::Duration retryAfter(const CallFingerprints &call, absl::Time now) const;
 
     QuarantineState check(const Fingerprint &fingerprint, absl::Time now) const;
     /** Deaths that count for @p fingerprint; the value for RequestProfile::deathsSeen. */
@@ -183,20 +206,9 @@
     bool isEmpty() const { return this->entries.empty(); }
 
 private:
-    struct Death
-    {
-        BackendServerId server;
-        Incarnation incarnation = 0;
-        absl::Time diedAt;
-        absl::Time causeSince;
-        /** Seen by this instance, not reported by another. */
-        bool isLocal = false;
-    };
-    /** Newest death first; deaths at the same time by server and incarnation. */
-    using Deaths = std::vector<Death>;
     struct Entry
     {
-        Deaths deaths;
+        ServerDeaths deaths;
         absl::Time servedAt = absl::InfinitePast();
 
         absl::Time newestTime() const;
@@ -206,18 +218,24 @@
     struct Verdict
     {
         /** Deaths that count, newest first. */
-        Deaths counted;
+        ServerDeaths counted;
         /** Times of all deaths, newest first; those of one server within kSameDeathWindow once. */
         std::vector<absl::Time> deathTimes;
         /** Equal for fingerprints with the same deaths. */
         std::uint64_t deathsHash = 0;
     };
-    /** Servers that died under a quarantined fingerprint, by incarnation. */
-    using DeadServers = absl::flat_hash_set<std::uint64_t>;
+    /** A fingerprint that may have caused deaths of a quarantined one instead. */
+    struct Alternative
+    {
+        Fingerprint fingerprint {};
+        std::size_t sharedDeaths = 0;
+    };
     struct Culprit
     {
         Fingerprint fingerprint {};
         DeadServers servers;
+        /** The one with most shared deaths first. */
+        std::vector<Alternative> alternatives;
     };
     /** Quarantined fingerprints explain the deaths of others. */
     struct Culprits
@@ -231,12 +249,24 @@
         absl::Time validUntil = absl::InfinitePast();
     };
 
+    /** Quarantined fingerprints for which @p call is refused. */
+    std::vector<Fingerprint> refusedFingerprints(const CallFingerprints &call,
+                                                 absl::Time now) const;
+    /** Time from which @p call may run as a trial, as far as @p fingerprint is concerned. */
+    absl::Time trialDueAt(const Fingerprint &fingerprint, const CallFingerprints &call,
+                          absl::Time now) const;
+    /** The same for all that it is refused for. */
+    absl::Time trialDueAt(std::span<const Fingerprint> refused, const CallFingerprints &call,
+                          absl::Time now) const;
+    TrialEvidence trialEvidence(const Culprit &culprit, const CallFingerprints &call,
+                                absl::Time now) const;
+    std::vector<Alternative> alternativesTo(const Culprit &culprit, absl::Time now) const;
+    /** InfinitePast if there is none. */
+    absl::Time newestDeath(const Fingerprint &fingerprint) const;
+
     /** Considers the deaths that are not explained by @p culprits. */
-    static Verdict judge(const Deaths &deaths, const Culprits &culprits, absl::Time now);
+    static Verdict judge(const ServerDeaths &deaths, const Culprits &culprits, absl::Time now);
     bool isQuarantined(const Verdict &verdict) const;
-    static bool isNewer(const Death &a, const Death &b);
-    /** Index of the death to drop when there are too many. */
-    static std::size_t leastUseful(const Deaths &deaths);
     bool addDeath(const CrashReport &report, bool isLocal, absl::Time now);
     bool onPartServed(const Fingerprint &part, absl::Time servedAt, absl::Time now);
     /** Whether so many deaths would count that the fingerprint is quarantined, were they not those
@@ -253,6 +283,8 @@
     absl::btree_map<Fingerprint, Entry> entries;
     ServedCallCache recentlyServed;
     ServedCallCache recentlyServedParts;
+    TrialRuns trials;
+    absl::Time trialsHeldUntil = absl::InfinitePast();
     /** Withdrawn deaths with the time until which reports of them are ignored. */
     absl::btree_map<CrashKey, absl::Time> withdrawn;
     /** Empty after a change; computed again on the next call of digest(). */
--- a/servers/quarantine/unconfirmed_losses.h
+++ b/servers/quarantine/unconfirmed_losses.h
@@ -34,6 +34,7 @@
     absl::Time lostAt;
     /** See CrashReport. */
     absl::Time causeSince;
+    bool wasTrial = false;
 };
 
 enum class LossVerdict : std::uint8_t {
--- a/tests/platform/store_objects_test.cpp
+++ b/tests/platform/store_objects_test.cpp
@@ -414,6 +414,9 @@
     EXPECT_EQ(decoded().incarnation, report.incarnation);
     EXPECT_EQ(decoded().diedAt, report.diedAt);
     EXPECT_EQ(decoded().causeSince, report.causeSince);
+    EXPECT_FALSE(decoded().wasTrial);
+    report.wasTrial = true;
+    EXPECT_TRUE(decoded().wasTrial);
     report.causeSince = absl::InfiniteFuture();
     EXPECT_EQ(decoded().causeSince, report.diedAt);
 }
--- a/tests/process/deadly_part_test.cpp
+++ b/tests/process/deadly_part_test.cpp
@@ -1,3 +1,4 @@
+#include "servers/quarantine/trial_runs.h"
 #include "tests/process/gateway_deployment.h"
 #include "tests/process/http_caller.h"
 
@@ -114,6 +115,60 @@
         deadly.join();
     }
 
+    /** Sends sound calls only. */
+    void sendSound(absl::Duration time)
+    {
+        this->runUntil(absl::Now() + time, 3, [&](int) {
+            EXPECT_EQ(this->call("aa01:400").status, 200);
+            absl::SleepFor(absl::Milliseconds(50));
+        });
+    }
+
+    /** Sends calls with the deadly part until they are refused. */
+    void findDeadlyPart()
+    {
+        const std::string parts = absl::StrCat("aa01:400,", kDeadlyPart, ":200");
+        for (int round = 0; round < 5; ++round) {
+            if (absl::StrContains(this->call(parts).body, "quarantined"))
+                return;
+            absl::SleepFor(absl::Milliseconds(1100));
+        }
+        ADD_FAILURE() << "the deadly part was not found";
+    }
+
+    /** The server that runs a sound call with the same first part crashes of another cause. */
+    void crashServerOfSoundCall()
+    {
+        ServingStandin &platform = this->deployment.platform();
+        platform.setPrefillTime(absl::Seconds(1));
+        const std::size_t before = platform.arrivals().size();
+        std::thread caller([&] { this->call("aa01:400"); });
+        const absl::Time end = absl::Now() + absl::Seconds(2);
+        while (platform.arrivals().size() == before && absl::Now() < end)
+            absl::SleepFor(absl::Milliseconds(5));
+        const std::vector<ServerArrival> arrivals = platform.arrivals();
+        EXPECT_GT(arrivals.size(), before);
+        if (arrivals.size() > before) {
+            const std::string &server = arrivals[before].server;
+            const std::size_t digits = server.find_first_of("0123456789");
+            platform.restart(std::stoi(server.substr(digits)));
+        }
+        caller.join();
+        platform.setPrefillTime(absl::Milliseconds(150));
+    }
+
+    /** Kills and starts the first @p count instances. */
+    void restartInstances(int count)
+    {
+        for (int gateway = 0; gateway < count; ++gateway)
+            this->deployment.process(gateway).signal(SIGKILL);
+        for (int gateway = 0; gateway < count; ++gateway) {
+            ASSERT_TRUE(this->deployment.process(gateway).waitForEnd(absl::Seconds(3)));
+            this->deployment.start(gateway);
+        }
+        ASSERT_TRUE(this->waitUntilReady());
+    }
+
     std::vector<absl::Time> deadlyArrivals()
     {
         std::vector<absl::Time> times;
@@ -166,6 +221,37 @@
               << later(arrivals, deciding + kStableWindow) << " late\n";
 }
 
+/** Number of instances that restart after the crashes. */
+class DeadlyPartBesideAnotherCrash : public DeadlyPart, public testing::WithParamInterface<int>
+{ };
+
+// Guards against refusing sound calls for an hour that share a part with the deadly one, because a
+// server crashed of another cause under one of them: their part had one death more. The instances
+// that restart learn of the deaths from the others, or from the store.
+TEST_P(DeadlyPartBesideAnotherCrash, DoesNotHoldSoundCalls)
+{
+    ASSERT_TRUE(this->waitUntilReady());
+    this->sendSound(kTrialTimeout);
+    this->findDeadlyPart();
+    const std::vector<absl::Time> crashes = this->deployment.platform().crashTimes();
+    ASSERT_GE(crashes.size(), 3U);
+    this->crashServerOfSoundCall();
+    absl::Time servedFrom = absl::Now() + 2 * kStableWindow;
+    // The deaths are stored at the next tick.
+    absl::SleepFor(absl::Milliseconds(500));
+    ASSERT_NO_FATAL_FAILURE(this->restartInstances(this->GetParam()));
+    // Nobody knows then whether a trial is running.
+    if (this->GetParam() == kGateways)
+        servedFrom = absl::Now() + kTrialTimeout + kStableWindow;
+    this->sendBoth(servedFrom + absl::Seconds(4) - absl::Now());
+    EXPECT_GE(this->servedShareAfter(servedFrom), kMinServedShare);
+    const absl::Time deciding = crashes[std::min(crashes.size(), kDecidingCrash) - 1];
+    EXPECT_LE(later(this->deadlyArrivals(), deciding + kStableWindow), kMaxLateArrivals);
+    EXPECT_EQ(this->call(absl::StrCat("aa01:400,", kDeadlyPart, ":200")).status, 503);
+}
+
+INSTANTIATE_TEST_SUITE_P(Restarts, DeadlyPartBesideAnotherCrash, testing::Values(0, 1, kGateways));
+
 // Guards against refusing a part that all calls have because many servers end at the same moment.
 TEST_F(DeadlyPart, IsNotThePartOfAllCallsWhenServersEndTogether)
 {
--- a/tests/quarantine/prompt_part_test.cpp
+++ b/tests/quarantine/prompt_part_test.cpp
@@ -302,6 +302,7 @@
     event.report.incarnation = random.below(3);
     event.report.diedAt = kNow - absl::Milliseconds(random.below(8000));
     event.report.causeSince = event.report.diedAt - absl::Milliseconds(random.below(1500));
+    event.report.wasTrial = random.below(4) == 0;
     return event;
 }
 
