Store deaths that another quarantined part explains

Callers would see: after a restart of all instances, calls with a deadly part run again and crash servers, if its deaths had been attributed to another part.

Cause: DeathRecorder stores the deaths of what is quarantined or would be with the next death, and deaths that another part explains did not count for that.

Change: the deaths count as if nothing else explained them.

Result: QuarantineTrial.RecordsTheDeathsThatAnotherPartExplains failed before and passes.

--- a/servers/quarantine/quarantine.cpp
+++ b/servers/quarantine/quarantine.cpp
@@ -237,7 +237,7 @@
 {
     std::vector<CrashReport> reports;
     for (const auto &[fingerprint, entry] : this->entries) {
-        if (this->nextRun(fingerprint, now) != SuspectRun::Last)
+        if (judge(entry.deaths, {}, now).counted.size() + 1 < this->options.deaths)
             continue;
         for (const ServerDeath &death : entry.deaths) {
             if (death.isLocal && isCurrent(death.diedAt, now))
--- a/servers/quarantine/quarantine.h
+++ b/servers/quarantine/quarantine.h
@@ -189,7 +189,8 @@
     absl::Duration retryAfter(const Fingerprint &fingerprint, absl::Time now) const;
 
     /** Deaths seen by this instance that must be stored to outlive it: those of fingerprints that
-     * are quarantined or would be with the next death. */
+     * are quarantined or would be with the next death, also where another fingerprint explains them
+     * now. */
     std::vector<CrashReport> deathsToRecord(absl::Time now) const;
     bool has(const CrashKey &death) const;
     /** All deaths that still count, to be sent to an instance that has just joined. */
--- a/tests/quarantine/trial_test.cpp
+++ b/tests/quarantine/trial_test.cpp
@@ -254,6 +254,21 @@
     EXPECT_FALSE(this->table.refuses(call, at(66)));
 }
 
+// Guards against forgetting the deadly part when all instances restart: the deaths were explained
+// by the sound part when they were stored.
+TEST_F(QuarantineTrial, RecordsTheDeathsThatAnotherPartExplains)
+{
+    for (int death = 0; death < 3; ++death)
+        this->lose(callWith({"sound", "deadly"}), death * 2);
+    this->lose(callWith({"sound"}), 6);
+    EXPECT_EQ(this->table.deathsSeen(part("deadly"), at(6.1)), 0U);
+    const std::vector<CrashReport> recorded = this->table.deathsToRecord(at(6.1));
+    EXPECT_EQ(std::count_if(
+                  recorded.begin(), recorded.end(),
+                  [](const CrashReport &report) { return report.fingerprint == part("deadly"); }),
+              3);
+}
+
 TEST(TrialRuns, AreBounded)
 {
     TrialRuns runs;
