End a call at once whose server changes the protocol

Callers saw: 504 at their deadline, where the server sent 101 and nothing else.

Cause: 101 counted as an interim response, so that the next one was awaited. No request asks for another protocol, and after 101 the server no longer speaks HTTP. libcurl takes it for the final response and reads to the end of the connection.

Change: 101 is no status of a response (isResponseStatus()).

--- a/peers/http/http_head.cpp
+++ b/peers/http/http_head.cpp
@@ -91,7 +91,7 @@
 
 bool isResponseStatus(int status)
 {
-    return status >= 100 && status < 600;
+    return status >= 100 && status < 600 && status != HTTP_STATUS_SWITCHING_PROTOCOLS;
 }
 
 bool isHeaderNameCharacter(char character)
--- a/peers/http/http_head.h
+++ b/peers/http/http_head.h
@@ -57,7 +57,8 @@
     bool isFramed = false;
 };
 
-/** Whether @p status may be that of a response: the range of RFC 9110, section 15. */
+/** Whether @p status may be that of a response: the range of RFC 9110, section 15, but for 101,
+ * since no request asks for another protocol. */
 bool isResponseStatus(int status);
 
 /** Whether @p character may be part of a header's name: a token of RFC 9110, section 5.6.2. */
--- a/tests/gateway/invalid_response_test.cpp
+++ b/tests/gateway/invalid_response_test.cpp
@@ -20,7 +20,8 @@
 
 /** Invalid beginnings of heads. */
 const std::vector<std::string> kInvalidStarts = {
-    "HTTP/1.1 000 Failed\r\n", "HTTP/1.1 600 Failed\r\n", "HTTP/1.1 200 OK\r\nX Name: 1\r\n"};
+    "HTTP/1.1 000 Failed\r\n", "HTTP/1.1 600 Failed\r\n", "HTTP/1.1 200 OK\r\nX Name: 1\r\n",
+    "HTTP/1.1 101 Switching Protocols\r\n"};
 
 std::string bodyOn(const RouteCase &route)
 {
@@ -116,6 +117,25 @@
     }
 }
 
+// Guards against a change of the protocol, which no request asks for, that passes for an interim
+// response, so that the caller waits to its deadline for the next one.
+TEST_F(InvalidResponse, WithAChangeOfTheProtocolEndsTheCallAtOnce)
+{
+    const std::string head = "HTTP/1.1 101 Switching Protocols\r\n";
+    const std::string upgrade = "Connection: Upgrade\r\nUpgrade: websocket\r\n";
+    for (const RouteCase &route : kRoutes) {
+        for (const bool isKept : {false, true}) {
+            for (const std::string &bytes :
+                 {head + "\r\n", head + upgrade + "\r\n", head + kSealed + upgrade + "\r\n",
+                  "HTTP/1.1 100 Continue\r\n\r\n" + head + upgrade + "\r\n"}) {
+                SCOPED_TRACE(absl::StrCat(bytes, " on ", route.path, isKept ? ", kept" : ""));
+                this->checkIsRefused(route, bytes, isKept);
+            }
+        }
+        this->checkHead(route, absl::StrCat(head, upgrade, kSealed, lengthLine(route), "\r\n"));
+    }
+}
+
 // Guards against a check of the status that refuses sound responses.
 TEST_F(InvalidResponse, IsNoneWithAnUnusualStatus)
 {
--- a/tests/http/response_head_checker_test.cpp
+++ b/tests/http/response_head_checker_test.cpp
@@ -37,9 +37,10 @@
 TEST(ResponseHeadChecker, RefusesAnInvalidStatusWhateverItsParts)
 {
     for (const std::string line :
-         {"HTTP/1.1 000 OK", "HTTP/1.1 099", "HTTP/1.1 600 ", "HTTP/1.1 999 Failed",
-          "HTTP/1.1 20 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 200OK",
-          "HTTP/1.1 2 00 OK", "HTTP/1.1 OK", "HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1 200\tOK"}) {
+         {"HTTP/1.1 000 OK", "HTTP/1.1 099", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 600 ",
+          "HTTP/1.1 999 Failed", "HTTP/1.1 20 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 2000 OK",
+          "HTTP/1.1 200OK", "HTTP/1.1 2 00 OK", "HTTP/1.1 OK", "HTTP/1.1", "HTTP/1.1 ",
+          "HTTP/1.1 200\tOK"}) {
         const std::string text = line + "\r\n\r\n";
         for (std::size_t part = 1; part <= text.size(); ++part)
             EXPECT_EQ(checkInParts(text, part), std::nullopt) << line;
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -272,7 +272,8 @@
     HttpClient client(1);
     for (const std::string start :
          {"HTTP/1.1 000 Failed\r\n", "HTTP/1.1 099 Failed\r\n", "HTTP/1.1 600 Failed\r\n",
-          "HTTP/1.1 999 Failed\r\n", "HTTP/1.1 0200 OK\r\n", "HTTP/1.1 200 OK\r\nX Name: 1\r\n",
+          "HTTP/1.1 101 Switching Protocols\r\nUpgrade: websocket\r\n", "HTTP/1.1 999 Failed\r\n",
+          "HTTP/1.1 0200 OK\r\n", "HTTP/1.1 200 OK\r\nX Name: 1\r\n",
           "HTTP/1.1 200 OK\r\nX-Name : 1\r\n", "HTTP/1.1 200 OK\r\nX\x01Name: 1\r\n",
           "HTTP/1.1 200 OK\r\n X-Name: 1\r\n", "HTTP/1.1 200 OK\r\nX: 1\r\n X-Name: 1\r\n",
           "HTTP/1.1 100 Continue\r\nX Name: 1\r\n\r\nHTTP/1.1 200 OK\r\n"}) {
--- a/tests/process/invalid_response_process_test.cpp
+++ b/tests/process/invalid_response_process_test.cpp
@@ -117,6 +117,17 @@
     }
 }
 
+// Guards against a change of the protocol that makes the caller wait for another response.
+TEST_F(InvalidResponseProcess, WithAChangeOfTheProtocolEndsTheCallAtOnce)
+{
+    ASSERT_TRUE(this->deployment.waitUntilReady(0));
+    for (const RouteCase &route : kRoutes)
+        this->checkIsRefused(route, "upgrade",
+                             {absl::StrCat("HTTP/1.1 101 Switching Protocols\r\n",
+                                           "Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n")},
+                             "body");
+}
+
 // Guards against a header with an invalid name that reaches a caller, or hides the length.
 TEST_F(InvalidResponseProcess, WithAnInvalidHeaderNameReachesNoCaller)
 {
