--- a/tests/quarantine/trial_test.cpp
+++ b/tests/quarantine/trial_test.cpp
@@ -293,7 +293,6 @@
 
     void run(double seconds)
     {
-        // Trials of the sound parts end long before the last one of the deadly part.
         for (double time = 0; time < seconds; time += 0.1) {
             this->endRuns(time);
             const std::string sound = absl::StrCat("sound-", this->random.below(kSoundParts));
