--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -13,12 +13,12 @@
 
 namespace {
 
-constexpr int kServers = 3;
+constexpr int kServers = 6;
 /** Clients, spread over the instances. */
 constexpr int kClients = 60;
 constexpr int kRounds = 3;
-/** Servers that leave in each round. */
-constexpr int kLeaving = 4;
+/** Servers that leave in each round, of eight or more. */
+constexpr int kLeaving = 2;
 constexpr absl::Duration kDrainBound = absl::Seconds(2);
 constexpr absl::Duration kStableWindow = absl::Seconds(3);
 /** An outage that begins in the middle of a watch ends before the last call in it has timed out. */
